Settle the workspace, the shared types of the core and the protocols

Cause: an empty repository; every part needs the same words and interfaces before parts can be built side by side. Change: Maven reactor of six modules with formatter, Checkstyle and Error Prone as errors; identifiers, refusal reasons, configuration records and the Placer interface of the core; docs/design/protocols.md with the HTTP, object API and daemon protocols. Conclusion: parts can be built side by side; nothing serves a request yet.

--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
@@ -0,0 +1,30 @@
+package org.marjoramsail.core.configuration;
+
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
+
+/**
+ * One server.
+ *
+ * @param name unique
+ * @param service the service that it belongs to
+ * @param role what it does; for engines the role that it should have
+ * @param address an IP number
+ * @param port a TCP port
+ * @param availabilityZone where it stands
+ * @param region the region of that availability zone
+ * @param slots how many requests it holds at once
+ * @param fenced whether it refuses orders that carry an old fencing token
+ * @param drained whether an operator has taken it out of service
+ */
+public record UpstreamDefinition(
+    UpstreamName name,
+    String service,
+    UpstreamRole role,
+    String address,
+    int port,
+    String availabilityZone,
+    String region,
+    int slots,
+    boolean fenced,
+    boolean drained) {}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/failure/MarjoramsailException.java
@@ -0,0 +1,17 @@
+package org.marjoramsail.core.failure;
+
+/** The root of the project's checked exceptions; each subclass carries the object that failed. */
+public abstract class MarjoramsailException extends Exception {
+
+  private static final long serialVersionUID = 1L;
+
+  /** Takes a message that quotes the failing input and says what is allowed. */
+  protected MarjoramsailException(String message) {
+    super(message);
+  }
+
+  /** Takes a message and what caused the failure. */
+  protected MarjoramsailException(String message, Throwable cause) {
+    super(message, cause);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/failure/RetryReason.java
@@ -0,0 +1,23 @@
+package org.marjoramsail.core.failure;
+
+import java.util.Locale;
+
+/** Why a request is tried again; each has its counter. */
+public enum RetryReason {
+  CONNECT_FAILED,
+  UPSTREAM_REFUSED,
+  UPSTREAM_LEAVING,
+  PREFILL_FAILED,
+  KV_EXPIRED,
+  TRANSFER_FAILED,
+  DECODE_FAILED,
+  STREAM_CUT,
+  OWNER_CHANGED,
+  TIMEOUT,
+  HEDGE;
+
+  /** The reason in lower case with hyphens, as operators and counters see it. */
+  public String code() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/model/UpstreamName.java
@@ -0,0 +1,26 @@
+package org.marjoramsail.core.model;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/** Names one upstream, that is one server, for as long as it is configured. */
+public record UpstreamName(@JsonValue String value) implements Comparable<UpstreamName> {
+
+  /** Takes a value that is not blank. */
+  @JsonCreator
+  public UpstreamName {
+    if (value == null || value.isBlank()) {
+      throw new IllegalArgumentException("A upstream name must not be blank.");
+    }
+  }
+
+  @Override
+  public int compareTo(UpstreamName other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions of the router, without input or output. */
+package org.marjoramsail.core;
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
@@ -0,0 +1,60 @@
+package org.marjoramsail.core.placement;
+
+import java.util.List;
+import java.util.Optional;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.UpstreamName;
+
+/**
+ * What an entry daemon asks of the owner of a shard: upstreams for one attempt of one request.
+ *
+ * <p>Times are relative, so that they hold on the clock of the owner.
+ *
+ * @param request the request
+ * @param attempt from one; rises with each try
+ * @param entry the daemon that holds the caller's connection
+ * @param service the service asked for
+ * @param organisation whose request it is
+ * @param rule the name of the rule that matched, for the operators' questions
+ * @param serviceClass its urgency
+ * @param promptTokens length of the prompt; zero for plain services
+ * @param outputTokens how many tokens at most it generates; zero for plain services
+ * @param prefixHashes chained hashes of the prompt's blocks, first block first
+ * @param waitedMillis how long ago the request arrived
+ * @param firstTokenWithinMillis how long until its first token is late
+ * @param deadlineWithinMillis how long until its answer is useless
+ * @param avoid upstreams on which earlier attempts failed
+ * @param kvHeldBy a prefill upstream on which its KV cache still lives
+ * @param alone whether it is suspected of crashing upstreams and shares one with no other suspect
+ */
+public record PlacementRequest(
+    RequestId request,
+    int attempt,
+    DaemonId entry,
+    String service,
+    String organisation,
+    String rule,
+    ServiceClass serviceClass,
+    int promptTokens,
+    int outputTokens,
+    List<Long> prefixHashes,
+    long waitedMillis,
+    long firstTokenWithinMillis,
+    long deadlineWithinMillis,
+    List<UpstreamName> avoid,
+    Optional<UpstreamName> kvHeldBy,
+    boolean alone) {
+
+  /** Copies the lists, so that the value cannot change. */
+  public PlacementRequest {
+    prefixHashes = List.copyOf(prefixHashes);
+    avoid = List.copyOf(avoid);
+  }
+
+  /** Whether it asks for engines rather than for a plain service. */
+  public boolean isGeneration() {
+    return outputTokens > 0;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/Placer.java
@@ -0,0 +1,52 @@
+package org.marjoramsail.core.placement;
+
+import java.util.List;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.UpstreamName;
+
+/**
+ * Decides upstreams for the requests of one shard.
+ *
+ * <p>One instance has one shard and is called under that shard's lock. Each call takes the time and
+ * gives what it decided, for the called request or for others. The baselines and the reserving
+ * placer all have this face, so that they serve the same load.
+ */
+public interface Placer {
+
+  /** Takes the shard's upstreams and the organisations' limits from a newer configuration. */
+  List<PlacementResult> configure(Configuration configuration, long nowMillis);
+
+  /** Queues or decides one attempt; the same attempt again replaces nothing. */
+  List<PlacementResult> place(PlacementRequest request, long nowMillis);
+
+  /**
+   * Takes over an attempt that another owner granted, so that its slots count here.
+   *
+   * @param phase how far it has come
+   */
+  List<PlacementResult> restore(
+      PlacementRequest request, Grant grant, AttemptPhase phase, long nowMillis);
+
+  /** Takes progress or the end of a granted attempt; unknown attempts are dropped and counted. */
+  List<PlacementResult> report(AttemptReport report, long nowMillis);
+
+  /** Forgets a request that waits or was granted, because its caller is gone. */
+  List<PlacementResult> withdraw(RequestId request, long nowMillis);
+
+  /** Takes what an upstream says of its load. */
+  List<PlacementResult> load(LoadReport report, long nowMillis);
+
+  /** Takes that an upstream is leaving or unreachable, however that was learned, or is back. */
+  List<PlacementResult> availability(UpstreamName upstream, boolean available, long nowMillis);
+
+  /** Drops all that a dead daemon had waiting or granted. */
+  List<PlacementResult> daemonGone(DaemonId daemon, long nowMillis);
+
+  /** Does what time has made due; called every few milliseconds. */
+  List<PlacementResult> tick(long nowMillis);
+
+  /** What runs and what waits here, for operators. */
+  ShardView view(long nowMillis);
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** The one clock type of the project. */
+package org.marjoramsail.core.time;
