--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/message/PeerMessageHandler.java
@@ -0,0 +1,16 @@
+package org.marjoramsail.core.message;
+
+import org.marjoramsail.core.model.DaemonId;
+
+/** Takes the messages of other daemons; called on any thread. */
+@FunctionalInterface
+public interface PeerMessageHandler {
+
+  /**
+   * Takes one message.
+   *
+   * @param from the run of a daemon that sent it, as proven in the handshake
+   * @param message what it says
+   */
+  void handle(DaemonId from, PeerMessage message);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/package-info.java
@@ -0,0 +1,2 @@
+/** The platform: its object API and its lists of hosts. */
+package org.marjoramsail.daemon.platform;
