--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/AttemptMemory.java
@@ -0,0 +1,49 @@
+package org.marjoramsail.core.placement;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.RequestId;
+
+/**
+ * Remembers for some seconds which attempts have ended and which daemons are gone.
+ *
+ * <p>Entry daemons repeat what may be lost, so a message can arrive after the end of what it is
+ * about. Taken at its word it would reserve slots that nobody releases.
+ */
+final class AttemptMemory {
+
+  private static final int MOST_REQUESTS = 4_096;
+  private static final int MOST_DAEMONS = 256;
+  private static final long MEMORY_MILLIS = 5_000;
+
+  private final Cache<RequestId, Ended> ended =
+      Caffeine.newBuilder().maximumSize(MOST_REQUESTS).executor(Runnable::run).build();
+  private final Cache<DaemonId, Long> gone =
+      Caffeine.newBuilder().maximumSize(MOST_DAEMONS).executor(Runnable::run).build();
+
+  void ended(RequestId request, int attempt, long nowMillis) {
+    ended.put(request, new Ended(attempt, nowMillis + MEMORY_MILLIS));
+  }
+
+  void gone(DaemonId daemon, long nowMillis) {
+    gone.put(daemon, nowMillis + MEMORY_MILLIS);
+  }
+
+  /**
+   * Whether a message about this attempt is late.
+   *
+   * <p>A daemon counts as gone for some seconds only: one that was declared dead wrongly repeats
+   * its requests and has to be heard again.
+   */
+  boolean isOver(PlacementRequest request, long nowMillis) {
+    Ended last = ended.getIfPresent(request.request());
+    if (last != null && nowMillis < last.untilMillis() && request.attempt() <= last.attempt()) {
+      return true;
+    }
+    Long goneUntil = gone.getIfPresent(request.entry());
+    return goneUntil != null && nowMillis < goneUntil;
+  }
+
+  private record Ended(int attempt, long untilMillis) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/DirectPlacer.java
@@ -0,0 +1,246 @@
+package org.marjoramsail.core.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
+
+/**
+ * The baselines: decides each attempt at once, from lagged load reports, without a queue and
+ * without reservations.
+ */
+abstract class DirectPlacer implements Placer {
+
+  private static final long RETRY_MILLIS = 1_000;
+
+  private final ShardId shard;
+  private final PlacementSettings settings;
+  private final Map<UpstreamName, Candidate> candidates = new TreeMap<>();
+  private final Map<RequestId, Decided> decided = new LinkedHashMap<>();
+
+  DirectPlacer(PlacerSetup setup) {
+    this.shard = setup.shard();
+    this.settings = setup.settings();
+    define(setup.configuration());
+  }
+
+  /** Picks one of at least one candidate, all of one role. */
+  abstract Candidate pick(List<Candidate> choices);
+
+  @Override
+  public final List<PlacementResult> configure(Configuration configuration, long nowMillis) {
+    define(configuration);
+    return List.of();
+  }
+
+  @Override
+  public final List<PlacementResult> place(PlacementRequest request, long nowMillis) {
+    Decided known = decided.get(request.request());
+    if (known != null && known.request().attempt() >= request.attempt()) {
+      boolean isSame = known.request().attempt() == request.attempt();
+      return isSame
+          ? List.of(new PlacementResult.Granted(request.entry(), known.grant()))
+          : List.of();
+    }
+    UpstreamRole role = request.isGeneration() ? UpstreamRole.DECODE : UpstreamRole.PLAIN;
+    List<Candidate> targets = usable(role, request);
+    if (targets.isEmpty()) {
+      Refusal refusal =
+          Refusal.notRun(
+              RefusalReason.NO_UPSTREAM, "No upstream of " + shard + " is live.", RETRY_MILLIS);
+      return List.of(
+          new PlacementResult.Refused(
+              request.entry(), request.request(), request.attempt(), refusal));
+    }
+    Grant grant = grant(request, pick(targets));
+    decided.put(request.request(), new Decided(request, grant, AttemptPhase.PREFILLING, nowMillis));
+    return List.of(new PlacementResult.Granted(request.entry(), grant));
+  }
+
+  @Override
+  public final List<PlacementResult> restore(
+      PlacementRequest request, Grant grant, AttemptPhase phase, long nowMillis) {
+    decided.put(request.request(), new Decided(request, grant, phase, nowMillis));
+    return List.of();
+  }
+
+  @Override
+  public final List<PlacementResult> report(AttemptReport report, long nowMillis) {
+    Decided known = decided.get(report.request());
+    if (known == null || known.request().attempt() != report.attempt()) {
+      return List.of();
+    }
+    if (report.phase() == AttemptPhase.ENDED) {
+      decided.remove(report.request());
+    } else {
+      decided.put(
+          report.request(),
+          new Decided(known.request(), known.grant(), report.phase(), known.atMillis()));
+    }
+    return List.of();
+  }
+
+  @Override
+  public final List<PlacementResult> withdraw(RequestId request, long nowMillis) {
+    decided.remove(request);
+    return List.of();
+  }
+
+  @Override
+  public final List<PlacementResult> load(LoadReport report, long nowMillis) {
+    Candidate candidate = candidates.get(report.upstream());
+    if (candidate != null) {
+      candidates.put(report.upstream(), candidate.reporting(report));
+    }
+    return List.of();
+  }
+
+  @Override
+  public final List<PlacementResult> availability(
+      UpstreamName upstream, boolean available, long nowMillis) {
+    Candidate candidate = candidates.get(upstream);
+    if (candidate != null) {
+      candidates.put(upstream, candidate.listed(available));
+    }
+    return List.of();
+  }
+
+  @Override
+  public final List<PlacementResult> daemonGone(DaemonId daemon, long nowMillis) {
+    decided.values().removeIf(it -> SlotLedger.isRunOf(it.request().entry(), daemon));
+    return List.of();
+  }
+
+  @Override
+  public final List<PlacementResult> tick(long nowMillis) {
+    return List.of();
+  }
+
+  @Override
+  public final ShardView view(long nowMillis) {
+    List<ShardView.UpstreamView> upstreams =
+        candidates.values().stream().map(Candidate::view).toList();
+    List<ShardView.RunningView> running = new ArrayList<>();
+    decided.values().stream()
+        .sorted(Comparator.comparingLong(Decided::atMillis))
+        .forEach(it -> running.add(it.view(nowMillis)));
+    return new ShardView(shard, upstreams, running, List.of(), List.of());
+  }
+
+  private void define(Configuration configuration) {
+    Map<UpstreamName, Candidate> before = new TreeMap<>(candidates);
+    candidates.clear();
+    new ShardMap(configuration)
+        .upstreamsOf(shard)
+        .forEach(
+            definition -> {
+              Candidate fresh =
+                  new Candidate(
+                      definition.name(),
+                      definition.role(),
+                      definition.availabilityZone(),
+                      definition.slots(),
+                      !definition.drained(),
+                      Optional.empty());
+              Candidate old = before.getOrDefault(definition.name(), fresh);
+              candidates.put(
+                  definition.name(), old.listed(old.isListed() && !definition.drained()));
+            });
+  }
+
+  private List<Candidate> usable(UpstreamRole role, PlacementRequest request) {
+    return candidates.values().stream()
+        .filter(it -> it.role() == role && it.isUsable() && !request.avoid().contains(it.name()))
+        .toList();
+  }
+
+  private Grant grant(PlacementRequest request, Candidate target) {
+    List<Candidate> readers = usable(UpstreamRole.PREFILL, request);
+    double localMillis =
+        settings.prefillOverheadMillis()
+            + request.promptTokens() / settings.prefillTokensPerMilli();
+    Optional<UpstreamName> prefill = Optional.empty();
+    GrantMode mode = request.isGeneration() ? GrantMode.LOCAL_PREFILL : GrantMode.PLAIN;
+    boolean isShort = localMillis <= settings.localPrefillMillis();
+    if (request.isGeneration() && !isShort && !readers.isEmpty()) {
+      mode = GrantMode.DISAGGREGATED;
+      prefill = request.kvHeldBy().or(() -> Optional.of(pick(readers).name()));
+    }
+    return new Grant(
+        request.request(),
+        request.attempt(),
+        mode,
+        prefill,
+        target.name(),
+        request.kvHeldBy().isPresent() ? 0 : Math.round(localMillis),
+        0);
+  }
+
+  /** One upstream as its last load report shows it. */
+  record Candidate(
+      UpstreamName name,
+      UpstreamRole role,
+      String availabilityZone,
+      int slots,
+      boolean isListed,
+      Optional<LoadReport> report) {
+
+    Candidate reporting(LoadReport newer) {
+      return new Candidate(
+          name, newer.role(), availabilityZone, slots, isListed, Optional.of(newer));
+    }
+
+    Candidate listed(boolean available) {
+      return new Candidate(name, role, availabilityZone, slots, available, report);
+    }
+
+    boolean isUsable() {
+      return isListed && report.filter(LoadReport::leaving).isEmpty();
+    }
+
+    /** Reported requests over slots; zero before its first report. */
+    double reportedLoad() {
+      int held = report.map(it -> it.running() + it.waiting()).orElse(0);
+      return held / (double) Math.max(1, slots);
+    }
+
+    ShardView.UpstreamView view() {
+      int running = report.map(LoadReport::running).orElse(0);
+      return new ShardView.UpstreamView(
+          name,
+          role,
+          availabilityZone,
+          slots,
+          0,
+          running,
+          isUsable(),
+          isUsable() ? "available" : "unreachable",
+          0);
+    }
+  }
+
+  private record Decided(PlacementRequest request, Grant grant, AttemptPhase phase, long atMillis) {
+
+    ShardView.RunningView view(long nowMillis) {
+      return new ShardView.RunningView(
+          request.request(),
+          request.attempt(),
+          request.organisation(),
+          request.entry(),
+          phase,
+          grant.prefill(),
+          grant.target(),
+          nowMillis - atMillis);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementCounter.java
@@ -0,0 +1,22 @@
+package org.marjoramsail.core.placement;
+
+import java.util.Locale;
+
+/** What a placer counts besides its grants and refusals. */
+public enum PlacementCounter {
+  GRANTED,
+  GRANTED_LOCAL_PREFILL,
+  GRANTED_FOR_LIVE_KV,
+  GRANT_REPEATED,
+  REFUSED,
+  RESTORED,
+  PROMOTED,
+  LATE_PLACE_DROPPED,
+  LATE_REPORT_DROPPED,
+  LATE_RESTORE_DROPPED;
+
+  /** The counter's name in lower case with hyphens. */
+  public String code() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementEstimates.java
@@ -0,0 +1,63 @@
+package org.marjoramsail.core.placement;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+
+/** What the placer of one shard has learned from attempts that ended. */
+final class PlacementEstimates {
+
+  private static final int MOST_RULES = 256;
+  private static final double FIRST_OUTPUT_SHARE = 0.5;
+  private static final double FIRST_HOLD_MILLIS = 1_000;
+  private static final long LEARNABLE_TRANSFER_BYTES = 1_000_000;
+
+  private final Cache<String, MovingAverage> outputShares =
+      Caffeine.newBuilder().maximumSize(MOST_RULES).executor(Runnable::run).build();
+  private final MovingAverage decodeMillisPerToken;
+  private final MovingAverage holdMillis = new MovingAverage(FIRST_HOLD_MILLIS);
+  private final MovingAverage linkBytesPerMilli;
+
+  PlacementEstimates(PlacementSettings settings) {
+    this.decodeMillisPerToken = new MovingAverage(settings.decodeMillisPerToken());
+    this.linkBytesPerMilli = new MovingAverage(settings.linkBytesPerMilli());
+  }
+
+  /** Output tokens that a request will probably generate. */
+  double outputTokens(PlacementRequest request) {
+    return request.outputTokens() * outputShare(request.rule()).value();
+  }
+
+  /** How long a slot is held on average, in milliseconds. */
+  double holdMillis() {
+    return holdMillis.value();
+  }
+
+  double linkBytesPerMilli() {
+    return linkBytesPerMilli.value();
+  }
+
+  double decodeMillisPerToken() {
+    return decodeMillisPerToken.value();
+  }
+
+  void learnTransfer(long bytes, long tookMillis) {
+    if (bytes >= LEARNABLE_TRANSFER_BYTES && tookMillis > 0) {
+      linkBytesPerMilli.observe((double) bytes / tookMillis);
+    }
+  }
+
+  void learnHold(long heldMillis) {
+    holdMillis.observe((double) heldMillis);
+  }
+
+  void learnOutput(PlacementRequest request, int tokens, long generatingMillis) {
+    if (request.isGeneration() && tokens > 0) {
+      outputShare(request.rule()).observe((double) tokens / request.outputTokens());
+      decodeMillisPerToken.observe((double) generatingMillis / tokens);
+    }
+  }
+
+  private MovingAverage outputShare(String rule) {
+    return outputShares.get(rule, name -> new MovingAverage(FIRST_OUTPUT_SHARE));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementSettings.java
@@ -0,0 +1,48 @@
+package org.marjoramsail.core.placement;
+
+/**
+ * Where the estimates of a placer start, and its bounds.
+ *
+ * @param prefillTokensPerMilli first guess of how fast a prefill upstream reads, tokens a
+ *     millisecond
+ * @param prefillOverheadMillis first guess of the fixed time of a prefill
+ * @param linkBytesPerMilli rate of the link of one upstream, bytes a millisecond
+ * @param otherZoneMillis added to a transfer that leaves its availability zone
+ * @param decodeMillisPerToken first guess of the time between two tokens
+ * @param prefillAheadMillis how much unread work a prefill upstream is given ahead of need
+ * @param kvLifetimeMillis how long a KV cache lives after its prefill
+ * @param localPrefillMillis a prompt that a decode upstream reads within this is not disaggregated
+ * @param quickHeadroom share of the slots that only quick requests may take while there are any
+ * @param maximumWaiting how many attempts wait in a shard at most
+ * @param ageingMillis how long a standard attempt waits before it is served like a quick one
+ * @param promotionSlackMillis a deferrable attempt with less slack is served like a standard one
+ * @param settlingMillis how long a new owner grants only what load reports show to be free
+ * @param reportLagMillis how much older than its stated age a load report may be
+ * @param ejectionMillis how long an upstream is ejected for the first time; doubles each time
+ * @param slowStartMillis how long a returned upstream takes to get its full share
+ */
+public record PlacementSettings(
+    double prefillTokensPerMilli,
+    double prefillOverheadMillis,
+    double linkBytesPerMilli,
+    double otherZoneMillis,
+    double decodeMillisPerToken,
+    long prefillAheadMillis,
+    long kvLifetimeMillis,
+    long localPrefillMillis,
+    double quickHeadroom,
+    int maximumWaiting,
+    long ageingMillis,
+    long promotionSlackMillis,
+    long settlingMillis,
+    long reportLagMillis,
+    long ejectionMillis,
+    long slowStartMillis) {
+
+  /** Values that suit engines of about twenty slots; the estimates correct themselves. */
+  public static PlacementSettings defaults() {
+    return new PlacementSettings(
+        8, 5, 1_250_000, 2, 20, 100, 800, 30, 0.05, 10_000, 2_000, 5_000, 500, 1_000, 1_000,
+        10_000);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementViews.java
@@ -0,0 +1,74 @@
+package org.marjoramsail.core.placement;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/** Turns the state of one shard into what operators see. */
+final class PlacementViews {
+
+  private PlacementViews() {}
+
+  static ShardView view(
+      ShardId shard,
+      ShardUpstreams upstreams,
+      SlotLedger ledger,
+      List<WaitingAttempt> inOrder,
+      OrganisationTable organisations,
+      WaitEstimator waits,
+      long nowMillis) {
+    List<ShardView.WaitingView> waiting = new ArrayList<>();
+    for (WaitingAttempt attempt : inOrder) {
+      waiting.add(waitingView(attempt, waiting.size() + 1, waits, nowMillis));
+    }
+    return new ShardView(
+        shard,
+        upstreams.all().stream().map(upstream -> upstreamView(upstream, nowMillis)).toList(),
+        ledger.all().stream()
+            .sorted(Comparator.comparingLong(RunningAttempt::startedAt))
+            .map(attempt -> runningView(attempt, nowMillis))
+            .toList(),
+        waiting,
+        organisations.all().stream().map(it -> it.view(nowMillis)).toList());
+  }
+
+  private static ShardView.UpstreamView upstreamView(UpstreamState upstream, long nowMillis) {
+    return new ShardView.UpstreamView(
+        upstream.name(),
+        upstream.role(),
+        upstream.availabilityZone(),
+        upstream.slots(),
+        upstream.reserved(),
+        upstream.reportedRunning(),
+        upstream.isUsable(nowMillis),
+        upstream.stateCode(nowMillis),
+        upstream.prefixes().size());
+  }
+
+  private static ShardView.RunningView runningView(RunningAttempt attempt, long nowMillis) {
+    return new ShardView.RunningView(
+        attempt.request().request(),
+        attempt.request().attempt(),
+        attempt.request().organisation(),
+        attempt.request().entry(),
+        attempt.phase(),
+        attempt.grant().prefill(),
+        attempt.grant().target(),
+        nowMillis - attempt.startedAt());
+  }
+
+  private static ShardView.WaitingView waitingView(
+      WaitingAttempt attempt, int place, WaitEstimator waits, long nowMillis) {
+    PlacementRequest request = attempt.request();
+    return new ShardView.WaitingView(
+        request.request(),
+        request.organisation(),
+        request.entry(),
+        request.rule(),
+        request.serviceClass(),
+        place,
+        nowMillis - attempt.arrivedAt(),
+        attempt.missing().code(),
+        Math.round(waits.waitMillis(attempt, nowMillis)));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -0,0 +1,465 @@
+package org.marjoramsail.core.placement;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
+import org.marjoramsail.core.placement.OrganisationState.OrganisationLane;
+
+/**
+ * Queues the attempts of one shard and grants prefill and decode together.
+ *
+ * <p>The target's slot is reserved from the start of the prefill, so that no prompt is read whose
+ * result has nowhere to go. What cannot be served in time is refused at once, as not run.
+ */
+public final class ReservingPlacer implements Placer, CacheObserver {
+
+  /** Heads of organisations that are tried in one lane before the next lane. */
+  private static final int HEADS_TRIED = 4;
+
+  /** Tokens that one plain request counts for between organisations. */
+  private static final double PLAIN_COST_TOKENS = 100;
+
+  /** How much one generated token counts in tokens of a prompt: it holds a slot. */
+  private static final double OUTPUT_COST_TOKENS = 4;
+
+  private static final long SHARE_REFRESH_MILLIS = 1_000;
+  private static final long LEAST_RETRY_MILLIS = 1_000;
+
+  private final ShardId shard;
+  private final PlacementSettings settings;
+  private final ShardUpstreams upstreams;
+  private final OrganisationTable organisations;
+  private final PlacementEstimates estimates;
+  private final UpstreamSelector selector;
+  private final SlotLedger ledger;
+  private final WaitEstimator waits;
+  private final WaitingQueue queue = new WaitingQueue();
+  private final Map<RequestId, WaitingAttempt> waiting = new HashMap<>();
+  private final AttemptMemory memory = new AttemptMemory();
+  private final Map<PlacementCounter, Long> counters = new EnumMap<>(PlacementCounter.class);
+
+  private long nextSequence;
+  private long refreshAt = Long.MIN_VALUE;
+
+  /** Starts with nothing granted; see {@link PlacerSetup#isTakenOver()} for a change of owner. */
+  public ReservingPlacer(PlacerSetup setup, long nowMillis) {
+    this.shard = setup.shard();
+    this.settings = setup.settings();
+    this.upstreams = new ShardUpstreams(settings);
+    this.organisations = new OrganisationTable(shard);
+    this.estimates = new PlacementEstimates(settings);
+    this.selector = new UpstreamSelector(upstreams, estimates, setup, nowMillis);
+    this.ledger = new SlotLedger(upstreams, estimates);
+    this.waits = new WaitEstimator(upstreams, queue, estimates, selector);
+    define(setup.configuration());
+  }
+
+  @Override
+  public List<PlacementResult> configure(Configuration configuration, long nowMillis) {
+    define(configuration);
+    organisations.refresh(nowMillis);
+    return dispatch(nowMillis);
+  }
+
+  @Override
+  public List<PlacementResult> place(PlacementRequest request, long nowMillis) {
+    Optional<RunningAttempt> running = ledger.find(request.request());
+    if (running.isPresent() && running.get().request().attempt() == request.attempt()) {
+      // The entry repeats what it has not heard of: its grant was lost on the way.
+      count(PlacementCounter.GRANT_REPEATED);
+      return List.of(new PlacementResult.Granted(request.entry(), running.get().grant()));
+    }
+    WaitingAttempt queued = waiting.get(request.request());
+    boolean isQueued = queued != null && queued.request().attempt() >= request.attempt();
+    boolean isOld = running.filter(it -> it.request().attempt() > request.attempt()).isPresent();
+    if (isQueued || isOld || memory.isOver(request, nowMillis)) {
+      count(PlacementCounter.LATE_PLACE_DROPPED);
+      return List.of();
+    }
+    forget(request.request(), nowMillis);
+    Optional<Refusal> refusal = refusalAtArrival(request, nowMillis);
+    if (refusal.isPresent()) {
+      return List.of(refused(request, refusal.get()));
+    }
+    WaitingAttempt attempt = enqueue(request, nowMillis);
+    List<PlacementResult> results = dispatch(nowMillis);
+    if (waiting.get(request.request()) == attempt) {
+      Optional<Refusal> hopeless = waits.refusal(attempt, nowMillis);
+      hopeless.ifPresent(reason -> results.add(refuse(attempt, reason)));
+    }
+    return results;
+  }
+
+  @Override
+  public List<PlacementResult> restore(
+      PlacementRequest request, Grant grant, AttemptPhase phase, long nowMillis) {
+    boolean isKnown =
+        ledger
+            .find(request.request())
+            .filter(attempt -> attempt.request().attempt() >= request.attempt())
+            .isPresent();
+    boolean isEnded = phase == AttemptPhase.ENDED || memory.isOver(request, nowMillis);
+    if (isKnown || isEnded) {
+      count(PlacementCounter.LATE_RESTORE_DROPPED);
+      return List.of();
+    }
+    forget(request.request(), nowMillis);
+    OrganisationState organisation = organisations.of(request.organisation());
+    long bytes = selector.transferBytes(request);
+    ledger.restore(request, grant, phase, organisation, bytes, nowMillis);
+    count(PlacementCounter.RESTORED);
+    return dispatch(nowMillis);
+  }
+
+  @Override
+  public List<PlacementResult> report(AttemptReport report, long nowMillis) {
+    Optional<RunningAttempt> found =
+        ledger
+            .find(report.request())
+            .filter(attempt -> attempt.request().attempt() == report.attempt());
+    if (found.isEmpty()) {
+      count(PlacementCounter.LATE_REPORT_DROPPED);
+      return List.of();
+    }
+    RunningAttempt attempt = found.get();
+    if (report.phase() == AttemptPhase.ENDED) {
+      end(attempt, report, nowMillis);
+    } else {
+      ledger.progress(attempt, report, nowMillis);
+    }
+    return dispatch(nowMillis);
+  }
+
+  @Override
+  public List<PlacementResult> withdraw(RequestId request, long nowMillis) {
+    forget(request, nowMillis);
+    return dispatch(nowMillis);
+  }
+
+  @Override
+  public List<PlacementResult> load(LoadReport report, long nowMillis) {
+    upstreams.find(report.upstream()).ifPresent(upstream -> upstream.report(report, nowMillis));
+    return dispatch(nowMillis);
+  }
+
+  @Override
+  public List<PlacementResult> availability(
+      UpstreamName upstream, boolean available, long nowMillis) {
+    upstreams.find(upstream).ifPresent(found -> found.list(available, nowMillis));
+    return dispatch(nowMillis);
+  }
+
+  @Override
+  public List<PlacementResult> daemonGone(DaemonId daemon, long nowMillis) {
+    memory.gone(daemon, nowMillis);
+    List<RequestId> lost = new ArrayList<>();
+    ledger.ofDaemon(daemon).forEach(attempt -> lost.add(attempt.request().request()));
+    waiting.values().stream()
+        .filter(attempt -> SlotLedger.isRunOf(attempt.request().entry(), daemon))
+        .forEach(attempt -> lost.add(attempt.request().request()));
+    lost.forEach(request -> forget(request, nowMillis));
+    return dispatch(nowMillis);
+  }
+
+  @Override
+  public List<PlacementResult> tick(long nowMillis) {
+    if (nowMillis >= refreshAt) {
+      refreshAt = nowMillis + SHARE_REFRESH_MILLIS;
+      organisations.refresh(nowMillis);
+      upstreams.forgetUnused();
+    }
+    List<PlacementResult> results = new ArrayList<>();
+    Optional<WaitingAttempt> due = queue.nextDue(nowMillis);
+    while (due.isPresent()) {
+      handleDue(due.get(), results, nowMillis);
+      due = queue.nextDue(nowMillis);
+    }
+    dispatch(results, nowMillis);
+    return results;
+  }
+
+  @Override
+  public void cacheEvent(CacheEvent event) {
+    Optional<UpstreamState> upstream = upstreams.find(event.upstream());
+    if (upstream.isEmpty()) {
+      return;
+    }
+    PrefixIndex prefixes = upstream.get().prefixes();
+    switch (event.kind()) {
+      case STORED -> prefixes.add(event.hash());
+      case REMOVED -> prefixes.remove(event.hash());
+      case CLEARED -> prefixes.clear();
+    }
+  }
+
+  /** What the owners of other shards should hear about once a second. */
+  public OrganisationUsageMessage usage() {
+    return organisations.usage();
+  }
+
+  /** Takes what the owner of another shard told of its usage. */
+  public void takeUsage(OrganisationUsageMessage message, long nowMillis) {
+    organisations.take(message, nowMillis);
+  }
+
+  /** How often each thing happened since the start. */
+  public Map<PlacementCounter, Long> counters() {
+    return Map.copyOf(counters);
+  }
+
+  /** Attempts that run or wait, over the slots that can be used: one is full. */
+  public double load(long nowMillis) {
+    int slots = 0;
+    for (UpstreamState upstream : upstreams.all()) {
+      boolean isEnding = upstream.role() != UpstreamRole.PREFILL;
+      slots += isEnding && upstream.isUsable(nowMillis) ? upstream.slots() : 0;
+    }
+    return (ledger.size() + waiting.size()) / (double) Math.max(1, slots);
+  }
+
+  @Override
+  public ShardView view(long nowMillis) {
+    List<WaitingAttempt> inOrder = new ArrayList<>(waiting.values());
+    inOrder.sort(
+        Comparator.comparing(WaitingAttempt::lane)
+            .thenComparingDouble(it -> it.organisation().lane(it.lane()).startTag())
+            .thenComparing(WaitingQueue.BY_ORDER));
+    return PlacementViews.view(shard, upstreams, ledger, inOrder, organisations, waits, nowMillis);
+  }
+
+  private void define(Configuration configuration) {
+    ShardMap map = new ShardMap(configuration);
+    upstreams.define(map.upstreamsOf(shard));
+    organisations.configure(configuration, map.shards().size());
+    long kvBytesPerToken =
+        configuration
+            .service(shard.service())
+            .flatMap(service -> service.model())
+            .flatMap(
+                name ->
+                    configuration.models().stream()
+                        .filter(model -> model.name().equals(name))
+                        .findFirst())
+            .map(model -> model.kvBytesPerToken())
+            .orElse(0L);
+    selector.kvBytesPerToken(kvBytesPerToken);
+  }
+
+  private Optional<Refusal> refusalAtArrival(PlacementRequest request, long nowMillis) {
+    int most = settings.maximumWaiting();
+    int allowed = most - most * request.serviceClass().rank() / (2 * ServiceClass.values().length);
+    if (waiting.size() >= allowed) {
+      String detail = "The queue of " + shard + " holds " + waiting.size() + " of " + allowed + ".";
+      return Optional.of(Refusal.notRun(RefusalReason.QUEUE_FULL, detail, LEAST_RETRY_MILLIS));
+    }
+    UpstreamRole role = request.isGeneration() ? UpstreamRole.DECODE : UpstreamRole.PLAIN;
+    boolean isAnyLeft =
+        upstreams.all().stream()
+            .anyMatch(
+                upstream ->
+                    upstream.isConfigured()
+                        && upstream.role() == role
+                        && !request.avoid().contains(upstream.name()));
+    if (!isAnyLeft) {
+      String detail = "No upstream of " + shard + " is left for attempt " + request.attempt() + ".";
+      return Optional.of(Refusal.notRun(RefusalReason.NO_UPSTREAM, detail, LEAST_RETRY_MILLIS));
+    }
+    double least = selector.leastMillis(request, nowMillis);
+    // Estimates that went wrong once would refuse everything and so never be corrected: while
+    // nothing else runs or waits, a request is tried in spite of them.
+    boolean isIdle = waiting.isEmpty() && ledger.size() == 0;
+    if (WaitingAttempt.targetWithin(request) < least && !isIdle) {
+      String detail =
+          "It needs "
+              + Math.round(least)
+              + " ms to its target and has "
+              + WaitingAttempt.targetWithin(request)
+              + " ms.";
+      return Optional.of(Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail));
+    }
+    return Optional.empty();
+  }
+
+  private WaitingAttempt enqueue(PlacementRequest request, long nowMillis) {
+    if (request.serviceClass() == ServiceClass.QUICK) {
+      selector.quickSeen(nowMillis);
+    }
+    long least = (long) selector.leastMillis(request, nowMillis);
+    WaitingAttempt attempt =
+        new WaitingAttempt(
+            request,
+            organisations.of(request.organisation()),
+            nextSequence++,
+            Math.min(least, Math.max(0, WaitingAttempt.targetWithin(request))),
+            settings,
+            nowMillis);
+    waiting.put(request.request(), attempt);
+    queue.add(attempt);
+    return attempt;
+  }
+
+  private void handleDue(WaitingAttempt attempt, List<PlacementResult> results, long nowMillis) {
+    if (attempt.expiresAt() > nowMillis) {
+      queue.promote(attempt, nowMillis, settings.ageingMillis());
+      count(PlacementCounter.PROMOTED);
+      return;
+    }
+    String detail = "It waited for " + attempt.missing().code() + " until it was too late.";
+    results.add(
+        refuse(attempt, Refusal.notRun(attempt.missing().reason(), detail, LEAST_RETRY_MILLIS)));
+  }
+
+  private List<PlacementResult> dispatch(long nowMillis) {
+    List<PlacementResult> results = new ArrayList<>();
+    dispatch(results, nowMillis);
+    return results;
+  }
+
+  /** Grants in order of service until nothing more fits. */
+  private void dispatch(List<PlacementResult> results, long nowMillis) {
+    boolean isProgressing = !waiting.isEmpty();
+    while (isProgressing) {
+      Optional<Granting> next = findNext(nowMillis);
+      next.ifPresent(granting -> results.add(grant(granting, nowMillis)));
+      isProgressing = next.isPresent() && !waiting.isEmpty();
+    }
+  }
+
+  private Optional<Granting> findNext(long nowMillis) {
+    for (Collection<OrganisationLane> lane : queue.lanesInOrder()) {
+      Optional<Granting> found = findInLane(lane, nowMillis);
+      if (found.isPresent()) {
+        return found;
+      }
+    }
+    return Optional.empty();
+  }
+
+  private Optional<Granting> findInLane(Collection<OrganisationLane> lane, long nowMillis) {
+    int tried = 0;
+    for (OrganisationLane organisationLane : lane) {
+      Optional<MissingResource> limit = organisationLane.organisation().missing(nowMillis);
+      if (limit.isPresent()) {
+        organisationLane.attempts().first().missing(limit.get());
+        continue;
+      }
+      Optional<Granting> found = findOfOrganisation(organisationLane, nowMillis);
+      if (found.isPresent()) {
+        return found;
+      }
+      if (++tried >= HEADS_TRIED) {
+        return Optional.empty();
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Tries the head; behind one that may not go everywhere, others may fit where it does not. */
+  private Optional<Granting> findOfOrganisation(OrganisationLane lane, long nowMillis) {
+    int tried = 0;
+    for (WaitingAttempt attempt : lane.attempts()) {
+      Optional<Choice> choice = selector.select(attempt, nowMillis);
+      if (choice.isPresent()) {
+        return Optional.of(new Granting(attempt, choice.get()));
+      }
+      if (!attempt.isRestricted() || ++tried >= HEADS_TRIED) {
+        return Optional.empty();
+      }
+    }
+    return Optional.empty();
+  }
+
+  private PlacementResult grant(Granting granting, long nowMillis) {
+    WaitingAttempt attempt = granting.attempt();
+    PlacementRequest request = attempt.request();
+    waiting.remove(request.request());
+    queue.granted(attempt, cost(request, granting.choice()));
+    count(PlacementCounter.GRANTED);
+    if (granting.choice().mode() == GrantMode.LOCAL_PREFILL) {
+      count(PlacementCounter.GRANTED_LOCAL_PREFILL);
+    }
+    if (granting.choice().mode().isTransferring() && !granting.choice().isPrefillNeeded()) {
+      count(PlacementCounter.GRANTED_FOR_LIVE_KV);
+    }
+    Grant grant = ledger.grant(attempt, granting.choice(), nowMillis);
+    return new PlacementResult.Granted(request.entry(), grant);
+  }
+
+  private double cost(PlacementRequest request, Choice choice) {
+    return request.isGeneration()
+        ? choice.unreadTokens() + OUTPUT_COST_TOKENS * estimates.outputTokens(request)
+        : PLAIN_COST_TOKENS;
+  }
+
+  private void end(RunningAttempt attempt, AttemptReport report, long nowMillis) {
+    AttemptResult result = report.result().orElse(AttemptResult.FAILED);
+    if (result == AttemptResult.COMPLETED) {
+      ledger.learnCompletion(attempt, report, nowMillis);
+      attempt.target().ifPresent(target -> target.ejection().succeeded());
+      attempt.prefill().ifPresent(prefill -> prefill.ejection().succeeded());
+    }
+    if (result.isUpstreamFault()) {
+      Optional<UpstreamState> failed =
+          report
+              .failedUpstream()
+              .or(() -> Optional.of(attempt.grant().target()))
+              .flatMap(upstreams::find);
+      failed.ifPresent(upstream -> fault(upstream, result, nowMillis));
+    }
+    ledger.release(attempt, nowMillis);
+    memory.ended(report.request(), report.attempt(), nowMillis);
+  }
+
+  private void fault(UpstreamState upstream, AttemptResult result, long nowMillis) {
+    if (result == AttemptResult.REFUSED) {
+      upstream.refused(nowMillis);
+    } else {
+      upstreams.failed(upstream, nowMillis);
+    }
+  }
+
+  /** Drops all attempts of a request, and lets no late message bring them back. */
+  private void forget(RequestId request, long nowMillis) {
+    WaitingAttempt queued = waiting.remove(request);
+    if (queued != null) {
+      queue.remove(queued);
+      memory.ended(request, queued.request().attempt(), nowMillis);
+    }
+    Optional<RunningAttempt> running = ledger.find(request);
+    if (running.isPresent()) {
+      ledger.release(running.get(), nowMillis);
+      memory.ended(request, running.get().request().attempt(), nowMillis);
+    }
+  }
+
+  private PlacementResult refuse(WaitingAttempt attempt, Refusal refusal) {
+    queue.remove(attempt);
+    waiting.remove(attempt.request().request());
+    return refused(attempt.request(), refusal);
+  }
+
+  private PlacementResult refused(PlacementRequest request, Refusal refusal) {
+    count(PlacementCounter.REFUSED);
+    return new PlacementResult.Refused(
+        request.entry(), request.request(), request.attempt(), refusal);
+  }
+
+  private void count(PlacementCounter counter) {
+    counters.merge(counter, 1L, Long::sum);
+  }
+
+  private record Granting(WaitingAttempt attempt, Choice choice) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/RunningAttempt.java
@@ -0,0 +1,104 @@
+package org.marjoramsail.core.placement;
+
+import java.util.Optional;
+
+/** One attempt that holds slots. */
+final class RunningAttempt {
+
+  private final PlacementRequest request;
+  private final Grant grant;
+  private final OrganisationState organisation;
+  private final Optional<UpstreamState> prefill;
+  private final Optional<UpstreamState> target;
+  private final int unreadTokens;
+  private final int expectedCachedTokens;
+  private final long transferBytes;
+  private final long startedAt;
+
+  private AttemptPhase phase;
+  private long phaseAt;
+
+  /**
+   * Takes what was reserved for it.
+   *
+   * @param prefill absent where the grant has none or this owner does not know it
+   * @param target absent where this owner does not know it
+   * @param unreadTokens tokens of the prompt that are not expected in the reader's cache
+   */
+  RunningAttempt(
+      PlacementRequest request,
+      Grant grant,
+      OrganisationState organisation,
+      Optional<UpstreamState> prefill,
+      Optional<UpstreamState> target,
+      int unreadTokens,
+      long transferBytes,
+      AttemptPhase phase,
+      long nowMillis) {
+    this.request = request;
+    this.grant = grant;
+    this.organisation = organisation;
+    this.prefill = prefill;
+    this.target = target;
+    this.unreadTokens = unreadTokens;
+    this.expectedCachedTokens = request.promptTokens() - unreadTokens;
+    this.transferBytes = transferBytes;
+    this.phase = phase;
+    this.startedAt = nowMillis;
+    this.phaseAt = nowMillis;
+  }
+
+  PlacementRequest request() {
+    return request;
+  }
+
+  Grant grant() {
+    return grant;
+  }
+
+  OrganisationState organisation() {
+    return organisation;
+  }
+
+  Optional<UpstreamState> prefill() {
+    return prefill;
+  }
+
+  Optional<UpstreamState> target() {
+    return target;
+  }
+
+  /** The upstream that reads the prompt. */
+  Optional<UpstreamState> reader() {
+    return grant.mode().isTransferring() ? prefill : target;
+  }
+
+  int unreadTokens() {
+    return unreadTokens;
+  }
+
+  int expectedCachedTokens() {
+    return expectedCachedTokens;
+  }
+
+  long transferBytes() {
+    return transferBytes;
+  }
+
+  long startedAt() {
+    return startedAt;
+  }
+
+  AttemptPhase phase() {
+    return phase;
+  }
+
+  long phaseAt() {
+    return phaseAt;
+  }
+
+  void enter(AttemptPhase newer, long nowMillis) {
+    phase = newer;
+    phaseAt = nowMillis;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
@@ -0,0 +1,162 @@
+package org.marjoramsail.core.placement;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.function.ToDoubleFunction;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.membership.Member;
+import org.marjoramsail.core.membership.MembershipView;
+import org.marjoramsail.core.model.UpstreamRole;
+
+/**
+ * Slices the upstreams of each service and region into shards, and names the owner of each.
+ *
+ * <p>Everything follows from the configuration and the hash of names, so that daemons with the same
+ * configuration agree without a message. The number of slices is a power of two that follows from
+ * how many upstreams are configured, live or not: it changes only where an operator doubles or
+ * halves a pool, never because upstreams come and go.
+ */
+public final class ShardMap {
+
+  /** The most upstreams of a shard; with slices in powers of two it has at least half as many. */
+  public static final int MAXIMUM_UPSTREAMS = 24;
+
+  /** A shard must have this much more load than the other choice before a prefix leaves it. */
+  private static final double LOAD_MARGIN = 0.25;
+
+  private final Map<ShardId, List<UpstreamDefinition>> shards = new TreeMap<>();
+
+  /** Slices all services of {@code configuration}. */
+  public ShardMap(Configuration configuration) {
+    Map<String, Map<String, List<UpstreamDefinition>>> pools = new TreeMap<>();
+    for (UpstreamDefinition upstream : configuration.upstreams()) {
+      pools
+          .computeIfAbsent(upstream.service(), service -> new TreeMap<>())
+          .computeIfAbsent(upstream.region(), region -> new ArrayList<>())
+          .add(upstream);
+    }
+    pools.forEach((service, regions) -> regions.forEach((region, pool) -> slice(service, pool)));
+  }
+
+  /** All shards, in order. */
+  public List<ShardId> shards() {
+    return List.copyOf(shards.keySet());
+  }
+
+  /** The shards of one service in one region, by slice; empty when it has no upstreams there. */
+  public List<ShardId> shardsOf(String service, String region) {
+    return shards.keySet().stream()
+        .filter(shard -> shard.service().equals(service) && shard.region().equals(region))
+        .toList();
+  }
+
+  /** The upstreams of a shard, by name; empty for a shard that the configuration does not have. */
+  public List<UpstreamDefinition> upstreamsOf(ShardId shard) {
+    return List.copyOf(shards.getOrDefault(shard, List.of()));
+  }
+
+  /**
+   * The daemon that owns a shard: the one with the highest hash among the eligible daemons of the
+   * shard's region.
+   *
+   * @return empty when no daemon of that region is eligible
+   */
+  public static Optional<Member> ownerOf(ShardId shard, MembershipView view) {
+    String prefix = shard + "|";
+    return view.eligibleInRegion(shard.region()).stream()
+        .max(
+            Comparator.<Member>comparingLong(member -> hash(prefix + member.id().host()))
+                .thenComparing(Member::id));
+  }
+
+  /**
+   * The shard that should serve a request: of two shards that follow from the first block of its
+   * prompt, the first unless it has clearly more load. Requests without a prompt are spread by
+   * their identifier.
+   *
+   * @param region where the request is to be served
+   * @param load last known load of a shard, as waiting and running over slots
+   * @return empty when the service has no upstreams in that region
+   */
+  public Optional<ShardId> shardFor(
+      PlacementRequest request, String region, ToDoubleFunction<ShardId> load) {
+    List<ShardId> choices = shardsOf(request.service(), region);
+    if (choices.size() < 2) {
+      return choices.stream().findFirst();
+    }
+    long key =
+        request.prefixHashes().isEmpty()
+            ? hash(request.request().value())
+            : request.prefixHashes().get(0);
+    List<ShardId> ranked =
+        choices.stream()
+            .sorted(Comparator.comparingLong(shard -> -rank(key, shard.slice())))
+            .limit(2)
+            .toList();
+    double first = load.applyAsDouble(ranked.get(0));
+    double second = load.applyAsDouble(ranked.get(1));
+    return Optional.of(first > second + LOAD_MARGIN ? ranked.get(1) : ranked.get(0));
+  }
+
+  /** How many slices a pool of that many configured upstreams has. */
+  static int sliceCount(int upstreams) {
+    int slices = 1;
+    while (upstreams > slices * MAXIMUM_UPSTREAMS) {
+      slices *= 2;
+    }
+    return slices;
+  }
+
+  private void slice(String service, List<UpstreamDefinition> pool) {
+    int slices = sliceCount(pool.size());
+    String region = pool.get(0).region();
+    for (int slice = 0; slice < slices; slice++) {
+      shards.put(new ShardId(service, region, slice), new ArrayList<>());
+    }
+    for (UpstreamRole role : UpstreamRole.values()) {
+      List<UpstreamDefinition> members =
+          pool.stream()
+              .filter(upstream -> upstream.role() == role)
+              .sorted(Comparator.comparingLong(upstream -> hash(upstream.name().value())))
+              .toList();
+      assign(members, service, region, slices);
+    }
+    for (int slice = 0; slice < slices; slice++) {
+      shards
+          .get(new ShardId(service, region, slice))
+          .sort(Comparator.comparing(UpstreamDefinition::name));
+    }
+  }
+
+  /** Rendezvous hashing with a bound on each slice, so that each role is spread evenly. */
+  private void assign(List<UpstreamDefinition> members, String service, String region, int slices) {
+    int bound = (members.size() + slices - 1) / slices;
+    int[] taken = new int[slices];
+    for (UpstreamDefinition member : members) {
+      long key = hash(member.name().value());
+      int best = -1;
+      for (int slice = 0; slice < slices; slice++) {
+        boolean isOpen = taken[slice] < bound;
+        if (isOpen && (best < 0 || rank(key, slice) > rank(key, best))) {
+          best = slice;
+        }
+      }
+      taken[best]++;
+      shards.get(new ShardId(service, region, best)).add(member);
+    }
+  }
+
+  private static long rank(long key, int slice) {
+    return Hashing.xxh3_64().hashLongIntToLong(key, slice) >>> 1;
+  }
+
+  private static long hash(String text) {
+    return Hashing.xxh3_64().hashCharsToLong(text);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
@@ -0,0 +1,211 @@
+package org.marjoramsail.core.placement;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.RequestId;
+
+/**
+ * The attempts of one shard that hold something, and what each holds: a slot of its target from
+ * grant to end, a slot and queue space of its prefill upstream until the prompt is read, and its
+ * share of two links until the first token.
+ */
+final class SlotLedger {
+
+  private final Map<RequestId, RunningAttempt> running = new HashMap<>();
+  private final ShardUpstreams upstreams;
+  private final PlacementEstimates estimates;
+
+  SlotLedger(ShardUpstreams upstreams, PlacementEstimates estimates) {
+    this.upstreams = upstreams;
+    this.estimates = estimates;
+  }
+
+  Optional<RunningAttempt> find(RequestId request) {
+    return Optional.ofNullable(running.get(request));
+  }
+
+  Collection<RunningAttempt> all() {
+    return running.values();
+  }
+
+  int size() {
+    return running.size();
+  }
+
+  /** Reserves a choice, which must be free. */
+  Grant grant(WaitingAttempt attempt, Choice choice, long nowMillis) {
+    PlacementRequest request = attempt.request();
+    Grant grant = choice.toGrant(request);
+    requireFree(choice.target(), nowMillis);
+    choice.target().reserve(request.alone());
+    if (choice.isPrefillNeeded()) {
+      UpstreamState reader = choice.prefill().orElse(choice.target());
+      reader.startPrefill(choice.unreadTokens(), nowMillis);
+      reader.prefixes().addAll(request.prefixHashes());
+    }
+    choice.prefill().ifPresent(reader -> reader.startTransfer(choice.transferBytes()));
+    if (choice.prefill().isPresent() && choice.isPrefillNeeded()) {
+      requireFree(choice.prefill().get(), nowMillis);
+      choice.prefill().get().reserve(request.alone());
+    }
+    if (choice.mode().isTransferring()) {
+      choice.target().startTransfer(choice.transferBytes());
+    }
+    attempt.organisation().started(request.promptTokens() + request.outputTokens(), nowMillis);
+    AttemptPhase phase =
+        choice.isPrefillNeeded() ? AttemptPhase.PREFILLING : AttemptPhase.PREFILLED;
+    running.put(
+        request.request(),
+        new RunningAttempt(
+            request,
+            grant,
+            attempt.organisation(),
+            choice.prefill(),
+            Optional.of(choice.target()),
+            choice.unreadTokens(),
+            choice.transferBytes(),
+            phase,
+            nowMillis));
+    return grant;
+  }
+
+  /** Counts an attempt that another owner granted, even beyond the slots that there are. */
+  void restore(
+      PlacementRequest request,
+      Grant grant,
+      AttemptPhase phase,
+      OrganisationState organisation,
+      long transferBytes,
+      long nowMillis) {
+    Optional<UpstreamState> prefill = grant.prefill().flatMap(upstreams::find);
+    Optional<UpstreamState> target = upstreams.find(grant.target());
+    boolean isReading = phase == AttemptPhase.PREFILLING && grant.expectedPrefillMillis() > 0;
+    AttemptPhase known =
+        isReading || phase == AttemptPhase.GENERATING ? phase : AttemptPhase.PREFILLED;
+    RunningAttempt attempt =
+        new RunningAttempt(
+            request,
+            grant,
+            organisation,
+            prefill,
+            target,
+            request.promptTokens(),
+            grant.mode().isTransferring() ? transferBytes : 0,
+            known,
+            nowMillis);
+    target.ifPresent(upstream -> upstream.adopt(request.alone()));
+    if (isReading) {
+      prefill.ifPresent(upstream -> upstream.adopt(request.alone()));
+      attempt.reader().ifPresent(reader -> reader.startPrefill(attempt.unreadTokens(), nowMillis));
+    }
+    if (known != AttemptPhase.GENERATING) {
+      prefill.ifPresent(upstream -> upstream.startTransfer(attempt.transferBytes()));
+      target.ifPresent(upstream -> upstream.startTransfer(attempt.transferBytes()));
+    }
+    organisation.adopted();
+    running.put(request.request(), attempt);
+  }
+
+  /** Moves an attempt on; a report of a phase that it has already reached changes nothing. */
+  void progress(RunningAttempt attempt, AttemptReport report, long nowMillis) {
+    boolean isLate = report.phase().compareTo(attempt.phase()) <= 0;
+    if (isLate || report.phase() == AttemptPhase.ENDED) {
+      return;
+    }
+    if (attempt.phase() == AttemptPhase.PREFILLING) {
+      learnPrefill(attempt, report);
+      releasePrefill(attempt, nowMillis);
+    }
+    if (report.phase() == AttemptPhase.GENERATING) {
+      learnTransfer(attempt, nowMillis);
+      releaseTransfer(attempt);
+    }
+    attempt.enter(report.phase(), nowMillis);
+  }
+
+  /** Releases all that an attempt still holds. */
+  void release(RunningAttempt attempt, long nowMillis) {
+    if (attempt.phase() == AttemptPhase.PREFILLING) {
+      releasePrefill(attempt, nowMillis);
+    }
+    if (attempt.phase() != AttemptPhase.GENERATING) {
+      releaseTransfer(attempt);
+    }
+    attempt.target().ifPresent(target -> target.release(attempt.request().alone(), nowMillis));
+    attempt.organisation().ended();
+    attempt.enter(AttemptPhase.ENDED, nowMillis);
+    running.remove(attempt.request().request());
+  }
+
+  /** Takes from a completed attempt how long answers are and how long slots are held. */
+  void learnCompletion(RunningAttempt attempt, AttemptReport report, long nowMillis) {
+    estimates.learnHold(nowMillis - attempt.startedAt());
+    if (attempt.phase() == AttemptPhase.GENERATING) {
+      estimates.learnOutput(
+          attempt.request(), report.outputTokens(), nowMillis - attempt.phaseAt());
+    }
+  }
+
+  private void releasePrefill(RunningAttempt attempt, long nowMillis) {
+    attempt.reader().ifPresent(reader -> reader.endPrefill(attempt.unreadTokens(), nowMillis));
+    attempt.prefill().ifPresent(prefill -> prefill.release(attempt.request().alone(), nowMillis));
+  }
+
+  private static void releaseTransfer(RunningAttempt attempt) {
+    attempt.prefill().ifPresent(upstream -> upstream.endTransfer(attempt.transferBytes()));
+    attempt.target().ifPresent(upstream -> upstream.endTransfer(attempt.transferBytes()));
+  }
+
+  private static void learnPrefill(RunningAttempt attempt, AttemptReport report) {
+    Optional<UpstreamState> reader = attempt.reader();
+    if (reader.isEmpty()) {
+      return;
+    }
+    int cached = report.cachedPromptTokens();
+    int promptTokens = attempt.request().promptTokens();
+    if (report.tookMillis() > 0) {
+      reader.get().learnPrefill(Math.max(1, promptTokens - cached), (double) report.tookMillis());
+    }
+    // The index is a hint from late events: blocks that the engine did not have are taken out, and
+    // the prompt that it has just read is put in.
+    if (cached < attempt.expectedCachedTokens()) {
+      int firstMissing = cached / UpstreamSelector.BLOCK_TOKENS;
+      reader.get().prefixes().removeFrom(attempt.request().prefixHashes(), firstMissing);
+    }
+    reader.get().prefixes().addAll(attempt.request().prefixHashes());
+  }
+
+  private void learnTransfer(RunningAttempt attempt, long nowMillis) {
+    boolean isMeasured =
+        attempt.phase() == AttemptPhase.PREFILLED && attempt.grant().mode().isTransferring();
+    boolean isAlone =
+        attempt.prefill().stream().allMatch(up -> up.linkBytes() == attempt.transferBytes())
+            && attempt.target().stream().allMatch(up -> up.linkBytes() == attempt.transferBytes());
+    if (isMeasured && isAlone) {
+      estimates.learnTransfer(attempt.transferBytes(), nowMillis - attempt.phaseAt());
+    }
+  }
+
+  /** Engines hold a fixed number of requests; one more would fail or slow down all others. */
+  private static void requireFree(UpstreamState upstream, long nowMillis) {
+    if (upstream.freeSlots(nowMillis) <= 0) {
+      throw new IllegalStateException(
+          "A " + upstream.role() + " upstream has no free slot: " + upstream.name() + ".");
+    }
+  }
+
+  List<RunningAttempt> ofDaemon(DaemonId daemon) {
+    return running.values().stream()
+        .filter(attempt -> isRunOf(attempt.request().entry(), daemon))
+        .toList();
+  }
+
+  /** Whether {@code entry} is the dead run or an earlier run of its host. */
+  static boolean isRunOf(DaemonId entry, DaemonId dead) {
+    return entry.equals(dead) || dead.supersedes(entry);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
@@ -0,0 +1,308 @@
+package org.marjoramsail.core.placement;
+
+import java.util.Optional;
+import java.util.function.Function;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.UpstreamRole;
+
+/**
+ * Finds the upstreams with the earliest predicted first token for one attempt, or says what it
+ * lacks. It changes nothing.
+ */
+final class UpstreamSelector {
+
+  /** Tokens of one prefix block. */
+  static final int BLOCK_TOKENS = 16;
+
+  /** A transfer starts only if those before it on its links take less of the KV lifetime. */
+  private static final double LARGEST_LINK_SHARE = 0.5;
+
+  /** A plain upstream of the entry's own zone is preferred until it is that full. */
+  private static final double ZONE_YIELDS_AT = 0.75;
+
+  /** How much a full upstream counts like later, in milliseconds: it generates more slowly. */
+  private static final double FULL_PENALTY_MILLIS = 20;
+
+  private static final long QUICK_MEMORY_MILLIS = 10_000;
+
+  private final ShardUpstreams upstreams;
+  private final PlacementSettings settings;
+  private final PlacementEstimates estimates;
+  private final Function<DaemonId, Optional<String>> zoneOf;
+  private final long takenOverAt;
+  private final long settledAt;
+
+  private long kvBytesPerToken;
+  private long quickUntil = Long.MIN_VALUE;
+
+  UpstreamSelector(
+      ShardUpstreams upstreams, PlacementEstimates estimates, PlacerSetup setup, long nowMillis) {
+    this.upstreams = upstreams;
+    this.settings = setup.settings();
+    this.estimates = estimates;
+    this.zoneOf = setup.zoneOf();
+    this.takenOverAt = nowMillis;
+    this.settledAt = setup.isTakenOver() ? nowMillis + settings.settlingMillis() : nowMillis;
+  }
+
+  void kvBytesPerToken(long bytes) {
+    kvBytesPerToken = bytes;
+  }
+
+  long transferBytes(PlacementRequest request) {
+    return request.promptTokens() * kvBytesPerToken;
+  }
+
+  /** Notes that there are quick requests, so that slots are kept for more of them. */
+  void quickSeen(long nowMillis) {
+    quickUntil = nowMillis + QUICK_MEMORY_MILLIS;
+  }
+
+  /** The least time from a start to the first token, on idle upstreams. */
+  double leastMillis(PlacementRequest request, long nowMillis) {
+    if (!request.isGeneration()) {
+      return 0;
+    }
+    double least = Double.POSITIVE_INFINITY;
+    double transfer = transferBytes(request) / estimates.linkBytesPerMilli();
+    for (UpstreamState upstream : upstreams.all()) {
+      boolean isReader = upstream.role() == UpstreamRole.PREFILL;
+      if (isReader && upstream.isUsable(nowMillis)) {
+        least = Math.min(least, upstream.prefillMillis(unread(upstream, request)) + transfer);
+      }
+    }
+    boolean isRead = request.kvHeldBy().isPresent();
+    return isRead || Double.isInfinite(least) ? 0 : least;
+  }
+
+  /** Slots that are free now on upstreams that end a request, for a class of requests. */
+  int freeSlots(ServiceClass serviceClass, long nowMillis) {
+    int free = 0;
+    int slots = 0;
+    for (UpstreamState upstream : upstreams.all()) {
+      if (upstream.role() != UpstreamRole.PREFILL && upstream.isUsable(nowMillis)) {
+        free += freeSlotsOf(upstream, nowMillis);
+        slots += upstream.slots();
+      }
+    }
+    boolean isLimited = serviceClass != ServiceClass.QUICK && nowMillis < quickUntil;
+    return isLimited ? free - (int) (slots * settings.quickHeadroom()) : free;
+  }
+
+  /** Chooses for one attempt; what it lacks is noted in it when there is no choice. */
+  Optional<Choice> select(WaitingAttempt attempt, long nowMillis) {
+    PlacementRequest request = attempt.request();
+    boolean isRead = attempt.liveKv(nowMillis).isPresent();
+    if (!isRead && freeSlots(request.serviceClass(), nowMillis) <= 0) {
+      attempt.missing(missingSlot(request, nowMillis));
+      return Optional.empty();
+    }
+    if (!request.isGeneration()) {
+      return selectPlain(attempt, nowMillis);
+    }
+    return isRead ? selectForLiveKv(attempt, nowMillis) : selectEngines(attempt, nowMillis);
+  }
+
+  private MissingResource missingSlot(PlacementRequest request, long nowMillis) {
+    UpstreamRole role = request.isGeneration() ? UpstreamRole.DECODE : UpstreamRole.PLAIN;
+    for (UpstreamState upstream : upstreams.all()) {
+      if (upstream.role() == role && upstream.isUsable(nowMillis)) {
+        return request.isGeneration() ? MissingResource.DECODE_SLOT : MissingResource.PLAIN_SLOT;
+      }
+    }
+    return MissingResource.UPSTREAM;
+  }
+
+  private Optional<Choice> selectPlain(WaitingAttempt attempt, long nowMillis) {
+    PlacementRequest request = attempt.request();
+    Optional<String> zone = zoneOf.apply(request.entry());
+    UpstreamState best = null;
+    double bestScore = Double.POSITIVE_INFINITY;
+    for (UpstreamState upstream : upstreams.all()) {
+      if (!isCandidate(upstream, UpstreamRole.PLAIN, request, nowMillis)) {
+        continue;
+      }
+      double utilisation = upstream.utilisation(nowMillis);
+      boolean isNear = zone.isPresent() && zone.get().equals(upstream.availabilityZone());
+      double score = isNear && utilisation < ZONE_YIELDS_AT ? utilisation - 1 : utilisation;
+      if (score < bestScore) {
+        bestScore = score;
+        best = upstream;
+      }
+    }
+    if (best == null) {
+      attempt.missing(missingSlot(request, nowMillis));
+      return Optional.empty();
+    }
+    return Optional.of(new Choice(GrantMode.PLAIN, Optional.empty(), best, false, 0, 0, 0, 0));
+  }
+
+  private Optional<Choice> selectForLiveKv(WaitingAttempt attempt, long nowMillis) {
+    Optional<UpstreamState> holder = attempt.liveKv(nowMillis).flatMap(upstreams::find);
+    if (holder.isEmpty()) {
+      return selectEngines(attempt, nowMillis);
+    }
+    PlacementRequest request = attempt.request();
+    UpstreamState target = bestDecode(request, holder.get(), nowMillis);
+    if (target == null) {
+      attempt.missing(missingSlot(request, nowMillis));
+      return Optional.empty();
+    }
+    return Optional.of(disaggregated(request, holder.get(), target, 0, false));
+  }
+
+  private Optional<Choice> selectEngines(WaitingAttempt attempt, long nowMillis) {
+    PlacementRequest request = attempt.request();
+    UpstreamState local = bestLocal(request, nowMillis);
+    if (local == null) {
+      attempt.missing(missingSlot(request, nowMillis));
+      return Optional.empty();
+    }
+    int localUnread = unread(local, request);
+    double localMillis = local.prefillMillis(localUnread);
+    if (localMillis <= settings.localPrefillMillis()) {
+      return Optional.of(local(local, localUnread, localMillis));
+    }
+    boolean isAnyUsable = false;
+    UpstreamState reader = null;
+    double readerEnd = Double.POSITIVE_INFINITY;
+    for (UpstreamState upstream : upstreams.all()) {
+      if (upstream.role() != UpstreamRole.PREFILL || !upstream.isUsable(nowMillis)) {
+        continue;
+      }
+      isAnyUsable = true;
+      boolean isOpen =
+          freeSlotsOf(upstream, nowMillis) > 0
+              && upstream.queueMillis(nowMillis) <= settings.prefillAheadMillis()
+              && isAllowed(upstream, request);
+      double end = isOpen ? upstream.prefillEnd(unread(upstream, request), nowMillis) : readerEnd;
+      if (end < readerEnd) {
+        readerEnd = end;
+        reader = upstream;
+      }
+    }
+    if (!isAnyUsable) {
+      // All prefill upstreams are gone: callers would see refusals though decode upstreams can
+      // read prompts themselves. Slower answers are better, and the slots still bound them.
+      return Optional.of(local(local, localUnread, localMillis));
+    }
+    if (reader == null) {
+      attempt.missing(MissingResource.PREFILL_CAPACITY);
+      return Optional.empty();
+    }
+    UpstreamState target = bestDecode(request, reader, nowMillis);
+    if (target == null || linkQueueMillis(reader, target) > largestLinkQueueMillis()) {
+      attempt.missing(MissingResource.LINK);
+      return Optional.empty();
+    }
+    return Optional.of(disaggregated(request, reader, target, unread(reader, request), true));
+  }
+
+  private Choice local(UpstreamState target, int unreadTokens, double millis) {
+    return new Choice(
+        GrantMode.LOCAL_PREFILL, Optional.empty(), target, true, unreadTokens, 0, millis, 0);
+  }
+
+  private Choice disaggregated(
+      PlacementRequest request,
+      UpstreamState reader,
+      UpstreamState target,
+      int unreadTokens,
+      boolean isPrefillNeeded) {
+    return new Choice(
+        GrantMode.DISAGGREGATED,
+        Optional.of(reader),
+        target,
+        isPrefillNeeded,
+        unreadTokens,
+        transferBytes(request),
+        reader.prefillMillis(unreadTokens),
+        transferMillis(request, reader, target));
+  }
+
+  /** The decode upstream that could read the prompt itself soonest. */
+  private UpstreamState bestLocal(PlacementRequest request, long nowMillis) {
+    UpstreamState best = null;
+    double bestScore = Double.POSITIVE_INFINITY;
+    for (UpstreamState upstream : upstreams.all()) {
+      if (!isCandidate(upstream, UpstreamRole.DECODE, request, nowMillis)) {
+        continue;
+      }
+      double score =
+          upstream.queueMillis(nowMillis)
+              + upstream.prefillMillis(unread(upstream, request))
+              + upstream.utilisation(nowMillis) * FULL_PENALTY_MILLIS;
+      if (score < bestScore) {
+        bestScore = score;
+        best = upstream;
+      }
+    }
+    return best;
+  }
+
+  private UpstreamState bestDecode(PlacementRequest request, UpstreamState reader, long nowMillis) {
+    UpstreamState best = null;
+    double bestScore = Double.POSITIVE_INFINITY;
+    for (UpstreamState upstream : upstreams.all()) {
+      if (!isCandidate(upstream, UpstreamRole.DECODE, request, nowMillis)) {
+        continue;
+      }
+      double score =
+          transferMillis(request, reader, upstream)
+              + upstream.utilisation(nowMillis) * FULL_PENALTY_MILLIS;
+      if (score < bestScore) {
+        bestScore = score;
+        best = upstream;
+      }
+    }
+    return best;
+  }
+
+  private double transferMillis(
+      PlacementRequest request, UpstreamState reader, UpstreamState target) {
+    boolean isNear = reader.availabilityZone().equals(target.availabilityZone());
+    return linkQueueMillis(reader, target)
+        + transferBytes(request) / estimates.linkBytesPerMilli()
+        + (isNear ? 0 : settings.otherZoneMillis());
+  }
+
+  private double linkQueueMillis(UpstreamState reader, UpstreamState target) {
+    return Math.max(reader.linkBytes(), target.linkBytes()) / estimates.linkBytesPerMilli();
+  }
+
+  private double largestLinkQueueMillis() {
+    return settings.kvLifetimeMillis() * LARGEST_LINK_SHARE;
+  }
+
+  private boolean isCandidate(
+      UpstreamState upstream, UpstreamRole role, PlacementRequest request, long nowMillis) {
+    return upstream.role() == role
+        && upstream.isUsable(nowMillis)
+        && freeSlotsOf(upstream, nowMillis) > 0
+        && isAllowed(upstream, request);
+  }
+
+  /** Failed attempts are not repeated where they failed, nor two suspects put side by side. */
+  private static boolean isAllowed(UpstreamState upstream, PlacementRequest request) {
+    return !(request.alone() && upstream.holdsSuspect())
+        && !request.avoid().contains(upstream.name());
+  }
+
+  /**
+   * Free slots, as far as this owner may trust its own books.
+   *
+   * <p>A new owner does not know what the one before granted; would it grant at once, engines would
+   * get up to twice what they hold. Until the entry daemons had time to register again, only slots
+   * that a report since the change shows to be free are granted.
+   */
+  private int freeSlotsOf(UpstreamState upstream, long nowMillis) {
+    boolean isKnown = nowMillis >= settledAt || upstream.hasReportedSince(takenOverAt);
+    return isKnown ? upstream.freeSlots(nowMillis) : 0;
+  }
+
+  private static int unread(UpstreamState upstream, PlacementRequest request) {
+    int cached = upstream.prefixes().match(request.prefixHashes()) * BLOCK_TOKENS;
+    return Math.max(1, request.promptTokens() - cached);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -0,0 +1,282 @@
+package org.marjoramsail.core.placement;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
+
+/** What the owner of a shard knows of one upstream: slots, queues, estimates and health. */
+final class UpstreamState {
+
+  private static final long REFUSED_MILLIS = 2_000;
+  private static final long REPORT_STALE_MILLIS = 10_000;
+  private static final int REMEMBERED_ENDS = 256;
+  private static final int SHORT_PROMPT_TOKENS = 512;
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
+  private final PlacementSettings settings;
+  private final PrefixIndex prefixes = new PrefixIndex();
+  private final MovingAverage millisPerToken;
+  private final MovingAverage overheadMillis;
+  private final EjectionState ejection;
+  private final Deque<Long> recentEnds = new ArrayDeque<>();
+
+  private UpstreamDefinition definition;
+  private UpstreamRole role;
+  private boolean configured = true;
+  private boolean listedOut;
+  private boolean reportedLeaving;
+  private long refusedUntil = NEVER;
+
+  private int reserved;
+  private int suspects;
+  private int foreign;
+  private int reportedSlots;
+  private int reportedRunning;
+  private long reportedAt = NEVER;
+  private long incarnation = NEVER;
+
+  private long queuedTokens;
+  private long foreignTokens;
+  private double busyUntil;
+  private long linkBytes;
+
+  UpstreamState(UpstreamDefinition definition, PlacementSettings settings) {
+    this.definition = definition;
+    this.role = definition.role();
+    this.settings = settings;
+    this.millisPerToken = new MovingAverage(1 / settings.prefillTokensPerMilli());
+    this.overheadMillis = new MovingAverage(settings.prefillOverheadMillis());
+    this.ejection = new EjectionState(settings);
+  }
+
+  UpstreamName name() {
+    return definition.name();
+  }
+
+  UpstreamRole role() {
+    return role;
+  }
+
+  String availabilityZone() {
+    return definition.availabilityZone();
+  }
+
+  PrefixIndex prefixes() {
+    return prefixes;
+  }
+
+  EjectionState ejection() {
+    return ejection;
+  }
+
+  int reserved() {
+    return reserved;
+  }
+
+  int reportedRunning() {
+    return reportedRunning;
+  }
+
+  long queuedTokens() {
+    return queuedTokens;
+  }
+
+  boolean isConfigured() {
+    return configured;
+  }
+
+  /** Takes a newer definition; a changed role in it counts until the engine reports its own. */
+  void define(UpstreamDefinition newer) {
+    if (newer.role() != definition.role()) {
+      role = newer.role();
+    }
+    definition = newer;
+    configured = true;
+  }
+
+  /** The configuration no longer has it; it is forgotten once nothing runs on it. */
+  void undefine() {
+    configured = false;
+  }
+
+  void list(boolean available, long nowMillis) {
+    if (available && listedOut) {
+      ejection.startSlowly(nowMillis);
+    }
+    listedOut = !available;
+  }
+
+  /** The upstream itself refused new work: it gets none until reports had time to say why. */
+  void refused(long nowMillis) {
+    refusedUntil = nowMillis + REFUSED_MILLIS;
+  }
+
+  boolean isUsable(long nowMillis) {
+    return configured
+        && !definition.drained()
+        && !listedOut
+        && !reportedLeaving
+        && nowMillis >= refusedUntil
+        && !ejection.isEjected(nowMillis);
+  }
+
+  /** The state in one word for operators. */
+  String stateCode(long nowMillis) {
+    if (!configured || definition.drained()) {
+      return "drained";
+    }
+    if (reportedLeaving || nowMillis < refusedUntil) {
+      return "leaving";
+    }
+    if (listedOut) {
+      return "unreachable";
+    }
+    if (ejection.isEjected(nowMillis)) {
+      return "ejected";
+    }
+    return ejection.share(nowMillis) < 1 ? "slow-start" : "available";
+  }
+
+  /** How many requests it holds at most; an engine may say less than its definition. */
+  int slots() {
+    int configuredSlots = definition.slots();
+    return reportedSlots > 0 ? Math.min(configuredSlots, reportedSlots) : configuredSlots;
+  }
+
+  /** Slots that this owner may still reserve now; never negative. */
+  int freeSlots(long nowMillis) {
+    int allowed = slots();
+    double share = ejection.share(nowMillis);
+    if (share < 1) {
+      allowed = Math.max(1, (int) (allowed * share));
+    }
+    return Math.max(0, allowed - reserved - foreign(nowMillis));
+  }
+
+  double utilisation(long nowMillis) {
+    return (reserved + foreign(nowMillis)) / (double) Math.max(1, slots());
+  }
+
+  boolean hasReportedSince(long sinceMillis) {
+    return reportedAt >= sinceMillis;
+  }
+
+  boolean holdsSuspect() {
+    return suspects > 0;
+  }
+
+  void reserve(boolean alone) {
+    reserved++;
+    suspects += alone ? 1 : 0;
+  }
+
+  void release(boolean alone, long nowMillis) {
+    reserved--;
+    suspects -= alone ? 1 : 0;
+    if (reserved < 0 || suspects < 0) {
+      throw new IllegalStateException("More slots released than reserved on " + name() + ".");
+    }
+    recentEnds.addLast(nowMillis);
+    if (recentEnds.size() > REMEMBERED_ENDS) {
+      recentEnds.removeFirst();
+    }
+  }
+
+  /**
+   * Another owner's attempt became ours: it was part of the reported load until now.
+   *
+   * <p>Without this it would count twice until the next report and hold back grants.
+   */
+  void adopt(boolean alone) {
+    reserve(alone);
+    foreign = Math.max(0, foreign - 1);
+  }
+
+  /**
+   * Takes a load report.
+   *
+   * <p>A report is late: attempts that ended since it was made may still be in it, and attempts
+   * granted since are not. Were it taken at its word, a slot would be freed while it is in use, and
+   * the engine would get more than it holds. So it only ever adds load: what it shows beyond all of
+   * ours that it can have counted belongs to others.
+   */
+  void report(LoadReport report, long nowMillis) {
+    if (report.incarnation() < incarnation) {
+      return;
+    }
+    if (report.incarnation() > incarnation && incarnation != NEVER) {
+      prefixes.clear();
+      busyUntil = nowMillis;
+      ejection.startSlowly(nowMillis);
+    }
+    incarnation = report.incarnation();
+    long countedSince = nowMillis - report.ageMillis() - settings.reportLagMillis();
+    while (!recentEnds.isEmpty() && recentEnds.peekFirst() < countedSince) {
+      recentEnds.removeFirst();
+    }
+    reportedRunning = report.running();
+    int others = report.running() + report.waiting() - reserved - recentEnds.size();
+    foreign = Math.max(0, others);
+    foreignTokens = Math.max(0, report.queuedPrefillTokens() - queuedTokens);
+    reportedSlots = report.slots();
+    role = report.role();
+    reportedLeaving = report.leaving();
+    reportedAt = nowMillis;
+  }
+
+  /** When it would have read all it was given and that many tokens more. */
+  double prefillEnd(int tokens, long nowMillis) {
+    return nowMillis + queueMillis(nowMillis) + prefillMillis(tokens);
+  }
+
+  double prefillMillis(int tokens) {
+    return overheadMillis.value() + tokens * millisPerToken.value();
+  }
+
+  double prefillTokensPerMilli() {
+    return 1 / millisPerToken.value();
+  }
+
+  double queueMillis(long nowMillis) {
+    double others = foreignTokens * millisPerToken.value() - (double) (nowMillis - reportedAt);
+    return Math.max(0, busyUntil - nowMillis) + Math.max(0, others);
+  }
+
+  void startPrefill(int tokens, long nowMillis) {
+    busyUntil = Math.max((double) nowMillis, busyUntil) + prefillMillis(tokens);
+    queuedTokens += tokens;
+  }
+
+  /** A prefill ended, read or not: what is still queued tells when the upstream is free. */
+  void endPrefill(int tokens, long nowMillis) {
+    queuedTokens -= tokens;
+    busyUntil = nowMillis + queuedTokens * millisPerToken.value();
+  }
+
+  /** Learns from a prefill that had the upstream for itself that long. */
+  void learnPrefill(int tokens, double tookMillis) {
+    if (tokens >= SHORT_PROMPT_TOKENS) {
+      millisPerToken.observe((tookMillis - overheadMillis.value()) / tokens);
+    } else {
+      overheadMillis.observe(tookMillis - tokens * millisPerToken.value());
+    }
+  }
+
+  long linkBytes() {
+    return linkBytes;
+  }
+
+  void startTransfer(long bytes) {
+    linkBytes += bytes;
+  }
+
+  void endTransfer(long bytes) {
+    linkBytes -= bytes;
+  }
+
+  private int foreign(long nowMillis) {
+    return nowMillis - reportedAt > REPORT_STALE_MILLIS ? 0 : foreign;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
@@ -0,0 +1,232 @@
+package org.marjoramsail.core.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.configuration.ModelDefinition;
+import org.marjoramsail.core.configuration.OrganisationDefinition;
+import org.marjoramsail.core.configuration.ServiceDefinition;
+import org.marjoramsail.core.configuration.ServiceKind;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
+
+/** Small pools and requests for the tests of placement. */
+final class PlacementFixtures {
+
+  static final ShardId MODEL_SHARD = new ShardId("lector", "litoral", 0);
+  static final ShardId PLAIN_SHARD = new ShardId("ventanilla", "litoral", 0);
+  static final DaemonId ENTRY = new DaemonId("entry-1", 1);
+  static final DaemonId OTHER_ENTRY = new DaemonId("entry-2", 1);
+  static final int LONG_PROMPT = 4_000;
+
+  private PlacementFixtures() {}
+
+  static UpstreamDefinition upstream(String service, String name, UpstreamRole role, int slots) {
+    return new UpstreamDefinition(
+        new UpstreamName(name), service, role, "127.0.0.1", 1, "a", "litoral", slots, true, false);
+  }
+
+  static Configuration pool(int prefills, int decodes, int slots) {
+    return pool(prefills, decodes, slots, List.of());
+  }
+
+  static Configuration pool(
+      int prefills, int decodes, int slots, List<OrganisationDefinition> organisations) {
+    List<UpstreamDefinition> upstreams = new ArrayList<>();
+    for (int number = 0; number < prefills; number++) {
+      upstreams.add(upstream("lector", "prefill-" + number, UpstreamRole.PREFILL, slots));
+    }
+    for (int number = 0; number < decodes; number++) {
+      upstreams.add(upstream("lector", "decode-" + number, UpstreamRole.DECODE, slots));
+    }
+    return new Configuration(
+        1,
+        List.of(new ServiceDefinition("lector", ServiceKind.MODEL, Optional.of("modelo"))),
+        List.of(new ModelDefinition("modelo", "1", List.of(), 1_000)),
+        upstreams,
+        List.of(),
+        organisations);
+  }
+
+  static Configuration plainPool(int size, int slots) {
+    List<UpstreamDefinition> upstreams = new ArrayList<>();
+    for (int number = 0; number < size; number++) {
+      upstreams.add(upstream("ventanilla", "plain-" + number, UpstreamRole.PLAIN, slots));
+    }
+    return new Configuration(
+        1,
+        List.of(new ServiceDefinition("ventanilla", ServiceKind.PLAIN, Optional.empty())),
+        List.of(),
+        upstreams,
+        List.of(),
+        List.of());
+  }
+
+  static OrganisationDefinition organisation(String name, int concurrency, double perSecond) {
+    return new OrganisationDefinition(name, List.of(), List.of(), 1, concurrency, perSecond, 0);
+  }
+
+  static PlacerSetup setup(ShardId shard, Configuration configuration, boolean takenOver) {
+    return new PlacerSetup(
+        shard,
+        configuration,
+        PlacementSettings.defaults(),
+        daemon -> Optional.of("a"),
+        new Random(1),
+        takenOver);
+  }
+
+  static ReservingPlacer placer(Configuration configuration) {
+    return new ReservingPlacer(setup(MODEL_SHARD, configuration, false), 0);
+  }
+
+  static ReservingPlacer plainPlacer(Configuration configuration) {
+    return new ReservingPlacer(setup(PLAIN_SHARD, configuration, false), 0);
+  }
+
+  static RequestBuilder request(String name) {
+    return new RequestBuilder(name);
+  }
+
+  static AttemptReport progress(String name, int attempt, AttemptPhase phase) {
+    return new AttemptReport(
+        new RequestId(name), attempt, phase, Optional.empty(), Optional.empty(), 0, 0, 0);
+  }
+
+  static AttemptReport ended(String name, int attempt, AttemptResult result) {
+    return new AttemptReport(
+        new RequestId(name),
+        attempt,
+        AttemptPhase.ENDED,
+        Optional.of(result),
+        Optional.empty(),
+        0,
+        0,
+        10);
+  }
+
+  static LoadReport load(String upstream, UpstreamRole role, int slots, int running) {
+    return new LoadReport(new UpstreamName(upstream), 1, role, slots, running, 0, 0, false, 0);
+  }
+
+  static List<String> granted(List<PlacementResult> results) {
+    return results.stream()
+        .filter(PlacementResult.Granted.class::isInstance)
+        .map(result -> result.request().value())
+        .toList();
+  }
+
+  static List<PlacementResult.Refused> refused(List<PlacementResult> results) {
+    return results.stream()
+        .filter(PlacementResult.Refused.class::isInstance)
+        .map(PlacementResult.Refused.class::cast)
+        .toList();
+  }
+
+  static Grant onlyGrant(List<PlacementResult> results) {
+    if (results.size() != 1 || !(results.get(0) instanceof PlacementResult.Granted granted)) {
+      throw new AssertionError("Expected one grant, got " + results + ".");
+    }
+    return granted.grant();
+  }
+
+  /** A request with defaults that a test changes where it cares. */
+  static final class RequestBuilder {
+
+    private final String name;
+    private int attempt = 1;
+    private DaemonId entry = ENTRY;
+    private String organisation = "rosario";
+    private ServiceClass serviceClass = ServiceClass.STANDARD;
+    private int promptTokens = LONG_PROMPT;
+    private int outputTokens = 100;
+    private List<Long> hashes = List.of();
+    private long firstToken = 60_000;
+    private long deadline = 600_000;
+    private List<UpstreamName> avoid = List.of();
+    private Optional<UpstreamName> kvHeldBy = Optional.empty();
+    private boolean alone;
+
+    RequestBuilder(String name) {
+      this.name = name;
+    }
+
+    RequestBuilder attempt(int value) {
+      attempt = value;
+      return this;
+    }
+
+    RequestBuilder entry(DaemonId value) {
+      entry = value;
+      return this;
+    }
+
+    RequestBuilder organisation(String value) {
+      organisation = value;
+      return this;
+    }
+
+    RequestBuilder serviceClass(ServiceClass value) {
+      serviceClass = value;
+      return this;
+    }
+
+    RequestBuilder tokens(int prompt, int output) {
+      promptTokens = prompt;
+      outputTokens = output;
+      return this;
+    }
+
+    RequestBuilder hashes(List<Long> value) {
+      hashes = value;
+      return this;
+    }
+
+    RequestBuilder within(long firstTokenMillis, long deadlineMillis) {
+      firstToken = firstTokenMillis;
+      deadline = deadlineMillis;
+      return this;
+    }
+
+    RequestBuilder avoid(String... names) {
+      avoid = List.of(names).stream().map(UpstreamName::new).toList();
+      return this;
+    }
+
+    RequestBuilder kvHeldBy(String value) {
+      kvHeldBy = Optional.of(new UpstreamName(value));
+      return this;
+    }
+
+    RequestBuilder alone() {
+      alone = true;
+      return this;
+    }
+
+    PlacementRequest build() {
+      return new PlacementRequest(
+          new RequestId(name),
+          attempt,
+          entry,
+          outputTokens > 0 ? "lector" : "ventanilla",
+          organisation,
+          "rule",
+          serviceClass,
+          promptTokens,
+          outputTokens,
+          hashes,
+          0,
+          firstToken,
+          deadline,
+          avoid,
+          kvHeldBy,
+          alone);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/placement/ReservingPlacerTest.java
@@ -0,0 +1,332 @@
+package org.marjoramsail.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.marjoramsail.core.placement.PlacementFixtures.ended;
+import static org.marjoramsail.core.placement.PlacementFixtures.granted;
+import static org.marjoramsail.core.placement.PlacementFixtures.load;
+import static org.marjoramsail.core.placement.PlacementFixtures.onlyGrant;
+import static org.marjoramsail.core.placement.PlacementFixtures.organisation;
+import static org.marjoramsail.core.placement.PlacementFixtures.placer;
+import static org.marjoramsail.core.placement.PlacementFixtures.pool;
+import static org.marjoramsail.core.placement.PlacementFixtures.progress;
+import static org.marjoramsail.core.placement.PlacementFixtures.refused;
+import static org.marjoramsail.core.placement.PlacementFixtures.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.failure.RunState;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
+
+final class ReservingPlacerTest {
+
+  @Test
+  void aLongPromptGetsAPrefillAndADecodeUpstreamTogether() {
+    ReservingPlacer placer = placer(pool(1, 1, 2));
+
+    Grant grant = onlyGrant(placer.place(request("r1").build(), 0));
+
+    assertThat(grant.mode()).isEqualTo(GrantMode.DISAGGREGATED);
+    assertThat(grant.prefill()).contains(new UpstreamName("prefill-0"));
+    assertThat(grant.target()).isEqualTo(new UpstreamName("decode-0"));
+    assertThat(grant.expectedPrefillMillis()).isPositive();
+  }
+
+  @Test
+  void aShortPromptIsReadByTheDecodeUpstreamItself() {
+    ReservingPlacer placer = placer(pool(1, 1, 2));
+
+    Grant grant = onlyGrant(placer.place(request("r1").tokens(50, 10).build(), 0));
+
+    assertThat(grant.mode()).isEqualTo(GrantMode.LOCAL_PREFILL);
+  }
+
+  /**
+   * Prompts are read and their results thrown away at the peak, so that every answer is late. The
+   * prefill pool is idle while the decode pool is full; a prefill that starts then has no slot to
+   * go to when its KV cache expires.
+   */
+  @Test
+  void noPromptIsReadWhileNoDecodeSlotIsFree() {
+    ReservingPlacer placer = placer(pool(4, 1, 2));
+    placer.place(request("r1").build(), 0);
+    placer.place(request("r2").build(), 0);
+
+    assertThat(placer.place(request("r3").build(), 0)).isEmpty();
+    assertThat(placer.view(0).waiting().get(0).missing()).isEqualTo("decode-slot");
+
+    assertThat(granted(placer.report(ended("r1", 1, AttemptResult.COMPLETED), 500)))
+        .containsExactly("r3");
+  }
+
+  /**
+   * An engine gets more than it holds right after a burst. Its load report was made before the
+   * burst and says that it is empty; the owner believes it and forgets its own grants.
+   */
+  @Test
+  void aLaggingReportDoesNotFreeASlotThatIsGranted() {
+    ReservingPlacer placer = placer(pool(1, 1, 1));
+    placer.place(request("r1").build(), 0);
+
+    placer.load(load("decode-0", UpstreamRole.DECODE, 1, 0), 10);
+
+    assertThat(granted(placer.place(request("r2").build(), 11))).isEmpty();
+  }
+
+  @Test
+  void whatOthersRunOnAnUpstreamTakesItsSlots() {
+    ReservingPlacer placer = placer(pool(1, 1, 2));
+    placer.load(load("decode-0", UpstreamRole.DECODE, 2, 2), 0);
+
+    assertThat(granted(placer.place(request("r1").build(), 1))).isEmpty();
+
+    placer.load(load("decode-0", UpstreamRole.DECODE, 2, 1), 2);
+    assertThat(placer.view(2).waiting()).isEmpty();
+  }
+
+  /**
+   * After an owner died, engines get twice what they hold. The new owner knows none of the old
+   * grants and takes all slots for free before the entry daemons have registered again.
+   */
+  @Test
+  void aNewOwnerGrantsNothingUntilItKnowsWhatIsHeld() {
+    ReservingPlacer placer =
+        new ReservingPlacer(
+            PlacementFixtures.setup(PlacementFixtures.MODEL_SHARD, pool(1, 1, 2), true), 0);
+    assertThat(placer.place(request("r1").build(), 1)).isEmpty();
+    Grant old =
+        new Grant(
+            new RequestId("r0"),
+            1,
+            GrantMode.DISAGGREGATED,
+            Optional.of(new UpstreamName("prefill-0")),
+            new UpstreamName("decode-0"),
+            100,
+            4);
+
+    placer.restore(request("r0").build(), old, AttemptPhase.GENERATING, 2);
+    List<PlacementResult> results = placer.tick(PlacementSettings.defaults().settlingMillis());
+    assertThat(granted(results)).containsExactly("r1");
+    assertThat(placer.place(request("r2").build(), 501)).isEmpty();
+  }
+
+  @Test
+  void aNewOwnerGrantsAtOnceWhatReportsShowToBeFree() {
+    ReservingPlacer placer =
+        new ReservingPlacer(
+            PlacementFixtures.setup(PlacementFixtures.MODEL_SHARD, pool(1, 1, 2), true), 0);
+    placer.load(load("prefill-0", UpstreamRole.PREFILL, 2, 0), 1);
+    placer.load(load("decode-0", UpstreamRole.DECODE, 2, 1), 1);
+
+    assertThat(granted(placer.place(request("r1").build(), 2))).containsExactly("r1");
+    assertThat(granted(placer.place(request("r2").build(), 2))).isEmpty();
+  }
+
+  /**
+   * A caller waits for ever though its request was granted. The grant was lost on the way; the
+   * entry asks again, and a second reservation would leave the first one held with no holder.
+   */
+  @Test
+  void aRepeatedRequestGetsTheSameGrantAgain() {
+    ReservingPlacer placer = placer(pool(1, 2, 2));
+    Grant first = onlyGrant(placer.place(request("r1").build(), 0));
+
+    assertThat(onlyGrant(placer.place(request("r1").build(), 5))).isEqualTo(first);
+    assertThat(placer.view(5).running()).hasSize(1);
+  }
+
+  /**
+   * Slots vanish one by one over a day. A repeat of a request arrives after the attempt has ended,
+   * is granted once more, and nobody ever reports its end.
+   */
+  @Test
+  void aRequestThatArrivesAfterItsEndReservesNothing() {
+    ReservingPlacer placer = placer(pool(1, 1, 2));
+    placer.place(request("r1").build(), 0);
+    placer.report(ended("r1", 1, AttemptResult.COMPLETED), 100);
+
+    assertThat(placer.place(request("r1").build(), 150)).isEmpty();
+    assertThat(placer.view(150).running()).isEmpty();
+  }
+
+  @Test
+  void whatADeadDaemonHeldAndWaitedForIsFree() {
+    ReservingPlacer placer = placer(pool(1, 1, 1));
+    placer.place(request("r1").build(), 0);
+    placer.place(request("r2").build(), 0);
+    placer.place(request("r3").entry(PlacementFixtures.OTHER_ENTRY).build(), 0);
+
+    assertThat(granted(placer.daemonGone(PlacementFixtures.ENTRY, 10))).containsExactly("r3");
+  }
+
+  /**
+   * A prompt is read twice although its KV cache lives. The decode upstream died; the next attempt
+   * names the prefill upstream that still has the cache for some hundred milliseconds.
+   */
+  @Test
+  void anAttemptWhoseKvCacheLivesGetsADecodeSlotOnly() {
+    ReservingPlacer placer = placer(pool(1, 2, 2));
+    PlacementRequest request =
+        request("r1").attempt(2).kvHeldBy("prefill-0").avoid("decode-0").build();
+
+    Grant grant = onlyGrant(placer.place(request, 0));
+
+    assertThat(grant.prefill()).contains(new UpstreamName("prefill-0"));
+    assertThat(grant.expectedPrefillMillis()).isZero();
+    assertThat(grant.target()).isEqualTo(new UpstreamName("decode-1"));
+    assertThat(placer.view(0).upstreams())
+        .filteredOn(it -> it.role() == UpstreamRole.PREFILL)
+        .allSatisfy(upstream -> assertThat(upstream.reserved()).isZero());
+  }
+
+  /**
+   * A poisonous request takes healthy ones with it, and nobody can tell which it was. Two suspects
+   * ran on the same engine when it crashed.
+   */
+  @Test
+  void twoSuspectsNeverShareAnUpstream() {
+    ReservingPlacer placer = placer(pool(0, 1, 8));
+    placer.place(request("r1").tokens(50, 10).alone().build(), 0);
+
+    assertThat(placer.place(request("r2").tokens(50, 10).alone().build(), 0)).isEmpty();
+    assertThat(granted(placer.place(request("r3").tokens(50, 10).build(), 0)))
+        .containsExactly("r3");
+    assertThat(granted(placer.report(ended("r1", 1, AttemptResult.COMPLETED), 10)))
+        .containsExactly("r2");
+  }
+
+  @Test
+  void aPrefixMeetsTheUpstreamThatHasIt() {
+    ReservingPlacer placer = placer(pool(4, 4, 8));
+    List<Long> hashes = LongStream.rangeClosed(1, 250).boxed().toList();
+    for (long hash : hashes) {
+      placer.cacheEvent(
+          new CacheEvent(new UpstreamName("prefill-3"), CacheEvent.Kind.STORED, hash));
+    }
+
+    Grant grant = onlyGrant(placer.place(request("r1").hashes(hashes).build(), 0));
+    assertThat(grant.prefill()).contains(new UpstreamName("prefill-3"));
+  }
+
+  @Test
+  void quickRequestsPassLongOnesButDoNotStarveThem() {
+    ReservingPlacer placer = placer(pool(0, 1, 1));
+    placer.place(request("first").tokens(50, 10).build(), 0);
+    for (int number = 0; number < 20; number++) {
+      placer.place(request("s" + number).tokens(50, 10).build(), 0);
+    }
+    for (int number = 0; number < 20; number++) {
+      placer.place(
+          request("q" + number).tokens(50, 10).serviceClass(ServiceClass.QUICK).build(), 1);
+    }
+
+    List<String> order = new ArrayList<>(List.of("first"));
+    for (int number = 0; number < 14; number++) {
+      String last = order.get(order.size() - 1);
+      order.addAll(granted(placer.report(ended(last, 1, AttemptResult.COMPLETED), 2)));
+    }
+
+    assertThat(order.subList(1, 7)).allMatch(name -> name.startsWith("q"));
+    assertThat(order.subList(1, 15)).filteredOn(name -> name.startsWith("s")).hasSize(2);
+  }
+
+  @Test
+  void aFloodOfOneOrganisationLeavesOthersTheirShare() {
+    ReservingPlacer placer = placer(pool(0, 1, 1));
+    placer.place(request("first").tokens(50, 10).build(), 0);
+    for (int number = 0; number < 50; number++) {
+      placer.place(request("flood" + number).organisation("flood").tokens(50, 10).build(), 0);
+    }
+    for (int number = 0; number < 5; number++) {
+      placer.place(request("small" + number).organisation("small").tokens(50, 10).build(), 1);
+    }
+
+    List<String> order = new ArrayList<>(List.of("first"));
+    for (int number = 0; number < 10; number++) {
+      String last = order.get(order.size() - 1);
+      order.addAll(granted(placer.report(ended(last, 1, AttemptResult.COMPLETED), 2)));
+    }
+
+    assertThat(order).filteredOn(name -> name.startsWith("small")).hasSize(5);
+  }
+
+  @Test
+  void deferrableRequestsAreServedByDeadlineAndMakeIt() {
+    ReservingPlacer placer = placer(pool(0, 1, 1));
+    placer.place(request("first").tokens(50, 10).build(), 0);
+    PlacementFixtures.RequestBuilder late = request("late").serviceClass(ServiceClass.DEFERRABLE);
+    PlacementFixtures.RequestBuilder soon = request("soon").serviceClass(ServiceClass.DEFERRABLE);
+    placer.place(late.tokens(50, 10).within(10, 900_000).build(), 0);
+    placer.place(soon.tokens(50, 10).within(10, 100_000).build(), 1);
+
+    assertThat(granted(placer.report(ended("first", 1, AttemptResult.COMPLETED), 50)))
+        .containsExactly("soon");
+  }
+
+  @Test
+  void whatCannotStartInTimeIsRefusedAsNotRun() {
+    ReservingPlacer placer = placer(pool(0, 1, 1));
+    placer.place(request("r1").tokens(50, 10).build(), 0);
+    placer.place(request("r2").tokens(50, 10).within(1_500, 9_000).build(), 0);
+
+    List<PlacementResult.Refused> refused = refused(placer.tick(1_600));
+
+    assertThat(refused).hasSize(1);
+    assertThat(refused.get(0).refusal().reason()).isEqualTo(RefusalReason.DEADLINE_UNREACHABLE);
+    assertThat(refused.get(0).refusal().runState()).isEqualTo(RunState.NOT_RUN);
+  }
+
+  @Test
+  void anOrganisationRunsNoMoreThanItsLimit() {
+    ReservingPlacer placer = placer(pool(0, 2, 8, List.of(organisation("rosario", 2, 0))));
+    placer.place(request("r1").tokens(50, 10).build(), 0);
+    placer.place(request("r2").tokens(50, 10).build(), 0);
+
+    assertThat(placer.place(request("r3").tokens(50, 10).build(), 0)).isEmpty();
+    assertThat(placer.view(0).waiting().get(0).missing()).isEqualTo("organisation-concurrency");
+    assertThat(granted(placer.place(request("o").organisation("o").tokens(50, 10).build(), 0)))
+        .containsExactly("o");
+  }
+
+  @Test
+  void ownersDivideALimitByTheirDemand() {
+    ReservingPlacer placer = placer(pool(0, 2, 8, List.of(organisation("rosario", 4, 0))));
+    OrganisationUsageMessage.Usage usage = new OrganisationUsageMessage.Usage("rosario", 8);
+    placer.place(request("r1").tokens(50, 10).build(), 0);
+    placer.takeUsage(
+        new OrganisationUsageMessage(new ShardId("lector", "litoral", 1), List.of(usage)), 1);
+    placer.tick(2);
+
+    assertThat(granted(placer.place(request("r2").tokens(50, 10).build(), 3))).isEmpty();
+  }
+
+  @Test
+  void withoutPrefillUpstreamsDecodeUpstreamsReadThePrompt() {
+    ReservingPlacer placer = placer(pool(1, 1, 2));
+    placer.availability(new UpstreamName("prefill-0"), false, 0);
+
+    assertThat(onlyGrant(placer.place(request("r1").build(), 1)).mode())
+        .isEqualTo(GrantMode.LOCAL_PREFILL);
+  }
+
+  @Test
+  void progressFreesThePrefillUpstreamBeforeTheEnd() {
+    ReservingPlacer placer = placer(pool(1, 1, 2));
+    placer.place(request("r1").build(), 0);
+
+    placer.report(progress("r1", 1, AttemptPhase.GENERATING), 100);
+    placer.report(progress("r1", 1, AttemptPhase.PREFILLED), 101);
+
+    assertThat(placer.view(101).upstreams())
+        .allSatisfy(
+            upstream ->
+                assertThat(upstream.reserved())
+                    .isEqualTo(upstream.role() == UpstreamRole.DECODE ? 1 : 0));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/placement/ShardMapTest.java
@@ -0,0 +1,91 @@
+package org.marjoramsail.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.membership.Member;
+import org.marjoramsail.core.membership.MemberState;
+import org.marjoramsail.core.membership.MembershipView;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.UpstreamRole;
+
+final class ShardMapTest {
+
+  @Test
+  void largePoolsAreSlicedEvenlyInTheRatioOfTheirRoles() {
+    ShardMap map = new ShardMap(PlacementFixtures.pool(64, 128, 20));
+
+    assertThat(map.shards()).hasSize(8);
+    for (ShardId shard : map.shards()) {
+      List<UpstreamDefinition> upstreams = map.upstreamsOf(shard);
+      assertThat(upstreams).hasSize(24);
+      assertThat(upstreams).filteredOn(it -> it.role() == UpstreamRole.PREFILL).hasSize(8);
+    }
+  }
+
+  @Test
+  void oneUpstreamLessMovesFewOthers() {
+    Configuration before = PlacementFixtures.pool(64, 120, 20);
+    List<UpstreamDefinition> fewer = new ArrayList<>(before.upstreams());
+    fewer.remove(17);
+    Configuration after =
+        new Configuration(2, before.services(), before.models(), fewer, List.of(), List.of());
+    ShardMap first = new ShardMap(before);
+    ShardMap second = new ShardMap(after);
+
+    long moved =
+        first.shards().stream()
+            .flatMap(shard -> first.upstreamsOf(shard).stream().map(it -> new Place(shard, it)))
+            .filter(place -> fewer.contains(place.upstream()))
+            .filter(place -> !second.upstreamsOf(place.shard()).contains(place.upstream()))
+            .count();
+
+    assertThat(moved).isLessThan(20);
+  }
+
+  @Test
+  void onlyEligibleDaemonsOfTheRegionOwnItsShards() {
+    List<Member> members = new ArrayList<>();
+    IntStream.range(0, 6).forEach(number -> members.add(member("l" + number, "litoral")));
+    IntStream.range(0, 6).forEach(number -> members.add(member("s" + number, "santiago")));
+    MembershipView view = new MembershipView(members.get(0), members);
+    ShardId shard = PlacementFixtures.MODEL_SHARD;
+
+    Member owner = ShardMap.ownerOf(shard, view).orElseThrow();
+    assertThat(owner.region()).isEqualTo("litoral");
+
+    List<Member> without = members.stream().filter(member -> !member.equals(owner)).toList();
+    Optional<Member> next = ShardMap.ownerOf(shard, new MembershipView(without.get(0), without));
+    assertThat(next).isPresent();
+    assertThat(next.get().region()).isEqualTo("litoral");
+    assertThat(ShardMap.ownerOf(new ShardId("lector", "nowhere", 0), view)).isEmpty();
+  }
+
+  @Test
+  void theSamePrefixMeetsTheSameSliceUntilItIsMuchFuller() {
+    ShardMap map = new ShardMap(PlacementFixtures.pool(64, 128, 20));
+    PlacementRequest request = PlacementFixtures.request("r").hashes(List.of(7L, 8L)).build();
+    PlacementRequest fellow = PlacementFixtures.request("s").hashes(List.of(7L, 9L)).build();
+
+    ShardId first = map.shardFor(request, "litoral", shard -> 0.5).orElseThrow();
+
+    assertThat(map.shardFor(fellow, "litoral", shard -> 0.5)).contains(first);
+    assertThat(map.shardFor(fellow, "litoral", shard -> shard.equals(first) ? 0.9 : 0.5))
+        .isPresent()
+        .get()
+        .isNotEqualTo(first);
+    assertThat(map.shardFor(request, "nowhere", shard -> 0)).isEmpty();
+  }
+
+  private static Member member(String host, String region) {
+    return new Member(new DaemonId(host, 1), "127.0.0.1", 1, "a", region, MemberState.ALIVE);
+  }
+
+  private record Place(ShardId shard, UpstreamDefinition upstream) {}
+}
