--- /dev/null
+++ b/standin/src/main/java/org/marjoramsail/standin/load/WorkloadDefinition.java
@@ -0,0 +1,42 @@
+package org.marjoramsail.standin.load;
+
+/**
+ * What decides a workload; equal definitions give equal workloads.
+ *
+ * @param mix which requests are sent
+ * @param shape how the rate changes
+ * @param seed decides everything that is drawn
+ * @param durationMillis for how long requests are sent
+ * @param capacityPerSecond how many requests of this mix the deployment can carry in a second
+ * @param loadFactor the peak rate as a multiple of that capacity
+ * @param lengths how long prompts and answers are
+ */
+public record WorkloadDefinition(
+    RequestMix mix,
+    ArrivalShape shape,
+    long seed,
+    long durationMillis,
+    double capacityPerSecond,
+    double loadFactor,
+    PromptLengths lengths) {
+
+  /** Takes a duration, a capacity and a load above zero. */
+  public WorkloadDefinition {
+    if (durationMillis <= 0 || capacityPerSecond <= 0 || loadFactor <= 0) {
+      throw new IllegalArgumentException(
+          "Duration, capacity and load must be above zero, not %d ms, %s and %s."
+              .formatted(durationMillis, capacityPerSecond, loadFactor));
+    }
+  }
+
+  /** The rate at the peak in requests a second. */
+  public double peakPerSecond() {
+    return capacityPerSecond * loadFactor;
+  }
+
+  /** The same with another seed. */
+  public WorkloadDefinition withSeed(long otherSeed) {
+    return new WorkloadDefinition(
+        mix, shape, otherSeed, durationMillis, capacityPerSecond, loadFactor, lengths);
+  }
+}
