Carry placement over the fleet: owned shards and entries in one daemon

Cause: the core's soft ownership needs a shell with locks and sends. Change: DistributedPlacement with one lock for entry state and one for each owned shard; messages to itself take no network; callbacks run outside locks. Conclusion: waits for the placer and the peer network to be joined.

--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -0,0 +1,258 @@
+package org.marjoramsail.daemon.placement;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.membership.Member;
+import org.marjoramsail.core.membership.MembershipView;
+import org.marjoramsail.core.message.PeerTransport;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.placement.AttemptReport;
+import org.marjoramsail.core.placement.EntryAction;
+import org.marjoramsail.core.placement.EntryPlacement;
+import org.marjoramsail.core.placement.LoadReport;
+import org.marjoramsail.core.placement.PlacementMessage;
+import org.marjoramsail.core.placement.PlacementRequest;
+import org.marjoramsail.core.placement.PlacementResult;
+import org.marjoramsail.core.placement.PlacementService;
+import org.marjoramsail.core.placement.PlacementTimings;
+import org.marjoramsail.core.placement.PlacerEvent;
+import org.marjoramsail.core.placement.ShardId;
+import org.marjoramsail.core.placement.ShardLedger;
+import org.marjoramsail.core.placement.ShardView;
+import org.marjoramsail.core.time.Clock;
+
+/**
+ * Placement of the whole fleet, as one daemon takes part in it.
+ *
+ * <p>It is entry for the requests of this daemon's callers and owner of some shards. Messages to
+ * itself take no network. Callbacks and sends happen outside of all locks, so messages of one
+ * attempt may overtake each other; {@link EntryPlacement} and {@link ShardLedger} hold under that.
+ */
+public final class DistributedPlacement implements PlacementService {
+
+  private final DaemonId self;
+  private final ShardChoice choice;
+  private final PeerTransport transport;
+  private final Clock clock;
+  private final MeterRegistry meters;
+  private final Object entryLock = new Object();
+  private final EntryPlacement entry;
+  private final OwnedShards owned;
+  private final Map<RequestId, Consumer<PlacementResult>> callbacks = new ConcurrentHashMap<>();
+  private Set<DaemonId> reachable = Set.of();
+
+  /**
+   * Creates the placement of one daemon.
+   *
+   * @param self its run
+   * @param choice how requests and upstreams belong to shards
+   * @param transport the way to other daemons
+   * @param timings how long entries and owners wait for each other
+   * @param clock the time
+   * @param meters counts messages and grants
+   */
+  public DistributedPlacement(
+      DaemonId self,
+      ShardChoice choice,
+      PeerTransport transport,
+      PlacementTimings timings,
+      Clock clock,
+      MeterRegistry meters) {
+    this.self = self;
+    this.choice = choice;
+    this.transport = transport;
+    this.clock = clock;
+    this.meters = meters;
+    this.entry = new EntryPlacement(self, timings, choice);
+    this.owned =
+        new OwnedShards(
+            choice, timings, clock, outgoing -> send(outgoing.to(), outgoing.message()));
+  }
+
+  @Override
+  public void place(PlacementRequest request, Consumer<PlacementResult> result) {
+    Optional<ShardId> shard = choice.shardFor(request);
+    if (shard.isEmpty()) {
+      Refusal refusal =
+          Refusal.notRun(
+              RefusalReason.NO_UPSTREAM,
+              "Service '" + request.service() + "' has no upstream in service.",
+              1_000);
+      result.accept(
+          new PlacementResult.Refused(self, request.request(), request.attempt(), refusal));
+      return;
+    }
+    callbacks.put(request.request(), result);
+    List<EntryAction> actions;
+    synchronized (entryLock) {
+      actions = entry.place(request, shard.get(), clock.millis());
+    }
+    act(actions);
+  }
+
+  @Override
+  public void report(AttemptReport report) {
+    List<EntryAction> actions;
+    synchronized (entryLock) {
+      actions = entry.report(report);
+    }
+    act(actions);
+  }
+
+  @Override
+  public void withdraw(RequestId request) {
+    callbacks.remove(request);
+    List<EntryAction> actions;
+    synchronized (entryLock) {
+      actions = entry.withdraw(request);
+    }
+    act(actions);
+  }
+
+  /** Takes a message of another daemon. */
+  public void heard(DaemonId from, PlacementMessage message) {
+    if (isForOwner(message)) {
+      owned.handle(from, message);
+      return;
+    }
+    List<EntryAction> actions;
+    synchronized (entryLock) {
+      actions = entry.heard(from, message, clock.millis());
+    }
+    act(actions);
+  }
+
+  /** Takes that the connection to a daemon is gone. */
+  public void connectionLost(DaemonId daemon) {
+    List<EntryAction> actions;
+    synchronized (entryLock) {
+      actions = entry.lost(daemon, clock.millis());
+    }
+    act(actions);
+  }
+
+  /** Takes a newer view of the daemons; what a dead one had here is dropped. */
+  public void members(MembershipView view) {
+    choice.members(view);
+    Set<DaemonId> now = new HashSet<>();
+    for (Member member : view.members()) {
+      if (member.state().isReachable()) {
+        now.add(member.id());
+      }
+    }
+    Set<DaemonId> gone;
+    synchronized (entryLock) {
+      gone = new HashSet<>(reachable);
+      gone.removeAll(now);
+      reachable = now;
+    }
+    gone.forEach(owned::daemonGone);
+    tickEntry();
+  }
+
+  /** Takes a newer configuration. */
+  public void configure(Configuration configuration) {
+    choice.configure(configuration);
+    owned.informAll((placer, now) -> placer.configure(configuration, now));
+    tickEntry();
+  }
+
+  /** Takes what an upstream says of its load. */
+  public void load(LoadReport report) {
+    inform(report.upstream(), (placer, now) -> placer.load(report, now));
+  }
+
+  /** Takes that an upstream is leaving or unreachable, or is back. */
+  public void availability(UpstreamName upstream, boolean available) {
+    inform(upstream, (placer, now) -> placer.availability(upstream, available, now));
+  }
+
+  /** Tells a fact about an upstream to the shard that it belongs to, if that is decided here. */
+  public void inform(UpstreamName upstream, PlacerEvent event) {
+    choice
+        .shardOf(upstream)
+        .filter(shard -> owned.ids().contains(shard))
+        .ifPresent(shard -> owned.inform(shard, event));
+  }
+
+  /** Does what time has made due on the owner's side; called every few milliseconds. */
+  public void tickOwned() {
+    owned.tick();
+  }
+
+  /** Does what time has made due on the entry's side; called some times a second. */
+  public void tickEntry() {
+    List<EntryAction> actions;
+    synchronized (entryLock) {
+      actions = entry.tick(clock.millis());
+    }
+    act(actions);
+  }
+
+  /** The shards that this daemon decides for now. */
+  public List<ShardView> views() {
+    return owned.views();
+  }
+
+  /**
+   * The shards whose upstreams this daemon has to watch: those that it decides for and those for
+   * which it ranks first.
+   */
+  public Set<ShardId> watchedShards() {
+    Set<ShardId> watched = new HashSet<>(owned.ids());
+    for (ShardId shard : choice.shards()) {
+      if (choice.owners(shard).get(0).equals(self)) {
+        watched.add(shard);
+      }
+    }
+    return watched;
+  }
+
+  private static boolean isForOwner(PlacementMessage message) {
+    return message instanceof PlacementMessage.Place
+        || message instanceof PlacementMessage.Restore
+        || message instanceof PlacementMessage.Report
+        || message instanceof PlacementMessage.Withdraw
+        || message instanceof PlacementMessage.Holdings;
+  }
+
+  private void act(List<EntryAction> actions) {
+    for (EntryAction action : actions) {
+      if (action instanceof EntryAction.Send send) {
+        send(send.to(), send.message());
+      } else if (action instanceof EntryAction.Answer answer) {
+        answer(answer);
+      }
+    }
+  }
+
+  private void answer(EntryAction.Answer answer) {
+    Consumer<PlacementResult> callback = callbacks.remove(answer.request());
+    if (callback != null) {
+      callback.accept(answer.result());
+    }
+  }
+
+  private void send(DaemonId to, PlacementMessage message) {
+    String kind = message.getClass().getSimpleName();
+    meters
+        .counter("marjoramsail.placement.messages", "kind", kind, "remote", "" + !to.equals(self))
+        .increment();
+    if (to.equals(self)) {
+      heard(self, message);
+    } else {
+      transport.send(to, message);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
@@ -0,0 +1,56 @@
+package org.marjoramsail.daemon.placement;
+
+import java.util.List;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.placement.PlacementMessage;
+import org.marjoramsail.core.placement.PlacerEvent;
+import org.marjoramsail.core.placement.ShardId;
+import org.marjoramsail.core.placement.ShardLedger;
+import org.marjoramsail.core.placement.ShardView;
+
+/** One shard that this daemon decides for, under its own lock. */
+final class OwnedShard {
+
+  private final ShardId shard;
+  private final ShardLedger ledger;
+  private long usedMillis;
+
+  OwnedShard(ShardId shard, ShardLedger ledger, long nowMillis) {
+    this.shard = shard;
+    this.ledger = ledger;
+    this.usedMillis = nowMillis;
+  }
+
+  ShardId shard() {
+    return shard;
+  }
+
+  synchronized List<ShardLedger.Outgoing> handle(
+      DaemonId from, PlacementMessage message, long nowMillis) {
+    usedMillis = nowMillis;
+    return ledger.handle(from, message, nowMillis);
+  }
+
+  synchronized List<ShardLedger.Outgoing> inform(PlacerEvent event, long nowMillis) {
+    return ledger.inform(event, nowMillis);
+  }
+
+  synchronized List<ShardLedger.Outgoing> daemonGone(DaemonId daemon, long nowMillis) {
+    return ledger.daemonGone(daemon, nowMillis);
+  }
+
+  synchronized List<ShardLedger.Outgoing> tick(long nowMillis) {
+    if (!ledger.isEmpty()) {
+      usedMillis = nowMillis;
+    }
+    return ledger.tick(nowMillis);
+  }
+
+  synchronized ShardView view(long nowMillis) {
+    return ledger.view(nowMillis);
+  }
+
+  synchronized boolean isUnusedSince(long millis) {
+    return ledger.isEmpty() && usedMillis < millis;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -0,0 +1,93 @@
+package org.marjoramsail.daemon.placement;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.placement.PlacementMessage;
+import org.marjoramsail.core.placement.PlacementTimings;
+import org.marjoramsail.core.placement.PlacerEvent;
+import org.marjoramsail.core.placement.ShardId;
+import org.marjoramsail.core.placement.ShardLedger;
+import org.marjoramsail.core.placement.ShardView;
+import org.marjoramsail.core.time.Clock;
+
+/**
+ * The shards that this daemon decides for.
+ *
+ * <p>A shard comes into being with the first message about it, whoever ranks first for it: an entry
+ * that finds the first in rank silent must be served by the next, before all have noticed.
+ */
+final class OwnedShards {
+
+  /** How long a shard without requests is kept, in milliseconds. */
+  private static final long IDLE_MILLIS = 10_000;
+
+  private final ShardChoice choice;
+  private final PlacementTimings timings;
+  private final Clock clock;
+  private final Consumer<ShardLedger.Outgoing> sender;
+  private final Map<ShardId, OwnedShard> shards = new ConcurrentHashMap<>();
+
+  OwnedShards(
+      ShardChoice choice,
+      PlacementTimings timings,
+      Clock clock,
+      Consumer<ShardLedger.Outgoing> sender) {
+    this.choice = choice;
+    this.timings = timings;
+    this.clock = clock;
+    this.sender = sender;
+  }
+
+  void handle(DaemonId from, PlacementMessage message) {
+    send(shard(message.shard()).handle(from, message, clock.millis()));
+  }
+
+  /** Tells a fact to one shard, which begins to exist here. */
+  void inform(ShardId shard, PlacerEvent event) {
+    send(shard(shard).inform(event, clock.millis()));
+  }
+
+  void informAll(PlacerEvent event) {
+    shards.values().forEach(shard -> send(shard.inform(event, clock.millis())));
+  }
+
+  void daemonGone(DaemonId daemon) {
+    shards.values().forEach(shard -> send(shard.daemonGone(daemon, clock.millis())));
+  }
+
+  void tick() {
+    long now = clock.millis();
+    shards.values().forEach(shard -> send(shard.tick(now)));
+    shards.values().removeIf(shard -> shard.isUnusedSince(now - IDLE_MILLIS));
+  }
+
+  Collection<ShardId> ids() {
+    return List.copyOf(shards.keySet());
+  }
+
+  List<ShardView> views() {
+    return shards.values().stream().map(shard -> shard.view(clock.millis())).toList();
+  }
+
+  Optional<ShardView> view(ShardId shard) {
+    return Optional.ofNullable(shards.get(shard)).map(owned -> owned.view(clock.millis()));
+  }
+
+  private OwnedShard shard(ShardId id) {
+    return shards.computeIfAbsent(id, this::open);
+  }
+
+  private OwnedShard open(ShardId id) {
+    ShardLedger ledger = new ShardLedger(id, choice.placerFor(id), timings);
+    return new OwnedShard(id, ledger, clock.millis());
+  }
+
+  private void send(List<ShardLedger.Outgoing> messages) {
+    messages.forEach(sender);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/ShardChoice.java
@@ -0,0 +1,33 @@
+package org.marjoramsail.daemon.placement;
+
+import java.util.List;
+import java.util.Optional;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.membership.MembershipView;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.placement.PlacementRequest;
+import org.marjoramsail.core.placement.Placer;
+import org.marjoramsail.core.placement.ShardDirectory;
+import org.marjoramsail.core.placement.ShardId;
+
+/** How requests and upstreams belong to shards, and how a shard decides. */
+public interface ShardChoice extends ShardDirectory {
+
+  /** The shard of a request; empty where its service has no upstreams that this daemon reaches. */
+  Optional<ShardId> shardFor(PlacementRequest request);
+
+  /** The shard that an upstream belongs to. */
+  Optional<ShardId> shardOf(UpstreamName upstream);
+
+  /** The shards that there are in the region of this daemon. */
+  List<ShardId> shards();
+
+  /** A placer for a shard that this daemon begins to own. */
+  Placer placerFor(ShardId shard);
+
+  /** Takes a newer configuration. */
+  void configure(Configuration configuration);
+
+  /** Takes a newer view of the daemons. */
+  void members(MembershipView view);
+}
