Carry typed messages between daemons over proven TCP connections

Cause: placement, configuration and membership need one way to reach another run of a daemon, which refuses strangers and stays bounded under load. Change: PeerNetwork connects on demand and keeps one connection for both directions, proves the cluster key both ways (HMAC-SHA256 over both nonces), refuses other clusters, protocols and superseded runs by a typed Goodbye, batches small frames, bounds frames, queues and inbound connections, and counts bytes, frames, drops and refusals. PeerFaults drops, delays, doubles and cuts. Conclusion: other modules can register their records and send.

--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/Goodbye.java
@@ -0,0 +1,16 @@
+package org.marjoramsail.daemon.peer;
+
+import java.util.Objects;
+import org.marjoramsail.core.message.PeerMessage;
+
+/**
+ * The last frame before a connection is closed.
+ *
+ * @param reason why
+ */
+record Goodbye(GoodbyeReason reason) implements PeerMessage {
+
+  Goodbye {
+    Objects.requireNonNull(reason, "reason");
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/GoodbyeReason.java
@@ -0,0 +1,22 @@
+package org.marjoramsail.daemon.peer;
+
+import java.util.Locale;
+
+/** Why a daemon closes a connection; each has its counter. */
+public enum GoodbyeReason {
+  OTHER_PROTOCOL,
+  OTHER_CLUSTER,
+  WRONG_PROOF,
+  OLD_INCARNATION,
+  OWN_ADDRESS,
+  TOO_MANY_CONNECTIONS,
+  HANDSHAKE_TIMEOUT,
+  UNEXPECTED_MESSAGE,
+  MALFORMED_FRAME,
+  STOPPING;
+
+  /** The reason in lower case with hyphens, as counters show it. */
+  public String code() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/Handshake.java
@@ -0,0 +1,105 @@
+package org.marjoramsail.daemon.peer;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.HexFormat;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+import org.marjoramsail.core.membership.PeerAddress;
+
+/**
+ * The proof, both ways, that two daemons hold the same cluster key, and the checks of what each
+ * says of itself.
+ *
+ * <p>A proof covers both nonces, both sides' words and the role of the prover, so that it serves
+ * for one connection only and cannot be reflected to the side that gave it.
+ */
+final class Handshake {
+
+  static final int PROTOCOL = 1;
+
+  private static final String ALGORITHM = "HmacSHA256";
+  private static final int NONCE_BYTES = 16;
+
+  /** Which side of a connection gives a proof. */
+  enum Role {
+    CONNECTING,
+    ACCEPTING
+  }
+
+  private final PeerSettings settings;
+  private final RandomGenerator random;
+
+  /** Takes randomness that a stranger must not be able to foretell. */
+  Handshake(PeerSettings settings, RandomGenerator random) {
+    this.settings = settings;
+    this.random = random;
+  }
+
+  Hello hello(int listeningPort) {
+    byte[] nonce = new byte[NONCE_BYTES];
+    random.nextBytes(nonce);
+    return new Hello(
+        PROTOCOL,
+        settings.cluster(),
+        settings.self(),
+        new PeerAddress(settings.listenAddress(), listeningPort),
+        settings.availabilityZone(),
+        settings.region(),
+        HexFormat.of().formatHex(nonce),
+        Optional.empty());
+  }
+
+  /** Why a daemon that says this of itself is not talked to, before any proof. */
+  Optional<GoodbyeReason> refusal(Hello other) {
+    if (other.protocol() != PROTOCOL) {
+      return Optional.of(GoodbyeReason.OTHER_PROTOCOL);
+    }
+    if (!other.cluster().equals(settings.cluster())) {
+      return Optional.of(GoodbyeReason.OTHER_CLUSTER);
+    }
+    if (other.daemon().equals(settings.self())) {
+      return Optional.of(GoodbyeReason.OWN_ADDRESS);
+    }
+    return Optional.empty();
+  }
+
+  String proof(Role prover, Hello connecting, Hello accepting) {
+    try {
+      Mac mac = Mac.getInstance(ALGORITHM);
+      byte[] key = settings.clusterKey().getBytes(StandardCharsets.UTF_8);
+      mac.init(new SecretKeySpec(key, ALGORITHM));
+      cover(mac, prover.name());
+      cover(mac, connecting);
+      cover(mac, accepting);
+      return HexFormat.of().formatHex(mac.doFinal());
+    } catch (GeneralSecurityException e) {
+      throw new IllegalStateException("Every Java platform has " + ALGORITHM + ".", e);
+    }
+  }
+
+  boolean isProven(String proof, Role prover, Hello connecting, Hello accepting) {
+    byte[] expected = proof(prover, connecting, accepting).getBytes(StandardCharsets.UTF_8);
+    return MessageDigest.isEqual(expected, proof.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static void cover(Mac mac, Hello hello) {
+    cover(mac, Integer.toString(hello.protocol()));
+    cover(mac, hello.cluster());
+    cover(mac, hello.daemon().toString());
+    cover(mac, hello.listening().toString());
+    cover(mac, hello.availabilityZone());
+    cover(mac, hello.region());
+    cover(mac, hello.nonce());
+  }
+
+  private static void cover(Mac mac, String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    mac.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).array());
+    mac.update(bytes);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerLink.java
@@ -0,0 +1,213 @@
+package org.marjoramsail.daemon.peer;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.marjoramsail.core.membership.PeerAddress;
+import org.marjoramsail.core.time.Clock;
+
+/**
+ * The messages for one address: a bounded queue, and the connection over which it is emptied.
+ *
+ * <p>Any thread may queue; everything else runs on the one event loop of the {@link PeerNetwork}.
+ */
+final class PeerLink {
+
+  /** Connects; the link hears of it by {@link #opened} or {@link #failed}. */
+  @FunctionalInterface
+  interface Connector {
+    void connect(PeerLink link);
+  }
+
+  private static final int LONGEST_DOUBLING = 16;
+
+  private final PeerAddress address;
+  private final Vertx vertx;
+  private final Context context;
+  private final PeerBounds bounds;
+  private final Clock clock;
+  private final RandomGenerator random;
+  private final PeerMeters meters;
+  private final Connector connector;
+
+  private final Object lock = new Object();
+  private final Deque<OutboundFrame> urgent = new ArrayDeque<>();
+  private final Deque<OutboundFrame> ordinary = new ArrayDeque<>();
+  private int queuedBytes;
+  private boolean flushPending;
+
+  private Optional<PeerSession> session = Optional.empty();
+  private boolean connecting;
+  private int failures;
+  private long noConnectBeforeMillis;
+
+  PeerLink(
+      PeerAddress address,
+      Vertx vertx,
+      Context context,
+      PeerBounds bounds,
+      Clock clock,
+      RandomGenerator random,
+      PeerMeters meters,
+      Connector connector) {
+    this.address = address;
+    this.vertx = vertx;
+    this.context = context;
+    this.bounds = bounds;
+    this.clock = clock;
+    this.random = random;
+    this.meters = meters;
+    this.connector = connector;
+    this.noConnectBeforeMillis = clock.millis();
+  }
+
+  PeerAddress address() {
+    return address;
+  }
+
+  /** Queues a message or drops it; urgent ones push out ordinary ones. */
+  void queue(OutboundFrame frame) {
+    boolean wake;
+    synchronized (lock) {
+      if (frame.type().isUrgent()) {
+        makeRoom(frame.length());
+      }
+      if (queuedBytes + frame.length() > bounds.maximumQueuedBytes()) {
+        meters.dropped(DropReason.QUEUE_FULL, 1);
+        return;
+      }
+      (frame.type().isUrgent() ? urgent : ordinary).addLast(frame);
+      queuedBytes += frame.length();
+      wake = !flushPending;
+      flushPending = true;
+    }
+    if (wake) {
+      context.runOnContext(nothing -> flush());
+    }
+  }
+
+  /** Takes a proven connection, unless there is one already. */
+  void opened(PeerSession opened) {
+    connecting = false;
+    failures = 0;
+    if (session.filter(PeerSession::isOpen).isEmpty()) {
+      session = Optional.of(opened);
+    }
+    flush();
+  }
+
+  /** A connection attempt came to nothing; what waits is too old by the next one. */
+  void failed() {
+    connecting = false;
+    noConnectBeforeMillis = clock.millis() + backoffMillis();
+    failures = Math.min(failures + 1, LONGEST_DOUBLING);
+    if (session.filter(PeerSession::isOpen).isEmpty()) {
+      clear(DropReason.CONNECT_FAILED);
+    }
+  }
+
+  void closed(PeerSession gone) {
+    if (session.filter(current -> current == gone).isPresent()) {
+      session = Optional.empty();
+      clear(DropReason.CONNECTION_CLOSED);
+    }
+  }
+
+  void clear(DropReason reason) {
+    int dropped;
+    synchronized (lock) {
+      dropped = urgent.size() + ordinary.size();
+      urgent.clear();
+      ordinary.clear();
+      queuedBytes = 0;
+    }
+    meters.dropped(reason, dropped);
+  }
+
+  /** Whether forgetting it loses nothing but its count of failures. */
+  boolean isForgettable() {
+    synchronized (lock) {
+      return session.isEmpty()
+          && !connecting
+          && !flushPending
+          && queuedBytes == 0
+          && clock.millis() >= noConnectBeforeMillis;
+    }
+  }
+
+  private void makeRoom(int bytes) {
+    while (queuedBytes + bytes > bounds.maximumQueuedBytes() && !ordinary.isEmpty()) {
+      queuedBytes -= ordinary.removeLast().length();
+      meters.dropped(DropReason.QUEUE_FULL, 1);
+    }
+  }
+
+  private void flush() {
+    synchronized (lock) {
+      flushPending = false;
+    }
+    if (session.filter(PeerSession::isOpen).isPresent()) {
+      write(session.get());
+    } else if (!connecting && isWaiting()) {
+      connect();
+    }
+  }
+
+  private void connect() {
+    connecting = true;
+    long waitMillis = noConnectBeforeMillis - clock.millis();
+    if (waitMillis <= 0) {
+      connector.connect(this);
+    } else {
+      vertx.setTimer(waitMillis, id -> connector.connect(this));
+    }
+  }
+
+  private void write(PeerSession open) {
+    while (isWaiting()) {
+      if (open.isFull()) {
+        open.onDrain(this::flush);
+        return;
+      }
+      Buffer batch = batch(open);
+      if (batch.length() > 0) {
+        open.write(batch);
+      }
+    }
+  }
+
+  private Buffer batch(PeerSession open) {
+    Buffer batch = Buffer.buffer();
+    synchronized (lock) {
+      while (batch.length() < bounds.maximumBatchBytes()) {
+        OutboundFrame frame = urgent.isEmpty() ? ordinary.pollFirst() : urgent.pollFirst();
+        if (frame == null) {
+          return batch;
+        }
+        queuedBytes -= frame.length();
+        if (frame.isFor(open.other().daemon())) {
+          batch.appendBuffer(frame.bytes());
+          meters.sent(frame.type(), frame.length());
+        } else {
+          meters.dropped(DropReason.OTHER_INCARNATION, 1);
+        }
+      }
+    }
+    return batch;
+  }
+
+  private boolean isWaiting() {
+    synchronized (lock) {
+      return !urgent.isEmpty() || !ordinary.isEmpty();
+    }
+  }
+
+  private long backoffMillis() {
+    long ceiling = Math.min(bounds.longestBackoffMillis(), bounds.firstBackoffMillis() << failures);
+    return random.nextLong(ceiling / 2, ceiling + 1);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerNetwork.java
@@ -0,0 +1,344 @@
+package org.marjoramsail.daemon.peer;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.vertx.core.Context;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+import java.util.random.RandomGenerator;
+import org.marjoramsail.core.membership.PeerAddress;
+import org.marjoramsail.core.message.PeerMessage;
+import org.marjoramsail.core.message.PeerMessageHandler;
+import org.marjoramsail.core.message.PeerTransport;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.time.Clock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The connections of this daemon with all others.
+ *
+ * <p>It connects when there is something to send, keeps one connection for both directions where it
+ * can, and closes what is idle. Connections live on one event loop; messages may be sent from any
+ * thread, and are handled on that event loop.
+ */
+public final class PeerNetwork implements PeerTransport {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(PeerNetwork.class);
+  private static final int REMEMBERED_HOSTS = 4096;
+  private static final long SWEEP_MILLIS = 10_000;
+
+  private final Vertx vertx;
+  private final PeerSettings settings;
+  private final Clock clock;
+  private final RandomGenerator random;
+  private final Function<DaemonId, Optional<PeerAddress>> addresses;
+  private final PeerFaults faults;
+  private final Handshake handshake;
+  private final PeerCodec codec;
+  private final PeerMeters meters;
+  private final Context context;
+  private final NetServer server;
+  private final NetClient client;
+
+  private final Map<Class<? extends PeerMessage>, PeerMessageHandler> handlers =
+      new ConcurrentHashMap<>();
+  private final Map<PeerAddress, PeerLink> links = new ConcurrentHashMap<>();
+  private final Map<DaemonId, PeerLink> open = new ConcurrentHashMap<>();
+  private final Cache<String, Long> newestIncarnations =
+      Caffeine.newBuilder().maximumSize(REMEMBERED_HOSTS).build();
+  private final Set<PeerSession> sessions = new HashSet<>();
+  private int inbound;
+  private long sweepTimer;
+  private volatile int port;
+  private volatile boolean stopped;
+
+  /**
+   * Takes all that it works with; nothing happens before {@link #start}.
+   *
+   * @param random chance for nonces and back-off; a stranger must not be able to foretell it
+   * @param addresses where a run of a daemon listens, as membership knows it; called on any thread
+   * @param faults {@link PeerFaults#NONE} outside of tests
+   */
+  public PeerNetwork(
+      Vertx vertx,
+      PeerSettings settings,
+      Clock clock,
+      MeterRegistry registry,
+      RandomGenerator random,
+      Function<DaemonId, Optional<PeerAddress>> addresses,
+      PeerFaults faults) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.clock = clock;
+    this.random = random;
+    this.addresses = addresses;
+    this.faults = faults;
+    this.handshake = new Handshake(settings, random);
+    this.codec = new PeerCodec(settings.bounds().maximumFrameBytes());
+    this.meters = new PeerMeters(registry, open::size);
+    this.context = vertx.getOrCreateContext();
+    this.server = vertx.createNetServer(serverOptions(settings));
+    this.client = vertx.createNetClient(clientOptions(settings.bounds()));
+    newestIncarnations.put(settings.self().host(), settings.self().incarnation());
+  }
+
+  /** Gives messages of a class to a handler, from now on; a later handler replaces it. */
+  public void register(Class<? extends PeerMessage> message, PeerMessageHandler handler) {
+    PeerMessageType.ofClass(message);
+    handlers.put(message, handler);
+  }
+
+  /** Listens; gives the port on which it does. */
+  public Future<Integer> start() {
+    Promise<Integer> started = Promise.promise();
+    context.runOnContext(
+        nothing -> {
+          server.connectHandler(this::accepted);
+          sweepTimer = vertx.setPeriodic(SWEEP_MILLIS, id -> sweep());
+          server
+              .listen()
+              .onSuccess(listening -> port = listening.actualPort())
+              .map(NetServer::actualPort)
+              .onComplete(started);
+        });
+    return started.future();
+  }
+
+  /** Says goodbye to all, and closes all connections and the port. */
+  public Future<Void> stop() {
+    stopped = true;
+    Promise<Void> done = Promise.promise();
+    context.runOnContext(
+        nothing -> {
+          vertx.cancelTimer(sweepTimer);
+          List.copyOf(sessions).forEach(session -> session.refuse(GoodbyeReason.STOPPING));
+          links.values().forEach(link -> link.clear(DropReason.STOPPED));
+          Future.join(server.close(), client.close()).<Void>mapEmpty().onComplete(done);
+        });
+    return done.future();
+  }
+
+  /** The run and the address of this daemon, once it listens. */
+  public PeerAddress listening() {
+    return new PeerAddress(settings.listenAddress(), port);
+  }
+
+  @Override
+  public void send(DaemonId to, PeerMessage message) {
+    Optional<PeerLink> link =
+        Optional.ofNullable(open.get(to)).or(() -> addresses.apply(to).map(this::link));
+    if (link.isEmpty()) {
+      meters.dropped(DropReason.NO_ADDRESS, 1);
+      return;
+    }
+    queue(link.get(), Optional.of(to), message);
+  }
+
+  /** Sends to whichever daemon listens at an address; for those whose run is not known yet. */
+  public void send(PeerAddress to, PeerMessage message) {
+    queue(link(to), Optional.empty(), message);
+  }
+
+  private void queue(PeerLink link, Optional<DaemonId> recipient, PeerMessage message) {
+    if (stopped) {
+      meters.dropped(DropReason.STOPPED, 1);
+      return;
+    }
+    try {
+      PeerMessageType type = PeerMessageType.ofClass(message.getClass());
+      link.queue(OutboundFrame.of(type, recipient, codec.encode(message)));
+    } catch (PeerCodecException e) {
+      meters.dropped(DropReason.TOO_LARGE, 1);
+    }
+  }
+
+  private PeerLink link(PeerAddress address) {
+    return links.computeIfAbsent(
+        address,
+        key ->
+            new PeerLink(
+                key, vertx, context, settings.bounds(), clock, random, meters, this::connect));
+  }
+
+  private void connect(PeerLink link) {
+    if (stopped) {
+      link.failed();
+      return;
+    }
+    client
+        .connect(link.address().port(), link.address().address())
+        .onSuccess(socket -> begin(socket, Handshake.Role.CONNECTING, Optional.of(link)))
+        .onFailure(cause -> link.failed());
+  }
+
+  private void accepted(NetSocket socket) {
+    PeerSession session = begin(socket, Handshake.Role.ACCEPTING, Optional.empty());
+    if (inbound > settings.bounds().maximumInboundConnections()) {
+      session.refuse(GoodbyeReason.TOO_MANY_CONNECTIONS);
+    }
+  }
+
+  private PeerSession begin(NetSocket socket, Handshake.Role role, Optional<PeerLink> dialled) {
+    PeerSession session =
+        new PeerSession(
+            vertx,
+            socket,
+            role,
+            handshake,
+            handshake.hello(port),
+            codec,
+            settings.bounds(),
+            meters,
+            new SessionListener(role, dialled));
+    sessions.add(session);
+    if (role == Handshake.Role.ACCEPTING) {
+      inbound++;
+    }
+    session.start();
+    return session;
+  }
+
+  private void deliver(DaemonId from, PeerMessage message) {
+    PeerFaults.Arrival arrival = faults.arrival(from, settings.self());
+    if (arrival.copies() == 0) {
+      meters.dropped(DropReason.INJECTED, 1);
+    }
+    for (int copy = 0; copy < arrival.copies(); copy++) {
+      if (arrival.delayMillis() > 0) {
+        vertx.setTimer(arrival.delayMillis(), id -> handle(from, message));
+      } else {
+        handle(from, message);
+      }
+    }
+  }
+
+  private void handle(DaemonId from, PeerMessage message) {
+    PeerMessageHandler handler = handlers.get(message.getClass());
+    if (handler == null || stopped) {
+      meters.dropped(stopped ? DropReason.STOPPED : DropReason.NO_HANDLER, 1);
+      return;
+    }
+    try {
+      handler.handle(from, message);
+    } catch (RuntimeException e) {
+      // A message that a handler cannot bear must not close the connection for all others.
+      meters.dropped(DropReason.HANDLER_FAILED, 1);
+      LOGGER
+          .atError()
+          .addKeyValue("from", from)
+          .addKeyValue("message", message.getClass().getSimpleName())
+          .setCause(e)
+          .log("A handler of peer messages failed");
+    }
+  }
+
+  private void sweep() {
+    links.values().removeIf(PeerLink::isForgettable);
+  }
+
+  private static NetServerOptions serverOptions(PeerSettings settings) {
+    return new NetServerOptions()
+        .setHost(settings.listenAddress())
+        .setPort(settings.port())
+        .setTcpNoDelay(true)
+        .setIdleTimeout(settings.bounds().idleTimeoutSeconds());
+  }
+
+  private static NetClientOptions clientOptions(PeerBounds bounds) {
+    return new NetClientOptions()
+        .setConnectTimeout(bounds.connectTimeoutMillis())
+        .setTcpNoDelay(true)
+        .setIdleTimeout(bounds.idleTimeoutSeconds());
+  }
+
+  /** Keeps the maps of links and runs in step with one connection. */
+  private final class SessionListener implements PeerSession.Listener {
+
+    private final Handshake.Role role;
+    private final Optional<PeerLink> dialled;
+    private Optional<PeerLink> attached = Optional.empty();
+
+    SessionListener(Handshake.Role role, Optional<PeerLink> dialled) {
+      this.role = role;
+      this.dialled = dialled;
+    }
+
+    /**
+     * A daemon that was paused while its successor started on the same host would go on speaking
+     * for that host; others would see its state go back. Whoever has met the successor refuses it.
+     */
+    @Override
+    public Optional<GoodbyeReason> refusal(Hello other) {
+      Long newest = newestIncarnations.getIfPresent(other.daemon().host());
+      boolean old = newest != null && newest > other.daemon().incarnation();
+      return old ? Optional.of(GoodbyeReason.OLD_INCARNATION) : Optional.empty();
+    }
+
+    @Override
+    public void opened(PeerSession session) {
+      DaemonId daemon = session.other().daemon();
+      meters.connected();
+      newestIncarnations.put(daemon.host(), daemon.incarnation());
+      closeSuperseded(daemon);
+      PeerLink link = dialled.orElseGet(() -> link(session.other().listening()));
+      attached = Optional.of(link);
+      open.put(daemon, link);
+      link.opened(session);
+    }
+
+    @Override
+    public void received(PeerSession session, PeerMessage message) {
+      deliver(session.other().daemon(), message);
+    }
+
+    @Override
+    public void closed(PeerSession session) {
+      sessions.remove(session);
+      if (role == Handshake.Role.ACCEPTING) {
+        inbound--;
+      }
+      if (attached.isPresent()) {
+        detach(session, attached.get());
+      } else {
+        dialled.ifPresent(PeerLink::failed);
+      }
+    }
+
+    /** Two daemons that dial each other at once have two connections; the other one takes over. */
+    private void detach(PeerSession session, PeerLink link) {
+      DaemonId daemon = session.other().daemon();
+      link.closed(session);
+      Optional<PeerSession> other =
+          sessions.stream()
+              .filter(candidate -> candidate.isOpen() && candidate.other().daemon().equals(daemon))
+              .findAny();
+      if (other.isPresent()) {
+        link.opened(other.get());
+      } else {
+        open.remove(daemon, link);
+      }
+    }
+
+    private void closeSuperseded(DaemonId newer) {
+      sessions.stream()
+          .filter(session -> session.isOpen() && newer.supersedes(session.other().daemon()))
+          .toList()
+          .forEach(session -> session.refuse(GoodbyeReason.OLD_INCARNATION));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerSession.java
@@ -0,0 +1,239 @@
+package org.marjoramsail.daemon.peer;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.parsetools.RecordParser;
+import java.util.Optional;
+import org.marjoramsail.core.message.PeerMessage;
+
+/**
+ * One TCP connection with another daemon, from its first byte to its close.
+ *
+ * <p>All methods run on the one event loop of the {@link PeerNetwork}.
+ */
+final class PeerSession {
+
+  private static final int LENGTH_BYTES = Integer.BYTES;
+
+  /** What the owner of a session is told. */
+  interface Listener {
+
+    /** Why this proven daemon is refused all the same, if it is. */
+    Optional<GoodbyeReason> refusal(Hello other);
+
+    /** The handshake is done; messages may be written. */
+    void opened(PeerSession session);
+
+    /** A message came after the handshake. */
+    void received(PeerSession session, PeerMessage message);
+
+    /** The connection is gone, whether or not it was ever open. */
+    void closed(PeerSession session);
+  }
+
+  private final Vertx vertx;
+  private final NetSocket socket;
+  private final Handshake.Role role;
+  private final Handshake handshake;
+  private final Hello own;
+  private final PeerCodec codec;
+  private final PeerBounds bounds;
+  private final PeerMeters meters;
+  private final Listener listener;
+  private final RecordParser parser;
+  private final long handshakeTimer;
+
+  private Optional<Hello> other = Optional.empty();
+  private boolean lengthNext = true;
+  private boolean open;
+  private boolean closed;
+
+  PeerSession(
+      Vertx vertx,
+      NetSocket socket,
+      Handshake.Role role,
+      Handshake handshake,
+      Hello own,
+      PeerCodec codec,
+      PeerBounds bounds,
+      PeerMeters meters,
+      Listener listener) {
+    this.vertx = vertx;
+    this.socket = socket;
+    this.role = role;
+    this.handshake = handshake;
+    this.own = own;
+    this.codec = codec;
+    this.bounds = bounds;
+    this.meters = meters;
+    this.listener = listener;
+    this.parser = RecordParser.newFixed(LENGTH_BYTES, this::record);
+    this.handshakeTimer = vertx.setTimer(bounds.handshakeTimeoutMillis(), id -> timedOut());
+  }
+
+  void start() {
+    socket.closeHandler(nothing -> gone());
+    socket.exceptionHandler(cause -> socket.close());
+    socket.handler(parser);
+    if (role == Handshake.Role.CONNECTING) {
+      write(own);
+    }
+  }
+
+  /** What the other side said of itself; present once the session is open. */
+  Hello other() {
+    return other.orElseThrow();
+  }
+
+  boolean isOpen() {
+    return open && !closed;
+  }
+
+  boolean isFull() {
+    return socket.writeQueueFull();
+  }
+
+  void onDrain(Runnable action) {
+    socket.drainHandler(nothing -> action.run());
+  }
+
+  void write(Buffer frames) {
+    socket.write(frames);
+  }
+
+  /** Says why, and closes. */
+  void refuse(GoodbyeReason reason) {
+    if (closed) {
+      return;
+    }
+    meters.refusalGiven(reason);
+    write(new Goodbye(reason));
+    socket.close();
+    gone();
+  }
+
+  private void write(PeerMessage message) {
+    try {
+      PeerMessageType type = PeerMessageType.ofClass(message.getClass());
+      OutboundFrame frame = OutboundFrame.of(type, Optional.empty(), codec.encode(message));
+      meters.sent(type, frame.length());
+      socket.write(frame.bytes());
+    } catch (PeerCodecException e) {
+      socket.close();
+    }
+  }
+
+  private void record(Buffer record) {
+    if (closed) {
+      return;
+    }
+    if (lengthNext) {
+      body(record.getInt(0));
+      return;
+    }
+    lengthNext = true;
+    parser.fixedSizeMode(LENGTH_BYTES);
+    message(record.getBytes());
+  }
+
+  private void body(int length) {
+    if (length <= 0 || length > bounds.maximumFrameBytes()) {
+      refuse(GoodbyeReason.MALFORMED_FRAME);
+      return;
+    }
+    lengthNext = false;
+    parser.fixedSizeMode(length);
+  }
+
+  private void message(byte[] body) {
+    try {
+      PeerMessage message = codec.decode(body);
+      meters.received(PeerMessageType.ofClass(message.getClass()), LENGTH_BYTES + body.length);
+      dispatch(message);
+    } catch (PeerCodecException e) {
+      refuse(GoodbyeReason.MALFORMED_FRAME);
+    }
+  }
+
+  private void dispatch(PeerMessage message) {
+    if (message instanceof Goodbye goodbye) {
+      meters.refusalTaken(goodbye.reason());
+      socket.close();
+    } else if (message instanceof Hello hello) {
+      greeted(hello);
+    } else if (message instanceof HelloProof proof) {
+      proven(proof);
+    } else if (open) {
+      listener.received(this, message);
+    } else {
+      refuse(GoodbyeReason.UNEXPECTED_MESSAGE);
+    }
+  }
+
+  private void greeted(Hello hello) {
+    if (other.isPresent()) {
+      refuse(GoodbyeReason.UNEXPECTED_MESSAGE);
+      return;
+    }
+    Optional<GoodbyeReason> refusal = handshake.refusal(hello);
+    if (refusal.isPresent()) {
+      refuse(refusal.get());
+      return;
+    }
+    other = Optional.of(hello);
+    if (role == Handshake.Role.ACCEPTING) {
+      write(own.withProof(handshake.proof(role, hello, own)));
+      return;
+    }
+    boolean proven =
+        hello
+            .proof()
+            .filter(proof -> handshake.isProven(proof, Handshake.Role.ACCEPTING, own, hello))
+            .isPresent();
+    if (!proven) {
+      refuse(GoodbyeReason.WRONG_PROOF);
+      return;
+    }
+    write(new HelloProof(handshake.proof(role, own, hello)));
+    open();
+  }
+
+  private void proven(HelloProof proof) {
+    if (role == Handshake.Role.CONNECTING || other.isEmpty() || open) {
+      refuse(GoodbyeReason.UNEXPECTED_MESSAGE);
+      return;
+    }
+    if (!handshake.isProven(proof.proof(), Handshake.Role.CONNECTING, other.get(), own)) {
+      refuse(GoodbyeReason.WRONG_PROOF);
+      return;
+    }
+    open();
+  }
+
+  private void open() {
+    Optional<GoodbyeReason> refusal = listener.refusal(other());
+    if (refusal.isPresent()) {
+      refuse(refusal.get());
+      return;
+    }
+    vertx.cancelTimer(handshakeTimer);
+    open = true;
+    listener.opened(this);
+  }
+
+  private void timedOut() {
+    if (!open) {
+      refuse(GoodbyeReason.HANDSHAKE_TIMEOUT);
+    }
+  }
+
+  private void gone() {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    vertx.cancelTimer(handshakeTimer);
+    listener.closed(this);
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
@@ -0,0 +1,352 @@
+package org.marjoramsail.daemon.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.membership.PeerAddress;
+import org.marjoramsail.core.membership.PingMessage;
+import org.marjoramsail.core.message.PeerMessage;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.time.Clock;
+
+/** Real sockets on loopback; every wait is for an event, with a limit only against hanging. */
+final class PeerNetworkTest {
+
+  private static final long HANG_SECONDS = 20;
+  private static final Clock CLOCK = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  private static final PeerBounds BOUNDS = PeerBounds.defaults();
+
+  private final Map<DaemonId, PeerAddress> addresses = new ConcurrentHashMap<>();
+  private final List<Daemon> daemons = new ArrayList<>();
+  private Vertx vertx;
+
+  @BeforeEach
+  void open() {
+    vertx = Vertx.vertx();
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    for (Daemon daemon : daemons) {
+      await(daemon.network.stop());
+    }
+    await(vertx.close());
+  }
+
+  @Test
+  void messagesArriveInOrderAndNameTheirProvenSender() throws Exception {
+    Daemon one = daemon("one", 1, "key");
+    Daemon two = daemon("two", 1, "key");
+    for (int sequence = 0; sequence < 1000; sequence++) {
+      one.network.send(two.id, new PingMessage(sequence, List.of()));
+    }
+    for (int sequence = 0; sequence < 1000; sequence++) {
+      assertThat(two.next()).isEqualTo(new Received(one.id, new PingMessage(sequence, List.of())));
+    }
+    two.network.send(one.id, new PingMessage(7, List.of()));
+    assertThat(one.next().from()).isEqualTo(two.id);
+    assertThat(one.count("marjoramsail.peer.connects") + two.count("marjoramsail.peer.connects"))
+        .as("both directions share one connection, which each side counts")
+        .isEqualTo(2);
+  }
+
+  @Test
+  void aStrangerWithoutTheClusterKeyIsRefused() throws Exception {
+    Daemon one = daemon("one", 1, "key");
+    Daemon stranger = daemon("stranger", 1, "another key");
+    stranger.network.send(one.id, new PingMessage(1, List.of()));
+    stranger.awaitCount("marjoramsail.peer.refusals", "reason", "wrong-proof");
+    assertThat(one.received).isEmpty();
+  }
+
+  @Test
+  void anAcceptingDaemonRefusesAProofThatItsKeyDoesNotGive() throws Exception {
+    Daemon one = daemon("one", 1, "key");
+    Handshake wrong = new Handshake(settings("liar", 1, "cluster", "guess", BOUNDS), new Random(9));
+    Dialogue dialogue = new Dialogue(one.network.listening());
+    dialogue.send(wrong.hello(1));
+    assertThat(dialogue.next()).isInstanceOf(Hello.class);
+    dialogue.send(new HelloProof("00"));
+    assertThat(dialogue.next()).isEqualTo(new Goodbye(GoodbyeReason.WRONG_PROOF));
+    dialogue.awaitEnd();
+  }
+
+  @Test
+  void aDaemonOfAnotherClusterOrProtocolIsToldSoAndRefused() throws Exception {
+    Daemon one = daemon("one", 1, "key");
+    Handshake other = new Handshake(settings("two", 1, "elsewhere", "key", BOUNDS), new Random(9));
+    Dialogue elsewhere = new Dialogue(one.network.listening());
+    elsewhere.send(other.hello(1));
+    assertThat(elsewhere.next()).isEqualTo(new Goodbye(GoodbyeReason.OTHER_CLUSTER));
+
+    Hello hello = new Handshake(one.settings, new Random(9)).hello(1);
+    Dialogue newer = new Dialogue(one.network.listening());
+    newer.send(
+        new Hello(2, "cluster", hello.daemon(), hello.listening(), "z", "r", "n", hello.proof()));
+    assertThat(newer.next()).isEqualTo(new Goodbye(GoodbyeReason.OTHER_PROTOCOL));
+  }
+
+  @Test
+  void anOlderRunIsRefusedOnceItsSuccessorIsKnown() throws Exception {
+    // A user sees an upstream drained by a daemon that was replaced minutes ago.
+    // The host's daemon pauses, its successor starts and is known, the old one wakes and speaks.
+    // Cause: a connection proves the key but not that the run is the newest.
+    Daemon one = daemon("one", 1, "key");
+    Daemon old = daemon("two", 5, "key");
+    old.network.send(one.id, new PingMessage(1, List.of()));
+    assertThat(one.next().from()).isEqualTo(old.id);
+    Daemon successor = daemon("two", 6, "key");
+    successor.network.send(one.id, new PingMessage(2, List.of()));
+    assertThat(one.next().from()).isEqualTo(successor.id);
+    old.awaitCount("marjoramsail.peer.refusals", "reason", "old-incarnation");
+    double taken = old.count("marjoramsail.peer.refusals", "reason", "old-incarnation");
+    old.network.send(one.id, new PingMessage(3, List.of()));
+    old.awaitMoreThan(taken, "marjoramsail.peer.refusals", "reason", "old-incarnation");
+    assertThat(one.received).isEmpty();
+  }
+
+  @Test
+  void aMessageForAnotherRunIsNotGivenToTheOneThatListensNow() throws Exception {
+    Daemon one = daemon("one", 1, "key");
+    Daemon two = daemon("two", 6, "key");
+    DaemonId predecessor = new DaemonId("two", 5);
+    addresses.put(predecessor, two.network.listening());
+    one.network.send(predecessor, new PingMessage(1, List.of()));
+    one.awaitCount("marjoramsail.peer.drops", "reason", "other-incarnation");
+    assertThat(two.received).isEmpty();
+  }
+
+  @Test
+  void malformedAndOversizedFramesCloseTheConnectionAndAreCounted() throws Exception {
+    Daemon one = daemon("one", 1, "key");
+    List<Buffer> bad =
+        List.of(
+            Buffer.buffer().appendInt(BOUNDS.maximumFrameBytes() + 1),
+            Buffer.buffer().appendInt(0),
+            Buffer.buffer().appendInt(-1),
+            Buffer.buffer().appendInt(2).appendByte((byte) 0xc1).appendByte((byte) 0xc1));
+    for (Buffer frame : bad) {
+      Dialogue dialogue = new Dialogue(one.network.listening());
+      dialogue.write(frame);
+      assertThat(dialogue.next()).isEqualTo(new Goodbye(GoodbyeReason.MALFORMED_FRAME));
+      dialogue.awaitEnd();
+    }
+    assertThat(one.count("marjoramsail.peer.refusals", "reason", "malformed-frame")).isEqualTo(4);
+  }
+
+  @Test
+  void aConnectionThatStaysSilentIsClosed() throws Exception {
+    PeerBounds hasty = new PeerBounds(1 << 20, 8, 1 << 20, 1 << 16, 20, 1000, 10, 20, 300);
+    Daemon one = daemon(settings("one", 1, "cluster", "key", hasty), PeerFaults.NONE);
+    Dialogue silent = new Dialogue(one.network.listening());
+    assertThat(silent.next()).isEqualTo(new Goodbye(GoodbyeReason.HANDSHAKE_TIMEOUT));
+    silent.awaitEnd();
+  }
+
+  @Test
+  void connectionsBeyondTheBoundAreRefused() throws Exception {
+    PeerBounds single = new PeerBounds(1 << 20, 1, 1 << 20, 1 << 16, 60_000, 1000, 10, 20, 300);
+    Daemon one = daemon(settings("one", 1, "cluster", "key", single), PeerFaults.NONE);
+    Dialogue first = new Dialogue(one.network.listening());
+    first.send(new Handshake(settings("a", 1, "cluster", "key", single), new Random(1)).hello(1));
+    assertThat(first.next()).isInstanceOf(Hello.class);
+    Dialogue second = new Dialogue(one.network.listening());
+    assertThat(second.next()).isEqualTo(new Goodbye(GoodbyeReason.TOO_MANY_CONNECTIONS));
+  }
+
+  @Test
+  void aDaemonThatRestartsOnItsPortIsReachedAgain() throws Exception {
+    Daemon one = daemon("one", 1, "key");
+    Daemon two = daemon("two", 1, "key");
+    one.network.send(two.id, new PingMessage(1, List.of()));
+    two.next();
+    int port = two.network.listening().port();
+    await(two.network.stop());
+    Daemon again =
+        daemon(
+            new PeerSettings("127.0.0.1", port, "cluster", "key", id("two", 2), "z", "r", BOUNDS),
+            PeerFaults.NONE);
+    Received received = null;
+    for (int sequence = 2; received == null; sequence++) {
+      one.network.send(again.id, new PingMessage(sequence, List.of()));
+      received = again.received.poll(50, TimeUnit.MILLISECONDS);
+    }
+    assertThat(received.from()).isEqualTo(one.id);
+  }
+
+  @Test
+  void everyMessageForAnAddressWhereNobodyListensIsDroppedAndCounted() throws Exception {
+    PeerBounds tiny = new PeerBounds(1 << 20, 8, 100, 1 << 16, 60_000, 1000, 10, 20, 300);
+    Daemon one = daemon(settings("one", 1, "cluster", "key", tiny), PeerFaults.NONE);
+    PeerAddress nowhere = new PeerAddress("127.0.0.1", 1);
+    for (int sequence = 0; sequence < 100; sequence++) {
+      one.network.send(nowhere, new PingMessage(sequence, List.of()));
+    }
+    one.awaitTotal(100, "marjoramsail.peer.drops");
+  }
+
+  @Test
+  void injectedFaultsCutAndDuplicate() throws Exception {
+    AdjustablePeerFaults faults = new AdjustablePeerFaults(new Random(3));
+    Daemon one = daemon("one", 1, "key");
+    Daemon two = daemon(settings("two", 1, "cluster", "key", BOUNDS), faults);
+    faults.cut("two", "one");
+    one.network.send(two.id, new PingMessage(1, List.of()));
+    two.awaitCount("marjoramsail.peer.drops", "reason", "injected");
+    faults.mend("one", "two");
+    faults.rates(new AdjustablePeerFaults.Rates(0, 1, 3));
+    one.network.send(two.id, new PingMessage(2, List.of()));
+    assertThat(two.next().message()).isEqualTo(new PingMessage(2, List.of()));
+    assertThat(two.next().message()).isEqualTo(new PingMessage(2, List.of()));
+  }
+
+  private record Received(DaemonId from, Object message) {}
+
+  private static final class Daemon {
+    final DaemonId id;
+    final PeerSettings settings;
+    final SimpleMeterRegistry meters;
+    final BlockingQueue<Received> received = new LinkedBlockingQueue<>();
+    final PeerNetwork network;
+
+    Daemon(PeerSettings settings, PeerNetwork network, SimpleMeterRegistry meters) {
+      this.id = settings.self();
+      this.settings = settings;
+      this.network = network;
+      network.register(
+          PingMessage.class, (from, message) -> received.add(new Received(from, message)));
+      this.meters = meters;
+    }
+
+    Received next() throws InterruptedException {
+      Received next = received.poll(HANG_SECONDS, TimeUnit.SECONDS);
+      assertThat(next).as("a message").isNotNull();
+      return next;
+    }
+
+    double count(String name, String... tags) {
+      return meters.find(name).tags(tags).counters().stream().mapToDouble(c -> c.count()).sum();
+    }
+
+    void awaitCount(String name, String... tags) {
+      awaitMoreThan(0, name, tags);
+    }
+
+    void awaitTotal(double total, String name) {
+      awaitMoreThan(total - 1, name);
+    }
+
+    void awaitMoreThan(double bound, String name, String... tags) {
+      long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(HANG_SECONDS);
+      while (count(name, tags) <= bound && System.nanoTime() < end) {
+        Thread.onSpinWait();
+      }
+      assertThat(count(name, tags)).isGreaterThan(bound);
+    }
+  }
+
+  /** Speaks the protocol by hand. */
+  private final class Dialogue {
+    private final PeerCodec codec = new PeerCodec(1 << 20);
+    private final BlockingQueue<Object> received = new LinkedBlockingQueue<>();
+    private final CompletableFuture<Void> end = new CompletableFuture<>();
+    private final NetSocket socket;
+    private Buffer rest = Buffer.buffer();
+
+    Dialogue(PeerAddress address) throws Exception {
+      socket =
+          await(
+              vertx
+                  .createNetClient()
+                  .connect(address.port(), address.address())
+                  .onSuccess(
+                      opened -> {
+                        opened.handler(this::read);
+                        opened.closeHandler(nothing -> end.complete(null));
+                      }));
+    }
+
+    private void read(Buffer bytes) {
+      rest.appendBuffer(bytes);
+      while (rest.length() >= 4 && rest.length() >= 4 + rest.getInt(0)) {
+        int length = rest.getInt(0);
+        try {
+          received.add(codec.decode(rest.getBytes(4, 4 + length)));
+        } catch (PeerCodecException e) {
+          received.add(e);
+        }
+        rest = rest.getBuffer(4 + length, rest.length());
+      }
+    }
+
+    void send(PeerMessage message) throws PeerCodecException {
+      byte[] body = codec.encode(message);
+      write(Buffer.buffer().appendInt(body.length).appendBytes(body));
+    }
+
+    void write(Buffer bytes) {
+      socket.write(bytes);
+    }
+
+    Object next() throws InterruptedException {
+      return received.poll(HANG_SECONDS, TimeUnit.SECONDS);
+    }
+
+    void awaitEnd() throws Exception {
+      end.get(HANG_SECONDS, TimeUnit.SECONDS);
+    }
+  }
+
+  private static DaemonId id(String host, long incarnation) {
+    return new DaemonId(host, incarnation);
+  }
+
+  private static PeerSettings settings(
+      String host, long incarnation, String cluster, String key, PeerBounds bounds) {
+    return new PeerSettings(
+        "127.0.0.1", 0, cluster, key, id(host, incarnation), "zone", "region", bounds);
+  }
+
+  private Daemon daemon(String host, long incarnation, String key) throws Exception {
+    return daemon(settings(host, incarnation, "cluster", key, BOUNDS), PeerFaults.NONE);
+  }
+
+  private Daemon daemon(PeerSettings settings, PeerFaults faults) throws Exception {
+    SimpleMeterRegistry registry = new SimpleMeterRegistry();
+    PeerNetwork network =
+        new PeerNetwork(
+            vertx,
+            settings,
+            CLOCK,
+            registry,
+            new Random(settings.self().incarnation()),
+            id -> Optional.ofNullable(addresses.get(id)),
+            faults);
+    Daemon daemon = new Daemon(settings, network, registry);
+    await(network.start());
+    addresses.put(settings.self(), network.listening());
+    daemons.add(daemon);
+    return daemon;
+  }
+
+  private static <T> T await(Future<T> future) throws Exception {
+    return future.toCompletionStage().toCompletableFuture().get(HANG_SECONDS, TimeUnit.SECONDS);
+  }
+}
