Add stand-ins for model engines and plain services

Cause: nothing could be sent through a daemon without upstreams that batch, cache, hold KV memory, fail and leave as the real ones do.

--- /dev/null
+++ b/standin/src/main/java/org/marjoramsail/standin/server/CrashableServer.java
@@ -0,0 +1,166 @@
+package org.marjoramsail.standin.server;
+
+import io.vertx.core.Future;
+import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpServer;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * An HTTP server that can drop all its connections, come back on the same port, and stand still.
+ *
+ * <p>All methods are called on one Vert.x context.
+ */
+public final class CrashableServer {
+
+  private static final Logger LOG = LoggerFactory.getLogger(CrashableServer.class);
+  private static final int BACKLOG_CONNECTIONS = 1024;
+  private static final int IDLE_TIMEOUT_SECONDS = 120;
+
+  private final Vertx vertx;
+  private final ScaledTime time;
+  private final String address;
+  private final Handler<HttpServerRequest> handler;
+  private final Set<HttpConnection> connections = new HashSet<>();
+  private Optional<HttpServer> server = Optional.empty();
+  private Optional<Socket> reservation = Optional.empty();
+  private boolean up;
+  private int port;
+
+  /**
+   * Takes where to listen.
+   *
+   * @param vertx runs the server
+   * @param time whose stalls hold back requests
+   * @param address the local address
+   * @param port the port, or zero to let the system choose at the first start
+   * @param handler takes each request
+   */
+  public CrashableServer(
+      Vertx vertx, ScaledTime time, String address, int port, Handler<HttpServerRequest> handler) {
+    this.vertx = vertx;
+    this.time = time;
+    this.address = address;
+    this.port = port;
+    this.handler = handler;
+  }
+
+  /** Listens, on the port of the first time if it has listened before, and gives the port. */
+  public Future<Integer> listen() {
+    up = true;
+    reservation.ifPresent(CrashableServer::close);
+    reservation = Optional.empty();
+    HttpServerOptions options =
+        new HttpServerOptions()
+            .setHost(address)
+            .setPort(port)
+            .setAcceptBacklog(BACKLOG_CONNECTIONS)
+            .setIdleTimeout(IDLE_TIMEOUT_SECONDS)
+            .setTcpNoDelay(true);
+    HttpServer starting = vertx.createHttpServer(options);
+    starting.connectionHandler(this::track);
+    starting.requestHandler(this::handle);
+    return starting
+        .listen()
+        .map(
+            started -> {
+              server = Optional.of(started);
+              port = started.actualPort();
+              return port;
+            })
+        .onFailure(
+            failure -> {
+              up = false;
+              LOG.atWarn().addKeyValue("port", port).setCause(failure).log("cannot listen");
+            });
+  }
+
+  private void track(HttpConnection connection) {
+    connections.add(connection);
+    connection.closeHandler(closed -> connections.remove(connection));
+  }
+
+  private void handle(HttpServerRequest request) {
+    long millis = time.stalledForMillis();
+    if (millis == 0) {
+      handler.handle(request);
+      return;
+    }
+    request.pause();
+    vertx.setTimer(millis, timer -> handleLate(request));
+  }
+
+  private void handleLate(HttpServerRequest request) {
+    if (!request.response().closed()) {
+      request.resume();
+      handle(request);
+    }
+  }
+
+  /** Stops listening and cuts every connection at once. */
+  public Future<Void> drop() {
+    up = false;
+    Optional<HttpServer> running = server;
+    server = Optional.empty();
+    Set.copyOf(connections).forEach(HttpConnection::close);
+    connections.clear();
+    return running
+        .map(HttpServer::close)
+        .orElseGet(Future::succeededFuture)
+        .onSuccess(closed -> reservePort());
+  }
+
+  /**
+   * Holds the port without listening while the server is down.
+   *
+   * <p>Guards against another socket of the machine getting the port in the meantime: the upstream
+   * would then never come back. A bound socket that does not listen refuses all who connect.
+   */
+  private void reservePort() {
+    if (up) {
+      return;
+    }
+    Socket socket = new Socket();
+    try {
+      socket.setReuseAddress(true);
+      socket.bind(new InetSocketAddress(address, port));
+      reservation = Optional.of(socket);
+    } catch (IOException taken) {
+      close(socket);
+      LOG.atWarn().addKeyValue("port", port).setCause(taken).log("cannot reserve the port");
+    }
+  }
+
+  private static void close(Socket socket) {
+    try {
+      socket.close();
+    } catch (IOException failure) {
+      LOG.atDebug().setCause(failure).log("reserved port closed with an error");
+    }
+  }
+
+  /** Stops for good and lets go of the port. */
+  public Future<Void> close() {
+    return drop()
+        .onComplete(
+            dropped -> {
+              reservation.ifPresent(CrashableServer::close);
+              reservation = Optional.empty();
+            });
+  }
+
+  /** Whether it listens or is about to. */
+  public boolean isUp() {
+    return up;
+  }
+}
