--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/HostListClient.java
@@ -0,0 +1,120 @@
+package org.marjoramsail.daemon.platform;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+
+/**
+ * Asks the platform for its list of hosts again and again.
+ *
+ * <p>The waits are spread by jitter, so that the daemons of a fleet that started together do not
+ * ask together. While the platform does not answer, the listener keeps what it heard last.
+ */
+public final class HostListClient implements AutoCloseable {
+
+  private static final int OK = 200;
+
+  private final Vertx vertx;
+  private final HttpObjectApiSettings settings;
+  private final long intervalMillis;
+  private final RandomGenerator random;
+  private final MeterRegistry meters;
+  private final Consumer<HostList> listener;
+  private final HttpClient client;
+  private final ObjectMapper mapper = new ObjectMapper();
+  private volatile boolean closed;
+
+  /**
+   * Takes all that it needs.
+   *
+   * @param intervalMillis mean time between two calls, in milliseconds; each is drawn between half
+   *     and one and a half of it
+   * @param listener told of each list that came, on an event loop
+   */
+  public HostListClient(
+      Vertx vertx,
+      HttpObjectApiSettings settings,
+      long intervalMillis,
+      RandomGenerator random,
+      MeterRegistry meters,
+      Consumer<HostList> listener) {
+    this.vertx = vertx;
+    this.settings = settings;
+    this.intervalMillis = intervalMillis;
+    this.random = random;
+    this.meters = meters;
+    this.listener = listener;
+    HttpClientOptions options =
+        new HttpClientOptions()
+            .setDefaultHost(settings.address())
+            .setDefaultPort(settings.port())
+            .setConnectTimeout(settings.connectTimeoutMillis());
+    this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(1));
+  }
+
+  /** Asks at once, and goes on until closed. */
+  public void start() {
+    ask();
+  }
+
+  /** Stops asking. */
+  @Override
+  public void close() {
+    closed = true;
+    client.close();
+  }
+
+  private void ask() {
+    if (closed) {
+      return;
+    }
+    client
+        .request(HttpMethod.GET, "/hosts")
+        .compose(request -> request.send().compose(HostListClient::body))
+        .timeout(settings.answerTimeoutMillis(), TimeUnit.MILLISECONDS)
+        .compose(this::parse)
+        .onSuccess(listener::accept)
+        .onComplete(result -> count(result.succeeded()))
+        .onComplete(unused -> askLater());
+  }
+
+  private static Future<Buffer> body(HttpClientResponse response) {
+    return response.statusCode() == OK
+        ? response.body()
+        : Future.failedFuture(
+            new ObjectApiCall(ObjectApiVerb.LIST, "hosts", "")
+                .refused(response.statusCode(), "", response.getHeader("retry-after")));
+  }
+
+  private Future<HostList> parse(Buffer body) {
+    try {
+      return Future.succeededFuture(mapper.readValue(body.getBytes(), HostList.class));
+    } catch (IOException failure) {
+      return Future.failedFuture(failure);
+    }
+  }
+
+  private void askLater() {
+    if (!closed) {
+      long waitMillis = Math.max(1, intervalMillis / 2 + random.nextLong(intervalMillis + 1));
+      vertx.setTimer(waitMillis, unused -> ask());
+    }
+  }
+
+  private void count(boolean answered) {
+    meters
+        .counter("marjoramsail.platform.hostlist.calls", "result", answered ? "ok" : "failed")
+        .increment();
+  }
+}
