--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/configuration/ConfigurationDifference.java
@@ -0,0 +1,124 @@
+package org.marjoramsail.core.configuration;
+
+import java.lang.reflect.RecordComponent;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * What one revision has that another has not.
+ *
+ * @param fromRevision the earlier revision
+ * @param toRevision the later revision
+ * @param objects each object that differs
+ */
+public record ConfigurationDifference(
+    long fromRevision, long toRevision, List<ObjectDifference> objects) {
+
+  /** Copies the list, so that the value cannot change. */
+  public ConfigurationDifference {
+    objects = List.copyOf(objects);
+  }
+
+  /**
+   * One object that differs.
+   *
+   * @param key which
+   * @param before as it was; empty for a new one
+   * @param after as it is; empty for a deleted one
+   */
+  public record ObjectDifference(
+      ObjectKey key,
+      Optional<? extends ConfigurationObject> before,
+      Optional<? extends ConfigurationObject> after) {
+
+    /** The fields that differ, where the object is in both. */
+    public List<FieldDifference> fields() {
+      if (before.isEmpty() || after.isEmpty()) {
+        return List.of();
+      }
+      List<FieldDifference> fields = new ArrayList<>();
+      for (RecordComponent component : before.get().getClass().getRecordComponents()) {
+        Object old = valueOf(component, before.get());
+        Object current = valueOf(component, after.get());
+        if (!Objects.equals(old, current)) {
+          fields.add(new FieldDifference(component.getName(), text(old), text(current)));
+        }
+      }
+      return fields;
+    }
+
+    private static Object valueOf(RecordComponent component, ConfigurationObject object) {
+      try {
+        return component.getAccessor().invoke(object);
+      } catch (ReflectiveOperationException failure) {
+        throw new IllegalStateException("Cannot read " + component + " of " + object, failure);
+      }
+    }
+
+    private static String text(Object value) {
+      return value instanceof Optional<?> optional
+          ? optional.map(Object::toString).orElse("")
+          : String.valueOf(value);
+    }
+  }
+
+  /**
+   * One field that differs.
+   *
+   * @param field its name
+   * @param before its value as it was
+   * @param after its value as it is
+   */
+  public record FieldDifference(String field, String before, String after) {}
+
+  /** Compares two revisions. */
+  public static ConfigurationDifference between(Configuration before, Configuration after) {
+    List<ObjectDifference> objects = new ArrayList<>();
+    for (ObjectKind kind : ObjectKind.values()) {
+      Map<ObjectKey, ConfigurationObject> old = byKey(kind, before);
+      Map<ObjectKey, ConfigurationObject> current = byKey(kind, after);
+      current.forEach(
+          (key, object) -> {
+            ConfigurationObject earlier = old.remove(key);
+            if (!object.equals(earlier)) {
+              objects.add(
+                  new ObjectDifference(key, Optional.ofNullable(earlier), Optional.of(object)));
+            }
+          });
+      old.forEach(
+          (key, object) ->
+              objects.add(new ObjectDifference(key, Optional.of(object), Optional.empty())));
+    }
+    return new ConfigurationDifference(before.revision(), after.revision(), objects);
+  }
+
+  /** The objects that differ. */
+  public List<ObjectKey> keys() {
+    return objects.stream().map(ObjectDifference::key).toList();
+  }
+
+  /** Steps that lead from the earlier revision to the later, but for the order of objects. */
+  List<ConfigurationOperation> operations() {
+    return objects.stream().map(ConfigurationDifference::operationFor).toList();
+  }
+
+  private static ConfigurationOperation operationFor(ObjectDifference object) {
+    if (object.after().isPresent()) {
+      return new ConfigurationOperation.Put(object.after().get());
+    }
+    return new ConfigurationOperation.Delete(object.key());
+  }
+
+  private static Map<ObjectKey, ConfigurationObject> byKey(
+      ObjectKind kind, Configuration configuration) {
+    Map<ObjectKey, ConfigurationObject> objects = new LinkedHashMap<>();
+    for (ConfigurationObject object : kind.in(configuration)) {
+      objects.put(object.key(), object);
+    }
+    return objects;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/configuration/ConfigurationEditor.java
@@ -0,0 +1,136 @@
+package org.marjoramsail.core.configuration;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.marjoramsail.core.configuration.ConfigurationProblem.Kind;
+
+/** Applies changes to configurations; every problem of a change is found at once. */
+public final class ConfigurationEditor {
+
+  private ConfigurationEditor() {}
+
+  /**
+   * Applies a change.
+   *
+   * @param configuration what it applies to
+   * @param change what to do
+   * @return the configuration one revision later, or every reason against it
+   */
+  public static EditResult apply(Configuration configuration, ConfigurationChange change) {
+    List<ConfigurationProblem> problems = new ArrayList<>();
+    checkOperations(configuration, change.operations(), problems);
+    Configuration edited =
+        applyUnchecked(configuration, change.operations(), configuration.revision() + 1);
+    Set<ObjectKey> deleted =
+        change.operations().stream()
+            .filter(ConfigurationOperation.Delete.class::isInstance)
+            .map(operation -> ((ConfigurationOperation.Delete) operation).key())
+            .collect(Collectors.toSet());
+    ConfigurationChecks.problemsOf(edited).stream()
+        .map(problem -> namingDeletion(problem, deleted))
+        .forEach(problems::add);
+    return problems.isEmpty() ? new EditResult.Edited(edited) : new EditResult.Unsound(problems);
+  }
+
+  /** Applies steps that were checked before, as when they come from another daemon. */
+  static Configuration applyUnchecked(
+      Configuration configuration, List<ConfigurationOperation> operations, long revision) {
+    ConfigurationDraft draft = new ConfigurationDraft(configuration);
+    for (ConfigurationOperation operation : operations) {
+      draft.apply(operation);
+    }
+    return draft.finish(revision);
+  }
+
+  private static void checkOperations(
+      Configuration configuration,
+      List<ConfigurationOperation> operations,
+      List<ConfigurationProblem> problems) {
+    boolean restoring =
+        operations.stream().anyMatch(ConfigurationOperation.Restore.class::isInstance);
+    if (operations.isEmpty() || (restoring && operations.size() > 1)) {
+      String value = operations.size() + " operations";
+      String allowed = "at least one operation, and a restore alone";
+      problems.add(
+          new ConfigurationProblem(
+              Kind.BAD_CHANGE,
+              new ObjectKey(ObjectKind.SERVICE, "*"),
+              "",
+              value,
+              allowed,
+              Optional.empty()));
+    }
+    Set<ObjectKey> seen = new HashSet<>();
+    for (ConfigurationOperation operation : operations) {
+      checkOperation(configuration, operation, seen, problems);
+    }
+  }
+
+  private static void checkOperation(
+      Configuration configuration,
+      ConfigurationOperation operation,
+      Set<ObjectKey> seen,
+      List<ConfigurationProblem> problems) {
+    Optional<ObjectKey> named = keyOf(operation);
+    if (named.isEmpty()) {
+      return;
+    }
+    ObjectKey key = named.get();
+    if (!seen.add(key)) {
+      String allowed = "one operation for each object";
+      problems.add(
+          new ConfigurationProblem(Kind.DUPLICATE, key, "", key.name(), allowed, Optional.empty()));
+    }
+    Set<String> known = namesOf(configuration, key.kind());
+    if (operation instanceof ConfigurationOperation.Delete && !known.contains(key.name())) {
+      String allowed = "the name of a " + key.kind().code() + " that exists";
+      Optional<String> nearest = NearestName.of(key.name(), known);
+      problems.add(
+          new ConfigurationProblem(Kind.UNKNOWN_REFERENCE, key, "", key.name(), allowed, nearest));
+    }
+  }
+
+  /** The object that a step is about; empty for one about all objects. */
+  static Optional<ObjectKey> keyOf(ConfigurationOperation operation) {
+    if (operation instanceof ConfigurationOperation.Put put) {
+      return Optional.of(put.object().key());
+    }
+    if (operation instanceof ConfigurationOperation.Delete delete) {
+      return Optional.of(delete.key());
+    }
+    return Optional.empty();
+  }
+
+  private static Set<String> namesOf(Configuration configuration, ObjectKind kind) {
+    return kind.in(configuration).stream()
+        .map(object -> object.key().name())
+        .collect(Collectors.toSet());
+  }
+
+  private static ConfigurationProblem namingDeletion(
+      ConfigurationProblem problem, Set<ObjectKey> deleted) {
+    if (problem.kind() != Kind.UNKNOWN_REFERENCE) {
+      return problem;
+    }
+    Optional<ObjectKey> culprit =
+        deleted.stream()
+            .filter(key -> key.name().equals(problem.value()))
+            .filter(key -> problem.allowed().contains(key.kind().code()))
+            .findFirst();
+    return culprit
+        .map(
+            key ->
+                new ConfigurationProblem(
+                    Kind.STILL_REFERENCED,
+                    problem.object(),
+                    problem.field(),
+                    problem.value(),
+                    problem.allowed() + "; this change deletes " + key,
+                    Optional.empty()))
+        .orElse(problem);
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/configuration/ModelDefinition.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/ModelDefinition.java
@@ -11,10 +11,16 @@
  * @param kvBytesPerToken bytes of KV cache for each token of a prompt
  */
 public record ModelDefinition(
-    String name, String version, List<String> adapters, long kvBytesPerToken) {
+    String name, String version, List<String> adapters, long kvBytesPerToken)
+    implements ConfigurationObject {
 
   /** Copies the list, so that the value cannot change. */
   public ModelDefinition {
     adapters = List.copyOf(adapters);
   }
+
+  @Override
+  public ObjectKey key() {
+    return new ObjectKey(ObjectKind.MODEL, name);
+  }
 }
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/configuration/NearestName.java
@@ -0,0 +1,46 @@
+package org.marjoramsail.core.configuration;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+
+/** Finds the name that an operator most likely meant, by edit distance. */
+final class NearestName {
+
+  private static final int TOLERATED_SHARE = 3;
+
+  private NearestName() {}
+
+  /** The candidate with the fewest edits, if at most about a third of the name is wrong. */
+  static Optional<String> of(String name, Collection<String> candidates) {
+    int tolerated = Math.max(2, name.length() / TOLERATED_SHARE);
+    return candidates.stream()
+        .filter(candidate -> Math.abs(candidate.length() - name.length()) <= tolerated)
+        .filter(candidate -> distance(name, candidate) <= tolerated)
+        .min(
+            Comparator.<String>comparingInt(candidate -> distance(name, candidate))
+                .thenComparing(Comparator.naturalOrder()));
+  }
+
+  private static int distance(String left, String right) {
+    int[] previous = new int[right.length() + 1];
+    for (int column = 0; column <= right.length(); column++) {
+      previous[column] = column;
+    }
+    for (int row = 1; row <= left.length(); row++) {
+      previous = nextRow(left.charAt(row - 1), right, previous, row);
+    }
+    return previous[right.length()];
+  }
+
+  private static int[] nextRow(char letter, String right, int[] previous, int row) {
+    int[] current = new int[right.length() + 1];
+    current[0] = row;
+    for (int column = 1; column <= right.length(); column++) {
+      int substitution = previous[column - 1] + (right.charAt(column - 1) == letter ? 0 : 1);
+      int insertion = Math.min(previous[column], current[column - 1]) + 1;
+      current[column] = Math.min(substitution, insertion);
+    }
+    return current;
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/configuration/OrganisationDefinition.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/OrganisationDefinition.java
@@ -20,11 +20,17 @@
     double weight,
     int maximumConcurrency,
     double requestsPerSecond,
-    double tokensPerSecond) {
+    double tokensPerSecond)
+    implements ConfigurationObject {
 
   /** Copies the lists, so that the value cannot change. */
   public OrganisationDefinition {
     tokenHashes = List.copyOf(tokenHashes);
     services = List.copyOf(services);
   }
+
+  @Override
+  public ObjectKey key() {
+    return new ObjectKey(ObjectKind.ORGANISATION, name);
+  }
 }
--- a/core/src/main/java/org/marjoramsail/core/configuration/RuleDefinition.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/RuleDefinition.java
@@ -28,4 +28,11 @@
     long firstTokenTargetMillis,
     long perTokenTargetMillis,
     long deadlineMillis,
-    StoreOutagePolicy storeOutagePolicy) {}
+    StoreOutagePolicy storeOutagePolicy)
+    implements ConfigurationObject {
+
+  @Override
+  public ObjectKey key() {
+    return new ObjectKey(ObjectKind.RULE, name);
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/configuration/ServiceDefinition.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/ServiceDefinition.java
@@ -9,4 +9,11 @@
  * @param kind what stands behind it
  * @param model the model that its engines run; present when {@code kind} is {@code MODEL}
  */
-public record ServiceDefinition(String name, ServiceKind kind, Optional<String> model) {}
+public record ServiceDefinition(String name, ServiceKind kind, Optional<String> model)
+    implements ConfigurationObject {
+
+  @Override
+  public ObjectKey key() {
+    return new ObjectKey(ObjectKind.SERVICE, name);
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
@@ -27,4 +27,11 @@
     String region,
     int slots,
     boolean fenced,
-    boolean drained) {}
+    boolean drained)
+    implements ConfigurationObject {
+
+  @Override
+  public ObjectKey key() {
+    return new ObjectKey(ObjectKind.UPSTREAM, name.value());
+  }
+}
