Add the daemon's command line and the example deployments

Cause: a daemon has to be started, checked and stopped by people and by service managers, which need exit codes that tell faults apart and a stop without loss. Change: arguments by Airline with suggestions, named exit codes, logging by the settings as text or JSON, a stop on the first signal and one at once on the second that names what is cut off; settings of seven hosts and a configuration for each of the two deployments. Conclusion: the runtime comes in behind DaemonLauncher, found as a service.

--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/LoggingSetup.java
@@ -0,0 +1,49 @@
+package org.marjoramsail.daemon.main;
+
+import ch.qos.logback.classic.Level;
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.ConsoleAppender;
+import ch.qos.logback.core.encoder.Encoder;
+import net.logstash.logback.encoder.LogstashEncoder;
+import org.marjoramsail.daemon.settings.LogFormat;
+import org.marjoramsail.daemon.settings.LoggingSettings;
+import org.slf4j.LoggerFactory;
+
+/** Configures Logback from the settings; lines go to standard error. */
+final class LoggingSetup {
+
+  private static final String TEXT_PATTERN = "%d{ISO8601} %-5level %logger{0} %msg %kvp%n%ex";
+
+  private LoggingSetup() {}
+
+  static void apply(LoggingSettings settings) {
+    LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+    context.reset();
+    Encoder<ILoggingEvent> encoder = encoderOf(settings.format());
+    encoder.setContext(context);
+    encoder.start();
+    ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+    appender.setContext(context);
+    appender.setName("standardError");
+    appender.setTarget("System.err");
+    appender.setEncoder(encoder);
+    appender.start();
+    Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
+    root.setLevel(Level.toLevel(settings.level().name()));
+    root.addAppender(appender);
+    // Netty logs each of its probes of the machine at this level.
+    context.getLogger("io.netty").setLevel(Level.WARN);
+  }
+
+  private static Encoder<ILoggingEvent> encoderOf(LogFormat format) {
+    if (format == LogFormat.JSON) {
+      return new LogstashEncoder();
+    }
+    PatternLayoutEncoder encoder = new PatternLayoutEncoder();
+    encoder.setPattern(TEXT_PATTERN);
+    return encoder;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
@@ -0,0 +1,202 @@
+package org.marjoramsail.daemon.main;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Properties;
+import java.util.ServiceLoader;
+import org.jline.utils.Signals;
+import org.marjoramsail.daemon.settings.Settings;
+import org.marjoramsail.daemon.settings.SettingsException;
+import org.marjoramsail.daemon.settings.SettingsReader;
+import org.marjoramsail.language.NearestName;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The program {@code marjoramsaild}. */
+public final class MarjoramsailDaemon {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(MarjoramsailDaemon.class);
+  private static final String VERSION_RESOURCE =
+      "/META-INF/maven/org.marjoramsail/marjoramsail-daemon/pom.properties";
+
+  private final DaemonLauncher launcher;
+  private final SettingsReader reader;
+  private final SignalSource signals;
+  private final PrintStream output;
+  private final PrintStream errors;
+  private final SingleCommand<DaemonArguments> command =
+      SingleCommand.singleCommand(DaemonArguments.class);
+
+  /** Calls back when the process is told to stop. */
+  @FunctionalInterface
+  public interface SignalSource {
+    /** Has {@code handler} called for each signal that tells the process to stop. */
+    void onStop(Runnable handler);
+  }
+
+  /**
+   * Takes all that the program uses.
+   *
+   * @param launcher starts the daemon
+   * @param reader reads the settings
+   * @param signals tells when to stop
+   * @param output where what was asked for is printed
+   * @param errors where faults are printed
+   */
+  public MarjoramsailDaemon(
+      DaemonLauncher launcher,
+      SettingsReader reader,
+      SignalSource signals,
+      PrintStream output,
+      PrintStream errors) {
+    this.launcher = launcher;
+    this.reader = reader;
+    this.signals = signals;
+    this.output = output;
+    this.errors = errors;
+  }
+
+  /** Runs the daemon with the launcher that the class path provides. */
+  public static void main(String[] arguments) {
+    DaemonLauncher launcher = ServiceLoader.load(DaemonLauncher.class).findFirst().orElseThrow();
+    MarjoramsailDaemon daemon =
+        new MarjoramsailDaemon(
+            launcher,
+            new SettingsReader(),
+            MarjoramsailDaemon::listenForSignals,
+            System.out,
+            System.err);
+    ExitCode exitCode = daemon.run(arguments);
+    System.out.flush();
+    // Shutdown hooks of libraries could wait for the requests that a second signal gives up.
+    Runtime.getRuntime().halt(exitCode.code());
+  }
+
+  /**
+   * Runs until the daemon has stopped.
+   *
+   * @param arguments the command line
+   * @return how the process ends
+   */
+  public ExitCode run(String... arguments) {
+    DaemonArguments parsed;
+    try {
+      parsed = command.parse(arguments);
+    } catch (ParseException failure) {
+      return usage(failure.getMessage(), arguments);
+    }
+    if (parsed.isHelp()) {
+      printHelp();
+      return ExitCode.OK;
+    }
+    if (parsed.isVersion()) {
+      output.println("marjoramsaild " + version());
+      return ExitCode.OK;
+    }
+    if (parsed.settings().isEmpty()) {
+      return usage("--settings FILE is missing.", arguments);
+    }
+    return withSettings(Path.of(parsed.settings()), parsed.isCheck());
+  }
+
+  private ExitCode withSettings(Path file, boolean checkOnly) {
+    Settings settings;
+    try {
+      settings = reader.read(file);
+    } catch (SettingsException failure) {
+      errors.println(failure.getMessage());
+      return ExitCode.SETTINGS;
+    }
+    if (checkOnly) {
+      output.println(file + ": no fault found");
+      return ExitCode.OK;
+    }
+    LoggingSetup.apply(settings.logging());
+    return runUntilStopped(settings);
+  }
+
+  private ExitCode runUntilStopped(Settings settings) {
+    StopSequence sequence;
+    try {
+      RunningDaemon running = launcher.launch(settings);
+      sequence = new StopSequence(running);
+    } catch (LaunchException failure) {
+      LOGGER
+          .atError()
+          .addKeyValue("subject", failure.subject())
+          .addKeyValue("failure", failure.failure())
+          .setCause(failure)
+          .log("daemon did not start");
+      errors.println(failure.getMessage());
+      return failure.failure().exitCode();
+    }
+    LOGGER.atInfo().addKeyValue("host", settings.host().name()).log("daemon started");
+    signals.onStop(sequence::signalled);
+    return sequence.awaitEnd();
+  }
+
+  private ExitCode usage(String fault, String... arguments) {
+    errors.println(fault);
+    nearestOption(arguments).ifPresent(errors::println);
+    errors.println("Try marjoramsaild --help.");
+    return ExitCode.USAGE;
+  }
+
+  private Optional<String> nearestOption(String... arguments) {
+    List<String> options =
+        command.getCommandMetadata().getAllOptions().stream()
+            .flatMap(option -> option.getOptions().stream())
+            .toList();
+    return Arrays.stream(arguments)
+        .filter(argument -> argument.startsWith("-"))
+        .map(argument -> argument.split("=", 2)[0])
+        .filter(argument -> !options.contains(argument))
+        .findFirst()
+        .flatMap(
+            argument ->
+                NearestName.of(argument, options)
+                    .map(option -> argument + ": did you mean " + option + "?"));
+  }
+
+  private void printHelp() {
+    try {
+      Help.help(command.getCommandMetadata(), output);
+    } catch (IOException failure) {
+      throw new UncheckedIOException("The help could not be printed.", failure);
+    }
+    output.println("EXIT CODES");
+    for (ExitCode exitCode : ExitCode.values()) {
+      output.printf("        %d  %s%n", exitCode.code(), exitCode.meaning());
+    }
+    output.println();
+    output.println("SIGNALS");
+    output.println("        TERM, INT  stop and lose nothing; a second one stops at once");
+  }
+
+  private static String version() {
+    try (InputStream stream = MarjoramsailDaemon.class.getResourceAsStream(VERSION_RESOURCE)) {
+      if (stream == null) {
+        return "(not packaged)";
+      }
+      Properties properties = new Properties();
+      properties.load(stream);
+      return properties.getProperty("version");
+    } catch (IOException failure) {
+      throw new UncheckedIOException("The program's own version cannot be read.", failure);
+    }
+  }
+
+  private static void listenForSignals(Runnable handler) {
+    Signals.register("TERM", handler);
+    Signals.register("INT", handler);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/RunningDaemon.java
@@ -0,0 +1,19 @@
+package org.marjoramsail.daemon.main;
+
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+
+/** A daemon that listens. */
+public interface RunningDaemon {
+
+  /**
+   * Stops without cutting off a request.
+   *
+   * @param listener told of each phase as it begins, on any thread
+   * @return done once everything has ended; fails when something did not end in time
+   */
+  CompletionStage<Void> stop(Consumer<StopPhase> listener);
+
+  /** What a stop at this moment would lose; callable on any thread. */
+  UnfinishedWork unfinished();
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon's command line: arguments, exit codes, logging, start and stop. */
+package org.marjoramsail.daemon.main;
