Name the owners of shards from configuration and membership

Cause: DistributedPlacement needs shards, their ranking of owners and placers. Change: ConfiguredShards over ShardMap; ShardMap gives a ranking, so that the next in rank is known when the owner is silent; baselines own all themselves. Conclusion: one place says who decides for a shard.

--- a/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Stream;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.membership.Member;
@@ -68,11 +69,20 @@
    * @return empty when no daemon of that region is eligible
    */
   public static Optional<Member> ownerOf(ShardId shard, MembershipView view) {
+    return ranking(shard, view).findFirst();
+  }
+
+  /**
+   * The daemons that may own a shard, the owner first: whoever is next takes over when those before
+   * it are gone or silent.
+   */
+  public static Stream<Member> ranking(ShardId shard, MembershipView view) {
     String prefix = shard + "|";
     return view.eligibleInRegion(shard.region()).stream()
-        .max(
+        .sorted(
             Comparator.<Member>comparingLong(member -> hash(prefix + member.id().host()))
-                .thenComparing(Member::id));
+                .thenComparing(Member::id)
+                .reversed());
   }
 
   /**
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/ConfiguredShards.java
@@ -0,0 +1,170 @@
+package org.marjoramsail.daemon.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.membership.Member;
+import org.marjoramsail.core.membership.MembershipView;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.placement.PlacementPolicy;
+import org.marjoramsail.core.placement.PlacementRequest;
+import org.marjoramsail.core.placement.PlacementSettings;
+import org.marjoramsail.core.placement.Placer;
+import org.marjoramsail.core.placement.PlacerSetup;
+import org.marjoramsail.core.placement.ShardId;
+import org.marjoramsail.core.placement.ShardMap;
+import org.marjoramsail.core.time.Clock;
+
+/** Shards as the newest configuration and the newest view of the daemons make them. */
+public final class ConfiguredShards implements ShardChoice {
+
+  /** How many daemons an entry tries before it decides for itself. */
+  private static final int RANKS = 3;
+
+  /** What follows from one configuration. */
+  private record Sliced(
+      Configuration configuration, ShardMap map, Map<UpstreamName, ShardId> shardOf) {
+
+    static Sliced of(Configuration configuration) {
+      ShardMap map = new ShardMap(configuration);
+      Map<UpstreamName, ShardId> shardOf = new HashMap<>();
+      for (ShardId shard : map.shards()) {
+        for (UpstreamDefinition upstream : map.upstreamsOf(shard)) {
+          shardOf.put(upstream.name(), shard);
+        }
+      }
+      return new Sliced(configuration, map, shardOf);
+    }
+  }
+
+  /** What follows from one view of the daemons; owners are worked out once for each shard. */
+  private record Seen(
+      MembershipView view, Map<DaemonId, String> zones, Map<ShardId, List<DaemonId>> owners) {
+
+    static Seen of(MembershipView view) {
+      Map<DaemonId, String> zones =
+          view.members().stream()
+              .collect(
+                  Collectors.toMap(
+                      Member::id, Member::availabilityZone, (first, second) -> second));
+      return new Seen(view, zones, new ConcurrentHashMap<>());
+    }
+  }
+
+  private final Member self;
+  private final PlacementPolicy policy;
+  private final PlacementSettings settings;
+  private final RandomGenerator random;
+  private final Clock clock;
+  private volatile Sliced sliced = Sliced.of(Configuration.empty());
+  private volatile Seen seen;
+
+  /**
+   * Starts with no shards and no daemon but this one.
+   *
+   * @param self this daemon
+   * @param policy how a shard decides
+   * @param settings where its estimates start
+   * @param random for the policies that draw; safe for several threads
+   * @param clock the time at which a placer begins
+   */
+  public ConfiguredShards(
+      Member self,
+      PlacementPolicy policy,
+      PlacementSettings settings,
+      RandomGenerator random,
+      Clock clock) {
+    this.self = self;
+    this.policy = policy;
+    this.settings = settings;
+    this.random = random;
+    this.clock = clock;
+    this.seen = Seen.of(new MembershipView(self, List.of(self)));
+  }
+
+  @Override
+  public Optional<ShardId> shardFor(PlacementRequest request) {
+    ShardMap map = sliced.map();
+    Optional<ShardId> near = map.shardFor(request, self.region(), shard -> 0);
+    return near.or(() -> elsewhere(map, request));
+  }
+
+  @Override
+  public Optional<ShardId> shardOf(UpstreamName upstream) {
+    return Optional.ofNullable(sliced.shardOf().get(upstream));
+  }
+
+  @Override
+  public List<ShardId> shards() {
+    return sliced.map().shards().stream()
+        .filter(shard -> shard.region().equals(self.region()))
+        .toList();
+  }
+
+  @Override
+  public List<DaemonId> owners(ShardId shard) {
+    if (!policy.isSharedOwner()) {
+      return List.of(self.id());
+    }
+    Seen current = seen;
+    return current.owners().computeIfAbsent(shard, key -> ranked(key, current.view()));
+  }
+
+  @Override
+  public Placer placerFor(ShardId shard) {
+    Seen current = seen;
+    PlacerSetup setup =
+        new PlacerSetup(
+            shard,
+            sliced.configuration(),
+            settings,
+            daemon -> Optional.ofNullable(seen.zones().get(daemon)),
+            random,
+            policy.isSharedOwner() && current.view().members().size() > 1);
+    return policy.create(setup, clock.millis());
+  }
+
+  @Override
+  public List<UpstreamDefinition> upstreamsOf(ShardId shard) {
+    return sliced.map().upstreamsOf(shard);
+  }
+
+  @Override
+  public void configure(Configuration configuration) {
+    sliced = Sliced.of(configuration);
+  }
+
+  @Override
+  public void members(MembershipView view) {
+    seen = Seen.of(view);
+  }
+
+  private static Optional<ShardId> elsewhere(ShardMap map, PlacementRequest request) {
+    return map.shards().stream()
+        .filter(shard -> shard.service().equals(request.service()))
+        .map(ShardId::region)
+        .distinct()
+        .findFirst()
+        .flatMap(region -> map.shardFor(request, region, shard -> 0));
+  }
+
+  private List<DaemonId> ranked(ShardId shard, MembershipView view) {
+    List<DaemonId> owners =
+        ShardMap.ranking(shard, view)
+            .limit(RANKS)
+            .map(Member::id)
+            .collect(Collectors.toCollection(ArrayList::new));
+    if (!owners.contains(self.id())) {
+      owners.add(self.id());
+    }
+    return List.copyOf(owners);
+  }
+}
