--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptLedger.java
@@ -0,0 +1,95 @@
+package org.marjoramsail.core.outcome;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.marjoramsail.core.failure.RunState;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.placement.AttemptPhase;
+import org.marjoramsail.core.placement.AttemptReport;
+import org.marjoramsail.core.placement.AttemptResult;
+
+/** Keeps what is known of each attempt of one request: whether it may have run, and its reports. */
+final class AttemptLedger {
+
+  private final RequestProfile profile;
+  private final Invariants invariants;
+  private final Set<Integer> possiblyRun = new HashSet<>(2);
+  private final Set<Integer> endReported = new HashSet<>(2);
+  private boolean claimRecorded;
+
+  AttemptLedger(RequestProfile profile, Invariants invariants) {
+    this.profile = profile;
+    this.invariants = invariants;
+  }
+
+  /** Whether the invariants let an attempt be sent to where it runs. */
+  boolean maySend() {
+    boolean once = profile.repeatability().isResendable() || possiblyRun.isEmpty();
+    boolean claimed = !profile.claimed() || claimRecorded;
+    return invariants.check(once, Invariant.AT_MOST_ONE_SEND, profile.id())
+        && invariants.check(claimed, Invariant.CLAIM_BEFORE_SEND, profile.id());
+  }
+
+  void claimRecorded() {
+    claimRecorded = true;
+  }
+
+  boolean isClaimRecorded() {
+    return claimRecorded;
+  }
+
+  void sent(int attempt) {
+    possiblyRun.add(attempt);
+  }
+
+  void provenNotRun(int attempt) {
+    possiblyRun.remove(attempt);
+  }
+
+  boolean mayHaveRun() {
+    return !possiblyRun.isEmpty();
+  }
+
+  RunState runState() {
+    return mayHaveRun() ? RunState.UNKNOWN : RunState.NOT_RUN;
+  }
+
+  ClaimOutcome openOutcome() {
+    return mayHaveRun() ? ClaimOutcome.UNKNOWN : ClaimOutcome.NOT_RUN;
+  }
+
+  LifecycleAction progress(
+      int attempt, AttemptPhase phase, int cachedTokens, long tookMillis, int outputTokens) {
+    return new LifecycleAction.Report(
+        new AttemptReport(
+            profile.id(),
+            attempt,
+            phase,
+            Optional.empty(),
+            Optional.empty(),
+            cachedTokens,
+            tookMillis,
+            outputTokens));
+  }
+
+  /** The one report of an attempt's end; nothing when it was already given. */
+  Optional<LifecycleAction> end(
+      int attempt, AttemptResult result, Optional<UpstreamName> failedUpstream, int outputTokens) {
+    boolean first = endReported.add(attempt);
+    if (!invariants.check(first, Invariant.ONE_END_REPORT, profile.id())) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new LifecycleAction.Report(
+            new AttemptReport(
+                profile.id(),
+                attempt,
+                AttemptPhase.ENDED,
+                Optional.of(result),
+                failedUpstream,
+                0,
+                0,
+                outputTokens)));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -0,0 +1,599 @@
+package org.marjoramsail.core.outcome;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.failure.RetryReason;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.placement.AttemptPhase;
+import org.marjoramsail.core.placement.AttemptResult;
+import org.marjoramsail.core.placement.Grant;
+import org.marjoramsail.core.placement.GrantMode;
+import org.marjoramsail.core.placement.PlacementRequest;
+
+/**
+ * Decides everything about one request, from its arrival to its one end.
+ *
+ * <p>It takes events with their time and gives actions for the shell, in order. A prefill is
+ * harmless to repeat; the send to a decode upstream or a plain service is the run. Calls must not
+ * overlap; the clock that calls quote may jump forward, and a reading that falls back is ignored.
+ */
+public final class RequestLifecycle {
+
+  private static final int ESTIMATE_FACTOR = 4;
+  private static final long UNSETTLED_RECHECK_MILLIS = 100;
+
+  private final RequestProfile profile;
+  private final LifecyclePolicy policy;
+  private final RetryBudget budget;
+  private final Quarantine quarantine;
+  private final Invariants invariants;
+
+  private final HeldAttempts held;
+  private final KvCustody kv;
+  private final AttemptLedger ledger;
+  private final BackOff backOff;
+  private final Set<UpstreamName> avoid = new LinkedHashSet<>();
+  private List<LifecycleAction> actions = new ArrayList<>();
+
+  private LifecycleState state = LifecycleState.RECEIVED;
+  private long nowMillis;
+  private int attempt;
+  private int nextIndex;
+  private boolean callerGone;
+  private boolean answered;
+  private boolean frameSeen;
+  private long waitUntilMillis;
+  private long stallAtMillis = Long.MAX_VALUE;
+  private Optional<Grant> grant = Optional.empty();
+  private Optional<UpstreamName> runningOn = Optional.empty();
+
+  /**
+   * Takes the request and what it shares with others.
+   *
+   * @param profile the request
+   * @param policy bounds of tries and waits
+   * @param budget the retries of its service
+   * @param quarantine contents that crash upstreams
+   * @param invariants what to do when the program itself is at fault
+   * @param random for the jitter of back-off
+   */
+  public RequestLifecycle(
+      RequestProfile profile,
+      LifecyclePolicy policy,
+      RetryBudget budget,
+      Quarantine quarantine,
+      Invariants invariants,
+      RandomGenerator random) {
+    this.profile = profile;
+    this.policy = policy;
+    this.budget = budget;
+    this.quarantine = quarantine;
+    this.invariants = invariants;
+    this.held = new HeldAttempts(policy);
+    this.kv = new KvCustody(policy, held);
+    this.ledger = new AttemptLedger(profile, invariants);
+    this.backOff = new BackOff(policy, random);
+    this.nowMillis = profile.receivedAtMillis();
+  }
+
+  /** The request. */
+  public RequestProfile profile() {
+    return profile;
+  }
+
+  /** Where the request is. */
+  public LifecycleState state() {
+    return state;
+  }
+
+  /** The current attempt, from one; zero before the first. */
+  public int attempt() {
+    return attempt;
+  }
+
+  /** How many tokens the caller has been given. */
+  public int emittedTokens() {
+    return nextIndex;
+  }
+
+  /** The upstreams of the current attempt. */
+  public Optional<Grant> grant() {
+    return grant;
+  }
+
+  /** Whether it has ended and no upstream can hold anything of it. */
+  public boolean isSettled() {
+    return state == LifecycleState.ENDED && held.isEmpty();
+  }
+
+  /** When the next {@link LifecycleEvent.TimePassed} is due. */
+  public Optional<Long> nextWakeMillis() {
+    Stream<Long> own =
+        state == LifecycleState.ENDED
+            ? Stream.empty()
+            : Stream.of(profile.deadlineAtMillis(), stallAtMillis, backOffEndMillis());
+    return Stream.concat(own, held.nextRepeatMillis().stream()).min(Long::compare);
+  }
+
+  /**
+   * Takes one event.
+   *
+   * @param event what happened
+   * @param atMillis when, on the clock of this daemon
+   * @return what the shell has to do, in order
+   */
+  public List<LifecycleAction> handle(LifecycleEvent event, long atMillis) {
+    nowMillis = Math.max(nowMillis, atMillis);
+    actions = new ArrayList<>();
+    if (!handleUpstream(event)) {
+      handleOther(event);
+    }
+    return actions;
+  }
+
+  private boolean handleUpstream(LifecycleEvent event) {
+    if (event instanceof LifecycleEvent.TokenArrived token) {
+      tokenArrived(token);
+    } else if (event instanceof LifecycleEvent.StreamFinished finished) {
+      streamFinished(finished);
+    } else if (event instanceof LifecycleEvent.Prefilled prefilled) {
+      prefilled(prefilled);
+    } else if (event instanceof LifecycleEvent.PlainAnswered answered) {
+      plainAnswered(answered);
+    } else if (event instanceof LifecycleEvent.UpstreamFailed failed) {
+      upstreamFailed(failed);
+    } else if (event instanceof LifecycleEvent.CancelConfirmed confirmed) {
+      held.release(confirmed.attempt(), confirmed.upstream());
+    } else if (event instanceof LifecycleEvent.UpstreamRestarted restarted) {
+      upstreamRestarted(restarted.upstream());
+    } else {
+      return false;
+    }
+    return true;
+  }
+
+  private void handleOther(LifecycleEvent event) {
+    if (event instanceof LifecycleEvent.Started) {
+      started();
+    } else if (event instanceof LifecycleEvent.ClaimRecorded) {
+      claimRecorded();
+    } else if (event instanceof LifecycleEvent.ClaimRefused refused) {
+      claimRefused(refused.refusal());
+    } else if (event instanceof LifecycleEvent.Granted granted) {
+      granted(granted.grant());
+    } else if (event instanceof LifecycleEvent.PlacementRefused refused) {
+      placementRefused(refused);
+    } else if (event instanceof LifecycleEvent.CallerGone) {
+      callerGone();
+    } else if (event instanceof LifecycleEvent.CallerEnded ended) {
+      callerEnded(ended.refusal());
+    } else if (event instanceof LifecycleEvent.TimePassed) {
+      timePassed();
+    }
+  }
+
+  private void started() {
+    if (state != LifecycleState.RECEIVED) {
+      drop(DropReason.LATE_EVENT);
+      return;
+    }
+    budget.earn();
+    if (quarantine.suspicion(profile.fingerprint(), nowMillis) == Suspicion.QUARANTINED) {
+      refuseQuarantined();
+    } else if (profile.claimed()) {
+      state = LifecycleState.CLAIMING;
+      actions.add(new LifecycleAction.RecordClaim());
+    } else {
+      tryToPlace();
+    }
+  }
+
+  private void claimRecorded() {
+    if (state == LifecycleState.ENDED && !ledger.isClaimRecorded()) {
+      ledger.claimRecorded();
+      actions.add(new LifecycleAction.SettleClaim(ClaimOutcome.NOT_RUN));
+    } else if (state == LifecycleState.CLAIMING) {
+      ledger.claimRecorded();
+      tryToPlace();
+    } else {
+      drop(DropReason.LATE_EVENT);
+    }
+  }
+
+  private void claimRefused(Refusal refusal) {
+    if (state != LifecycleState.CLAIMING) {
+      drop(DropReason.LATE_EVENT);
+      return;
+    }
+    // The claim may speak of a run by another daemon, so its run state stands.
+    end(AttemptResult.CANCELLED, ClaimOutcome.NOT_RUN);
+    answer(new LifecycleAction.Refuse(refusal));
+  }
+
+  private void tryToPlace() {
+    Suspicion suspicion = quarantine.suspicion(profile.fingerprint(), nowMillis);
+    if (suspicion == Suspicion.QUARANTINED) {
+      refuseQuarantined();
+      return;
+    }
+    if (suspicion == Suspicion.UNSETTLED) {
+      state = LifecycleState.BACKING_OFF;
+      waitUntilMillis = nowMillis + UNSETTLED_RECHECK_MILLIS;
+      return;
+    }
+    attempt++;
+    frameSeen = false;
+    state = LifecycleState.PLACING;
+    actions.add(new LifecycleAction.Place(placementRequest(suspicion == Suspicion.SUSPECT)));
+  }
+
+  private PlacementRequest placementRequest(boolean alone) {
+    return new PlacementRequest(
+        profile.id(),
+        attempt,
+        profile.entry(),
+        profile.service(),
+        profile.organisation(),
+        profile.rule(),
+        profile.serviceClass(),
+        profile.promptTokens(),
+        profile.generation() ? Math.max(1, profile.outputTokens() - nextIndex) : 0,
+        profile.prefixHashes(),
+        nowMillis - profile.receivedAtMillis(),
+        Math.max(0, profile.firstTokenAtMillis() - nowMillis),
+        Math.max(0, profile.deadlineAtMillis() - nowMillis),
+        List.copyOf(avoid),
+        kv.living(nowMillis).map(KvSource::holder),
+        alone);
+  }
+
+  private void granted(Grant given) {
+    if (state != LifecycleState.PLACING || given.attempt() != attempt) {
+      drop(DropReason.LATE_GRANT);
+      return;
+    }
+    grant = Optional.of(given);
+    if (given.mode() == GrantMode.PLAIN) {
+      sendPlain(given);
+    } else if (given.mode() == GrantMode.LOCAL_PREFILL) {
+      actions.addAll(kv.cancel(nowMillis));
+      sendDecode(given);
+    } else if (kv.isLivingOn(given.prefill(), nowMillis)) {
+      sendDecode(given);
+    } else {
+      actions.addAll(kv.cancel(nowMillis));
+      sendPrefill(given);
+    }
+  }
+
+  private void sendPrefill(Grant given) {
+    UpstreamName upstream = given.prefill().orElseThrow();
+    state = LifecycleState.PREFILLING;
+    stallAtMillis =
+        nowMillis + ESTIMATE_FACTOR * given.expectedPrefillMillis() + policy.prefillStallMillis();
+    held.add(attempt, upstream);
+    runOn(upstream);
+    actions.add(new LifecycleAction.SendPrefill(attempt, upstream));
+  }
+
+  private void sendDecode(Grant given) {
+    if (!ledger.maySend()) {
+      refuseFault();
+      return;
+    }
+    state = LifecycleState.GENERATING;
+    long estimateMillis = given.expectedPrefillMillis() + given.expectedTransferMillis();
+    stallAtMillis =
+        profile.repeatability().isResendable()
+            ? nowMillis + ESTIMATE_FACTOR * estimateMillis + policy.tokenStallMillis()
+            : Long.MAX_VALUE;
+    ledger.sent(attempt);
+    held.add(attempt, given.target());
+    runOn(given.target());
+    actions.add(new LifecycleAction.SendDecode(attempt, given.target(), nextIndex, kv.source()));
+  }
+
+  private void sendPlain(Grant given) {
+    if (!ledger.maySend()) {
+      refuseFault();
+      return;
+    }
+    state = LifecycleState.PLAIN_RUNNING;
+    ledger.sent(attempt);
+    runOn(given.target());
+    actions.add(new LifecycleAction.SendPlain(attempt, given.target()));
+  }
+
+  private void refuseFault() {
+    refuse(RefusalReason.INTERNAL, "The request was not sent: an invariant did not hold.");
+  }
+
+  private void placementRefused(LifecycleEvent.PlacementRefused refused) {
+    if (state != LifecycleState.PLACING || refused.attempt() != attempt) {
+      drop(DropReason.LATE_EVENT);
+      return;
+    }
+    state = LifecycleState.BACKING_OFF;
+    refuse(refused.refusal());
+  }
+
+  private void prefilled(LifecycleEvent.Prefilled event) {
+    if (state != LifecycleState.PREFILLING || event.attempt() != attempt) {
+      drop(DropReason.LATE_EVENT);
+      return;
+    }
+    Grant current = grant.orElseThrow();
+    UpstreamName holder = current.prefill().orElseThrow();
+    leaveUpstream();
+    kv.take(
+        new KvSource(
+            holder,
+            attempt,
+            event.handle(),
+            event.promptTokens(),
+            nowMillis + event.lifetimeMillis()));
+    report(AttemptPhase.PREFILLED, event.cachedTokens(), event.tookMillis());
+    sendDecode(current);
+  }
+
+  private void tokenArrived(LifecycleEvent.TokenArrived token) {
+    if (!token.request().equals(profile.id())) {
+      drop(DropReason.CROSSED_FRAME);
+    } else if (state != LifecycleState.GENERATING || token.attempt() != attempt) {
+      drop(DropReason.LATE_FRAME);
+    } else if (token.index() < nextIndex) {
+      drop(DropReason.REPEATED_FRAME);
+    } else if (token.index() > nextIndex) {
+      failCurrent(UpstreamFailure.MALFORMED);
+    } else {
+      firstFrame();
+      emit(token);
+    }
+  }
+
+  private void emit(LifecycleEvent.TokenArrived token) {
+    invariants.check(token.index() == nextIndex, Invariant.TOKENS_IN_ORDER, profile.id());
+    invariants.check(!answered, Invariant.SILENT_AFTER_END, profile.id());
+    nextIndex++;
+    if (profile.repeatability().isResendable()) {
+      stallAtMillis = nowMillis + policy.tokenStallMillis();
+    }
+    actions.add(new LifecycleAction.EmitToken(token.index(), token.text()));
+  }
+
+  /** The first frame proves that the decode upstream has imported the KV cache. */
+  private void firstFrame() {
+    if (frameSeen) {
+      return;
+    }
+    frameSeen = true;
+    kv.released();
+    report(AttemptPhase.GENERATING, 0, 0);
+  }
+
+  private void streamFinished(LifecycleEvent.StreamFinished finished) {
+    if (!finished.request().equals(profile.id())) {
+      drop(DropReason.CROSSED_FRAME);
+    } else if (state != LifecycleState.GENERATING || finished.attempt() != attempt) {
+      drop(DropReason.LATE_FRAME);
+    } else if (finished.index() != nextIndex) {
+      failCurrent(UpstreamFailure.MALFORMED);
+    } else {
+      firstFrame();
+      held.release(attempt, grant.orElseThrow().target());
+      answer(
+          new LifecycleAction.Complete(
+              new Completion(
+                  finished.finishReason(),
+                  finished.promptTokens(),
+                  finished.cachedTokens(),
+                  nextIndex)));
+      quarantine.completed(profile.fingerprint());
+      end(AttemptResult.COMPLETED, ClaimOutcome.COMPLETED);
+    }
+  }
+
+  private void plainAnswered(LifecycleEvent.PlainAnswered answered) {
+    if (state != LifecycleState.PLAIN_RUNNING || answered.attempt() != attempt) {
+      drop(DropReason.LATE_EVENT);
+      return;
+    }
+    if (!callerGone) {
+      answer(new LifecycleAction.DeliverAnswer(attempt));
+    }
+    quarantine.completed(profile.fingerprint());
+    end(AttemptResult.COMPLETED, ClaimOutcome.COMPLETED);
+  }
+
+  private void upstreamFailed(LifecycleEvent.UpstreamFailed failed) {
+    if (failed.failure().isNotRun()) {
+      held.release(failed.attempt(), failed.upstream());
+    }
+    boolean current =
+        state.isRunning()
+            && failed.attempt() == attempt
+            && runningOn.equals(Optional.of(failed.upstream()));
+    if (current) {
+      failCurrent(failed.failure());
+    } else {
+      drop(DropReason.LATE_EVENT);
+    }
+  }
+
+  private void upstreamRestarted(UpstreamName upstream) {
+    held.releaseAll(upstream);
+    kv.holderRestarted(upstream);
+    if (state.isRunning() && runningOn.equals(Optional.of(upstream))) {
+      failCurrent(UpstreamFailure.CUT);
+    }
+  }
+
+  /** Ends the current attempt with a failure, and tries again where that is allowed. */
+  private void failCurrent(UpstreamFailure failure) {
+    UpstreamName upstream = runningOn.orElseThrow();
+    boolean prefillFailed = state == LifecycleState.PREFILLING;
+    if (failure.isCrashSign()) {
+      quarantine.cut(upstream, profile.id(), attempt, nowMillis);
+    }
+    leaveUpstream();
+    if (failure.isNotRun()) {
+      ledger.provenNotRun(attempt);
+    }
+    actions.add(new LifecycleAction.CloseAttempt(attempt));
+    actions.addAll(held.cancel(attempt, upstream, nowMillis));
+    reportEnd(failure.attemptResult(), Optional.of(upstream));
+    if (failure == UpstreamFailure.KV_EXPIRED) {
+      kv.released();
+    } else {
+      avoid.add(upstream);
+    }
+    if (ledger.mayHaveRun() && !profile.repeatability().isResendable()) {
+      refuse(
+          RefusalReason.UPSTREAM_FAILED,
+          "The upstream failed after the send; the request may run only once.");
+      return;
+    }
+    retry(
+        prefillFailed && !failure.isNotRun() ? RetryReason.PREFILL_FAILED : failure.retryReason());
+  }
+
+  private void retry(RetryReason reason) {
+    boolean paid = reason == RetryReason.UPSTREAM_LEAVING || budget.trySpend();
+    if (attempt >= policy.maximumAttempts() || !paid) {
+      refuse(
+          RefusalReason.RETRIES_EXHAUSTED,
+          "Attempt " + attempt + " failed (" + reason.code() + ") and no retry is left.");
+      return;
+    }
+    actions.add(new LifecycleAction.CountRetry(reason));
+    if (kv.living(nowMillis).isPresent()) {
+      tryToPlace();
+      return;
+    }
+    state = LifecycleState.BACKING_OFF;
+    waitUntilMillis = nowMillis + backOff.nextMillis();
+  }
+
+  private void callerGone() {
+    if (state == LifecycleState.ENDED) {
+      return;
+    }
+    callerGone = true;
+    // A plain call that may run only once is left to end, so that its claim can be settled with
+    // the truth; it holds no engine memory.
+    if (state == LifecycleState.PLAIN_RUNNING && ledger.isClaimRecorded()) {
+      return;
+    }
+    end(AttemptResult.CANCELLED, ledger.openOutcome());
+  }
+
+  private void callerEnded(Refusal refusal) {
+    if (state != LifecycleState.ENDED) {
+      refuse(refusal);
+    }
+  }
+
+  private void timePassed() {
+    actions.addAll(held.repeat(nowMillis));
+    if (state == LifecycleState.ENDED) {
+      return;
+    }
+    if (nowMillis >= profile.deadlineAtMillis()) {
+      refuse(RefusalReason.DEADLINE_PASSED, "The deadline of the request has passed.");
+    } else if (state == LifecycleState.BACKING_OFF && nowMillis >= waitUntilMillis) {
+      tryToPlace();
+    } else if (state.isRunning() && nowMillis >= stallAtMillis) {
+      failCurrent(UpstreamFailure.TIMED_OUT);
+    }
+  }
+
+  private void refuseQuarantined() {
+    refuse(
+        RefusalReason.QUARANTINED,
+        "Content "
+            + Long.toHexString(profile.fingerprint())
+            + " has crashed upstreams and is not run until an operator lifts it or it expires.");
+  }
+
+  private void refuse(RefusalReason reason, String detail) {
+    refuse(Refusal.notRun(reason, detail));
+  }
+
+  /** Refuses with the run state that is known here, whatever the refusal itself says of one. */
+  private void refuse(Refusal refusal) {
+    if (!callerGone) {
+      answer(
+          new LifecycleAction.Refuse(
+              new Refusal(
+                  refusal.reason(),
+                  ledger.runState(),
+                  refusal.detail(),
+                  refusal.retryAfterMillis())));
+    }
+    end(AttemptResult.CANCELLED, ledger.openOutcome());
+  }
+
+  private void answer(LifecycleAction action) {
+    boolean first = !answered;
+    answered = true;
+    if (invariants.check(first, Invariant.SILENT_AFTER_END, profile.id())) {
+      actions.add(action);
+    }
+  }
+
+  private void end(AttemptResult result, ClaimOutcome outcome) {
+    boolean waiting = state == LifecycleState.PLACING;
+    boolean cut = state.isRunning() && outcome != ClaimOutcome.COMPLETED;
+    state = LifecycleState.ENDED;
+    stallAtMillis = Long.MAX_VALUE;
+    if (cut) {
+      actions.add(new LifecycleAction.CloseAttempt(attempt));
+    }
+    leaveUpstream();
+    if (waiting) {
+      actions.add(new LifecycleAction.Withdraw(profile.id()));
+    }
+    reportEnd(result, Optional.empty());
+    if (ledger.isClaimRecorded()) {
+      actions.add(new LifecycleAction.SettleClaim(outcome));
+    }
+    kv.releaseExpired(nowMillis);
+    actions.addAll(held.cancelAll(nowMillis));
+  }
+
+  private void report(AttemptPhase phase, int cachedTokens, long tookMillis) {
+    actions.add(ledger.progress(attempt, phase, cachedTokens, tookMillis, nextIndex));
+  }
+
+  private void reportEnd(AttemptResult result, Optional<UpstreamName> failedUpstream) {
+    if (grant.isPresent()) {
+      grant = Optional.empty();
+      ledger.end(attempt, result, failedUpstream, nextIndex).ifPresent(actions::add);
+    }
+  }
+
+  private void runOn(UpstreamName upstream) {
+    runningOn = Optional.of(upstream);
+    quarantine.began(upstream, profile.id(), attempt, profile.fingerprint());
+  }
+
+  private void leaveUpstream() {
+    runningOn.ifPresent(upstream -> quarantine.left(upstream, profile.id(), attempt));
+    runningOn = Optional.empty();
+  }
+
+  private long backOffEndMillis() {
+    return state == LifecycleState.BACKING_OFF ? waitUntilMillis : Long.MAX_VALUE;
+  }
+
+  private void drop(DropReason reason) {
+    actions.add(new LifecycleAction.CountDrop(reason));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHandler.java
@@ -0,0 +1,170 @@
+package org.marjoramsail.daemon.caller;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.daemon.request.CallerSink;
+import org.marjoramsail.daemon.request.NewRequest;
+import org.marjoramsail.daemon.request.RequestHandle;
+
+/** Takes one HTTP request from its head to its registration. */
+final class CallerHandler {
+
+  private final Vertx vertx;
+  private final CallerPeers peers;
+  private final CallerLimits limits;
+  private final RequestIds ids;
+  private final Authenticator authenticator = new Authenticator();
+  private final BodyReader bodies;
+  private final CompletionParser parser;
+  private final RequestFactory factory;
+  private final ProblemWriter problems;
+
+  CallerHandler(Vertx vertx, CallerPeers peers, CallerLimits limits, RequestIds ids) {
+    this.vertx = vertx;
+    this.peers = peers;
+    this.limits = limits;
+    this.ids = ids;
+    this.bodies = new BodyReader(vertx, limits);
+    this.parser = new CompletionParser(peers.json(), limits);
+    this.factory = new RequestFactory(peers);
+    this.problems = new ProblemWriter(peers.json());
+  }
+
+  /** Serves a request. */
+  void handle(HttpServerRequest request) {
+    RequestId id = ids.next();
+    long receivedAtMillis = peers.clock().millis();
+    request.response().putHeader("marjoramsail-request", id.value());
+    request.response().exceptionHandler(ignored -> {});
+    try {
+      CallerRoute route = CallerRoute.of(request);
+      Configuration configuration = newestConfiguration();
+      RequestFactory.Arrival arrival =
+          new RequestFactory.Arrival(
+              id,
+              receivedAtMillis,
+              configuration,
+              authenticator.organisation(
+                  configuration, Optional.ofNullable(request.getHeader("authorization"))),
+              CallerHeaders.of(request));
+      bodies
+          .read(request)
+          .onSuccess(body -> withBody(request, route, arrival, body))
+          .onFailure(cause -> bodyFailed(request, id, cause));
+    } catch (RejectedRequestException rejected) {
+      reject(request, id, rejected.refusal());
+    }
+  }
+
+  /** Refuses a request before anything of it is read. */
+  void refuse(HttpServerRequest request, Refusal refusal) {
+    RequestId id = ids.next();
+    request.response().putHeader("marjoramsail-request", id.value());
+    reject(request, id, refusal);
+  }
+
+  private Configuration newestConfiguration() throws RejectedRequestException {
+    Configuration configuration = peers.configuration().get();
+    if (configuration.revision() == 0) {
+      throw new RejectedRequestException(
+          RefusalReason.NO_CONFIGURATION, "This daemon has not yet heard of a configuration.");
+    }
+    return configuration;
+  }
+
+  private void withBody(
+      HttpServerRequest request, CallerRoute route, RequestFactory.Arrival arrival, Buffer body) {
+    try {
+      if (route instanceof CallerRoute.Generation generation) {
+        CompletionCall call = parser.parse(generation.format(), body);
+        register(request, factory.generation(arrival, generation.format(), call), generation, call);
+      } else if (route instanceof CallerRoute.Plain plain) {
+        register(request, factory.plain(arrival, plain, request, body));
+      }
+    } catch (RejectedRequestException rejected) {
+      reject(request, arrival.id(), rejected.refusal());
+    }
+  }
+
+  private void register(
+      HttpServerRequest request,
+      RequestFactory.Prepared prepared,
+      CallerRoute.Generation route,
+      CompletionCall call) {
+    RequestId id = prepared.profile().id();
+    HttpServerResponse response = request.response();
+    AtomicReference<RequestHandle> handle = new AtomicReference<>();
+    CallerSink sink =
+        call.streamed()
+            ? new StreamSink(
+                vertx,
+                request.connection(),
+                response,
+                id,
+                route.format(),
+                call.service(),
+                peers.json(),
+                problems,
+                limits,
+                refusal -> handle.get().end(refusal))
+            : new WholeAnswerSink(
+                response, id, route.format(), call.service(), peers.json(), problems);
+    handle.set(submit(request, prepared, sink));
+  }
+
+  private void register(HttpServerRequest request, RequestFactory.Prepared prepared) {
+    CallerSink sink =
+        new WholeAnswerSink(
+            request.response(),
+            prepared.profile().id(),
+            CompletionFormat.COMPLETION,
+            prepared.profile().service(),
+            peers.json(),
+            problems);
+    submit(request, prepared, sink);
+  }
+
+  private RequestHandle submit(
+      HttpServerRequest request, RequestFactory.Prepared prepared, CallerSink sink) {
+    Context context = vertx.getOrCreateContext();
+    RequestHandle handle =
+        peers
+            .registry()
+            .register(
+                new NewRequest(
+                    prepared.profile(),
+                    prepared.content(),
+                    prepared.claim(),
+                    prepared.rule().perTokenTargetMillis(),
+                    sink,
+                    task -> context.runOnContext(ignored -> task.run())));
+    request.response().closeHandler(closed -> handle.callerGone());
+    return handle;
+  }
+
+  private void bodyFailed(HttpServerRequest request, RequestId id, Throwable cause) {
+    if (cause instanceof RejectedRequestException rejected) {
+      reject(request, id, rejected.refusal());
+    }
+  }
+
+  private void reject(HttpServerRequest request, RequestId id, Refusal refusal) {
+    peers.metrics().refused(refusal);
+    HttpServerResponse response = request.response();
+    if (!request.isEnded()) {
+      // What is left of the body is not read, so the connection cannot be used again.
+      response.putHeader("connection", "close");
+      response.endHandler(ended -> request.connection().close());
+    }
+    problems.write(response, id, refusal);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHeaders.java
@@ -0,0 +1,53 @@
+package org.marjoramsail.daemon.caller;
+
+import io.vertx.core.http.HttpServerRequest;
+import java.util.Optional;
+import org.marjoramsail.core.failure.RefusalReason;
+
+/**
+ * What a caller says in headers.
+ *
+ * @param idempotencyKey names the caller's intent, across repeats
+ * @param deadlineMillis how long an answer is of use
+ */
+record CallerHeaders(Optional<String> idempotencyKey, Optional<Long> deadlineMillis) {
+
+  private static final String KEY = "idempotency-key";
+  private static final String DEADLINE = "marjoramsail-deadline-millis";
+  private static final int MAXIMUM_KEY_CHARACTERS = 255;
+
+  static CallerHeaders of(HttpServerRequest request) throws RejectedRequestException {
+    return new CallerHeaders(key(request), deadline(request));
+  }
+
+  private static Optional<String> key(HttpServerRequest request) throws RejectedRequestException {
+    String key = request.getHeader(KEY);
+    if (key != null && (key.isBlank() || key.length() > MAXIMUM_KEY_CHARACTERS)) {
+      throw wrong(KEY, key, "1 to " + MAXIMUM_KEY_CHARACTERS + " characters");
+    }
+    return Optional.ofNullable(key);
+  }
+
+  private static Optional<Long> deadline(HttpServerRequest request)
+      throws RejectedRequestException {
+    String value = request.getHeader(DEADLINE);
+    if (value == null) {
+      return Optional.empty();
+    }
+    try {
+      long millis = Long.parseLong(value.trim());
+      if (millis > 0) {
+        return Optional.of(millis);
+      }
+    } catch (NumberFormatException notNumber) {
+      throw wrong(DEADLINE, value, "a whole number of milliseconds above zero");
+    }
+    throw wrong(DEADLINE, value, "a whole number of milliseconds above zero");
+  }
+
+  private static RejectedRequestException wrong(String header, String value, String allowed) {
+    return new RejectedRequestException(
+        RefusalReason.MALFORMED_REQUEST,
+        "The header " + header + " is \"" + value + "\"; allowed: " + allowed + ".");
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerPeers.java
@@ -0,0 +1,29 @@
+package org.marjoramsail.daemon.caller;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.function.Supplier;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.daemon.metrics.RequestMetrics;
+import org.marjoramsail.daemon.request.RequestRegistry;
+
+/**
+ * What the caller side needs of the rest of the daemon.
+ *
+ * @param daemon this daemon
+ * @param configuration gives the newest configuration
+ * @param registry runs requests
+ * @param prompts analyses prompts
+ * @param metrics what is counted
+ * @param clock tells the time
+ * @param json reads and writes bodies
+ */
+public record CallerPeers(
+    DaemonId daemon,
+    Supplier<Configuration> configuration,
+    RequestRegistry registry,
+    PromptAnalysis prompts,
+    RequestMetrics metrics,
+    Clock clock,
+    ObjectMapper json) {}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CompletionParser.java
@@ -0,0 +1,91 @@
+package org.marjoramsail.daemon.caller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import org.marjoramsail.core.failure.RefusalReason;
+
+/** Reads the JSON of completions; each refusal names the field, the value and what is allowed. */
+final class CompletionParser {
+
+  private static final int QUOTED_CHARACTERS = 80;
+
+  private final ObjectMapper json;
+  private final CallerLimits limits;
+
+  CompletionParser(ObjectMapper json, CallerLimits limits) {
+    this.json = json;
+    this.limits = limits;
+  }
+
+  CompletionCall parse(CompletionFormat format, Buffer bytes) throws RejectedRequestException {
+    JsonNode body = read(bytes);
+    JsonNode model = body.path("model");
+    if (!model.isTextual() || model.textValue().isBlank()) {
+      throw wrong("model", model, "the name of a service");
+    }
+    return new CompletionCall(
+        model.textValue(), format.prompt(body), maximumTokens(body), streamed(body));
+  }
+
+  private JsonNode read(Buffer bytes) throws RejectedRequestException {
+    JsonNode body;
+    try {
+      body = json.readTree(bytes.getBytes());
+    } catch (IOException malformed) {
+      throw new RejectedRequestException(
+          RefusalReason.MALFORMED_REQUEST,
+          "The body is not JSON (" + firstLine(malformed.getMessage()) + "); allowed: an object.");
+    }
+    if (!body.isObject()) {
+      throw wrong("body", body, "an object");
+    }
+    return body;
+  }
+
+  private int maximumTokens(JsonNode body) throws RejectedRequestException {
+    String field = body.has("max_completion_tokens") ? "max_completion_tokens" : "max_tokens";
+    JsonNode value = body.path(field);
+    if (value.isMissingNode() || value.isNull()) {
+      return limits.defaultOutputTokens();
+    }
+    boolean allowed =
+        value.isIntegralNumber()
+            && value.canConvertToInt()
+            && value.intValue() >= 1
+            && value.intValue() <= limits.maximumOutputTokens();
+    if (!allowed) {
+      throw wrong(field, value, "an integer from 1 to " + limits.maximumOutputTokens());
+    }
+    return value.intValue();
+  }
+
+  private static boolean streamed(JsonNode body) throws RejectedRequestException {
+    JsonNode value = body.path("stream");
+    if (value.isMissingNode() || value.isNull()) {
+      return false;
+    }
+    if (!value.isBoolean()) {
+      throw wrong("stream", value, "true or false");
+    }
+    return value.booleanValue();
+  }
+
+  static RejectedRequestException wrong(String field, JsonNode value, String allowed) {
+    String quoted = value.isMissingNode() ? "missing" : shortened(value.toString());
+    return new RejectedRequestException(
+        RefusalReason.MALFORMED_REQUEST,
+        "The field " + field + " is " + quoted + "; allowed: " + allowed + ".");
+  }
+
+  private static String shortened(String value) {
+    return value.length() <= QUOTED_CHARACTERS
+        ? value
+        : value.substring(0, QUOTED_CHARACTERS) + "...";
+  }
+
+  private static String firstLine(String message) {
+    return shortened(message.lines().findFirst().orElse(""));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/RequestFactory.java
@@ -0,0 +1,162 @@
+package org.marjoramsail.daemon.caller;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.List;
+import java.util.Optional;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.configuration.OrganisationDefinition;
+import org.marjoramsail.core.configuration.RuleDefinition;
+import org.marjoramsail.core.configuration.ServiceDefinition;
+import org.marjoramsail.core.configuration.ServiceKind;
+import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.model.Repeatability;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.outcome.Fingerprint;
+import org.marjoramsail.core.outcome.RequestProfile;
+import org.marjoramsail.daemon.request.ClaimRequest;
+import org.marjoramsail.daemon.request.RequestContent;
+
+/** Turns what a caller sent into what a lifecycle needs. */
+final class RequestFactory {
+
+  /**
+   * A request that is ready to be registered.
+   *
+   * @param profile what decisions need
+   * @param content what upstreams get
+   * @param claim the claim that has to be recorded first
+   * @param rule the rule that matched
+   */
+  record Prepared(
+      RequestProfile profile,
+      RequestContent content,
+      Optional<ClaimRequest> claim,
+      RuleDefinition rule) {}
+
+  /**
+   * What is known of a request before its body.
+   *
+   * @param id names it
+   * @param receivedAtMillis when it arrived
+   * @param configuration the configuration of that moment
+   * @param organisation whose it is
+   * @param headers what the caller says in headers
+   */
+  record Arrival(
+      RequestId id,
+      long receivedAtMillis,
+      Configuration configuration,
+      OrganisationDefinition organisation,
+      CallerHeaders headers) {}
+
+  private final CallerPeers peers;
+
+  RequestFactory(CallerPeers peers) {
+    this.peers = peers;
+  }
+
+  Prepared generation(Arrival arrival, CompletionFormat format, CompletionCall call)
+      throws RejectedRequestException {
+    ServiceDefinition service = service(arrival, call.service(), ServiceKind.MODEL);
+    String model = service.model().orElse(service.name());
+    RuleDefinition rule =
+        RuleMatcher.match(arrival.configuration(), service, "POST", format.path());
+    PromptAnalysis.PromptFacts facts = peers.prompts().analyse(call.prompt());
+    RequestContent content = new RequestContent.Generation(model, call.prompt());
+    long fingerprint = Fingerprint.of(service.name(), call.prompt());
+    return prepared(arrival, service, rule, content, facts, call.maximumTokens(), fingerprint);
+  }
+
+  Prepared plain(Arrival arrival, CallerRoute.Plain route, HttpServerRequest request, Buffer body)
+      throws RejectedRequestException {
+    ServiceDefinition service = service(arrival, route.service(), ServiceKind.PLAIN);
+    String method = request.method().name();
+    RuleDefinition rule = RuleMatcher.match(arrival.configuration(), service, method, route.path());
+    RequestContent content =
+        new RequestContent.Plain(method, route.pathAndQuery(), request.headers(), body);
+    Buffer whole = Buffer.buffer(method + " " + route.pathAndQuery() + "\n").appendBuffer(body);
+    long fingerprint = Fingerprint.of(service.name(), whole.getBytes());
+    PromptAnalysis.PromptFacts none = new PromptAnalysis.PromptFacts(0, List.of());
+    return prepared(arrival, service, rule, content, none, 0, fingerprint);
+  }
+
+  private Prepared prepared(
+      Arrival arrival,
+      ServiceDefinition service,
+      RuleDefinition rule,
+      RequestContent content,
+      PromptAnalysis.PromptFacts facts,
+      int outputTokens,
+      long fingerprint) {
+    long deadlineMillis =
+        Math.min(
+            rule.deadlineMillis(),
+            arrival.headers().deadlineMillis().orElse(rule.deadlineMillis()));
+    Optional<ClaimRequest> claim =
+        arrival
+            .headers()
+            .idempotencyKey()
+            .filter(key -> rule.repeatability() == Repeatability.AT_MOST_ONCE)
+            .map(key -> claim(arrival, service, rule, key, fingerprint, deadlineMillis));
+    RequestProfile profile =
+        new RequestProfile(
+            arrival.id(),
+            peers.daemon(),
+            service.name(),
+            arrival.organisation().name(),
+            rule.name(),
+            rule.serviceClass(),
+            rule.repeatability(),
+            service.kind() == ServiceKind.MODEL,
+            claim.isPresent(),
+            facts.tokens(),
+            outputTokens,
+            facts.prefixHashes(),
+            fingerprint,
+            arrival.receivedAtMillis(),
+            arrival.receivedAtMillis() + rule.firstTokenTargetMillis(),
+            arrival.receivedAtMillis() + deadlineMillis);
+    return new Prepared(profile, content, claim, rule);
+  }
+
+  private static ClaimRequest claim(
+      Arrival arrival,
+      ServiceDefinition service,
+      RuleDefinition rule,
+      String key,
+      long fingerprint,
+      long deadlineMillis) {
+    return new ClaimRequest(
+        arrival.id(),
+        arrival.organisation().name(),
+        service.name(),
+        key,
+        fingerprint,
+        rule.storeOutagePolicy(),
+        deadlineMillis);
+  }
+
+  private static ServiceDefinition service(Arrival arrival, String name, ServiceKind kind)
+      throws RejectedRequestException {
+    Optional<ServiceDefinition> service =
+        arrival.configuration().service(name).filter(known -> known.kind() == kind);
+    if (service.isEmpty()) {
+      List<String> allowed =
+          arrival.configuration().services().stream()
+              .filter(known -> known.kind() == kind)
+              .map(ServiceDefinition::name)
+              .toList();
+      throw new RejectedRequestException(
+          RefusalReason.UNKNOWN_SERVICE,
+          "The service is \"" + name + "\"; allowed: " + String.join(", ", allowed) + ".");
+    }
+    List<String> granted = arrival.organisation().services();
+    if (!granted.isEmpty() && !granted.contains(name)) {
+      throw new RejectedRequestException(
+          RefusalReason.FORBIDDEN,
+          "The service is \"" + name + "\"; allowed for this organisation: " + granted + ".");
+    }
+    return service.get();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/RequestIds.java
@@ -0,0 +1,22 @@
+package org.marjoramsail.daemon.caller;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.RequestId;
+
+/** Makes identifiers that no other run of any daemon makes. */
+final class RequestIds {
+
+  private static final int RADIX = 36;
+
+  private final String prefix;
+  private final AtomicLong next = new AtomicLong(1);
+
+  RequestIds(DaemonId daemon) {
+    this.prefix = daemon.host() + "-" + Long.toString(daemon.incarnation(), RADIX) + "-";
+  }
+
+  RequestId next() {
+    return new RequestId(prefix + Long.toString(next.getAndIncrement(), RADIX));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/WholeAnswerSink.java
@@ -0,0 +1,67 @@
+package org.marjoramsail.daemon.caller;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.http.HttpServerResponse;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.outcome.Completion;
+import org.marjoramsail.daemon.request.CallerSink;
+import org.marjoramsail.daemon.upstream.PlainAnswer;
+
+/** Answers with one document: a completion that is not streamed, or a plain service's answer. */
+final class WholeAnswerSink implements CallerSink {
+
+  private final HttpServerResponse response;
+  private final RequestId request;
+  private final CompletionFormat format;
+  private final String model;
+  private final ObjectMapper json;
+  private final ProblemWriter problems;
+  private final StringBuilder text = new StringBuilder();
+
+  WholeAnswerSink(
+      HttpServerResponse response,
+      RequestId request,
+      CompletionFormat format,
+      String model,
+      ObjectMapper json,
+      ProblemWriter problems) {
+    this.response = response;
+    this.request = request;
+    this.format = format;
+    this.model = model;
+    this.json = json;
+    this.problems = problems;
+  }
+
+  @Override
+  public void token(int index, String part) {
+    text.append(part);
+  }
+
+  @Override
+  public void complete(Completion completion) {
+    if (!response.ended() && !response.closed()) {
+      response.putHeader("content-type", "application/json");
+      response.end(format.whole(json, request, model, text.toString(), completion).toString());
+    }
+  }
+
+  @Override
+  public void answer(PlainAnswer answer) {
+    if (!response.ended() && !response.closed()) {
+      response.setStatusCode(answer.status());
+      answer
+          .headers()
+          .forEach(header -> response.headers().add(header.getKey(), header.getValue()));
+      response.end(answer.body());
+    }
+  }
+
+  @Override
+  public void refuse(Refusal refusal) {
+    if (!response.ended() && !response.closed()) {
+      problems.write(response, request, refusal);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -0,0 +1,153 @@
+package org.marjoramsail.daemon.metrics;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.function.IntSupplier;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.failure.RetryReason;
+import org.marjoramsail.core.failure.RunState;
+import org.marjoramsail.core.outcome.DropReason;
+import org.marjoramsail.core.outcome.Invariant;
+import org.marjoramsail.core.outcome.Invariants;
+
+/**
+ * What is counted of requests.
+ *
+ * <p>All counters of enums exist from the start, so that a rate over them is never missing.
+ */
+public final class RequestMetrics {
+
+  private static final String PREFIX = "marjoramsail.";
+
+  private final Map<RefusalReason, Counter> refusedNotRun;
+  private final Map<RefusalReason, Counter> refusedUnknown;
+  private final Map<RetryReason, Counter> retries;
+  private final Map<DropReason, Counter> drops;
+  private final Counter accepted;
+  private final Counter completed;
+  private final Counter withinTargets;
+  private final Counter tokens;
+  private final Timer firstToken;
+  private final Timer betweenTokens;
+  private final Timer plainAnswer;
+  private final MeterRegistry registry;
+
+  /**
+   * Registers all meters.
+   *
+   * @param registry where to
+   * @param invariants whose violations are shown
+   */
+  public RequestMetrics(MeterRegistry registry, Invariants invariants) {
+    this.registry = registry;
+    this.refusedNotRun = refusals(registry, RunState.NOT_RUN);
+    this.refusedUnknown = refusals(registry, RunState.UNKNOWN);
+    this.retries = perReason(registry, RetryReason.class, "retries", RetryReason::code);
+    this.drops = perReason(registry, DropReason.class, "drops", DropReason::code);
+    this.accepted = registry.counter(PREFIX + "requests.accepted");
+    this.completed = registry.counter(PREFIX + "requests.completed");
+    this.withinTargets = registry.counter(PREFIX + "requests.within.targets");
+    this.tokens = registry.counter(PREFIX + "tokens");
+    this.firstToken = timer(registry, "first.token");
+    this.betweenTokens = timer(registry, "between.tokens");
+    this.plainAnswer = timer(registry, "plain.answer");
+    for (Invariant one : Invariant.values()) {
+      registry
+          .more()
+          .counter(
+              PREFIX + "invariant.violations",
+              io.micrometer.core.instrument.Tags.of("invariant", one.code()),
+              invariants,
+              counted -> counted.violations(one));
+    }
+  }
+
+  private static Map<RefusalReason, Counter> refusals(MeterRegistry registry, RunState run) {
+    Map<RefusalReason, Counter> counters = new EnumMap<>(RefusalReason.class);
+    for (RefusalReason reason : RefusalReason.values()) {
+      counters.put(
+          reason,
+          registry.counter(
+              PREFIX + "requests.refused", "reason", reason.code(), "run", run.code()));
+    }
+    return counters;
+  }
+
+  private static <R extends Enum<R>> Map<R, Counter> perReason(
+      MeterRegistry registry, Class<R> type, String name, Function<R, String> code) {
+    Map<R, Counter> counters = new EnumMap<>(type);
+    Arrays.stream(type.getEnumConstants())
+        .forEach(
+            reason ->
+                counters.put(
+                    reason, registry.counter(PREFIX + name, "reason", code.apply(reason))));
+    return counters;
+  }
+
+  private static Timer timer(MeterRegistry registry, String name) {
+    return Timer.builder(PREFIX + name).publishPercentileHistogram().register(registry);
+  }
+
+  /** Shows how many requests run. */
+  public void showRunning(IntSupplier running) {
+    registry.gauge(PREFIX + "requests.running", running, IntSupplier::getAsInt);
+  }
+
+  /** Counts a request that was taken in. */
+  public void accepted() {
+    accepted.increment();
+  }
+
+  /**
+   * Counts a request whose answer is whole.
+   *
+   * @param isWithinTargets whether it met its rule's latency targets
+   */
+  public void completed(boolean isWithinTargets) {
+    completed.increment();
+    if (isWithinTargets) {
+      withinTargets.increment();
+    }
+  }
+
+  /** Counts a refusal. */
+  public void refused(Refusal refusal) {
+    Map<RefusalReason, Counter> counters =
+        refusal.runState() == RunState.NOT_RUN ? refusedNotRun : refusedUnknown;
+    counters.get(refusal.reason()).increment();
+  }
+
+  /** Counts a retry. */
+  public void retried(RetryReason reason) {
+    retries.get(reason).increment();
+  }
+
+  /** Counts something that came from outside and was dropped. */
+  public void dropped(DropReason reason) {
+    drops.get(reason).increment();
+  }
+
+  /** Takes how long a first token took. */
+  public void firstToken(long millis) {
+    tokens.increment();
+    firstToken.record(millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Takes how long after the one before a token came. */
+  public void laterToken(long millis) {
+    tokens.increment();
+    betweenTokens.record(millis, TimeUnit.MILLISECONDS);
+  }
+
+  /** Takes how long the answer of a plain service took. */
+  public void plainAnswer(long millis) {
+    plainAnswer.record(millis, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/DelayedTasks.java
@@ -0,0 +1,14 @@
+package org.marjoramsail.daemon.request;
+
+/** Runs tasks later, on any thread. */
+@FunctionalInterface
+public interface DelayedTasks {
+
+  /**
+   * Runs a task once.
+   *
+   * @param delayMillis after how long; at least one
+   * @param task what to run
+   */
+  void schedule(long delayMillis, Runnable task);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -0,0 +1,136 @@
+package org.marjoramsail.daemon.request;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.Executor;
+import org.marjoramsail.core.outcome.LifecycleAction;
+import org.marjoramsail.core.outcome.LifecycleEvent;
+import org.marjoramsail.core.outcome.RequestLifecycle;
+import org.marjoramsail.core.time.Clock;
+
+/**
+ * One request with its mailbox: events come on any thread, and are handled one after another on the
+ * request's own executor. Decisions are made under the shard's lock, actions outside it.
+ */
+final class LiveRequest {
+
+  private final Object shardLock;
+  private final Executor home;
+  private final Clock clock;
+  private final DelayedTasks timers;
+  private final RequestLifecycle lifecycle;
+  private final RequestTrace trace;
+  private final ActionRunner runner;
+  private final Runnable settled;
+  private final Deque<LifecycleEvent> mailbox = new ArrayDeque<>(2);
+  private boolean draining;
+  private boolean removed;
+  private long timerAtMillis = Long.MAX_VALUE;
+
+  LiveRequest(
+      Object shardLock,
+      Executor home,
+      Clock clock,
+      DelayedTasks timers,
+      RequestLifecycle lifecycle,
+      ActionRunner runner,
+      Runnable settled) {
+    this.shardLock = shardLock;
+    this.home = home;
+    this.clock = clock;
+    this.timers = timers;
+    this.lifecycle = lifecycle;
+    this.trace = new RequestTrace(lifecycle.profile().receivedAtMillis());
+    this.runner = runner;
+    this.settled = settled;
+  }
+
+  /** Takes an event on any thread. */
+  void deliver(LifecycleEvent event) {
+    synchronized (shardLock) {
+      mailbox.add(event);
+      if (draining) {
+        return;
+      }
+      draining = true;
+    }
+    home.execute(this::drain);
+  }
+
+  /** What operators see; takes the shard's lock. */
+  RequestView view() {
+    synchronized (shardLock) {
+      return new RequestView(
+          lifecycle.profile().id(),
+          lifecycle.profile().service(),
+          lifecycle.profile().organisation(),
+          lifecycle.profile().rule(),
+          lifecycle.state(),
+          lifecycle.attempt(),
+          lifecycle.grant().flatMap(grant -> grant.prefill()),
+          lifecycle.grant().map(grant -> grant.target()),
+          lifecycle.emittedTokens(),
+          clock.millis() - lifecycle.profile().receivedAtMillis(),
+          trace.steps());
+    }
+  }
+
+  private void drain() {
+    boolean more = true;
+    while (more) {
+      more = handleNext();
+    }
+  }
+
+  private boolean handleNext() {
+    LifecycleEvent event;
+    List<LifecycleAction> actions;
+    synchronized (shardLock) {
+      event = mailbox.poll();
+      if (event == null) {
+        draining = false;
+        return false;
+      }
+      long nowMillis = clock.millis();
+      actions = lifecycle.handle(event, nowMillis);
+      Tracing.note(trace, nowMillis, lifecycle, event, actions);
+    }
+    actions.forEach(action -> runner.run(action, this::deliver));
+    afterwards();
+    return true;
+  }
+
+  private void afterwards() {
+    boolean remove;
+    synchronized (shardLock) {
+      remove = lifecycle.isSettled() && !removed;
+      removed |= remove;
+      lifecycle.nextWakeMillis().ifPresent(this::wakeAt);
+    }
+    if (remove) {
+      settled.run();
+    }
+  }
+
+  /** Sets a timer unless an earlier one is set; an early wake only looks and sets the next. */
+  private void wakeAt(long atMillis) {
+    if (atMillis >= timerAtMillis) {
+      return;
+    }
+    timerAtMillis = atMillis;
+    timers.schedule(Math.max(1, atMillis - clock.millis()), () -> timerFired(atMillis));
+  }
+
+  private void timerFired(long atMillis) {
+    synchronized (shardLock) {
+      if (removed) {
+        return;
+      }
+      if (timerAtMillis == atMillis) {
+        timerAtMillis = Long.MAX_VALUE;
+      }
+    }
+    deliver(new LifecycleEvent.TimePassed());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/NewRequest.java
@@ -0,0 +1,23 @@
+package org.marjoramsail.daemon.request;
+
+import java.util.Optional;
+import java.util.concurrent.Executor;
+import org.marjoramsail.core.outcome.RequestProfile;
+
+/**
+ * A request that is to be registered.
+ *
+ * @param profile what decisions need
+ * @param content what upstreams get
+ * @param claim the claim that has to be recorded first
+ * @param perTokenTargetMillis target between tokens, for the measures
+ * @param sink where its answer goes
+ * @param home runs tasks one after another; the sink is called on it
+ */
+public record NewRequest(
+    RequestProfile profile,
+    RequestContent content,
+    Optional<ClaimRequest> claim,
+    long perTokenTargetMillis,
+    CallerSink sink,
+    Executor home) {}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
@@ -0,0 +1,68 @@
+package org.marjoramsail.daemon.request;
+
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RetryReason;
+import org.marjoramsail.core.outcome.DropReason;
+import org.marjoramsail.core.outcome.RequestProfile;
+import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.daemon.metrics.RequestMetrics;
+
+/** Measures one request against the latency targets of its rule. */
+final class RequestMeter {
+
+  private final RequestMetrics metrics;
+  private final Clock clock;
+  private final RequestProfile profile;
+  private final long perTokenTargetMillis;
+  private int tokens;
+  private long firstTokenAtMillis;
+  private long lastTokenAtMillis;
+
+  RequestMeter(
+      RequestMetrics metrics, Clock clock, RequestProfile profile, long perTokenTargetMillis) {
+    this.metrics = metrics;
+    this.clock = clock;
+    this.profile = profile;
+    this.perTokenTargetMillis = perTokenTargetMillis;
+  }
+
+  void token() {
+    long nowMillis = clock.millis();
+    if (tokens == 0) {
+      firstTokenAtMillis = nowMillis;
+      metrics.firstToken(nowMillis - profile.receivedAtMillis());
+    } else {
+      metrics.laterToken(nowMillis - lastTokenAtMillis);
+    }
+    lastTokenAtMillis = nowMillis;
+    tokens++;
+  }
+
+  void completed() {
+    metrics.completed(isWithinTargets());
+  }
+
+  void plainAnswered() {
+    long nowMillis = clock.millis();
+    metrics.plainAnswer(nowMillis - profile.receivedAtMillis());
+    metrics.completed(nowMillis <= profile.firstTokenAtMillis());
+  }
+
+  void refused(Refusal refusal) {
+    metrics.refused(refusal);
+  }
+
+  void retried(RetryReason reason) {
+    metrics.retried(reason);
+  }
+
+  void dropped(DropReason reason) {
+    metrics.dropped(reason);
+  }
+
+  private boolean isWithinTargets() {
+    long betweenMillis = lastTokenAtMillis - firstTokenAtMillis;
+    return firstTokenAtMillis <= profile.firstTokenAtMillis()
+        && betweenMillis <= perTokenTargetMillis * Math.max(0, tokens - 1);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestPeers.java
@@ -0,0 +1,22 @@
+package org.marjoramsail.daemon.request;
+
+import org.marjoramsail.core.placement.PlacementService;
+import org.marjoramsail.daemon.upstream.EngineClient;
+import org.marjoramsail.daemon.upstream.PlainClient;
+import org.marjoramsail.daemon.upstream.UpstreamDirectory;
+
+/**
+ * Whom requests need.
+ *
+ * @param placement grants upstreams
+ * @param claims records claims
+ * @param engines calls model engines
+ * @param plainServices calls plain services
+ * @param directory finds upstreams
+ */
+public record RequestPeers(
+    PlacementService placement,
+    ClaimGate claims,
+    EngineClient engines,
+    PlainClient plainServices,
+    UpstreamDirectory directory) {}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
@@ -0,0 +1,190 @@
+package org.marjoramsail.daemon.request;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.random.RandomGenerator;
+import java.util.stream.IntStream;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.outcome.LifecycleEvent;
+import org.marjoramsail.core.outcome.RequestLifecycle;
+import org.marjoramsail.core.outcome.RequestProfile;
+import org.marjoramsail.core.outcome.RetryBudget;
+import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.daemon.metrics.RequestMetrics;
+
+/**
+ * All requests whose callers are connected to this daemon, in shards with a lock each.
+ *
+ * <p>A request stays registered until it has ended and no upstream can hold anything of it.
+ */
+public final class RequestRegistry {
+
+  private static final int SHARDS = 32;
+  private static final int ENDED_PER_SHARD = 32;
+
+  private static final class Shard {
+    private final Map<RequestId, LiveRequest> live = new HashMap<>();
+    private final Deque<RequestView> ended = new ArrayDeque<>();
+  }
+
+  private final RequestPeers peers;
+  private final OutcomeRules rules;
+  private final RequestMetrics metrics;
+  private final Clock clock;
+  private final DelayedTasks timers;
+  private final RandomGenerator random;
+  private final List<Shard> shards;
+  private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
+
+  /**
+   * Starts empty.
+   *
+   * @param peers whom requests need
+   * @param rules what all requests share in their decisions
+   * @param metrics what is counted
+   * @param clock tells the time
+   * @param timers wakes requests
+   * @param random for the jitter of back-off; safe for several threads
+   */
+  public RequestRegistry(
+      RequestPeers peers,
+      OutcomeRules rules,
+      RequestMetrics metrics,
+      Clock clock,
+      DelayedTasks timers,
+      RandomGenerator random) {
+    this.peers = peers;
+    this.rules = rules;
+    this.metrics = metrics;
+    this.clock = clock;
+    this.timers = timers;
+    this.random = random;
+    this.shards = IntStream.range(0, SHARDS).mapToObj(unused -> new Shard()).toList();
+    metrics.showRunning(this::size);
+  }
+
+  /** Takes in a request; its answer goes to its sink. */
+  public RequestHandle register(NewRequest request) {
+    RequestProfile profile = request.profile();
+    Shard shard = shard(profile.id());
+    LiveRequest live = live(request, shard);
+    synchronized (shard) {
+      shard.live.put(profile.id(), live);
+    }
+    metrics.accepted();
+    live.deliver(new LifecycleEvent.Started());
+    return new Handle(live);
+  }
+
+  private LiveRequest live(NewRequest request, Shard shard) {
+    RequestProfile profile = request.profile();
+    RequestLifecycle lifecycle =
+        new RequestLifecycle(
+            profile,
+            rules.policy(),
+            budgets.computeIfAbsent(
+                profile.service(), unused -> new RetryBudget(rules.retryReserve())),
+            rules.quarantine(),
+            rules.invariants(),
+            random);
+    ActionRunner runner =
+        new ActionRunner(
+            profile,
+            request.content(),
+            request.claim(),
+            request.sink(),
+            peers,
+            metrics,
+            clock,
+            request.perTokenTargetMillis());
+    return new LiveRequest(
+        shard,
+        request.home(),
+        clock,
+        timers,
+        lifecycle,
+        runner,
+        () -> settled(shard, profile.id()));
+  }
+
+  private static void settled(Shard shard, RequestId id) {
+    synchronized (shard) {
+      LiveRequest live = shard.live.remove(id);
+      if (live == null) {
+        return;
+      }
+      if (shard.ended.size() == ENDED_PER_SHARD) {
+        shard.ended.removeFirst();
+      }
+      shard.ended.addLast(live.view());
+    }
+  }
+
+  /** Tells all requests that an upstream has started anew, or is gone for good. */
+  public void upstreamRestarted(UpstreamName upstream) {
+    LifecycleEvent event = new LifecycleEvent.UpstreamRestarted(upstream);
+    for (Shard shard : shards) {
+      List<LiveRequest> all;
+      synchronized (shard) {
+        all = List.copyOf(shard.live.values());
+      }
+      all.forEach(live -> live.deliver(event));
+    }
+  }
+
+  /** How many requests are registered. */
+  public int size() {
+    int size = 0;
+    for (Shard shard : shards) {
+      synchronized (shard) {
+        size += shard.live.size();
+      }
+    }
+    return size;
+  }
+
+  /** Where a request is, or was when it ended a short time ago. */
+  public Optional<RequestView> view(RequestId id) {
+    Shard shard = shard(id);
+    synchronized (shard) {
+      Optional<RequestView> live = Optional.ofNullable(shard.live.get(id)).map(LiveRequest::view);
+      return live.or(
+          () -> shard.ended.stream().filter(view -> view.request().equals(id)).findFirst());
+    }
+  }
+
+  /** All requests that are registered now. */
+  public List<RequestView> views() {
+    List<RequestView> views = new ArrayList<>();
+    for (Shard shard : shards) {
+      synchronized (shard) {
+        shard.live.values().forEach(live -> views.add(live.view()));
+      }
+    }
+    return views;
+  }
+
+  private Shard shard(RequestId id) {
+    return shards.get(Math.floorMod(id.hashCode(), SHARDS));
+  }
+
+  private record Handle(LiveRequest live) implements RequestHandle {
+    @Override
+    public void callerGone() {
+      live.deliver(new LifecycleEvent.CallerGone());
+    }
+
+    @Override
+    public void end(Refusal refusal) {
+      live.deliver(new LifecycleEvent.CallerEnded(refusal));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestView.java
@@ -0,0 +1,41 @@
+package org.marjoramsail.daemon.request;
+
+import java.util.List;
+import java.util.Optional;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.outcome.LifecycleState;
+
+/**
+ * Where a request is and how it got there, for operators.
+ *
+ * @param request the request
+ * @param service the service asked for
+ * @param organisation whose it is
+ * @param rule the rule that matched it
+ * @param state where it is
+ * @param attempt the current attempt
+ * @param prefill the prefill upstream of the current attempt
+ * @param target the upstream of the current attempt that generates or answers
+ * @param emittedTokens how many tokens the caller has
+ * @param ageMillis since it arrived
+ * @param steps its way so far, bounded
+ */
+public record RequestView(
+    RequestId request,
+    String service,
+    String organisation,
+    String rule,
+    LifecycleState state,
+    int attempt,
+    Optional<UpstreamName> prefill,
+    Optional<UpstreamName> target,
+    int emittedTokens,
+    long ageMillis,
+    List<TraceStep> steps) {
+
+  /** Copies the list, so that the value cannot change. */
+  public RequestView {
+    steps = List.copyOf(steps);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/TraceKind.java
@@ -0,0 +1,27 @@
+package org.marjoramsail.daemon.request;
+
+import java.util.Locale;
+
+/** What can happen on a request's way. */
+public enum TraceKind {
+  CLAIM_ASKED,
+  CLAIM_SETTLED,
+  PLACEMENT_ASKED,
+  WITHDRAWN,
+  PREFILL_SENT,
+  PREFILLED,
+  DECODE_SENT,
+  PLAIN_SENT,
+  FIRST_TOKEN,
+  UPSTREAM_FAILED,
+  RETRIED,
+  CANCEL_SENT,
+  CALLER_GONE,
+  COMPLETED,
+  REFUSED;
+
+  /** The step in lower case with hyphens, as operators see it. */
+  public String code() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/Tracing.java
@@ -0,0 +1,92 @@
+package org.marjoramsail.daemon.request;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.outcome.LifecycleAction;
+import org.marjoramsail.core.outcome.LifecycleEvent;
+import org.marjoramsail.core.outcome.RequestLifecycle;
+
+/** Notes the steps of a request that tell an operator how it got where it is. */
+final class Tracing {
+
+  private Tracing() {}
+
+  static void note(
+      RequestTrace trace,
+      long nowMillis,
+      RequestLifecycle lifecycle,
+      LifecycleEvent event,
+      List<LifecycleAction> actions) {
+    if (event instanceof LifecycleEvent.UpstreamFailed failed) {
+      String reason = failed.failure().name().toLowerCase(Locale.ROOT).replace('_', '-');
+      trace.add(
+          nowMillis,
+          TraceKind.UPSTREAM_FAILED,
+          failed.attempt(),
+          Optional.of(failed.upstream()),
+          Optional.of(reason));
+    } else if (event instanceof LifecycleEvent.Prefilled prefilled) {
+      add(trace, nowMillis, TraceKind.PREFILLED, prefilled.attempt(), Optional.empty());
+    } else if (event instanceof LifecycleEvent.CallerGone) {
+      add(trace, nowMillis, TraceKind.CALLER_GONE, lifecycle.attempt(), Optional.empty());
+    }
+    actions.forEach(action -> noteAction(trace, nowMillis, lifecycle.attempt(), action));
+  }
+
+  private static void noteAction(
+      RequestTrace trace, long nowMillis, int attempt, LifecycleAction action) {
+    if (action instanceof LifecycleAction.EmitToken token) {
+      if (token.index() == 0) {
+        add(trace, nowMillis, TraceKind.FIRST_TOKEN, attempt, Optional.empty());
+      }
+    } else if (action instanceof LifecycleAction.SendPrefill send) {
+      add(trace, nowMillis, TraceKind.PREFILL_SENT, attempt, Optional.of(send.upstream()));
+    } else if (action instanceof LifecycleAction.SendDecode send) {
+      add(trace, nowMillis, TraceKind.DECODE_SENT, attempt, Optional.of(send.upstream()));
+    } else if (action instanceof LifecycleAction.SendPlain send) {
+      add(trace, nowMillis, TraceKind.PLAIN_SENT, attempt, Optional.of(send.upstream()));
+    } else if (action instanceof LifecycleAction.Cancel cancel) {
+      add(
+          trace,
+          nowMillis,
+          TraceKind.CANCEL_SENT,
+          cancel.attempt(),
+          Optional.of(cancel.upstream()));
+    } else {
+      noteDecision(trace, nowMillis, attempt, action);
+    }
+  }
+
+  private static void noteDecision(
+      RequestTrace trace, long nowMillis, int attempt, LifecycleAction action) {
+    if (action instanceof LifecycleAction.Place) {
+      add(trace, nowMillis, TraceKind.PLACEMENT_ASKED, attempt, Optional.empty());
+    } else if (action instanceof LifecycleAction.Withdraw) {
+      add(trace, nowMillis, TraceKind.WITHDRAWN, attempt, Optional.empty());
+    } else if (action instanceof LifecycleAction.RecordClaim) {
+      add(trace, nowMillis, TraceKind.CLAIM_ASKED, attempt, Optional.empty());
+    } else if (action instanceof LifecycleAction.SettleClaim) {
+      add(trace, nowMillis, TraceKind.CLAIM_SETTLED, attempt, Optional.empty());
+    } else if (action instanceof LifecycleAction.CountRetry retry) {
+      Optional<String> reason = Optional.of(retry.reason().code());
+      trace.add(nowMillis, TraceKind.RETRIED, attempt, Optional.empty(), reason);
+    } else if (action instanceof LifecycleAction.Refuse refuse) {
+      Optional<String> reason = Optional.of(refuse.refusal().reason().code());
+      trace.add(nowMillis, TraceKind.REFUSED, attempt, Optional.empty(), reason);
+    } else if (action instanceof LifecycleAction.Complete
+        || action instanceof LifecycleAction.DeliverAnswer) {
+      add(trace, nowMillis, TraceKind.COMPLETED, attempt, Optional.empty());
+    }
+  }
+
+  private static void add(
+      RequestTrace trace,
+      long nowMillis,
+      TraceKind kind,
+      int attempt,
+      Optional<UpstreamName> upstream) {
+    trace.add(nowMillis, kind, attempt, upstream, Optional.empty());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/package-info.java
@@ -0,0 +1,2 @@
+/** The shell around each request's lifecycle: carries out its actions, brings it events. */
+package org.marjoramsail.daemon.request;
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/EngineClient.java
@@ -0,0 +1,245 @@
+package org.marjoramsail.daemon.upstream;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.outcome.UpstreamFailure;
+
+/**
+ * Calls model engines.
+ *
+ * <p>Failed futures carry an {@link UpstreamCallException}. Handlers run on the Vert.x context of
+ * the call.
+ */
+public final class EngineClient {
+
+  private static final int OK = 200;
+  private static final String ATTEMPTS = "/v1/attempts";
+
+  private final UpstreamHttp http;
+  private final ObjectMapper json;
+
+  /**
+   * Takes what it calls with.
+   *
+   * @param http the connections
+   * @param json a mapper that knows {@code Optional}
+   */
+  public EngineClient(UpstreamHttp http, ObjectMapper json) {
+    this.http = http;
+    this.json = json;
+  }
+
+  /**
+   * Has an engine read a prompt.
+   *
+   * @param answered called with the answer, at most once
+   * @param failed called with the failure, at most once and not after an answer
+   */
+  public UpstreamCall prefill(
+      UpstreamEndpoint endpoint,
+      PrefillOrder order,
+      Consumer<PrefillAnswer> answered,
+      Consumer<UpstreamFailure> failed) {
+    UpstreamCall call = new UpstreamCall();
+    Consumer<UpstreamFailure> failedOnce = once(call, failed);
+    post(endpoint, "/v1/prefill", order, false, call, failedOnce)
+        .onSuccess(
+            response ->
+                UpstreamHttp.collect(
+                    response,
+                    http.limits().maximumAnswerBytes(),
+                    body -> prefillBody(response, body, call, answered, failedOnce),
+                    failedOnce));
+    return call;
+  }
+
+  private void prefillBody(
+      HttpClientResponse response,
+      Buffer body,
+      UpstreamCall call,
+      Consumer<PrefillAnswer> answered,
+      Consumer<UpstreamFailure> failed) {
+    if (response.statusCode() != OK) {
+      failed.accept(RefusalBody.failure(json, response.statusCode(), body));
+      return;
+    }
+    PrefillAnswer answer;
+    try {
+      answer = json.readValue(body.getBytes(), PrefillAnswer.class);
+    } catch (IOException malformed) {
+      failed.accept(UpstreamFailure.MALFORMED);
+      return;
+    }
+    if (call.finish()) {
+      answered.accept(answer);
+    }
+  }
+
+  /**
+   * Has an engine generate.
+   *
+   * @param fresh whether the request may run only once, so that it needs a connection of its own
+   * @param listener hears the stream
+   */
+  public UpstreamCall decode(
+      UpstreamEndpoint endpoint, DecodeOrder order, boolean fresh, DecodeListener listener) {
+    UpstreamCall call = new UpstreamCall();
+    Consumer<UpstreamFailure> failed = once(call, listener::failed);
+    post(endpoint, "/v1/decode", order, fresh, call, failed)
+        .onSuccess(response -> decodeBody(response, call, listener, failed));
+    return call;
+  }
+
+  private void decodeBody(
+      HttpClientResponse response,
+      UpstreamCall call,
+      DecodeListener listener,
+      Consumer<UpstreamFailure> failed) {
+    if (response.statusCode() != OK) {
+      UpstreamHttp.collect(
+          response,
+          http.limits().maximumAnswerBytes(),
+          body -> failed.accept(RefusalBody.failure(json, response.statusCode(), body)),
+          failed);
+      return;
+    }
+    LineParser parser =
+        new LineParser(
+            http.limits().maximumLineBytes(), line -> frame(line, call, listener, failed));
+    response.handler(
+        bytes -> {
+          if (!parser.feed(bytes)) {
+            failed.accept(UpstreamFailure.MALFORMED);
+          }
+        });
+    response.exceptionHandler(cause -> failed.accept(UpstreamFailure.CUT));
+    response.endHandler(ended -> failed.accept(UpstreamFailure.CUT));
+  }
+
+  private void frame(
+      Buffer line, UpstreamCall call, DecodeListener listener, Consumer<UpstreamFailure> failed) {
+    if (call.isFinished()) {
+      return;
+    }
+    DecodeFrame frame;
+    try {
+      frame = json.readValue(line.getBytes(), DecodeFrame.class);
+    } catch (IOException malformed) {
+      failed.accept(UpstreamFailure.MALFORMED);
+      return;
+    }
+    if (!frame.isWhole()) {
+      failed.accept(UpstreamFailure.MALFORMED);
+      return;
+    }
+    if (frame.done()) {
+      call.finish();
+    }
+    listener.frame(frame);
+  }
+
+  /** Cancels an attempt; a success says that the engine holds nothing of it. */
+  public Future<Void> cancel(UpstreamEndpoint endpoint, RequestId request, int attempt) {
+    String path = ATTEMPTS + "/" + encode(request.value()) + "/" + attempt;
+    return http.control(endpoint, HttpMethod.DELETE, path).mapEmpty();
+  }
+
+  /** All that an engine holds. */
+  public Future<AttemptList> attempts(UpstreamEndpoint endpoint) {
+    return read(endpoint, ATTEMPTS, AttemptList.class);
+  }
+
+  /** What an engine holds of one run of a daemon. */
+  public Future<AttemptList> attempts(UpstreamEndpoint endpoint, DaemonId daemon) {
+    String path =
+        ATTEMPTS + "?daemon=" + encode(daemon.host()) + "&incarnation=" + daemon.incarnation();
+    return read(endpoint, path, AttemptList.class);
+  }
+
+  /** Cancels all attempts of this and earlier runs of a daemon; gives how many there were. */
+  public Future<Integer> cancelAll(UpstreamEndpoint endpoint, DaemonId through) {
+    String path =
+        ATTEMPTS
+            + "?daemon="
+            + encode(through.host())
+            + "&throughIncarnation="
+            + through.incarnation();
+    return http.control(endpoint, HttpMethod.DELETE, path)
+        .compose(body -> parse(endpoint, body, CancelledCount.class))
+        .map(CancelledCount::cancelled);
+  }
+
+  /** The load of an engine. */
+  public Future<UpstreamStatus> status(UpstreamEndpoint endpoint) {
+    return read(endpoint, "/v1/status", UpstreamStatus.class);
+  }
+
+  /** What the prefix cache of an engine took in and dropped after a sequence number. */
+  public Future<CacheEventList> cacheEvents(UpstreamEndpoint endpoint, long after) {
+    return read(endpoint, "/v1/cache-events?after=" + after, CacheEventList.class);
+  }
+
+  private <T> Future<T> read(UpstreamEndpoint endpoint, String path, Class<T> type) {
+    return http.control(endpoint, HttpMethod.GET, path)
+        .compose(body -> parse(endpoint, body, type));
+  }
+
+  private <T> Future<T> parse(UpstreamEndpoint endpoint, Buffer body, Class<T> type) {
+    try {
+      return Future.succeededFuture(json.readValue(body.getBytes(), type));
+    } catch (IOException malformed) {
+      return Future.failedFuture(
+          new UpstreamCallException(endpoint, UpstreamFailure.MALFORMED, malformed));
+    }
+  }
+
+  private Future<HttpClientResponse> post(
+      UpstreamEndpoint endpoint,
+      String path,
+      Object order,
+      boolean fresh,
+      UpstreamCall call,
+      Consumer<UpstreamFailure> failed) {
+    Buffer body;
+    try {
+      body = Buffer.buffer(json.writeValueAsBytes(order));
+    } catch (JsonProcessingException unwritable) {
+      failed.accept(UpstreamFailure.CONNECT_FAILED);
+      return Promise.<HttpClientResponse>promise().future();
+    }
+    return http.connect(endpoint, HttpMethod.POST, path, fresh)
+        .compose(
+            request -> {
+              if (!call.attach(request)) {
+                return Promise.<HttpClientResponse>promise().future();
+              }
+              request.putHeader("content-type", "application/json");
+              return http.send(endpoint, request, body);
+            })
+        .onFailure(cause -> failed.accept(UpstreamCallException.failureOf(cause)));
+  }
+
+  private static Consumer<UpstreamFailure> once(
+      UpstreamCall call, Consumer<UpstreamFailure> failed) {
+    return failure -> {
+      if (call.finish()) {
+        failed.accept(failure);
+      }
+    };
+  }
+
+  private static String encode(String value) {
+    return URLEncoder.encode(value, StandardCharsets.UTF_8);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/PlainClient.java
@@ -0,0 +1,133 @@
+package org.marjoramsail.daemon.upstream;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import java.io.IOException;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.marjoramsail.core.failure.RunState;
+import org.marjoramsail.core.outcome.UpstreamFailure;
+
+/** Calls plain services. Handlers run on the Vert.x context of the call. */
+public final class PlainClient {
+
+  /** Headers that belong to one connection and are not passed on. */
+  private static final Set<String> HOP_BY_HOP =
+      Set.of(
+          "connection",
+          "keep-alive",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "proxy-connection",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "content-length",
+          "host",
+          "expect");
+
+  private static final String RUN_HEADER = "marjoramsail-run";
+  private static final int UNAVAILABLE = 503;
+
+  private final UpstreamHttp http;
+  private final ObjectMapper json;
+
+  /** Takes what it calls with. */
+  public PlainClient(UpstreamHttp http, ObjectMapper json) {
+    this.http = http;
+    this.json = json;
+  }
+
+  /**
+   * Sends a request.
+   *
+   * @param fresh whether it may run only once, so that it needs a connection of its own
+   * @param answered called with the whole answer, at most once
+   * @param failed called with the failure, at most once and not after an answer
+   */
+  public UpstreamCall send(
+      UpstreamEndpoint endpoint,
+      PlainOrder order,
+      boolean fresh,
+      Consumer<PlainAnswer> answered,
+      Consumer<UpstreamFailure> failed) {
+    UpstreamCall call = new UpstreamCall();
+    Consumer<UpstreamFailure> failedOnce =
+        failure -> {
+          if (call.finish()) {
+            failed.accept(failure);
+          }
+        };
+    http.connect(endpoint, HttpMethod.valueOf(order.method()), order.path(), fresh)
+        .compose(
+            request -> {
+              if (!call.attach(request)) {
+                return Promise.<HttpClientResponse>promise().future();
+              }
+              copyEndToEnd(order.headers(), request.headers());
+              request.putHeader("marjoramsail-request", order.request().value());
+              request.putHeader("marjoramsail-attempt", Integer.toString(order.attempt()));
+              return http.send(endpoint, request, order.body());
+            })
+        .onFailure(cause -> failedOnce.accept(UpstreamCallException.failureOf(cause)))
+        .onSuccess(
+            response ->
+                UpstreamHttp.collect(
+                    response,
+                    http.limits().maximumAnswerBytes(),
+                    body -> whole(response, body, call, answered, failedOnce),
+                    failedOnce));
+    return call;
+  }
+
+  /** The load of a plain service. */
+  public Future<UpstreamStatus> status(UpstreamEndpoint endpoint) {
+    return http.control(endpoint, HttpMethod.GET, "/-/status")
+        .compose(
+            body -> {
+              try {
+                return Future.succeededFuture(
+                    json.readValue(body.getBytes(), UpstreamStatus.class));
+              } catch (IOException malformed) {
+                return Future.failedFuture(
+                    new UpstreamCallException(endpoint, UpstreamFailure.MALFORMED, malformed));
+              }
+            });
+  }
+
+  private static void whole(
+      HttpClientResponse response,
+      Buffer body,
+      UpstreamCall call,
+      Consumer<PlainAnswer> answered,
+      Consumer<UpstreamFailure> failed) {
+    boolean notRun =
+        response.statusCode() == UNAVAILABLE
+            && RunState.NOT_RUN.code().equals(response.getHeader(RUN_HEADER));
+    if (notRun) {
+      failed.accept(UpstreamFailure.REFUSED);
+      return;
+    }
+    if (call.finish()) {
+      MultiMap headers = MultiMap.caseInsensitiveMultiMap();
+      copyEndToEnd(response.headers(), headers);
+      answered.accept(new PlainAnswer(response.statusCode(), headers, body));
+    }
+  }
+
+  private static void copyEndToEnd(MultiMap from, MultiMap to) {
+    for (Map.Entry<String, String> header : from) {
+      if (!HOP_BY_HOP.contains(header.getKey().toLowerCase(Locale.ROOT))) {
+        to.add(header.getKey(), header.getValue());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamDirectory.java
@@ -0,0 +1,50 @@
+package org.marjoramsail.daemon.upstream;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.model.UpstreamName;
+
+/** Finds upstreams by name in the newest configuration, without a search for each request. */
+public final class UpstreamDirectory {
+
+  private record Index(long revision, Map<UpstreamName, UpstreamDefinition> definitions) {}
+
+  private final Supplier<Configuration> configuration;
+  private volatile Index index;
+
+  /** Takes where the newest configuration comes from. */
+  public UpstreamDirectory(Supplier<Configuration> configuration) {
+    this.configuration = configuration;
+    this.index = index(configuration.get());
+  }
+
+  /** What the configuration says of an upstream. */
+  public Optional<UpstreamDefinition> definition(UpstreamName name) {
+    Configuration newest = configuration.get();
+    Index current = index;
+    if (current.revision() != newest.revision()) {
+      current = index(newest);
+      index = current;
+    }
+    return Optional.ofNullable(current.definitions().get(name));
+  }
+
+  /** Where an upstream listens. */
+  public Optional<UpstreamEndpoint> endpoint(UpstreamName name) {
+    return definition(name).map(UpstreamEndpoint::of);
+  }
+
+  private static Index index(Configuration configuration) {
+    return new Index(
+        configuration.revision(),
+        configuration.upstreams().stream()
+            .collect(
+                Collectors.toUnmodifiableMap(
+                    UpstreamDefinition::name, Function.identity(), (first, second) -> first)));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamHttp.java
@@ -0,0 +1,136 @@
+package org.marjoramsail.daemon.upstream;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.util.function.Consumer;
+import org.marjoramsail.core.outcome.UpstreamFailure;
+
+/**
+ * HTTP towards upstreams, with what each kind of failure proves.
+ *
+ * <p>Requests that may run only once go through connections that are made for them. Guards against
+ * the failure in which a pooled connection is closed by the upstream just as a request is written
+ * to it: nothing would tell whether the request ran, although it did not.
+ */
+public final class UpstreamHttp {
+
+  private static final int OK = 200;
+
+  private final HttpClient pooled;
+  private final HttpClient single;
+  private final UpstreamLimits limits;
+
+  /** Opens the clients; they are closed with {@code vertx}. */
+  public UpstreamHttp(Vertx vertx, UpstreamLimits limits) {
+    this.limits = limits;
+    PoolOptions pool = new PoolOptions().setHttp1MaxSize(limits.maximumConnections());
+    this.pooled = vertx.createHttpClient(options(limits).setKeepAlive(true), pool);
+    this.single = vertx.createHttpClient(options(limits).setKeepAlive(false), pool);
+  }
+
+  private static HttpClientOptions options(UpstreamLimits limits) {
+    return new HttpClientOptions()
+        .setPipelining(false)
+        .setTcpNoDelay(true)
+        .setConnectTimeout(limits.connectTimeoutMillis());
+  }
+
+  UpstreamLimits limits() {
+    return limits;
+  }
+
+  /**
+   * Connects; a failure proves that nothing was sent.
+   *
+   * @param fresh whether the connection has to be new
+   */
+  Future<HttpClientRequest> connect(
+      UpstreamEndpoint endpoint, HttpMethod method, String path, boolean fresh) {
+    RequestOptions options =
+        new RequestOptions()
+            .setHost(endpoint.address())
+            .setPort(endpoint.port())
+            .setMethod(method)
+            .setURI(path);
+    return (fresh ? single : pooled)
+        .request(options)
+        .recover(
+            cause ->
+                Future.failedFuture(
+                    new UpstreamCallException(endpoint, UpstreamFailure.CONNECT_FAILED, cause)));
+  }
+
+  /** Sends; a failure proves nothing. */
+  Future<HttpClientResponse> send(
+      UpstreamEndpoint endpoint, HttpClientRequest request, Buffer body) {
+    return request
+        .send(body)
+        .recover(
+            cause ->
+                Future.failedFuture(
+                    new UpstreamCallException(endpoint, UpstreamFailure.CUT, cause)));
+  }
+
+  /** Makes a short call that is bounded in time and repeatable, and gives the body of a 200. */
+  Future<Buffer> control(UpstreamEndpoint endpoint, HttpMethod method, String path) {
+    RequestOptions options =
+        new RequestOptions()
+            .setHost(endpoint.address())
+            .setPort(endpoint.port())
+            .setMethod(method)
+            .setURI(path)
+            .setTimeout(limits.controlTimeoutMillis());
+    return pooled
+        .request(options)
+        .recover(
+            cause ->
+                Future.failedFuture(
+                    new UpstreamCallException(endpoint, UpstreamFailure.CONNECT_FAILED, cause)))
+        .compose(request -> send(endpoint, request, Buffer.buffer()))
+        .compose(
+            response ->
+                response
+                    .body()
+                    .recover(
+                        cause ->
+                            Future.failedFuture(
+                                new UpstreamCallException(endpoint, UpstreamFailure.CUT, cause)))
+                    .compose(body -> requireOk(endpoint, response.statusCode(), body)));
+  }
+
+  private static Future<Buffer> requireOk(UpstreamEndpoint endpoint, int status, Buffer body) {
+    if (status == OK) {
+      return Future.succeededFuture(body);
+    }
+    return Future.failedFuture(
+        new UpstreamCallException(endpoint, UpstreamFailure.MALFORMED, "status " + status));
+  }
+
+  /** Collects a body up to a bound; calls back once, with nothing when it was cut or too long. */
+  static void collect(
+      HttpClientResponse response,
+      int maximumBytes,
+      Consumer<Buffer> whole,
+      Consumer<UpstreamFailure> failed) {
+    Buffer body = Buffer.buffer();
+    response.handler(
+        bytes -> {
+          body.appendBuffer(bytes);
+          if (body.length() > maximumBytes) {
+            response.handler(null);
+            response.request().reset();
+            failed.accept(UpstreamFailure.MALFORMED);
+          }
+        });
+    response.exceptionHandler(cause -> failed.accept(UpstreamFailure.CUT));
+    response.endHandler(ended -> whole.accept(body));
+  }
+}
