--- /dev/null
+++ b/command/src/main/java/org/marjoramsail/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line {@code marjoramsail}: its commands, their options and its exit codes. */
+package org.marjoramsail.command;
--- a/standin/src/main/java/org/marjoramsail/standin/load/RequestMix.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/RequestMix.java
@@ -3,6 +3,7 @@
 import java.util.Collections;
 import java.util.EnumMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.random.RandomGenerator;
 
@@ -46,6 +47,11 @@
     return organisations;
   }
 
+  /** Its name on the command line: lower case with hyphens. */
+  public String code() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
   /** The bearer token of an organisation's callers. */
   public static String token(String organisation) {
     return "token-of-" + organisation;
