--- a/command/src/main/java/org/marjoramsail/command/Marjoramsail.java
+++ b/command/src/main/java/org/marjoramsail/command/Marjoramsail.java
@@ -83,9 +83,7 @@
             .toList();
     if (!words.isEmpty() && command(words.get(0)).isEmpty()) {
       return usage(
-          "There is no command '%s'.".formatted(words.get(0)),
-          suggestion(words.get(0)),
-          arguments);
+          "There is no command '%s'.".formatted(words.get(0)), suggestion(words.get(0)), arguments);
     }
     try {
       Help.help(commands.getMetadata(), words.stream().limit(1).toList(), surroundings.output());
