--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -145,6 +145,14 @@
     }
   }
 
+  /** The upstreams on which something was cut and nothing proves or disproves a crash yet. */
+  public synchronized List<UpstreamName> unsettledUpstreams() {
+    return upstreams.entrySet().stream()
+        .filter(entry -> entry.getValue().isUnsettled())
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   /** What is to be done with a content now. */
   public synchronized Suspicion suspicion(long fingerprint, long nowMillis) {
     settleAndExpire(nowMillis);
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -18,6 +18,8 @@
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.placement.AttemptReport;
+import org.marjoramsail.core.placement.CacheEvent;
+import org.marjoramsail.core.placement.CacheObserver;
 import org.marjoramsail.core.placement.EntryAction;
 import org.marjoramsail.core.placement.EntryPlacement;
 import org.marjoramsail.core.placement.LoadReport;
@@ -178,6 +180,18 @@
     inform(upstream, (placer, now) -> placer.availability(upstream, available, now));
   }
 
+  /** Takes what an upstream says of its prefix cache; policies without an index ignore it. */
+  public void cached(CacheEvent event) {
+    inform(
+        event.upstream(),
+        (placer, now) -> {
+          if (placer instanceof CacheObserver observer) {
+            observer.cacheEvent(event);
+          }
+          return List.of();
+        });
+  }
+
   /** Tells a fact about an upstream to the shard that it belongs to, if that is decided here. */
   public void inform(UpstreamName upstream, PlacerEvent event) {
     choice
