--- a/command/src/main/java/org/marjoramsail/command/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** The command line {@code marjoramsail}: its commands, their options and its exit codes. */
-package org.marjoramsail.command;
--- a/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
+++ b/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
@@ -34,7 +34,6 @@
   UPSTREAM_FAILED(502, true),
   RETRIES_EXHAUSTED(502, true),
   CALLER_GONE(499, false),
-  SLOW_READER(499, false),
   INTERNAL(500, false);
 
   private final int httpStatus;
--- a/core/src/main/java/org/marjoramsail/core/placement/CacheObserver.java
+++ /dev/null
@@ -1,9 +0,0 @@
-package org.marjoramsail.core.placement;
-
-/** Takes cache events as hints for where prefixes are. */
-@FunctionalInterface
-public interface CacheObserver {
-
-  /** Takes one event; events of unknown upstreams are ignored. */
-  void cacheEvent(CacheEvent event);
-}
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Counters and timers of requests: one counter for each refusal, retry and drop reason. */
-package org.marjoramsail.daemon.metrics;
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/ShardChoice.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/ShardChoice.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.marjoramsail.core.configuration.Configuration;
-import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.membership.MembershipView;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.placement.PlacementRequest;
@@ -23,9 +22,6 @@
   /** The shards that there are in the region of this daemon. */
   List<ShardId> shards();
 
-  /** The upstreams of a shard; empty for one that the configuration does not have. */
-  List<UpstreamDefinition> upstreamsOf(ShardId shard);
-
   /** A placer for a shard that this daemon begins to own. */
   Placer placerFor(ShardId shard);
 
