--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
@@ -1,16 +1,25 @@
 package org.marjoramsail.daemon.peer;
 
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.marjoramsail.core.configuration.RevisionDeltaMessage;
+import org.marjoramsail.core.configuration.RevisionDigestMessage;
+import org.marjoramsail.core.configuration.RevisionFullMessage;
+import org.marjoramsail.core.configuration.RevisionRequestMessage;
+import org.marjoramsail.core.configuration.RevisionStatusMessage;
+import org.marjoramsail.core.configuration.RevisionStatusRequestMessage;
 import org.marjoramsail.core.membership.AckMessage;
 import org.marjoramsail.core.membership.DigestMessage;
 import org.marjoramsail.core.membership.PingMessage;
 import org.marjoramsail.core.membership.PingRequestMessage;
 import org.marjoramsail.core.membership.StateMessage;
 import org.marjoramsail.core.message.PeerMessage;
+import org.marjoramsail.core.outcome.CrashReportMessage;
+import org.marjoramsail.core.placement.PlacementMessage;
 
 /**
  * The number that stands for each record on the wire.
@@ -26,7 +35,23 @@
   ACK(5, AckMessage.class),
   PING_REQUEST(6, PingRequestMessage.class),
   DIGEST(7, DigestMessage.class),
-  STATE(8, StateMessage.class);
+  STATE(8, StateMessage.class),
+  PLACE(20, PlacementMessage.Place.class),
+  RESTORE(21, PlacementMessage.Restore.class),
+  REPORT(22, PlacementMessage.Report.class),
+  WITHDRAW(23, PlacementMessage.Withdraw.class),
+  HOLDINGS(24, PlacementMessage.Holdings.class),
+  QUEUED(25, PlacementMessage.Queued.class),
+  GRANTED(26, PlacementMessage.Granted.class),
+  REFUSED(27, PlacementMessage.Refused.class),
+  UNKNOWN(28, PlacementMessage.Unknown.class),
+  REVISION_DIGEST(50, RevisionDigestMessage.class),
+  REVISION_DELTA(51, RevisionDeltaMessage.class),
+  REVISION_FULL(52, RevisionFullMessage.class),
+  REVISION_REQUEST(53, RevisionRequestMessage.class),
+  REVISION_STATUS(54, RevisionStatusMessage.class),
+  REVISION_STATUS_REQUEST(55, RevisionStatusRequestMessage.class),
+  CRASH_REPORT(70, CrashReportMessage.class);
 
   private static final int LAST_MEMBERSHIP_NUMBER = 19;
 
@@ -60,6 +85,22 @@
     return number <= LAST_MEMBERSHIP_NUMBER;
   }
 
+  /** The records of a part of the program whose common type is {@code family}. */
+  public static List<Class<? extends PeerMessage>> ofFamily(Class<? extends PeerMessage> family) {
+    return Arrays.stream(values())
+        .<Class<? extends PeerMessage>>map(PeerMessageType::message)
+        .filter(family::isAssignableFrom)
+        .toList();
+  }
+
+  /** The records that lie in the package of {@code neighbour}. */
+  public static List<Class<? extends PeerMessage>> ofPackage(Class<?> neighbour) {
+    return Arrays.stream(values())
+        .<Class<? extends PeerMessage>>map(PeerMessageType::message)
+        .filter(message -> message.getPackage().equals(neighbour.getPackage()))
+        .toList();
+  }
+
   /** The type with this number, if this version of the protocol knows one. */
   public static Optional<PeerMessageType> ofNumber(int number) {
     return Optional.ofNullable(BY_NUMBER.get(number));
