--- /dev/null
+++ b/command/src/main/java/org/marjoramsail/command/fleet/FleetDaemon.java
@@ -0,0 +1,25 @@
+package org.marjoramsail.command.fleet;
+
+import io.vertx.core.Future;
+
+/** A daemon of a local fleet. */
+public interface FleetDaemon {
+
+  /** Where it takes callers. */
+  int callerPort();
+
+  /** Where it takes operators and says whether it is ready. */
+  int operatorPort();
+
+  /** Where it takes other daemons. */
+  int peerPort();
+
+  /** Stops without cutting off a request. */
+  Future<Void> stop();
+
+  /** Ends at once, as a process does that dies: connections break and nothing is handed over. */
+  Future<Void> kill();
+
+  /** Stands still for some milliseconds, as a paused process does, and then goes on. */
+  void pause(long millis);
+}
--- /dev/null
+++ b/command/src/main/java/org/marjoramsail/command/fleet/FleetSetup.java
@@ -0,0 +1,15 @@
+package org.marjoramsail.command.fleet;
+
+import org.marjoramsail.standin.engine.EngineTimings;
+
+/**
+ * What a local fleet is.
+ *
+ * @param deployment whose servers it has
+ * @param daemons how many daemons
+ * @param policy the code of the placement policy
+ * @param seed decides what the stand-ins draw
+ * @param timings the engines' rates and delays
+ */
+public record FleetSetup(
+    Deployment deployment, int daemons, String policy, long seed, EngineTimings timings) {}
--- a/standin/src/main/java/org/marjoramsail/standin/load/Exchange.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/Exchange.java
@@ -168,7 +168,7 @@
   }
 
   private void plainAnswer(String body) {
-    if (expected.isPlainAnswer(request, body)) {
+    if (expected.isPlainAnswer(request, requestId, body)) {
       end(RequestEnd.COMPLETED, "");
     } else {
       end(RequestEnd.WRONG, "not the answer to " + request.reference() + ": " + body);
--- a/standin/src/test/java/org/marjoramsail/standin/load/LoadRunnerTest.java
+++ b/standin/src/test/java/org/marjoramsail/standin/load/LoadRunnerTest.java
@@ -32,7 +32,8 @@
         }
 
         @Override
-        public boolean isPlainAnswer(PlannedRequest request, String body) {
+        public boolean isPlainAnswer(
+            PlannedRequest request, Optional<String> requestId, String body) {
           return body.equals("answer to " + request.path());
         }
       };
