Find dead daemons by pings, suspicion and refutation

Cause: shard owners and survivors need to know which daemons run, at a cost that does not grow with the fleet and without false deaths. Change: MembershipProtocol, a SWIM-like detector without input or output: direct and indirect pings (other zones first), suspicion, refutation by version, news on pings, digests of 64 buckets, seeds, clean leave, pauses seen by a late tick, and regions that are unreachable as a whole instead of dead. A death told by others is a suspicion until waited out. MemberState gains UNREACHABLE. VirtualFleet runs many of them on one virtual clock.

--- a/core/src/main/java/org/marjoramsail/core/membership/MemberState.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MemberState.java
@@ -8,6 +8,8 @@
   SUSPECT(true, true),
   /** Said that it is leaving; serves what it has and takes over nothing. */
   LEAVING(true, false),
+  /** Runs in a region that does not answer at all; it may well be serving there. */
+  UNREACHABLE(false, false),
   /** Did not refute a suspicion in time. */
   DEAD(false, false),
   /** Has left of its own will. */
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/membership/MemberTable.java
@@ -0,0 +1,167 @@
+package org.marjoramsail.core.membership;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Predicate;
+import org.marjoramsail.core.model.DaemonId;
+
+/** All that one daemon believes of others, by host, with a digest that is kept up to date. */
+final class MemberTable {
+
+  static final int BUCKETS = 64;
+
+  private final String self;
+  private final TreeMap<String, MemberEntry> entries = new TreeMap<>();
+  private final Set<String> suspects = new LinkedHashSet<>();
+  private final Map<String, List<String>> reachableByRegion = new HashMap<>();
+  private final long[] buckets = new long[BUCKETS];
+  private boolean listsStale = true;
+  private int live;
+
+  MemberTable(MemberUpdate self, long nowMillis) {
+    this.self = self.host();
+    put(new MemberEntry(self, nowMillis));
+  }
+
+  MemberEntry self() {
+    return entries.get(self);
+  }
+
+  Optional<MemberEntry> find(String host) {
+    return Optional.ofNullable(entries.get(host));
+  }
+
+  /** The entry of exactly this run. */
+  Optional<MemberEntry> find(DaemonId daemon) {
+    return find(daemon.host()).filter(entry -> entry.id().equals(daemon));
+  }
+
+  void put(MemberEntry entry) {
+    String host = entry.update().host();
+    MemberEntry previous = entries.put(host, entry);
+    int bucket = bucket(host);
+    buckets[bucket] ^= entry.digest();
+    if (previous != null) {
+      buckets[bucket] ^= previous.digest();
+    }
+    live += (entry.isGone() ? 0 : 1) - (previous == null || previous.isGone() ? 0 : 1);
+    listsStale |= previous == null || previous.isGone() != entry.isGone();
+    listsStale |= previous != null && !previous.update().region().equals(entry.update().region());
+    if (entry.isSuspect()) {
+      suspects.add(host);
+    } else {
+      suspects.remove(host);
+    }
+  }
+
+  /** Daemons that are neither dead nor gone, with this one. */
+  int live() {
+    return live;
+  }
+
+  List<MemberEntry> suspects() {
+    return suspects.stream().map(entries::get).toList();
+  }
+
+  /** Hosts of other daemons of a region that are neither dead nor gone. */
+  List<String> reachableIn(String region) {
+    refreshLists();
+    return reachableByRegion.getOrDefault(region, List.of());
+  }
+
+  /** The regions of all daemons that are neither dead nor gone, but for the own one. */
+  Set<String> otherRegions() {
+    refreshLists();
+    Set<String> regions = new TreeSet<>(reachableByRegion.keySet());
+    regions.remove(self().update().region());
+    return regions;
+  }
+
+  List<Long> digest() {
+    List<Long> digest = new ArrayList<>(BUCKETS);
+    for (long bucket : buckets) {
+      digest.add(bucket);
+    }
+    return digest;
+  }
+
+  /** The buckets in which another daemon's digest differs; all when it counts them differently. */
+  List<Integer> differing(List<Long> other) {
+    List<Integer> differing = new ArrayList<>();
+    for (int bucket = 0; bucket < BUCKETS; bucket++) {
+      if (other.size() != BUCKETS || other.get(bucket) != buckets[bucket]) {
+        differing.add(bucket);
+      }
+    }
+    return differing;
+  }
+
+  List<MemberUpdate> inBuckets(List<Integer> wanted) {
+    Set<Integer> set = Set.copyOf(wanted);
+    return entries.values().stream()
+        .map(MemberEntry::update)
+        .filter(update -> set.contains(bucket(update.host())))
+        .toList();
+  }
+
+  /** Forgets daemons that were dead or gone before a moment; gives whether there were any. */
+  boolean forgetGoneBefore(long millis) {
+    return entries
+        .values()
+        .removeIf(
+            entry ->
+                entry.isGone()
+                    && entry.sinceMillis() < millis
+                    && !entry.update().host().equals(self));
+  }
+
+  List<MemberEntry> gone() {
+    return entries.values().stream().filter(MemberEntry::isGone).toList();
+  }
+
+  /** The addresses at which a daemon is known to run. */
+  Set<PeerAddress> liveAddresses() {
+    Set<PeerAddress> addresses = new LinkedHashSet<>();
+    for (MemberEntry entry : entries.values()) {
+      if (!entry.isGone()) {
+        addresses.add(entry.update().listening());
+      }
+    }
+    return addresses;
+  }
+
+  MembershipView view(Predicate<String> regionReachable) {
+    List<Member> members =
+        entries.values().stream()
+            .map(entry -> entry.member(regionReachable.test(entry.update().region())))
+            .toList();
+    return new MembershipView(self().member(true), members);
+  }
+
+  private void refreshLists() {
+    if (!listsStale) {
+      return;
+    }
+    listsStale = false;
+    reachableByRegion.clear();
+    for (MemberEntry entry : entries.values()) {
+      if (!entry.isGone() && !entry.update().host().equals(self)) {
+        reachableByRegion
+            .computeIfAbsent(entry.update().region(), region -> new ArrayList<>())
+            .add(entry.update().host());
+      }
+    }
+  }
+
+  private static int bucket(String host) {
+    return (int) Long.remainderUnsigned(Hashing.xxh3_64().hashCharsToLong(host), BUCKETS);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipProtocol.java
@@ -0,0 +1,538 @@
+package org.marjoramsail.core.membership;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.marjoramsail.core.membership.MembershipAction.Changed;
+import org.marjoramsail.core.membership.MembershipAction.Send;
+import org.marjoramsail.core.membership.MembershipAction.SendToAddress;
+import org.marjoramsail.core.membership.ProbeSchedule.Probe;
+import org.marjoramsail.core.message.PeerMessage;
+import org.marjoramsail.core.model.DaemonId;
+
+/**
+ * Finds out which daemons run: a failure detector in the manner of SWIM, with suspicion, refutation
+ * and dissemination on the pings themselves.
+ *
+ * <p>Each call takes the time in milliseconds and gives what is to be done. Calls must not overlap;
+ * the shell calls under one lock.
+ */
+public final class MembershipProtocol {
+
+  /** Each suspect is checked by about so many daemons in a period, however many there are. */
+  private static final double CHECKS_PER_SUSPECT = 8;
+
+  private static final int HURRIED_PINGS = 3;
+
+  /** Others that are told of a new suspicion at the next tick rather than at the next ping. */
+  private static final int SUSPICION_PINGS = 2;
+
+  private static final double OTHER_REGION_DIGEST_SHARE = 0.25;
+  private static final long FORGET_PERIOD_MILLIS = 10_000;
+  private static final long STRANGER_DIGEST_MILLIS = 500;
+
+  private final MembershipSettings settings;
+  private final List<PeerAddress> seeds;
+  private final RandomGenerator random;
+  private final MemberTable table;
+  private final Dissemination news = new Dissemination();
+  private final ProbeSchedule probes;
+  private final RegionWatch regions;
+  private final Relays relays = new Relays();
+  private final MembershipCounts counts = new MembershipCounts();
+
+  private List<PeerAddress> hostList = List.of();
+  private List<MembershipAction> actions = new ArrayList<>();
+  private boolean changed;
+  private boolean suspicionNews;
+  private Optional<DaemonId> successor = Optional.empty();
+  private long sequence;
+  private long lastTickMillis;
+  private long nextProbeMillis;
+  private long nextSeedMillis;
+  private long nextDigestMillis;
+  private long nextForgetMillis;
+  private long nextStrangerDigestMillis;
+
+  /**
+   * Knows no daemon but its own.
+   *
+   * @param self this run, alive and staying; version zero
+   * @param seeds addresses to begin with; stale ones and the own one do no harm
+   */
+  public MembershipProtocol(
+      MembershipSettings settings,
+      MemberUpdate self,
+      List<PeerAddress> seeds,
+      RandomGenerator random,
+      long nowMillis) {
+    this.settings = settings;
+    this.seeds = List.copyOf(seeds);
+    this.random = random;
+    this.table = new MemberTable(self, nowMillis);
+    this.probes = new ProbeSchedule(random);
+    this.regions = new RegionWatch(settings);
+    this.lastTickMillis = nowMillis;
+    this.nextProbeMillis = nowMillis + random.nextLong(settings.probePeriodMillis());
+    this.nextSeedMillis = nowMillis;
+    this.nextDigestMillis = nowMillis + random.nextLong(settings.digestPeriodMillis());
+    this.nextForgetMillis = nowMillis + FORGET_PERIOD_MILLIS;
+    this.nextStrangerDigestMillis = nowMillis;
+    news.add(self);
+  }
+
+  /** What is believed now. */
+  public MembershipView view() {
+    return table.view(regions::isReachable);
+  }
+
+  /** Where a run listens, if it is the newest one known of its host. */
+  public Optional<PeerAddress> addressOf(DaemonId daemon) {
+    return table.find(daemon).map(entry -> entry.update().listening());
+  }
+
+  /** What has been counted since the start. */
+  public MembershipStatistics statistics() {
+    return counts.statistics();
+  }
+
+  /** A later run of the own host, if one was heard of; then this one should stop. */
+  public Optional<DaemonId> successor() {
+    return successor;
+  }
+
+  /** Takes the addresses of the platform's lagging list; they are tried as the seeds are. */
+  public void hostList(List<PeerAddress> addresses) {
+    hostList = List.copyOf(addresses);
+  }
+
+  /** Does what is due; to be called every {@link MembershipSettings#TICK_MILLIS}. */
+  public List<MembershipAction> tick(long nowMillis) {
+    long sinceLastMillis = nowMillis - lastTickMillis;
+    lastTickMillis = nowMillis;
+    if (sinceLastMillis > settings.lateTickMillis()) {
+      paused(nowMillis);
+    }
+    probe(nowMillis);
+    expireSuspicions(nowMillis);
+    spreadSuspicions();
+    pingOtherRegions(nowMillis);
+    trySeed(nowMillis);
+    compareState(nowMillis);
+    forget(nowMillis);
+    return finish();
+  }
+
+  /** Takes a message of a proven sender. */
+  public List<MembershipAction> receive(DaemonId from, PeerMessage message, long nowMillis) {
+    heard(from, nowMillis);
+    if (message instanceof PingMessage ping) {
+      learn(ping.updates(), from, nowMillis);
+      answer(from, ping);
+    } else if (message instanceof AckMessage ack) {
+      learn(ack.updates(), from, nowMillis);
+      acknowledged(ack.sequence());
+    } else if (message instanceof PingRequestMessage request) {
+      learn(request.updates(), from, nowMillis);
+      relay(from, request);
+    } else if (message instanceof DigestMessage digest) {
+      learn(digest.updates(), from, nowMillis);
+      sendDifference(from, digest);
+    } else if (message instanceof StateMessage state) {
+      learn(state.members(), from, nowMillis);
+      if (state.answerWanted()) {
+        send(from, new StateMessage(state.buckets(), table.inBuckets(state.buckets()), false));
+      }
+    }
+    askStranger(from, nowMillis);
+    return finish();
+  }
+
+  /** Tells that this daemon takes over nothing any more. */
+  public List<MembershipAction> leave(long nowMillis) {
+    return depart(Departure.LEAVING, HURRIED_PINGS, nowMillis);
+  }
+
+  /** Tells that this daemon is gone; the shell stops once the messages are sent. */
+  public List<MembershipAction> left(long nowMillis) {
+    return depart(Departure.LEFT, settings.transmissions(table.live()), nowMillis);
+  }
+
+  private List<MembershipAction> depart(Departure departure, int pings, long nowMillis) {
+    adopt(table.self().withDeparture(departure, nowMillis));
+    hurry(pings);
+    return finish();
+  }
+
+  private List<MembershipAction> finish() {
+    if (changed) {
+      changed = false;
+      actions.add(new Changed(view()));
+    }
+    List<MembershipAction> finished = actions;
+    actions = new ArrayList<>();
+    return finished;
+  }
+
+  /**
+   * A process that was stopped for a second finds all its timers expired at once and would accuse
+   * whoever it had pinged, although their answers wait unread. So it drops what was under way and
+   * gives each suspicion its whole time again.
+   */
+  private void paused(long nowMillis) {
+    counts.pauses++;
+    probes.end();
+    relays.clear();
+    regions.paused();
+    nextProbeMillis = nowMillis;
+    for (MemberEntry suspect : table.suspects()) {
+      table.put(suspect.since(nowMillis));
+    }
+    hurry(HURRIED_PINGS);
+  }
+
+  private void probe(long nowMillis) {
+    if (probes.current().isPresent()) {
+      follow(probes.current().get(), nowMillis);
+    }
+    if (nowMillis < nextProbeMillis) {
+      return;
+    }
+    nextProbeMillis = Math.max(nextProbeMillis + settings.probePeriodMillis(), nowMillis);
+    checkSuspects();
+    probes.next(table).ifPresent(target -> beginProbe(target, nowMillis));
+  }
+
+  private void beginProbe(MemberEntry target, long nowMillis) {
+    counts.probes++;
+    long number = ++sequence;
+    probes.begin(new Probe(target.id(), target.update().version(), number, nowMillis, false));
+    send(target.id(), new PingMessage(number, newsFor(target)));
+  }
+
+  private void follow(Probe probe, long nowMillis) {
+    long waitedMillis = nowMillis - probe.startedMillis();
+    if (waitedMillis >= settings.probePeriodMillis()) {
+      probes.end();
+      counts.failedProbes++;
+      suspect(probe, nowMillis);
+    } else if (waitedMillis >= settings.ackTimeoutMillis() && !probe.indirect()) {
+      probes.begin(probe.asIndirect());
+      for (MemberEntry helper : helpers(probe.target())) {
+        send(
+            helper.id(), new PingRequestMessage(probe.sequence(), probe.target(), newsFor(helper)));
+      }
+    }
+  }
+
+  /** Others of the own region, those of other availability zones first: another path, if any. */
+  private List<MemberEntry> helpers(DaemonId target) {
+    List<MemberEntry> elsewhere = new ArrayList<>();
+    List<MemberEntry> near = new ArrayList<>();
+    String ownZone = table.self().update().availabilityZone();
+    List<String> hosts = table.reachableIn(table.self().update().region());
+    int draws = Math.min(hosts.size(), settings.indirectProbes() * 4);
+    Set<String> drawn = new LinkedHashSet<>();
+    for (int draw = 0; draw < draws; draw++) {
+      drawn.add(hosts.get(random.nextInt(hosts.size())));
+    }
+    drawn.remove(target.host());
+    for (String host : drawn) {
+      MemberEntry entry = table.find(host).orElseThrow();
+      boolean other = !entry.update().availabilityZone().equals(ownZone);
+      (other ? elsewhere : near).add(entry);
+    }
+    elsewhere.addAll(near);
+    return elsewhere.subList(0, Math.min(elsewhere.size(), settings.indirectProbes()));
+  }
+
+  private void suspect(Probe probe, long nowMillis) {
+    Optional<MemberEntry> entry =
+        table
+            .find(probe.target())
+            .filter(found -> found.update().version() == probe.version())
+            .filter(found -> found.update().health() == Health.ALIVE);
+    if (entry.isPresent()) {
+      MemberEntry suspect = entry.get().withHealth(Health.SUSPECT, nowMillis);
+      adopt(suspect);
+      check(suspect);
+    }
+  }
+
+  /** Tells suspects that they are, so that those that run can refute it. */
+  private void checkSuspects() {
+    double share = CHECKS_PER_SUSPECT / Math.max(CHECKS_PER_SUSPECT, table.live());
+    for (MemberEntry suspect : table.suspects()) {
+      if (random.nextDouble() < share) {
+        check(suspect);
+      }
+    }
+  }
+
+  private void check(MemberEntry suspect) {
+    send(suspect.id(), new PingMessage(++sequence, newsFor(suspect)));
+  }
+
+  private void expireSuspicions(long nowMillis) {
+    long boundMillis = settings.suspicionMillis(table.live());
+    for (MemberEntry suspect : table.suspects()) {
+      boolean due = nowMillis - suspect.sinceMillis() >= boundMillis;
+      if (due && regions.isReachable(suspect.update().region())) {
+        adopt(suspect.withHealth(Health.DEAD, nowMillis));
+      }
+    }
+  }
+
+  /**
+   * Each daemon waits out a suspicion from when it hears of it, so the slowest to hear is the last
+   * to know of a death. Whoever hears of one tells others at once, all new ones together.
+   */
+  private void spreadSuspicions() {
+    if (suspicionNews) {
+      suspicionNews = false;
+      hurry(SUSPICION_PINGS);
+    }
+  }
+
+  private void pingOtherRegions(long nowMillis) {
+    for (String region : table.otherRegions()) {
+      if (regions.isDue(region, nowMillis)) {
+        MemberEntry target = randomIn(region).orElseThrow();
+        send(target.id(), new PingMessage(++sequence, newsFor(target)));
+        changed |= regions.pinged(region, nowMillis);
+      }
+    }
+  }
+
+  /**
+   * Tries one address where no daemon is known to run: a seed, one of the platform's list, or that
+   * of a daemon held for dead. This joins a new daemon, and joins again what a cut had separated.
+   */
+  private void trySeed(long nowMillis) {
+    if (nowMillis < nextSeedMillis) {
+      return;
+    }
+    boolean alone = table.live() == 1;
+    nextSeedMillis =
+        nowMillis + (alone ? settings.probePeriodMillis() : settings.seedPeriodMillis());
+    Set<PeerAddress> candidates = new LinkedHashSet<>(seeds);
+    candidates.addAll(hostList);
+    for (MemberEntry gone : table.gone()) {
+      candidates.add(gone.update().listening());
+    }
+    candidates.removeAll(table.liveAddresses());
+    if (!candidates.isEmpty()) {
+      PeerAddress chosen = List.copyOf(candidates).get(random.nextInt(candidates.size()));
+      actions.add(new SendToAddress(chosen, new PingMessage(++sequence, ownNews())));
+    }
+  }
+
+  private void compareState(long nowMillis) {
+    if (nowMillis < nextDigestMillis) {
+      return;
+    }
+    nextDigestMillis = nowMillis + settings.digestPeriodMillis();
+    List<String> others = List.copyOf(table.otherRegions());
+    boolean far = !others.isEmpty() && random.nextDouble() < OTHER_REGION_DIGEST_SHARE;
+    String region =
+        far ? others.get(random.nextInt(others.size())) : table.self().update().region();
+    randomIn(region).ifPresent(peer -> sendDigest(peer.id()));
+  }
+
+  private void sendDigest(DaemonId to) {
+    counts.digests++;
+    send(to, new DigestMessage(table.digest(), ownNews()));
+  }
+
+  private void sendDifference(DaemonId to, DigestMessage digest) {
+    List<Integer> differing = table.differing(digest.buckets());
+    if (!differing.isEmpty()) {
+      counts.states++;
+      send(to, new StateMessage(differing, table.inBuckets(differing), true));
+    }
+  }
+
+  private void forget(long nowMillis) {
+    if (nowMillis >= nextForgetMillis) {
+      nextForgetMillis = nowMillis + FORGET_PERIOD_MILLIS;
+      changed |= table.forgetGoneBefore(nowMillis - settings.forgetMillis());
+    }
+  }
+
+  private void heard(DaemonId from, long nowMillis) {
+    Optional<MemberEntry> entry = table.find(from);
+    if (entry.isPresent() && regions.heard(entry.get().update().region())) {
+      changed = true;
+      restartSuspicions(entry.get().update().region(), nowMillis);
+      sendDigest(from);
+    }
+  }
+
+  /** What a region was suspected of before it was cut off must be refutable after. */
+  private void restartSuspicions(String region, long nowMillis) {
+    for (MemberEntry suspect : table.suspects()) {
+      if (suspect.update().region().equals(region)) {
+        table.put(suspect.since(nowMillis));
+      }
+    }
+  }
+
+  private void acknowledged(long number) {
+    if (probes.isCurrent(number)) {
+      probes.end();
+    }
+    relays
+        .take(number)
+        .ifPresent(
+            relay -> send(relay.requester(), new AckMessage(relay.sequence(), newsFor(relay))));
+  }
+
+  /**
+   * Whoever holds this daemon for suspect hears the refutation in the answer, however often others
+   * were told before: a daemon that wakes from a pause finds more such pings than it tells news,
+   * and the last of those that accuse it would declare it dead.
+   */
+  private void answer(DaemonId from, PingMessage ping) {
+    List<MemberUpdate> first = new ArrayList<>();
+    table
+        .find(from.host())
+        .filter(this::needsAnswer)
+        .map(MemberEntry::update)
+        .ifPresent(first::add);
+    if (ping.updates().stream().anyMatch(this::isAccusation)) {
+      first.add(table.self().update());
+    }
+    send(from, new AckMessage(ping.sequence(), take(first)));
+  }
+
+  private boolean isAccusation(MemberUpdate update) {
+    return update.id().equals(table.self().id()) && update.health() != Health.ALIVE;
+  }
+
+  private void relay(DaemonId from, PingRequestMessage request) {
+    Optional<MemberEntry> target = table.find(request.target());
+    long number = ++sequence;
+    relays.add(number, new Relays.Relay(from, request.sequence()));
+    List<MemberUpdate> updates = target.map(this::newsFor).orElseGet(() -> take(List.of()));
+    send(request.target(), new PingMessage(number, updates));
+  }
+
+  /**
+   * A sender that is not known, or known as a later run than it is, is asked what it knows: its
+   * answer says who it is, and tells it what it lacks.
+   */
+  private void askStranger(DaemonId from, long nowMillis) {
+    boolean known = table.find(from).isPresent();
+    boolean old = table.find(from.host()).filter(e -> e.id().supersedes(from)).isPresent();
+    if (!known && !old && nowMillis >= nextStrangerDigestMillis) {
+      nextStrangerDigestMillis = nowMillis + (table.live() == 1 ? 0 : STRANGER_DIGEST_MILLIS);
+      sendDigest(from);
+    }
+  }
+
+  private void learn(List<MemberUpdate> updates, DaemonId from, long nowMillis) {
+    for (MemberUpdate update : updates) {
+      if (update.host().equals(table.self().update().host())) {
+        learnOfSelf(update, from);
+      } else {
+        learnOfOther(update, nowMillis);
+      }
+    }
+  }
+
+  private void learnOfSelf(MemberUpdate heard, DaemonId from) {
+    MemberEntry self = table.self();
+    if (heard.id().supersedes(self.id())) {
+      successor = Optional.of(heard.id());
+      return;
+    }
+    if (isAccusation(heard) && heard.version() >= self.update().version()) {
+      counts.refutations++;
+      adopt(self.withVersion(heard.version() + 1));
+      send(from, new PingMessage(++sequence, ownNews()));
+      hurry(HURRIED_PINGS);
+    }
+  }
+
+  private void learnOfOther(MemberUpdate heard, long nowMillis) {
+    Optional<MemberEntry> known = table.find(heard.host());
+    boolean gone = heard.health() == Health.DEAD || heard.departure() == Departure.LEFT;
+    if (known.isEmpty()) {
+      // A daemon that was forgotten as dead must not come back to be forgotten once more.
+      if (!gone) {
+        adopt(new MemberEntry(heard, nowMillis));
+      }
+      return;
+    }
+    MemberEntry entry = known.get();
+    if (heard.id().supersedes(entry.id())) {
+      adopt(new MemberEntry(heard, nowMillis));
+    } else if (heard.id().equals(entry.id())) {
+      MemberEntry joined = entry.join(heard, nowMillis);
+      if (!joined.update().equals(entry.update())) {
+        adopt(joined);
+      }
+    }
+  }
+
+  /** Believes something new, tells it on, and counts it. */
+  private void adopt(MemberEntry entry) {
+    Optional<MemberEntry> previous = table.find(entry.update().host());
+    boolean sameRun = previous.filter(old -> old.id().equals(entry.id())).isPresent();
+    Health before = sameRun ? previous.get().update().health() : Health.ALIVE;
+    Health after = entry.update().health();
+    boolean suspicion = before == Health.ALIVE && after == Health.SUSPECT;
+    suspicionNews |= suspicion;
+    counts.suspicions += suspicion ? 1 : 0;
+    counts.deaths += before != Health.DEAD && after == Health.DEAD ? 1 : 0;
+    counts.revivals += before == Health.DEAD && after != Health.DEAD ? 1 : 0;
+    changed |= !sameRun || previous.get().state(true) != entry.state(true);
+    table.put(entry);
+    news.add(entry.update());
+  }
+
+  private void hurry(int pings) {
+    List<String> hosts = table.reachableIn(table.self().update().region());
+    Set<String> chosen = new LinkedHashSet<>();
+    for (int draw = 0; draw < pings && !hosts.isEmpty(); draw++) {
+      chosen.add(hosts.get(random.nextInt(hosts.size())));
+    }
+    for (String host : chosen) {
+      MemberEntry entry = table.find(host).orElseThrow();
+      send(entry.id(), new PingMessage(++sequence, take(List.of(table.self().update()))));
+    }
+  }
+
+  private Optional<MemberEntry> randomIn(String region) {
+    List<String> hosts = table.reachableIn(region);
+    return hosts.isEmpty() ? Optional.empty() : table.find(hosts.get(random.nextInt(hosts.size())));
+  }
+
+  private boolean needsAnswer(MemberEntry sender) {
+    return sender.isGone() || sender.isSuspect();
+  }
+
+  /** News for a daemon, with what it is accused of first. */
+  private List<MemberUpdate> newsFor(MemberEntry receiver) {
+    return take(needsAnswer(receiver) ? List.of(receiver.update()) : List.of());
+  }
+
+  private List<MemberUpdate> newsFor(Relays.Relay relay) {
+    return table.find(relay.requester()).map(this::newsFor).orElseGet(() -> take(List.of()));
+  }
+
+  private List<MemberUpdate> ownNews() {
+    return take(List.of(table.self().update()));
+  }
+
+  private List<MemberUpdate> take(List<MemberUpdate> first) {
+    return news.take(first, settings.maximumUpdateBytes(), settings.transmissions(table.live()));
+  }
+
+  private void send(DaemonId to, PeerMessage message) {
+    actions.add(new Send(to, message));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/membership/VirtualFleet.java
@@ -0,0 +1,277 @@
+package org.marjoramsail.core.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.BiPredicate;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+import org.marjoramsail.core.message.PeerMessage;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.time.ManualClock;
+
+/**
+ * Many failure detectors on one virtual clock, with a network that loses, doubles and reorders; for
+ * tests and measurements. The same seed gives the same run.
+ */
+public final class VirtualFleet {
+
+  private static final long START_MILLIS = 1_000_000;
+  private static final int PORT = 7400;
+  private static final int HOSTS_PER_BLOCK = 250;
+
+  /** Hears of each message that a daemon sends. */
+  @FunctionalInterface
+  public interface Observer {
+    /** Called once for each message, before it is lost or delivered. */
+    void sent(DaemonId from, PeerMessage message);
+  }
+
+  /**
+   * How the network treats each message.
+   *
+   * @param lost share of messages that vanish, from 0 to 1
+   * @param duplicated share of messages that arrive twice, from 0 to 1
+   * @param shortestMillis the shortest way, in milliseconds
+   * @param longestMillis the longest way, in milliseconds; a difference reorders
+   */
+  public record Network(double lost, double duplicated, long shortestMillis, long longestMillis) {
+
+    /** A network between zones of one region, without faults. */
+    public static final Network CALM = new Network(0, 0, 1, 2);
+  }
+
+  private static final class Node {
+    private final MemberUpdate self;
+    private final MembershipProtocol protocol;
+    private boolean running = true;
+    private long pausedUntilMillis;
+
+    Node(MemberUpdate self, MembershipProtocol protocol) {
+      this.self = self;
+      this.protocol = protocol;
+    }
+  }
+
+  private record Event(long dueMillis, long order, Node node, Runnable action) {}
+
+  private final MembershipSettings settings;
+  private final RandomGenerator random;
+  private final Observer observer;
+  private final ManualClock clock = new ManualClock(START_MILLIS);
+  private final Map<String, Node> nodes = new TreeMap<>();
+  private final Map<PeerAddress, Node> byAddress = new TreeMap<>(ADDRESS_ORDER);
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          Comparator.comparingLong(Event::dueMillis).thenComparingLong(Event::order));
+  private final Set<DaemonId> paused = new HashSet<>();
+  private final List<PeerAddress> seeds = new ArrayList<>();
+  private Network network = Network.CALM;
+  private BiPredicate<MemberUpdate, MemberUpdate> cut = (from, to) -> false;
+  private long order;
+
+  private static final Comparator<PeerAddress> ADDRESS_ORDER =
+      Comparator.comparing(PeerAddress::address).thenComparingInt(PeerAddress::port);
+
+  /** Begins without daemons. */
+  public VirtualFleet(MembershipSettings settings, RandomGenerator random, Observer observer) {
+    this.settings = settings;
+    this.random = random;
+    this.observer = observer;
+  }
+
+  /** Starts a daemon on a new host; the first two serve as seeds for all. */
+  public DaemonId start(String host, String availabilityZone, String region) {
+    int number = nodes.size();
+    String address = "10.0." + number / HOSTS_PER_BLOCK + "." + (1 + number % HOSTS_PER_BLOCK);
+    if (seeds.size() < 2) {
+      seeds.add(new PeerAddress(address, PORT));
+    }
+    return start(
+        new MemberUpdate(
+            host,
+            clock.millis(),
+            0,
+            Health.ALIVE,
+            Departure.STAYING,
+            address,
+            PORT,
+            availabilityZone,
+            region));
+  }
+
+  /** Ends the run of a host, if there is one, and starts the next on the same address. */
+  public DaemonId restart(String host) {
+    kill(host);
+    MemberUpdate old = nodes.get(host).self;
+    long incarnation = Math.max(clock.millis(), old.incarnation() + 1);
+    return start(
+        new MemberUpdate(
+            host,
+            incarnation,
+            0,
+            Health.ALIVE,
+            Departure.STAYING,
+            old.address(),
+            old.port(),
+            old.availabilityZone(),
+            old.region()));
+  }
+
+  /** Ends a daemon without a word. */
+  public void kill(String host) {
+    nodes.get(host).running = false;
+  }
+
+  /** Lets a daemon leave cleanly: it says so, goes on for a time, says that it is gone and ends. */
+  public void leave(String host, long afterMillis) {
+    Node node = nodes.get(host);
+    perform(node, node.protocol.leave(clock.millis()));
+    schedule(
+        afterMillis,
+        node,
+        () -> {
+          perform(node, node.protocol.left(clock.millis()));
+          node.running = false;
+        });
+  }
+
+  /** Stops a daemon's processor; what arrives waits. */
+  public void pause(String host, long millis) {
+    Node node = nodes.get(host);
+    node.pausedUntilMillis = clock.millis() + millis;
+    paused.add(node.self.id());
+  }
+
+  /** Sets how the network treats messages from now on. */
+  public void network(Network newNetwork) {
+    network = newNetwork;
+  }
+
+  /** Lets no message pass from one daemon to another where the predicate holds. */
+  public void cut(BiPredicate<MemberUpdate, MemberUpdate> newCut) {
+    cut = newCut;
+  }
+
+  /** Ends all cuts. */
+  public void mend() {
+    cut = (from, to) -> false;
+  }
+
+  /** Lets virtual time pass. */
+  public void run(long millis) {
+    long endMillis = clock.millis() + millis;
+    while (!events.isEmpty() && events.peek().dueMillis() <= endMillis) {
+      Event event = events.poll();
+      clock.advance(event.dueMillis() - clock.millis());
+      dispatch(event);
+    }
+    clock.advance(endMillis - clock.millis());
+  }
+
+  /** The virtual time, in milliseconds. */
+  public long millis() {
+    return clock.millis();
+  }
+
+  /** The newest run of each host that runs now. */
+  public List<DaemonId> running() {
+    return nodes.values().stream()
+        .filter(node -> node.running)
+        .map(node -> node.self.id())
+        .toList();
+  }
+
+  /** The runs that were paused at any time. */
+  public Set<DaemonId> everPaused() {
+    return Set.copyOf(paused);
+  }
+
+  /** What a host's newest run believes. */
+  public MembershipView view(String host) {
+    return nodes.get(host).protocol.view();
+  }
+
+  /** What a host's newest run has counted. */
+  public MembershipStatistics statistics(String host) {
+    return nodes.get(host).protocol.statistics();
+  }
+
+  /** What a host's newest run believes of another host, if it knows it. */
+  public Optional<Member> belief(String host, String other) {
+    return view(host).members().stream()
+        .filter(member -> member.id().host().equals(other))
+        .findFirst();
+  }
+
+  private DaemonId start(MemberUpdate self) {
+    RandomGenerator own =
+        RandomGeneratorFactory.<RandomGenerator>of("L64X128MixRandom").create(random.nextLong());
+    Node node = new Node(self, new MembershipProtocol(settings, self, seeds, own, clock.millis()));
+    nodes.put(self.host(), node);
+    byAddress.put(self.listening(), node);
+    schedule(random.nextLong(MembershipSettings.TICK_MILLIS), node, () -> tick(node));
+    return self.id();
+  }
+
+  private void tick(Node node) {
+    perform(node, node.protocol.tick(clock.millis()));
+    schedule(MembershipSettings.TICK_MILLIS, node, () -> tick(node));
+  }
+
+  private void dispatch(Event event) {
+    Node node = event.node();
+    if (!node.running) {
+      return;
+    }
+    if (node.pausedUntilMillis > clock.millis()) {
+      schedule(node.pausedUntilMillis - clock.millis(), node, event.action());
+      return;
+    }
+    event.action().run();
+  }
+
+  private void perform(Node node, List<MembershipAction> actions) {
+    for (MembershipAction action : actions) {
+      if (action instanceof MembershipAction.Send send) {
+        Optional<Node> to =
+            Optional.ofNullable(nodes.get(send.to().host()))
+                .filter(found -> found.self.id().equals(send.to()));
+        transmit(node, to, send.message());
+      } else if (action instanceof MembershipAction.SendToAddress send) {
+        transmit(node, Optional.ofNullable(byAddress.get(send.to())), send.message());
+      }
+    }
+  }
+
+  private void transmit(Node from, Optional<Node> to, PeerMessage message) {
+    observer.sent(from.self.id(), message);
+    if (to.isEmpty() || cut.test(from.self, to.get().self)) {
+      return;
+    }
+    if (random.nextDouble() >= network.lost()) {
+      arrive(from, to.get(), message);
+    }
+    if (random.nextDouble() < network.duplicated()) {
+      arrive(from, to.get(), message);
+    }
+  }
+
+  private void arrive(Node from, Node to, PeerMessage message) {
+    long wayMillis = random.nextLong(network.shortestMillis(), network.longestMillis() + 1);
+    schedule(
+        wayMillis,
+        to,
+        () -> perform(to, to.protocol.receive(from.self.id(), message, clock.millis())));
+  }
+
+  private void schedule(long inMillis, Node node, Runnable action) {
+    events.add(new Event(clock.millis() + inMillis, order++, node, action));
+  }
+}
