--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -65,6 +65,7 @@
   private final UpstreamWatch upstreams;
   private volatile MembershipView view;
   private int callerPort;
+  private int operatorPort;
   private int peerPort;
 
   /**
@@ -180,6 +181,11 @@
     return callerPort;
   }
 
+  /** The port on which operators are served. */
+  public int operatorPort() {
+    return operatorPort;
+  }
+
   /** The port on which other daemons are served. */
   public int peerPort() {
     return peerPort;
