Claim keyed requests so that they run at most once

Cause: a ballot with an idempotency key that is sent twice, to two daemons or over a restart, must not run twice, and a lost answer of the store must not decide. Change: a pure batcher records the claims of a segment in a ring of sealed pages, many to one conditional update; lost answers are read back, and an unlanded write is repeated over the same version so that only one can succeed. The daemon that rendezvous hashing picks batches for all; the update keeps two owners harmless.

--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/claim/ClaimLog.java
@@ -0,0 +1,146 @@
+package org.marjoramsail.core.claim;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * The pages of a segment as last read or written, and the newest entry of each key.
+ *
+ * <p>Only the last page takes claims. It is sealed by the write that fills it, and the next page is
+ * made only by a daemon that has seen the seal. So a daemon whose conditional update of the last
+ * page succeeds knows all claims of the segment: any page that it does not know would have needed a
+ * change of the page that it has just updated.
+ */
+final class ClaimLog {
+
+  private final ClaimSettings settings;
+  private final Map<Integer, String> versions = new HashMap<>();
+  private final TreeMap<Long, ClaimPage> pages = new TreeMap<>();
+  private final Map<String, ClaimEntry> newest = new HashMap<>();
+  private long nextOrdinal;
+
+  private ClaimLog(ClaimSettings settings) {
+    this.settings = settings;
+  }
+
+  /**
+   * Joins what was read; empty if the pages changed while they were read and must be read again.
+   */
+  static Optional<ClaimLog> of(ClaimSettings settings, Map<Integer, VersionedPage> read) {
+    ClaimLog log = new ClaimLog(settings);
+    read.forEach((slot, versioned) -> log.versions.put(slot, versioned.version()));
+    read.values().forEach(versioned -> log.pages.put(versioned.page().ordinal(), versioned.page()));
+    if (!log.isWhole(read)) {
+      return Optional.empty();
+    }
+    log.pages.values().forEach(log::indexEntries);
+    log.moveOn();
+    return Optional.of(log);
+  }
+
+  private boolean isWhole(Map<Integer, VersionedPage> read) {
+    if (pages.isEmpty()) {
+      return true;
+    }
+    long first = pages.firstKey();
+    long last = pages.lastKey();
+    boolean inPlace =
+        read.entrySet().stream()
+            .allMatch(each -> settings.slotOf(each.getValue().page().ordinal()) == each.getKey());
+    boolean contiguous = pages.size() == read.size() && last - first + 1 == pages.size();
+    boolean fromStart = first == 0 || pages.size() == settings.slots();
+    boolean earlierSealed = pages.headMap(last).values().stream().allMatch(ClaimPage::sealed);
+    return inPlace && contiguous && fromStart && earlierSealed;
+  }
+
+  private void moveOn() {
+    if (!pages.isEmpty()) {
+      nextOrdinal = pages.lastEntry().getValue().sealed() ? pages.lastKey() + 1 : pages.lastKey();
+    }
+  }
+
+  /** The ordinal of the page that takes claims; it may not exist yet. */
+  long openOrdinal() {
+    return nextOrdinal;
+  }
+
+  int openSlot() {
+    return settings.slotOf(nextOrdinal);
+  }
+
+  Optional<String> openVersion() {
+    return Optional.ofNullable(versions.get(openSlot()));
+  }
+
+  Map<String, ClaimEntry> openEntries() {
+    Map<String, ClaimEntry> entries = new LinkedHashMap<>();
+    ClaimPage open = pages.get(nextOrdinal);
+    if (open != null) {
+      open.entries().forEach(entry -> entries.put(entry.keyHash(), entry));
+    }
+    return entries;
+  }
+
+  long segmentMillis() {
+    return pages.isEmpty() ? 0 : pages.lastEntry().getValue().segmentMillis();
+  }
+
+  /** The newest entry of a key, if it is not expired. */
+  Optional<ClaimEntry> find(String keyHash, long segmentMillis) {
+    return Optional.ofNullable(newest.get(keyHash))
+        .filter(entry -> !entry.isExpired(segmentMillis));
+  }
+
+  /** Whether the page that must be overwritten next still has claims to remember. */
+  boolean isFull(long segmentMillis) {
+    ClaimPage overwritten = pages.get(nextOrdinal - settings.slots());
+    return overwritten != null && !overwritten.isExpired(segmentMillis);
+  }
+
+  /** Takes a page that was written here. */
+  void written(int slot, String version, ClaimPage page, long segmentMillis) {
+    replace(slot, version, page);
+    while (pages.size() > 1 && pages.firstEntry().getValue().isExpired(segmentMillis)) {
+      forget(pages.pollFirstEntry().getValue());
+    }
+  }
+
+  /**
+   * Takes the open page as another daemon may have written it.
+   *
+   * @return whether the log is still whole; if not, all pages must be read again
+   */
+  boolean reread(int slot, Optional<VersionedPage> read) {
+    if (read.isEmpty()) {
+      return !versions.containsKey(slot);
+    }
+    ClaimPage page = read.get().page();
+    if (page.ordinal() == nextOrdinal) {
+      replace(slot, read.get().version(), page);
+      return true;
+    }
+    return read.get().version().equals(versions.get(slot));
+  }
+
+  private void replace(int slot, String version, ClaimPage page) {
+    ClaimPage overwritten = pages.remove(page.ordinal() - settings.slots());
+    if (overwritten != null) {
+      forget(overwritten);
+    }
+    versions.put(slot, version);
+    pages.put(page.ordinal(), page);
+    indexEntries(page);
+    moveOn();
+  }
+
+  private void indexEntries(ClaimPage page) {
+    page.entries().forEach(entry -> newest.put(entry.keyHash(), entry));
+  }
+
+  private void forget(ClaimPage page) {
+    page.entries().forEach(entry -> newest.remove(entry.keyHash(), entry));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/claim/ClaimRequests.java
@@ -0,0 +1,112 @@
+package org.marjoramsail.core.claim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.marjoramsail.core.claim.ClaimResult.Kind;
+
+/**
+ * The claims that one daemon has asked for and not yet heard of.
+ *
+ * <p>Each claim gets exactly one result. Not safe for several threads.
+ */
+public final class ClaimRequests {
+
+  private static final int MAXIMUM_ABANDONED = 10_000;
+
+  /** What to do about the claims of this daemon. */
+  public sealed interface Step {
+
+    /** Ask the daemon that batches the segment, whichever it is now. */
+    record Ask(Claim claim) implements Step {}
+
+    /** Tell the caller of the claim. */
+    record Finish(ClaimId claim, ClaimResult result) implements Step {}
+
+    /** Tell the daemon that batches the segment how the claim ended. */
+    record Settle(Settlement settlement) implements Step {}
+  }
+
+  private record Open(Claim claim, long deadlineMillis, long askAgainMillis, int asked) {}
+
+  private final ClaimSettings settings;
+  private final Map<ClaimId, Open> open = new LinkedHashMap<>();
+  private final Map<ClaimId, Claim> abandoned = new LinkedHashMap<>();
+
+  /** Takes the paces. */
+  public ClaimRequests(ClaimSettings settings) {
+    this.settings = settings;
+  }
+
+  /** Starts a claim. */
+  public List<Step> open(Claim claim, long nowMillis) {
+    long deadline = nowMillis + claim.withinMillis();
+    open.put(claim.id(), new Open(claim, deadline, nowMillis + settings.resendMillis(), 1));
+    return List.of(new Step.Ask(claim));
+  }
+
+  /** Takes a result, which may be a copy, late, or of a claim given up. */
+  public List<Step> result(ClaimId id, ClaimResult result) {
+    Open known = open.remove(id);
+    if (known == null) {
+      return result.kind() == Kind.GRANTED ? release(id) : List.of();
+    }
+    if (result.kind() == Kind.GRANTED) {
+      return List.of(new Step.Finish(id, result));
+    }
+    if (result.kind() == Kind.STORE_UNAVAILABLE && known.asked() > 1) {
+      // An earlier copy of the claim may have reached another daemon that records it.
+      abandon(known.claim());
+      return List.of(new Step.Finish(id, ClaimResult.of(Kind.UNCERTAIN)));
+    }
+    if (result.kind() == Kind.UNCERTAIN) {
+      abandon(known.claim());
+    }
+    return List.of(new Step.Finish(id, result));
+  }
+
+  /** Asks again, and gives up what is late. */
+  public List<Step> tick(long nowMillis) {
+    List<Step> steps = new ArrayList<>();
+    for (Open each : List.copyOf(open.values())) {
+      ClaimId id = each.claim().id();
+      if (nowMillis >= each.deadlineMillis()) {
+        open.remove(id);
+        abandon(each.claim());
+        steps.add(new Step.Finish(id, ClaimResult.of(Kind.UNCERTAIN)));
+      } else if (nowMillis >= each.askAgainMillis()) {
+        long again = nowMillis + settings.resendMillis();
+        open.put(id, new Open(each.claim(), each.deadlineMillis(), again, each.asked() + 1));
+        steps.add(new Step.Ask(each.claim().within(each.deadlineMillis() - nowMillis)));
+      }
+    }
+    return steps;
+  }
+
+  /** Whether any claim waits for its result. */
+  public boolean isEmpty() {
+    return open.isEmpty();
+  }
+
+  /**
+   * Frees the key of a claim that was given up and then granted. Only such claims: a second copy of
+   * a grant that is being used must not free the key, or the request would run twice.
+   */
+  private List<Step> release(ClaimId id) {
+    return Optional.ofNullable(abandoned.remove(id))
+        .map(
+            claim ->
+                new Settlement(id, claim.keyHash(), new ClaimOutcome(ClaimState.NOT_RUN, 0, "")))
+        .<List<Step>>map(settlement -> List.of(new Step.Settle(settlement)))
+        .orElse(List.of());
+  }
+
+  private void abandon(Claim claim) {
+    abandoned.put(claim.id(), claim);
+    if (abandoned.size() > MAXIMUM_ABANDONED) {
+      abandoned.remove(abandoned.keySet().iterator().next());
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/claim/ClaimFuzzTest.java
@@ -0,0 +1,154 @@
+package org.marjoramsail.core.claim;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import org.marjoramsail.core.claim.ClaimFleet.Fate;
+
+final class ClaimFuzzTest {
+
+  private static final int KEYS = 16;
+
+  /** One step of a scenario; what its numbers mean depends on the kind. */
+  record Step(Kind kind, int first, int second) {}
+
+  /** What can happen. */
+  enum Kind {
+    CLAIM {
+      @Override
+      void run(ClaimFleet fleet, Step step) {
+        fleet.claim(step.first, step.second % KEYS, step.second % 7 == 0 ? 1 : 0);
+      }
+    },
+    SETTLE {
+      @Override
+      void run(ClaimFleet fleet, Step step) {
+        ClaimState[] ends = {ClaimState.COMPLETED, ClaimState.NOT_RUN, ClaimState.UNKNOWN};
+        fleet.settle(step.first, ends[step.second % ends.length], step.second);
+      }
+    },
+    DELIVER {
+      @Override
+      void run(ClaimFleet fleet, Step step) {
+        fleet.deliver(step.first, Fate.DELIVERED);
+      }
+    },
+    DISTURB_MESSAGE {
+      @Override
+      void run(ClaimFleet fleet, Step step) {
+        fleet.deliver(step.first, step.second % 2 == 0 ? Fate.LOST : Fate.COPIED);
+      }
+    },
+    SERVE {
+      @Override
+      void run(ClaimFleet fleet, Step step) {
+        fleet.serve(step.first, Fate.DELIVERED);
+      }
+    },
+    LOSE_ANSWER {
+      @Override
+      void run(ClaimFleet fleet, Step step) {
+        fleet.serve(step.first, step.second % 2 == 0 ? Fate.LOST : Fate.LATE);
+      }
+    },
+    LAND_LATE_WRITE {
+      @Override
+      void run(ClaimFleet fleet, Step step) {
+        fleet.landLateWrite(step.first);
+      }
+    },
+    REFUSE {
+      @Override
+      void run(ClaimFleet fleet, Step step) {
+        fleet.refuse(step.first);
+      }
+    },
+    ADVANCE {
+      @Override
+      void run(ClaimFleet fleet, Step step) {
+        fleet.advance(step.second % 10 == 0 ? 2_000 : 5L * step.second, step.first);
+      }
+    },
+    TICK {
+      @Override
+      void run(ClaimFleet fleet, Step step) {
+        fleet.tick(step.first, step.second);
+      }
+    },
+    JUMP {
+      @Override
+      void run(ClaimFleet fleet, Step step) {
+        fleet.jump(step.first, 3_600_000);
+      }
+    },
+    RESTART {
+      @Override
+      void run(ClaimFleet fleet, Step step) {
+        fleet.restart(step.first);
+      }
+    };
+
+    abstract void run(ClaimFleet fleet, Step step);
+  }
+
+  /**
+   * A neighbour's ballot is sent twice, to two daemons, while answers of the store are lost, writes
+   * land late, messages are lost, copied and reordered, daemons restart and clocks jump. Whatever
+   * the order, at most one of the two may run. The cause guarded against: a claim taken for
+   * recorded, or for not recorded, without proof.
+   */
+  @Property(seed = "20261202", tries = 2_000)
+  void aKeyIsGrantedAtMostOnceUntilItExpires(@ForAll("scenarios") List<Step> steps) {
+    ClaimFleet fleet = new ClaimFleet();
+
+    steps.forEach(step -> step.kind().run(fleet, step));
+    fleet.heal();
+
+    assertThat(fleet.violations()).isEmpty();
+    assertThat(fleet.openClaims()).as("claims without a result").isZero();
+  }
+
+  @Property(seed = "7", tries = 200)
+  void aFreshKeyIsGrantedOnceTheFaultsAreOver(@ForAll("scenarios") List<Step> steps) {
+    ClaimFleet fleet = new ClaimFleet();
+    steps.forEach(step -> step.kind().run(fleet, step));
+    fleet.heal();
+    for (int wait = 0; wait < 20; wait++) {
+      // Claims of the scenario expire, so that full segments have room again.
+      fleet.heal();
+    }
+    int before = fleet.grants();
+
+    fleet.claim(0, KEYS + 1, 0);
+    fleet.heal();
+
+    assertThat(fleet.grants()).isEqualTo(before + 1);
+  }
+
+  @Provide
+  Arbitrary<List<Step>> scenarios() {
+    Arbitrary<Kind> kinds =
+        Arbitraries.frequency(
+            Tuple.of(16, Kind.CLAIM),
+            Tuple.of(6, Kind.SETTLE),
+            Tuple.of(30, Kind.DELIVER),
+            Tuple.of(4, Kind.DISTURB_MESSAGE),
+            Tuple.of(30, Kind.SERVE),
+            Tuple.of(5, Kind.LOSE_ANSWER),
+            Tuple.of(3, Kind.LAND_LATE_WRITE),
+            Tuple.of(2, Kind.REFUSE),
+            Tuple.of(8, Kind.ADVANCE),
+            Tuple.of(12, Kind.TICK),
+            Tuple.of(1, Kind.JUMP),
+            Tuple.of(3, Kind.RESTART));
+    Arbitrary<Integer> numbers = Arbitraries.integers().between(0, 99);
+    return Combinators.combine(kinds, numbers, numbers).as(Step::new).list().ofSize(250);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/claim/ClaimMeasurement.java
@@ -0,0 +1,204 @@
+package org.marjoramsail.daemon.claim;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.function.IntFunction;
+import java.util.random.RandomGenerator;
+import org.marjoramsail.core.claim.ClaimKey;
+import org.marjoramsail.core.claim.ClaimOutcome;
+import org.marjoramsail.core.claim.ClaimResult.Kind;
+import org.marjoramsail.core.claim.ClaimSettings;
+import org.marjoramsail.core.claim.ClaimState;
+import org.marjoramsail.core.message.PeerTransport;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.daemon.platform.ObjectApi;
+
+/**
+ * Measures claims against writes and added time, with several daemons in one process.
+ *
+ * <p>Keys are fresh, each claim is settled as soon as it is granted, and messages between daemons
+ * take a fixed time instead of a socket. Claims are asked for at a fixed rate whatever the answers
+ * do, so that waiting shows.
+ */
+public final class ClaimMeasurement {
+
+  private static final int MAXIMUM_MILLIS = 60_000;
+  private static final int BUCKETS_PER_MILLI = 10;
+  private static final double NANOS_PER_BUCKET = 1_000_000.0 / BUCKETS_PER_MILLI;
+  private static final long MILLIS_PER_SECOND = 1_000;
+  private static final long DRAIN_MILLIS = 6_000;
+  private static final long CLAIM_WITHIN_MILLIS = 5_000;
+
+  /**
+   * What to measure.
+   *
+   * @param daemons how many daemons ask
+   * @param claimsPerSecond how many claims they ask for together
+   * @param warmUpSeconds how long before the figures are taken
+   * @param seconds how long the figures are taken
+   * @param hopMillis time of a message between two daemons; more than zero
+   * @param shared whether one daemon batches a segment for all, or each daemon for itself
+   */
+  public record Load(
+      int daemons,
+      int claimsPerSecond,
+      int warmUpSeconds,
+      int seconds,
+      long hopMillis,
+      boolean shared) {}
+
+  private final Vertx vertx;
+  private final Clock clock;
+  private final ClaimSettings settings;
+  private final RandomGenerator random;
+  private final MeterRegistry meters = new SimpleMeterRegistry();
+  private final Map<DaemonId, PeerClaimService> services = new ConcurrentHashMap<>();
+  private final List<PeerClaimService> entries = new ArrayList<>();
+  private final AtomicLongArray buckets = new AtomicLongArray(MAXIMUM_MILLIS * BUCKETS_PER_MILLI);
+  private final AtomicLong granted = new AtomicLong();
+  private final AtomicLong others = new AtomicLong();
+  private final AtomicLong nextKey = new AtomicLong();
+
+  /** Takes all that it needs; one instance measures once. */
+  public ClaimMeasurement(
+      Vertx vertx, Clock clock, ClaimSettings settings, RandomGenerator random) {
+    this.vertx = vertx;
+    this.clock = clock;
+    this.settings = settings;
+    this.random = random;
+  }
+
+  /**
+   * Runs the load.
+   *
+   * @param api gives each daemon, counted from zero, its way to the object API
+   */
+  public Future<ClaimMeasurementReport> run(Load load, IntFunction<ObjectApi> api) {
+    startDaemons(load, api);
+    long startMillis = clock.millis();
+    long fromMillis = startMillis + load.warmUpSeconds() * MILLIS_PER_SECOND;
+    long toMillis = fromMillis + load.seconds() * MILLIS_PER_SECOND;
+    AtomicLong asked = new AtomicLong();
+    AtomicLong writesBefore = new AtomicLong(-1);
+    Promise<ClaimMeasurementReport> done = Promise.promise();
+    vertx.setPeriodic(
+        1,
+        timer -> {
+          long now = clock.millis();
+          if (now >= fromMillis) {
+            writesBefore.compareAndSet(-1, writes());
+          }
+          if (now >= toMillis) {
+            vertx.cancelTimer(timer);
+            long writes = writes() - writesBefore.get();
+            vertx.setTimer(DRAIN_MILLIS, unused -> done.complete(report(load, writes)));
+            return;
+          }
+          long due = (now - startMillis) * load.claimsPerSecond() / MILLIS_PER_SECOND;
+          while (asked.get() < due) {
+            asked.incrementAndGet();
+            ask(now >= fromMillis);
+          }
+        });
+    return done.future();
+  }
+
+  private void startDaemons(Load load, IntFunction<ObjectApi> api) {
+    List<DaemonId> all = new ArrayList<>();
+    for (int daemon = 0; daemon < load.daemons(); daemon++) {
+      all.add(new DaemonId("daemon-" + daemon, 1));
+    }
+    for (int daemon = 0; daemon < load.daemons(); daemon++) {
+      DaemonId self = all.get(daemon);
+      Collection<DaemonId> live = load.shared() ? all : List.of(self);
+      PeerTransport transport =
+          (to, message) ->
+              vertx.setTimer(load.hopMillis(), unused -> services.get(to).handle(self, message));
+      PeerClaimService service =
+          new PeerClaimService(
+              vertx, self, settings, api.apply(daemon), transport, () -> live, clock, meters);
+      services.put(self, service);
+      entries.add(service);
+      service.start();
+    }
+  }
+
+  private void ask(boolean counted) {
+    PeerClaimService entry = entries.get(random.nextInt(entries.size()));
+    String name = "key-" + nextKey.incrementAndGet();
+    ClaimKey key = new ClaimKey("organisation", "service", name);
+    String bodyHash = ClaimKey.bodyHash(name.getBytes(StandardCharsets.UTF_8));
+    long askedNanos = System.nanoTime();
+    entry
+        .claim(new ClaimRequest(key, bodyHash, CLAIM_WITHIN_MILLIS))
+        .onSuccess(
+            result -> {
+              if (counted) {
+                count(result.kind(), System.nanoTime() - askedNanos);
+              }
+              entry.settle(key, new ClaimOutcome(ClaimState.COMPLETED, 200, ""));
+            });
+  }
+
+  private void count(Kind kind, long nanos) {
+    if (kind != Kind.GRANTED) {
+      others.incrementAndGet();
+      return;
+    }
+    granted.incrementAndGet();
+    int bucket = (int) Math.min(nanos / NANOS_PER_BUCKET, buckets.length() - 1.0);
+    buckets.incrementAndGet(bucket);
+  }
+
+  private ClaimMeasurementReport report(Load load, long writes) {
+    entries.forEach(PeerClaimService::stop);
+    return new ClaimMeasurementReport(
+        load.daemons(),
+        load.claimsPerSecond(),
+        (double) granted.get() / load.seconds(),
+        others.get(),
+        (double) writes / load.seconds(),
+        writes() - writesByResult().getOrDefault("ok", 0L),
+        percentile(0.50),
+        percentile(0.95),
+        percentile(0.99));
+  }
+
+  private long writes() {
+    return writesByResult().values().stream().mapToLong(Long::longValue).sum();
+  }
+
+  private Map<String, Long> writesByResult() {
+    Map<String, Long> counts = new TreeMap<>();
+    for (Counter counter : meters.find("marjoramsail.claims.writes").counters()) {
+      counts.put(counter.getId().getTag("result"), (long) counter.count());
+    }
+    return counts;
+  }
+
+  private double percentile(double share) {
+    long wanted = (long) Math.ceil(granted.get() * share);
+    long seen = 0;
+    for (int bucket = 0; bucket < buckets.length(); bucket++) {
+      seen += buckets.get(bucket);
+      if (seen >= wanted && seen > 0) {
+        return (bucket + 1.0) / BUCKETS_PER_MILLI;
+      }
+    }
+    return Double.NaN;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/claim/PeerClaimService.java
@@ -0,0 +1,235 @@
+package org.marjoramsail.daemon.claim;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.marjoramsail.core.claim.Claim;
+import org.marjoramsail.core.claim.ClaimId;
+import org.marjoramsail.core.claim.ClaimKey;
+import org.marjoramsail.core.claim.ClaimMessage;
+import org.marjoramsail.core.claim.ClaimOutcome;
+import org.marjoramsail.core.claim.ClaimRequests;
+import org.marjoramsail.core.claim.ClaimRequests.Step;
+import org.marjoramsail.core.claim.ClaimResult;
+import org.marjoramsail.core.claim.ClaimResult.Kind;
+import org.marjoramsail.core.claim.ClaimResultMessage;
+import org.marjoramsail.core.claim.ClaimSettings;
+import org.marjoramsail.core.claim.SettleMessage;
+import org.marjoramsail.core.claim.Settlement;
+import org.marjoramsail.core.message.PeerMessage;
+import org.marjoramsail.core.message.PeerMessageHandler;
+import org.marjoramsail.core.message.PeerTransport;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.daemon.platform.ObjectApi;
+
+/**
+ * Claims by way of the daemon that batches the segment of a key.
+ *
+ * <p>It has both sides: it asks for its own claims, and it batches the segments that rendezvous
+ * hashing over the live daemons gives it. The messages {@code ClaimMessage}, {@code
+ * ClaimResultMessage} and {@code SettleMessage} of other daemons go to {@link #handle}.
+ */
+public final class PeerClaimService implements ClaimService, PeerMessageHandler {
+
+  private static final long TICK_MILLIS = 10;
+  private static final long PICK_OWNERS_MILLIS = 250;
+
+  /** The state of one segment here; each part under a lock of its own. */
+  private record Shard(int segment, ClaimRequests requests, SegmentBatching batching) {}
+
+  /** A claim whose result the caller waits for. */
+  private record Waiting(ClaimKey key, Claim claim, Promise<ClaimResult> promise) {}
+
+  private final Vertx vertx;
+  private final DaemonId self;
+  private final ClaimSettings settings;
+  private final PeerTransport transport;
+  private final Supplier<? extends Collection<DaemonId>> live;
+  private final Clock clock;
+  private final MeterRegistry meters;
+  private final List<Shard> shards = new ArrayList<>();
+  private final Map<ClaimId, Waiting> waiting = new ConcurrentHashMap<>();
+  private final Map<ClaimKey, Claim> granted = new ConcurrentHashMap<>();
+  private final AtomicLong sequence = new AtomicLong();
+  private volatile List<DaemonId> owners = List.of();
+  private long timer;
+  private long ownerTimer;
+
+  /**
+   * Takes all that it needs; nothing runs before {@link #start()}.
+   *
+   * @param live the live runs of daemons, this one included
+   */
+  public PeerClaimService(
+      Vertx vertx,
+      DaemonId self,
+      ClaimSettings settings,
+      ObjectApi api,
+      PeerTransport transport,
+      Supplier<? extends Collection<DaemonId>> live,
+      Clock clock,
+      MeterRegistry meters) {
+    this.vertx = vertx;
+    this.self = self;
+    this.settings = settings;
+    this.transport = transport;
+    this.live = live;
+    this.clock = clock;
+    this.meters = meters;
+    for (int segment = 0; segment < settings.segments(); segment++) {
+      SegmentStore store = new SegmentStore(api, meters, segment);
+      shards.add(
+          new Shard(
+              segment,
+              new ClaimRequests(settings),
+              new SegmentBatching(
+                  settings, store, clock, answer -> send(answer.claim(), answer.result()))));
+    }
+  }
+
+  /** Starts its timers. */
+  public void start() {
+    pickOwners();
+    ownerTimer = vertx.setPeriodic(PICK_OWNERS_MILLIS, unused -> pickOwners());
+    timer = vertx.setPeriodic(TICK_MILLIS, unused -> shards.forEach(this::tick));
+  }
+
+  /** Stops its timers; claims that still wait get no result. */
+  public void stop() {
+    vertx.cancelTimer(timer);
+    vertx.cancelTimer(ownerTimer);
+  }
+
+  @Override
+  public Future<ClaimResult> claim(ClaimRequest request) {
+    ClaimId id = new ClaimId(self, sequence.incrementAndGet());
+    String keyHash = request.key().hash();
+    Claim claim = new Claim(id, keyHash, request.bodyHash(), request.withinMillis());
+    Promise<ClaimResult> promise = Promise.promise();
+    waiting.put(id, new Waiting(request.key(), claim, promise));
+    Shard shard = shard(keyHash);
+    step(shard, requests -> requests.open(claim, clock.millis()));
+    return promise.future();
+  }
+
+  @Override
+  public Future<Void> settle(ClaimKey key, ClaimOutcome outcome) {
+    Claim claim = granted.remove(key);
+    if (claim != null) {
+      Settlement settlement = new Settlement(claim.id(), claim.keyHash(), outcome);
+      perform(shard(claim.keyHash()), new Step.Settle(settlement));
+    }
+    return Future.succeededFuture();
+  }
+
+  @Override
+  public void handle(DaemonId from, PeerMessage message) {
+    if (message instanceof ClaimMessage asked && isSegment(asked.segment())) {
+      shards.get(asked.segment()).batching().claim(asked.claim());
+    } else if (message instanceof SettleMessage settle && isSegment(settle.segment())) {
+      shards.get(settle.segment()).batching().settle(settle.settlement());
+    } else if (message instanceof ClaimResultMessage result) {
+      take(result.claim(), result.result());
+    }
+  }
+
+  private boolean isSegment(int segment) {
+    return segment >= 0 && segment < settings.segments();
+  }
+
+  private Shard shard(String keyHash) {
+    return shards.get(settings.segmentOf(keyHash));
+  }
+
+  private void tick(Shard shard) {
+    step(shard, requests -> requests.tick(clock.millis()));
+    shard.batching().tick(owner(shard.segment()).equals(self));
+  }
+
+  /**
+   * Picks the owners from time to time rather than for each claim, since it hashes all daemons; an
+   * owner of a moment ago is as safe, and only costs conflicts.
+   */
+  private void pickOwners() {
+    Collection<DaemonId> now = live.get();
+    owners = shards.stream().map(shard -> SegmentOwner.of(shard.segment(), now, self)).toList();
+  }
+
+  private DaemonId owner(int segment) {
+    return owners.get(segment);
+  }
+
+  private void step(Shard shard, Function<ClaimRequests, List<Step>> event) {
+    List<Step> steps;
+    synchronized (shard.requests()) {
+      steps = event.apply(shard.requests());
+    }
+    steps.forEach(step -> perform(shard, step));
+  }
+
+  private void perform(Shard shard, Step step) {
+    if (step instanceof Step.Ask ask) {
+      send(owner(shard.segment()), new ClaimMessage(shard.segment(), ask.claim()));
+    } else if (step instanceof Step.Settle settle) {
+      send(owner(shard.segment()), new SettleMessage(shard.segment(), settle.settlement()));
+    } else if (step instanceof Step.Finish finish) {
+      finish(finish);
+    }
+  }
+
+  private void finish(Step.Finish finish) {
+    Waiting known = waiting.remove(finish.claim());
+    if (known == null) {
+      return;
+    }
+    ClaimResult result = judged(finish.result());
+    meters
+        .counter(
+            "marjoramsail.claims.results", "result", result.kind().name().toLowerCase(Locale.ROOT))
+        .increment();
+    if (result.kind() == Kind.GRANTED) {
+      granted.put(known.key(), known.claim());
+    }
+    known.promise().complete(result);
+  }
+
+  /** A request that a daemon was running when it died has an unknown end. */
+  private ClaimResult judged(ClaimResult result) {
+    boolean holderGone =
+        result.kind() == Kind.RUNNING_ELSEWHERE
+            && result.holder().filter(live.get()::contains).isEmpty();
+    return holderGone ? ClaimResult.of(Kind.UNKNOWN_BEFORE) : result;
+  }
+
+  private void take(ClaimId claim, ClaimResult result) {
+    Waiting known = waiting.get(claim);
+    if (known != null) {
+      step(shard(known.claim().keyHash()), requests -> requests.result(claim, result));
+    } else if (result.kind() == Kind.GRANTED) {
+      shards.forEach(shard -> step(shard, requests -> requests.result(claim, result)));
+    }
+  }
+
+  private void send(ClaimId claim, ClaimResult result) {
+    send(claim.daemon(), new ClaimResultMessage(claim, result));
+  }
+
+  private void send(DaemonId to, PeerMessage message) {
+    if (to.equals(self)) {
+      handle(self, message);
+    } else {
+      transport.send(to, message);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/claim/SegmentBatching.java
@@ -0,0 +1,130 @@
+package org.marjoramsail.daemon.claim;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.LongFunction;
+import org.marjoramsail.core.claim.Claim;
+import org.marjoramsail.core.claim.ClaimAction;
+import org.marjoramsail.core.claim.ClaimAction.Answer;
+import org.marjoramsail.core.claim.ClaimAction.ReadPage;
+import org.marjoramsail.core.claim.ClaimAction.WritePage;
+import org.marjoramsail.core.claim.ClaimBatcher;
+import org.marjoramsail.core.claim.ClaimSettings;
+import org.marjoramsail.core.claim.Settlement;
+import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.daemon.platform.ObjectApiException;
+
+/** Runs the batcher of one segment under its lock and does what it asks for outside of it. */
+final class SegmentBatching {
+
+  /** Sends a result to a claimant. */
+  interface Answers {
+    void send(Answer answer);
+  }
+
+  private final ClaimSettings settings;
+  private final SegmentStore store;
+  private final Clock clock;
+  private final Answers answers;
+  private final Object lock = new Object();
+  private Optional<ClaimBatcher> batcher = Optional.empty();
+
+  SegmentBatching(ClaimSettings settings, SegmentStore store, Clock clock, Answers answers) {
+    this.settings = settings;
+    this.store = store;
+    this.clock = clock;
+    this.answers = answers;
+  }
+
+  void claim(Claim claim) {
+    step(now -> present(now).claim(claim, now));
+  }
+
+  void settle(Settlement settlement) {
+    step(now -> present(now).settle(settlement, now));
+  }
+
+  /** Does what time has made due, and forgets the segment when another daemon has it. */
+  void tick(boolean owner) {
+    step(
+        now -> {
+          if (!owner && batcher.filter(ClaimBatcher::isBusy).isEmpty()) {
+            batcher = Optional.empty();
+          }
+          return batcher.map(known -> known.tick(now)).orElse(List.of());
+        });
+  }
+
+  private ClaimBatcher present(long now) {
+    if (batcher.isEmpty()) {
+      batcher = Optional.of(new ClaimBatcher(settings, now));
+    }
+    return batcher.get();
+  }
+
+  private void step(LongFunction<List<ClaimAction>> event) {
+    List<ClaimAction> actions;
+    synchronized (lock) {
+      actions = event.apply(clock.millis());
+    }
+    actions.forEach(this::perform);
+  }
+
+  private void perform(ClaimAction action) {
+    if (action instanceof Answer answer) {
+      answers.send(answer);
+    } else if (action instanceof ReadPage read) {
+      perform(read);
+    } else if (action instanceof WritePage write) {
+      perform(write);
+    }
+  }
+
+  private void perform(ReadPage read) {
+    Optional<ClaimBatcher> asking = current();
+    store
+        .read(read)
+        .onSuccess(page -> result(asking, known -> known.pageRead(read, page, clock.millis())))
+        .onFailure(unused -> result(asking, known -> known.readFailed(read, clock.millis())));
+  }
+
+  private void perform(WritePage write) {
+    Optional<ClaimBatcher> asking = current();
+    store
+        .write(write)
+        .onSuccess(version -> result(asking, known -> known.written(version, clock.millis())))
+        .onFailure(failure -> result(asking, known -> failed(known, failure)));
+  }
+
+  private List<ClaimAction> failed(ClaimBatcher known, Throwable failure) {
+    long now = clock.millis();
+    return switch (SegmentStore.failure(failure)) {
+      case CONFLICT, ALREADY_EXISTS, NOT_FOUND -> known.writeConflicted(now);
+      case UNCERTAIN -> known.writeUncertain(now);
+      case INVALID, OVER_BUDGET, UNAVAILABLE, VERSION_TOO_OLD ->
+          known.writeRefused(retryAfterMillis(failure), now);
+    };
+  }
+
+  private static long retryAfterMillis(Throwable failure) {
+    return failure instanceof ObjectApiException typed ? typed.retryAfterMillis().orElse(0L) : 0;
+  }
+
+  private Optional<ClaimBatcher> current() {
+    synchronized (lock) {
+      return batcher;
+    }
+  }
+
+  /** Hands a result to the batcher that asked; one that was forgotten since gets nothing. */
+  private void result(
+      Optional<ClaimBatcher> asking, Function<ClaimBatcher, List<ClaimAction>> event) {
+    step(
+        now ->
+            batcher
+                .filter(known -> asking.filter(asker -> asker == known).isPresent())
+                .map(event)
+                .orElse(List.of()));
+  }
+}
