--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
@@ -4,7 +4,6 @@
 import java.util.SortedSet;
 import java.util.TreeSet;
 import org.marjoramsail.core.configuration.OrganisationDefinition;
-import org.marjoramsail.core.model.ServiceClass;
 
 /**
  * One organisation in one shard: its lanes of waiting attempts, its tag for fairness, its limits.
@@ -16,7 +15,7 @@
   private static final double RATE_WINDOW_MILLIS = 10_000;
 
   private final String name;
-  private final OrganisationLane[] lanes = new OrganisationLane[ServiceClass.values().length];
+  private final OrganisationLane[] lanes = new OrganisationLane[WaitingQueue.LANES];
   private final TokenBucket requests = new TokenBucket();
   private final TokenBucket tokens = new TokenBucket();
 
@@ -32,8 +31,8 @@
 
   OrganisationState(String name) {
     this.name = name;
-    for (ServiceClass lane : ServiceClass.values()) {
-      lanes[lane.rank()] = new OrganisationLane(this, lane);
+    for (int lane = 0; lane < WaitingQueue.LANES; lane++) {
+      lanes[lane] = new OrganisationLane(this);
     }
   }
 
@@ -41,8 +40,8 @@
     return name;
   }
 
-  OrganisationLane lane(ServiceClass serviceClass) {
-    return lanes[serviceClass.rank()];
+  OrganisationLane lane(int lane) {
+    return lanes[lane];
   }
 
   double weight() {
@@ -146,24 +145,18 @@
   static final class OrganisationLane {
 
     private final OrganisationState organisation;
-    private final ServiceClass serviceClass;
     private final SortedSet<WaitingAttempt> attempts = new TreeSet<>(WaitingQueue.BY_ORDER);
     private double startTag;
     private double joinedWeight;
 
-    OrganisationLane(OrganisationState organisation, ServiceClass serviceClass) {
+    OrganisationLane(OrganisationState organisation) {
       this.organisation = organisation;
-      this.serviceClass = serviceClass;
     }
 
     OrganisationState organisation() {
       return organisation;
     }
 
-    ServiceClass serviceClass() {
-      return serviceClass;
-    }
-
     SortedSet<WaitingAttempt> attempts() {
       return attempts;
     }
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -234,7 +234,7 @@
   public ShardView view(long nowMillis) {
     List<WaitingAttempt> inOrder = new ArrayList<>(waiting.values());
     inOrder.sort(
-        Comparator.comparing(WaitingAttempt::lane)
+        Comparator.comparingInt(WaitingAttempt::lane)
             .thenComparingDouble(it -> it.organisation().lane(it.lane()).startTag())
             .thenComparing(WaitingQueue.BY_ORDER));
     return PlacementViews.view(shard, upstreams, ledger, inOrder, organisations, waits, nowMillis);
@@ -304,6 +304,7 @@
             organisations.of(request.organisation()),
             nextSequence++,
             Math.min(least, Math.max(0, WaitingAttempt.targetWithin(request))),
+            selector.needsReader(request, nowMillis),
             settings,
             nowMillis);
     waiting.put(request.request(), attempt);
@@ -313,7 +314,7 @@
 
   private void handleDue(WaitingAttempt attempt, List<PlacementResult> results, long nowMillis) {
     if (attempt.expiresAt() > nowMillis) {
-      queue.promote(attempt, nowMillis, settings.ageingMillis());
+      queue.promote(attempt, nowMillis);
       count(PlacementCounter.PROMOTED);
       return;
     }
@@ -386,7 +387,8 @@
     WaitingAttempt attempt = granting.attempt();
     PlacementRequest request = attempt.request();
     waiting.remove(request.request());
-    queue.granted(attempt, cost(request, granting.choice()));
+    int readTokens = granting.choice().prefill().isPresent() ? granting.choice().unreadTokens() : 0;
+    queue.granted(attempt, cost(request, granting.choice()), readTokens, nowMillis);
     count(PlacementCounter.GRANTED);
     if (granting.choice().mode() == GrantMode.LOCAL_PREFILL) {
       count(PlacementCounter.GRANTED_LOCAL_PREFILL);
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
@@ -59,7 +59,22 @@
     quickUntil = nowMillis + QUICK_MEMORY_MILLIS;
   }
 
-  /** The least time from a start to the first token, on idle upstreams. */
+  /** Whether a prefill upstream has to read its prompt, as far as can be told at its arrival. */
+  boolean needsReader(PlacementRequest request, long nowMillis) {
+    if (!request.isGeneration() || request.kvHeldBy().isPresent()) {
+      return false;
+    }
+    for (UpstreamState upstream : upstreams.all()) {
+      if (upstream.role() == UpstreamRole.DECODE
+          && upstream.isUsable(nowMillis)
+          && upstream.prefillMillis(unread(upstream, request)) <= settings.localPrefillMillis()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** The least time from a start to its target, on idle upstreams: its first or its last token. */
   double leastMillis(PlacementRequest request, long nowMillis) {
     if (!request.isGeneration()) {
       return 0;
@@ -73,7 +88,12 @@
       }
     }
     boolean isRead = request.kvHeldBy().isPresent();
-    return isRead || Double.isInfinite(least) ? 0 : least;
+    double untilFirst = isRead || Double.isInfinite(least) ? 0 : least;
+    double generating =
+        request.serviceClass().mayWait()
+            ? estimates.outputTokens(request) * estimates.decodeMillisPerToken()
+            : 0;
+    return untilFirst + generating;
   }
 
   /** Slots that are free now on upstreams that end a request, for a class of requests. */
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
@@ -3,14 +3,16 @@
 import java.util.Optional;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
-import org.marjoramsail.core.model.ServiceClass;
 import org.marjoramsail.core.model.UpstreamRole;
 
 /** Predicts how long an attempt will wait, and refuses early what would wait too long. */
 final class WaitEstimator {
 
   /** A wait is believed to be at least that share of its estimate. */
-  private static final double CONFIDENCE = 0.8;
+  private static final double CONFIDENCE = 0.9;
+
+  /** Skipped lanes are served now and then, so that some capacity is always left for each. */
+  private static final double LEAST_LEFT_SHARE = 0.1;
 
   private static final long LEAST_RETRY_MILLIS = 1_000;
 
@@ -52,18 +54,16 @@
   /**
    * How long an attempt that has just come will wait, in milliseconds.
    *
-   * <p>Ahead of it is what waits in its lane and those before it, but never more than its
-   * organisation's fair share lets others take meanwhile: a flood of one organisation must not make
-   * the small requests of another look hopeless.
+   * <p>More urgent classes are served first and keep taking what they took of late; the rest is for
+   * its lane. Ahead of it in the lane is never more than its organisation's fair share lets others
+   * take meanwhile: a flood of one organisation must not make the few requests of another look
+   * hopeless.
    */
   double waitMillis(WaitingAttempt attempt, long nowMillis) {
-    ServiceClass lane = attempt.lane();
-    int countAhead = Math.max(1, queue.countAhead(lane));
-    double weight = attempt.organisation().weight();
-    double fairAhead = (ownAhead(attempt) + 1) * queue.activeWeight() / weight;
-    double ahead = Math.min(countAhead, Math.max(1, fairAhead));
-    double aheadTokens = queue.workAhead(lane) * ahead / countAhead;
-    int free = selector.freeSlots(attempt.request().serviceClass(), nowMillis);
+    WaitingQueue.Ahead ahead = queue.ahead(attempt.lane(), nowMillis);
+    double fairCount =
+        (ownAhead(attempt) + 1) * queue.activeWeight() / attempt.organisation().weight();
+    double share = Math.min(1, Math.max(1, fairCount) / Math.max(1, ahead.count()));
     int slots = 0;
     double readRate = 0;
     double readQueue = Double.POSITIVE_INFINITY;
@@ -78,20 +78,30 @@
         slots += upstream.slots();
       }
     }
-    double slotWait = Math.max(0, ahead - free) * estimates.holdMillis() / Math.max(1, slots);
-    boolean isReading = attempt.missing() == MissingResource.PREFILL_CAPACITY && readRate > 0;
-    double own = attempt.request().promptTokens();
-    double readWait = isReading ? readQueue + Math.max(0, aheadTokens - own) / readRate : 0;
-    return Math.max(slotWait, readWait);
+    int free = selector.freeSlots(attempt.request().serviceClass(), nowMillis);
+    double slotRate = Math.max(1, slots) / estimates.holdMillis();
+    double slotWait =
+        waitFor(
+            ahead.urgentCount() - free,
+            ahead.count() * share,
+            slotRate,
+            ahead.urgentGrantsPerMilli());
+    if (attempt.missing() != MissingResource.PREFILL_CAPACITY || readRate <= 0) {
+      return slotWait;
+    }
+    double others = Math.max(0, ahead.tokens() * share - attempt.request().promptTokens());
+    double readWait =
+        waitFor(ahead.urgentTokens(), others, readRate, ahead.urgentReadingPerMilli());
+    return Math.max(slotWait, readQueue + readWait);
+  }
+
+  private static double waitFor(double urgent, double lane, double capacity, double takenByUrgent) {
+    double left = Math.max(capacity * LEAST_LEFT_SHARE, capacity - takenByUrgent);
+    double spare = Math.min(0, urgent);
+    return Math.max(0, urgent) / capacity + Math.max(0, lane + spare) / left;
   }
 
   private static int ownAhead(WaitingAttempt attempt) {
-    int ahead = 0;
-    for (ServiceClass lane : ServiceClass.values()) {
-      if (lane.rank() <= attempt.lane().rank()) {
-        ahead += attempt.organisation().lane(lane).attempts().size();
-      }
-    }
-    return ahead - 1;
+    return attempt.organisation().lane(attempt.lane()).attempts().size() - 1;
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitingAttempt.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitingAttempt.java
@@ -7,6 +7,8 @@
 /** One attempt in the queue of a shard. */
 final class WaitingAttempt {
 
+  private static final long NEVER = Long.MAX_VALUE;
+
   private final PlacementRequest request;
   private final OrganisationState organisation;
   private final long sequence;
@@ -15,20 +17,26 @@
   private final long expiresAt;
   private final long kvUntil;
 
-  private ServiceClass lane;
+  private final boolean needsReader;
+
+  private ServiceClass served;
   private long promoteAt;
+  private long queuedAt;
+  private boolean pressing;
   private MissingResource missing = MissingResource.DECODE_SLOT;
 
   /**
    * Computes the times on the owner's clock.
    *
    * @param leastServiceMillis the least time from its start to its target
+   * @param needsReader whether a prefill upstream has to read its prompt
    */
   WaitingAttempt(
       PlacementRequest request,
       OrganisationState organisation,
       long sequence,
       long leastServiceMillis,
+      boolean needsReader,
       PlacementSettings settings,
       long nowMillis) {
     this.request = request;
@@ -38,11 +46,14 @@
     this.targetAt = nowMillis + targetWithin(request);
     this.expiresAt = targetAt - leastServiceMillis;
     this.kvUntil = nowMillis + settings.kvLifetimeMillis();
-    this.lane = request.serviceClass();
+    this.needsReader = needsReader;
+    this.served = request.serviceClass();
+    this.queuedAt = arrivedAt;
+    long ageingMillis = Math.max(settings.ageingMillis(), targetWithin(request) / 2);
     this.promoteAt =
-        switch (lane) {
-          case QUICK -> Long.MAX_VALUE;
-          case STANDARD -> nowMillis + settings.ageingMillis();
+        switch (served) {
+          case QUICK -> NEVER;
+          case STANDARD -> nowMillis + ageingMillis;
           case DEFERRABLE -> expiresAt - settings.promotionSlackMillis();
         };
   }
@@ -77,12 +88,12 @@
 
   /** The order within its organisation and lane: by deadline where it may wait, else by arrival. */
   long orderKey() {
-    return lane.mayWait() ? targetAt : arrivedAt;
+    return served.mayWait() ? targetAt : queuedAt;
   }
 
-  /** The class in whose lane it waits now; ageing raises it. */
-  ServiceClass lane() {
-    return lane;
+  /** The lane in which it waits now; ageing raises it. */
+  int lane() {
+    return 2 * served.rank() + (needsReader ? 1 : 0);
   }
 
   /** When the queue has to look at it again. */
@@ -90,10 +101,26 @@
     return Math.min(expiresAt, promoteAt);
   }
 
-  /** Raises it by one class; it is then served by arrival and ages on. */
-  void promote(long nowMillis, long ageingMillis) {
-    lane = lane == ServiceClass.DEFERRABLE ? ServiceClass.STANDARD : ServiceClass.QUICK;
-    promoteAt = lane == ServiceClass.QUICK ? Long.MAX_VALUE : nowMillis + ageingMillis;
+  /** Whether it may wait in principle, but has hardly any time left to. */
+  boolean isPressing() {
+    return pressing;
+  }
+
+  /**
+   * Raises it, once: a standard attempt by one class, where it is served as if it had just come; a
+   * deferrable one within its lane, which is then served more often.
+   *
+   * <p>Under overload all that waits gets old. Would it go before what comes fresh in the higher
+   * class, that would be late too, and nothing at all would meet its target.
+   */
+  void promote(long nowMillis) {
+    if (served == ServiceClass.DEFERRABLE) {
+      pressing = true;
+    } else {
+      served = ServiceClass.QUICK;
+      queuedAt = nowMillis;
+    }
+    promoteAt = NEVER;
   }
 
   /** The prefill upstream on which its KV cache still lives. */
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
@@ -10,13 +10,17 @@
 import org.marjoramsail.core.placement.OrganisationState.OrganisationLane;
 
 /**
- * The queue of one shard: three lanes by urgency, in each start-time fair queueing between
- * organisations, in each of these by arrival or deadline.
+ * The queue of one shard: for each class a lane of attempts that need a prefill upstream and one of
+ * those that do not, in each lane start-time fair queueing between organisations, in each of these
+ * by arrival or deadline.
  *
  * <p>All changes cost the logarithm of what waits; nothing walks the queue.
  */
 final class WaitingQueue {
 
+  /** Two for each class: without and with a prefill upstream. */
+  static final int LANES = 2 * ServiceClass.values().length;
+
   /** The order of service within one lane of one organisation. */
   static final Comparator<WaitingAttempt> BY_ORDER =
       Comparator.comparingLong(WaitingAttempt::orderKey)
@@ -30,19 +34,27 @@
           .thenComparing(lane -> lane.organisation().name());
 
   /** After that many grants to other lanes, a lane that has attempts goes first. */
-  private static final int[] LARGEST_SKIPPED = {Integer.MAX_VALUE, 6, 12};
+  private static final int[] LARGEST_SKIPPED = {Integer.MAX_VALUE, 6, 6, 6, 12, 12};
+
+  /** The same for a lane with attempts that may wait but have hardly any time left to. */
+  private static final int LARGEST_SKIPPED_PRESSING = 5;
 
   private final List<TreeSet<OrganisationLane>> lanes = new ArrayList<>();
   private final TreeSet<WaitingAttempt> due = new TreeSet<>(BY_DUE);
-  private final double[] virtualTime = new double[ServiceClass.values().length];
-  private final int[] skipped = new int[ServiceClass.values().length];
-  private final int[] count = new int[ServiceClass.values().length];
-  private final double[] work = new double[ServiceClass.values().length];
+  private final double[] virtualTime = new double[LANES];
+  private final int[] skipped = new int[LANES];
+  private final int[] count = new int[LANES];
+  private final int[] pressing = new int[LANES];
+  private final double[] work = new double[LANES];
+  private final DecayingRate[] grants = new DecayingRate[LANES];
+  private final DecayingRate[] reading = new DecayingRate[LANES];
   private double activeWeight;
 
   WaitingQueue() {
-    for (int lane = 0; lane < ServiceClass.values().length; lane++) {
+    for (int lane = 0; lane < LANES; lane++) {
       lanes.add(new TreeSet<>(BY_TAG));
+      grants[lane] = new DecayingRate();
+      reading[lane] = new DecayingRate();
     }
   }
 
@@ -50,22 +62,20 @@
     return due.size();
   }
 
-  /** How many wait in the lanes down to that of {@code serviceClass}. */
-  int countAhead(ServiceClass serviceClass) {
-    int sum = 0;
-    for (int lane = 0; lane <= serviceClass.rank(); lane++) {
-      sum += count[lane];
-    }
-    return sum;
-  }
-
-  /** Prompt tokens that wait in the lanes down to that of {@code serviceClass}. */
-  double workAhead(ServiceClass serviceClass) {
-    double sum = 0;
-    for (int lane = 0; lane <= serviceClass.rank(); lane++) {
-      sum += work[lane];
+  /** What waits in one lane, and what the more urgent classes take. */
+  Ahead ahead(int lane, long nowMillis) {
+    int urgentCount = 0;
+    double urgentTokens = 0;
+    double urgentGrants = 0;
+    double urgentReading = 0;
+    for (int other = 0; other < lane - lane % 2; other++) {
+      urgentCount += count[other];
+      urgentTokens += other % 2 * work[other];
+      urgentGrants += grants[other].perMilli(nowMillis);
+      urgentReading += reading[other].perMilli(nowMillis);
     }
-    return sum;
+    return new Ahead(
+        count[lane], work[lane], urgentCount, urgentTokens, urgentGrants, urgentReading);
   }
 
   /** The weights of all organisations that wait in any lane, each lane counted. */
@@ -74,11 +84,11 @@
   }
 
   void add(WaitingAttempt attempt) {
-    OrganisationLane lane = attempt.organisation().lane(attempt.lane());
+    int index = attempt.lane();
+    OrganisationLane lane = attempt.organisation().lane(index);
     if (lane.attempts().isEmpty()) {
-      int rank = attempt.lane().rank();
-      lane.startTag(Math.max(lane.startTag(), virtualTime[rank]));
-      lanes.get(rank).add(lane);
+      lane.startTag(Math.max(lane.startTag(), virtualTime[index]));
+      lanes.get(index).add(lane);
       activeWeight += lane.join();
     }
     lane.attempts().add(attempt);
@@ -87,41 +97,49 @@
   }
 
   void remove(WaitingAttempt attempt) {
-    OrganisationLane lane = attempt.organisation().lane(attempt.lane());
+    int index = attempt.lane();
+    OrganisationLane lane = attempt.organisation().lane(index);
     due.remove(attempt);
     lane.attempts().remove(attempt);
     account(attempt, -1);
     if (lane.attempts().isEmpty()) {
-      lanes.get(attempt.lane().rank()).remove(lane);
+      lanes.get(index).remove(lane);
       activeWeight -= lane.leave();
     }
   }
 
-  /** Removes an attempt that was granted, and charges its organisation and its lane. */
-  void granted(WaitingAttempt attempt, double cost) {
-    int rank = attempt.lane().rank();
-    OrganisationLane lane = attempt.organisation().lane(attempt.lane());
+  /**
+   * Removes an attempt that was granted, and charges its organisation and its lane.
+   *
+   * @param cost between organisations, in tokens
+   * @param readTokens tokens that a prefill upstream reads for it
+   */
+  void granted(WaitingAttempt attempt, double cost, double readTokens, long nowMillis) {
+    int index = attempt.lane();
+    OrganisationLane lane = attempt.organisation().lane(index);
     remove(attempt);
-    boolean isStillWaiting = lanes.get(rank).remove(lane);
-    virtualTime[rank] = Math.max(virtualTime[rank], lane.startTag());
+    boolean isStillWaiting = lanes.get(index).remove(lane);
+    virtualTime[index] = Math.max(virtualTime[index], lane.startTag());
     lane.startTag(lane.startTag() + cost / lane.organisation().weight());
     if (isStillWaiting) {
-      lanes.get(rank).add(lane);
+      lanes.get(index).add(lane);
     }
-    for (int other = 0; other < skipped.length; other++) {
-      skipped[other] = other == rank || count[other] == 0 ? 0 : skipped[other] + 1;
+    grants[index].add(1, nowMillis);
+    reading[index].add(readTokens, nowMillis);
+    for (int other = 0; other < LANES; other++) {
+      skipped[other] = other == index || count[other] == 0 ? 0 : skipped[other] + 1;
     }
   }
 
   /** The lanes in the order in which they are to be served now. */
   List<Collection<OrganisationLane>> lanesInOrder() {
-    List<Collection<OrganisationLane>> ordered = new ArrayList<>(lanes.size());
-    for (int lane = lanes.size() - 1; lane >= 0; lane--) {
+    List<Collection<OrganisationLane>> ordered = new ArrayList<>(LANES);
+    for (int lane = LANES - 1; lane >= 0; lane--) {
       if (isSkippedTooOften(lane)) {
         ordered.add(lanes.get(lane));
       }
     }
-    for (int lane = 0; lane < lanes.size(); lane++) {
+    for (int lane = 0; lane < LANES; lane++) {
       if (count[lane] > 0 && !isSkippedTooOften(lane)) {
         ordered.add(lanes.get(lane));
       }
@@ -136,20 +154,40 @@
         : Optional.of(due.first());
   }
 
-  /** Moves an attempt up by one lane. */
-  void promote(WaitingAttempt attempt, long nowMillis, long ageingMillis) {
+  /** Moves an attempt up by one class. */
+  void promote(WaitingAttempt attempt, long nowMillis) {
     remove(attempt);
-    attempt.promote(nowMillis, ageingMillis);
+    attempt.promote(nowMillis);
     add(attempt);
   }
 
   private boolean isSkippedTooOften(int lane) {
-    return count[lane] > 0 && skipped[lane] >= LARGEST_SKIPPED[lane];
+    int largest = pressing[lane] > 0 ? LARGEST_SKIPPED_PRESSING : LARGEST_SKIPPED[lane];
+    return count[lane] > 0 && skipped[lane] >= largest;
   }
 
   private void account(WaitingAttempt attempt, int sign) {
-    int rank = attempt.lane().rank();
-    count[rank] += sign;
-    work[rank] += sign * (double) attempt.request().promptTokens();
+    int lane = attempt.lane();
+    count[lane] += sign;
+    pressing[lane] += attempt.isPressing() ? sign : 0;
+    work[lane] += sign * (double) attempt.request().promptTokens();
   }
+
+  /**
+   * What is served before a new attempt of some lane, and what is left for the lane.
+   *
+   * @param count attempts in the lane
+   * @param tokens prompt tokens in the lane
+   * @param urgentCount attempts in lanes of more urgent classes
+   * @param urgentTokens their tokens that prefill upstreams have to read
+   * @param urgentGrantsPerMilli grants of those lanes of late
+   * @param urgentReadingPerMilli tokens read for those lanes of late
+   */
+  record Ahead(
+      int count,
+      double tokens,
+      int urgentCount,
+      double urgentTokens,
+      double urgentGrantsPerMilli,
+      double urgentReadingPerMilli) {}
 }
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlainPlacementTest.java
@@ -0,0 +1,96 @@
+package org.marjoramsail.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.marjoramsail.core.placement.PlacementFixtures.granted;
+import static org.marjoramsail.core.placement.PlacementFixtures.onlyGrant;
+import static org.marjoramsail.core.placement.PlacementFixtures.plainPlacer;
+import static org.marjoramsail.core.placement.PlacementFixtures.plainPool;
+
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
+
+final class PlainPlacementTest {
+
+  private static PlacementRequest lookup(String name) {
+    return PlacementFixtures.request(name).tokens(0, 0).build();
+  }
+
+  private static void fail(ReservingPlacer placer, String name, String upstream, long nowMillis) {
+    placer.report(
+        new AttemptReport(
+            new RequestId(name),
+            1,
+            AttemptPhase.ENDED,
+            Optional.of(AttemptResult.FAILED),
+            Optional.of(new UpstreamName(upstream)),
+            0,
+            0,
+            0),
+        nowMillis);
+  }
+
+  @Test
+  void requestsSpreadOverTheSlotsOfAllUpstreams() {
+    ReservingPlacer placer = plainPlacer(plainPool(3, 2));
+    for (int number = 0; number < 6; number++) {
+      assertThat(placer.place(lookup("r" + number), 0)).hasSize(1);
+    }
+
+    assertThat(placer.place(lookup("r6"), 0)).isEmpty();
+    assertThat(placer.view(0).upstreams()).allMatch(upstream -> upstream.reserved() == 2);
+    assertThat(placer.view(0).waiting().get(0).missing()).isEqualTo("plain-slot");
+  }
+
+  /**
+   * Every second lookup fails for minutes though other servers are well. One server answers each
+   * request with an error at once, so it always looks the least loaded and draws the most requests.
+   */
+  @Test
+  void anUpstreamThatKeepsFailingIsLeftOutAndReturnsSlowly() {
+    ReservingPlacer placer = plainPlacer(plainPool(3, 20));
+    for (int number = 0; number < 5; number++) {
+      placer.place(lookup("r" + number), 0);
+      fail(placer, "r" + number, "plain-0", 0);
+    }
+
+    assertThat(placer.view(1).upstreams().get(0).state()).isEqualTo("ejected");
+    for (int number = 0; number < 10; number++) {
+      assertThat(onlyGrant(placer.place(lookup("s" + number), 1)).target().value())
+          .isNotEqualTo("plain-0");
+    }
+    assertThat(placer.view(1_500).upstreams().get(0).state()).isEqualTo("slow-start");
+    assertThat(placer.view(20_000).upstreams().get(0).state()).isEqualTo("available");
+  }
+
+  /**
+   * A whole service is refused although its servers are well. A shared dependency failed for a
+   * moment, every server answered with errors, and all were ejected together.
+   */
+  @Test
+  void atMostAThirdOfAPoolIsEjected() {
+    ReservingPlacer placer = plainPlacer(plainPool(6, 20));
+    for (int number = 0; number < 60; number++) {
+      Grant grant = onlyGrant(placer.place(lookup("r" + number), 0));
+      fail(placer, "r" + number, grant.target().value(), 0);
+    }
+
+    assertThat(placer.view(1).upstreams())
+        .filteredOn(upstream -> upstream.state().equals("ejected"))
+        .hasSizeLessThanOrEqualTo(2)
+        .isNotEmpty();
+  }
+
+  @Test
+  void anUpstreamThatSaysItIsLeavingGetsNothingMore() {
+    ReservingPlacer placer = plainPlacer(plainPool(1, 2));
+    placer.load(
+        new LoadReport(new UpstreamName("plain-0"), 1, UpstreamRole.PLAIN, 2, 0, 0, 0, true, 0), 0);
+
+    assertThat(placer.place(lookup("r1"), 1)).isEmpty();
+    assertThat(granted(placer.load(PlacementFixtures.load("plain-0", UpstreamRole.PLAIN, 2, 0), 2)))
+        .containsExactly("r1");
+  }
+}
