Tell repeats of a keyed request what became of the first

Cause: a caller that sends again with its key has to learn what is known, and must never cause a second run. Change: StoredClaims joins requests with the claim store; run state 'ran' and reasons already-answered and ran-before; claims join the daemon.

--- a/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
+++ b/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
@@ -16,6 +16,8 @@
   REQUEST_TIMEOUT(408, true),
   IDEMPOTENCY_CONFLICT(409, false),
   ALREADY_RUNNING(409, true),
+  ALREADY_ANSWERED(409, false),
+  RAN_BEFORE(409, false),
   BODY_TOO_LARGE(413, false),
   QUARANTINED(422, false),
   HEADERS_TOO_LARGE(431, false),
--- a/core/src/main/java/org/marjoramsail/core/failure/RunState.java
+++ b/core/src/main/java/org/marjoramsail/core/failure/RunState.java
@@ -4,6 +4,8 @@
 public enum RunState {
   /** Proven: it was never sent, or the upstream said that it did not run it. */
   NOT_RUN("not-run"),
+  /** It ran before, and its answer went to whoever sent it then. */
+  RAN("ran"),
   /** It was sent, and nothing tells whether it ran. */
   UNKNOWN("unknown");
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -11,6 +11,8 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.marjoramsail.core.claim.ClaimMessage;
+import org.marjoramsail.core.claim.ClaimSettings;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.membership.Member;
 import org.marjoramsail.core.membership.MemberState;
@@ -25,6 +27,7 @@
 import org.marjoramsail.core.placement.PlacementSettings;
 import org.marjoramsail.core.placement.PlacementTimings;
 import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.daemon.claim.PeerClaimService;
 import org.marjoramsail.daemon.configuration.ConfigurationService;
 import org.marjoramsail.daemon.configuration.VertxTimers;
 import org.marjoramsail.daemon.main.RunningDaemon;
@@ -39,7 +42,7 @@
 import org.marjoramsail.daemon.placement.DistributedPlacement;
 import org.marjoramsail.daemon.platform.HttpObjectApi;
 import org.marjoramsail.daemon.platform.HttpObjectApiSettings;
-import org.marjoramsail.daemon.request.NoClaims;
+import org.marjoramsail.daemon.request.StoredClaims;
 import org.marjoramsail.daemon.settings.Settings;
 import org.marjoramsail.daemon.upstream.UpstreamWatch;
 
@@ -60,6 +63,7 @@
   private final ConfigurationService configuration;
   private final ConfiguredShards shards;
   private final DistributedPlacement placement;
+  private final PeerClaimService claims;
   private final RequestParts requests;
   private final PlacementParts placementParts;
   private final UpstreamWatch upstreams;
@@ -113,6 +117,9 @@
             clock);
     this.placement =
         new DistributedPlacement(self, shards, network, PlacementTimings.standard(), clock, meters);
+    this.claims =
+        new PeerClaimService(
+            vertx, self, ClaimSettings.defaults(), store, network, this::liveRuns, clock, meters);
     this.requests =
         new RequestParts(
             vertx,
@@ -120,7 +127,7 @@
             self,
             configuration::current,
             placement,
-            new NoClaims(),
+            new StoredClaims(claims),
             new Invariants(mode),
             clock,
             random,
@@ -157,13 +164,15 @@
         CrashReportMessage.class,
         (from, message) ->
             requests.quarantine.handle((CrashReportMessage) message, clock.millis()));
-    registerConfiguration();
+    registerPackage(Configuration.class, configuration);
+    registerPackage(ClaimMessage.class, claims);
     return network
         .start()
         .onSuccess(port -> peerPort = port)
         .compose(
             port -> {
               configuration.start();
+              claims.start();
               placementParts.start(vertx);
               upstreams.start();
               vertx.setPeriodic(CRASH_SPREAD_MILLIS, timer -> spreadCrashes());
@@ -203,6 +212,7 @@
               upstreams.stop();
               placementParts.stop(vertx);
               configuration.stop();
+              claims.stop();
               return network.stop();
             })
         .toCompletionStage();
@@ -213,9 +223,15 @@
     return new UnfinishedWork(requests.registry.size(), 0, placement.views().size());
   }
 
-  private void registerConfiguration() {
-    PeerMessageHandler handler = configuration;
-    PeerMessageType.ofPackage(Configuration.class).forEach(type -> network.register(type, handler));
+  private void registerPackage(Class<?> neighbour, PeerMessageHandler handler) {
+    PeerMessageType.ofPackage(neighbour).forEach(type -> network.register(type, handler));
+  }
+
+  private List<DaemonId> liveRuns() {
+    return view.members().stream()
+        .filter(member -> member.state().isEligible())
+        .map(Member::id)
+        .toList();
   }
 
   private void configured(Configuration newer) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -26,8 +26,7 @@
 
   private static final String PREFIX = "marjoramsail.";
 
-  private final Map<RefusalReason, Counter> refusedNotRun;
-  private final Map<RefusalReason, Counter> refusedUnknown;
+  private final Map<RunState, Map<RefusalReason, Counter>> refused = new EnumMap<>(RunState.class);
   private final Map<RetryReason, Counter> retries;
   private final Map<DropReason, Counter> drops;
   private final Counter accepted;
@@ -47,8 +46,9 @@
    */
   public RequestMetrics(MeterRegistry registry, Invariants invariants) {
     this.registry = registry;
-    this.refusedNotRun = refusals(registry, RunState.NOT_RUN);
-    this.refusedUnknown = refusals(registry, RunState.UNKNOWN);
+    for (RunState run : RunState.values()) {
+      refused.put(run, refusals(registry, run));
+    }
     this.retries = perReason(registry, RetryReason.class, "retries", RetryReason::code);
     this.drops = perReason(registry, DropReason.class, "drops", DropReason::code);
     this.accepted = registry.counter(PREFIX + "requests.accepted");
@@ -119,9 +119,7 @@
 
   /** Counts a refusal. */
   public void refused(Refusal refusal) {
-    Map<RefusalReason, Counter> counters =
-        refusal.runState() == RunState.NOT_RUN ? refusedNotRun : refusedUnknown;
-    counters.get(refusal.reason()).increment();
+    refused.get(refusal.runState()).get(refusal.reason()).increment();
   }
 
   /** Counts a retry. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
@@ -6,6 +6,9 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.marjoramsail.core.claim.ClaimMessage;
+import org.marjoramsail.core.claim.ClaimResultMessage;
+import org.marjoramsail.core.claim.SettleMessage;
 import org.marjoramsail.core.configuration.RevisionDeltaMessage;
 import org.marjoramsail.core.configuration.RevisionDigestMessage;
 import org.marjoramsail.core.configuration.RevisionFullMessage;
@@ -51,7 +54,10 @@
   REVISION_REQUEST(53, RevisionRequestMessage.class),
   REVISION_STATUS(54, RevisionStatusMessage.class),
   REVISION_STATUS_REQUEST(55, RevisionStatusRequestMessage.class),
-  CRASH_REPORT(70, CrashReportMessage.class);
+  CRASH_REPORT(70, CrashReportMessage.class),
+  CLAIM(71, ClaimMessage.class),
+  CLAIM_RESULT(72, ClaimResultMessage.class),
+  SETTLE(73, SettleMessage.class);
 
   private static final int LAST_MEMBERSHIP_NUMBER = 19;
 
