--- a/command/src/main/java/org/marjoramsail/command/CommandList.java
+++ b/command/src/main/java/org/marjoramsail/command/CommandList.java
@@ -7,7 +7,16 @@
 
   private CommandList() {}
 
-  static List<Class<? extends CommandAction>> all() {
-    return List.of(WorkloadCommand.class);
+  /**
+   * The commands that work here.
+   *
+   * @param withFleet whether daemons can be started in this process
+   */
+  static List<Class<? extends CommandAction>> available(boolean withFleet) {
+    if (!withFleet) {
+      return List.of(WorkloadCommand.class);
+    }
+    return List.of(
+        DemoCommand.class, BenchCommand.class, BenchCompareCommand.class, WorkloadCommand.class);
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/Marjoramsail.java
+++ b/command/src/main/java/org/marjoramsail/command/Marjoramsail.java
@@ -13,8 +13,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Properties;
+import java.util.ServiceLoader;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.marjoramsail.command.fleet.FleetDaemonFactory;
 import org.marjoramsail.core.failure.MarjoramsailException;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.language.NearestName;
@@ -35,7 +37,7 @@
     this.commands =
         Cli.<CommandAction>builder("marjoramsail")
             .withDescription("Asks and orders daemons, and tries them under load.")
-            .withCommands(CommandList.all())
+            .withCommands(CommandList.available(surroundings.daemons().isPresent()))
             .build();
   }
 
@@ -43,7 +45,8 @@
   public static void main(String[] arguments) {
     long origin = System.nanoTime();
     Clock clock = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - origin);
-    Surroundings process = new Surroundings(System.out, System.err, clock);
+    Optional<FleetDaemonFactory> daemons = ServiceLoader.load(FleetDaemonFactory.class).findFirst();
+    Surroundings process = new Surroundings(System.out, System.err, clock, daemons);
     ExitCode exitCode = new Marjoramsail(process).run(arguments);
     System.out.flush();
     System.exit(exitCode.code());
--- a/command/src/main/java/org/marjoramsail/command/WorkloadOptions.java
+++ b/command/src/main/java/org/marjoramsail/command/WorkloadOptions.java
@@ -15,7 +15,7 @@
   private static final String LOAD = "--load";
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final double MOST_SECONDS = 86_400;
-  private static final double MOST_LOAD = 10;
+  static final double MOST_LOAD = 10;
 
   @Option(
       name = DEPLOYMENT,
--- a/command/src/test/java/org/marjoramsail/command/MarjoramsailTest.java
+++ b/command/src/test/java/org/marjoramsail/command/MarjoramsailTest.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -19,7 +20,8 @@
           new Surroundings(
               new PrintStream(output, true, StandardCharsets.UTF_8),
               new PrintStream(errors, true, StandardCharsets.UTF_8),
-              new ManualClock(0)));
+              new ManualClock(0),
+              Optional.empty()));
 
   @ParameterizedTest
   @CsvSource(
--- a/standin/src/main/java/org/marjoramsail/standin/load/WorkloadDefinition.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/WorkloadDefinition.java
@@ -39,4 +39,10 @@
     return new WorkloadDefinition(
         mix, shape, otherSeed, durationMillis, capacityPerSecond, loadFactor, lengths);
   }
+
+  /** The same with another peak rate. */
+  public WorkloadDefinition withLoad(double otherLoadFactor) {
+    return new WorkloadDefinition(
+        mix, shape, seed, durationMillis, capacityPerSecond, otherLoadFactor, lengths);
+  }
 }
