Run one stand-in as a process of its own

Cause: trials with real processes need engines, plain services and a platform on ports of their own.

--- a/command/src/main/java/org/marjoramsail/command/CommandList.java
+++ b/command/src/main/java/org/marjoramsail/command/CommandList.java
@@ -14,9 +14,13 @@
    */
   static List<Class<? extends CommandAction>> available(boolean withFleet) {
     if (!withFleet) {
-      return List.of(WorkloadCommand.class);
+      return List.of(WorkloadCommand.class, StandInCommand.class);
     }
     return List.of(
-        DemoCommand.class, BenchCommand.class, BenchCompareCommand.class, WorkloadCommand.class);
+        DemoCommand.class,
+        BenchCommand.class,
+        BenchCompareCommand.class,
+        WorkloadCommand.class,
+        StandInCommand.class);
   }
 }
--- a/command/src/test/java/org/marjoramsail/command/MarjoramsailTest.java
+++ b/command/src/test/java/org/marjoramsail/command/MarjoramsailTest.java
@@ -37,7 +37,9 @@
         "workload --load 11 | at most 10",
         "workload --seed many | seed",
         "workload surplus | surplus",
-        "help workloda | workload"
+        "help workloda | workload",
+        "standin prefil | prefill",
+        "standin plain --port 70000 | 0 to 65535"
       })
   void aFaultyCommandLineEndsAsUsageAndSaysWhatIsAllowed(String line, String told) {
     assertThat(run(line)).isEqualTo(ExitCode.USAGE);
