Join polls, quarantine and membership in the daemon

Cause: two watches of upstreams had been written; the poller of the request path also asks at once where a call was cut, so it stays and the other goes. Change: DaemonRuntime in its final order: network, membership, configuration, claims, placement, polls, callers; dead runs are cancelled on engines.

--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -1,27 +1,30 @@
 package org.marjoramsail.daemon.assembly;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.security.SecureRandom;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.marjoramsail.core.claim.ClaimMessage;
 import org.marjoramsail.core.claim.ClaimSettings;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.membership.Member;
 import org.marjoramsail.core.membership.MemberState;
+import org.marjoramsail.core.membership.MembershipSettings;
 import org.marjoramsail.core.membership.MembershipView;
 import org.marjoramsail.core.membership.PeerAddress;
 import org.marjoramsail.core.message.PeerMessageHandler;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.outcome.CrashReportMessage;
 import org.marjoramsail.core.outcome.Invariants;
+import org.marjoramsail.core.outcome.Quarantine;
 import org.marjoramsail.core.placement.PlacementMessage;
 import org.marjoramsail.core.placement.PlacementPolicy;
 import org.marjoramsail.core.placement.PlacementSettings;
@@ -33,6 +36,8 @@
 import org.marjoramsail.daemon.main.RunningDaemon;
 import org.marjoramsail.daemon.main.StopPhase;
 import org.marjoramsail.daemon.main.UnfinishedWork;
+import org.marjoramsail.daemon.membership.MembershipService;
+import org.marjoramsail.daemon.membership.PeerDirectory;
 import org.marjoramsail.daemon.peer.PeerBounds;
 import org.marjoramsail.daemon.peer.PeerFaults;
 import org.marjoramsail.daemon.peer.PeerMessageType;
@@ -42,15 +47,22 @@
 import org.marjoramsail.daemon.placement.DistributedPlacement;
 import org.marjoramsail.daemon.platform.HttpObjectApi;
 import org.marjoramsail.daemon.platform.HttpObjectApiSettings;
+import org.marjoramsail.daemon.request.OutcomeObserver;
 import org.marjoramsail.daemon.request.StoredClaims;
 import org.marjoramsail.daemon.settings.Settings;
-import org.marjoramsail.daemon.upstream.UpstreamWatch;
+import org.marjoramsail.daemon.upstream.CacheEventPoller;
+import org.marjoramsail.daemon.upstream.OrphanCanceller;
+import org.marjoramsail.daemon.upstream.PollPace;
+import org.marjoramsail.daemon.upstream.UpstreamStatusPoller;
 
 /** A whole daemon: its parts, started and stopped in order. */
 public final class DaemonRuntime implements RunningDaemon {
 
-  private static final long WATCH_MILLIS = 500;
   private static final long CRASH_SPREAD_MILLIS = 100;
+  private static final long ORPHAN_TICK_MILLIS = 500;
+  private static final long CRASH_LIFETIME_MILLIS = 600_000;
+  private static final long CRASH_SETTLE_MILLIS = 2_000;
+  private static final int MAXIMUM_SUSPECTS = 10_000;
 
   private final Vertx vertx;
   private final Settings settings;
@@ -58,16 +70,19 @@
   private final DaemonId self;
   private final PrometheusMeterRegistry meters =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-  private final AtomicBoolean paused = new AtomicBoolean();
+  private final Quarantine quarantine =
+      new Quarantine(CRASH_LIFETIME_MILLIS, CRASH_SETTLE_MILLIS, MAXIMUM_SUSPECTS);
   private final PeerNetwork network;
+  private final MembershipService membership;
   private final ConfigurationService configuration;
-  private final ConfiguredShards shards;
   private final DistributedPlacement placement;
   private final PeerClaimService claims;
-  private final RequestParts requests;
   private final PlacementParts placementParts;
-  private final UpstreamWatch upstreams;
-  private volatile MembershipView view;
+  private final UpstreamStatusPoller poller;
+  private final RequestParts requests;
+  private final OutcomeObserver outcomes;
+  private final OrphanCanceller orphans;
+  private Set<DaemonId> reachable = Set.of();
   private int callerPort;
   private int operatorPort;
   private int peerPort;
@@ -84,13 +99,24 @@
     this.vertx = vertx;
     this.settings = settings;
     this.clock = clock;
+    this.self = new DaemonId(settings.host().name(), clock.millis());
     SecureRandom secure = new SecureRandom();
     Random random = new Random(secure.nextLong());
-    this.self = new DaemonId(settings.host().name(), clock.millis());
-    this.view = new MembershipView(member(0), List.of(member(0)));
+    ObjectMapper json = new ObjectMapper();
+    PeerDirectory addresses = new PeerDirectory();
     this.network =
-        new PeerNetwork(
-            vertx, peerSettings(), clock, meters, secure, this::addressOf, PeerFaults.NONE);
+        new PeerNetwork(vertx, peerSettings(), clock, meters, secure, addresses, PeerFaults.NONE);
+    this.membership =
+        new MembershipService(
+            vertx,
+            network,
+            addresses,
+            peerSettings(),
+            MembershipSettings.defaults(),
+            seeds(),
+            clock,
+            meters,
+            random);
     HttpObjectApi store =
         new HttpObjectApi(
             vertx,
@@ -101,25 +127,43 @@
         new ConfigurationService(
             store,
             network,
-            () -> view,
+            membership::view,
             clock,
             clock,
             random,
             new VertxTimers(vertx),
             meters,
             this::configured);
-    this.shards =
+    ConfiguredShards shards =
         new ConfiguredShards(
-            member(0),
+            membership.view().self(),
             PlacementPolicy.ofCode(settings.placement().policy()).orElse(PlacementPolicy.RESERVE),
             PlacementSettings.defaults(),
             random,
             clock);
     this.placement =
-        new DistributedPlacement(self, shards, network, PlacementTimings.standard(), clock, meters);
+        new DistributedPlacement(
+            self, shards, network, PlacementTimings.standard(), clock, meters);
     this.claims =
         new PeerClaimService(
             vertx, self, ClaimSettings.defaults(), store, network, this::liveRuns, clock, meters);
+    UpstreamParts upstreams = new UpstreamParts(vertx, json, configuration::current);
+    this.placementParts =
+        new PlacementParts(
+            placement,
+            shards,
+            quarantine,
+            upstreams.directory,
+            new CacheEventPoller(upstreams.engines));
+    this.poller =
+        new UpstreamStatusPoller(
+            vertx,
+            upstreams.engines,
+            upstreams.plainServices,
+            placementParts::watched,
+            PollPace.defaults(),
+            clock,
+            random);
     this.requests =
         new RequestParts(
             vertx,
@@ -128,56 +172,36 @@
             configuration::current,
             placement,
             new StoredClaims(claims),
+            upstreams,
+            poller::poll,
+            quarantine,
             new Invariants(mode),
             clock,
             random,
+            json,
             meters);
-    this.placementParts =
-        new PlacementParts(
-            placement,
-            shards,
-            requests.quarantine,
-            requests.registry,
-            requests.directory,
-            clock,
-            paused);
-    this.upstreams =
-        new UpstreamWatch(
-            vertx,
-            requests.engines,
-            requests.plainServices,
-            placementParts::watched,
-            placementParts,
-            clock,
-            random,
-            WATCH_MILLIS);
+    this.outcomes =
+        new OutcomeObserver(quarantine, requests.registry, this::tellAll, placementParts, clock);
+    this.orphans =
+        new OrphanCanceller(upstreams.engines, placementParts::watched, clock, meters);
   }
 
   /** Starts all parts; done once callers are served. */
   public Future<DaemonRuntime> start() {
+    PeerMessageHandler placements =
+        (from, message) -> placement.heard(from, (PlacementMessage) message);
     PeerMessageType.ofFamily(PlacementMessage.class)
-        .forEach(
-            type ->
-                network.register(
-                    type, (from, message) -> placement.heard(from, (PlacementMessage) message)));
+        .forEach(type -> network.register(type, placements));
     network.register(
         CrashReportMessage.class,
-        (from, message) ->
-            requests.quarantine.handle((CrashReportMessage) message, clock.millis()));
+        (from, message) -> quarantine.handle((CrashReportMessage) message, clock.millis()));
     registerPackage(Configuration.class, configuration);
     registerPackage(ClaimMessage.class, claims);
+    membership.listen(this::membersChanged);
     return network
         .start()
         .onSuccess(port -> peerPort = port)
-        .compose(
-            port -> {
-              configuration.start();
-              claims.start();
-              placementParts.start(vertx);
-              upstreams.start();
-              vertx.setPeriodic(CRASH_SPREAD_MILLIS, timer -> spreadCrashes());
-              return requests.callers.start();
-            })
+        .compose(port -> startServing())
         .map(
             port -> {
               callerPort = port;
@@ -208,8 +232,15 @@
         .stop(settings.limits().leaveMillis(), settings.limits().stopMillis())
         .compose(
             running -> {
+              listener.accept(StopPhase.HANDING_OVER);
+              membership.leave();
+              listener.accept(StopPhase.LEAVING);
+              return membership.stop();
+            })
+        .compose(
+            left -> {
               listener.accept(StopPhase.CLOSING);
-              upstreams.stop();
+              poller.stop();
               placementParts.stop(vertx);
               configuration.stop();
               claims.stop();
@@ -223,12 +254,43 @@
     return new UnfinishedWork(requests.registry.size(), 0, placement.views().size());
   }
 
+  private Future<Integer> startServing() {
+    membership.start();
+    configuration.start();
+    claims.start();
+    placementParts.start(vertx);
+    poller.start(outcomes);
+    vertx.setPeriodic(CRASH_SPREAD_MILLIS, timer -> outcomes.tellOthers());
+    vertx.setPeriodic(ORPHAN_TICK_MILLIS, timer -> orphans.tick());
+    return requests.callers.start();
+  }
+
+  private void membersChanged(MembershipView view) {
+    placement.members(view);
+    Set<DaemonId> now = new HashSet<>();
+    Set<DaemonId> dead = new HashSet<>();
+    for (Member member : view.members()) {
+      if (member.state().isReachable()) {
+        now.add(member.id());
+      } else if (member.state() == MemberState.DEAD) {
+        dead.add(member.id());
+      }
+    }
+    for (DaemonId before : reachable) {
+      boolean superseded = now.stream().anyMatch(other -> other.supersedes(before));
+      if (!now.contains(before) && (superseded || dead.contains(before))) {
+        orphans.daemonGone(before);
+      }
+    }
+    reachable = now;
+  }
+
   private void registerPackage(Class<?> neighbour, PeerMessageHandler handler) {
     PeerMessageType.ofPackage(neighbour).forEach(type -> network.register(type, handler));
   }
 
   private List<DaemonId> liveRuns() {
-    return view.members().stream()
+    return membership.view().members().stream()
         .filter(member -> member.state().isEligible())
         .map(Member::id)
         .toList();
@@ -238,32 +300,18 @@
     placement.configure(newer);
   }
 
-  private void spreadCrashes() {
-    List<CrashReportMessage> messages = requests.quarantine.takeMessages();
-    for (CrashReportMessage message : messages) {
-      for (Member member : view.members()) {
-        if (member.state().isReachable() && !member.id().equals(self)) {
-          network.send(member.id(), message);
-        }
+  private void tellAll(CrashReportMessage message) {
+    for (Member member : membership.view().members()) {
+      if (member.state().isReachable() && !member.id().equals(self)) {
+        network.send(member.id(), message);
       }
     }
   }
 
-  private Member member(int port) {
-    return new Member(
-        self,
-        settings.listen().peer().address(),
-        port,
-        settings.host().availabilityZone(),
-        settings.host().region(),
-        MemberState.ALIVE);
-  }
-
-  private Optional<PeerAddress> addressOf(DaemonId daemon) {
-    return view.members().stream()
-        .filter(member -> member.id().equals(daemon))
-        .map(member -> new PeerAddress(member.address(), member.port()))
-        .findFirst();
+  private List<PeerAddress> seeds() {
+    return settings.peers().stream()
+        .map(peer -> new PeerAddress(peer.address(), peer.port()))
+        .toList();
   }
 
   private PeerSettings peerSettings() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/PlacementParts.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/PlacementParts.java
@@ -2,59 +2,65 @@
 
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
-import java.util.Collection;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
 import org.marjoramsail.core.outcome.Quarantine;
 import org.marjoramsail.core.placement.CacheEvent;
 import org.marjoramsail.core.placement.LoadReport;
 import org.marjoramsail.core.placement.ShardId;
-import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.placement.ConfiguredShards;
 import org.marjoramsail.daemon.placement.DistributedPlacement;
-import org.marjoramsail.daemon.request.RequestRegistry;
+import org.marjoramsail.daemon.upstream.CacheEventList;
+import org.marjoramsail.daemon.upstream.CacheEventPoller;
 import org.marjoramsail.daemon.upstream.UpstreamDirectory;
-import org.marjoramsail.daemon.upstream.UpstreamListener;
+import org.marjoramsail.daemon.upstream.UpstreamObserver;
+import org.marjoramsail.daemon.upstream.UpstreamStatus;
 
-/** Joins placement, quarantine and what upstreams say, and gives placement its ticks. */
-final class PlacementParts implements UpstreamListener {
+/** Joins placement with what upstreams say, and gives placement its ticks. */
+final class PlacementParts implements UpstreamObserver {
 
   private static final long OWNER_TICK_MILLIS = 5;
   private static final long ENTRY_TICK_MILLIS = 100;
 
+  /** How many polls in a row have to fail before an upstream counts as unreachable. */
+  private static final int FAILURES_TO_UNREACHABLE = 2;
+
+  /** Cache events are hints; they are asked for after one in so many polls. */
+  private static final int POLLS_PER_CACHE_POLL = 2;
+
   private final DistributedPlacement placement;
   private final ConfiguredShards shards;
   private final Quarantine quarantine;
-  private final RequestRegistry registry;
   private final UpstreamDirectory directory;
-  private final Clock clock;
-  private final AtomicBoolean paused;
+  private final CacheEventPoller caches;
+  private final Map<UpstreamName, Integer> failures = new ConcurrentHashMap<>();
+  private final Map<UpstreamName, Integer> polls = new ConcurrentHashMap<>();
   private final List<Long> timers = new ArrayList<>();
 
   PlacementParts(
       DistributedPlacement placement,
       ConfiguredShards shards,
       Quarantine quarantine,
-      RequestRegistry registry,
       UpstreamDirectory directory,
-      Clock clock,
-      AtomicBoolean paused) {
+      CacheEventPoller caches) {
     this.placement = placement;
     this.shards = shards;
     this.quarantine = quarantine;
-    this.registry = registry;
     this.directory = directory;
-    this.clock = clock;
-    this.paused = paused;
+    this.caches = caches;
   }
 
   void start(Vertx vertx) {
-    timers.add(vertx.setPeriodic(OWNER_TICK_MILLIS, timer -> unlessPaused(placement::tickOwned)));
-    timers.add(vertx.setPeriodic(ENTRY_TICK_MILLIS, timer -> unlessPaused(placement::tickEntry)));
+    timers.add(vertx.setPeriodic(OWNER_TICK_MILLIS, timer -> placement.tickOwned()));
+    timers.add(vertx.setPeriodic(ENTRY_TICK_MILLIS, timer -> placement.tickEntry()));
   }
 
   void stop(Vertx vertx) {
@@ -62,7 +68,7 @@
   }
 
   /** The upstreams of the shards decided here, and those that may have crashed under a request. */
-  Collection<UpstreamDefinition> watched() {
+  List<UpstreamDefinition> watched() {
     Map<UpstreamName, UpstreamDefinition> watched = new LinkedHashMap<>();
     for (ShardId shard : placement.watchedShards()) {
       shards.upstreamsOf(shard).forEach(upstream -> watched.put(upstream.name(), upstream));
@@ -70,31 +76,50 @@
     for (UpstreamName upstream : quarantine.unsettledUpstreams()) {
       directory.definition(upstream).ifPresent(found -> watched.put(upstream, found));
     }
-    return watched.values();
+    return List.copyOf(watched.values());
   }
 
   @Override
-  public void reported(LoadReport report, long askedAtMillis) {
-    long asOf = askedAtMillis - report.ageMillis();
-    if (quarantine.incarnation(report.upstream(), report.incarnation(), asOf, clock.millis())) {
-      registry.upstreamRestarted(report.upstream());
+  public void load(LoadReport report, long askedAtMillis) {
+    Integer failed = failures.remove(report.upstream());
+    if (failed != null && failed >= FAILURES_TO_UNREACHABLE) {
+      placement.availability(report.upstream(), true);
     }
     placement.load(report);
   }
 
   @Override
-  public void reachable(UpstreamName upstream, boolean reachable) {
-    placement.availability(upstream, reachable);
+  public void status(UpstreamDefinition definition, UpstreamStatus status) {
+    int count = polls.merge(definition.name(), 1, Integer::sum);
+    if (definition.role() == UpstreamRole.PREFILL && count % POLLS_PER_CACHE_POLL == 0) {
+      caches.poll(definition).onSuccess(this::cached);
+    }
   }
 
   @Override
-  public void cached(CacheEvent event) {
-    placement.cached(event);
+  public void unreachable(UpstreamName upstream, boolean connectionRefused) {
+    int failed = failures.merge(upstream, 1, Integer::sum);
+    if (failed == FAILURES_TO_UNREACHABLE) {
+      placement.availability(upstream, false);
+    }
   }
 
-  private void unlessPaused(Runnable task) {
-    if (!paused.get()) {
-      task.run();
+  private void cached(CacheEventPoller.CacheChange change) {
+    if (change.restarted()) {
+      placement.cached(new CacheEvent(change.upstream(), CacheEvent.Kind.CLEARED, 0));
+      return;
     }
+    for (CacheEventList.CacheEvent event : change.list().events()) {
+      kindOf(event)
+          .ifPresent(
+              kind -> placement.cached(new CacheEvent(change.upstream(), kind, event.hash())));
+    }
+  }
+
+  private static Optional<CacheEvent.Kind> kindOf(CacheEventList.CacheEvent event) {
+    String name = event.kind().toUpperCase(Locale.ROOT);
+    return Arrays.stream(CacheEvent.Kind.values())
+        .filter(kind -> kind.name().equals(name))
+        .findFirst();
   }
 }
