Write optional fields of engine orders as the engines read them

Cause: every generation ended with retries-exhausted (connect-failed): the assembled daemon's mapper had no module for Optional, so an order with a KV source could not be written. Ruled out: KV lifetime and load, since one request on an idle fleet failed the same way. Change: the daemon's mapper is built with the module, as the tests' one was.

--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -1,6 +1,8 @@
 package org.marjoramsail.daemon.assembly;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import io.vertx.core.Future;
@@ -102,7 +104,7 @@
     this.self = new DaemonId(settings.host().name(), clock.millis());
     SecureRandom secure = new SecureRandom();
     Random random = new Random(secure.nextLong());
-    ObjectMapper json = new ObjectMapper();
+    ObjectMapper json = JsonMapper.builder().addModule(new Jdk8Module()).build();
     PeerDirectory addresses = new PeerDirectory();
     this.network =
         new PeerNetwork(vertx, peerSettings(), clock, meters, secure, addresses, PeerFaults.NONE);
@@ -142,8 +144,7 @@
             random,
             clock);
     this.placement =
-        new DistributedPlacement(
-            self, shards, network, PlacementTimings.standard(), clock, meters);
+        new DistributedPlacement(self, shards, network, PlacementTimings.standard(), clock, meters);
     this.claims =
         new PeerClaimService(
             vertx, self, ClaimSettings.defaults(), store, network, this::liveRuns, clock, meters);
@@ -182,8 +183,7 @@
             meters);
     this.outcomes =
         new OutcomeObserver(quarantine, requests.registry, this::tellAll, placementParts, clock);
-    this.orphans =
-        new OrphanCanceller(upstreams.engines, placementParts::watched, clock, meters);
+    this.orphans = new OrphanCanceller(upstreams.engines, placementParts::watched, clock, meters);
   }
 
   /** Starts all parts; done once callers are served. */
