Look only at lanes whose resource is free

Change: free slots and open prefill upstreams are checked once, blocked lanes are skipped, and what an attempt lacks is worked out when somebody asks. The size of a shard is a setting.

--- a/benchmark/src/main/java/org/marjoramsail/benchmark/BenchmarkPool.java
+++ b/benchmark/src/main/java/org/marjoramsail/benchmark/BenchmarkPool.java
@@ -26,6 +26,7 @@
   static final int SLOTS = 20;
   static final long KV_BYTES_PER_TOKEN = 100_000;
 
+  private static final int LARGEST_SHARD = 96;
   private static final int LARGE_QUEUE = 100_000;
   private static final long FAR_MILLIS = 1_000_000_000_000L;
   private static final int PROMPT_TOKENS = 4_000;
@@ -75,7 +76,8 @@
         base.settlingMillis(),
         base.reportLagMillis(),
         base.ejectionMillis(),
-        base.slowStartMillis());
+        base.slowStartMillis(),
+        LARGEST_SHARD);
   }
 
   static PlacementRequest request(long number, int organisations, int hashes) {
--- a/benchmark/src/main/java/org/marjoramsail/benchmark/PlacementBenchmark.java
+++ b/benchmark/src/main/java/org/marjoramsail/benchmark/PlacementBenchmark.java
@@ -29,10 +29,10 @@
  * Time and bytes of one placement in a full shard: one attempt arrives, one ends, one is granted.
  */
 @State(Scope.Thread)
-@BenchmarkMode(Mode.AverageTime)
+@BenchmarkMode(Mode.SampleTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
 @Fork(1)
-@Warmup(iterations = 3, time = 500, timeUnit = TimeUnit.MILLISECONDS)
+@Warmup(iterations = 5, time = 500, timeUnit = TimeUnit.MILLISECONDS)
 @Measurement(iterations = 3, time = 500, timeUnit = TimeUnit.MILLISECONDS)
 public class PlacementBenchmark {
 
@@ -56,7 +56,7 @@
   private int next;
 
   /** Fills all slots and the queue. */
-  @Setup(Level.Iteration)
+  @Setup(Level.Trial)
   public void fill() {
     requests = new PlacementRequest[PREPARED];
     for (int number = 0; number < PREPARED; number++) {
--- a/core/src/main/java/org/marjoramsail/core/placement/DirectPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/DirectPlacer.java
@@ -140,7 +140,7 @@
   private void define(Configuration configuration) {
     Map<UpstreamName, Candidate> before = new TreeMap<>(candidates);
     candidates.clear();
-    new ShardMap(configuration)
+    new ShardMap(configuration, settings.shardUpstreams())
         .upstreamsOf(shard)
         .forEach(
             definition -> {
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementSettings.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementSettings.java
@@ -20,6 +20,8 @@
  * @param reportLagMillis how much older than its stated age a load report may be
  * @param ejectionMillis how long an upstream is ejected for the first time; doubles each time
  * @param slowStartMillis how long a returned upstream takes to get its full share
+ * @param shardUpstreams the most upstreams of a shard; the same in all daemons, else they do not
+ *     agree on what a shard is
  */
 public record PlacementSettings(
     double prefillTokensPerMilli,
@@ -37,12 +39,28 @@
     long settlingMillis,
     long reportLagMillis,
     long ejectionMillis,
-    long slowStartMillis) {
+    long slowStartMillis,
+    int shardUpstreams) {
 
   /** Values that suit engines of about twenty slots; the estimates correct themselves. */
   public static PlacementSettings defaults() {
     return new PlacementSettings(
-        8, 5, 1_250_000, 2, 20, 100, 800, 30, 0.05, 10_000, 2_000, 5_000, 500, 1_000, 1_000,
-        10_000);
+        8,
+        5,
+        1_250_000,
+        2,
+        20,
+        100,
+        800,
+        30,
+        0.05,
+        10_000,
+        2_000,
+        5_000,
+        500,
+        1_000,
+        1_000,
+        10_000,
+        ShardMap.MAXIMUM_UPSTREAMS);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -26,8 +26,11 @@
  */
 public final class ReservingPlacer implements Placer, CacheObserver {
 
-  /** Heads of organisations that are tried in one lane before the next lane. */
-  private static final int HEADS_TRIED = 4;
+  /** Attempts with closed upstreams that are tried in one lane before the next lane. */
+  private static final int RESTRICTED_TRIED = 8;
+
+  /** For how many waiting attempts a view says what they lack now rather than when last tried. */
+  private static final int DIAGNOSED_IN_VIEW = 100;
 
   /** Tokens that one plain request counts for between organisations. */
   private static final double PLAIN_COST_TOKENS = 100;
@@ -90,13 +93,15 @@
       return List.of();
     }
     forget(request.request(), nowMillis);
-    Optional<Refusal> refusal = refusalAtArrival(request, nowMillis);
+    double leastMillis = selector.leastMillis(request, nowMillis);
+    Optional<Refusal> refusal = refusalAtArrival(request, leastMillis);
     if (refusal.isPresent()) {
       return List.of(refused(request, refusal.get()));
     }
-    WaitingAttempt attempt = enqueue(request, nowMillis);
+    WaitingAttempt attempt = enqueue(request, (long) leastMillis, nowMillis);
     List<PlacementResult> results = dispatch(nowMillis);
     if (waiting.get(request.request()) == attempt) {
+      diagnose(attempt, nowMillis);
       Optional<Refusal> hopeless = waits.refusal(attempt, nowMillis);
       hopeless.ifPresent(reason -> results.add(refuse(attempt, reason)));
     }
@@ -237,11 +242,12 @@
         Comparator.comparingInt(WaitingAttempt::lane)
             .thenComparingDouble(it -> it.organisation().lane(it.lane()).startTag())
             .thenComparing(WaitingQueue.BY_ORDER));
+    inOrder.stream().limit(DIAGNOSED_IN_VIEW).forEach(it -> diagnose(it, nowMillis));
     return PlacementViews.view(shard, upstreams, ledger, inOrder, organisations, waits, nowMillis);
   }
 
   private void define(Configuration configuration) {
-    ShardMap map = new ShardMap(configuration);
+    ShardMap map = new ShardMap(configuration, settings.shardUpstreams());
     upstreams.define(map.upstreamsOf(shard));
     organisations.configure(configuration, map.shards().size());
     long kvBytesPerToken =
@@ -258,7 +264,7 @@
     selector.kvBytesPerToken(kvBytesPerToken);
   }
 
-  private Optional<Refusal> refusalAtArrival(PlacementRequest request, long nowMillis) {
+  private Optional<Refusal> refusalAtArrival(PlacementRequest request, double leastMillis) {
     int most = settings.maximumWaiting();
     int allowed = most - most * request.serviceClass().rank() / (2 * ServiceClass.values().length);
     if (waiting.size() >= allowed) {
@@ -277,14 +283,13 @@
       String detail = "No upstream of " + shard + " is left for attempt " + request.attempt() + ".";
       return Optional.of(Refusal.notRun(RefusalReason.NO_UPSTREAM, detail, LEAST_RETRY_MILLIS));
     }
-    double least = selector.leastMillis(request, nowMillis);
     // Estimates that went wrong once would refuse everything and so never be corrected: while
     // nothing else runs or waits, a request is tried in spite of them.
     boolean isIdle = waiting.isEmpty() && ledger.size() == 0;
-    if (WaitingAttempt.targetWithin(request) < least && !isIdle) {
+    if (WaitingAttempt.targetWithin(request) < leastMillis && !isIdle) {
       String detail =
           "It needs "
-              + Math.round(least)
+              + Math.round(leastMillis)
               + " ms to its target and has "
               + WaitingAttempt.targetWithin(request)
               + " ms.";
@@ -293,17 +298,16 @@
     return Optional.empty();
   }
 
-  private WaitingAttempt enqueue(PlacementRequest request, long nowMillis) {
+  private WaitingAttempt enqueue(PlacementRequest request, long leastMillis, long nowMillis) {
     if (request.serviceClass() == ServiceClass.QUICK) {
       selector.quickSeen(nowMillis);
     }
-    long least = (long) selector.leastMillis(request, nowMillis);
     WaitingAttempt attempt =
         new WaitingAttempt(
             request,
             organisations.of(request.organisation()),
             nextSequence++,
-            Math.min(least, Math.max(0, WaitingAttempt.targetWithin(request))),
+            Math.min(leastMillis, Math.max(0, WaitingAttempt.targetWithin(request))),
             selector.needsReader(request, nowMillis),
             settings,
             nowMillis);
@@ -318,6 +322,7 @@
       count(PlacementCounter.PROMOTED);
       return;
     }
+    diagnose(attempt, nowMillis);
     String detail = "It waited for " + attempt.missing().code() + " until it was too late.";
     results.add(
         refuse(attempt, Refusal.notRun(attempt.missing().reason(), detail, LEAST_RETRY_MILLIS)));
@@ -339,9 +344,17 @@
     }
   }
 
+  /** Finds the next attempt that fits; lanes whose resource is used up are not looked at. */
   private Optional<Granting> findNext(long nowMillis) {
-    for (Collection<OrganisationLane> lane : queue.lanesInOrder()) {
-      Optional<Granting> found = findInLane(lane, nowMillis);
+    if (selector.freeSlots(ServiceClass.QUICK, nowMillis) <= 0) {
+      return Optional.empty();
+    }
+    boolean isReaderOpen = selector.isReaderOpen(nowMillis);
+    for (WaitingQueue.Lane lane : queue.lanesInOrder()) {
+      Optional<Granting> found =
+          lane.needsReader() && !isReaderOpen
+              ? Optional.empty()
+              : findInLane(lane.organisations(), nowMillis);
       if (found.isPresent()) {
         return found;
       }
@@ -349,38 +362,34 @@
     return Optional.empty();
   }
 
+  /** All attempts of a lane need the same; only one that may not go everywhere leaves a chance. */
   private Optional<Granting> findInLane(Collection<OrganisationLane> lane, long nowMillis) {
     int tried = 0;
     for (OrganisationLane organisationLane : lane) {
-      Optional<MissingResource> limit = organisationLane.organisation().missing(nowMillis);
-      if (limit.isPresent()) {
-        organisationLane.attempts().first().missing(limit.get());
+      if (organisationLane.organisation().missing(nowMillis).isPresent()) {
         continue;
       }
-      Optional<Granting> found = findOfOrganisation(organisationLane, nowMillis);
-      if (found.isPresent()) {
-        return found;
-      }
-      if (++tried >= HEADS_TRIED) {
-        return Optional.empty();
+      for (WaitingAttempt attempt : organisationLane.attempts()) {
+        Optional<Choice> choice = selector.select(attempt, nowMillis);
+        if (choice.isPresent()) {
+          return Optional.of(new Granting(attempt, choice.get()));
+        }
+        if (!attempt.isRestricted() || ++tried >= RESTRICTED_TRIED) {
+          return Optional.empty();
+        }
       }
     }
     return Optional.empty();
   }
 
-  /** Tries the head; behind one that may not go everywhere, others may fit where it does not. */
-  private Optional<Granting> findOfOrganisation(OrganisationLane lane, long nowMillis) {
-    int tried = 0;
-    for (WaitingAttempt attempt : lane.attempts()) {
-      Optional<Choice> choice = selector.select(attempt, nowMillis);
-      if (choice.isPresent()) {
-        return Optional.of(new Granting(attempt, choice.get()));
-      }
-      if (!attempt.isRestricted() || ++tried >= HEADS_TRIED) {
-        return Optional.empty();
-      }
+  /** Notes in a waiting attempt what it lacks now. */
+  private void diagnose(WaitingAttempt attempt, long nowMillis) {
+    Optional<MissingResource> limit = attempt.organisation().missing(nowMillis);
+    if (limit.isPresent()) {
+      attempt.missing(limit.get());
+    } else {
+      selector.select(attempt, nowMillis);
     }
-    return Optional.empty();
   }
 
   private PlacementResult grant(Granting granting, long nowMillis) {
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
@@ -30,10 +30,17 @@
   /** A shard must have this much more load than the other choice before a prefix leaves it. */
   private static final double LOAD_MARGIN = 0.25;
 
+  private final int maximumUpstreams;
   private final Map<ShardId, List<UpstreamDefinition>> shards = new TreeMap<>();
 
-  /** Slices all services of {@code configuration}. */
+  /** Slices all services of {@code configuration} into shards of the usual size. */
   public ShardMap(Configuration configuration) {
+    this(configuration, MAXIMUM_UPSTREAMS);
+  }
+
+  /** Slices all services of {@code configuration} into shards of at most that many upstreams. */
+  public ShardMap(Configuration configuration, int maximumUpstreams) {
+    this.maximumUpstreams = maximumUpstreams;
     Map<String, Map<String, List<UpstreamDefinition>>> pools = new TreeMap<>();
     for (UpstreamDefinition upstream : configuration.upstreams()) {
       pools
@@ -105,9 +112,9 @@
   }
 
   /** How many slices a pool of that many configured upstreams has. */
-  static int sliceCount(int upstreams) {
+  private int sliceCount(int upstreams) {
     int slices = 1;
-    while (upstreams > slices * MAXIMUM_UPSTREAMS) {
+    while (upstreams > slices * maximumUpstreams) {
       slices *= 2;
     }
     return slices;
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
@@ -110,6 +110,20 @@
     return isLimited ? free - (int) (slots * settings.quickHeadroom()) : free;
   }
 
+  /** Whether a prefill upstream takes a prompt now, or none is left and decode upstreams read. */
+  boolean isReaderOpen(long nowMillis) {
+    boolean isAnyUsable = false;
+    for (UpstreamState upstream : upstreams.all()) {
+      if (upstream.role() == UpstreamRole.PREFILL && upstream.isUsable(nowMillis)) {
+        isAnyUsable = true;
+        if (isOpenReader(upstream, nowMillis)) {
+          return true;
+        }
+      }
+    }
+    return !isAnyUsable;
+  }
+
   /** Chooses for one attempt; what it lacks is noted in it when there is no choice. */
   Optional<Choice> select(WaitingAttempt attempt, long nowMillis) {
     PlacementRequest request = attempt.request();
@@ -192,10 +206,7 @@
         continue;
       }
       isAnyUsable = true;
-      boolean isOpen =
-          freeSlotsOf(upstream, nowMillis) > 0
-              && upstream.queueMillis(nowMillis) <= settings.prefillAheadMillis()
-              && isAllowed(upstream, request);
+      boolean isOpen = isOpenReader(upstream, nowMillis) && isAllowed(upstream, request);
       double end = isOpen ? upstream.prefillEnd(unread(upstream, request), nowMillis) : readerEnd;
       if (end < readerEnd) {
         readerEnd = end;
@@ -219,6 +230,11 @@
     return Optional.of(disaggregated(request, reader, target, unread(reader, request), true));
   }
 
+  private boolean isOpenReader(UpstreamState upstream, long nowMillis) {
+    return freeSlotsOf(upstream, nowMillis) > 0
+        && upstream.queueMillis(nowMillis) <= settings.prefillAheadMillis();
+  }
+
   private Choice local(UpstreamState target, int unreadTokens, double millis) {
     return new Choice(
         GrantMode.LOCAL_PREFILL, Optional.empty(), target, true, unreadTokens, 0, millis, 0);
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
@@ -132,16 +132,16 @@
   }
 
   /** The lanes in the order in which they are to be served now. */
-  List<Collection<OrganisationLane>> lanesInOrder() {
-    List<Collection<OrganisationLane>> ordered = new ArrayList<>(LANES);
+  List<Lane> lanesInOrder() {
+    List<Lane> ordered = new ArrayList<>(LANES);
     for (int lane = LANES - 1; lane >= 0; lane--) {
       if (isSkippedTooOften(lane)) {
-        ordered.add(lanes.get(lane));
+        ordered.add(new Lane(lanes.get(lane), lane % 2 == 1));
       }
     }
     for (int lane = 0; lane < LANES; lane++) {
       if (count[lane] > 0 && !isSkippedTooOften(lane)) {
-        ordered.add(lanes.get(lane));
+        ordered.add(new Lane(lanes.get(lane), lane % 2 == 1));
       }
     }
     return ordered;
@@ -173,6 +173,14 @@
     work[lane] += sign * (double) attempt.request().promptTokens();
   }
 
+  /**
+   * One lane.
+   *
+   * @param organisations those that wait in it, by their turn
+   * @param needsReader whether a prefill upstream has to read its prompts
+   */
+  record Lane(Collection<OrganisationLane> organisations, boolean needsReader) {}
+
   /**
    * What is served before a new attempt of some lane, and what is left for the lane.
    *
