--- a/core/src/main/java/org/marjoramsail/core/claim/ClaimBatcher.java
+++ b/core/src/main/java/org/marjoramsail/core/claim/ClaimBatcher.java
@@ -45,7 +45,7 @@
 
   /** A write under way. */
   private record Flight(
-      int slot, ClaimPage page, List<Pending> claims, List<Settlement> settlements) {}
+      int slot, ClaimPage page, Map<ClaimId, Pending> claims, List<Settlement> settlements) {}
 
   private final ClaimSettings settings;
   private final SegmentTime time;
@@ -131,7 +131,7 @@
     flight = Optional.empty();
     phase = Phase.READY;
     log.orElseThrow().written(landed.slot(), version, landed.page(), time.millis());
-    landed.claims().forEach(pending -> answer(pending.claim.id(), Kind.GRANTED));
+    landed.claims().keySet().forEach(id -> answer(id, Kind.GRANTED));
     return progress(nowMillis);
   }
 
@@ -161,7 +161,7 @@
    * same version, and of the two writes only one can succeed.
    */
   public List<ClaimAction> writeUncertain(long nowMillis) {
-    flight.orElseThrow().claims().forEach(pending -> pending.perhapsRecorded = true);
+    flight.orElseThrow().claims().values().forEach(pending -> pending.perhapsRecorded = true);
     return writeConflicted(nowMillis);
   }
 
@@ -178,9 +178,7 @@
   }
 
   private boolean isInFlight(ClaimId id) {
-    return flight.stream()
-        .flatMap(under -> under.claims().stream())
-        .anyMatch(pending -> pending.claim.id().equals(id));
+    return flight.filter(under -> under.claims().containsKey(id)).isPresent();
   }
 
   private List<ClaimAction> progress(long nowMillis) {
@@ -210,7 +208,7 @@
       }
     }
     flight.stream()
-        .flatMap(under -> under.claims().stream())
+        .flatMap(under -> under.claims().values().stream())
         .filter(pending -> !pending.answered && nowMillis >= pending.deadlineMillis)
         .forEach(
             pending -> {
@@ -267,7 +265,7 @@
     flight = Optional.empty();
     Map<ClaimId, Pending> later = new LinkedHashMap<>(waiting);
     waiting.clear();
-    for (Pending pending : failed.claims()) {
+    for (Pending pending : failed.claims().values()) {
       if (!pending.answered) {
         waiting.put(pending.claim.id(), pending);
       } else if (log.flatMap(known -> recorded(known, pending.claim)).isPresent()) {
@@ -333,7 +331,7 @@
 
   private void write(ClaimLog known, long nowMillis) {
     Map<String, ClaimEntry> entries = known.openEntries();
-    List<Pending> claims = takeClaims(entries);
+    Map<ClaimId, Pending> claims = takeClaims(entries);
     List<Settlement> settlements = takeSettlements(known, entries);
     if (claims.isEmpty() && settlements.isEmpty()) {
       return;
@@ -351,8 +349,8 @@
     actions.add(new WritePage(known.openSlot(), known.openVersion(), page));
   }
 
-  private List<Pending> takeClaims(Map<String, ClaimEntry> entries) {
-    List<Pending> taken = new ArrayList<>();
+  private Map<ClaimId, Pending> takeClaims(Map<String, ClaimEntry> entries) {
+    Map<ClaimId, Pending> taken = new LinkedHashMap<>();
     Set<String> keys = new HashSet<>();
     for (Iterator<Pending> each = waiting.values().iterator(); each.hasNext(); ) {
       Pending pending = each.next();
@@ -363,7 +361,7 @@
       // A second claim of a key waits until the first is recorded, and is then answered by it.
       if (keys.add(claim.keyHash())) {
         entries.put(claim.keyHash(), entry(claim));
-        taken.add(pending);
+        taken.put(claim.id(), pending);
         each.remove();
       }
     }
--- a/core/src/main/java/org/marjoramsail/core/claim/ClaimRequests.java
+++ b/core/src/main/java/org/marjoramsail/core/claim/ClaimRequests.java
@@ -15,6 +15,7 @@
 public final class ClaimRequests {
 
   private static final int MAXIMUM_ABANDONED = 10_000;
+  private static final int MAXIMUM_DOUBLINGS = 6;
 
   /** What to do about the claims of this daemon. */
   public sealed interface Step {
@@ -77,7 +78,10 @@
         abandon(each.claim());
         steps.add(new Step.Finish(id, ClaimResult.of(Kind.UNCERTAIN)));
       } else if (nowMillis >= each.askAgainMillis()) {
-        long again = nowMillis + settings.resendMillis();
+        // Each wait is longer than the last: a batching daemon that is slow would otherwise get so
+        // many copies of each claim that it falls behind for good.
+        long again =
+            nowMillis + (settings.resendMillis() << Math.min(each.asked(), MAXIMUM_DOUBLINGS));
         open.put(id, new Open(each.claim(), each.deadlineMillis(), again, each.asked() + 1));
         steps.add(new Step.Ask(each.claim().within(each.deadlineMillis() - nowMillis)));
       }
--- a/core/src/main/java/org/marjoramsail/core/claim/ClaimSettings.java
+++ b/core/src/main/java/org/marjoramsail/core/claim/ClaimSettings.java
@@ -11,7 +11,7 @@
  * @param writeIntervalMillis least time between the starts of two writes of a segment
  * @param settleWithinMillis how long an outcome waits for a claim to ride along with
  * @param retryMillis how long to wait after a failed call
- * @param resendMillis how long a claimant waits before it asks again
+ * @param resendMillis how long a claimant waits before it asks again; doubled each time
  * @param retentionMillis how long a claim is remembered at least
  */
 public record ClaimSettings(
@@ -26,9 +26,9 @@
     long resendMillis,
     long retentionMillis) {
 
-  /** At most 200 writes a second: 16 segments, each every 80 ms at most; five minutes kept. */
+  /** At most 200 writes a second: 8 segments, each every 40 ms at most; five minutes kept. */
   public static ClaimSettings defaults() {
-    return new ClaimSettings(16, 512, 256, 1_000, 5_000, 80, 1_000, 100, 250, 300_000);
+    return new ClaimSettings(8, 1_024, 256, 1_000, 5_000, 40, 1_000, 100, 250, 300_000);
   }
 
   /** The segment of a key. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/claim/ClaimMeasurement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/claim/ClaimMeasurement.java
@@ -3,8 +3,10 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -13,6 +15,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.function.IntFunction;
@@ -22,7 +25,7 @@
 import org.marjoramsail.core.claim.ClaimResult.Kind;
 import org.marjoramsail.core.claim.ClaimSettings;
 import org.marjoramsail.core.claim.ClaimState;
-import org.marjoramsail.core.message.PeerTransport;
+import org.marjoramsail.core.message.PeerMessage;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.platform.ObjectApi;
@@ -61,13 +64,16 @@
       long hopMillis,
       boolean shared) {}
 
+  /** A daemon on an event loop of its own. */
+  private record Daemon(Context context, PeerClaimService service) {}
+
   private final Vertx vertx;
   private final Clock clock;
   private final ClaimSettings settings;
   private final RandomGenerator random;
   private final MeterRegistry meters = new SimpleMeterRegistry();
-  private final Map<DaemonId, PeerClaimService> services = new ConcurrentHashMap<>();
-  private final List<PeerClaimService> entries = new ArrayList<>();
+  private final Map<DaemonId, Daemon> daemons = new ConcurrentHashMap<>();
+  private final List<Daemon> entries = new CopyOnWriteArrayList<>();
   private final AtomicLongArray buckets = new AtomicLongArray(MAXIMUM_MILLIS * BUCKETS_PER_MILLI);
   private final AtomicLong granted = new AtomicLong();
   private final AtomicLong others = new AtomicLong();
@@ -88,7 +94,10 @@
    * @param api gives each daemon, counted from zero, its way to the object API
    */
   public Future<ClaimMeasurementReport> run(Load load, IntFunction<ObjectApi> api) {
-    startDaemons(load, api);
+    return startDaemons(load, api).compose(started -> measure(load));
+  }
+
+  private Future<ClaimMeasurementReport> measure(Load load) {
     long startMillis = clock.millis();
     long fromMillis = startMillis + load.warmUpSeconds() * MILLIS_PER_SECOND;
     long toMillis = fromMillis + load.seconds() * MILLIS_PER_SECOND;
@@ -117,28 +126,59 @@
     return done.future();
   }
 
-  private void startDaemons(Load load, IntFunction<ObjectApi> api) {
+  private Future<?> startDaemons(Load load, IntFunction<ObjectApi> api) {
     List<DaemonId> all = new ArrayList<>();
     for (int daemon = 0; daemon < load.daemons(); daemon++) {
       all.add(new DaemonId("daemon-" + daemon, 1));
     }
+    List<Future<String>> started = new ArrayList<>();
     for (int daemon = 0; daemon < load.daemons(); daemon++) {
       DaemonId self = all.get(daemon);
       Collection<DaemonId> live = load.shared() ? all : List.of(self);
-      PeerTransport transport =
-          (to, message) ->
-              vertx.setTimer(load.hopMillis(), unused -> services.get(to).handle(self, message));
-      PeerClaimService service =
-          new PeerClaimService(
-              vertx, self, settings, api.apply(daemon), transport, () -> live, clock, meters);
-      services.put(self, service);
-      entries.add(service);
-      service.start();
+      ObjectApi ownApi = api.apply(daemon);
+      started.add(vertx.deployVerticle(verticle(load, self, live, ownApi)));
     }
+    return Future.all(started);
+  }
+
+  private VerticleBase verticle(
+      Load load, DaemonId self, Collection<DaemonId> live, ObjectApi api) {
+    return new VerticleBase() {
+      @Override
+      public Future<?> start() {
+        PeerClaimService service =
+            new PeerClaimService(
+                vertx,
+                self,
+                settings,
+                api,
+                (to, message) -> send(load.hopMillis(), self, to, message),
+                () -> live,
+                clock,
+                meters);
+        Daemon daemon = new Daemon(context, service);
+        daemons.put(self, daemon);
+        entries.add(daemon);
+        service.start();
+        return Future.succeededFuture();
+      }
+    };
+  }
+
+  private void send(long hopMillis, DaemonId from, DaemonId to, PeerMessage message) {
+    Daemon target = daemons.get(to);
+    target
+        .context()
+        .runOnContext(
+            hop -> vertx.setTimer(hopMillis, unused -> target.service().handle(from, message)));
   }
 
   private void ask(boolean counted) {
-    PeerClaimService entry = entries.get(random.nextInt(entries.size()));
+    Daemon entry = entries.get(random.nextInt(entries.size()));
+    entry.context().runOnContext(unused -> ask(entry.service(), counted));
+  }
+
+  private void ask(PeerClaimService entry, boolean counted) {
     String name = "key-" + nextKey.incrementAndGet();
     ClaimKey key = new ClaimKey("organisation", "service", name);
     String bodyHash = ClaimKey.bodyHash(name.getBytes(StandardCharsets.UTF_8));
@@ -165,7 +205,7 @@
   }
 
   private ClaimMeasurementReport report(Load load, long writes) {
-    entries.forEach(PeerClaimService::stop);
+    entries.forEach(daemon -> daemon.service().stop());
     return new ClaimMeasurementReport(
         load.daemons(),
         load.claimsPerSecond(),
--- a/standin/src/main/java/org/marjoramsail/standin/platform/PlatformSettings.java
+++ b/standin/src/main/java/org/marjoramsail/standin/platform/PlatformSettings.java
@@ -70,7 +70,7 @@
         "127.0.0.1",
         0,
         new Budget(400, 2_000, 500),
-        10_000,
+        1_000,
         MEGABYTE,
         1_000,
         OutageMode.ANSWERS_UNAVAILABLE,
