Let stand-ins restart surely, rest when idle and show what is free at once

Cause: a restart that overtook the end of a crash found its port in use and left the upstream down; the audit showed freed memory only after the answer that said so; idle engines ticked on. Change: listening waits for the drop before it; the audit follows each release; idle engines look every 25 ms and are woken by work; the fuzzed test's name makes the runner find it.

--- a/standin/src/main/java/org/marjoramsail/standin/engine/EngineHttp.java
+++ b/standin/src/main/java/org/marjoramsail/standin/engine/EngineHttp.java
@@ -36,6 +36,7 @@
   private final Json json;
   private final Supplier<EngineModel> model;
   private final Supplier<LoadStatus> status;
+  private final Runnable wake;
 
   EngineHttp(
       Vertx vertx,
@@ -44,7 +45,8 @@
       HttpClient client,
       Json json,
       Supplier<EngineModel> model,
-      Supplier<LoadStatus> status) {
+      Supplier<LoadStatus> status,
+      Runnable wake) {
     this.vertx = vertx;
     this.settings = settings;
     this.faults = faults;
@@ -52,6 +54,7 @@
     this.json = json;
     this.model = model;
     this.status = status;
+    this.wake = wake;
   }
 
   /** Routes of the whole protocol. */
@@ -125,6 +128,7 @@
       RoutingContext context, EngineModel engine, HeldAttempt attempt, String asked) {
     context.response().closeHandler(closed -> engine.clientGone(attempt));
     engine.accept(attempt, asked).ifPresent(attempt.sink::refused);
+    wake.run();
   }
 
   private void sendKv(RoutingContext context) {
--- a/standin/src/main/java/org/marjoramsail/standin/engine/EngineModel.java
+++ b/standin/src/main/java/org/marjoramsail/standin/engine/EngineModel.java
@@ -261,6 +261,7 @@
     attempt.transfer.ifPresent(transfer -> ingress.cancel(time.micros(), transfer));
     batch.remove(attempt, keepMemory);
     audit.released();
+    audit.kvHeld(memory.heldBytes());
     return true;
   }
 
@@ -347,6 +348,7 @@
     export.transfers--;
     boolean whole = exports.isHolding(export);
     exports.fetched(export);
+    audit.kvHeld(memory.heldBytes());
     whenSent.accept(whole ? Optional.of(export.attempt) : Optional.empty());
   }
 
@@ -379,6 +381,11 @@
     prefixCache.clear(time.millis());
   }
 
+  /** Whether nothing happens by itself until the next call. */
+  boolean isIdle() {
+    return held.isEmpty() && memory.heldBytes() == 0;
+  }
+
   boolean isCrashed() {
     return crashed;
   }
--- a/standin/src/main/java/org/marjoramsail/standin/engine/EngineVerticle.java
+++ b/standin/src/main/java/org/marjoramsail/standin/engine/EngineVerticle.java
@@ -59,7 +59,8 @@
             new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(TRANSFER_CONNECTIONS));
     Json json = new Json();
     OrderHttp orderHttp = new OrderHttp(vertx, settings, client, json, orders, () -> model);
-    return new EngineHttp(vertx, settings, faults, client, json, () -> model, this::visibleStatus)
+    return new EngineHttp(
+            vertx, settings, faults, client, json, () -> model, this::visibleStatus, this::wake)
         .routes(orderHttp);
   }
 
@@ -88,6 +89,11 @@
     audit.crashed();
   }
 
+  @Override
+  protected boolean isIdle() {
+    return model.isIdle();
+  }
+
   @Override
   protected void tick() {
     model.advance();
--- a/standin/src/main/java/org/marjoramsail/standin/plain/PlainVerticle.java
+++ b/standin/src/main/java/org/marjoramsail/standin/plain/PlainVerticle.java
@@ -83,7 +83,12 @@
     book.crashed();
   }
 
-  /** Nothing is due by itself: each call has its own timer. */
+  /** Each call has its own timer. */
+  @Override
+  protected boolean isIdle() {
+    return true;
+  }
+
   @Override
   protected void tick() {}
 
--- a/standin/src/main/java/org/marjoramsail/standin/server/CrashableServer.java
+++ b/standin/src/main/java/org/marjoramsail/standin/server/CrashableServer.java
@@ -34,6 +34,7 @@
   private final Set<HttpConnection> connections = new HashSet<>();
   private Optional<HttpServer> server = Optional.empty();
   private Optional<Socket> reservation = Optional.empty();
+  private Future<Void> dropped = Future.succeededFuture();
   private boolean up;
   private int port;
 
@@ -55,9 +56,18 @@
     this.handler = handler;
   }
 
-  /** Listens, on the port of the first time if it has listened before, and gives the port. */
+  /**
+   * Listens, on the port of the first time if it has listened before, and gives the port.
+   *
+   * <p>It first waits for an earlier {@link #drop()} to end: a restart that overtakes it would find
+   * the port still in use, and the upstream would stay down.
+   */
   public Future<Integer> listen() {
     up = true;
+    return dropped.transform(ended -> bind());
+  }
+
+  private Future<Integer> bind() {
     reservation.ifPresent(CrashableServer::close);
     reservation = Optional.empty();
     HttpServerOptions options =
@@ -114,10 +124,12 @@
     server = Optional.empty();
     Set.copyOf(connections).forEach(HttpConnection::close);
     connections.clear();
-    return running
-        .map(HttpServer::close)
-        .orElseGet(Future::succeededFuture)
-        .onSuccess(closed -> reservePort());
+    dropped =
+        running
+            .map(HttpServer::close)
+            .orElseGet(Future::succeededFuture)
+            .onSuccess(closed -> reservePort());
+    return dropped;
   }
 
   /**
@@ -153,7 +165,7 @@
   public Future<Void> close() {
     return drop()
         .onComplete(
-            dropped -> {
+            ended -> {
               reservation.ifPresent(CrashableServer::close);
               reservation = Optional.empty();
             });
--- a/standin/src/main/java/org/marjoramsail/standin/server/UpstreamVerticle.java
+++ b/standin/src/main/java/org/marjoramsail/standin/server/UpstreamVerticle.java
@@ -35,6 +35,8 @@
       long reportLagMillis,
       double timeScale) {}
 
+  private static final long IDLE_TICK_MILLIS = 25;
+
   /** The time that the upstream lives by. */
   protected final ScaledTime time;
 
@@ -42,6 +44,8 @@
   private CrashableServer server;
   private StatusHistory<LoadStatus> history;
   private long incarnation;
+  private long nextTick;
+  private boolean resting;
   private volatile int port;
 
   /** Takes its time and where it listens. */
@@ -62,6 +66,9 @@
   /** Counts a crash, after the loss. */
   protected abstract void crashed();
 
+  /** Whether nothing is due by itself. */
+  protected abstract boolean isIdle();
+
   /** Lets happen what is due. */
   protected abstract void tick();
 
@@ -71,7 +78,7 @@
   @Override
   public final Future<?> start() {
     server = new CrashableServer(vertx, time, frame.address(), frame.port(), makeHandler());
-    vertx.setPeriodic(frame.tickMillis(), timer -> tickUnlessStalled());
+    vertx.setTimer(frame.tickMillis(), timer -> tickAgain());
     return begin();
   }
 
@@ -93,6 +100,25 @@
             });
   }
 
+  /**
+   * Ticks, and looks again soon while there is work; an idle upstream looks rarely, so that many
+   * fit in one process.
+   */
+  private void tickAgain() {
+    tickUnlessStalled();
+    nextTick =
+        vertx.setTimer(isIdle() ? IDLE_TICK_MILLIS : frame.tickMillis(), timer -> tickAgain());
+    resting = isIdle();
+  }
+
+  /** Ends the rest of an idle upstream: work has come. */
+  protected final void wake() {
+    if (resting && vertx.cancelTimer(nextTick)) {
+      resting = false;
+      nextTick = vertx.setTimer(frame.tickMillis(), timer -> tickAgain());
+    }
+  }
+
   private void tickUnlessStalled() {
     if (time.stalledForMillis() == 0 && server.isUp()) {
       tick();
--- a/standin/src/test/java/org/marjoramsail/standin/engine/EngineModelProperties.java
+++ b/standin/src/test/java/org/marjoramsail/standin/engine/EngineModelPropertyTest.java
@@ -11,7 +11,7 @@
 import org.marjoramsail.core.model.UpstreamRole;
 
 /** Whatever happens in whichever order, nothing stays held for which nobody waits. */
-final class EngineModelProperties {
+final class EngineModelPropertyTest {
 
   private static final int STEPS = 120;
 
--- a/standin/src/test/java/org/marjoramsail/standin/engine/EngineStandInTest.java
+++ b/standin/src/test/java/org/marjoramsail/standin/engine/EngineStandInTest.java
@@ -16,7 +16,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.model.UpstreamRole;
@@ -36,17 +38,27 @@
       new EngineTimings(
           1, 1, 500, 10, 100_000, 2_048, 512, 3_600_000, 6_250_000_000L, 1, 0, 0, 0, 1, 1, 1, 10);
 
-  private Vertx vertx;
-  private EngineClient client;
+  private static Vertx vertx;
+  private static EngineClient client;
+
   private EngineStandIn prefill;
   private EngineStandIn decode;
   private int prefillPort;
   private int decodePort;
 
-  @BeforeEach
-  void startEngines() throws Exception {
+  @BeforeAll
+  static void startVertx() {
     vertx = Vertx.vertx();
     client = new EngineClient(vertx);
+  }
+
+  @AfterAll
+  static void stopVertx() throws Exception {
+    await(vertx.close());
+  }
+
+  @BeforeEach
+  void startEngines() throws Exception {
     prefill = engine(settings("prefill-1", UpstreamRole.PREFILL));
     decode = engine(settings("decode-1", UpstreamRole.DECODE));
     prefillPort = await(prefill.start());
@@ -57,7 +69,7 @@
     return EngineSettings.of(name, role, "lector", TIMINGS);
   }
 
-  private EngineStandIn engine(EngineSettings settings) {
+  private static EngineStandIn engine(EngineSettings settings) {
     return new EngineStandIn(
         vertx,
         settings,
@@ -67,7 +79,8 @@
 
   @AfterEach
   void stopEngines() throws Exception {
-    await(vertx.close());
+    await(prefill.stop());
+    await(decode.stop());
   }
 
   private String handle(String request) throws Exception {
--- a/standin/src/test/java/org/marjoramsail/standin/plain/PlainServiceStandInTest.java
+++ b/standin/src/test/java/org/marjoramsail/standin/plain/PlainServiceStandInTest.java
@@ -12,7 +12,9 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -25,15 +27,25 @@
   /** So slow that nothing which was begun ends within the test. */
   private static final double STANDSTILL = 1e6;
 
-  private Vertx vertx;
-  private WebClient client;
+  private static Vertx vertx;
+  private static WebClient client;
+
   private PlainServiceStandIn service;
   private int port;
 
-  @BeforeEach
-  void startService() throws Exception {
+  @BeforeAll
+  static void startVertx() {
     vertx = Vertx.vertx();
     client = WebClient.create(vertx);
+  }
+
+  @AfterAll
+  static void stopVertx() throws Exception {
+    await(vertx.close());
+  }
+
+  @BeforeEach
+  void startService() throws Exception {
     service =
         new PlainServiceStandIn(
             vertx,
@@ -45,7 +57,7 @@
 
   @AfterEach
   void stopService() throws Exception {
-    await(vertx.close());
+    await(service.stop());
   }
 
   private static <T> T await(Future<T> future) throws Exception {
