--- a/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
@@ -9,7 +9,7 @@
 final class WaitEstimator {
 
   /** A wait is believed to be at least that share of its estimate. */
-  private static final double CONFIDENCE = 0.9;
+  private static final double CONFIDENCE = 0.6;
 
   /** Skipped lanes are served now and then, so that some capacity is always left for each. */
   private static final double LEAST_LEFT_SHARE = 0.1;
