--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -50,6 +50,7 @@
   private boolean answered;
   private boolean frameSeen;
   private long waitUntilMillis;
+  private long cancelWaitUntilMillis = Long.MAX_VALUE;
   private long stallAtMillis = Long.MAX_VALUE;
   private Optional<Grant> grant = Optional.empty();
   private Optional<UpstreamName> runningOn = Optional.empty();
@@ -142,7 +143,7 @@
       return;
     }
     budget.earn();
-    if (quarantine.suspicion(profile.fingerprint(), nowMillis) == Suspicion.QUARANTINED) {
+    if (isQuarantined()) {
       refuseQuarantined();
     } else if (profile.claimed()) {
       state = LifecycleState.CLAIMING;
@@ -180,7 +181,7 @@
       refuseQuarantined();
       return;
     }
-    if (suspicion == Suspicion.UNSETTLED) {
+    if (suspicion == Suspicion.UNSETTLED || isWaitingForCancels(suspicion)) {
       state = LifecycleState.BACKING_OFF;
       waitUntilMillis = nowMillis + UNSETTLED_RECHECK_MILLIS;
       return;
@@ -191,6 +192,23 @@
     actions.add(new LifecycleAction.Place(placementRequest(suspicion == Suspicion.SUSPECT)));
   }
 
+  /**
+   * A suspect is not sent again while an attempt that was given up may still arrive and crash its
+   * upstream, or one content could crash three: two by late attempts, one by the retry.
+   */
+  private boolean isWaitingForCancels(Suspicion suspicion) {
+    if (suspicion != Suspicion.SUSPECT || held.nextRepeatMillis().isEmpty()) {
+      return false;
+    }
+    cancelWaitUntilMillis =
+        Math.min(cancelWaitUntilMillis, nowMillis + policy.cancelRepeatLimitMillis());
+    return nowMillis < cancelWaitUntilMillis;
+  }
+
+  private boolean isQuarantined() {
+    return quarantine.suspicion(profile.fingerprint(), nowMillis) == Suspicion.QUARANTINED;
+  }
+
   private PlacementRequest placementRequest(boolean alone) {
     return new PlacementRequest(
         profile.id(),
@@ -217,7 +235,10 @@
       return;
     }
     grant = Optional.of(given);
-    if (given.mode() == GrantMode.PLAIN) {
+    if (isQuarantined()) {
+      state = LifecycleState.BACKING_OFF;
+      refuseQuarantined();
+    } else if (given.mode() == GrantMode.PLAIN) {
       sendPlain(given);
     } else if (given.mode() == GrantMode.LOCAL_PREFILL) {
       actions.addAll(kv.cancel(nowMillis));
@@ -241,6 +262,10 @@
   }
 
   private void sendDecode(Grant given) {
+    if (isQuarantined()) {
+      refuseQuarantined();
+      return;
+    }
     if (!ledger.maySend()) {
       refuseFault();
       return;
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHandler.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.daemon.caller;
 
 import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -65,11 +66,15 @@
     }
   }
 
-  /** Refuses a request before anything of it is read. */
-  void refuse(HttpServerRequest request, Refusal refusal) {
+  /**
+   * Refuses a request before anything of it is read.
+   *
+   * @param closing whether its connection is closed afterwards
+   */
+  void refuse(HttpServerRequest request, Refusal refusal, boolean closing) {
     RequestId id = ids.next();
     request.response().putHeader("marjoramsail-request", id.value());
-    reject(request, id, refusal);
+    reject(request, id, refusal, closing || !request.isEnded());
   }
 
   private Configuration newestConfiguration() throws RejectedRequestException {
@@ -158,13 +163,19 @@
   }
 
   private void reject(HttpServerRequest request, RequestId id, Refusal refusal) {
+    reject(request, id, refusal, !request.isEnded());
+  }
+
+  /** Refuses; what is left of a body is not read, so that its connection cannot be used again. */
+  private void reject(HttpServerRequest request, RequestId id, Refusal refusal, boolean closing) {
     peers.metrics().refused(refusal);
     HttpServerResponse response = request.response();
-    if (!request.isEnded()) {
-      // What is left of the body is not read, so the connection cannot be used again.
+    if (closing) {
       response.putHeader("connection", "close");
-      response.endHandler(ended -> request.connection().close());
     }
-    problems.write(response, id, refusal);
+    Future<Void> written = problems.write(response, id, refusal);
+    if (closing) {
+      written.onComplete(done -> request.connection().close());
+    }
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
@@ -125,13 +125,13 @@
           request,
           Refusal.notRun(
               RefusalReason.CONNECTION_LIMIT,
-              "Too many connections; allowed: " + limits.maximumConnections() + "."));
-      request.connection().close();
+              "Too many connections; allowed: " + limits.maximumConnections() + "."),
+          true);
     } else if (phase.isAccepting()) {
       handler.handle(request);
     } else {
       handler.refuse(
-          request, Refusal.notRun(RefusalReason.STOPPING, "This daemon is being stopped."));
+          request, Refusal.notRun(RefusalReason.STOPPING, "This daemon is being stopped."), true);
     }
   }
 
@@ -143,8 +143,7 @@
                 RefusalReason.HEADERS_TOO_LARGE,
                 "The headers are too large; allowed: " + limits.maximumHeaderBytes() + " bytes.")
             : Refusal.notRun(RefusalReason.MALFORMED_REQUEST, "The request is not HTTP.");
-    handler.refuse(request, refusal);
-    request.connection().close();
+    handler.refuse(request, refusal, true);
   }
 
   private final class Listener extends VerticleBase {
@@ -155,6 +154,9 @@
               .setHost(binding.address())
               .setPort(binding.port() == 0 ? SHARED_FREE_PORT : binding.port())
               .setMaxHeaderSize(limits.maximumHeaderBytes())
+              // With HTTP/2 in clear text the library hides a connection until its first bytes, so
+              // that connections which send nothing would be neither counted nor closed in time.
+              .setHttp2ClearTextEnabled(false)
               .setTcpNoDelay(true);
       HttpServer server =
           vertx
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/ProblemWriter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/ProblemWriter.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerResponse;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RunState;
@@ -19,15 +20,15 @@
     this.json = json;
   }
 
-  /** Writes a whole response, at once. */
-  void write(HttpServerResponse response, RequestId request, Refusal refusal) {
+  /** Writes a whole response, at once; the future ends when it has left this host. */
+  Future<Void> write(HttpServerResponse response, RequestId request, Refusal refusal) {
     response.setStatusCode(refusal.reason().httpStatus());
     response.putHeader("content-type", "application/problem+json");
     long retryAfterSeconds = retryAfterSeconds(refusal);
     if (retryAfterSeconds > 0) {
       response.putHeader("retry-after", Long.toString(retryAfterSeconds));
     }
-    response.end(document(request, refusal).toString());
+    return response.end(document(request, refusal).toString());
   }
 
   /** The document itself. */
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramsail/daemon/caller/CallerDefenceTest.java
@@ -0,0 +1,196 @@
+package org.marjoramsail.daemon.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetSocket;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.marjoramsail.core.model.UpstreamRole;
+import org.marjoramsail.daemon.fixture.CallerPath;
+import org.marjoramsail.daemon.fixture.Callers;
+import org.marjoramsail.daemon.fixture.FakeEngine;
+import org.marjoramsail.daemon.fixture.Waits;
+
+final class CallerDefenceTest {
+
+  private static final CallerLimits LIMITS =
+      new CallerLimits(4, 2_048, 4_096, 300, 300, 64 * 1024, 300, 1_000_000, 16);
+
+  private final Vertx vertx = Vertx.vertx();
+  private final FakeEngine decode = new FakeEngine(vertx, "decode-1", UpstreamRole.DECODE);
+  private CallerPath path;
+  private Callers callers;
+
+  @BeforeEach
+  void start() {
+    decode.start();
+    path = new CallerPath(vertx, LIMITS, List.of(decode.definition("asistente")));
+    callers = new Callers(path.port());
+  }
+
+  @AfterEach
+  void stop() {
+    path.close();
+  }
+
+  private HttpResponse<String> completion(String body) {
+    return callers.send(
+        callers.request("/v1/completions").POST(HttpRequest.BodyPublishers.ofString(body)).build());
+  }
+
+  private NetSocket connect() {
+    return Waits.get(vertx.createNetClient().connect(path.port(), "127.0.0.1"));
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "{\"model\":|The body is not JSON",
+        "[]|The field body is []; allowed: an object.",
+        "{\"prompt\":\"a\"}|The field model is missing; allowed: the name of a service.",
+        "{\"model\":\"asistente\",\"prompt\":7}|The field prompt is 7; allowed: a string",
+        "{\"model\":\"asistente\",\"prompt\":\"a\",\"max_tokens\":0}|max_tokens is 0; allowed: an",
+        "{\"model\":\"asistente\",\"prompt\":\"a\",\"stream\":\"x\"}|allowed: true or false.",
+      })
+  void aMalformedBodyIsRefusedWithFieldValueAndWhatIsAllowed(String body, String detail) {
+    HttpResponse<String> answer = completion(body);
+
+    assertThat(answer.statusCode()).isEqualTo(400);
+    assertThat(answer.headers().firstValue("content-type")).contains("application/problem+json");
+    assertThat(answer.body().replace("\\\"", "\"")).contains(detail).contains("malformed-request");
+  }
+
+  @Test
+  void anUnknownServiceIsRefusedWithTheServicesThatThereAre() {
+    HttpResponse<String> answer = completion("{\"model\":\"asistent\",\"prompt\":\"a\"}");
+
+    assertThat(answer.statusCode()).isEqualTo(404);
+    assertThat(answer.body()).contains("allowed: asistente");
+  }
+
+  @Test
+  void aTokenOfNoOrganisationIsRefused() {
+    HttpRequest request =
+        HttpRequest.newBuilder(
+                java.net.URI.create("http://127.0.0.1:" + path.port() + "/v1/completions"))
+            .header("authorization", "Bearer other")
+            .POST(HttpRequest.BodyPublishers.ofString("{}"))
+            .build();
+
+    assertThat(callers.send(request).statusCode()).isEqualTo(401);
+  }
+
+  /** A daemon runs out of memory: a caller sends a body without end. */
+  @Test
+  void aBodyOverTheLimitIsRefusedBeforeItIsReadWhole() {
+    HttpResponse<String> answer = completion("x".repeat(LIMITS.maximumBodyBytes() + 1));
+
+    assertThat(answer.statusCode()).isEqualTo(413);
+    assertThat(path.count("requests.refused", "reason", "body-too-large", "run", "not-run"))
+        .isEqualTo(1);
+  }
+
+  /** A daemon runs out of memory: a caller sends headers without end. */
+  @Test
+  void headersOverTheLimitAreRefused() {
+    HttpRequest request =
+        callers.request("/v1/completions").header("x-flood", "x".repeat(4_096)).GET().build();
+
+    assertThat(callers.send(request).statusCode()).isEqualTo(431);
+  }
+
+  /** Connections pile up: callers send a head and then their body byte by byte, for ever. */
+  @Test
+  void aCallerThatDoesNotSendItsBodyIsRefusedInTime() {
+    NetSocket socket = connect();
+    AtomicReference<String> answer = new AtomicReference<>("");
+    socket.handler(bytes -> answer.updateAndGet(text -> text + bytes));
+    socket.write(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer "
+            + CallerPath.TOKEN
+            + "\r\ncontent-length: 100\r\n\r\n{");
+
+    Waits.until("a refusal", () -> answer.get().contains("request-timeout"));
+    assertThat(answer.get()).startsWith("HTTP/1.1 408");
+  }
+
+  /** Connections pile up: callers connect and send no request at all. */
+  @Test
+  void aConnectionWithoutARequestIsClosedInTime() {
+    AtomicBoolean closed = new AtomicBoolean();
+    connect().closeHandler(done -> closed.set(true));
+
+    Waits.until("the connection is closed", closed::get);
+  }
+
+  /** New callers find no daemon: one client opens all the connections that there are. */
+  @Test
+  void aConnectionOverTheLimitGetsATypedRefusal() {
+    for (int index = 0; index < LIMITS.maximumConnections(); index++) {
+      connect();
+    }
+    Waits.until(
+        "all are open", () -> path.server().openConnections() >= LIMITS.maximumConnections());
+    AtomicReference<String> answer = new AtomicReference<>("");
+    NetSocket socket = connect();
+    socket.handler(bytes -> answer.updateAndGet(text -> text + bytes));
+    socket.write("GET /v1/completions HTTP/1.1\r\nhost: a\r\n\r\n");
+
+    Waits.until("a refusal", () -> answer.get().contains("connection-limit"));
+  }
+
+  /** An engine's slots fill up with requests of neighbours who have closed the page. */
+  @Test
+  void aCallerWhoLeavesFreesTheEngine() {
+    decode.then(FakeEngine.Step.STALL_AFTER_THREE);
+    NetSocket socket = connect();
+    String body = "{\"model\":\"asistente\",\"prompt\":\"a\",\"max_tokens\":9,\"stream\":true}";
+    AtomicReference<String> answer = new AtomicReference<>("");
+    socket.handler(bytes -> answer.updateAndGet(text -> text + bytes));
+    socket.write(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer "
+            + CallerPath.TOKEN
+            + "\r\ncontent-length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body);
+    Waits.until("tokens came", () -> answer.get().contains(FakeEngine.truth(2)));
+    Waits.get(socket.close());
+
+    Waits.until("the engine is free", () -> decode.held().isEmpty());
+    Waits.until("the request is settled", () -> path.registry().size() == 0);
+    assertThat(path.placement().ended()).hasSize(1);
+  }
+
+  /** A planned stop cuts off a summary in the middle of its stream. */
+  @Test
+  void aStopFinishesWhatRunsAndRefusesWhatIsNew() {
+    path.placement().hold();
+    NetSocket socket = connect();
+    socket.write(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer "
+            + CallerPath.TOKEN
+            + "\r\ncontent-length: 36\r\n\r\n{\"model\":\"asistente\",\"prompt\":\"a b\"}");
+    Waits.until("it waits", () -> path.placement().placed().size() == 1);
+    var stopped = path.server().stop(1, 10_000);
+    Waits.until("it refuses", () -> path.server().phase() == StopPhase.FINISHING);
+
+    assertThat(callers.send(callers.completion("asistente", 2, false)).body())
+        .contains("stopping")
+        .contains("not-run");
+    assertThat(path.registry().size()).isEqualTo(1);
+    Waits.get(socket.close());
+    assertThat(Waits.get(stopped)).isZero();
+    assertThat(path.server().phase()).isEqualTo(StopPhase.CLOSED);
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramsail/daemon/caller/OutcomeFailureTest.java
@@ -0,0 +1,224 @@
+package org.marjoramsail.daemon.caller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Vertx;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
+import org.marjoramsail.daemon.fixture.CallerPath;
+import org.marjoramsail.daemon.fixture.Callers;
+import org.marjoramsail.daemon.fixture.FakeEngine;
+import org.marjoramsail.daemon.fixture.FakeEngine.Step;
+import org.marjoramsail.daemon.fixture.FakePlainService;
+import org.marjoramsail.daemon.fixture.Waits;
+
+final class OutcomeFailureTest {
+
+  private final Vertx vertx = Vertx.vertx();
+  private final FakeEngine prefill = new FakeEngine(vertx, "prefill-1", UpstreamRole.PREFILL);
+  private final FakeEngine first = new FakeEngine(vertx, "decode-1", UpstreamRole.DECODE);
+  private final FakeEngine second = new FakeEngine(vertx, "decode-2", UpstreamRole.DECODE);
+  private final FakePlainService plain = new FakePlainService(vertx, "ventanilla-1");
+  private final FakePlainService otherPlain = new FakePlainService(vertx, "ventanilla-2");
+  private CallerPath path;
+  private Callers callers;
+
+  @BeforeEach
+  void start() {
+    prefill.start();
+    first.start();
+    second.start();
+    plain.start();
+    otherPlain.start();
+    path =
+        new CallerPath(
+            vertx,
+            CallerLimits.defaults(),
+            List.of(
+                prefill.definition("asistente"),
+                first.definition("asistente"),
+                second.definition("asistente"),
+                first.definition("asistente-once"),
+                plain.definition("ventanilla"),
+                otherPlain.definition("ventanilla")));
+    callers = new Callers(path.port());
+  }
+
+  @AfterEach
+  void stop() {
+    path.close();
+  }
+
+  private HttpResponse<String> receipt(Optional<String> key) {
+    HttpRequest.Builder request =
+        callers
+            .request("/services/ventanilla/receipt")
+            .POST(HttpRequest.BodyPublishers.ofString("filing"));
+    key.ifPresent(value -> request.header("idempotency-key", value));
+    return callers.send(request.build());
+  }
+
+  /**
+   * A clerk gets a summary with a hole or a doubled word: the decode engine dies in mid-stream, and
+   * the retry on another engine starts at the wrong token.
+   */
+  @Test
+  void aStreamThatIsCutIsResumedElsewhereWithoutGapOrRepeat() {
+    first.then(Step.CUT_AFTER_THREE);
+
+    HttpResponse<String> answer = callers.send(callers.completion("asistente", 6, false));
+
+    assertThat(answer.body()).contains("\"text\":\"" + FakeEngine.truthOf(6) + "\"");
+    assertThat(second.decodes().get(0).getInteger("startIndex")).isEqualTo(3);
+    assertThat(path.count("retries", "reason", "stream-cut")).isEqualTo(1);
+  }
+
+  /**
+   * A prefill of many seconds is thrown away: the decode engine refuses when it is asked, while the
+   * KV cache still lives, and the retry reads the whole prompt again.
+   */
+  @Test
+  void aLivingKvCacheIsPlacedAgainWhenOnlyTheDecodeSideRefused() {
+    first.then(Step.REFUSE);
+
+    HttpResponse<String> answer = callers.send(callers.completion("asistente", 2, false));
+
+    assertThat(answer.statusCode()).isEqualTo(200);
+    assertThat(prefill.prefills()).hasSize(1);
+    assertThat(path.placement().placed().get(1).kvHeldBy()).contains(new UpstreamName("prefill-1"));
+    assertThat(second.decodes().get(0).getJsonObject("kv").getString("handle")).isEqualTo("kv-1");
+  }
+
+  /** A caller reads another caller's words: frames arrive crossed, late and twice. */
+  @Test
+  void crossedLateAndRepeatedFramesAreDroppedAndCounted() {
+    first.then(Step.MIX_FRAMES);
+
+    HttpResponse<String> answer = callers.send(callers.completion("asistente", 3, false));
+
+    assertThat(answer.body()).contains("\"text\":\"" + FakeEngine.truthOf(3) + "\"");
+    assertThat(path.count("drops", "reason", "crossed-frame")).isEqualTo(1);
+    assertThat(path.count("drops", "reason", "late-frame")).isEqualTo(1);
+    assertThat(path.count("drops", "reason", "repeated-frame")).isEqualTo(3);
+  }
+
+  /**
+   * A neighbour gets two filing receipts and fears to owe twice: the service ran the request, the
+   * connection broke before the answer, and the router sent it again.
+   */
+  @Test
+  void aReceiptWhoseAnswerWasLostIsUnknownAndNeverSentAgain() {
+    plain.then(FakePlainService.Step.RUN_AND_CUT);
+
+    HttpResponse<String> answer = receipt(Optional.empty());
+
+    assertThat(answer.statusCode()).isEqualTo(502);
+    assertThat(answer.body()).contains("\"run\":\"unknown\"");
+    assertThat(answer.headers().firstValue("retry-after")).isEmpty();
+    assertThat(plain.runs() + otherPlain.runs()).isEqualTo(1);
+  }
+
+  /** A receipt fails although a healthy server stood by: the first said that it had not run it. */
+  @Test
+  void aReceiptThatTheServiceSaysItDidNotRunIsSentElsewhere() {
+    plain.then(FakePlainService.Step.NOT_RUN);
+
+    HttpResponse<String> answer = receipt(Optional.empty());
+
+    assertThat(answer.statusCode()).isEqualTo(200);
+    assertThat(answer.body()).isEqualTo("echo filing");
+    assertThat(otherPlain.runs()).isEqualTo(1);
+  }
+
+  /** A clerk is told "unknown" of a receipt that never left: the server was down. */
+  @Test
+  void aRequestThatNoServerAcceptedAConnectionForIsReportedNotRun() {
+    plain.stop();
+    otherPlain.stop();
+
+    HttpResponse<String> answer = receipt(Optional.empty());
+
+    assertThat(answer.body()).contains("\"run\":\"not-run\"").contains("no-upstream");
+    assertThat(answer.headers().firstValue("retry-after")).contains("1");
+    assertThat(path.count("retries", "reason", "connect-failed")).isEqualTo(2);
+  }
+
+  /** A ballot with a key runs twice after a restart: its claim was never recorded anywhere. */
+  @Test
+  void aKeyedReceiptIsRefusedTruthfullyWhileThereIsNoStore() {
+    HttpResponse<String> answer = receipt(Optional.of("ballot-7"));
+
+    assertThat(answer.statusCode()).isEqualTo(503);
+    assertThat(answer.body()).contains("store-unavailable").contains("ballot-7");
+    assertThat(plain.runs()).isZero();
+  }
+
+  /** A status lookup fails although it may run twice: its answer was cut off once. */
+  @Test
+  void aLookupWhoseAnswerWasLostIsSentAgain() {
+    plain.then(FakePlainService.Step.RUN_AND_CUT);
+
+    HttpResponse<String> answer =
+        callers.send(callers.request("/services/ventanilla/status?id=7").GET().build());
+
+    assertThat(answer.statusCode()).isEqualTo(200);
+    assertThat(plain.runs() + otherPlain.runs()).isEqualTo(2);
+  }
+
+  /** A generation that may run once is repeated: the stream is cut after its first tokens. */
+  @Test
+  void aGenerationThatMayRunOnceEndsUnknownWhenItsStreamIsCut() {
+    first.then(Step.CUT_AFTER_THREE);
+
+    HttpResponse<String> answer = callers.send(callers.completion("asistente-once", 6, true));
+
+    assertThat(answer.body())
+        .contains("event: error")
+        .contains("\"run\":\"unknown\"")
+        .doesNotContain("[DONE]");
+    assertThat(first.decodes()).hasSize(1);
+  }
+
+  /**
+   * An engine stays full of requests that nobody reads: the stream stalls, the request moves on,
+   * and the first cancels to the stalled engine are lost.
+   */
+  @Test
+  void aStalledEngineIsToldToDropTheAttemptUntilItConfirms() {
+    first.then(Step.STALL_AFTER_THREE);
+    first.loseCancels(3);
+
+    HttpResponse<String> answer = callers.send(callers.completion("asistente", 5, false));
+
+    assertThat(answer.body()).contains("\"text\":\"" + FakeEngine.truthOf(5) + "\"");
+    Waits.until("nothing is held", () -> first.held().isEmpty());
+    Waits.until("the request is settled", () -> path.registry().size() == 0);
+  }
+
+  /**
+   * The same prompt takes down one engine after another: each retry, and each time that the caller
+   * sends it again, kills the next.
+   */
+  @Test
+  void aPromptThatCrashedTwoEnginesIsRefusedAndOthersAreServed() {
+    first.then(Step.CRASH);
+    second.then(Step.CRASH);
+    path.quarantine().incarnation(new UpstreamName("decode-1"), 1, 0, 0);
+    path.quarantine().incarnation(new UpstreamName("decode-2"), 1, 0, 0);
+
+    HttpResponse<String> poison = callers.send(callers.completion("asistente", 4, false));
+    HttpResponse<String> again = callers.send(callers.completion("asistente", 4, false));
+
+    assertThat(poison.body()).contains("\"reason\":\"quarantined\"").contains("unknown");
+    assertThat(again.statusCode()).isEqualTo(422);
+    assertThat(again.body()).contains("\"run\":\"not-run\"");
+    assertThat(first.decodes().size() + second.decodes().size()).isEqualTo(2);
+  }
+}
