--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
@@ -11,6 +11,8 @@
 import org.marjoramsail.core.membership.PingRequestMessage;
 import org.marjoramsail.core.membership.StateMessage;
 import org.marjoramsail.core.message.PeerMessage;
+import org.marjoramsail.daemon.operator.OperatorAnswer;
+import org.marjoramsail.daemon.operator.OperatorQuestion;
 
 /**
  * The number that stands for each record on the wire.
@@ -26,7 +28,9 @@
   ACK(5, AckMessage.class),
   PING_REQUEST(6, PingRequestMessage.class),
   DIGEST(7, DigestMessage.class),
-  STATE(8, StateMessage.class);
+  STATE(8, StateMessage.class),
+  OPERATOR_QUESTION(90, OperatorQuestion.class),
+  OPERATOR_ANSWER(91, OperatorAnswer.class);
 
   private static final int LAST_MEMBERSHIP_NUMBER = 19;
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/settings/ExamplesTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/settings/ExamplesTest.java
@@ -10,11 +10,18 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.configuration.ConfigurationChange;
+import org.marjoramsail.core.configuration.ConfigurationEditor;
+import org.marjoramsail.core.configuration.ConfigurationOperation;
+import org.marjoramsail.core.configuration.EditResult;
+import org.marjoramsail.core.configuration.OrderId;
+import org.marjoramsail.core.configuration.RuleDefinition;
 import org.marjoramsail.core.configuration.ServiceDefinition;
 import org.marjoramsail.core.model.UpstreamRole;
 
@@ -67,6 +74,18 @@
     assertThat(configuration.rules())
         .isNotEmpty()
         .allSatisfy(rule -> assertThat(services).contains(rule.service()));
+    assertThat(ConfigurationEditor.apply(configuration, putting(configuration.rules().get(0))))
+        .isInstanceOf(EditResult.Edited.class);
+  }
+
+  /** A change without effect; the editor checks the whole configuration with it. */
+  private static ConfigurationChange putting(RuleDefinition rule) {
+    return new ConfigurationChange(
+        new OrderId("check"),
+        "test",
+        "check",
+        Optional.empty(),
+        List.of(new ConfigurationOperation.Put(rule)));
   }
 
   private static long count(Configuration configuration, String service, UpstreamRole role) {
