Serve operators from the running daemon

Cause: the administration, the orders to engines and the platform's list of hosts were built and not wired; a daemon had no port for operators, and an upstream that the platform listed as leaving got new work. Change: the runtime serves health, metrics, questions to the whole fleet and orders of each kind; an accepted change is answered with where it is in force; a host is drained by message, a quarantine lifted from any daemon; order service and host list run. The answer is refreshed from the store for history and orders, and names the store when it is silent. The local fleet's configuration now passes the checks that changes of it have to pass. Conclusion: operators reach the fleet through any daemon; a role is changed through the configuration, as rollouts would undo it otherwise.

--- a/command/src/main/java/org/marjoramsail/command/fleet/FleetConfiguration.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/FleetConfiguration.java
@@ -27,6 +27,9 @@
 
   private static final double UNREACHED_RATE = 1e9;
 
+  /** Plain answers have no tokens; the checks of a configuration want a number all the same. */
+  private static final long UNUSED_TARGET_MILLIS = 1_000;
+
   private FleetConfiguration() {}
 
   static Configuration of(
@@ -71,7 +74,7 @@
         kind.serviceClass(),
         kind.repeatability(),
         kind.firstTokenTargetMillis(),
-        kind.perTokenTargetMillis(),
+        kind.isGeneration() ? kind.perTokenTargetMillis() : UNUSED_TARGET_MILLIS,
         kind.deadlineMillis(),
         StoreOutagePolicy.REFUSE);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -10,6 +10,7 @@
 import java.security.SecureRandom;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletionStage;
@@ -41,6 +42,11 @@
 import org.marjoramsail.daemon.main.UnfinishedWork;
 import org.marjoramsail.daemon.membership.MembershipService;
 import org.marjoramsail.daemon.membership.PeerDirectory;
+import org.marjoramsail.daemon.operator.LocalState;
+import org.marjoramsail.daemon.operator.OperatorQuestion;
+import org.marjoramsail.daemon.operator.StoredFacts;
+import org.marjoramsail.daemon.order.HttpEngineOrders;
+import org.marjoramsail.daemon.order.OrderService;
 import org.marjoramsail.daemon.peer.PeerBounds;
 import org.marjoramsail.daemon.peer.PeerFaults;
 import org.marjoramsail.daemon.peer.PeerMessageType;
@@ -59,11 +65,11 @@
 import org.marjoramsail.daemon.upstream.UpstreamStatusPoller;
 
 /** A whole daemon: its parts, started and stopped in order. */
-public final class DaemonRuntime implements RunningDaemon {
+public final class DaemonRuntime implements RunningDaemon, OperatorParts.Control {
 
   private static final long CRASH_SPREAD_MILLIS = 100;
   private static final long ORPHAN_TICK_MILLIS = 500;
-  private static final long CRASH_LIFETIME_MILLIS = 600_000;
+  static final long CRASH_LIFETIME_MILLIS = 600_000;
   private static final long CRASH_SETTLE_MILLIS = 2_000;
   private static final int MAXIMUM_SUSPECTS = 10_000;
 
@@ -85,6 +91,12 @@
   private final RequestParts requests;
   private final OutcomeObserver outcomes;
   private final OrphanCanceller orphans;
+  private final HostListParts hosts;
+  private final OrderService orders;
+  private final OperatorParts operators;
+  private volatile long configuredAtMillis;
+  private volatile boolean started;
+  private volatile boolean drained;
   private Set<DaemonId> reachable = Set.of();
   private int callerPort;
   private int operatorPort;
@@ -109,34 +121,13 @@
     PeerDirectory addresses = new PeerDirectory();
     this.network =
         new PeerNetwork(vertx, peerSettings(), clock, meters, secure, addresses, PeerFaults.NONE);
-    this.membership =
-        new MembershipService(
-            vertx,
-            network,
-            addresses,
-            peerSettings(),
-            MembershipSettings.defaults(),
-            seeds(),
-            clock,
-            meters,
-            random);
-    HttpObjectApi store =
-        new HttpObjectApi(
-            vertx,
-            HttpObjectApiSettings.defaults(
-                settings.platform().address(), settings.platform().port()),
-            meters);
-    this.configuration =
-        new ConfigurationService(
-            store,
-            network,
-            membership::view,
-            clock,
-            clock,
-            random,
-            new VertxTimers(vertx),
-            meters,
-            this::configured);
+    this.membership = membershipService(addresses, random);
+    HttpObjectApiSettings platform =
+        HttpObjectApiSettings.defaults(settings.platform().address(), settings.platform().port());
+    HttpObjectApi store = new HttpObjectApi(vertx, platform, meters);
+    VertxTimers timers = new VertxTimers(vertx);
+    this.configuredAtMillis = clock.millis();
+    this.configuration = configurationService(store, timers, random);
     ConfiguredShards shards =
         new ConfiguredShards(
             membership.view().self(),
@@ -166,25 +157,22 @@
             PollPace.defaults(),
             clock,
             random);
-    this.requests =
-        new RequestParts(
-            vertx,
-            settings,
-            self,
-            configuration::current,
-            placement,
-            new StoredClaims(claims),
-            upstreams,
-            poller::poll,
-            quarantine,
-            new Invariants(mode),
-            clock,
-            random,
-            json,
-            meters);
+    this.requests = requestParts(upstreams, new Invariants(mode), random, json);
     this.outcomes =
         new OutcomeObserver(quarantine, requests.registry, this::tellAll, placementParts, clock);
     this.orphans = new OrphanCanceller(upstreams.engines, placementParts::watched, clock, meters);
+    this.hosts =
+        new HostListParts(vertx, platform, membership, placementParts::leaving, random, meters);
+    this.orders =
+        new OrderService(
+            store,
+            new HttpEngineOrders(vertx.createHttpClient()),
+            configuration::current,
+            membership::view,
+            clock,
+            timers,
+            meters);
+    this.operators = operatorParts(store, timers);
   }
 
   /** Starts all parts; done once callers are served. */
@@ -201,14 +189,18 @@
         (from, message) -> placement.heardUsage((OrganisationUsageMessage) message));
     registerPackage(Configuration.class, configuration);
     registerPackage(ClaimMessage.class, claims);
+    registerPackage(OperatorQuestion.class, operators::heard);
     membership.listen(this::membersChanged);
     return network
         .start()
         .onSuccess(port -> peerPort = port)
+        .compose(port -> operators.start())
+        .onSuccess(port -> operatorPort = port)
         .compose(port -> startServing())
         .map(
             port -> {
               callerPort = port;
+              started = true;
               return this;
             });
   }
@@ -237,6 +229,7 @@
         .compose(
             running -> {
               listener.accept(StopPhase.HANDING_OVER);
+              orders.stop();
               membership.leave();
               listener.accept(StopPhase.LEAVING);
               return membership.stop();
@@ -244,12 +237,14 @@
         .compose(
             left -> {
               listener.accept(StopPhase.CLOSING);
+              hosts.stop();
               poller.stop();
               placementParts.stop(vertx);
               configuration.stop();
               claims.stop();
               return network.stop();
             })
+        .eventually(operators::stop)
         .toCompletionStage();
   }
 
@@ -258,17 +253,116 @@
     return new UnfinishedWork(requests.registry.size(), 0, placement.views().size());
   }
 
+  @Override
+  public boolean isLive() {
+    return true;
+  }
+
+  @Override
+  public Optional<String> notReady() {
+    if (!started) {
+      return Optional.of("starting");
+    }
+    if (drained || requests.callers.phase() != org.marjoramsail.daemon.caller.StopPhase.SERVING) {
+      return Optional.of("leaving");
+    }
+    return configuration.isReady() ? Optional.empty() : Optional.of("no configuration yet");
+  }
+
+  @Override
+  public void drain() {
+    drained = true;
+    membership.leave();
+  }
+
+  @Override
+  public boolean lift(long fingerprint) {
+    boolean isLifted = quarantine.lift(fingerprint, clock.millis());
+    outcomes.tellOthers();
+    return isLifted;
+  }
+
   private Future<Integer> startServing() {
     membership.start();
     configuration.start();
     claims.start();
     placementParts.start(vertx);
+    hosts.start();
+    orders.start();
     poller.start(outcomes);
     vertx.setPeriodic(CRASH_SPREAD_MILLIS, timer -> outcomes.tellOthers());
     vertx.setPeriodic(ORPHAN_TICK_MILLIS, timer -> orphans.tick());
     return requests.callers.start();
   }
 
+  private RequestParts requestParts(
+      UpstreamParts upstreams, Invariants invariants, Random random, ObjectMapper json) {
+    return new RequestParts(
+        vertx,
+        settings,
+        self,
+        configuration::current,
+        placement,
+        new StoredClaims(claims),
+        upstreams,
+        poller::poll,
+        quarantine,
+        invariants,
+        clock,
+        random,
+        json,
+        meters);
+  }
+
+  private OperatorParts operatorParts(HttpObjectApi store, VertxTimers timers) {
+    StoredFacts stored = new StoredFacts(configuration, store);
+    LocalState state =
+        new RuntimeState(
+            requests,
+            placement,
+            membership,
+            configuration,
+            () -> configuredAtMillis,
+            quarantine,
+            stored,
+            clock);
+    return new OperatorParts(
+        vertx,
+        settings,
+        self,
+        this,
+        state,
+        stored,
+        hosts,
+        configuration,
+        membership,
+        network,
+        store,
+        timers,
+        meters::scrape,
+        clock,
+        meters);
+  }
+
+  private MembershipService membershipService(PeerDirectory addresses, Random random) {
+    return new MembershipService(
+        vertx,
+        network,
+        addresses,
+        peerSettings(),
+        MembershipSettings.defaults(),
+        seeds(),
+        clock,
+        meters,
+        random);
+  }
+
+  private ConfigurationService configurationService(
+      HttpObjectApi store, VertxTimers timers, Random random) {
+    return new ConfigurationService(
+        store, network, membership::view, clock, clock, random, timers, meters, this::configured);
+  }
+
   private void membersChanged(MembershipView view) {
     placement.members(view);
     Set<DaemonId> now = new HashSet<>();
@@ -301,6 +395,7 @@
   }
 
   private void configured(Configuration newer) {
+    configuredAtMillis = clock.millis();
     placement.configure(newer);
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/PlacementParts.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/PlacementParts.java
@@ -8,8 +8,10 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.membership.PeerAddress;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.model.UpstreamRole;
 import org.marjoramsail.core.outcome.Quarantine;
@@ -30,6 +32,7 @@
   private static final long OWNER_TICK_MILLIS = 5;
   private static final long ENTRY_TICK_MILLIS = 100;
   private static final long USAGE_MILLIS = 2_000;
+  private static final long AVAILABILITY_MILLIS = 500;
 
   /** How many polls in a row have to fail before an upstream counts as unreachable. */
   private static final int FAILURES_TO_UNREACHABLE = 2;
@@ -44,7 +47,9 @@
   private final CacheEventPoller caches;
   private final Map<UpstreamName, Integer> failures = new ConcurrentHashMap<>();
   private final Map<UpstreamName, Integer> polls = new ConcurrentHashMap<>();
+  private final Set<UpstreamName> out = ConcurrentHashMap.newKeySet();
   private final List<Long> timers = new ArrayList<>();
+  private volatile Set<PeerAddress> leaving = Set.of();
 
   PlacementParts(
       DistributedPlacement placement,
@@ -63,6 +68,7 @@
     timers.add(vertx.setPeriodic(OWNER_TICK_MILLIS, timer -> placement.tickOwned()));
     timers.add(vertx.setPeriodic(ENTRY_TICK_MILLIS, timer -> placement.tickEntry()));
     timers.add(vertx.setPeriodic(USAGE_MILLIS, timer -> placement.shareUsage()));
+    timers.add(vertx.setPeriodic(AVAILABILITY_MILLIS, timer -> tellAvailability()));
   }
 
   void stop(Vertx vertx) {
@@ -83,10 +89,8 @@
 
   @Override
   public void load(LoadReport report, long askedAtMillis) {
-    Integer failed = failures.remove(report.upstream());
-    if (failed != null && failed >= FAILURES_TO_UNREACHABLE) {
-      placement.availability(report.upstream(), true);
-    }
+    failures.remove(report.upstream());
+    directory.definition(report.upstream()).ifPresent(this::tellAvailability);
     placement.load(report);
   }
 
@@ -100,9 +104,35 @@
 
   @Override
   public void unreachable(UpstreamName upstream, boolean connectionRefused) {
-    int failed = failures.merge(upstream, 1, Integer::sum);
-    if (failed == FAILURES_TO_UNREACHABLE) {
-      placement.availability(upstream, false);
+    failures.merge(upstream, 1, Integer::sum);
+    directory.definition(upstream).ifPresent(this::tellAvailability);
+  }
+
+  /** Takes where upstreams listen that the platform lists as leaving. */
+  void leaving(Set<PeerAddress> listed) {
+    leaving = Set.copyOf(listed);
+    tellAvailability();
+  }
+
+  /**
+   * Tells placement again and again which upstreams are out.
+   *
+   * <p>Guards against a shard whose owner was told and died: it shows as new work on a leaving
+   * upstream. The next owner begins with a placer that was told nothing, and is told here.
+   */
+  private void tellAvailability() {
+    watched().forEach(this::tellAvailability);
+  }
+
+  private synchronized void tellAvailability(UpstreamDefinition upstream) {
+    boolean isOut =
+        leaving.contains(new PeerAddress(upstream.address(), upstream.port()))
+            || failures.getOrDefault(upstream.name(), 0) >= FAILURES_TO_UNREACHABLE;
+    if (isOut) {
+      out.add(upstream.name());
+      placement.availability(upstream.name(), false);
+    } else if (out.remove(upstream.name())) {
+      placement.availability(upstream.name(), true);
     }
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/RequestParts.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/RequestParts.java
@@ -34,6 +34,7 @@
 
   final RequestRegistry registry;
   final CallerServer callers;
+  final RequestMetrics metrics;
 
   RequestParts(
       Vertx vertx,
@@ -50,7 +51,7 @@
       RandomGenerator random,
       ObjectMapper json,
       MeterRegistry meters) {
-    RequestMetrics metrics = new RequestMetrics(meters, invariants);
+    this.metrics = new RequestMetrics(meters, invariants);
     this.registry =
         new RequestRegistry(
             new RequestPeers(
--- a/daemon/src/main/java/org/marjoramsail/daemon/configuration/ChangeAcceptance.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/configuration/ChangeAcceptance.java
@@ -16,14 +16,13 @@
 import org.marjoramsail.core.configuration.OrderId;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.platform.ObjectApi;
-import org.marjoramsail.daemon.platform.ObjectApiException;
 
 /**
  * Accepts operators' changes by one conditional update of one object.
  *
  * <p>Safe on any thread; each change is carried by an object of its own.
  */
-public final class ChangeAcceptance {
+public final class ChangeAcceptance implements ConfigurationChanges {
 
   private final ObjectApi store;
   private final Clock clock;
@@ -63,11 +62,7 @@
     this.meters = meters;
   }
 
-  /**
-   * Accepts a change, or says why not; never fails.
-   *
-   * @param change what an operator ordered; sent again with the same order it has no further effect
-   */
+  @Override
   public Future<ChangeResult> accept(ConfigurationChange change) {
     return new ChangeAttempt(
             change, store, history, clock, wallClock, random, timers, revisionInForce)
@@ -75,14 +70,14 @@
         .onSuccess(this::count);
   }
 
-  /** Says what a change would do on the newest revision, and does nothing. */
+  @Override
   public Future<ChangeResult> tryOut(ConfigurationChange change) {
     return RootObject.read(store)
         .map(root -> trial(change, root.root()))
         .recover(failure -> Future.succeededFuture(unavailable(failure)));
   }
 
-  /** Makes a new revision with all objects of an earlier one. */
+  @Override
   public Future<ChangeResult> rollBack(
       OrderId order, String author, String summary, Optional<Long> base, long revision) {
     return history
@@ -96,12 +91,12 @@
         .recover(failure -> Future.succeededFuture(unavailable(failure)));
   }
 
-  /** An earlier or the newest revision; empty when it is not kept. */
+  @Override
   public Future<Optional<ConfigurationRoot>> revision(long revision) {
     return history.read(revision);
   }
 
-  /** The newest root, straight from the store; fails with an {@link ObjectApiException}. */
+  @Override
   public Future<ConfigurationRoot> newest() {
     return RootObject.read(store).map(RootObject::root);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/configuration/ConfigurationService.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/configuration/ConfigurationService.java
@@ -35,7 +35,7 @@
  *
  * <p>Safe on any thread.
  */
-public final class ConfigurationService implements PeerMessageHandler {
+public final class ConfigurationService implements PeerMessageHandler, ConfigurationChanges {
 
   private static final Logger LOG = LoggerFactory.getLogger(ConfigurationService.class);
   private static final long TICK_MILLIS = 250;
@@ -137,17 +137,17 @@
     return storeReachable;
   }
 
-  /** Accepts a change, or says why not; never fails. */
+  @Override
   public Future<ChangeResult> accept(ConfigurationChange change) {
     return acceptance.accept(change).onSuccess(this::takeAccepted);
   }
 
-  /** Says what a change would do on the newest revision, and does nothing. */
+  @Override
   public Future<ChangeResult> tryOut(ConfigurationChange change) {
     return acceptance.tryOut(change);
   }
 
-  /** Makes a new revision with all objects of an earlier one. */
+  @Override
   public Future<ChangeResult> rollBack(
       OrderId order, String author, String summary, Optional<Long> base, long revision) {
     return acceptance
@@ -155,12 +155,12 @@
         .onSuccess(this::takeAccepted);
   }
 
-  /** An earlier or the newest revision; empty when it is not kept. */
+  @Override
   public Future<Optional<ConfigurationRoot>> revision(long revision) {
     return acceptance.revision(revision);
   }
 
-  /** The newest root with the latest accepted changes, straight from the store. */
+  @Override
   public Future<ConfigurationRoot> newest() {
     return acceptance.newest();
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -122,6 +122,25 @@
     refused.get(refusal.runState()).get(refusal.reason()).increment();
   }
 
+  /** How many requests were refused, by reason, whether they ran or not. */
+  public Map<RefusalReason, Long> refusals() {
+    Map<RefusalReason, Long> counts = new EnumMap<>(RefusalReason.class);
+    refused
+        .values()
+        .forEach(
+            counters ->
+                counters.forEach(
+                    (reason, counter) -> counts.merge(reason, (long) counter.count(), Long::sum)));
+    return counts;
+  }
+
+  /** How many attempts were repeated, by reason. */
+  public Map<RetryReason, Long> retries() {
+    Map<RetryReason, Long> counts = new EnumMap<>(RetryReason.class);
+    retries.forEach((reason, counter) -> counts.put(reason, (long) counter.count()));
+    return counts;
+  }
+
   /** Counts a retry. */
   public void retried(RetryReason reason) {
     retries.get(reason).increment();
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/AdministrationResponses.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/AdministrationResponses.java
@@ -7,6 +7,7 @@
 import io.vertx.ext.web.RoutingContext;
 import java.util.Locale;
 import java.util.Optional;
+import org.marjoramsail.core.configuration.InForceReport;
 import org.marjoramsail.language.AnswerTable;
 import org.marjoramsail.language.Column;
 import org.slf4j.Logger;
@@ -55,11 +56,22 @@
     json.put("order", ordered.order().value());
     json.put("state", ordered.outcome().state().name().toLowerCase(Locale.ROOT));
     ordered.outcome().revision().ifPresent(revision -> json.put("revision", revision));
+    ordered.outcome().inForce().ifPresent(report -> putInForce(json, report));
     ArrayNode details = json.putArray("details");
     ordered.outcome().details().forEach(details::add);
     return json;
   }
 
+  private static void putInForce(ObjectNode json, InForceReport report) {
+    ObjectNode inForce = json.putObject("inForce");
+    inForce.put("daemons", report.inForce()).put("of", report.total());
+    ArrayNode lagging = inForce.putArray("lagging");
+    for (InForceReport.Lagging each : report.lagging()) {
+      ObjectNode entry = lagging.addObject().put("host", each.host());
+      each.revision().ifPresent(revision -> entry.put("revision", revision));
+    }
+  }
+
   void text(RoutingContext context, String type, String body) {
     context.response().putHeader("content-type", type).end(body);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/ConfigurationOrders.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/ConfigurationOrders.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongFunction;
 import org.marjoramsail.core.configuration.ChangeRefusal;
 import org.marjoramsail.core.configuration.ChangeResult;
 import org.marjoramsail.core.configuration.Configuration;
@@ -13,9 +14,10 @@
 import org.marjoramsail.core.configuration.ConfigurationDifference;
 import org.marjoramsail.core.configuration.ConfigurationObject;
 import org.marjoramsail.core.configuration.ConfigurationOperation;
+import org.marjoramsail.core.configuration.InForceReport;
 import org.marjoramsail.core.configuration.ObjectKey;
 import org.marjoramsail.core.configuration.ObjectKind;
-import org.marjoramsail.daemon.configuration.ChangeAcceptance;
+import org.marjoramsail.daemon.configuration.ConfigurationChanges;
 import org.marjoramsail.daemon.configuration.ConfigurationFormatException;
 import org.marjoramsail.language.Assignment;
 import org.marjoramsail.language.FieldValue;
@@ -26,11 +28,18 @@
 /** Turns orders into one change of the configuration and has it accepted. */
 public final class ConfigurationOrders implements OrderExecutor {
 
-  private final ChangeAcceptance acceptance;
+  private final ConfigurationChanges acceptance;
+  private final LongFunction<Future<InForceReport>> inForce;
 
-  /** Takes what accepts changes. */
-  public ConfigurationOrders(ChangeAcceptance acceptance) {
+  /**
+   * Takes what accepts changes.
+   *
+   * @param inForce tells where a revision is in force, after a bounded wait; never fails
+   */
+  public ConfigurationOrders(
+      ConfigurationChanges acceptance, LongFunction<Future<InForceReport>> inForce) {
     this.acceptance = acceptance;
+    this.inForce = inForce;
   }
 
   @Override
@@ -72,7 +81,7 @@
             context.order(), context.operator().name(), context.summary(), base, operations);
     Future<ChangeResult> result =
         context.isDryRun() ? acceptance.tryOut(change) : acceptance.accept(change);
-    return result.compose(ConfigurationOrders::outcome);
+    return result.compose(this::outcome);
   }
 
   private Future<OrderOutcome> rollBack(OrderContext context, long revision) {
@@ -84,7 +93,7 @@
               context.summary(),
               context.baseRevision(),
               revision)
-          .compose(ConfigurationOrders::outcome);
+          .compose(this::outcome);
     }
     return acceptance
         .revision(revision)
@@ -105,18 +114,26 @@
             AdministrationFailure.INVALID, "A roll back restores all objects and stands alone."));
   }
 
-  private static Future<OrderOutcome> outcome(ChangeResult result) {
+  private Future<OrderOutcome> outcome(ChangeResult result) {
     if (result instanceof ChangeResult.Accepted accepted) {
+      long revision = accepted.record().revision();
       List<String> touched = accepted.record().touched().stream().map(ObjectKey::toString).toList();
-      return Future.succeededFuture(
-          new OrderOutcome(
-              OrderOutcome.State.ACCEPTED, Optional.of(accepted.record().revision()), touched));
+      return inForce
+          .apply(revision)
+          .map(
+              report ->
+                  new OrderOutcome(
+                      OrderOutcome.State.ACCEPTED,
+                      Optional.of(revision),
+                      Optional.of(report),
+                      touched));
     }
     if (result instanceof ChangeResult.Trial trial) {
       return Future.succeededFuture(
           new OrderOutcome(
               OrderOutcome.State.TRIED,
               Optional.of(trial.difference().toRevision()),
+              Optional.empty(),
               trial.difference().objects().stream().map(ConfigurationOrders::described).toList()));
     }
     return refused(((ChangeResult.Refused) result).refusal());
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/EngineOrderView.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/EngineOrderView.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.daemon.operator;
 
+import java.util.Optional;
 import org.marjoramsail.core.model.UpstreamName;
 
 /**
@@ -7,7 +8,7 @@
  *
  * @param order names it
  * @param kind what is ordered, such as load-model
- * @param upstream the engine
+ * @param upstream the engine; absent for an order to a whole service
  * @param state how far it is
  * @param reason why it waits or failed; empty otherwise
  * @param orderedBy who ordered it
@@ -16,7 +17,7 @@
 public record EngineOrderView(
     String order,
     String kind,
-    UpstreamName upstream,
+    Optional<UpstreamName> upstream,
     String state,
     String reason,
     String orderedBy,
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/LocalAnswers.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/LocalAnswers.java
@@ -9,6 +9,8 @@
 import java.util.stream.Stream;
 import org.marjoramsail.core.configuration.ConfigurationObject;
 import org.marjoramsail.core.configuration.ObjectKind;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.placement.ShardView;
 import org.marjoramsail.language.Condition;
 import org.marjoramsail.language.Subject;
@@ -101,9 +103,7 @@
   private Stream<List<String>> request(OperatorQuestion question) {
     String wanted = question.name().orElse("");
     List<List<String>> rows = new ArrayList<>();
-    state.requests().stream()
-        .filter(view -> view.request().value().equals(wanted))
-        .forEach(view -> rows.addAll(stepsOf(view)));
+    state.request(new RequestId(wanted)).ifPresent(view -> rows.addAll(stepsOf(view)));
     for (ShardView shard : state.shards()) {
       shard.waiting().stream()
           .filter(view -> view.request().value().equals(wanted))
@@ -257,7 +257,9 @@
 
   private Stream<List<String>> quarantine() {
     return state.quarantine().stream()
-        .map(view -> row(view.fingerprint(), view.service(), view.crashes(), view.ageMillis()));
+        .map(
+            view ->
+                row(view.fingerprint(), view.state(), host(), view.crashes(), view.ageMillis()));
   }
 
   private Stream<List<String>> orders() {
@@ -267,7 +269,7 @@
                 row(
                     view.order(),
                     view.kind(),
-                    view.upstream(),
+                    view.upstream().map(UpstreamName::value).orElse(""),
                     view.state(),
                     view.reason(),
                     view.orderedBy(),
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/LocalState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/LocalState.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.configuration.OrderRecord;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.failure.RetryReason;
 import org.marjoramsail.core.membership.MembershipView;
+import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.placement.ShardView;
 
 /** What this daemon knows; each method may be called on any thread and does not wait. */
@@ -15,6 +17,9 @@
   /** The requests that it holds for callers. */
   List<RequestView> requests();
 
+  /** A request that it holds, or held a short time ago. */
+  Optional<RequestView> request(RequestId request);
+
   /** The shards that it owns. */
   List<ShardView> shards();
 
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/QuarantineOrderExecutor.java
@@ -0,0 +1,91 @@
+package org.marjoramsail.daemon.operator;
+
+import io.vertx.core.Future;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.LongPredicate;
+import java.util.function.Supplier;
+import org.marjoramsail.core.membership.Member;
+import org.marjoramsail.core.membership.MembershipView;
+import org.marjoramsail.core.message.PeerTransport;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.language.AnswerTable;
+import org.marjoramsail.language.NearestName;
+import org.marjoramsail.language.Order;
+import org.marjoramsail.language.Subject;
+
+/** Clears contents on all daemons; one that this daemon does not remember by asking another. */
+public final class QuarantineOrderExecutor implements OrderExecutor {
+
+  private final LongPredicate lift;
+  private final FleetQueries queries;
+  private final Supplier<MembershipView> membership;
+  private final PeerTransport transport;
+
+  /**
+   * Takes all that it needs.
+   *
+   * @param lift clears a content here and tells the others; false when there is nothing to clear
+   * @param queries finds the daemons that remember it
+   * @param membership the daemons as they are known now
+   * @param transport sends to one of them
+   */
+  public QuarantineOrderExecutor(
+      LongPredicate lift,
+      FleetQueries queries,
+      Supplier<MembershipView> membership,
+      PeerTransport transport) {
+    this.lift = lift;
+    this.queries = queries;
+    this.membership = membership;
+    this.transport = transport;
+  }
+
+  @Override
+  public Future<OrderOutcome> carryOut(OrderContext context, List<Order> orders) {
+    String fingerprint = ((Order.LiftQuarantine) orders.get(0)).fingerprint();
+    OperatorQuestion question =
+        new OperatorQuestion(
+            0,
+            Subject.QUARANTINE,
+            Optional.empty(),
+            List.of(),
+            Optional.empty(),
+            Administration.MOST_ROWS);
+    return queries.ask(question).compose(table -> carryOut(context, fingerprint, table));
+  }
+
+  private Future<OrderOutcome> carryOut(
+      OrderContext context, String fingerprint, AnswerTable table) {
+    List<String> known = table.cellsOf("fingerprint");
+    if (!known.contains(fingerprint)) {
+      return Future.failedFuture(
+          OperatorProblems.of(
+              AdministrationFailure.NOT_FOUND,
+              "fingerprint",
+              fingerprint,
+              "one that show quarantine lists",
+              NearestName.of(fingerprint, known)));
+    }
+    if (context.isDryRun()) {
+      String detail = fingerprint + " would be cleared on all daemons";
+      return Future.succeededFuture(OrderOutcome.of(OrderOutcome.State.TRIED, List.of(detail)));
+    }
+    long number = HexFormat.fromHexDigitsToLong(fingerprint);
+    if (!lift.test(number)) {
+      daemon(table.cellsOf("host").get(known.indexOf(fingerprint)))
+          .ifPresent(daemon -> transport.send(daemon, new LiftQuarantineMessage(number)));
+    }
+    String detail = fingerprint + " is cleared, and all daemons are told";
+    return Future.succeededFuture(OrderOutcome.of(OrderOutcome.State.ACCEPTED, List.of(detail)));
+  }
+
+  private Optional<DaemonId> daemon(String host) {
+    return membership.get().members().stream()
+        .filter(member -> member.state().isReachable())
+        .map(Member::id)
+        .filter(id -> id.host().equals(host))
+        .findFirst();
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/RequestView.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/RequestView.java
@@ -37,7 +37,9 @@
     /** An upstream has it. */
     RUNNING,
     /** Its answer goes to the caller. */
-    ANSWERING
+    ANSWERING,
+    /** Has ended; it is kept until upstreams hold nothing of it, and a short time more. */
+    ENDED
   }
 
   /**
--- a/daemon/src/main/java/org/marjoramsail/daemon/order/OrderService.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/order/OrderService.java
@@ -34,6 +34,12 @@
   /** The kind of the objects that hold operators' orders; each is an {@link OperatorOrder}. */
   public static final String ORDER_KIND = "orders";
 
+  /** The kind of the objects that tell where the orders of a service stand. */
+  public static final String STATUS_KIND = StatusObjects.KIND;
+
+  /** The kind of the leases; each is a {@code LeaseRecord}. */
+  public static final String LEASE_KIND = LeaseObject.KIND;
+
   private static final Logger LOG = LoggerFactory.getLogger(OrderService.class);
   private static final long TICK_MILLIS = 1_000;
   private static final long ORDERS_READ_MILLIS = 20_000;
@@ -80,11 +86,16 @@
     StatusObjects statuses = new StatusObjects(store, clock);
     for (int number = 0; number < LeaseCandidates.LEASES; number++) {
       LeaseKeeper keeper = new LeaseKeeper(membership.get().self().id(), clock.millis());
-      LeaseObject lease = new LeaseObject("orders-" + number, store, clock, keeper);
+      LeaseObject lease = new LeaseObject(leaseName(number), store, clock, keeper);
       shards.add(new LeaseShard(lease, engines, statuses, clock, meters));
     }
   }
 
+  /** The name of the object of a lease. */
+  public static String leaseName(int number) {
+    return "orders-" + number;
+  }
+
   /** Begins to try for leases and to send orders. */
   public void start() {
     running = true;
--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
@@ -24,6 +24,8 @@
 import org.marjoramsail.core.outcome.CrashReportMessage;
 import org.marjoramsail.core.placement.OrganisationUsageMessage;
 import org.marjoramsail.core.placement.PlacementMessage;
+import org.marjoramsail.daemon.operator.DrainHostMessage;
+import org.marjoramsail.daemon.operator.LiftQuarantineMessage;
 import org.marjoramsail.daemon.operator.OperatorAnswer;
 import org.marjoramsail.daemon.operator.OperatorQuestion;
 
@@ -63,7 +65,9 @@
   CLAIM_RESULT(72, ClaimResultMessage.class),
   SETTLE(73, SettleMessage.class),
   OPERATOR_QUESTION(90, OperatorQuestion.class),
-  OPERATOR_ANSWER(91, OperatorAnswer.class);
+  OPERATOR_ANSWER(91, OperatorAnswer.class),
+  DRAIN_HOST(92, DrainHostMessage.class),
+  LIFT_QUARANTINE(93, LiftQuarantineMessage.class);
 
   private static final int LAST_MEMBERSHIP_NUMBER = 19;
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -66,6 +66,7 @@
           lifecycle.profile().service(),
           lifecycle.profile().organisation(),
           lifecycle.profile().rule(),
+          lifecycle.profile().serviceClass(),
           lifecycle.state(),
           lifecycle.attempt(),
           lifecycle.grant().flatMap(grant -> grant.prefill()),
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestView.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestView.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.ServiceClass;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.LifecycleState;
 
@@ -13,6 +14,7 @@
  * @param service the service asked for
  * @param organisation whose it is
  * @param rule the rule that matched it
+ * @param serviceClass its urgency
  * @param state where it is
  * @param attempt the current attempt
  * @param prefill the prefill upstream of the current attempt
@@ -26,6 +28,7 @@
     String service,
     String organisation,
     String rule,
+    ServiceClass serviceClass,
     LifecycleState state,
     int attempt,
     Optional<UpstreamName> prefill,
--- a/daemon/src/test/java/org/marjoramsail/daemon/operator/FakeLocalState.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/operator/FakeLocalState.java
@@ -4,6 +4,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.configuration.OrderRecord;
 import org.marjoramsail.core.failure.RefusalReason;
@@ -74,6 +75,11 @@
     return requests;
   }
 
+  @Override
+  public Optional<RequestView> request(RequestId request) {
+    return requests.stream().filter(view -> view.request().equals(request)).findFirst();
+  }
+
   @Override
   public List<ShardView> shards() {
     return shards;
@@ -111,7 +117,7 @@
 
   @Override
   public List<QuarantineView> quarantine() {
-    return List.of(new QuarantineView("9c2f1a", "lector", 2, 10));
+    return List.of(new QuarantineView("9c2f1a", "quarantined", 2, 10));
   }
 
   @Override
--- a/daemon/src/test/java/org/marjoramsail/daemon/operator/OperatorFixture.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/operator/OperatorFixture.java
@@ -12,6 +12,7 @@
 import java.util.Random;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.configuration.ConfigurationRoot;
+import org.marjoramsail.core.configuration.InForceReport;
 import org.marjoramsail.core.configuration.OrderId;
 import org.marjoramsail.core.message.PeerMessage;
 import org.marjoramsail.core.model.DaemonId;
@@ -51,7 +52,8 @@
       new Administration(
           queries,
           new ConfigurationOrders(
-              new ChangeAcceptance(store, clock, clock, new Random(1), timers, () -> 0, meters)),
+              new ChangeAcceptance(store, clock, clock, new Random(1), timers, () -> 0, meters),
+              OperatorFixture::inForce),
           Map.of(
               OrderTarget.ENGINE, this::carryOut,
               OrderTarget.HOST, this::carryOut,
@@ -72,8 +74,12 @@
 
   private Future<OrderOutcome> carryOut(OrderContext context, List<Order> given) {
     carriedOut.addAll(given);
-    return Future.succeededFuture(
-        new OrderOutcome(OrderOutcome.State.DONE, Optional.empty(), List.of()));
+    return Future.succeededFuture(OrderOutcome.of(OrderOutcome.State.DONE, List.of()));
+  }
+
+  private static Future<InForceReport> inForce(long revision) {
+    InForceReport.Lagging lagging = new InForceReport.Lagging("entry-2", Optional.of(revision - 1));
+    return Future.succeededFuture(new InForceReport(revision, 1, 2, List.of(lagging)));
   }
 
   OrderId nextOrder() {
--- a/language/src/main/java/org/marjoramsail/language/Subject.java
+++ b/language/src/main/java/org/marjoramsail/language/Subject.java
@@ -59,11 +59,11 @@
   REFUSALS(Visibility.PLATFORM, Scope.FLEET, texts("reason", "host"), numbers("count")),
   /** How many attempts were repeated, by reason. */
   RETRIES(Visibility.PLATFORM, Scope.FLEET, texts("reason", "host"), numbers("count")),
-  /** Contents that crashed upstreams and are refused. */
+  /** Contents that crashed upstreams, as each daemon remembers them. */
   QUARANTINE(
       Visibility.PLATFORM,
-      Scope.LOCAL,
-      texts("fingerprint", "service"),
+      Scope.FLEET,
+      texts("fingerprint", "state", "host"),
       numbers("crashes", "age-millis")),
   /** Orders to engines. */
   ORDERS(
