Let operators run statements from the command line and a shell

Cause: statements could be sent by HTTP alone; the platform's list of leaving upstreams had no test over sockets; a placement policy that does not exist was taken for the default in silence.

--- a/command/src/main/java/org/marjoramsail/command/CommandList.java
+++ b/command/src/main/java/org/marjoramsail/command/CommandList.java
@@ -14,9 +14,12 @@
    */
   static List<Class<? extends CommandAction>> available(boolean withFleet) {
     if (!withFleet) {
-      return List.of(WorkloadCommand.class, StandInCommand.class);
+      return List.of(
+          RunCommand.class, ShellCommand.class, WorkloadCommand.class, StandInCommand.class);
     }
     return List.of(
+        RunCommand.class,
+        ShellCommand.class,
         DemoCommand.class,
         BenchCommand.class,
         BenchCompareCommand.class,
--- a/command/src/main/java/org/marjoramsail/command/Marjoramsail.java
+++ b/command/src/main/java/org/marjoramsail/command/Marjoramsail.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.marjoramsail.command.fleet.FleetDaemonFactory;
+import org.marjoramsail.command.operator.DaemonUnreachableException;
 import org.marjoramsail.core.failure.MarjoramsailException;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.language.NearestName;
@@ -72,6 +73,9 @@
       return usage(failure.getMessage(), suggestion(arguments), arguments);
     } catch (UsageException failure) {
       return usage(failure.getMessage(), Optional.empty(), arguments);
+    } catch (DaemonUnreachableException failure) {
+      surroundings.errors().println(failure.getMessage());
+      return ExitCode.UNAVAILABLE;
     } catch (MarjoramsailException failure) {
       surroundings.errors().println(failure.getMessage());
       return ExitCode.FAILURE;
--- a/command/src/main/java/org/marjoramsail/command/fleet/LocalFleet.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/LocalFleet.java
@@ -97,6 +97,11 @@
     return targets;
   }
 
+  /** Starts one more daemon, which is told of those before it. */
+  public Future<FleetDaemon> startAnother() {
+    return startDaemon(daemons.size()).map(nothing -> daemons.get(daemons.size() - 1));
+  }
+
   /** The daemons, in the order of their start. */
   public List<FleetDaemon> daemons() {
     return Collections.unmodifiableList(daemons);
--- a/command/src/test/java/org/marjoramsail/command/MarjoramsailTest.java
+++ b/command/src/test/java/org/marjoramsail/command/MarjoramsailTest.java
@@ -38,6 +38,10 @@
         "workload --seed many | seed",
         "workload surplus | surplus",
         "help workloda | workload",
+        "run --server 10.0.0.1 show requests | 10.0.1.5:9090",
+        "run --server 10.0.0.1:9 --token-file none show requests | can be read",
+        "run --output tabel show requests | table",
+        "run --watch 4000 show requests | 1 to 3600",
         "standin prefil | prefill",
         "standin plain --port 70000 | 0 to 65535"
       })
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/RuntimeState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/RuntimeState.java
@@ -71,7 +71,7 @@
 
   @Override
   public List<ShardView> shards() {
-    return placement.views();
+    return placement.viewsWithIdle();
   }
 
   @Override
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.daemon.placement;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -9,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.membership.Member;
@@ -54,6 +56,8 @@
   private final EntryPlacement entry;
   private final OwnedShards owned;
   private final Map<RequestId, Consumer<PlacementResult>> callbacks = new ConcurrentHashMap<>();
+  private final Map<UpstreamName, LoadReport> latestLoads = new ConcurrentHashMap<>();
+  private final Set<UpstreamName> unavailable = ConcurrentHashMap.newKeySet();
   private Set<DaemonId> reachable = Set.of();
 
   /**
@@ -174,11 +178,17 @@
 
   /** Takes what an upstream says of its load. */
   public void load(LoadReport report) {
+    latestLoads.put(report.upstream(), report);
     inform(report.upstream(), (placer, now) -> placer.load(report, now));
   }
 
   /** Takes that an upstream is leaving or unreachable, or is back. */
   public void availability(UpstreamName upstream, boolean available) {
+    if (available) {
+      unavailable.remove(upstream);
+    } else {
+      unavailable.add(upstream);
+    }
     inform(upstream, (placer, now) -> placer.availability(upstream, available, now));
   }
 
@@ -252,18 +262,45 @@
     return owned.views();
   }
 
+  /** The shards that this daemon decides for, also those for which there is no request now. */
+  public List<ShardView> viewsWithIdle() {
+    List<ShardView> views = new ArrayList<>(owned.views());
+    Set<ShardId> idle = rankedShards();
+    views.forEach(view -> idle.remove(view.shard()));
+    idle.forEach(shard -> views.add(owned.idleView(shard, factsOf(shard))));
+    return views;
+  }
+
+  private List<PlacerEvent> factsOf(ShardId shard) {
+    List<PlacerEvent> facts = new ArrayList<>();
+    for (UpstreamDefinition upstream : choice.upstreamsOf(shard)) {
+      Optional.ofNullable(latestLoads.get(upstream.name()))
+          .ifPresent(report -> facts.add((placer, now) -> placer.load(report, now)));
+      if (unavailable.contains(upstream.name())) {
+        facts.add((placer, now) -> placer.availability(upstream.name(), false, now));
+      }
+    }
+    return facts;
+  }
+
   /**
    * The shards whose upstreams this daemon has to watch: those that it decides for and those for
    * which it ranks first.
    */
   public Set<ShardId> watchedShards() {
-    Set<ShardId> watched = new HashSet<>(owned.ids());
+    Set<ShardId> watched = rankedShards();
+    watched.addAll(owned.ids());
+    return watched;
+  }
+
+  private Set<ShardId> rankedShards() {
+    Set<ShardId> ranked = new HashSet<>();
     for (ShardId shard : choice.shards()) {
       if (choice.owners(shard).get(0).equals(self)) {
-        watched.add(shard);
+        ranked.add(shard);
       }
     }
-    return watched;
+    return ranked;
   }
 
   private void shareUsage(DaemonId owner, OrganisationUsageMessage usage) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -80,8 +80,11 @@
     return shards.values().stream().map(shard -> shard.view(clock.millis())).toList();
   }
 
-  Optional<ShardView> view(ShardId shard) {
-    return Optional.ofNullable(shards.get(shard)).map(owned -> owned.view(clock.millis()));
+  /** What a shard without requests would look like that begins to exist now with these facts. */
+  ShardView idleView(ShardId shard, List<PlacerEvent> facts) {
+    OwnedShard idle = open(shard);
+    facts.forEach(fact -> idle.inform(fact, clock.millis()));
+    return idle.view(clock.millis());
   }
 
   private OwnedShard shard(ShardId id) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsChecks.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsChecks.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.marjoramsail.core.placement.PlacementPolicy;
+import org.marjoramsail.language.NearestName;
 
 /** Checks what a schema cannot say: addresses, files, and values that must differ. */
 final class SettingsChecks {
@@ -28,6 +30,7 @@
     checkEntriesDiffer(document, "/peers", List.of("address", "port"), problems);
     checkEntriesDiffer(document, "/administration/tokens", List.of("name"), problems);
     checkEntriesDiffer(document, "/administration/tokens", List.of("sha256"), problems);
+    checkPolicy(document, problems);
     checkKeyFiles(document, "/tls/caller", directory, problems);
     checkKeyFiles(document, "/tls/operator", directory, problems);
     return problems;
@@ -75,6 +78,22 @@
     }
   }
 
+  /** The policies are those that the program has, so the schema does not list them again. */
+  private static void checkPolicy(JsonNode document, List<SettingsProblem> problems) {
+    String path = "/placement/policy";
+    JsonNode policy = document.at(path);
+    List<String> codes = PlacementPolicy.codes();
+    if (policy.isTextual() && !codes.contains(policy.asText())) {
+      problems.add(
+          new SettingsProblem(
+              SettingsProblem.Kind.NOT_ALLOWED,
+              path,
+              policy.toString(),
+              String.join(", ", codes),
+              NearestName.of(policy.asText(), codes)));
+    }
+  }
+
   private static void checkKeyFiles(
       JsonNode document, String pair, Path directory, List<SettingsProblem> problems) {
     for (String name : List.of("certificate", "key")) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/settings/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/settings/SettingsReaderTest.java
@@ -78,6 +78,8 @@
         "/limits/treads | 2 | UNKNOWN_FIELD | /limits/treads | did you mean threads?",
         "/limits/threads | 0 | NOT_ALLOWED | /limits/threads | from 1 to 64",
         "/logging/level | \"warm\" | NOT_ALLOWED | /logging/level | did you mean warn?",
+        "/placement | {\"policy\":\"round-robbin\"} | NOT_ALLOWED | /placement/policy"
+            + " | did you mean round-robin?",
         "/administration/tokens/0/role | \"root\" | NOT_ALLOWED"
             + " | /administration/tokens/0/role | viewer, operator or administrator",
         "/administration/tokens/0/sha256 | \"12\" | NOT_ALLOWED"
