--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -50,6 +50,7 @@
 import org.marjoramsail.daemon.placement.DistributedPlacement;
 import org.marjoramsail.daemon.platform.HttpObjectApi;
 import org.marjoramsail.daemon.platform.HttpObjectApiSettings;
+import org.marjoramsail.daemon.platform.ObjectApi;
 import org.marjoramsail.daemon.request.OutcomeObserver;
 import org.marjoramsail.daemon.request.StoredClaims;
 import org.marjoramsail.daemon.settings.Settings;
@@ -109,34 +110,14 @@
     PeerDirectory addresses = new PeerDirectory();
     this.network =
         new PeerNetwork(vertx, peerSettings(), clock, meters, secure, addresses, PeerFaults.NONE);
-    this.membership =
-        new MembershipService(
-            vertx,
-            network,
-            addresses,
-            peerSettings(),
-            MembershipSettings.defaults(),
-            seeds(),
-            clock,
-            meters,
-            random);
+    this.membership = newMembership(addresses, random);
     HttpObjectApi store =
         new HttpObjectApi(
             vertx,
             HttpObjectApiSettings.defaults(
                 settings.platform().address(), settings.platform().port()),
             meters);
-    this.configuration =
-        new ConfigurationService(
-            store,
-            network,
-            membership::view,
-            clock,
-            clock,
-            random,
-            new VertxTimers(vertx),
-            meters,
-            this::configured);
+    this.configuration = newConfiguration(store, random);
     ConfiguredShards shards =
         new ConfiguredShards(
             membership.view().self(),
@@ -187,6 +168,32 @@
     this.orphans = new OrphanCanceller(upstreams.engines, placementParts::watched, clock, meters);
   }
 
+  private MembershipService newMembership(PeerDirectory addresses, Random random) {
+    return new MembershipService(
+        vertx,
+        network,
+        addresses,
+        peerSettings(),
+        MembershipSettings.defaults(),
+        seeds(),
+        clock,
+        meters,
+        random);
+  }
+
+  private ConfigurationService newConfiguration(ObjectApi store, Random random) {
+    return new ConfigurationService(
+        store,
+        network,
+        membership::view,
+        clock,
+        clock,
+        random,
+        new VertxTimers(vertx),
+        meters,
+        this::configured);
+  }
+
   /** Starts all parts; done once callers are served. */
   public Future<DaemonRuntime> start() {
     PeerMessageHandler placements =
