Turn to the next owner when the connection to one closes

Cause: an owner's death was noticed by unanswered messages (0.4 to 0.9 s) or by membership (median 1.7 s), although its sockets close at once.

--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -209,6 +209,7 @@
     registerPackage(Configuration.class, configuration);
     registerPackage(ClaimMessage.class, claims);
     membership.listen(this::membersChanged);
+    network.onConnectionLost(placement::connectionLost);
     return network
         .start()
         .onSuccess(port -> peerPort = port)
--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerNetwork.java
@@ -18,6 +18,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
 import org.marjoramsail.core.membership.PeerAddress;
@@ -62,6 +64,7 @@
   private final Cache<String, Long> newestIncarnations =
       Caffeine.newBuilder().maximumSize(REMEMBERED_HOSTS).build();
   private final Set<PeerSession> sessions = new HashSet<>();
+  private final List<Consumer<DaemonId>> lostListeners = new CopyOnWriteArrayList<>();
   private int inbound;
   private long sweepTimer;
   private volatile int port;
@@ -103,6 +106,14 @@
     handlers.put(message, handler);
   }
 
+  /**
+   * Tells a listener of each run to which the last connection has closed: it may have died, sooner
+   * than membership can know.
+   */
+  public void onConnectionLost(Consumer<DaemonId> listener) {
+    lostListeners.add(listener);
+  }
+
   /** Listens; gives the port on which it does. */
   public Future<Integer> start() {
     Promise<Integer> started = Promise.promise();
@@ -331,6 +342,7 @@
         link.opened(other.get());
       } else {
         open.remove(daemon, link);
+        lostListeners.forEach(listener -> listener.accept(daemon));
       }
     }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
@@ -67,6 +67,21 @@
         .isEqualTo(2);
   }
 
+  @Test
+  void theEndOfTheLastConnectionOfARunIsToldAtOnce() throws Exception {
+    // A user waits seconds longer for a token: the owner of a shard died, its sockets closed at
+    // once, and its requests moved only when the failure detector had noticed.
+    // Cause: nobody took the closed connection for the sign that it is.
+    Daemon one = daemon("one", 1, "key");
+    Daemon two = daemon("two", 1, "key");
+    CompletableFuture<DaemonId> lost = new CompletableFuture<>();
+    one.network.onConnectionLost(lost::complete);
+    one.network.send(two.id, new PingMessage(1, List.of()));
+    assertThat(two.next().from()).isEqualTo(one.id);
+    await(two.network.stop());
+    assertThat(lost.get(HANG_SECONDS, TimeUnit.SECONDS)).isEqualTo(two.id);
+  }
+
   @Test
   void aStrangerWithoutTheClusterKeyIsRefused() throws Exception {
     Daemon one = daemon("one", 1, "key");
