Let a local fleet lose and regain its daemons

Cause: runs with faults need daemons that die and come back on their host and ports, and a pause that holds the whole daemon; a pause held one of its two event loops for twice the time, since the context of a calling thread is always the same one. Change: LocalFleet ends a daemon, holds its ports and starts it anew; a pause holds all event loops; a daemon tells how often its invariants broke; engines count crashes by prompt; outcomes name the daemon that was asked. The reservation of a port is a class of its own, used twice.

--- a/command/src/main/java/org/marjoramsail/command/fleet/FleetDaemon.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/FleetDaemon.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.command.fleet;
 
 import io.vertx.core.Future;
+import java.util.OptionalLong;
 
 /** A daemon of a local fleet. */
 public interface FleetDaemon {
@@ -20,6 +21,9 @@
   /** Ends at once, as a process does that dies: connections break and nothing is handed over. */
   Future<Void> kill();
 
+  /** How often an invariant inside it did not hold; empty where that cannot be read. */
+  OptionalLong violations();
+
   /** Stands still for some milliseconds, as a paused process does, and then goes on. */
   void pause(long millis);
 }
--- a/command/src/main/java/org/marjoramsail/command/fleet/FleetRun.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/FleetRun.java
@@ -66,7 +66,13 @@
     return LoadReport.of(outcomes, audit, workload.durationMillis());
   }
 
-  private static <T> T await(String phase, Future<T> future, long seconds) throws FleetException {
+  /**
+   * Waits for a step of a run.
+   *
+   * @param phase what the step does, for the fault
+   * @throws FleetException when it fails or is not done in time
+   */
+  public static <T> T await(String phase, Future<T> future, long seconds) throws FleetException {
     try {
       return future.toCompletionStage().toCompletableFuture().get(seconds, TimeUnit.SECONDS);
     } catch (ExecutionException failure) {
--- a/command/src/main/java/org/marjoramsail/command/fleet/LocalFleet.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/LocalFleet.java
@@ -7,8 +7,13 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.marjoramsail.core.configuration.ConfigurationRoot;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
@@ -37,6 +42,7 @@
 import org.marjoramsail.standin.platform.PlatformHost;
 import org.marjoramsail.standin.platform.PlatformSettings;
 import org.marjoramsail.standin.platform.PlatformStandIn;
+import org.marjoramsail.standin.server.PortReservation;
 
 /**
  * A deployment at its size of today in one process: the platform stand-in, engines, plain services
@@ -50,6 +56,8 @@
   private static final String LOOPBACK = "127.0.0.1";
   private static final String CLUSTER_KEY = "key of a fleet in one process";
   private static final long SETTLE_POLL_MILLIS = 50;
+  private static final int RESTART_TRIES = 40;
+  private static final long RESTART_PAUSE_MILLIS = 250;
 
   private final Vertx vertx;
   private final Clock clock;
@@ -59,7 +67,9 @@
   private final PlatformStandIn platform;
   private final List<EngineStandIn> engines = new ArrayList<>();
   private final List<PlainServiceStandIn> plainServers = new ArrayList<>();
-  private final List<FleetDaemon> daemons = new ArrayList<>();
+  private final List<FleetDaemon> daemons = new CopyOnWriteArrayList<>();
+  private final List<FleetDaemon> killed = new CopyOnWriteArrayList<>();
+  private final Map<Integer, List<PortReservation>> reservations = new ConcurrentHashMap<>();
   private final List<UpstreamDefinition> upstreams = new ArrayList<>();
   private int platformPort;
 
@@ -117,6 +127,64 @@
     return platform;
   }
 
+  /** Ends a daemon at once; its ports are held for {@link #restartDaemon}. */
+  public Future<Void> killDaemon(int number) {
+    FleetDaemon daemon = daemons.get(number);
+    killed.add(daemon);
+    return daemon.kill().onSuccess(nothing -> reservations.put(number, reserve(daemon)));
+  }
+
+  /**
+   * Starts a killed daemon anew, on the same host name and ports.
+   *
+   * <p>Another socket of the machine may hold one of its ports for a moment as the near end of a
+   * connection; the start is then tried again.
+   */
+  public Future<Void> restartDaemon(int number) {
+    return restartDaemon(number, RESTART_TRIES);
+  }
+
+  private Future<Void> restartDaemon(int number, int tries) {
+    FleetDaemon before = daemons.get(number);
+    ListenSettings ports =
+        new ListenSettings(
+            new Endpoint(LOOPBACK, before.callerPort()),
+            new Endpoint(LOOPBACK, before.operatorPort()),
+            new Endpoint(LOOPBACK, before.peerPort()));
+    List<Endpoint> peers =
+        daemons.stream()
+            .filter(daemon -> daemon != before)
+            .map(daemon -> new Endpoint(LOOPBACK, daemon.peerPort()))
+            .toList();
+    Optional.ofNullable(reservations.remove(number))
+        .ifPresent(held -> held.forEach(PortReservation::close));
+    return factory
+        .start(settings(number, ports, peers))
+        .<Void>map(
+            daemon -> {
+              daemons.set(number, daemon);
+              return null;
+            })
+        .recover(
+            failure ->
+                tries == 0
+                    ? Future.failedFuture(failure)
+                    : vertx
+                        .timer(RESTART_PAUSE_MILLIS, TimeUnit.MILLISECONDS)
+                        .compose(nothing -> restartDaemon(number, tries - 1)));
+  }
+
+  private static List<PortReservation> reserve(FleetDaemon daemon) {
+    return Stream.of(daemon.callerPort(), daemon.operatorPort(), daemon.peerPort())
+        .map(port -> new PortReservation(LOOPBACK, port))
+        .toList();
+  }
+
+  /** How often an invariant did not hold inside each daemon, those included that were killed. */
+  public List<OptionalLong> daemonViolations() {
+    return Stream.concat(daemons.stream(), killed.stream()).map(FleetDaemon::violations).toList();
+  }
+
   /** Waits until the engines hold nothing, at most for a time, and merges what all counted. */
   public Future<FleetAudit> audit(long patienceMillis) {
     Promise<FleetAudit> audit = Promise.promise();
@@ -252,8 +320,10 @@
   }
 
   private Future<Void> startDaemon(int number) {
+    List<Endpoint> peers =
+        daemons.stream().map(daemon -> new Endpoint(LOOPBACK, daemon.peerPort())).toList();
     return factory
-        .start(settings(number))
+        .start(settings(number, ListenSettings.onFreePorts(LOOPBACK), peers))
         .map(
             daemon -> {
               daemons.add(daemon);
@@ -266,7 +336,7 @@
             });
   }
 
-  private Settings settings(int number) {
+  private Settings settings(int number, ListenSettings listen, List<Endpoint> peers) {
     Deployment deployment = setup.deployment();
     HostSettings host =
         new HostSettings(
@@ -280,10 +350,9 @@
     return Settings.of(
             host,
             new ClusterSettings("local", CLUSTER_KEY),
-            ListenSettings.onFreePorts(LOOPBACK),
+            listen,
             new Endpoint(LOOPBACK, platformPort))
-        .withPeers(
-            daemons.stream().map(daemon -> new Endpoint(LOOPBACK, daemon.peerPort())).toList())
+        .withPeers(peers)
         .withPlacement(new PlacementSettings(setup.policy()))
         .withAdministration(AdministrationSettings.DEFAULT.withTokens(List.of(token)));
   }
--- a/command/src/main/java/org/marjoramsail/command/fleet/RuntimeDaemons.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/RuntimeDaemons.java
@@ -30,7 +30,7 @@
         new DaemonRuntime(vertx, settings, new SystemClock(), Invariants.Mode.THROW);
     return runtime
         .start()
-        .<FleetDaemon>map(started -> new RuntimeFleetDaemon(vertx, started, EVENT_LOOPS))
+        .<FleetDaemon>map(started -> new RuntimeFleetDaemon(vertx, started))
         .onFailure(failure -> vertx.close());
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/fleet/RuntimeFleetDaemon.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/RuntimeFleetDaemon.java
@@ -2,6 +2,8 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.internal.VertxInternal;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import org.marjoramsail.daemon.assembly.DaemonRuntime;
@@ -11,12 +13,10 @@
 
   private final Vertx vertx;
   private final DaemonRuntime runtime;
-  private final int eventLoops;
 
-  RuntimeFleetDaemon(Vertx vertx, DaemonRuntime runtime, int eventLoops) {
+  RuntimeFleetDaemon(Vertx vertx, DaemonRuntime runtime) {
     this.vertx = vertx;
     this.runtime = runtime;
-    this.eventLoops = eventLoops;
   }
 
   @Override
@@ -45,13 +45,17 @@
     return vertx.close();
   }
 
+  @Override
+  public OptionalLong violations() {
+    return OptionalLong.of(runtime.violations());
+  }
+
   /** Holds all event loops, so that nothing is read, sent or timed meanwhile. */
   @Override
   public void pause(long millis) {
-    for (int loop = 0; loop < eventLoops; loop++) {
-      vertx
-          .getOrCreateContext()
-          .runOnContext(nothing -> LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis)));
-    }
+    long nanos = TimeUnit.MILLISECONDS.toNanos(millis);
+    ((VertxInternal) vertx)
+        .eventLoopGroup()
+        .forEach(loop -> loop.execute(() -> LockSupport.parkNanos(nanos)));
   }
 }
--- a/command/src/test/java/org/marjoramsail/command/FakeDaemon.java
+++ b/command/src/test/java/org/marjoramsail/command/FakeDaemon.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import org.marjoramsail.command.fleet.FleetDaemon;
 import org.marjoramsail.standin.engine.TokenText;
@@ -60,6 +61,11 @@
     return server.close();
   }
 
+  @Override
+  public OptionalLong violations() {
+    return OptionalLong.empty();
+  }
+
   @Override
   public void pause(long millis) {
     throw new UnsupportedOperationException("Nothing pauses the fake daemon.");
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.security.SecureRandom;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
@@ -25,6 +26,7 @@
 import org.marjoramsail.core.message.PeerMessageHandler;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.outcome.CrashReportMessage;
+import org.marjoramsail.core.outcome.Invariant;
 import org.marjoramsail.core.outcome.Invariants;
 import org.marjoramsail.core.outcome.Quarantine;
 import org.marjoramsail.core.placement.OrganisationUsageMessage;
@@ -74,6 +76,7 @@
   private final DaemonId self;
   private final PrometheusMeterRegistry meters =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final Invariants invariants;
   private final Quarantine quarantine =
       new Quarantine(CRASH_LIFETIME_MILLIS, CRASH_SETTLE_MILLIS, MAXIMUM_SUSPECTS);
   private final PeerNetwork network;
@@ -103,6 +106,7 @@
     this.vertx = vertx;
     this.settings = settings;
     this.clock = clock;
+    this.invariants = new Invariants(mode);
     this.self = new DaemonId(settings.host().name(), clock.millis());
     SecureRandom secure = new SecureRandom();
     Random random = new Random(secure.nextLong());
@@ -158,7 +162,7 @@
             upstreams,
             poller::poll,
             quarantine,
-            new Invariants(mode),
+            invariants,
             clock,
             random,
             json,
@@ -235,6 +239,11 @@
     return peerPort;
   }
 
+  /** How often an invariant did not hold. */
+  public long violations() {
+    return Arrays.stream(Invariant.values()).mapToLong(invariants::violations).sum();
+  }
+
   @Override
   public CompletionStage<Void> stop(Consumer<StopPhase> listener) {
     listener.accept(StopPhase.NOT_READY);
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/Settings.java
@@ -50,6 +50,12 @@
         Optional.empty());
   }
 
+  /** The same settings with other addresses to listen on. */
+  public Settings withListen(ListenSettings others) {
+    return new Settings(
+        host, cluster, others, platform, peers, limits, placement, logging, administration, tls);
+  }
+
   /** The same settings with other seeds. */
   public Settings withPeers(List<Endpoint> others) {
     return new Settings(
--- a/standin/src/main/java/org/marjoramsail/standin/engine/AuditBook.java
+++ b/standin/src/main/java/org/marjoramsail/standin/engine/AuditBook.java
@@ -22,6 +22,7 @@
       };
   private final Map<WasteReason, Long> wastedTokens = new EnumMap<>(WasteReason.class);
   private final Map<String, Long> refusals = new HashMap<>();
+  private final Map<Long, Integer> crashesByPrompt = new HashMap<>();
   private final List<DoneOrder> ordersDone = new ArrayList<>();
   private long incarnation;
   private long duplicates;
@@ -99,6 +100,10 @@
     crashes++;
   }
 
+  synchronized void crashedByPrompt(long seed) {
+    crashesByPrompt.merge(seed, 1, Integer::sum);
+  }
+
   synchronized void orderDone(DoneOrder order) {
     ordersDone.add(order);
   }
@@ -123,6 +128,7 @@
         cancelled,
         refusals,
         crashes,
+        crashesByPrompt,
         ordersDone);
   }
 }
--- a/standin/src/main/java/org/marjoramsail/standin/engine/EngineAudit.java
+++ b/standin/src/main/java/org/marjoramsail/standin/engine/EngineAudit.java
@@ -24,6 +24,7 @@
  * @param cancelled attempts and KV caches freed by a cancel or a lost client
  * @param refusals refusals by reason
  * @param crashes how often it crashed
+ * @param crashesByPrompt of these, the ones by a poisonous prompt, by {@link TokenText#seed}
  * @param ordersDone orders carried out, in their order
  */
 public record EngineAudit(
@@ -45,6 +46,7 @@
     long cancelled,
     Map<String, Long> refusals,
     long crashes,
+    Map<Long, Integer> crashesByPrompt,
     List<DoneOrder> ordersDone) {
 
   /**
@@ -62,6 +64,7 @@
     runs = Map.copyOf(runs);
     wastedTokens = Map.copyOf(wastedTokens);
     refusals = Map.copyOf(refusals);
+    crashesByPrompt = Map.copyOf(crashesByPrompt);
     ordersDone = List.copyOf(ordersDone);
   }
 
--- a/standin/src/main/java/org/marjoramsail/standin/engine/EngineModel.java
+++ b/standin/src/main/java/org/marjoramsail/standin/engine/EngineModel.java
@@ -210,6 +210,7 @@
   private void detonate(HeldAttempt attempt) {
     if (attempt.prompt.poisonous() && !crashed) {
       batch.halt();
+      audit.crashedByPrompt(attempt.prompt.seed());
       poisoned.run();
     }
   }
--- a/standin/src/main/java/org/marjoramsail/standin/engine/TokenText.java
+++ b/standin/src/main/java/org/marjoramsail/standin/engine/TokenText.java
@@ -44,7 +44,7 @@
   }
 
   /** The part of {@link #of(String, int)} that depends on the prompt alone. */
-  static long seed(String prompt) {
+  public static long seed(String prompt) {
     return HASHER.hashCharsToLong(prompt);
   }
 
--- a/standin/src/main/java/org/marjoramsail/standin/load/Exchange.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/Exchange.java
@@ -28,6 +28,7 @@
   private final LongSupplier sincePlanned;
   private final CompletionCheck check;
 
+  private Optional<String> target = Optional.empty();
   private long sentMillis;
   private Optional<Long> firstTokenMillis = Optional.empty();
   private Optional<String> requestId = Optional.empty();
@@ -52,7 +53,8 @@
     return outcome;
   }
 
-  void sending() {
+  void sending(LoadTarget to) {
+    target = Optional.of(to.name());
     sentMillis = sincePlanned.getAsLong();
   }
 
@@ -211,6 +213,7 @@
                 reason,
                 run,
                 requestId,
+                target,
                 sentMillis,
                 firstTokenMillis,
                 sincePlanned.getAsLong(),
--- a/standin/src/main/java/org/marjoramsail/standin/load/LoadLane.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/LoadLane.java
@@ -111,7 +111,9 @@
         return;
       }
       LoadTarget target = targets.next();
-      client.request(optionsFor(target)).onComplete(this::send, failure -> connectFailed(target));
+      client
+          .request(optionsFor(target))
+          .onComplete(connected -> send(target, connected), failure -> connectFailed(target));
     }
 
     private long sincePlanned() {
@@ -140,13 +142,13 @@
       begin();
     }
 
-    private void send(HttpClientRequest connected) {
+    private void send(LoadTarget target, HttpClientRequest connected) {
       if (reported) {
         connected.reset();
         return;
       }
       open = Optional.of(connected);
-      exchange.sending();
+      exchange.sending(target);
       connected
           .send(Buffer.buffer(request.body()))
           .onComplete(
--- a/standin/src/main/java/org/marjoramsail/standin/load/PlannedRequest.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/PlannedRequest.java
@@ -56,7 +56,7 @@
   }
 
   /** The same request, sent again by its caller. */
-  PlannedRequest repeatedAt(long laterMillis) {
+  public PlannedRequest repeatedAt(long laterMillis) {
     return new PlannedRequest(
         sequence,
         laterMillis,
--- a/standin/src/main/java/org/marjoramsail/standin/load/RequestEnd.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/RequestEnd.java
@@ -14,6 +14,8 @@
   UNTYPED(true),
   /** The connection broke before the answer was whole. */
   CUT(true),
+  /** The connection broke because the daemon that held it was ended on purpose. */
+  DAEMON_DIED(false),
   /** The answer is not the one to this request, or is said to be whole and is not. */
   WRONG(true),
   /** Some of the answer came twice. */
--- a/standin/src/main/java/org/marjoramsail/standin/load/RequestOutcome.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/RequestOutcome.java
@@ -11,6 +11,7 @@
  * @param reason the typed reason of a refusal or failure
  * @param run what the refusal or failure says of whether the request ran
  * @param requestId the identifier that the daemon gave it
+ * @param target the name of the target that it was sent to last
  * @param sentMillis when it was sent
  * @param firstTokenMillis when its first token came; absent without one
  * @param endMillis when it ended
@@ -23,6 +24,7 @@
     Optional<String> reason,
     Optional<String> run,
     Optional<String> requestId,
+    Optional<String> target,
     long sentMillis,
     Optional<Long> firstTokenMillis,
     long endMillis,
@@ -31,6 +33,22 @@
 
   private static final String NOT_RUN = "not-run";
 
+  /** The same with another end, for a judge who knows more than the caller. */
+  public RequestOutcome withEnd(RequestEnd other) {
+    return new RequestOutcome(
+        request,
+        other,
+        reason,
+        run,
+        requestId,
+        target,
+        sentMillis,
+        firstTokenMillis,
+        endMillis,
+        tokens,
+        detail);
+  }
+
   /** Whether the caller was told that the request was not run. */
   public boolean isToldNotRun() {
     return run.filter(NOT_RUN::equals).isPresent();
--- a/standin/src/main/java/org/marjoramsail/standin/server/CrashableServer.java
+++ b/standin/src/main/java/org/marjoramsail/standin/server/CrashableServer.java
@@ -7,9 +7,6 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -33,7 +30,7 @@
   private final Handler<HttpServerRequest> handler;
   private final Set<HttpConnection> connections = new HashSet<>();
   private Optional<HttpServer> server = Optional.empty();
-  private Optional<Socket> reservation = Optional.empty();
+  private Optional<PortReservation> reservation = Optional.empty();
   private Future<Void> dropped = Future.succeededFuture();
   private boolean up;
   private int port;
@@ -68,7 +65,7 @@
   }
 
   private Future<Integer> bind() {
-    reservation.ifPresent(CrashableServer::close);
+    reservation.ifPresent(PortReservation::close);
     reservation = Optional.empty();
     HttpServerOptions options =
         new HttpServerOptions()
@@ -132,32 +129,9 @@
     return dropped;
   }
 
-  /**
-   * Holds the port without listening while the server is down.
-   *
-   * <p>Guards against another socket of the machine getting the port in the meantime: the upstream
-   * would then never come back. A bound socket that does not listen refuses all who connect.
-   */
   private void reservePort() {
-    if (up) {
-      return;
-    }
-    Socket socket = new Socket();
-    try {
-      socket.setReuseAddress(true);
-      socket.bind(new InetSocketAddress(address, port));
-      reservation = Optional.of(socket);
-    } catch (IOException taken) {
-      close(socket);
-      LOG.atWarn().addKeyValue("port", port).setCause(taken).log("cannot reserve the port");
-    }
-  }
-
-  private static void close(Socket socket) {
-    try {
-      socket.close();
-    } catch (IOException failure) {
-      LOG.atDebug().setCause(failure).log("reserved port closed with an error");
+    if (!up) {
+      reservation = Optional.of(new PortReservation(address, port));
     }
   }
 
@@ -166,7 +140,7 @@
     return drop()
         .onComplete(
             ended -> {
-              reservation.ifPresent(CrashableServer::close);
+              reservation.ifPresent(PortReservation::close);
               reservation = Optional.empty();
             });
   }
--- a/standin/src/test/java/org/marjoramsail/standin/load/LoadReportTest.java
+++ b/standin/src/test/java/org/marjoramsail/standin/load/LoadReportTest.java
@@ -110,6 +110,7 @@
         refused ? Optional.of("queue-full") : Optional.empty(),
         refused ? Optional.of("not-run") : Optional.empty(),
         Optional.of("request-1"),
+        Optional.of("entry-1"),
         0,
         Optional.empty(),
         endMillis,
