Add a soak: a seeded plan of faults beside a workload

Cause: long randomised runs with faults over real sockets did not exist, so the promises under faults were shown by tests of single parts alone. Change: the command soak runs a local fleet while daemons die and pause, engines, plain services and the store fail, at least one fault every second.

--- a/command/src/main/java/org/marjoramsail/command/CommandList.java
+++ b/command/src/main/java/org/marjoramsail/command/CommandList.java
@@ -20,6 +20,7 @@
         DemoCommand.class,
         BenchCommand.class,
         BenchCompareCommand.class,
+        SoakCommand.class,
         WorkloadCommand.class,
         StandInCommand.class);
   }
--- a/command/src/main/java/org/marjoramsail/command/FleetOptions.java
+++ b/command/src/main/java/org/marjoramsail/command/FleetOptions.java
@@ -35,21 +35,30 @@
   /** Runs the workload against a fleet with the given policy. */
   LoadReport run(WorkloadDefinition definition, PlacementPolicy policy, Surroundings surroundings)
       throws MarjoramsailException {
-    if (daemons < 1 || daemons > MOST_DAEMONS) {
-      throw new UsageException(DAEMONS, Integer.toString(daemons), "1 to " + MOST_DAEMONS);
-    }
-    FleetSetup setup =
-        new FleetSetup(
-            Deployment.of(definition.mix()),
-            daemons,
-            policy.code(),
-            definition.seed(),
-            EngineTimings.defaults());
+    FleetSetup setup = setup(definition, policy);
     RunProgress progress = new RunProgress(surroundings.errors(), surroundings.clock());
     FleetRun run = new FleetRun(surroundings.clock(), surroundings.daemons().orElseThrow());
     return run.run(setup, definition, progress);
   }
 
+  /** The fleet for a workload, with the chosen policy. */
+  FleetSetup setup(WorkloadDefinition definition) throws UsageException {
+    return setup(definition, chosenPolicy());
+  }
+
+  private FleetSetup setup(WorkloadDefinition definition, PlacementPolicy of)
+      throws UsageException {
+    if (daemons < 1 || daemons > MOST_DAEMONS) {
+      throw new UsageException(DAEMONS, Integer.toString(daemons), "1 to " + MOST_DAEMONS);
+    }
+    return new FleetSetup(
+        Deployment.of(definition.mix()),
+        daemons,
+        of.code(),
+        definition.seed(),
+        EngineTimings.defaults());
+  }
+
   /** What the deployment can carry, in requests of its mix a second. */
   double capacity(WorkloadOptions workload) throws UsageException {
     return Deployment.of(workload.mix())
--- a/command/src/test/java/org/marjoramsail/command/FleetCommandsTest.java
+++ b/command/src/test/java/org/marjoramsail/command/FleetCommandsTest.java
@@ -42,6 +42,19 @@
     assertThat(printed()).contains("BROKEN every-answer-right", "said to be whole");
   }
 
+  @Test
+  void aSoakOfADaemonThatAnswersTooLittleEndsAsBrokenAndNamesTheRequests() {
+    assertThat(run(true, "soak --deployment rosario --seconds 1 --load 0.3 --faults none"))
+        .isEqualTo(ExitCode.BROKEN_INVARIANT);
+    assertThat(printed()).contains("BROKEN every-answer-right", "wrong filing-summary", "BROKEN.");
+  }
+
+  @Test
+  void aSoakWithAnUnknownFaultSaysWhichOneIsMeant() {
+    assertThat(run(false, "soak --faults daemon-kil")).isEqualTo(ExitCode.USAGE);
+    assertThat(errors.toString(StandardCharsets.UTF_8)).contains("daemon-kill");
+  }
+
   @Test
   void aBenchPrintsJson() {
     run(false, "bench --deployment cabildo-abierto --seconds 1 --load 0.2 --format json");
