Call no rate the reason when the time of a request is over

Cause: a request that waited for an owner beyond its target comes with a negative time left; no wait for a rate exceeds that, yet zero does, so it was refused as organisation-rate. Ruled out: limits that were really reached (the fleet's are 1e9) and a bucket that starts empty (its first fill is whole). Change: a rate is the reason only where it takes longer than the time left. Conclusion: the refusal now names what was missing.

--- a/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
@@ -37,7 +37,7 @@
     long leftMillis = attempt.expiresAt() - nowMillis;
     int ownAhead = ownAhead(attempt);
     long rateMillis = attempt.organisation().rateWaitMillis(ownAhead, nowMillis);
-    if (rateMillis > leftMillis) {
+    if (rateMillis > Math.max(0, leftMillis)) {
       String detail = "The rates of " + attempt.organisation().name() + " leave no room for it.";
       return Optional.of(Refusal.notRun(RefusalReason.ORGANISATION_RATE, detail, rateMillis));
     }
--- a/core/src/test/java/org/marjoramsail/core/placement/ReservingPlacerTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ReservingPlacerTest.java
@@ -282,6 +282,24 @@
     assertThat(refused.get(0).refusal().runState()).isEqualTo(RunState.NOT_RUN);
   }
 
+  /**
+   * A caller far below its limits is told that its organisation sends too much. Its request has
+   * waited for an owner until its target had passed, and then meets one whose upstreams are away:
+   * the time left is negative, and no rate was ever the reason.
+   */
+  @Test
+  void aRequestThatComesAfterItsTargetIsNotSaidToExceedARate() {
+    ReservingPlacer placer = placer(pool(0, 1, 1, List.of(organisation("rosario", 2, 1_000))));
+    placer.availability(new UpstreamName("decode-0"), false, 0);
+
+    List<PlacementResult.Refused> refused =
+        refused(placer.place(request("r1").tokens(50, 10).within(-5, -5).build(), 0));
+
+    assertThat(refused)
+        .extracting(one -> one.refusal().reason())
+        .containsExactly(RefusalReason.NO_UPSTREAM);
+  }
+
   @Test
   void anOrganisationRunsNoMoreThanItsLimit() {
     ReservingPlacer placer = placer(pool(0, 2, 8, List.of(organisation("rosario", 2, 0))));
