--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.security.SecureRandom;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -26,6 +27,7 @@
 import org.marjoramsail.core.message.PeerMessageHandler;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.outcome.CrashReportMessage;
+import org.marjoramsail.core.outcome.Invariant;
 import org.marjoramsail.core.outcome.Invariants;
 import org.marjoramsail.core.outcome.Quarantine;
 import org.marjoramsail.core.placement.OrganisationUsageMessage;
@@ -79,6 +81,7 @@
   private final DaemonId self;
   private final PrometheusMeterRegistry meters =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final Invariants invariants;
   private final Quarantine quarantine =
       new Quarantine(CRASH_LIFETIME_MILLIS, CRASH_SETTLE_MILLIS, MAXIMUM_SUSPECTS);
   private final PeerNetwork network;
@@ -114,6 +117,7 @@
     this.vertx = vertx;
     this.settings = settings;
     this.clock = clock;
+    this.invariants = new Invariants(mode);
     this.self = new DaemonId(settings.host().name(), clock.millis());
     SecureRandom secure = new SecureRandom();
     Random random = new Random(secure.nextLong());
@@ -157,7 +161,7 @@
             PollPace.defaults(),
             clock,
             random);
-    this.requests = requestParts(upstreams, new Invariants(mode), random, json);
+    this.requests = requestParts(upstreams, invariants, random, json);
     this.outcomes =
         new OutcomeObserver(quarantine, requests.registry, this::tellAll, placementParts, clock);
     this.orphans = new OrphanCanceller(upstreams.engines, placementParts::watched, clock, meters);
@@ -191,6 +195,7 @@
     registerPackage(ClaimMessage.class, claims);
     registerPackage(OperatorQuestion.class, operators::heard);
     membership.listen(this::membersChanged);
+    network.onConnectionLost(placement::connectionLost);
     return network
         .start()
         .onSuccess(port -> peerPort = port)
@@ -220,6 +225,11 @@
     return peerPort;
   }
 
+  /** How often an invariant did not hold. */
+  public long violations() {
+    return Arrays.stream(Invariant.values()).mapToLong(invariants::violations).sum();
+  }
+
   @Override
   public CompletionStage<Void> stop(Consumer<StopPhase> listener) {
     listener.accept(StopPhase.NOT_READY);
