Warm a fleet up before it is measured, and make parts of it fail

Cause: in the first seconds of a run compilers took the processor, so that prefill results expired and lookups were late for no reason of placement; answers were so short that decode engines were half empty at the load that fills the prefill engines; deaths could not be part of a bench. Change: requests of another seed precede a run (--warm-up, 10 s); its figures leave them out, its invariants count them. The comparison tells the goodput of engines apart, since four of five requests need none. A stopped stand-in reserves its port no more.

--- a/command/src/main/java/org/marjoramsail/command/FleetOptions.java
+++ b/command/src/main/java/org/marjoramsail/command/FleetOptions.java
@@ -2,6 +2,7 @@
 
 import com.github.rvesse.airline.annotations.Option;
 import org.marjoramsail.command.fleet.Deployment;
+import org.marjoramsail.command.fleet.FleetFaults;
 import org.marjoramsail.command.fleet.FleetRun;
 import org.marjoramsail.command.fleet.FleetSetup;
 import org.marjoramsail.core.failure.MarjoramsailException;
@@ -16,6 +17,11 @@
 
   private static final String DAEMONS = "--daemons";
   private static final String POLICY = "--policy";
+  private static final String WARM_UP = "--warm-up";
+  private static final String CRASH_EVERY = "--decode-crash-every";
+  private static final String OWNER_DEATH = "--owner-death-at";
+  private static final double MOST_SECONDS = 600;
+  private static final double MILLIS_PER_SECOND = 1_000;
   private static final int MOST_DAEMONS = 50;
 
   /** From the users: about twenty requests a decode engine. */
@@ -27,6 +33,27 @@
   @Option(name = POLICY, title = "policy", description = "The placement policy. Default: reserve")
   private String policy = "reserve";
 
+  @Option(
+      name = WARM_UP,
+      title = "seconds",
+      description =
+          "For how long requests are sent before the measured ones, 0 to 600; less than 8 s leave"
+              + " compilers at work in the measured part. Default: 10")
+  private double warmUp = 10;
+
+  @Option(
+      name = CRASH_EVERY,
+      title = "seconds",
+      description = "A decode engine dies each time so many seconds have passed; 0 for none")
+  private double crashEvery;
+
+  @Option(
+      name = OWNER_DEATH,
+      title = "seconds",
+      description =
+          "When, after the start, the daemon dies that decides for the engines; 0 for never")
+  private double ownerDeath;
+
   /** Runs the workload against a fleet with the chosen policy. */
   LoadReport run(WorkloadOptions workload, Surroundings surroundings) throws MarjoramsailException {
     return run(workload.definition(capacity(workload)), chosenPolicy(), surroundings);
@@ -44,7 +71,9 @@
             daemons,
             policy.code(),
             definition.seed(),
-            EngineTimings.defaults());
+            EngineTimings.defaults(),
+            millis(WARM_UP, warmUp),
+            new FleetFaults(millis(CRASH_EVERY, crashEvery), millis(OWNER_DEATH, ownerDeath)));
     RunProgress progress = new RunProgress(surroundings.errors(), surroundings.clock());
     FleetRun run = new FleetRun(surroundings.clock(), surroundings.daemons().orElseThrow());
     return run.run(setup, definition, progress);
@@ -56,6 +85,13 @@
         .capacityPerSecond(EngineTimings.defaults(), PromptLengths.assumed(), DECODE_SLOTS);
   }
 
+  private static long millis(String option, double seconds) throws UsageException {
+    if (!(seconds >= 0 && seconds <= MOST_SECONDS)) {
+      throw new UsageException(option, Double.toString(seconds), "0 to 600");
+    }
+    return Math.round(seconds * MILLIS_PER_SECOND);
+  }
+
   private PlacementPolicy chosenPolicy() throws UsageException {
     return Choice.of(POLICY, policy, PlacementPolicy.values(), PlacementPolicy::code);
   }
--- a/command/src/main/java/org/marjoramsail/command/bench/ComparisonRow.java
+++ b/command/src/main/java/org/marjoramsail/command/bench/ComparisonRow.java
@@ -13,6 +13,7 @@
  * @param load the load factor
  * @param seeds how many runs
  * @param goodputPerSecond requests a second within both latency targets
+ * @param modelGoodputPerSecond of these, the ones that engines answer
  * @param lowestGoodputPerSecond the same of the worst seed
  * @param wastedPrefillShare prefill work discarded before its result was used
  * @param quickP95Millis the longest p95 of the quick kinds, in milliseconds
@@ -26,6 +27,7 @@
     double load,
     int seeds,
     double goodputPerSecond,
+    double modelGoodputPerSecond,
     double lowestGoodputPerSecond,
     double wastedPrefillShare,
     double quickP95Millis,
@@ -41,6 +43,7 @@
         load,
         reports.size(),
         mean(reports, LoadReport::goodputPerSecond),
+        mean(reports, ComparisonRow::modelGoodput),
         reports.stream().mapToDouble(LoadReport::goodputPerSecond).min().orElse(0),
         mean(reports, report -> report.audit().wastedPrefillShare()),
         mean(reports, ComparisonRow::quickP95),
@@ -54,6 +57,16 @@
     return reports.stream().mapToDouble(value).average().orElse(0);
   }
 
+  private static double modelGoodput(LoadReport report) {
+    long all = report.kinds().stream().mapToLong(KindReport::withinTargets).sum();
+    long ofEngines =
+        report.kinds().stream()
+            .filter(kind -> kind.kind().isGeneration())
+            .mapToLong(KindReport::withinTargets)
+            .sum();
+    return all == 0 ? 0 : report.goodputPerSecond() * ofEngines / all;
+  }
+
   private static double quickP95(LoadReport report) {
     return report.kinds().stream()
         .filter(kind -> kind.kind().serviceClass() == ServiceClass.QUICK)
--- a/command/src/main/java/org/marjoramsail/command/bench/ComparisonTable.java
+++ b/command/src/main/java/org/marjoramsail/command/bench/ComparisonTable.java
@@ -8,9 +8,9 @@
 
   private static final String HEAD =
       """
-      | policy | load | seeds | goodput/s | worst seed | wasted prefill | quick p95 ms | refused \
+      | policy | load | seeds | goodput/s | of engines | worst seed | wasted prefill | quick p95 ms | refused \
       | fairness | over-commitments | violations |
-      | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |
+      | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |
       """;
 
   private ComparisonTable() {}
@@ -22,11 +22,12 @@
       text.append(
           String.format(
               Locale.ROOT,
-              "| %s | %.2f | %d | %.1f | %.1f | %.2f%% | %.0f | %.1f%% | %.3f | %d | %d |%n",
+              "| %s | %.2f | %d | %.1f | %.1f | %.1f | %.2f%% | %.0f | %.1f%% | %.3f | %d | %d |%n",
               row.policy(),
               row.load(),
               row.seeds(),
               row.goodputPerSecond(),
+              row.modelGoodputPerSecond(),
               row.lowestGoodputPerSecond(),
               100 * row.wastedPrefillShare(),
               row.quickP95Millis(),
--- a/command/src/main/java/org/marjoramsail/command/fleet/FleetDaemon.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/FleetDaemon.java
@@ -14,6 +14,9 @@
   /** Where it takes other daemons. */
   int peerPort();
 
+  /** Whether it owns a shard of that service now. */
+  boolean isDecidingFor(String service);
+
   /** Stops without cutting off a request. */
   Future<Void> stop();
 
--- a/command/src/main/java/org/marjoramsail/command/fleet/FleetRun.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/FleetRun.java
@@ -12,7 +12,7 @@
 import org.marjoramsail.standin.load.LoadReport;
 import org.marjoramsail.standin.load.LoadRunner;
 import org.marjoramsail.standin.load.LoadRunnerOptions;
-import org.marjoramsail.standin.load.PlannedRequest;
+import org.marjoramsail.standin.load.LoadTarget;
 import org.marjoramsail.standin.load.RequestOutcome;
 import org.marjoramsail.standin.load.StandInAnswers;
 import org.marjoramsail.standin.load.Workload;
@@ -55,15 +55,39 @@
       throws FleetException {
     LocalFleet fleet = new LocalFleet(vertx, clock, setup, factory);
     await("start", fleet.start(), START_SECONDS);
-    List<PlannedRequest> requests = Workload.plan(workload);
-    LoadRunner runner =
-        new LoadRunner(vertx, clock, new StandInAnswers(), LoadRunnerOptions.standard());
-    long runSeconds = workload.durationMillis() / MILLIS_PER_SECOND + AFTER_LAST_SECONDS;
-    List<RequestOutcome> outcomes =
-        await("run", runner.run(fleet.targets(), requests, listener), runSeconds);
+    List<RequestOutcome> warmUp = warmUp(vertx, fleet, setup, workload);
+    FleetAudit before = await("settle", fleet.audit(SETTLE_MILLIS), START_SECONDS);
+    FaultSchedule faults = new FaultSchedule(vertx, fleet, setup);
+    List<LoadTarget> targets = faults.targets();
+    faults.start();
+    List<RequestOutcome> outcomes = send("run", vertx, targets, workload, listener);
+    faults.stop();
     FleetAudit audit = await("settle", fleet.audit(SETTLE_MILLIS), START_SECONDS);
     await("stop", fleet.stop(), START_SECONDS);
-    return LoadReport.of(outcomes, audit, workload.durationMillis());
+    return LoadReport.of(outcomes, warmUp, audit.since(before), workload.durationMillis());
+  }
+
+  private List<RequestOutcome> warmUp(
+      Vertx vertx, LocalFleet fleet, FleetSetup setup, WorkloadDefinition workload)
+      throws FleetException {
+    if (setup.warmUpMillis() == 0) {
+      return List.of();
+    }
+    WorkloadDefinition before = workload.warmUp(setup.warmUpMillis());
+    return send("warm-up", vertx, fleet.targets(), before, outcome -> {});
+  }
+
+  private List<RequestOutcome> send(
+      String phase,
+      Vertx vertx,
+      List<LoadTarget> targets,
+      WorkloadDefinition workload,
+      LoadListener listener)
+      throws FleetException {
+    LoadRunner runner =
+        new LoadRunner(vertx, clock, new StandInAnswers(), LoadRunnerOptions.standard());
+    long seconds = workload.durationMillis() / MILLIS_PER_SECOND + AFTER_LAST_SECONDS;
+    return await(phase, runner.run(targets, Workload.plan(workload), listener), seconds);
   }
 
   private static <T> T await(String phase, Future<T> future, long seconds) throws FleetException {
--- a/command/src/main/java/org/marjoramsail/command/fleet/FleetSetup.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/FleetSetup.java
@@ -10,6 +10,14 @@
  * @param policy the code of the placement policy
  * @param seed decides what the stand-ins draw
  * @param timings the engines' rates and delays
+ * @param warmUpMillis for how long requests are sent before the run, in milliseconds
+ * @param faults what is made to fail during the run
  */
 public record FleetSetup(
-    Deployment deployment, int daemons, String policy, long seed, EngineTimings timings) {}
+    Deployment deployment,
+    int daemons,
+    String policy,
+    long seed,
+    EngineTimings timings,
+    long warmUpMillis,
+    FleetFaults faults) {}
--- a/command/src/main/java/org/marjoramsail/command/fleet/RuntimeFleetDaemon.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/RuntimeFleetDaemon.java
@@ -34,6 +34,12 @@
     return runtime.peerPort();
   }
 
+  @Override
+  public boolean isDecidingFor(String service) {
+    return runtime.shards().stream()
+        .anyMatch(view -> view.shard().service().equals(service) && !view.upstreams().isEmpty());
+  }
+
   @Override
   public Future<Void> stop() {
     return Future.fromCompletionStage(runtime.stop(phase -> {})).eventually(() -> vertx.close());
--- a/command/src/test/java/org/marjoramsail/command/FakeDaemon.java
+++ b/command/src/test/java/org/marjoramsail/command/FakeDaemon.java
@@ -50,6 +50,11 @@
     return server.actualPort();
   }
 
+  @Override
+  public boolean isDecidingFor(String service) {
+    return false;
+  }
+
   @Override
   public Future<Void> stop() {
     return server.close();
--- a/command/src/test/java/org/marjoramsail/command/FleetCommandsTest.java
+++ b/command/src/test/java/org/marjoramsail/command/FleetCommandsTest.java
@@ -28,7 +28,8 @@
 
   @Test
   void aDemoWhoseAnswersAreAllRightEndsWellAndReportsEveryKind() {
-    assertThat(run(false, "demo --deployment rosario --seconds 1 --load 0.3 --daemons 2"))
+    assertThat(
+            run(false, "demo --deployment rosario --seconds 1 --warm-up 0 --load 0.3 --daemons 2"))
         .as(errors.toString(StandardCharsets.UTF_8))
         .isEqualTo(ExitCode.OK);
     assertThat(printed())
@@ -37,14 +38,17 @@
 
   @Test
   void aDemoWithCutAnswersThatAreSaidToBeWholeEndsAsBroken() {
-    assertThat(run(true, "demo --deployment rosario --seconds 1 --load 0.3 --daemons 1"))
+    assertThat(
+            run(true, "demo --deployment rosario --seconds 1 --warm-up 0 --load 0.3 --daemons 1"))
         .isEqualTo(ExitCode.BROKEN_INVARIANT);
     assertThat(printed()).contains("BROKEN every-answer-right", "said to be whole");
   }
 
   @Test
   void aBenchPrintsJson() {
-    run(false, "bench --deployment cabildo-abierto --seconds 1 --load 0.2 --format json");
+    run(
+        false,
+        "bench --deployment cabildo-abierto --seconds 1 --warm-up 0 --load 0.2 --format json");
 
     assertThat(printed()).contains("\"goodputPerSecond\"", "\"wastedPrefillShare\"");
   }
@@ -55,7 +59,7 @@
     ExitCode exitCode =
         run(
             false,
-            "bench-compare --policies reserve,round-robin --loads 0.1,0.2 --seconds 1 --daemons 1"
+            "bench-compare --policies reserve,round-robin --loads 0.1,0.2 --seconds 1 --warm-up 0 --daemons 1"
                 + " --plot "
                 + plot);
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -32,6 +32,7 @@
 import org.marjoramsail.core.placement.PlacementPolicy;
 import org.marjoramsail.core.placement.PlacementSettings;
 import org.marjoramsail.core.placement.PlacementTimings;
+import org.marjoramsail.core.placement.ShardView;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.claim.PeerClaimService;
 import org.marjoramsail.daemon.configuration.ConfigurationService;
@@ -253,6 +254,11 @@
         .toCompletionStage();
   }
 
+  /** The shards that this daemon decides for now. */
+  public List<ShardView> shards() {
+    return placement.views();
+  }
+
   @Override
   public UnfinishedWork unfinished() {
     return new UnfinishedWork(requests.registry.size(), 0, placement.views().size());
--- a/standin/src/main/java/org/marjoramsail/standin/load/FleetAudit.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/FleetAudit.java
@@ -34,6 +34,24 @@
     return new FleetAudit(0, Map.of(), 0, Map.of(), Set.of(), 0);
   }
 
+  /**
+   * What was counted since an earlier look. Runs of requests are kept from the start, since a
+   * second run counts whenever it happens.
+   */
+  public FleetAudit since(FleetAudit earlier) {
+    Map<String, Long> wasted = new TreeMap<>(wastedPrefillTokens);
+    earlier.wastedPrefillTokens.forEach(
+        (reason, tokens) -> wasted.merge(reason, -tokens, Long::sum));
+    wasted.values().removeIf(tokens -> tokens == 0);
+    return new FleetAudit(
+        prefillTokens - earlier.prefillTokens,
+        wasted,
+        overCommitments - earlier.overCommitments,
+        runsByReference,
+        requestsRun,
+        heldAtEnd);
+  }
+
   /** The share of prefill work that was discarded before its result was used. */
   public double wastedPrefillShare() {
     long wasted = wastedPrefillTokens.values().stream().mapToLong(Long::longValue).sum();
--- a/standin/src/main/java/org/marjoramsail/standin/load/LoadReport.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/LoadReport.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 /**
  * What came of a run.
@@ -50,6 +51,24 @@
    */
   public static LoadReport of(
       List<RequestOutcome> outcomes, FleetAudit audit, long durationMillis) {
+    return of(outcomes, List.of(), audit, durationMillis);
+  }
+
+  /**
+   * Sums up a run that others preceded: its figures are those of the run, but the invariants must
+   * hold for the warm-up as well.
+   *
+   * @param outcomes the ends of all requests of the run
+   * @param warmUp the ends of all requests before it
+   * @param audit what the stand-ins counted since the warm-up
+   * @param durationMillis for how long requests of the run were sent
+   */
+  public static LoadReport of(
+      List<RequestOutcome> outcomes,
+      List<RequestOutcome> warmUp,
+      FleetAudit audit,
+      long durationMillis) {
+    List<RequestOutcome> all = Stream.concat(warmUp.stream(), outcomes.stream()).toList();
     Map<RequestEnd, Long> ends = countEnds(outcomes);
     long notSent = ends.getOrDefault(RequestEnd.NOT_SENT, 0L);
     long refused = ends.getOrDefault(RequestEnd.REFUSED, 0L);
@@ -66,8 +85,8 @@
         fairness(outcomes),
         kindReports(outcomes),
         audit,
-        countViolations(outcomes, audit),
-        examples(outcomes));
+        countViolations(all, audit),
+        examples(all));
   }
 
   /** How many requests ended in this way. */
--- a/standin/src/main/java/org/marjoramsail/standin/load/PromptLengths.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/PromptLengths.java
@@ -24,9 +24,14 @@
   private static final int MINIMUM_OUTPUT_TOKENS = 8;
   private static final double OUTPUT_SPREAD = 0.5;
 
-  /** Assumed, since the users have not stated theirs: some pages each, with a long tail. */
+  /**
+   * Assumed, since the users have not stated theirs: some pages each, with a long tail, and answers
+   * of about 113 tokens. With these a full prefill pool fills the decode pool: 4 prefill engines
+   * read 40 prompts of 1,000 tokens a second, and 6 decode engines with 20 slots generate 42 such
+   * answers a second, so that decode engines are near full at the peak, as the users say.
+   */
   public static PromptLengths assumed() {
-    return new PromptLengths(600, 0.9, 8_000, 96, 48, 200);
+    return new PromptLengths(600, 0.9, 8_000, 96, 100, 400);
   }
 
   int drawStory(RandomGenerator random) {
--- a/standin/src/main/java/org/marjoramsail/standin/load/WorkloadDefinition.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/WorkloadDefinition.java
@@ -20,6 +20,9 @@
     double loadFactor,
     PromptLengths lengths) {
 
+  private static final long WARM_UP_SEED_STEP = 1_000_003;
+  private static final double LARGEST_WARM_UP_LOAD = 0.6;
+
   /** Takes a duration, a capacity and a load above zero. */
   public WorkloadDefinition {
     if (durationMillis <= 0 || capacityPerSecond <= 0 || loadFactor <= 0) {
@@ -29,6 +32,23 @@
     }
   }
 
+  /**
+   * Requests of the same mix that precede a run, so that compilers and estimates have settled by
+   * its start. Another seed draws them, so that they share no reference and no story with the run.
+   *
+   * @param millis for how long they are sent
+   */
+  public WorkloadDefinition warmUp(long millis) {
+    return new WorkloadDefinition(
+        mix,
+        ArrivalShape.STEADY,
+        seed + WARM_UP_SEED_STEP,
+        millis,
+        capacityPerSecond,
+        Math.min(loadFactor, LARGEST_WARM_UP_LOAD),
+        lengths);
+  }
+
   /** The rate at the peak in requests a second. */
   public double peakPerSecond() {
     return capacityPerSecond * loadFactor;
--- a/standin/src/main/java/org/marjoramsail/standin/server/CrashableServer.java
+++ b/standin/src/main/java/org/marjoramsail/standin/server/CrashableServer.java
@@ -119,17 +119,17 @@
 
   /** Stops listening and cuts every connection at once. */
   public Future<Void> drop() {
+    dropped = cutAll().onSuccess(closed -> reservePort());
+    return dropped;
+  }
+
+  private Future<Void> cutAll() {
     up = false;
     Optional<HttpServer> running = server;
     server = Optional.empty();
     Set.copyOf(connections).forEach(HttpConnection::close);
     connections.clear();
-    dropped =
-        running
-            .map(HttpServer::close)
-            .orElseGet(Future::succeededFuture)
-            .onSuccess(closed -> reservePort());
-    return dropped;
+    return running.map(HttpServer::close).orElseGet(Future::succeededFuture);
   }
 
   /**
@@ -163,7 +163,7 @@
 
   /** Stops for good and lets go of the port. */
   public Future<Void> close() {
-    return drop()
+    return cutAll()
         .onComplete(
             ended -> {
               reservation.ifPresent(CrashableServer::close);
--- a/standin/src/test/java/org/marjoramsail/standin/load/LoadReportTest.java
+++ b/standin/src/test/java/org/marjoramsail/standin/load/LoadReportTest.java
@@ -66,6 +66,26 @@
     assertThat(audit.wastedPrefillShare()).isEqualTo(0.04, Offset.offset(1e-9));
   }
 
+  @Test
+  void aWarmUpAddsNothingToTheFiguresButItsViolationsCount() {
+    FleetAudit before = new FleetAudit(200, Map.of("cancelled", 8L), 3, Map.of(), Set.of(), 0);
+    FleetAudit end =
+        new FleetAudit(300, Map.of("cancelled", 8L, "crashed", 5L), 4, Map.of(), Set.of(), 0);
+
+    LoadReport report =
+        LoadReport.of(
+            List.of(ballot(RequestEnd.COMPLETED, 20)),
+            List.of(ballot(RequestEnd.LOST, 20)),
+            end.since(before),
+            1_000);
+
+    assertThat(report.planned()).isEqualTo(1);
+    assertThat(report.audit().prefillTokens()).isEqualTo(100);
+    assertThat(report.audit().wasteByReason()).containsExactly(Map.entry("crashed", 5L));
+    assertThat(report.audit().overCommitments()).isEqualTo(1);
+    assertThat(report.violations()).containsEntry(Invariant.NOTHING_LOST, 1L);
+  }
+
   @Test
   void fairnessIsOneWhenOrganisationsFareAlikeAndFallsWhenOneGetsNothing() {
     RequestOutcome good = ballot(RequestEnd.COMPLETED, 20);
--- a/standin/src/test/java/org/marjoramsail/standin/load/WorkloadTest.java
+++ b/standin/src/test/java/org/marjoramsail/standin/load/WorkloadTest.java
@@ -105,6 +105,25 @@
     assertThat(prompts.get(0).text().split(" ")).hasSize(prompts.get(0).tokens());
   }
 
+  @Test
+  void aWarmUpSharesNoReferenceAndNoStoryWithItsRun() {
+    WorkloadDefinition run = definition(RequestMix.ROSARIO, ArrivalShape.RUSH, 3);
+    List<PlannedRequest> before = Workload.plan(run.warmUp(DURATION));
+    List<PlannedRequest> measured = Workload.plan(run);
+
+    assertThat(before).isNotEmpty();
+    assertThat(before.stream().map(PlannedRequest::reference))
+        .doesNotContainAnyElementsOf(measured.stream().map(PlannedRequest::reference).toList());
+    assertThat(stories(before)).doesNotContainAnyElementsOf(stories(measured));
+  }
+
+  private static List<Long> stories(List<PlannedRequest> requests) {
+    return requests.stream()
+        .flatMap(request -> request.prompt().stream())
+        .map(Prompt::storySeed)
+        .toList();
+  }
+
   private static Optional<String> key(List<PlannedRequest> same) {
     return same.get(0).idempotencyKey();
   }
