Send few prefix hashes, and messages of placement without field names

Cause: a request at the target size cost its owner more than the whole budget of a daemon: messages named every field, and entries sent the hash of every block of a prompt. Change: a request names the hashes of blocks 1, 2, 3, 4, 6, 8, 12, ...; each covers the prefix up to it, so that up to a third of a cached prefix counts as not cached. Requests, grants, reports, shards and holdings are arrays. Conclusion: what an owner hears and says for a request no longer grows with its prompt.

--- a/core/src/main/java/org/marjoramsail/core/placement/AttemptReport.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/AttemptReport.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.core.placement;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.Optional;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.UpstreamName;
@@ -16,6 +17,7 @@
  * @param tookMillis how long the phase that just ended took; zero when it is not known
  * @param outputTokens tokens generated so far
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record AttemptReport(
     RequestId request,
     int attempt,
--- a/core/src/main/java/org/marjoramsail/core/placement/Grant.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/Grant.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.core.placement;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.Optional;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.UpstreamName;
@@ -15,6 +16,7 @@
  * @param expectedPrefillMillis estimate for reading the prompt
  * @param expectedTransferMillis estimate for moving its KV cache
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record Grant(
     RequestId request,
     int attempt,
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementMessage.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementMessage.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.core.placement;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.List;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.message.PeerMessage;
@@ -52,5 +53,6 @@
    * @param attempt the attempt
    * @param granted whether the entry knows of its grant
    */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record Holding(RequestId request, int attempt, boolean granted) {}
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.core.placement;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.List;
 import java.util.Optional;
 import org.marjoramsail.core.model.DaemonId;
@@ -21,7 +22,7 @@
  * @param serviceClass its urgency
  * @param promptTokens length of the prompt; zero for plain services
  * @param outputTokens how many tokens at most it generates; zero for plain services
- * @param prefixHashes chained hashes of the prompt's blocks, first block first
+ * @param prefixHashes chained hashes of the prompt's {@linkplain PrefixMarks marks}
  * @param waitedMillis how long ago the request arrived
  * @param firstTokenWithinMillis how long until its first token is late
  * @param deadlineWithinMillis how long until its answer is useless
@@ -29,6 +30,7 @@
  * @param kvHeldBy a prefill upstream on which its KV cache still lives
  * @param alone whether it is suspected of crashing upstreams and shares one with no other suspect
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record PlacementRequest(
     RequestId request,
     int attempt,
--- a/core/src/main/java/org/marjoramsail/core/placement/PrefixIndex.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PrefixIndex.java
@@ -14,7 +14,6 @@
 
   private static final int ROWS = 512;
   private static final int PLACES = 8;
-  private static final int MAXIMUM_BLOCKS_OF_ONE_PROMPT = 512;
 
   private final long[] table = new long[ROWS * PLACES];
   private int size;
@@ -50,38 +49,39 @@
     size = 0;
   }
 
-  /** Adds the first blocks of a prompt. */
-  void addAll(List<Long> hashes) {
-    int count = Math.min(hashes.size(), MAXIMUM_BLOCKS_OF_ONE_PROMPT);
-    for (int block = 0; block < count; block++) {
-      add(hashes.get(block));
-    }
+  /** Adds the marks of a prompt. */
+  void addAll(List<Long> marks) {
+    marks.forEach(this::add);
   }
 
-  /** Removes the blocks of a prompt from the given one on. */
-  void removeFrom(List<Long> hashes, int firstBlock) {
-    int count = Math.min(hashes.size(), MAXIMUM_BLOCKS_OF_ONE_PROMPT);
-    for (int block = firstBlock; block < count; block++) {
-      remove(hashes.get(block));
+  /** Removes the marks of a prompt that lie beyond so many leading blocks. */
+  void removeBeyond(List<Long> marks, int leadingBlocks) {
+    for (int place = 0; place < marks.size(); place++) {
+      if (PrefixMarks.blocks(place) > leadingBlocks) {
+        remove(marks.get(place));
+      }
     }
   }
 
-  /** How many leading blocks of a prompt are here; the hashes are chained, so halving finds it. */
-  int match(List<Long> hashes) {
-    if (size == 0 || hashes.isEmpty() || !contains(hashes.get(0))) {
+  /**
+   * How many leading blocks of a prompt are here for certain; the hashes are chained, so halving
+   * finds the last mark.
+   */
+  int match(List<Long> marks) {
+    if (size == 0 || marks.isEmpty() || !contains(marks.get(0))) {
       return 0;
     }
     int known = 1;
-    int beyond = Math.min(hashes.size(), MAXIMUM_BLOCKS_OF_ONE_PROMPT) + 1;
+    int beyond = marks.size() + 1;
     while (beyond - known > 1) {
       int middle = (known + beyond) >>> 1;
-      if (contains(hashes.get(middle - 1))) {
+      if (contains(marks.get(middle - 1))) {
         known = middle;
       } else {
         beyond = middle;
       }
     }
-    return known;
+    return PrefixMarks.blocks(known - 1);
   }
 
   private boolean contains(long hash) {
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardId.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardId.java
@@ -1,5 +1,7 @@
 package org.marjoramsail.core.placement;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+
 /**
  * A slice of the upstreams of one service in one region, with one queue and one owner.
  *
@@ -7,6 +9,7 @@
  * @param region the region of its upstreams
  * @param slice from zero; how many slices there are follows from the configuration
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record ShardId(String service, String region, int slice) implements Comparable<ShardId> {
 
   @Override
--- a/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
@@ -173,8 +173,8 @@
     // The index is a hint from late events: blocks that the engine did not have are taken out, and
     // the prompt that it has just read is put in.
     if (cached < attempt.expectedCachedTokens()) {
-      int firstMissing = cached / UpstreamSelector.BLOCK_TOKENS;
-      reader.get().prefixes().removeFrom(attempt.request().prefixHashes(), firstMissing);
+      int cachedBlocks = cached / UpstreamSelector.BLOCK_TOKENS;
+      reader.get().prefixes().removeBeyond(attempt.request().prefixHashes(), cachedBlocks);
     }
     reader.get().prefixes().addAll(attempt.request().prefixHashes());
   }
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramsail/daemon/placement/PlacementMessageFormatTest.java
@@ -0,0 +1,117 @@
+package org.marjoramsail.daemon.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.placement.AttemptPhase;
+import org.marjoramsail.core.placement.AttemptReport;
+import org.marjoramsail.core.placement.AttemptResult;
+import org.marjoramsail.core.placement.Grant;
+import org.marjoramsail.core.placement.GrantMode;
+import org.marjoramsail.core.placement.PlacementMessage;
+import org.marjoramsail.core.placement.PlacementRequest;
+import org.marjoramsail.core.placement.PrefixMarks;
+import org.marjoramsail.core.placement.ShardId;
+import org.marjoramsail.daemon.peer.PeerCodec;
+import org.marjoramsail.daemon.peer.PeerCodecException;
+
+/** Messages of placement as daemons send them. */
+final class PlacementMessageFormatTest {
+
+  private static final ShardId SHARD = new ShardId("asistente-concejo", "santiago", 3);
+  private static final RequestId REQUEST = new RequestId("entry-1-1-000123456");
+
+  private final PeerCodec codec = new PeerCodec(1 << 20);
+
+  private static PlacementRequest request(int promptTokens) {
+    String prompt =
+        IntStream.range(0, promptTokens).mapToObj(n -> "w" + n).collect(Collectors.joining(" "));
+    return new PlacementRequest(
+        REQUEST,
+        1,
+        new DaemonId("entry-1", 1_764_700_000_000L),
+        "asistente-concejo",
+        "puente-alto",
+        "proposal-summary",
+        ServiceClass.DEFERRABLE,
+        promptTokens,
+        113,
+        PrefixMarks.of(prompt),
+        12,
+        1_988,
+        29_988,
+        List.of(new UpstreamName("asistente-concejo-d-2")),
+        Optional.empty(),
+        false);
+  }
+
+  private static Grant grant() {
+    return new Grant(
+        REQUEST,
+        1,
+        GrantMode.DISAGGREGATED,
+        Optional.of(new UpstreamName("asistente-concejo-p-1")),
+        new UpstreamName("asistente-concejo-d-1"),
+        105,
+        21);
+  }
+
+  private static AttemptReport ended() {
+    return new AttemptReport(
+        REQUEST,
+        1,
+        AttemptPhase.ENDED,
+        Optional.of(AttemptResult.COMPLETED),
+        Optional.empty(),
+        96,
+        105,
+        113);
+  }
+
+  static List<PlacementMessage> messages() {
+    return List.of(
+        new PlacementMessage.Place(SHARD, request(1_000)),
+        new PlacementMessage.Restore(SHARD, request(0), grant(), AttemptPhase.GENERATING),
+        new PlacementMessage.Report(SHARD, ended()),
+        new PlacementMessage.Withdraw(SHARD, REQUEST, 2),
+        new PlacementMessage.Holdings(
+            SHARD, List.of(new PlacementMessage.Holding(REQUEST, 1, true))),
+        new PlacementMessage.Queued(SHARD, REQUEST, 1),
+        new PlacementMessage.Granted(SHARD, grant()),
+        new PlacementMessage.Refused(
+            SHARD, REQUEST, 1, Refusal.notRun(RefusalReason.QUEUE_FULL, "It is full.", 1_000)),
+        new PlacementMessage.Unknown(SHARD, List.of()));
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  void whatIsSentIsReadAsTheSame(PlacementMessage message) throws PeerCodecException {
+    assertThat(codec.decode(codec.encode(message))).isEqualTo(message);
+  }
+
+  /**
+   * At the target an owner hears of some hundred requests a second and may spend 27 KB a second on
+   * control; with the names of all fields and every hash a request cost more than 5 KB.
+   */
+  @Test
+  void aRequestCostsItsOwnerFewBytesHoweverLongItsPromptIs() throws PeerCodecException {
+    int bytes =
+        codec.encode(new PlacementMessage.Place(SHARD, request(30_000))).length
+            + codec.encode(new PlacementMessage.Granted(SHARD, grant())).length
+            + 3 * codec.encode(new PlacementMessage.Report(SHARD, ended())).length;
+
+    assertThat(bytes).isLessThan(800);
+  }
+}
