Refuse a content only when it alone explains its crashes

Cause: all that an upstream held when it crashed was counted as if it had crashed it, also an innocent request whose cut attempt was not yet cancelled there. Two such crashes refused it. Cuts of two requests that no poll disproved counted as a crash as well, and two requests that were granted one upstream before they became suspect together stayed side by side. Ruled out: to count only crashes with one suspect (an attempt that comes late lets one content crash three); to count only the running attempts (a late attempt crashes uncounted); to wait for all cancels before any retry (a stalled engine would hold up everybody). Change: a content is refused when no other was on all its crashed upstreams; several that explain the same crashes are tried one after another, and who is answered is cleared, everywhere. Suspects avoid upstreams that may hold another suspect, also when the grant is older than the suspicion. Cuts without proof keep apart and do not count.

--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CrashRecords.java
@@ -0,0 +1,148 @@
+package org.marjoramsail.core.outcome;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Which contents were on which crashed upstream, and what follows from it.
+ *
+ * <p>A content is refused when it was on {@link Quarantine#CRASH_LIMIT} crashed upstreams and no
+ * other content was on all of these. While there are such others, any of them may be the cause: one
+ * that is refused already explains the crashes, and otherwise they are tried one after another, the
+ * least likely first. The one that is answered is cleared, which leaves fewer to explain the
+ * crashes, so that the cause is found without a further crash.
+ */
+final class CrashRecords {
+
+  private static final class Entry {
+    private final Set<CrashId> crashes = new LinkedHashSet<>();
+    private final Set<CrashId> cleared = new HashSet<>();
+    private long expiresAtMillis;
+
+    private List<CrashId> counted() {
+      return crashes.stream().filter(crash -> !cleared.contains(crash)).toList();
+    }
+  }
+
+  private final int maximumEntries;
+  private final Map<Long, Entry> entries = new LinkedHashMap<>();
+  private final Map<CrashId, Set<Long>> suspects = new HashMap<>();
+
+  CrashRecords(int maximumEntries) {
+    this.maximumEntries = maximumEntries;
+  }
+
+  /** Takes what was on an upstream that crashed, the least likely cause first. */
+  void add(CrashId crash, Collection<Long> fingerprints, boolean lifted, long expiresAtMillis) {
+    suspects.computeIfAbsent(crash, unused -> new LinkedHashSet<>()).addAll(fingerprints);
+    for (long fingerprint : fingerprints) {
+      Entry entry = entry(fingerprint);
+      entry.crashes.add(crash);
+      if (lifted) {
+        entry.cleared.add(crash);
+      }
+      entry.expiresAtMillis = Math.max(entry.expiresAtMillis, expiresAtMillis);
+    }
+  }
+
+  /** How many crashes are counted against a content. */
+  int counted(long fingerprint) {
+    Entry entry = entries.get(fingerprint);
+    return entry == null ? 0 : entry.counted().size();
+  }
+
+  long expiresAtMillis(long fingerprint) {
+    return entries.get(fingerprint).expiresAtMillis;
+  }
+
+  /** All contents that are remembered, the oldest first. */
+  List<Long> fingerprints() {
+    return List.copyOf(entries.keySet());
+  }
+
+  Suspicion suspicion(long fingerprint) {
+    if (counted(fingerprint) == 0) {
+      return Suspicion.CLEAR;
+    }
+    if (counted(fingerprint) < Quarantine.CRASH_LIMIT) {
+      return Suspicion.SUSPECT;
+    }
+    List<Long> others = othersOnAllCrashes(fingerprint);
+    if (others.isEmpty()) {
+      return Suspicion.QUARANTINED;
+    }
+    boolean isExplained = others.stream().anyMatch(this::isOnlyExplanation);
+    return isExplained || others.stream().noneMatch(other -> isTriedBefore(other, fingerprint))
+        ? Suspicion.SUSPECT
+        : Suspicion.UNSETTLED;
+  }
+
+  private boolean isOnlyExplanation(long fingerprint) {
+    return counted(fingerprint) >= Quarantine.CRASH_LIMIT
+        && othersOnAllCrashes(fingerprint).isEmpty();
+  }
+
+  private List<Long> othersOnAllCrashes(long fingerprint) {
+    List<CrashId> crashes = entries.get(fingerprint).counted();
+    return suspects.get(crashes.get(0)).stream()
+        .filter(other -> other != fingerprint)
+        .filter(other -> crashes.stream().allMatch(crash -> isCounted(other, crash)))
+        .toList();
+  }
+
+  private boolean isCounted(long fingerprint, CrashId crash) {
+    Entry entry = entries.get(fingerprint);
+    return entry != null && entry.crashes.contains(crash) && !entry.cleared.contains(crash);
+  }
+
+  private boolean isTriedBefore(long other, long fingerprint) {
+    List<CrashId> crashes = entries.get(fingerprint).counted();
+    List<Long> order = new ArrayList<>(suspects.get(crashes.get(crashes.size() - 1)));
+    return order.indexOf(other) < order.indexOf(fingerprint);
+  }
+
+  /** Clears a content of all crashes; gives those that were counted until now. */
+  List<CrashId> clear(long fingerprint) {
+    Entry entry = entries.get(fingerprint);
+    if (entry == null) {
+      return List.of();
+    }
+    List<CrashId> counted = entry.counted();
+    entry.cleared.addAll(counted);
+    return counted;
+  }
+
+  void expire(long nowMillis) {
+    if (entries.values().removeIf(entry -> nowMillis >= entry.expiresAtMillis)) {
+      forgetCrashes();
+    }
+  }
+
+  private Entry entry(long fingerprint) {
+    Entry known = entries.get(fingerprint);
+    if (known != null) {
+      return known;
+    }
+    if (entries.size() >= maximumEntries) {
+      Iterator<Long> oldest = entries.keySet().iterator();
+      oldest.next();
+      oldest.remove();
+      forgetCrashes();
+    }
+    Entry fresh = new Entry();
+    entries.put(fingerprint, fresh);
+    return fresh;
+  }
+
+  private void forgetCrashes() {
+    suspects.values().removeIf(contents -> contents.stream().noneMatch(entries::containsKey));
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -2,13 +2,11 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.stream.Stream;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.UpstreamName;
 
@@ -17,10 +15,24 @@
  *
  * <p>Guards against the failure in which one request kills each upstream that runs it while its
  * caller, or this program's own retries, send it again: it shows as connections cut on one upstream
- * after another. All that ran on a crashed upstream is suspect and runs on apart from other
- * suspects, so that a second crash proves one content; the others are finished and cleared. A cut
- * alone proves no crash: it counts only once the upstream has a new incarnation or refuses
- * connections, or when several requests were cut at once and nothing disproves the crash in time.
+ * after another. All that was on a crashed upstream is suspect, also an attempt that was given up
+ * and whose cancel is not confirmed. The rule:
+ *
+ * <ol>
+ *   <li>A suspect is tried apart: on no upstream that may still hold another suspect.
+ *   <li>A content is refused when it was on two crashed upstreams and no other content was on all
+ *       of them: then it alone explains them.
+ *   <li>Where several explain the same crashes, they are tried one after another: first those that
+ *       showed life on the upstream that crashed, then those that were there longest. One that is
+ *       answered is cleared, and the last one left alone is refused without a further crash.
+ *   <li>A content whose crashes are explained by a refused one is tried at once.
+ * </ol>
+ *
+ * <p>So an innocent content is never refused for what another did on the same upstream, be it that
+ * the two were put together or that an upstream still held an attempt of it that had been cut. A
+ * cut alone proves no crash: it counts only once the upstream has a new incarnation or refuses
+ * connections. Several that were cut at once without a proof in time are kept apart until the
+ * upstream is heard of again, which proves or disproves the crash.
  *
  * <p>Safe for several threads.
  */
@@ -33,37 +45,49 @@
 
   private record AttemptKey(RequestId request, int attempt) {}
 
-  private record CrashId(UpstreamName upstream, long incarnation) {}
+  /** One attempt on an upstream. */
+  private static final class Run {
+    private final long fingerprint;
+    private final long sequence;
+    private boolean alive;
+
+    private Run(long fingerprint, long sequence) {
+      this.fingerprint = fingerprint;
+      this.sequence = sequence;
+    }
+
+    private boolean is(long other) {
+      return fingerprint == other;
+    }
+  }
+
+  private static final Comparator<Run> LEAST_LIKELY_FIRST =
+      Comparator.<Run, Boolean>comparing(run -> !run.alive).thenComparing(run -> run.sequence);
 
   private static final class Upstream {
     private long incarnation;
-    private final Map<AttemptKey, Long> running = new HashMap<>();
-    private final Map<AttemptKey, Long> cut = new HashMap<>();
+    private final Map<AttemptKey, Run> running = new HashMap<>();
+    private final Map<AttemptKey, Run> cut = new HashMap<>();
     private long settleAtMillis;
+    private boolean presumed;
     private long lastCutAtMillis;
     private long crashedIncarnation = -1;
 
     private boolean isUnsettled() {
       return !cut.isEmpty();
     }
-  }
 
-  private static final class Entry {
-    private final Set<CrashId> crashes = new HashSet<>();
-    private final Set<CrashId> cleared = new HashSet<>();
-    private long expiresAtMillis;
-
-    private int counted() {
-      return (int) crashes.stream().filter(crash -> !cleared.contains(crash)).count();
+    private boolean isAmongCut(long fingerprint) {
+      return cut.values().stream().anyMatch(run -> run.is(fingerprint));
     }
   }
 
   private final long lifetimeMillis;
   private final long settleMillis;
-  private final int maximumEntries;
   private final Map<UpstreamName, Upstream> upstreams = new HashMap<>();
-  private final Map<Long, Entry> entries = new LinkedHashMap<>();
+  private final CrashRecords records;
   private final ArrayDeque<CrashReportMessage> outgoing = new ArrayDeque<>();
+  private long sequence;
 
   /**
    * Starts without suspects.
@@ -75,13 +99,22 @@
   public Quarantine(long lifetimeMillis, long settleMillis, int maximumEntries) {
     this.lifetimeMillis = lifetimeMillis;
     this.settleMillis = settleMillis;
-    this.maximumEntries = maximumEntries;
+    this.records = new CrashRecords(maximumEntries);
   }
 
   /** Takes that an attempt was sent to an upstream. */
   public synchronized void began(
       UpstreamName upstream, RequestId request, int attempt, long fingerprint) {
-    upstream(upstream).running.put(new AttemptKey(request, attempt), fingerprint);
+    Run run = new Run(fingerprint, ++sequence);
+    upstream(upstream).running.put(new AttemptKey(request, attempt), run);
+  }
+
+  /** Takes that an attempt has given tokens, so that running it did not crash its upstream. */
+  public synchronized void showedLife(UpstreamName upstream, RequestId request, int attempt) {
+    Run run = upstream(upstream).running.get(new AttemptKey(request, attempt));
+    if (run != null) {
+      run.alive = true;
+    }
   }
 
   /** Takes that an attempt left an upstream without a sign of a crash. */
@@ -94,22 +127,23 @@
       UpstreamName upstream, RequestId request, int attempt, long nowMillis) {
     Upstream state = upstream(upstream);
     AttemptKey key = new AttemptKey(request, attempt);
-    Long fingerprint = state.running.remove(key);
-    if (fingerprint == null) {
+    Run run = state.running.remove(key);
+    if (run == null) {
       return;
     }
-    if (!state.isUnsettled()) {
+    if (!state.isUnsettled() || state.presumed) {
+      state.presumed = false;
       state.settleAtMillis = nowMillis + settleMillis;
     }
     state.lastCutAtMillis = nowMillis;
-    state.cut.put(key, fingerprint);
+    state.cut.put(key, run);
   }
 
   /** Takes that a content was answered in full, which clears it unless it is quarantined. */
-  public synchronized void completed(long fingerprint) {
-    Entry entry = entries.get(fingerprint);
-    if (entry != null && entry.counted() < CRASH_LIMIT) {
-      entry.cleared.addAll(entry.crashes);
+  public synchronized void completed(long fingerprint, long nowMillis) {
+    if (records.suspicion(fingerprint) != Suspicion.QUARANTINED) {
+      upstreams.values().forEach(one -> one.cut.values().removeIf(run -> run.is(fingerprint)));
+      clear(fingerprint, nowMillis);
     }
   }
 
@@ -156,31 +190,39 @@
   /** What is to be done with a content now. */
   public synchronized Suspicion suspicion(long fingerprint, long nowMillis) {
     settleAndExpire(nowMillis);
-    Entry entry = entries.get(fingerprint);
-    int proven = entry == null ? 0 : entry.counted();
-    if (proven >= CRASH_LIMIT) {
-      return Suspicion.QUARANTINED;
+    Suspicion proven = records.suspicion(fingerprint);
+    List<Upstream> cut =
+        upstreams.values().stream().filter(one -> one.isAmongCut(fingerprint)).toList();
+    if (proven == Suspicion.QUARANTINED || cut.isEmpty()) {
+      return proven;
     }
-    long unsettled =
-        upstreams.values().stream().filter(one -> one.cut.containsValue(fingerprint)).count();
-    if (proven + unsettled >= CRASH_LIMIT) {
-      return Suspicion.UNSETTLED;
-    }
-    return proven + unsettled > 0 ? Suspicion.SUSPECT : Suspicion.CLEAR;
+    long unsettled = cut.stream().filter(one -> !one.presumed).count();
+    boolean isWaiting =
+        proven == Suspicion.UNSETTLED
+            || (unsettled > 0 && records.counted(fingerprint) + unsettled >= CRASH_LIMIT);
+    return isWaiting ? Suspicion.UNSETTLED : Suspicion.SUSPECT;
+  }
+
+  /** The upstreams that may hold a suspect other than this content. */
+  public synchronized List<UpstreamName> upstreamsWithOtherSuspects(long fingerprint) {
+    return upstreams.entrySet().stream()
+        .filter(
+            entry ->
+                Stream.concat(
+                        entry.getValue().running.values().stream(),
+                        entry.getValue().cut.values().stream())
+                    .anyMatch(
+                        run ->
+                            run.fingerprint != fingerprint && records.counted(run.fingerprint) > 0))
+        .map(Map.Entry::getKey)
+        .toList();
   }
 
   /** Takes what another daemon says of a crash. */
   public synchronized void handle(CrashReportMessage message, long nowMillis) {
     CrashId crash = new CrashId(message.upstream(), message.incarnation());
     long expiresAtMillis = nowMillis + Math.min(lifetimeMillis, message.lifetimeMillis());
-    for (long fingerprint : message.fingerprints()) {
-      Entry entry = entry(fingerprint);
-      entry.crashes.add(crash);
-      if (message.lifted()) {
-        entry.cleared.add(crash);
-      }
-      entry.expiresAtMillis = Math.max(entry.expiresAtMillis, expiresAtMillis);
-    }
+    records.add(crash, message.fingerprints(), message.lifted(), expiresAtMillis);
   }
 
   /** Takes the messages that the other daemons should get; each is given once. */
@@ -194,17 +236,17 @@
   public synchronized List<QuarantineEntry> list(long nowMillis) {
     settleAndExpire(nowMillis);
     List<QuarantineEntry> result = new ArrayList<>();
-    entries.forEach(
-        (fingerprint, entry) -> {
-          int counted = entry.counted();
-          if (counted > 0) {
-            Suspicion suspicion =
-                counted >= CRASH_LIMIT ? Suspicion.QUARANTINED : Suspicion.SUSPECT;
-            result.add(
-                new QuarantineEntry(
-                    fingerprint, suspicion, counted, entry.expiresAtMillis - nowMillis));
-          }
-        });
+    for (long fingerprint : records.fingerprints()) {
+      int counted = records.counted(fingerprint);
+      if (counted > 0) {
+        result.add(
+            new QuarantineEntry(
+                fingerprint,
+                records.suspicion(fingerprint),
+                counted,
+                records.expiresAtMillis(fingerprint) - nowMillis));
+      }
+    }
     return result;
   }
 
@@ -214,54 +256,55 @@
    * @return whether there was anything to clear
    */
   public synchronized boolean lift(long fingerprint, long nowMillis) {
-    Entry entry = entries.get(fingerprint);
-    if (entry == null || entry.counted() == 0) {
-      return false;
-    }
-    long restMillis = entry.expiresAtMillis - nowMillis;
-    for (CrashId crash : entry.crashes) {
-      if (entry.cleared.add(crash)) {
-        outgoing.add(
-            new CrashReportMessage(
-                crash.upstream(), crash.incarnation(), List.of(fingerprint), restMillis, true));
-      }
+    return clear(fingerprint, nowMillis);
+  }
+
+  private boolean clear(long fingerprint, long nowMillis) {
+    List<CrashId> counted = records.clear(fingerprint);
+    for (CrashId crash : counted) {
+      outgoing.add(
+          new CrashReportMessage(
+              crash.upstream(),
+              crash.incarnation(),
+              List.of(fingerprint),
+              records.expiresAtMillis(fingerprint) - nowMillis,
+              true));
     }
-    return true;
+    return !counted.isEmpty();
   }
 
   private void crashed(UpstreamName name, Upstream state, long nowMillis) {
-    Set<Long> suspects = new HashSet<>(state.cut.values());
+    List<Run> runs = new ArrayList<>(state.cut.values());
     state.cut.clear();
     if (state.crashedIncarnation != state.incarnation) {
-      suspects.addAll(state.running.values());
+      runs.addAll(state.running.values());
       state.running.clear();
       state.crashedIncarnation = state.incarnation;
     }
-    if (suspects.isEmpty()) {
+    if (runs.isEmpty()) {
       return;
     }
+    runs.sort(LEAST_LIKELY_FIRST);
+    List<Long> suspects = runs.stream().map(run -> run.fingerprint).distinct().toList();
     CrashReportMessage message =
-        new CrashReportMessage(
-            name, state.incarnation, List.copyOf(suspects), lifetimeMillis, false);
+        new CrashReportMessage(name, state.incarnation, suspects, lifetimeMillis, false);
     handle(message, nowMillis);
     outgoing.add(message);
   }
 
   private void settleAndExpire(long nowMillis) {
-    upstreams.forEach(
-        (name, state) -> {
-          if (state.isUnsettled() && nowMillis >= state.settleAtMillis) {
-            settle(name, state, nowMillis);
-          }
-        });
-    entries.values().removeIf(entry -> nowMillis >= entry.expiresAtMillis);
+    upstreams.values().forEach(state -> settle(state, nowMillis));
+    records.expire(nowMillis);
   }
 
-  private void settle(UpstreamName name, Upstream state, long nowMillis) {
+  private void settle(Upstream state, long nowMillis) {
+    if (!state.isUnsettled() || nowMillis < state.settleAtMillis) {
+      return;
+    }
     long distinct = state.cut.keySet().stream().map(AttemptKey::request).distinct().count();
-    if (distinct >= DISTINCT_CUTS_OF_A_CRASH) {
-      crashed(name, state, nowMillis);
-    } else {
+    state.presumed =
+        distinct >= DISTINCT_CUTS_OF_A_CRASH && nowMillis < state.lastCutAtMillis + lifetimeMillis;
+    if (!state.presumed) {
       state.cut.clear();
     }
   }
@@ -269,19 +312,4 @@
   private Upstream upstream(UpstreamName name) {
     return upstreams.computeIfAbsent(name, unused -> new Upstream());
   }
-
-  private Entry entry(long fingerprint) {
-    Entry known = entries.get(fingerprint);
-    if (known != null) {
-      return known;
-    }
-    if (entries.size() >= maximumEntries) {
-      Iterator<Long> oldest = entries.keySet().iterator();
-      oldest.next();
-      oldest.remove();
-    }
-    Entry fresh = new Entry();
-    entries.put(fingerprint, fresh);
-    return fresh;
-  }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -32,10 +32,10 @@
   private final RequestProfile profile;
   private final LifecyclePolicy policy;
   private final RetryBudget budget;
-  private final Quarantine quarantine;
   private final Invariants invariants;
 
   private final HeldAttempts held;
+  private final SuspectGuard suspects;
   private final KvCustody kv;
   private final AttemptLedger ledger;
   private final BackOff backOff;
@@ -50,10 +50,8 @@
   private boolean answered;
   private boolean frameSeen;
   private long waitUntilMillis;
-  private long cancelWaitUntilMillis = Long.MAX_VALUE;
   private long stallAtMillis = Long.MAX_VALUE;
   private Optional<Grant> grant = Optional.empty();
-  private Optional<UpstreamName> runningOn = Optional.empty();
 
   /**
    * Takes the request and what it shares with others.
@@ -75,9 +73,11 @@
     this.profile = profile;
     this.policy = policy;
     this.budget = budget;
-    this.quarantine = quarantine;
     this.invariants = invariants;
-    this.held = new HeldAttempts(policy, this::leftUpstream);
+    this.held =
+        new HeldAttempts(
+            policy, (ended, upstream) -> quarantine.left(upstream, profile.id(), ended));
+    this.suspects = new SuspectGuard(profile, policy, quarantine, held);
     this.kv = new KvCustody(policy, held);
     this.ledger = new AttemptLedger(profile, invariants);
     this.backOff = new BackOff(policy, random);
@@ -143,7 +143,7 @@
       return;
     }
     budget.earn();
-    if (isQuarantined()) {
+    if (suspects.isQuarantined(nowMillis)) {
       refuseQuarantined();
     } else if (profile.claimed()) {
       state = LifecycleState.CLAIMING;
@@ -176,12 +176,12 @@
   }
 
   private void tryToPlace() {
-    Suspicion suspicion = quarantine.suspicion(profile.fingerprint(), nowMillis);
+    Suspicion suspicion = suspects.suspicion(nowMillis);
     if (suspicion == Suspicion.QUARANTINED) {
       refuseQuarantined();
       return;
     }
-    if (suspicion == Suspicion.UNSETTLED || isWaitingForCancels(suspicion)) {
+    if (suspicion == Suspicion.UNSETTLED || suspects.isWaitingForCancels(suspicion, nowMillis)) {
       state = LifecycleState.BACKING_OFF;
       waitUntilMillis = nowMillis + UNSETTLED_RECHECK_MILLIS;
       return;
@@ -192,23 +192,6 @@
     actions.add(new LifecycleAction.Place(placementRequest(suspicion == Suspicion.SUSPECT)));
   }
 
-  /**
-   * A suspect is not sent again while an attempt that was given up may still arrive and crash its
-   * upstream, or one content could crash three: two by late attempts, one by the retry.
-   */
-  private boolean isWaitingForCancels(Suspicion suspicion) {
-    if (suspicion != Suspicion.SUSPECT || held.nextRepeatMillis().isEmpty()) {
-      return false;
-    }
-    cancelWaitUntilMillis =
-        Math.min(cancelWaitUntilMillis, nowMillis + policy.cancelRepeatLimitMillis());
-    return nowMillis < cancelWaitUntilMillis;
-  }
-
-  private boolean isQuarantined() {
-    return quarantine.suspicion(profile.fingerprint(), nowMillis) == Suspicion.QUARANTINED;
-  }
-
   private PlacementRequest placementRequest(boolean alone) {
     return new PlacementRequest(
         profile.id(),
@@ -224,7 +207,7 @@
         nowMillis - profile.receivedAtMillis(),
         Math.max(0, profile.firstTokenAtMillis() - nowMillis),
         Math.max(0, profile.deadlineAtMillis() - nowMillis),
-        List.copyOf(avoid),
+        alone ? suspects.avoided(avoid) : List.copyOf(avoid),
         kv.living(nowMillis).map(KvSource::holder),
         alone);
   }
@@ -235,9 +218,11 @@
       return;
     }
     grant = Optional.of(given);
-    if (isQuarantined()) {
+    if (suspects.isQuarantined(nowMillis)) {
       state = LifecycleState.BACKING_OFF;
       refuseQuarantined();
+    } else if (suspects.isBesideSuspect(given, nowMillis)) {
+      placeLater();
     } else if (given.mode() == GrantMode.PLAIN) {
       sendPlain(given);
     } else if (given.mode() == GrantMode.LOCAL_PREFILL) {
@@ -251,21 +236,33 @@
     }
   }
 
+  /** Gives up an attempt that was not sent to where it runs, and asks for another place soon. */
+  private void placeLater() {
+    reportEnd(AttemptResult.CANCELLED, Optional.empty());
+    state = LifecycleState.BACKING_OFF;
+    stallAtMillis = Long.MAX_VALUE;
+    waitUntilMillis = nowMillis + UNSETTLED_RECHECK_MILLIS;
+  }
+
   private void sendPrefill(Grant given) {
     UpstreamName upstream = given.prefill().orElseThrow();
     state = LifecycleState.PREFILLING;
     stallAtMillis =
         nowMillis + ESTIMATE_FACTOR * given.expectedPrefillMillis() + policy.prefillStallMillis();
     held.add(attempt, upstream);
-    runOn(upstream);
+    suspects.began(attempt, upstream);
     actions.add(new LifecycleAction.SendPrefill(attempt, upstream));
   }
 
   private void sendDecode(Grant given) {
-    if (isQuarantined()) {
+    if (suspects.isQuarantined(nowMillis)) {
       refuseQuarantined();
       return;
     }
+    if (suspects.isBesideSuspect(given, nowMillis)) {
+      placeLater();
+      return;
+    }
     if (!ledger.maySend()) {
       refuseFault();
       return;
@@ -278,7 +275,7 @@
             : Long.MAX_VALUE;
     ledger.sent(attempt);
     held.add(attempt, given.target());
-    runOn(given.target());
+    suspects.began(attempt, given.target());
     actions.add(new LifecycleAction.SendDecode(attempt, given.target(), nextIndex, kv.source()));
   }
 
@@ -289,7 +286,7 @@
     }
     state = LifecycleState.PLAIN_RUNNING;
     ledger.sent(attempt);
-    runOn(given.target());
+    suspects.began(attempt, given.target());
     actions.add(new LifecycleAction.SendPlain(attempt, given.target()));
   }
 
@@ -303,7 +300,12 @@
       return;
     }
     state = LifecycleState.BACKING_OFF;
-    refuse(refused.refusal());
+    if (refused.refusal().reason() == RefusalReason.NO_UPSTREAM
+        && suspects.isKeptApart(avoid, nowMillis)) {
+      waitUntilMillis = nowMillis + UNSETTLED_RECHECK_MILLIS;
+    } else {
+      refuse(refused.refusal());
+    }
   }
 
   void prefilled(LifecycleEvent.Prefilled event) {
@@ -313,8 +315,8 @@
     }
     Grant current = grant.orElseThrow();
     UpstreamName holder = current.prefill().orElseThrow();
-    leaveUpstream();
-    leftUpstream(attempt, holder);
+    suspects.leave(attempt);
+    suspects.left(attempt, holder);
     kv.take(
         new KvSource(
             holder,
@@ -357,6 +359,7 @@
       return;
     }
     frameSeen = true;
+    suspects.showedLife(attempt);
     kv.released();
     report(AttemptPhase.GENERATING, 0, 0);
   }
@@ -378,7 +381,7 @@
                   finished.promptTokens(),
                   finished.cachedTokens(),
                   nextIndex)));
-      quarantine.completed(profile.fingerprint());
+      suspects.completed(nowMillis);
       end(AttemptResult.COMPLETED, ClaimOutcome.COMPLETED);
     }
   }
@@ -391,7 +394,7 @@
     if (!callerGone) {
       answer(new LifecycleAction.DeliverAnswer(attempt));
     }
-    quarantine.completed(profile.fingerprint());
+    suspects.completed(nowMillis);
     end(AttemptResult.COMPLETED, ClaimOutcome.COMPLETED);
   }
 
@@ -400,9 +403,7 @@
       held.release(failed.attempt(), failed.upstream());
     }
     boolean current =
-        state.isRunning()
-            && failed.attempt() == attempt
-            && runningOn.equals(Optional.of(failed.upstream()));
+        state.isRunning() && failed.attempt() == attempt && suspects.isRunningOn(failed.upstream());
     if (current) {
       failCurrent(failed.failure());
     } else {
@@ -417,19 +418,19 @@
   void upstreamRestarted(UpstreamName upstream) {
     held.releaseAll(upstream);
     kv.holderRestarted(upstream);
-    if (state.isRunning() && runningOn.equals(Optional.of(upstream))) {
+    if (state.isRunning() && suspects.isRunningOn(upstream)) {
       failCurrent(UpstreamFailure.CUT);
     }
   }
 
   /** Ends the current attempt with a failure, and tries again where that is allowed. */
   private void failCurrent(UpstreamFailure failure) {
-    UpstreamName upstream = runningOn.orElseThrow();
+    UpstreamName upstream = suspects.runningOn().orElseThrow();
     boolean prefillFailed = state == LifecycleState.PREFILLING;
     if (failure.isCrashSign()) {
-      quarantine.cut(upstream, profile.id(), attempt, nowMillis);
+      suspects.cut(attempt, upstream, nowMillis);
     }
-    leaveUpstream();
+    suspects.leave(attempt);
     if (failure.isNotRun()) {
       ledger.provenNotRun(attempt);
     }
@@ -543,7 +544,7 @@
     if (cut) {
       actions.add(new LifecycleAction.CloseAttempt(attempt));
     }
-    leaveUpstream();
+    suspects.leave(attempt);
     if (waiting) {
       actions.add(new LifecycleAction.Withdraw(profile.id()));
     }
@@ -566,26 +567,6 @@
     }
   }
 
-  private void runOn(UpstreamName upstream) {
-    runningOn = Optional.of(upstream);
-    quarantine.began(upstream, profile.id(), attempt, profile.fingerprint());
-  }
-
-  /**
-   * Forgets where the attempt runs. The quarantine keeps it until the upstream holds nothing of it:
-   * an attempt that was given up may still crash the upstream before its cancel arrives.
-   */
-  private void leaveUpstream() {
-    runningOn
-        .filter(upstream -> !held.isHeld(attempt, upstream))
-        .ifPresent(upstream -> leftUpstream(attempt, upstream));
-    runningOn = Optional.empty();
-  }
-
-  private void leftUpstream(int ended, UpstreamName upstream) {
-    quarantine.left(upstream, profile.id(), ended);
-  }
-
   private long backOffEndMillis() {
     return state == LifecycleState.BACKING_OFF ? waitUntilMillis : Long.MAX_VALUE;
   }
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/outcome/SuspectGuard.java
@@ -0,0 +1,115 @@
+package org.marjoramsail.core.outcome;
+
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.placement.Grant;
+
+/** What one request and the quarantine tell each other: where it runs, and whether it may. */
+final class SuspectGuard {
+
+  private final RequestProfile profile;
+  private final LifecyclePolicy policy;
+  private final Quarantine quarantine;
+  private final HeldAttempts held;
+  private long cancelWaitUntilMillis = Long.MAX_VALUE;
+  private Optional<UpstreamName> runningOn = Optional.empty();
+
+  SuspectGuard(
+      RequestProfile profile, LifecyclePolicy policy, Quarantine quarantine, HeldAttempts held) {
+    this.profile = profile;
+    this.policy = policy;
+    this.quarantine = quarantine;
+    this.held = held;
+  }
+
+  /** The upstream that works on the current attempt. */
+  Optional<UpstreamName> runningOn() {
+    return runningOn;
+  }
+
+  boolean isRunningOn(UpstreamName upstream) {
+    return runningOn.equals(Optional.of(upstream));
+  }
+
+  Suspicion suspicion(long nowMillis) {
+    return quarantine.suspicion(profile.fingerprint(), nowMillis);
+  }
+
+  boolean isQuarantined(long nowMillis) {
+    return suspicion(nowMillis) == Suspicion.QUARANTINED;
+  }
+
+  /**
+   * A suspect is not sent again while an attempt that was given up may still arrive and crash its
+   * upstream, or one content could crash three: two by late attempts, one by the retry.
+   */
+  boolean isWaitingForCancels(Suspicion suspicion, long nowMillis) {
+    if (suspicion != Suspicion.SUSPECT || held.nextRepeatMillis().isEmpty()) {
+      return false;
+    }
+    cancelWaitUntilMillis =
+        Math.min(cancelWaitUntilMillis, nowMillis + policy.cancelRepeatLimitMillis());
+    return nowMillis < cancelWaitUntilMillis;
+  }
+
+  /** The upstreams that placement has to avoid for a suspect, besides those that failed. */
+  List<UpstreamName> avoided(Collection<UpstreamName> failed) {
+    Set<UpstreamName> all = new LinkedHashSet<>(failed);
+    all.addAll(quarantine.upstreamsWithOtherSuspects(profile.fingerprint()));
+    return List.copyOf(all);
+  }
+
+  /** Whether upstreams are avoided that will hold no other suspect after a while. */
+  boolean isKeptApart(Collection<UpstreamName> failed, long nowMillis) {
+    return suspicion(nowMillis) == Suspicion.SUSPECT
+        && avoided(failed).size() > Set.copyOf(failed).size();
+  }
+
+  /**
+   * Whether a grant would put it beside another suspect. Guards against the failure in which two
+   * requests were placed side by side before they became suspect together.
+   */
+  boolean isBesideSuspect(Grant given, long nowMillis) {
+    if (suspicion(nowMillis) != Suspicion.SUSPECT) {
+      return false;
+    }
+    List<UpstreamName> others = quarantine.upstreamsWithOtherSuspects(profile.fingerprint());
+    return others.contains(given.target()) || given.prefill().filter(others::contains).isPresent();
+  }
+
+  void began(int attempt, UpstreamName upstream) {
+    runningOn = Optional.of(upstream);
+    quarantine.began(upstream, profile.id(), attempt, profile.fingerprint());
+  }
+
+  void showedLife(int attempt) {
+    runningOn.ifPresent(upstream -> quarantine.showedLife(upstream, profile.id(), attempt));
+  }
+
+  void cut(int attempt, UpstreamName upstream, long nowMillis) {
+    quarantine.cut(upstream, profile.id(), attempt, nowMillis);
+  }
+
+  void completed(long nowMillis) {
+    quarantine.completed(profile.fingerprint(), nowMillis);
+  }
+
+  /**
+   * Forgets where the attempt runs. The quarantine keeps it until the upstream holds nothing of it:
+   * an attempt that was given up may still crash the upstream before its cancel arrives.
+   */
+  void leave(int attempt) {
+    runningOn
+        .filter(upstream -> !held.isHeld(attempt, upstream))
+        .ifPresent(upstream -> left(attempt, upstream));
+    runningOn = Optional.empty();
+  }
+
+  void left(int attempt, UpstreamName upstream) {
+    quarantine.left(upstream, profile.id(), attempt);
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/outcome/Suspicion.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Suspicion.java
@@ -6,8 +6,8 @@
   CLEAR,
   /** It ran on an upstream that crashed, as did others; it is tried apart from other suspects. */
   SUSPECT,
-  /** Its second crash is likely but not yet proven; it waits for the proof. */
+  /** Its second crash is not proven, or another content is tried first; it waits. */
   UNSETTLED,
-  /** It has crashed two upstreams. */
+  /** It was on two crashed upstreams, and no other content explains both. */
   QUARANTINED
 }
--- a/core/src/test/java/org/marjoramsail/core/outcome/FuzzedRequest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/FuzzedRequest.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.failure.RunState;
@@ -21,6 +22,7 @@
   final List<LifecycleAction> ends = new ArrayList<>();
   final Map<Integer, Integer> endReports = new HashMap<>();
   final List<Integer> granted = new ArrayList<>();
+  Optional<FuzzedUpstream> reservedAlone = Optional.empty();
   int waitingAttempt;
   int runs;
   boolean callerGone;
@@ -59,9 +61,15 @@
     } else if (action instanceof LifecycleAction.Report report
         && report.report().phase() == AttemptPhase.ENDED) {
       endReports.merge(report.report().attempt(), 1, Integer::sum);
+      reservedAlone = Optional.empty();
     }
   }
 
+  /** Whether it has an upstream for itself, as a suspect. */
+  boolean isReservedAlone(FuzzedUpstream upstream) {
+    return lifecycle.state() != LifecycleState.ENDED && reservedAlone.equals(Optional.of(upstream));
+  }
+
   /** Counts a true run of it. */
   void ran() {
     runs++;
--- a/core/src/test/java/org/marjoramsail/core/outcome/FuzzedUpstream.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/FuzzedUpstream.java
@@ -27,6 +27,11 @@
       this.kv = kv;
       this.nextIndex = nextIndex;
     }
+
+    /** Starts the life of its KV cache; an answer that the network repeats prolongs nothing. */
+    void firstAnswered(long endsAtMillis) {
+      expiresAtMillis = Math.min(expiresAtMillis, endsAtMillis);
+    }
   }
 
   final UpstreamName name;
