--- a/command/src/test/java/org/marjoramsail/command/FakeDaemon.java
+++ b/command/src/test/java/org/marjoramsail/command/FakeDaemon.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import org.marjoramsail.command.fleet.FleetDaemon;
 import org.marjoramsail.standin.engine.TokenText;
@@ -50,6 +51,11 @@
     return server.actualPort();
   }
 
+  @Override
+  public boolean isDecidingFor(String service) {
+    return false;
+  }
+
   @Override
   public Future<Void> stop() {
     return server.close();
@@ -60,6 +66,11 @@
     return server.close();
   }
 
+  @Override
+  public OptionalLong violations() {
+    return OptionalLong.empty();
+  }
+
   @Override
   public void pause(long millis) {
     throw new UnsupportedOperationException("Nothing pauses the fake daemon.");
