--- a/command/src/main/java/org/marjoramsail/command/fleet/RuntimeFleetDaemon.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/RuntimeFleetDaemon.java
@@ -12,6 +12,7 @@
   private final Vertx vertx;
   private final DaemonRuntime runtime;
   private final int eventLoops;
+  private volatile boolean killed;
 
   RuntimeFleetDaemon(Vertx vertx, DaemonRuntime runtime, int eventLoops) {
     this.vertx = vertx;
@@ -40,14 +41,19 @@
         .anyMatch(view -> view.shard().service().equals(service) && !view.upstreams().isEmpty());
   }
 
+  /** A killed daemon has no event loop left on which a stop could run. */
   @Override
   public Future<Void> stop() {
+    if (killed) {
+      return Future.succeededFuture();
+    }
     return Future.fromCompletionStage(runtime.stop(phase -> {})).eventually(() -> vertx.close());
   }
 
   /** Closing the event loops breaks all connections without a word, as the death of a process. */
   @Override
   public Future<Void> kill() {
+    killed = true;
     return vertx.close();
   }
 
