--- a/command/src/main/java/org/marjoramsail/command/fleet/FleetSetup.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/FleetSetup.java
@@ -20,4 +20,11 @@
     long seed,
     EngineTimings timings,
     long warmUpMillis,
-    FleetFaults faults) {}
+    FleetFaults faults) {
+
+  /** A fleet without warm-up in which nothing is made to fail. */
+  public FleetSetup(
+      Deployment deployment, int daemons, String policy, long seed, EngineTimings timings) {
+    this(deployment, daemons, policy, seed, timings, 0, FleetFaults.none());
+  }
+}
