End a reader that takes nothing, before its answer counts as complete

Cause: the test closed a paused socket of the same event loops and waited for it for ever, so it never passed; behind that stood a real fault. The end of a slow reader queued behind all frames that a fast engine had sent already, so the request could end as completed, while its connection stayed open with an answer that was cut. By the library's code, its close also waits behind bytes that nobody reads. Ruled out: socket buffers (with a receive buffer of 4 KB and some 13 MB the bound of 64 KB is passed in every run). Change: the end of a caller goes before what waits in the request's mailbox; a slow reader's connection is closed by force, also when the answer had ended in between; a connection whose last answer is not read is closed in time. The test reads from a plain socket, and also asserts that the engine holds nothing and that the connection is closed. The need of the forced close alone was not isolated by a test. Conclusion: a slow reader is ended with its reason; others are served meanwhile.

--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/ConnectionGuard.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/ConnectionGuard.java
@@ -84,7 +84,13 @@
 
   private void arm(HttpConnection connection, State state) {
     disarm(state);
-    state.timer = vertx.setTimer(limits.headerTimeoutMillis(), fired -> connection.close());
+    state.timer = vertx.setTimer(limits.headerTimeoutMillis(), fired -> close(connection));
+  }
+
+  /** Closes once the last answer is read; a reader that does not read it in time loses the rest. */
+  private void close(HttpConnection connection) {
+    connection.close();
+    vertx.setTimer(limits.slowReaderMillis(), fired -> ForcedClose.close(connection));
   }
 
   private void disarm(State state) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/StreamSink.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/StreamSink.java
@@ -92,7 +92,7 @@
     if (refusal.reason() == RefusalReason.SLOW_READER) {
       ended = true;
       cancelTimer();
-      connection.close();
+      ForcedClose.close(connection);
     } else if (response.headWritten()) {
       write("event: error\ndata: " + problems.document(request, refusal) + "\n\n");
       finish();
@@ -135,8 +135,11 @@
         Refusal.unknown(RefusalReason.SLOW_READER, detail + limits.maximumBufferedBytes() + "."));
   }
 
+  /** Ends the answer; one whose reader was too slow ends without its rest. */
   private void finish() {
-    if (!ended && !response.closed()) {
+    if (ended) {
+      ForcedClose.close(connection);
+    } else if (!response.closed()) {
       ended = true;
       response.end().onComplete(done -> cancelTimer());
     }
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -46,10 +46,19 @@
     this.settled = settled;
   }
 
-  /** Takes an event on any thread. */
+  /**
+   * Takes an event on any thread. The end of the caller goes before all that waits. Guards against
+   * the failure in which a fast engine fills the mailbox for a reader that takes nothing: the
+   * request would end as completed, and others on the same executor would wait until then.
+   */
   void deliver(LifecycleEvent event) {
     synchronized (shardLock) {
-      mailbox.add(event);
+      if (event instanceof LifecycleEvent.CallerEnded
+          || event instanceof LifecycleEvent.CallerGone) {
+        mailbox.addFirst(event);
+      } else {
+        mailbox.addLast(event);
+      }
       if (draining) {
         return;
       }
--- a/daemon/src/test/java/org/marjoramsail/daemon/caller/CallerDefenceTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/caller/CallerDefenceTest.java
@@ -4,8 +4,13 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.net.NetSocket;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
@@ -149,6 +154,44 @@
     Waits.until("a refusal", () -> answer.get().contains("connection-limit"));
   }
 
+  /** A caller that asks for many tokens and never reads; its socket takes little. */
+  private Socket silentReader(int tokens) throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(4_096);
+    socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), path.port()));
+    String body =
+        "{\"model\":\"asistente\",\"prompt\":\"a\",\"stream\":true,\"max_tokens\":" + tokens + "}";
+    String request =
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer "
+            + CallerPath.TOKEN
+            + "\r\ncontent-length: "
+            + body.length()
+            + "\r\n\r\n"
+            + body;
+    socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+    return socket;
+  }
+
+  /**
+   * One caller that reads nothing fills the daemon's memory and keeps an engine's slot, while all
+   * others wait: its answer piles up without a bound, and the connection is never closed, since the
+   * close waits behind the bytes that nobody reads.
+   */
+  @Test
+  void aReaderThatTakesNothingIsEndedAndOthersAreServed() throws IOException {
+    try (Socket reader = silentReader(100_000)) {
+      Waits.until(
+          "the reader is ended",
+          () -> path.count("requests.refused", "reason", "slow-reader", "run", "unknown") == 1);
+      assertThat(callers.send(callers.completion("asistente", 2, false)).statusCode())
+          .isEqualTo(200);
+      Waits.until("the request is settled", () -> path.registry().size() == 0);
+      Waits.until("the engine holds nothing", () -> decode.held().isEmpty());
+      Waits.until("its connection is closed", () -> path.server().openConnections() <= 1);
+      assertThat(reader.isConnected()).isTrue();
+    }
+  }
+
   /** An engine's slots fill up with requests of neighbours who have closed the page. */
   @Test
   void aCallerWhoLeavesFreesTheEngine() {
