Log and count an order that cannot be written as JSON

Cause: such an order ended as "no connection came about" without a trace, so a fault of this program looked like upstreams that do not answer. Ruled out: another failure kind; nothing was sent, which the request is told. Change: EngineClient takes a meter registry, counts each such order (marjoramsail.upstream.orders.unwritable) and logs the first as an error with its upstream. Conclusion: on call sees at once that the fault is in the router.

--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -145,7 +145,7 @@
     this.claims =
         new PeerClaimService(
             vertx, self, ClaimSettings.defaults(), store, network, this::liveRuns, clock, meters);
-    UpstreamParts upstreams = new UpstreamParts(vertx, json, configuration::current);
+    UpstreamParts upstreams = new UpstreamParts(vertx, json, configuration::current, meters);
     this.placementParts =
         new PlacementParts(
             placement,
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/UpstreamParts.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/UpstreamParts.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.daemon.assembly;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.Vertx;
 import java.util.function.Supplier;
 import org.marjoramsail.core.configuration.Configuration;
@@ -17,10 +18,11 @@
   final EngineClient engines;
   final PlainClient plainServices;
 
-  UpstreamParts(Vertx vertx, ObjectMapper json, Supplier<Configuration> configuration) {
+  UpstreamParts(
+      Vertx vertx, ObjectMapper json, Supplier<Configuration> configuration, MeterRegistry meters) {
     UpstreamHttp http = new UpstreamHttp(vertx, UpstreamLimits.defaults());
     this.directory = new UpstreamDirectory(configuration);
-    this.engines = new EngineClient(http, json);
+    this.engines = new EngineClient(http, json, meters);
     this.plainServices = new PlainClient(http, json);
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/EngineClient.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/EngineClient.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.MeterRegistry;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
@@ -10,10 +12,13 @@
 import java.io.IOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.outcome.UpstreamFailure;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Calls model engines.
@@ -27,17 +32,23 @@
   private static final String ATTEMPTS = "/v1/attempts";
 
   private final UpstreamHttp http;
+  private static final Logger LOG = LoggerFactory.getLogger(EngineClient.class);
+
   private final ObjectMapper json;
+  private final Counter unwritableOrders;
+  private final AtomicBoolean unwritableSeen = new AtomicBoolean();
 
   /**
    * Takes what it calls with.
    *
    * @param http the connections
    * @param json a mapper that knows {@code Optional}
+   * @param meters counts orders that cannot be written
    */
-  public EngineClient(UpstreamHttp http, ObjectMapper json) {
+  public EngineClient(UpstreamHttp http, ObjectMapper json, MeterRegistry meters) {
     this.http = http;
     this.json = json;
+    this.unwritableOrders = meters.counter("marjoramsail.upstream.orders.unwritable");
   }
 
   /**
@@ -215,6 +226,7 @@
     try {
       body = Buffer.buffer(json.writeValueAsBytes(order));
     } catch (JsonProcessingException unwritable) {
+      noteUnwritable(endpoint, unwritable);
       failed.accept(UpstreamFailure.CONNECT_FAILED);
       return Promise.<HttpClientResponse>promise().future();
     }
@@ -230,6 +242,20 @@
         .onFailure(cause -> failed.accept(UpstreamCallException.failureOf(cause)));
   }
 
+  /**
+   * Guards against the failure in which a fault of this program looks like upstreams that do not
+   * answer: nothing was sent, which is all that the request has to know, but nobody would be told.
+   */
+  private void noteUnwritable(UpstreamEndpoint endpoint, JsonProcessingException cause) {
+    unwritableOrders.increment();
+    if (unwritableSeen.compareAndSet(false, true)) {
+      LOG.atError()
+          .addKeyValue("upstream", endpoint.name())
+          .setCause(cause)
+          .log("an order cannot be written as JSON; further ones are only counted");
+    }
+  }
+
   private static Consumer<UpstreamFailure> once(
       UpstreamCall call, Consumer<UpstreamFailure> failed) {
     return failure -> {
