Serve a daemon that comes back as soon as it is taken back

Cause: a daemon that stood still for longer than a suspicion lasts was alive for all within 0.7 s of its waking, yet owners dropped its requests for 5 s after they had called it dead, and told it that they wait: what came in these seconds waited until its deadline. Ruled out: membership (all took it back at once), silence of owners (they answered) and a new owner that settles (the owner never changed). Change: when membership has a daemon again, owners forget that it was gone and what they registered of it meanwhile; its entry registers that anew. Two tests are added; the one of the placer was seen to fail without the change.

--- a/core/src/main/java/org/marjoramsail/core/placement/AttemptMemory.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/AttemptMemory.java
@@ -30,10 +30,21 @@
     gone.put(daemon, nowMillis + MEMORY_MILLIS);
   }
 
+  /**
+   * Takes that a daemon lives after all.
+   *
+   * <p>Guards against a daemon that was paused for longer than a suspicion lasts: its callers would
+   * go without an answer for the rest of the time for which it counts as gone, since none of its
+   * requests would be queued. It is heard again as soon as membership has taken it back.
+   */
+  void back(DaemonId daemon) {
+    gone.invalidate(daemon);
+  }
+
   /**
    * Whether a message about this attempt is late.
    *
-   * <p>A daemon counts as gone for some seconds only: one that was declared dead wrongly repeats
+   * <p>A daemon counts as gone for some seconds at most: one that was declared dead wrongly repeats
    * its requests and has to be heard again.
    */
   boolean isOver(PlacementRequest request, long nowMillis) {
--- a/core/src/main/java/org/marjoramsail/core/placement/Placer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/Placer.java
@@ -44,6 +44,12 @@
   /** Drops all that a dead daemon had waiting or granted. */
   List<PlacementResult> daemonGone(DaemonId daemon, long nowMillis);
 
+  /**
+   * Takes that a daemon lives that was said to be dead: what it asks for counts again. A policy
+   * that remembers no dead daemons has nothing to do.
+   */
+  default void daemonBack(DaemonId daemon) {}
+
   /** Does what time has made due; called every few milliseconds. */
   List<PlacementResult> tick(long nowMillis);
 
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -167,6 +167,11 @@
     return dispatch(nowMillis);
   }
 
+  @Override
+  public void daemonBack(DaemonId daemon) {
+    memory.back(daemon);
+  }
+
   @Override
   public List<PlacementResult> daemonGone(DaemonId daemon, long nowMillis) {
     memory.gone(daemon, nowMillis);
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardLedger.java
@@ -89,6 +89,18 @@
     return outgoing(placer.daemonGone(daemon, nowMillis));
   }
 
+  /**
+   * Takes that a daemon lives that was said to be dead.
+   *
+   * <p>What it sent meanwhile was not queued, yet it is registered, so that its entry would be told
+   * that it waits and would never send it again. It is forgotten; the entry registers it anew when
+   * it next repeats what it holds.
+   */
+  public void daemonBack(DaemonId daemon) {
+    registrations.values().removeIf(registration -> registration.entry.equals(daemon));
+    placer.daemonBack(daemon);
+  }
+
   /** Passes a fact about upstreams or configuration to the placer. */
   public List<Outgoing> inform(PlacerEvent event, long nowMillis) {
     return outgoing(event.tell(placer, nowMillis));
--- a/core/src/test/java/org/marjoramsail/core/placement/ReservingPlacerTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ReservingPlacerTest.java
@@ -165,6 +165,23 @@
     assertThat(granted(placer.daemonGone(PlacementFixtures.ENTRY, 10))).containsExactly("r3");
   }
 
+  /**
+   * A daemon stands still for longer than a suspicion lasts and goes on. For seconds its callers
+   * get no answer although it is alive for all: the owner still takes its requests for late ones of
+   * a dead daemon.
+   */
+  @Test
+  void aDaemonThatComesBackIsServedAtOnce() {
+    ReservingPlacer placer = placer(pool(0, 1, 2));
+    placer.daemonGone(PlacementFixtures.ENTRY, 0);
+
+    assertThat(placer.place(request("late").tokens(50, 10).build(), 10)).isEmpty();
+    placer.daemonBack(PlacementFixtures.ENTRY);
+
+    assertThat(granted(placer.place(request("new").tokens(50, 10).build(), 20)))
+        .containsExactly("new");
+  }
+
   /**
    * A prompt is read twice although its KV cache lives. The decode upstream died; the next attempt
    * names the prefill upstream that still has the cache for some hundred milliseconds.
--- a/core/src/test/java/org/marjoramsail/core/placement/ShardLedgerTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ShardLedgerTest.java
@@ -64,6 +64,31 @@
     assertThat(placer.held()).isZero();
   }
 
+  // A user waits until the deadline though servers are free. In order: the user's daemon stands
+  // still, is declared dead, goes on, sends the request and is taken back. Cause: the owner dropped
+  // the request as a late one of a dead daemon and yet told the daemon that it waits.
+  @Test
+  void whatADaemonSentWhileItWasHeldForDeadIsAskedForOnceItIsBack() {
+    ShardLedger reserving =
+        new ShardLedger(
+            SHARD,
+            PlacementFixtures.plainPlacer(PlacementFixtures.plainPool(1, 1)),
+            PlacementTimings.standard());
+    PlacementMessage place = new PlacementMessage.Place(SHARD, asking("first"));
+    PlacementMessage.Holding holding =
+        new PlacementMessage.Holding(new RequestId("first"), 1, false);
+    reserving.daemonGone(ENTRY, 0);
+    reserving.handle(ENTRY, place, 10);
+    reserving.daemonBack(ENTRY);
+
+    assertThat(reserving.handle(ENTRY, new PlacementMessage.Holdings(SHARD, List.of(holding)), 20))
+        .extracting(ShardLedger.Outgoing::message)
+        .containsExactly(new PlacementMessage.Unknown(SHARD, List.of(holding)));
+    assertThat(reserving.handle(ENTRY, place, 30))
+        .extracting(ShardLedger.Outgoing::message)
+        .hasOnlyElementsOfType(PlacementMessage.Granted.class);
+  }
+
   @Test
   void placingTheSameAttemptAgainTakesNoSecondSlot() {
     place("first");
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -156,12 +156,15 @@
       }
     }
     Set<DaemonId> gone;
+    Set<DaemonId> back = new HashSet<>(now);
     synchronized (entryLock) {
       gone = new HashSet<>(reachable);
       gone.removeAll(now);
+      back.removeAll(reachable);
       reachable = now;
     }
     gone.forEach(owned::daemonGone);
+    back.forEach(owned::daemonBack);
     tickEntry();
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
@@ -41,6 +41,10 @@
     return ledger.daemonGone(daemon, nowMillis);
   }
 
+  synchronized void daemonBack(DaemonId daemon) {
+    ledger.daemonBack(daemon);
+  }
+
   synchronized List<ShardLedger.Outgoing> tick(long nowMillis) {
     if (!ledger.isEmpty()) {
       usedMillis = nowMillis;
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -61,6 +61,10 @@
     shards.values().forEach(shard -> send(shard.daemonGone(daemon, clock.millis())));
   }
 
+  void daemonBack(DaemonId daemon) {
+    shards.values().forEach(shard -> shard.daemonBack(daemon));
+  }
+
   void tick() {
     long now = clock.millis();
     shards.values().forEach(shard -> send(shard.tick(now)));
