--- a/command/src/main/java/org/marjoramsail/command/soak/SoakCheck.java
+++ b/command/src/main/java/org/marjoramsail/command/soak/SoakCheck.java
@@ -50,9 +50,14 @@
   }
 
   private static long falselyNotRun(SoakRecord record) {
+    return denied(record).size();
+  }
+
+  /** The sends of each keyed request of which a sender was told wrongly that it was not run. */
+  static List<List<Observation>> denied(SoakRecord record) {
     return record.sendsByKey().values().stream()
         .filter(sends -> isRunDenied(sends, record.audit()))
-        .count();
+        .toList();
   }
 
   private static boolean isRunDenied(List<Observation> sends, FleetAudit audit) {
--- a/command/src/main/java/org/marjoramsail/command/soak/SoakJudge.java
+++ b/command/src/main/java/org/marjoramsail/command/soak/SoakJudge.java
@@ -96,6 +96,11 @@
         .limit(MOST_EXAMPLES)
         .map(this::describe)
         .forEach(examples::add);
+    SoakCheck.denied(record).stream()
+        .flatMap(List::stream)
+        .limit(MOST_EXAMPLES)
+        .map(this::describe)
+        .forEach(examples::add);
     record.engines().stream()
         .filter(engine -> !engine.isHoldingNothing())
         .map(SoakJudge::describe)
--- a/command/src/test/java/org/marjoramsail/command/soak/SoakJudgeTest.java
+++ b/command/src/test/java/org/marjoramsail/command/soak/SoakJudgeTest.java
@@ -58,8 +58,9 @@
   void aKeyedRequestWhoseSendersWereAllToldNotRunMustNotHaveRun() {
     List<RequestOutcome> refused = List.of(outcome(RequestEnd.REFUSED, "entry-1", 100));
 
-    assertThat(judge(List.of(), refused, Map.of(BALLOT, 1)).violations())
-        .containsOnlyKeys(SoakCheck.KEYED_NOT_RUN_IS_TRUE);
+    SoakReport report = judge(List.of(), refused, Map.of(BALLOT, 1));
+    assertThat(report.violations()).containsOnlyKeys(SoakCheck.KEYED_NOT_RUN_IS_TRUE);
+    assertThat(report.examples()).singleElement().asString().contains(BALLOT, "run not-run");
     assertThat(judge(List.of(), refused, Map.of()).isClean()).isTrue();
   }
 
