--- a/command/src/test/java/org/marjoramsail/command/soak/SoakRunTest.java
+++ b/command/src/test/java/org/marjoramsail/command/soak/SoakRunTest.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.command.fleet.Deployment;
-import org.marjoramsail.command.fleet.FleetFaults;
 import org.marjoramsail.command.fleet.FleetSetup;
 import org.marjoramsail.command.fleet.RuntimeDaemons;
 import org.marjoramsail.daemon.assembly.SystemClock;
@@ -38,14 +37,7 @@
 
   private static SoakSetup setup() {
     FleetSetup fleet =
-        new FleetSetup(
-            Deployment.ROSARIO,
-            DAEMONS,
-            "reserve",
-            SEED,
-            EngineTimings.defaults(),
-            0,
-            FleetFaults.none());
+        new FleetSetup(Deployment.ROSARIO, DAEMONS, "reserve", SEED, EngineTimings.defaults());
     WorkloadDefinition workload =
         new WorkloadDefinition(
             RequestMix.ROSARIO,
