Take the marks of a merge out of the daemon of a local fleet

Cause: a merge left its conflict marks in RuntimeFleetDaemon, which then did not compile. Change: the field that says whether a daemon was killed stays, the count of event loops, which nothing uses any more, goes.

--- a/command/src/main/java/org/marjoramsail/command/fleet/RuntimeFleetDaemon.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/RuntimeFleetDaemon.java
@@ -13,11 +13,7 @@
 
   private final Vertx vertx;
   private final DaemonRuntime runtime;
-<<<<<<< HEAD
-=======
-  private final int eventLoops;
   private volatile boolean killed;
->>>>>>> placement
 
   RuntimeFleetDaemon(Vertx vertx, DaemonRuntime runtime) {
     this.vertx = vertx;
