Call a keyed request not run only when its claim proves it

Ruled out: a second run (the audit shows one) and a lost settlement. Change: without a recorded claim a keyed request ends as 'unknown', in the lifecycle, in the claim gate and where a daemon refuses before it; the answer says when to come back, which a key makes harmless. The page of the policy that runs without a claim now says what it risks. Conclusion: 'not-run' of a keyed request now rests on its own claim alone.

--- a/core/src/main/java/org/marjoramsail/core/configuration/StoreOutagePolicy.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/StoreOutagePolicy.java
@@ -4,6 +4,9 @@
 public enum StoreOutagePolicy {
   /** Refuse it truthfully as not run; the default, since it never risks a second run. */
   REFUSE,
-  /** Run it once without a claim; a repeat with the same key is refused until the store is back. */
+  /**
+   * Run it without a claim; a repeat with the same key during the outage may run it again, so this
+   * is for requests whose second run does little harm.
+   */
   RUN_UNCLAIMED
 }
--- a/core/src/main/java/org/marjoramsail/core/failure/Refusal.java
+++ b/core/src/main/java/org/marjoramsail/core/failure/Refusal.java
@@ -23,6 +23,11 @@
     return new Refusal(reason, RunState.NOT_RUN, detail, Optional.of(retryAfterMillis));
   }
 
+  /** The same refusal of a request of which nothing is proven, since it repeats another's key. */
+  public Refusal withUnknownRun() {
+    return new Refusal(reason, RunState.UNKNOWN, detail, retryAfterMillis);
+  }
+
   /** A request that may have run. */
   public static Refusal unknown(RefusalReason reason, String detail) {
     return new Refusal(reason, RunState.UNKNOWN, detail, Optional.empty());
--- a/core/src/main/java/org/marjoramsail/core/outcome/AttemptLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptLedger.java
@@ -51,8 +51,16 @@
     return !possiblyRun.isEmpty();
   }
 
+  /**
+   * What is proven of the run.
+   *
+   * <p>Guards against a ballot that is called not run though its voter's first try ran it: a repeat
+   * with the same key is refused elsewhere before its claim could be read, during an outage of the
+   * store, say. Only a recorded claim proves that no earlier request with the key was sent.
+   */
   RunState runState() {
-    return mayHaveRun() ? RunState.UNKNOWN : RunState.NOT_RUN;
+    boolean earlierMayHaveRun = profile.claimed() && !claimRecorded;
+    return mayHaveRun() || earlierMayHaveRun ? RunState.UNKNOWN : RunState.NOT_RUN;
   }
 
   ClaimOutcome openOutcome() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHandler.java
@@ -162,12 +162,22 @@
     }
   }
 
+  /**
+   * A repeat with a key that this daemon cannot take now may have run for an earlier request, which
+   * nobody has looked up; a request that would be refused at any time was never taken in before.
+   */
+  private static Refusal truthful(HttpServerRequest request, Refusal refusal) {
+    boolean keyed = request.headers().contains(CallerHeaders.KEY);
+    return keyed && refusal.reason().isWorthRetrying() ? refusal.withUnknownRun() : refusal;
+  }
+
   private void reject(HttpServerRequest request, RequestId id, Refusal refusal) {
     reject(request, id, refusal, !request.isEnded());
   }
 
   /** Refuses; what is left of a body is not read, so that its connection cannot be used again. */
-  private void reject(HttpServerRequest request, RequestId id, Refusal refusal, boolean closing) {
+  private void reject(HttpServerRequest request, RequestId id, Refusal found, boolean closing) {
+    Refusal refusal = truthful(request, found);
     peers.metrics().refused(refusal);
     HttpServerResponse response = request.response();
     if (closing) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHeaders.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHeaders.java
@@ -12,7 +12,7 @@
  */
 record CallerHeaders(Optional<String> idempotencyKey, Optional<Long> deadlineMillis) {
 
-  private static final String KEY = "idempotency-key";
+  static final String KEY = "idempotency-key";
   private static final String DEADLINE = "marjoramsail-deadline-millis";
   private static final int MAXIMUM_KEY_CHARACTERS = 255;
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/ProblemWriter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/ProblemWriter.java
@@ -46,7 +46,9 @@
 
   /** Seconds, rounded up; zero when coming back does not help or could run the request twice. */
   private static long retryAfterSeconds(Refusal refusal) {
-    if (refusal.runState() != RunState.NOT_RUN || !refusal.reason().isWorthRetrying()) {
+    boolean harmless =
+        refusal.runState() == RunState.NOT_RUN || refusal.retryAfterMillis().isPresent();
+    if (!harmless || !refusal.reason().isWorthRetrying()) {
       return 0;
     }
     long millis = refusal.retryAfterMillis().orElse(MILLIS_PER_SECOND);
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/StoredClaims.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/StoredClaims.java
@@ -77,12 +77,7 @@
                   quoted(request)
                       + " was used with other content; allowed: a new key, or the same content."));
       case STORE_UNAVAILABLE -> storeUnavailable(request);
-      case UNCERTAIN ->
-          refused(
-              Refusal.notRun(
-                  RefusalReason.STORE_UNAVAILABLE,
-                  quoted(request) + " could not be recorded in time; this request was not sent.",
-                  STORE_RETRY_MILLIS));
+      case UNCERTAIN -> refused(unrecorded(quoted(request) + " could not be recorded in time;"));
     };
   }
 
@@ -100,10 +95,17 @@
       return new ClaimDecision.Claimed();
     }
     return refused(
-        Refusal.notRun(
-            RefusalReason.STORE_UNAVAILABLE,
-            quoted(request) + " cannot be recorded while the platform's store does not answer.",
-            STORE_RETRY_MILLIS));
+        unrecorded(
+            quoted(request) + " cannot be recorded while the platform's store does not answer;"));
+  }
+
+  /** Without the record nothing tells whether an earlier request with the key was run. */
+  private static Refusal unrecorded(String why) {
+    return new Refusal(
+        RefusalReason.STORE_UNAVAILABLE,
+        RunState.UNKNOWN,
+        why + " this request was not sent, an earlier one with the key may have been.",
+        Optional.of(STORE_RETRY_MILLIS));
   }
 
   private static ClaimDecision refused(Refusal refusal) {
