--- a/command/src/main/java/org/marjoramsail/command/fleet/ProcessFleetDaemon.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/ProcessFleetDaemon.java
@@ -42,6 +42,12 @@
     return listen.peer().port();
   }
 
+  /** A run that ends the owner of a shard needs daemons in its own process; none is named here. */
+  @Override
+  public boolean isDecidingFor(String service) {
+    return false;
+  }
+
   @Override
   public Future<Void> stop() {
     process.destroy();
--- a/command/src/main/java/org/marjoramsail/command/fleet/RuntimeFleetDaemon.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/RuntimeFleetDaemon.java
@@ -13,6 +13,7 @@
 
   private final Vertx vertx;
   private final DaemonRuntime runtime;
+  private volatile boolean killed;
 
   RuntimeFleetDaemon(Vertx vertx, DaemonRuntime runtime) {
     this.vertx = vertx;
@@ -34,14 +35,25 @@
     return runtime.peerPort();
   }
 
+  @Override
+  public boolean isDecidingFor(String service) {
+    return runtime.shards().stream()
+        .anyMatch(view -> view.shard().service().equals(service) && !view.upstreams().isEmpty());
+  }
+
+  /** A killed daemon has no event loop left on which a stop could run. */
   @Override
   public Future<Void> stop() {
+    if (killed) {
+      return Future.succeededFuture();
+    }
     return Future.fromCompletionStage(runtime.stop(phase -> {})).eventually(() -> vertx.close());
   }
 
   /** Closing the event loops breaks all connections without a word, as the death of a process. */
   @Override
   public Future<Void> kill() {
+    killed = true;
     return vertx.close();
   }
 
