--- a/command/src/main/java/org/marjoramsail/command/CommandList.java
+++ b/command/src/main/java/org/marjoramsail/command/CommandList.java
@@ -14,12 +14,16 @@
    */
   static List<Class<? extends CommandAction>> available(boolean withFleet) {
     if (!withFleet) {
-      return List.of(WorkloadCommand.class, StandInCommand.class);
+      return List.of(
+          RunCommand.class, ShellCommand.class, WorkloadCommand.class, StandInCommand.class);
     }
     return List.of(
+        RunCommand.class,
+        ShellCommand.class,
         DemoCommand.class,
         BenchCommand.class,
         BenchCompareCommand.class,
+        SoakCommand.class,
         WorkloadCommand.class,
         StandInCommand.class);
   }
--- a/core/src/test/java/org/marjoramsail/core/placement/ReservingPlacerTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ReservingPlacerTest.java
@@ -165,6 +165,23 @@
     assertThat(granted(placer.daemonGone(PlacementFixtures.ENTRY, 10))).containsExactly("r3");
   }
 
+  /**
+   * A daemon stands still for longer than a suspicion lasts and goes on. For seconds its callers
+   * get no answer although it is alive for all: the owner still takes its requests for late ones of
+   * a dead daemon.
+   */
+  @Test
+  void aDaemonThatComesBackIsServedAtOnce() {
+    ReservingPlacer placer = placer(pool(0, 1, 2));
+    placer.daemonGone(PlacementFixtures.ENTRY, 0);
+
+    assertThat(placer.place(request("late").tokens(50, 10).build(), 10)).isEmpty();
+    placer.daemonBack(PlacementFixtures.ENTRY);
+
+    assertThat(granted(placer.place(request("new").tokens(50, 10).build(), 20)))
+        .containsExactly("new");
+  }
+
   /**
    * A prompt is read twice although its KV cache lives. The decode upstream died; the next attempt
    * names the prefill upstream that still has the cache for some hundred milliseconds.
@@ -282,6 +299,24 @@
     assertThat(refused.get(0).refusal().runState()).isEqualTo(RunState.NOT_RUN);
   }
 
+  /**
+   * A caller far below its limits is told that its organisation sends too much. Its request has
+   * waited for an owner until its target had passed, and then meets one whose upstreams are away:
+   * the time left is negative, and no rate was ever the reason.
+   */
+  @Test
+  void aRequestThatComesAfterItsTargetIsNotSaidToExceedARate() {
+    ReservingPlacer placer = placer(pool(0, 1, 1, List.of(organisation("rosario", 2, 1_000))));
+    placer.availability(new UpstreamName("decode-0"), false, 0);
+
+    List<PlacementResult.Refused> refused =
+        refused(placer.place(request("r1").tokens(50, 10).within(-5, -5).build(), 0));
+
+    assertThat(refused)
+        .extracting(one -> one.refusal().reason())
+        .containsExactly(RefusalReason.NO_UPSTREAM);
+  }
+
   @Test
   void anOrganisationRunsNoMoreThanItsLimit() {
     ReservingPlacer placer = placer(pool(0, 2, 8, List.of(organisation("rosario", 2, 0))));
