Keep the shards of their first owner open in quiet times

Cause: the first quick lookup after ten seconds without requests was refused as deadline-unreachable, waiting for a plain slot: its shard had been dropped, and a shard opened anew knows no load and settles for 500 ms as after a change of owner. Ruled out: the 500 ms themselves; a true take-over needs them. Change: the first in rank keeps its shards and gives them load reports before the first request; others still drop idle shards after ten seconds. Conclusion: settling is paid only where the owner changed.

--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -85,7 +85,7 @@
     this.entry = new EntryPlacement(self, timings, choice);
     this.owned =
         new OwnedShards(
-            choice, timings, clock, outgoing -> send(outgoing.to(), outgoing.message()));
+            self, choice, timings, clock, outgoing -> send(outgoing.to(), outgoing.message()));
   }
 
   @Override
@@ -211,7 +211,7 @@
   public void inform(UpstreamName upstream, PlacerEvent event) {
     choice
         .shardOf(upstream)
-        .filter(shard -> owned.ids().contains(shard))
+        .filter(shard -> owned.ids().contains(shard) || isFirstOwner(shard))
         .ifPresent(shard -> owned.inform(shard, event));
   }
 
@@ -299,13 +299,17 @@
   private Set<ShardId> rankedShards() {
     Set<ShardId> ranked = new HashSet<>();
     for (ShardId shard : choice.shards()) {
-      if (choice.owners(shard).get(0).equals(self)) {
+      if (isFirstOwner(shard)) {
         ranked.add(shard);
       }
     }
     return ranked;
   }
 
+  private boolean isFirstOwner(ShardId shard) {
+    return choice.owners(shard).get(0).equals(self);
+  }
+
   private void shareUsage(DaemonId owner, OrganisationUsageMessage usage) {
     if (owner.equals(self)) {
       heardUsage(usage);
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -27,6 +27,7 @@
   /** How long a shard without requests is kept, in milliseconds. */
   private static final long IDLE_MILLIS = 10_000;
 
+  private final DaemonId self;
   private final ShardChoice choice;
   private final PlacementTimings timings;
   private final Clock clock;
@@ -34,10 +35,12 @@
   private final Map<ShardId, OwnedShard> shards = new ConcurrentHashMap<>();
 
   OwnedShards(
+      DaemonId self,
       ShardChoice choice,
       PlacementTimings timings,
       Clock clock,
       Consumer<ShardLedger.Outgoing> sender) {
+    this.self = self;
     this.choice = choice;
     this.timings = timings;
     this.clock = clock;
@@ -68,7 +71,19 @@
   void tick() {
     long now = clock.millis();
     shards.values().forEach(shard -> send(shard.tick(now)));
-    shards.values().removeIf(shard -> shard.isUnusedSince(now - IDLE_MILLIS));
+    shards.values().removeIf(shard -> !keeps(shard) && shard.isUnusedSince(now - IDLE_MILLIS));
+  }
+
+  /**
+   * Whether a shard stays open without requests.
+   *
+   * <p>Guards against the failure in which the first lookup after a quiet time is refused: a shard
+   * that is opened anew knows no load and settles as after a change of owner, longer than the
+   * lookup can wait. The first in rank keeps its shards open and fed with reports.
+   */
+  private boolean keeps(OwnedShard shard) {
+    return choice.shards().contains(shard.shard())
+        && choice.owners(shard.shard()).get(0).equals(self);
   }
 
   Collection<ShardId> ids() {
