Measure what each role costs by a command of its own

Change: bin/marjoramsail capacity measures membership, claims, placement, configuration, tokens and overhead in one process on loopback, prints the points and can record them as JSON files.

--- a/command/src/main/java/org/marjoramsail/command/CommandList.java
+++ b/command/src/main/java/org/marjoramsail/command/CommandList.java
@@ -20,6 +20,7 @@
         DemoCommand.class,
         BenchCommand.class,
         BenchCompareCommand.class,
+        CapacityCommand.class,
         WorkloadCommand.class,
         StandInCommand.class);
   }
--- a/command/src/main/java/org/marjoramsail/command/fleet/LocalFleet.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/LocalFleet.java
@@ -112,6 +112,11 @@
     return Collections.unmodifiableList(plainServers);
   }
 
+  /** The servers as the daemons are told of them. */
+  public List<UpstreamDefinition> upstreams() {
+    return List.copyOf(upstreams);
+  }
+
   /** The platform. */
   public PlatformStandIn platform() {
     return platform;
