--- a/command/src/main/java/org/marjoramsail/command/CommandList.java
+++ b/command/src/main/java/org/marjoramsail/command/CommandList.java
@@ -21,6 +21,7 @@
         BenchCommand.class,
         BenchCompareCommand.class,
         CapacityCommand.class,
+        SoakCommand.class,
         WorkloadCommand.class,
         StandInCommand.class);
   }
--- a/command/src/main/java/org/marjoramsail/command/capacity/ClaimsPart.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/ClaimsPart.java
@@ -102,7 +102,8 @@
     double rate = report.askedPerSecond();
     points.add(new Point(Measure.CLAIMS_GRANTED, DAEMONS, rate, report.grantedPerSecond()));
     points.add(new Point(Measure.CLAIMS_WRITES, DAEMONS, rate, report.writesPerSecond()));
-    points.add(new Point(Measure.CLAIMS_FAILED_WRITES, DAEMONS, rate, report.failedWrites()));
+    points.add(
+        new Point(Measure.CLAIMS_FAILED_WRITES, DAEMONS, rate, (double) report.failedWrites()));
     points.add(new Point(Measure.CLAIMS_P50, DAEMONS, rate, report.p50Millis()));
     points.add(new Point(Measure.CLAIMS_P99, DAEMONS, rate, report.p99Millis()));
     points.add(new Point(Measure.CLAIMS_STORE_BYTES, DAEMONS, rate, bytesPerSecond));
--- a/command/src/main/java/org/marjoramsail/command/capacity/ConfigurationPart.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/ConfigurationPart.java
@@ -108,9 +108,10 @@
     VirtualConfigurationFleet fleet = started(daemons, TargetConfiguration.of(TARGET_UPSTREAMS));
     long ready = fleet.runUntilInForce(1, START_MILLIS);
     fleet.time().run(START_MILLIS - ready);
-    points.add(Point.of(Measure.START_READY, daemons, ready));
-    points.add(Point.of(Measure.START_STORE_CALLS, daemons, fleet.store().calls()));
-    points.add(Point.of(Measure.START_BUSIEST_SECOND, daemons, fleet.store().busiestSecond()));
+    points.add(Point.of(Measure.START_READY, daemons, (double) ready));
+    points.add(Point.of(Measure.START_STORE_CALLS, daemons, (double) fleet.store().calls()));
+    points.add(
+        Point.of(Measure.START_BUSIEST_SECOND, daemons, (double) fleet.store().busiestSecond()));
     rest(fleet, daemons, points);
     changes(fleet, daemons, points);
     outage(fleet, daemons, points);
@@ -125,14 +126,16 @@
     double core =
         (threads.getCurrentThreadCpuTime() - nanos) / NANOS_PER_MILLI / MINUTE_MILLIS / daemons;
     double perDaemon = SECONDS_PER_MINUTE * daemons;
-    points.add(Point.of(Measure.REST_MESSAGES, daemons, (fleet.messages() - messages) / perDaemon));
-    points.add(Point.of(Measure.REST_BYTES, daemons, (fleet.bytes() - bytes) / perDaemon));
+    points.add(
+        Point.of(
+            Measure.REST_MESSAGES, daemons, (double) (fleet.messages() - messages) / perDaemon));
+    points.add(Point.of(Measure.REST_BYTES, daemons, (double) (fleet.bytes() - bytes) / perDaemon));
     points.add(Point.of(Measure.REST_CORE, daemons, 100 * core));
     points.add(
         Point.of(
             Measure.REST_STORE_CALLS,
             daemons,
-            (fleet.store().calls() - calls) / SECONDS_PER_MINUTE));
+            (double) (fleet.store().calls() - calls) / SECONDS_PER_MINUTE));
     points.add(Point.of(Measure.REST_WATCHES, daemons, fleet.store().watches()));
   }
 
@@ -149,7 +152,7 @@
       reached = Math.max(reached, fleet.runUntilInForce(number + 1, WITHIN_MILLIS));
     }
     double millis = (threads.getCurrentThreadCpuTime() - nanos) / NANOS_PER_MILLI;
-    points.add(Point.of(Measure.REVISION_REACHED, daemons, reached));
+    points.add(Point.of(Measure.REVISION_REACHED, daemons, (double) reached));
     points.add(Point.of(Measure.REVISION_MESSAGES, daemons, mean(fleet.messages() - messages)));
     points.add(Point.of(Measure.REVISION_BYTES, daemons, mean(fleet.bytes() - bytes)));
     points.add(Point.of(Measure.REVISION_PROCESSOR, daemons, millis / CHANGES / daemons));
@@ -166,11 +169,13 @@
     fleet.time().run(MINUTE_MILLIS);
     long calls = fleet.store().calls();
     fleet.time().run(MINUTE_MILLIS);
-    points.add(Point.of(Measure.OUTAGE_STORE_CALLS, daemons, fleet.store().calls() - calls));
+    points.add(
+        Point.of(Measure.OUTAGE_STORE_CALLS, daemons, (double) (fleet.store().calls() - calls)));
     fleet.store().outage(false);
     calls = fleet.store().calls();
     fleet.time().run(MINUTE_MILLIS);
-    points.add(Point.of(Measure.RECOVERY_STORE_CALLS, daemons, fleet.store().calls() - calls));
+    points.add(
+        Point.of(Measure.RECOVERY_STORE_CALLS, daemons, (double) (fleet.store().calls() - calls)));
   }
 
   private static void change(VirtualConfigurationFleet fleet, int number) {
--- a/command/src/main/java/org/marjoramsail/command/capacity/Lookups.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/Lookups.java
@@ -48,7 +48,7 @@
 
   /** Sends at a rate whatever the answers do; times count from the planned moments. */
   Result openLoop(int perSecond, int seconds) throws CapacityException {
-    Run run = new Run(perSecond * seconds);
+    Run run = new Run((long) perSecond * seconds);
     long startNanos = System.nanoTime();
     vertx.setPeriodic(
         1,
--- a/command/src/main/java/org/marjoramsail/command/capacity/Measure.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/Measure.java
@@ -35,6 +35,7 @@
   HOLDINGS_BYTES("bytes of a Holdings message", "attempts held", ""),
   HOLDINGS_MICROS("processor µs to write and read a Holdings message", "attempts held", ""),
   UNKNOWN_BYTES("bytes of an Unknown message without attempts", "", ""),
+  USAGE_BYTES("bytes of an OrganisationUsage message", "organisations with demand", ""),
 
   ROOT_BYTES("bytes of the configuration as JSON", "upstreams", ""),
   REVISION_FULL_BYTES("bytes of a RevisionFull message", "upstreams", ""),
@@ -57,7 +58,7 @@
   START_BUSIEST_SECOND("store calls in the busiest second of that start", "daemons", ""),
   START_READY("ms until the last daemon of that start has a configuration", "daemons", ""),
 
-  IDLE_CORE("% of a core of a daemon without callers", "", ""),
+  IDLE_CORE("% of a core of a daemon without callers", "upstreams watched", ""),
   REQUEST_MICROS("processor µs of a daemon for a request", "", ""),
   TOKEN_MICROS("processor µs of a daemon for a streamed token", "", ""),
   PROMPT_MICROS("processor µs of a daemon for a kilobyte of prompt", "", ""),
--- a/command/src/main/java/org/marjoramsail/command/capacity/MeasuredDaemons.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/MeasuredDaemons.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.command.capacity;
 
 import io.vertx.core.Future;
+import java.util.OptionalLong;
 import org.marjoramsail.command.fleet.FleetDaemon;
 import org.marjoramsail.command.fleet.FleetDaemonFactory;
 import org.marjoramsail.core.outcome.Invariants;
@@ -47,6 +48,11 @@
       return Future.fromCompletionStage(runtime.stop(phase -> {}));
     }
 
+    @Override
+    public OptionalLong violations() {
+      return OptionalLong.of(runtime.violations());
+    }
+
     @Override
     public Future<Void> kill() {
       return loop.close();
--- a/command/src/main/java/org/marjoramsail/command/capacity/MembershipPart.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/MembershipPart.java
@@ -27,8 +27,10 @@
       points.add(Point.of(Measure.MEMBERSHIP_BYTES, daemons, cost.sentBytesPerSecond()));
       points.add(Point.of(Measure.MEMBERSHIP_MESSAGES, daemons, cost.sentMessagesPerSecond()));
       points.add(Point.of(Measure.MEMBERSHIP_CORE, daemons, cost.processorPercent()));
-      points.add(Point.of(Measure.MEMBERSHIP_STATE, daemons, row.stateBytes()));
-      points.add(Point.of(Measure.MEMBERSHIP_KNOWN, daemons, row.detection().percentile99Millis()));
+      points.add(Point.of(Measure.MEMBERSHIP_STATE, daemons, (double) row.stateBytes()));
+      points.add(
+          Point.of(
+              Measure.MEMBERSHIP_KNOWN, daemons, (double) row.detection().percentile99Millis()));
     }
     return points;
   }
--- a/command/src/main/java/org/marjoramsail/command/capacity/OverheadPart.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/OverheadPart.java
@@ -65,7 +65,7 @@
     points.add(at(Measure.DIRECT_P99, directNanos, 99));
     points.add(at(Measure.DAEMON_P50, throughNanos, 50));
     points.add(at(Measure.DAEMON_P99, throughNanos, 99));
-    points.add(new Point(Measure.OVERHEAD_FAILED, 0, RATE, failed));
+    points.add(new Point(Measure.OVERHEAD_FAILED, 0, RATE, (double) failed));
   }
 
   private static Point at(Measure measure, Histogram nanos, double percentile) {
--- a/command/src/main/java/org/marjoramsail/command/capacity/PlacementMessages.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/PlacementMessages.java
@@ -10,6 +10,7 @@
 import org.marjoramsail.core.placement.AttemptReport;
 import org.marjoramsail.core.placement.Grant;
 import org.marjoramsail.core.placement.GrantMode;
+import org.marjoramsail.core.placement.OrganisationUsageMessage;
 import org.marjoramsail.core.placement.PlacementMessage;
 import org.marjoramsail.core.placement.PlacementRequest;
 
@@ -18,6 +19,7 @@
 
   private static final List<Integer> HASHES = List.of(0, 16, 64, 108, 512, 1_875);
   private static final List<Integer> HELD = List.of(1, 10, 100);
+  private static final List<Integer> DEMANDING = List.of(10, 100, 350);
 
   private PlacementMessages() {}
 
@@ -44,6 +46,11 @@
     MessageCost unknown =
         new MessageCost(new PlacementMessage.Unknown(TargetShard.SHARD, List.of()));
     points.add(Point.of(Measure.UNKNOWN_BYTES, unknown.bytes()));
+    for (int organisations : DEMANDING) {
+      points.add(
+          Point.of(
+              Measure.USAGE_BYTES, organisations, new MessageCost(usage(organisations)).bytes()));
+    }
     return points;
   }
 
@@ -84,6 +91,14 @@
     return new PlacementMessage.Holdings(TargetShard.SHARD, holdings);
   }
 
+  private static OrganisationUsageMessage usage(int organisations) {
+    List<OrganisationUsageMessage.Usage> usages =
+        IntStream.range(0, organisations)
+            .mapToObj(number -> new OrganisationUsageMessage.Usage("organisation-" + number, 10))
+            .toList();
+    return new OrganisationUsageMessage(TargetShard.SHARD, usages);
+  }
+
   private static PlacementMessage.Holding holding(RequestId request) {
     return new PlacementMessage.Holding(request, 1, true);
   }
--- a/command/src/main/java/org/marjoramsail/command/capacity/PlacementPart.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/PlacementPart.java
@@ -21,7 +21,11 @@
   private static final List<Integer> UPSTREAMS = List.of(12, 24, 48, 96);
   private static final List<Integer> WAITING = List.of(0, 100, 1_000, 10_000);
   private static final int WARM_UP = 2_000;
-  private static final int PLACEMENTS = 2_000;
+  private static final int PLACEMENTS = 5_000;
+
+  /** Placements before all, so that the virtual machine has compiled what is measured. */
+  private static final int COMPILE = 20_000;
+
   private static final int PREPARED = 1 << 14;
   private static final int HASHES = 64;
   private static final long MILLIS_BETWEEN = 50;
@@ -37,6 +41,9 @@
 
   List<Point> measure() {
     List<Point> points = new ArrayList<>();
+    for (int waiting : WAITING) {
+      new Shard(UPSTREAMS.get(0), waiting, seed).place(COMPILE);
+    }
     for (int upstreams : UPSTREAMS) {
       for (int waiting : WAITING) {
         measure(upstreams, waiting, points);
--- a/command/src/main/java/org/marjoramsail/command/capacity/TargetConfiguration.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/TargetConfiguration.java
@@ -22,6 +22,10 @@
 
   static final int ORGANISATIONS = 350;
 
+  /** The classes that requests and rules take in turn. */
+  static final List<ServiceClass> CLASSES =
+      List.of(ServiceClass.QUICK, ServiceClass.STANDARD, ServiceClass.DEFERRABLE);
+
   private static final int MODELS = 4;
   private static final int ZONES = 5;
   private static final int ZONES_OF_FIRST_REGION = 3;
@@ -99,7 +103,7 @@
   }
 
   private static RuleDefinition rule(int service, int number) {
-    ServiceClass serviceClass = ServiceClass.values()[number % ServiceClass.values().length];
+    ServiceClass serviceClass = CLASSES.get(number % CLASSES.size());
     return new RuleDefinition(
         "rule-" + service + "-" + number,
         serviceName(service),
--- a/command/src/main/java/org/marjoramsail/command/capacity/TargetShard.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/TargetShard.java
@@ -62,7 +62,7 @@
     for (int block = 0; block < hashes; block++) {
       prefix.add((number % STORIES + 1) * STORY_STEP + block * BLOCK_STEP);
     }
-    ServiceClass[] classes = ServiceClass.values();
+    List<ServiceClass> classes = TargetConfiguration.CLASSES;
     return new PlacementRequest(
         new RequestId("%016x".formatted(number * STORY_STEP)),
         1,
@@ -70,7 +70,7 @@
         SHARD.service(),
         "organisation-" + number % TargetConfiguration.ORGANISATIONS,
         "rule-0-1",
-        classes[number % classes.length],
+        classes.get(number % classes.size()),
         PROMPT_TOKENS,
         OUTPUT_TOKENS,
         prefix,
@@ -125,6 +125,7 @@
         base.settlingMillis(),
         base.reportLagMillis(),
         base.ejectionMillis(),
-        base.slowStartMillis());
+        base.slowStartMillis(),
+        base.shardUpstreams());
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/capacity/TokensPart.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/TokensPart.java
@@ -57,12 +57,13 @@
 
   List<Point> measure() throws CapacityException {
     List<Point> points = new ArrayList<>();
+    points.add(Point.of(Measure.IDLE_CORE, 0, 100 * new IdleDaemon(bench).core()));
     List<LeastSquares.Observation> observations = new ArrayList<>();
     try (MeasuredFleet fleet = MeasuredFleet.started(bench)) {
       run(fleet, WARM_UP, 0);
       run(fleet, WARM_UP, 1);
       double idle = idleCore(fleet);
-      points.add(Point.of(Measure.IDLE_CORE, 100 * idle));
+      points.add(Point.of(Measure.IDLE_CORE, fleet.fleet().upstreams().size(), 100 * idle));
       observations.add(
           new LeastSquares.Observation(List.of(1.0, 0.0, 0.0, 0.0), idle * MILLIS_PER_SECOND));
       for (int number = 0; number < LEVELS.size(); number++) {
@@ -102,7 +103,7 @@
     points.add(Point.of(Measure.LEVEL_TOKENS, number, tokens));
     points.add(Point.of(Measure.LEVEL_PROMPT, number, kilobytes));
     points.add(Point.of(Measure.LEVEL_CORE, number, 100 * millis / MILLIS_PER_SECOND));
-    points.add(Point.of(Measure.LEVEL_FAILED, number, failed));
+    points.add(Point.of(Measure.LEVEL_FAILED, number, (double) failed));
     return new LeastSquares.Observation(List.of(1.0, requests, tokens, kilobytes), millis);
   }
 
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
@@ -9,7 +9,7 @@
 final class WaitEstimator {
 
   /** A wait is believed to be at least that share of its estimate. */
-  private static final double CONFIDENCE = 0.9;
+  private static final double CONFIDENCE = 0.6;
 
   /** Skipped lanes are served now and then, so that some capacity is always left for each. */
   private static final double LEAST_LEFT_SHARE = 0.1;
@@ -37,7 +37,7 @@
     long leftMillis = attempt.expiresAt() - nowMillis;
     int ownAhead = ownAhead(attempt);
     long rateMillis = attempt.organisation().rateWaitMillis(ownAhead, nowMillis);
-    if (rateMillis > leftMillis) {
+    if (rateMillis > Math.max(0, leftMillis)) {
       String detail = "The rates of " + attempt.organisation().name() + " leave no room for it.";
       return Optional.of(Refusal.notRun(RefusalReason.ORGANISATION_RATE, detail, rateMillis));
     }
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.security.SecureRandom;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
@@ -25,8 +26,10 @@
 import org.marjoramsail.core.message.PeerMessageHandler;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.outcome.CrashReportMessage;
+import org.marjoramsail.core.outcome.Invariant;
 import org.marjoramsail.core.outcome.Invariants;
 import org.marjoramsail.core.outcome.Quarantine;
+import org.marjoramsail.core.placement.OrganisationUsageMessage;
 import org.marjoramsail.core.placement.PlacementMessage;
 import org.marjoramsail.core.placement.PlacementPolicy;
 import org.marjoramsail.core.placement.PlacementSettings;
@@ -49,6 +52,7 @@
 import org.marjoramsail.daemon.placement.DistributedPlacement;
 import org.marjoramsail.daemon.platform.HttpObjectApi;
 import org.marjoramsail.daemon.platform.HttpObjectApiSettings;
+import org.marjoramsail.daemon.platform.ObjectApi;
 import org.marjoramsail.daemon.request.OutcomeObserver;
 import org.marjoramsail.daemon.request.StoredClaims;
 import org.marjoramsail.daemon.settings.Settings;
@@ -72,6 +76,7 @@
   private final DaemonId self;
   private final PrometheusMeterRegistry meters =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final Invariants invariants;
   private final Quarantine quarantine =
       new Quarantine(CRASH_LIFETIME_MILLIS, CRASH_SETTLE_MILLIS, MAXIMUM_SUSPECTS);
   private final PeerNetwork network;
@@ -101,6 +106,7 @@
     this.vertx = vertx;
     this.settings = settings;
     this.clock = clock;
+    this.invariants = new Invariants(mode);
     this.self = new DaemonId(settings.host().name(), clock.millis());
     SecureRandom secure = new SecureRandom();
     Random random = new Random(secure.nextLong());
@@ -108,34 +114,14 @@
     PeerDirectory addresses = new PeerDirectory();
     this.network =
         new PeerNetwork(vertx, peerSettings(), clock, meters, secure, addresses, PeerFaults.NONE);
-    this.membership =
-        new MembershipService(
-            vertx,
-            network,
-            addresses,
-            peerSettings(),
-            MembershipSettings.defaults(),
-            seeds(),
-            clock,
-            meters,
-            random);
+    this.membership = newMembership(addresses, random);
     HttpObjectApi store =
         new HttpObjectApi(
             vertx,
             HttpObjectApiSettings.defaults(
                 settings.platform().address(), settings.platform().port()),
             meters);
-    this.configuration =
-        new ConfigurationService(
-            store,
-            network,
-            membership::view,
-            clock,
-            clock,
-            random,
-            new VertxTimers(vertx),
-            meters,
-            this::configured);
+    this.configuration = newConfiguration(store, random);
     ConfiguredShards shards =
         new ConfiguredShards(
             membership.view().self(),
@@ -176,7 +162,7 @@
             upstreams,
             poller::poll,
             quarantine,
-            new Invariants(mode),
+            invariants,
             clock,
             random,
             json,
@@ -186,6 +172,32 @@
     this.orphans = new OrphanCanceller(upstreams.engines, placementParts::watched, clock, meters);
   }
 
+  private MembershipService newMembership(PeerDirectory addresses, Random random) {
+    return new MembershipService(
+        vertx,
+        network,
+        addresses,
+        peerSettings(),
+        MembershipSettings.defaults(),
+        seeds(),
+        clock,
+        meters,
+        random);
+  }
+
+  private ConfigurationService newConfiguration(ObjectApi store, Random random) {
+    return new ConfigurationService(
+        store,
+        network,
+        membership::view,
+        clock,
+        clock,
+        random,
+        new VertxTimers(vertx),
+        meters,
+        this::configured);
+  }
+
   /** Starts all parts; done once callers are served. */
   public Future<DaemonRuntime> start() {
     PeerMessageHandler placements =
@@ -195,9 +207,13 @@
     network.register(
         CrashReportMessage.class,
         (from, message) -> quarantine.handle((CrashReportMessage) message, clock.millis()));
+    network.register(
+        OrganisationUsageMessage.class,
+        (from, message) -> placement.heardUsage((OrganisationUsageMessage) message));
     registerPackage(Configuration.class, configuration);
     registerPackage(ClaimMessage.class, claims);
     membership.listen(this::membersChanged);
+    network.onConnectionLost(placement::connectionLost);
     return network
         .start()
         .onSuccess(port -> peerPort = port)
@@ -224,6 +240,11 @@
     return peerPort;
   }
 
+  /** How often an invariant did not hold. */
+  public long violations() {
+    return Arrays.stream(Invariant.values()).mapToLong(invariants::violations).sum();
+  }
+
   @Override
   public CompletionStage<Void> stop(Consumer<StopPhase> listener) {
     listener.accept(StopPhase.NOT_READY);
--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
@@ -22,7 +22,10 @@
 import org.marjoramsail.core.membership.StateMessage;
 import org.marjoramsail.core.message.PeerMessage;
 import org.marjoramsail.core.outcome.CrashReportMessage;
+import org.marjoramsail.core.placement.OrganisationUsageMessage;
 import org.marjoramsail.core.placement.PlacementMessage;
+import org.marjoramsail.daemon.operator.OperatorAnswer;
+import org.marjoramsail.daemon.operator.OperatorQuestion;
 
 /**
  * The number that stands for each record on the wire.
@@ -48,6 +51,7 @@
   GRANTED(26, PlacementMessage.Granted.class),
   REFUSED(27, PlacementMessage.Refused.class),
   UNKNOWN(28, PlacementMessage.Unknown.class),
+  ORGANISATION_USAGE(29, OrganisationUsageMessage.class),
   REVISION_DIGEST(50, RevisionDigestMessage.class),
   REVISION_DELTA(51, RevisionDeltaMessage.class),
   REVISION_FULL(52, RevisionFullMessage.class),
@@ -57,7 +61,9 @@
   CRASH_REPORT(70, CrashReportMessage.class),
   CLAIM(71, ClaimMessage.class),
   CLAIM_RESULT(72, ClaimResultMessage.class),
-  SETTLE(73, SettleMessage.class);
+  SETTLE(73, SettleMessage.class),
+  OPERATOR_QUESTION(90, OperatorQuestion.class),
+  OPERATOR_ANSWER(91, OperatorAnswer.class);
 
   private static final int LAST_MEMBERSHIP_NUMBER = 19;
 
--- a/standin/src/main/java/org/marjoramsail/standin/engine/EngineModel.java
+++ b/standin/src/main/java/org/marjoramsail/standin/engine/EngineModel.java
@@ -210,6 +210,7 @@
   private void detonate(HeldAttempt attempt) {
     if (attempt.prompt.poisonous() && !crashed) {
       batch.halt();
+      audit.crashedByPrompt(attempt.prompt.seed());
       poisoned.run();
     }
   }
@@ -261,6 +262,7 @@
     attempt.transfer.ifPresent(transfer -> ingress.cancel(time.micros(), transfer));
     batch.remove(attempt, keepMemory);
     audit.released();
+    audit.kvHeld(memory.heldBytes());
     return true;
   }
 
@@ -347,6 +349,7 @@
     export.transfers--;
     boolean whole = exports.isHolding(export);
     exports.fetched(export);
+    audit.kvHeld(memory.heldBytes());
     whenSent.accept(whole ? Optional.of(export.attempt) : Optional.empty());
   }
 
@@ -379,6 +382,11 @@
     prefixCache.clear(time.millis());
   }
 
+  /** Whether nothing happens by itself until the next call. */
+  boolean isIdle() {
+    return held.isEmpty() && memory.heldBytes() == 0;
+  }
+
   boolean isCrashed() {
     return crashed;
   }
--- a/standin/src/main/java/org/marjoramsail/standin/server/CrashableServer.java
+++ b/standin/src/main/java/org/marjoramsail/standin/server/CrashableServer.java
@@ -7,9 +7,6 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import java.io.IOException;
-import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -33,7 +30,8 @@
   private final Handler<HttpServerRequest> handler;
   private final Set<HttpConnection> connections = new HashSet<>();
   private Optional<HttpServer> server = Optional.empty();
-  private Optional<Socket> reservation = Optional.empty();
+  private Optional<PortReservation> reservation = Optional.empty();
+  private Future<Void> dropped = Future.succeededFuture();
   private boolean up;
   private int port;
 
@@ -55,10 +53,19 @@
     this.handler = handler;
   }
 
-  /** Listens, on the port of the first time if it has listened before, and gives the port. */
+  /**
+   * Listens, on the port of the first time if it has listened before, and gives the port.
+   *
+   * <p>It first waits for an earlier {@link #drop()} to end: a restart that overtakes it would find
+   * the port still in use, and the upstream would stay down.
+   */
   public Future<Integer> listen() {
     up = true;
-    reservation.ifPresent(CrashableServer::close);
+    return dropped.transform(ended -> bind());
+  }
+
+  private Future<Integer> bind() {
+    reservation.ifPresent(PortReservation::close);
     reservation = Optional.empty();
     HttpServerOptions options =
         new HttpServerOptions()
@@ -114,38 +121,17 @@
     server = Optional.empty();
     Set.copyOf(connections).forEach(HttpConnection::close);
     connections.clear();
-    return running
-        .map(HttpServer::close)
-        .orElseGet(Future::succeededFuture)
-        .onSuccess(closed -> reservePort());
+    dropped =
+        running
+            .map(HttpServer::close)
+            .orElseGet(Future::succeededFuture)
+            .onSuccess(closed -> reservePort());
+    return dropped;
   }
 
-  /**
-   * Holds the port without listening while the server is down.
-   *
-   * <p>Guards against another socket of the machine getting the port in the meantime: the upstream
-   * would then never come back. A bound socket that does not listen refuses all who connect.
-   */
   private void reservePort() {
-    if (up) {
-      return;
-    }
-    Socket socket = new Socket();
-    try {
-      socket.setReuseAddress(true);
-      socket.bind(new InetSocketAddress(address, port));
-      reservation = Optional.of(socket);
-    } catch (IOException taken) {
-      close(socket);
-      LOG.atWarn().addKeyValue("port", port).setCause(taken).log("cannot reserve the port");
-    }
-  }
-
-  private static void close(Socket socket) {
-    try {
-      socket.close();
-    } catch (IOException failure) {
-      LOG.atDebug().setCause(failure).log("reserved port closed with an error");
+    if (!up) {
+      reservation = Optional.of(new PortReservation(address, port));
     }
   }
 
@@ -153,8 +139,8 @@
   public Future<Void> close() {
     return drop()
         .onComplete(
-            dropped -> {
-              reservation.ifPresent(CrashableServer::close);
+            ended -> {
+              reservation.ifPresent(PortReservation::close);
               reservation = Optional.empty();
             });
   }
