--- a/command/src/main/java/org/marjoramsail/command/capacity/CapacityBounds.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/CapacityBounds.java
@@ -41,7 +41,7 @@
             target.controlCore(),
             CORE_PERCENT,
             "timers without callers, membership, configuration and messages of placement together",
-            "run timers only while something is due; the tick of owners comes each 5 ms"),
+            "run timers only while something is due"),
         bound(
             "control sent by a mean daemon, bytes/s",
             target.meanControlBytes(),
@@ -58,7 +58,7 @@
             "sent by the owner of one shard, bytes/s",
             target.ownerBytesSent(),
             BYTES_PER_SECOND,
-            "usage of 350 organisations goes to each other owner of the region each 2 s",
+            "usage of 350 organisations, if all have limits, to each other owner of the region",
             "send what changed, or to one owner that adds it up"),
         bound(
             "sent to the store by the writer of one segment, bytes/s",
--- a/command/src/main/java/org/marjoramsail/command/capacity/FleetSize.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/FleetSize.java
@@ -8,7 +8,7 @@
  * <p>The rates of today's deployments are not known; they are what the stand-ins' engines could
  * carry: 10,000 prompt tokens a second for each of 4 and of 2 prefill engines, prompts as long as
  * the target's, and the assumed shares of the mixes. The share of requests that may run once only
- * is the assumed one of the mix, for the target the larger one.
+ * is the assumed one of the mix, for the target the larger one; ten changes a day are assumed.
  */
 enum FleetSize {
   TARGET("target", 390, 770, 2, 5_300, 1_500_000, 2_014, 350, 2_100),
