--- a/command/src/main/java/org/marjoramsail/command/CommandList.java
+++ b/command/src/main/java/org/marjoramsail/command/CommandList.java
@@ -24,6 +24,7 @@
         BenchCommand.class,
         BenchCompareCommand.class,
         ControlCommand.class,
+        CapacityCommand.class,
         SoakCommand.class,
         WorkloadCommand.class,
         StandInCommand.class);
