--- a/command/src/main/java/org/marjoramsail/command/capacity/MeasuredDaemons.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/MeasuredDaemons.java
@@ -43,6 +43,12 @@
       return runtime.peerPort();
     }
 
+    /** The only daemon of its fleet decides for every service. */
+    @Override
+    public boolean isDecidingFor(String service) {
+      return true;
+    }
+
     @Override
     public Future<Void> stop() {
       return Future.fromCompletionStage(runtime.stop(phase -> {}));
