Tick seldom where nothing waits or runs

Change: PacedTimer calls every 5 or 10 ms while there is work and every 50 ms at rest; what cannot wait is decided when it arrives, as before.

--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -148,6 +148,7 @@
     UpstreamParts upstreams = new UpstreamParts(vertx, json, configuration::current, meters);
     this.placementParts =
         new PlacementParts(
+            vertx,
             placement,
             shards,
             quarantine,
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/PlacementParts.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/PlacementParts.java
@@ -20,6 +20,7 @@
 import org.marjoramsail.core.placement.ShardId;
 import org.marjoramsail.daemon.placement.ConfiguredShards;
 import org.marjoramsail.daemon.placement.DistributedPlacement;
+import org.marjoramsail.daemon.timing.PacedTimer;
 import org.marjoramsail.daemon.upstream.CacheEventList;
 import org.marjoramsail.daemon.upstream.CacheEventPoller;
 import org.marjoramsail.daemon.upstream.UpstreamDirectory;
@@ -30,6 +31,7 @@
 final class PlacementParts implements UpstreamObserver {
 
   private static final long OWNER_TICK_MILLIS = 5;
+  private static final long OWNER_REST_MILLIS = 50;
   private static final long ENTRY_TICK_MILLIS = 100;
   private static final long USAGE_MILLIS = 2_000;
   private static final long AVAILABILITY_MILLIS = 500;
@@ -49,9 +51,11 @@
   private final Map<UpstreamName, Integer> polls = new ConcurrentHashMap<>();
   private final Set<UpstreamName> out = ConcurrentHashMap.newKeySet();
   private final List<Long> timers = new ArrayList<>();
+  private final PacedTimer ownerTicks;
   private volatile Set<PeerAddress> leaving = Set.of();
 
   PlacementParts(
+      Vertx vertx,
       DistributedPlacement placement,
       ConfiguredShards shards,
       Quarantine quarantine,
@@ -62,16 +66,24 @@
     this.quarantine = quarantine;
     this.directory = directory;
     this.caches = caches;
+    this.ownerTicks =
+        new PacedTimer(
+            vertx,
+            OWNER_TICK_MILLIS,
+            OWNER_REST_MILLIS,
+            placement::isDeciding,
+            placement::tickOwned);
   }
 
   void start(Vertx vertx) {
-    timers.add(vertx.setPeriodic(OWNER_TICK_MILLIS, timer -> placement.tickOwned()));
+    ownerTicks.start();
     timers.add(vertx.setPeriodic(ENTRY_TICK_MILLIS, timer -> placement.tickEntry()));
     timers.add(vertx.setPeriodic(USAGE_MILLIS, timer -> placement.shareUsage()));
     timers.add(vertx.setPeriodic(AVAILABILITY_MILLIS, timer -> tellAvailability()));
   }
 
   void stop(Vertx vertx) {
+    ownerTicks.stop();
     timers.forEach(vertx::cancelTimer);
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/claim/PeerClaimService.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/claim/PeerClaimService.java
@@ -32,6 +32,7 @@
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.platform.ObjectApi;
+import org.marjoramsail.daemon.timing.PacedTimer;
 
 /**
  * Claims by way of the daemon that batches the segment of a key.
@@ -43,6 +44,7 @@
 public final class PeerClaimService implements ClaimService, PeerMessageHandler {
 
   private static final long TICK_MILLIS = 10;
+  private static final long REST_MILLIS = 50;
   private static final long PICK_OWNERS_MILLIS = 250;
 
   /** The state of one segment here; each part under a lock of its own. */
@@ -63,7 +65,7 @@
   private final Map<ClaimKey, Claim> granted = new ConcurrentHashMap<>();
   private final AtomicLong sequence = new AtomicLong();
   private volatile List<DaemonId> owners = List.of();
-  private long timer;
+  private final PacedTimer ticks;
   private long ownerTimer;
 
   /**
@@ -87,6 +89,9 @@
     this.live = live;
     this.clock = clock;
     this.meters = meters;
+    this.ticks =
+        new PacedTimer(
+            vertx, TICK_MILLIS, REST_MILLIS, this::isBusy, () -> shards.forEach(this::tick));
     for (int segment = 0; segment < settings.segments(); segment++) {
       SegmentStore store = new SegmentStore(api, meters, segment);
       shards.add(
@@ -98,16 +103,20 @@
     }
   }
 
+  private boolean isBusy() {
+    return !waiting.isEmpty() || shards.stream().anyMatch(shard -> shard.batching().isBusy());
+  }
+
   /** Starts its timers. */
   public void start() {
     pickOwners();
     ownerTimer = vertx.setPeriodic(PICK_OWNERS_MILLIS, unused -> pickOwners());
-    timer = vertx.setPeriodic(TICK_MILLIS, unused -> shards.forEach(this::tick));
+    ticks.start();
   }
 
   /** Stops its timers; claims that still wait get no result. */
   public void stop() {
-    vertx.cancelTimer(timer);
+    ticks.stop();
     vertx.cancelTimer(ownerTimer);
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/claim/SegmentBatching.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/claim/SegmentBatching.java
@@ -56,6 +56,12 @@
         });
   }
 
+  boolean isBusy() {
+    synchronized (lock) {
+      return batcher.filter(ClaimBatcher::isBusy).isPresent();
+    }
+  }
+
   private ClaimBatcher present(long now) {
     if (batcher.isEmpty()) {
       batcher = Optional.of(new ClaimBatcher(settings, now));
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -220,6 +220,11 @@
     owned.tick();
   }
 
+  /** Whether a request waits or runs in a shard that is decided here. */
+  public boolean isDeciding() {
+    return owned.isBusy();
+  }
+
   /** Does what time has made due on the entry's side; called some times a second. */
   public void tickEntry() {
     List<EntryAction> actions;
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
@@ -56,6 +56,10 @@
     return ledger.usage();
   }
 
+  synchronized boolean isEmpty() {
+    return ledger.isEmpty();
+  }
+
   synchronized ShardView view(long nowMillis) {
     return ledger.view(nowMillis);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -86,6 +86,10 @@
         && choice.owners(shard.shard()).get(0).equals(self);
   }
 
+  boolean isBusy() {
+    return !shards.values().stream().allMatch(OwnedShard::isEmpty);
+  }
+
   Collection<ShardId> ids() {
     return List.copyOf(shards.keySet());
   }
