Give placement settings two variants instead of three copies

Cause: the benchmark and the capacity command each copied all seventeen values to change one, and the setting queueLength reached no placer. Change: withMaximumWaiting and withShardUpstreams; the daemon bounds its queues by the setting. The default of 10,000 attempts is unchanged.

--- a/benchmark/src/main/java/org/marjoramsail/benchmark/BenchmarkPool.java
+++ b/benchmark/src/main/java/org/marjoramsail/benchmark/BenchmarkPool.java
@@ -59,25 +59,9 @@
 
   /** The default settings with room for a queue of any benchmarked size. */
   static PlacementSettings largeQueueSettings() {
-    PlacementSettings base = PlacementSettings.defaults();
-    return new PlacementSettings(
-        base.prefillTokensPerMilli(),
-        base.prefillOverheadMillis(),
-        base.linkBytesPerMilli(),
-        base.otherZoneMillis(),
-        base.decodeMillisPerToken(),
-        base.prefillAheadMillis(),
-        base.kvLifetimeMillis(),
-        base.localPrefillMillis(),
-        base.quickHeadroom(),
-        LARGE_QUEUE,
-        base.ageingMillis(),
-        base.promotionSlackMillis(),
-        base.settlingMillis(),
-        base.reportLagMillis(),
-        base.ejectionMillis(),
-        base.slowStartMillis(),
-        LARGEST_SHARD);
+    return PlacementSettings.defaults()
+        .withMaximumWaiting(LARGE_QUEUE)
+        .withShardUpstreams(LARGEST_SHARD);
   }
 
   static PlacementRequest request(long number, int organisations, int hashes) {
--- a/command/src/main/java/org/marjoramsail/command/capacity/TargetShard.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/TargetShard.java
@@ -108,24 +108,6 @@
 
   /** The default settings with room for any measured queue. */
   private static PlacementSettings settings() {
-    PlacementSettings base = PlacementSettings.defaults();
-    return new PlacementSettings(
-        base.prefillTokensPerMilli(),
-        base.prefillOverheadMillis(),
-        base.linkBytesPerMilli(),
-        base.otherZoneMillis(),
-        base.decodeMillisPerToken(),
-        base.prefillAheadMillis(),
-        base.kvLifetimeMillis(),
-        base.localPrefillMillis(),
-        base.quickHeadroom(),
-        LARGE_QUEUE,
-        base.ageingMillis(),
-        base.promotionSlackMillis(),
-        base.settlingMillis(),
-        base.reportLagMillis(),
-        base.ejectionMillis(),
-        base.slowStartMillis(),
-        base.shardUpstreams());
+    return PlacementSettings.defaults().withMaximumWaiting(LARGE_QUEUE);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementSettings.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementSettings.java
@@ -63,4 +63,35 @@
         10_000,
         ShardMap.MAXIMUM_UPSTREAMS);
   }
+
+  /** The same values with another bound of the queue, in attempts. */
+  public PlacementSettings withMaximumWaiting(int attempts) {
+    return copy(attempts, shardUpstreams);
+  }
+
+  /** The same values with another bound of a shard, in upstreams. */
+  public PlacementSettings withShardUpstreams(int upstreams) {
+    return copy(maximumWaiting, upstreams);
+  }
+
+  private PlacementSettings copy(int newMaximumWaiting, int newShardUpstreams) {
+    return new PlacementSettings(
+        prefillTokensPerMilli,
+        prefillOverheadMillis,
+        linkBytesPerMilli,
+        otherZoneMillis,
+        decodeMillisPerToken,
+        prefillAheadMillis,
+        kvLifetimeMillis,
+        localPrefillMillis,
+        quickHeadroom,
+        newMaximumWaiting,
+        ageingMillis,
+        promotionSlackMillis,
+        settlingMillis,
+        reportLagMillis,
+        ejectionMillis,
+        slowStartMillis,
+        newShardUpstreams);
+  }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -137,7 +137,7 @@
         new ConfiguredShards(
             membership.view().self(),
             PlacementPolicy.ofCode(settings.placement().policy()).orElse(PlacementPolicy.RESERVE),
-            PlacementSettings.defaults(),
+            PlacementSettings.defaults().withMaximumWaiting(settings.limits().queueLength()),
             random,
             clock);
     this.placement =
