--- a/core/src/main/java/org/marjoramsail/core/placement/Placer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/Placer.java
@@ -53,6 +53,11 @@
   /** Does what time has made due; called every few milliseconds. */
   List<PlacementResult> tick(long nowMillis);
 
+  /** Whether an attempt waits, so that ticks have to come often; true where that is not known. */
+  default boolean isWaiting() {
+    return true;
+  }
+
   /** What runs and what waits here, for operators. */
   ShardView view(long nowMillis);
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -201,6 +201,11 @@
     return results;
   }
 
+  @Override
+  public boolean isWaiting() {
+    return !waiting.isEmpty();
+  }
+
   @Override
   public void cacheEvent(CacheEvent event) {
     Optional<UpstreamState> upstream = upstreams.find(event.upstream());
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardLedger.java
@@ -128,6 +128,11 @@
     return registrations.isEmpty();
   }
 
+  /** Whether something waits here for a place. */
+  public boolean isWaiting() {
+    return !registrations.isEmpty() && placer.isWaiting();
+  }
+
   /** What runs and what waits here. */
   public ShardView view(long nowMillis) {
     return placer.view(nowMillis);
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -220,7 +220,7 @@
     owned.tick();
   }
 
-  /** Whether a request waits or runs in a shard that is decided here. */
+  /** Whether a request waits in a shard that is decided here. */
   public boolean isDeciding() {
     return owned.isBusy();
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
@@ -60,6 +60,10 @@
     return ledger.isEmpty();
   }
 
+  synchronized boolean isWaiting() {
+    return ledger.isWaiting();
+  }
+
   synchronized ShardView view(long nowMillis) {
     return ledger.view(nowMillis);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -87,7 +87,7 @@
   }
 
   boolean isBusy() {
-    return !shards.values().stream().allMatch(OwnedShard::isEmpty);
+    return shards.values().stream().anyMatch(OwnedShard::isWaiting);
   }
 
   Collection<ShardId> ids() {
