Take SIGHUP, and foretell how much memory running streams will need

Streams were refused with a tenth of the engines' memory idle, since each counted with its full length.

--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -205,8 +205,8 @@
         profile.organisation(),
         profile.rule(),
         profile.serviceClass(),
-        profile.promptTokens(),
-        profile.generation() ? Math.max(1, profile.outputTokens() - nextIndex) : 0,
+        profile.promptTokens() + generatedTokens(),
+        profile.generation() ? Math.max(1, profile.outputTokens() - generatedTokens()) : 0,
         profile.prefixHashes(),
         nowMillis - profile.receivedAtMillis(),
         Math.max(0, profile.firstTokenAtMillis() - nowMillis),
@@ -612,16 +612,20 @@
   }
 
   private void report(AttemptPhase phase, int cachedTokens, long tookMillis) {
-    actions.add(ledger.progress(attempt, phase, cachedTokens, tookMillis, nextIndex));
+    actions.add(ledger.progress(attempt, phase, cachedTokens, tookMillis, generatedTokens()));
   }
 
   private void reportEnd(AttemptResult result, Optional<UpstreamName> failedUpstream) {
     if (grant.isPresent()) {
       grant = Optional.empty();
-      ledger.end(attempt, result, failedUpstream, nextIndex).ifPresent(actions::add);
+      ledger.end(attempt, result, failedUpstream, generatedTokens()).ifPresent(actions::add);
     }
   }
 
+  private int generatedTokens() {
+    return nextIndex * profile.tokensPerPiece();
+  }
+
   private long backOffEndMillis() {
     return state == LifecycleState.BACKING_OFF ? waitUntilMillis : Long.MAX_VALUE;
   }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestProfile.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestProfile.java
@@ -25,6 +25,7 @@
  * @param receivedAtMillis when it arrived, on the clock of this daemon
  * @param firstTokenAtMillis when its first token is late, on the clock of this daemon
  * @param deadlineAtMillis when its answer is useless, on the clock of this daemon
+ * @param tokensPerPiece how many tokens one piece of its answer carries
  */
 public record RequestProfile(
     RequestId id,
@@ -42,10 +43,49 @@
     long fingerprint,
     long receivedAtMillis,
     long firstTokenAtMillis,
-    long deadlineAtMillis) {
+    long deadlineAtMillis,
+    int tokensPerPiece) {
 
   /** Copies the list, so that the value cannot change. */
   public RequestProfile {
     prefixHashes = List.copyOf(prefixHashes);
   }
+
+  /** A request whose answer comes token by token. */
+  public RequestProfile(
+      RequestId id,
+      DaemonId entry,
+      String service,
+      String organisation,
+      String rule,
+      ServiceClass serviceClass,
+      Repeatability repeatability,
+      boolean generation,
+      boolean claimed,
+      int promptTokens,
+      int outputTokens,
+      List<Long> prefixHashes,
+      long fingerprint,
+      long receivedAtMillis,
+      long firstTokenAtMillis,
+      long deadlineAtMillis) {
+    this(
+        id,
+        entry,
+        service,
+        organisation,
+        rule,
+        serviceClass,
+        repeatability,
+        generation,
+        claimed,
+        promptTokens,
+        outputTokens,
+        prefixHashes,
+        fingerprint,
+        receivedAtMillis,
+        firstTokenAtMillis,
+        deadlineAtMillis,
+        1);
+  }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
@@ -42,7 +42,7 @@
     Grant grant = choice.toGrant(request);
     requireFree(choice.target(), nowMillis);
     choice.target().reserve(request.alone());
-    choice.target().takeMemory(request.memoryTokens());
+    choice.target().takeMemory(request);
     if (request.isGeneration()) {
       estimates.learnHeldTokens(request.memoryTokens());
     }
@@ -102,7 +102,7 @@
             known,
             nowMillis);
     target.ifPresent(upstream -> upstream.adopt(request.alone()));
-    target.ifPresent(upstream -> upstream.takeMemory(request.memoryTokens()));
+    target.ifPresent(upstream -> upstream.takeMemory(request));
     if (isReading) {
       prefill.ifPresent(upstream -> upstream.adopt(request.alone()));
       attempt.reader().ifPresent(reader -> reader.startPrefill(attempt.unreadTokens(), nowMillis));
@@ -128,6 +128,7 @@
     if (report.phase() == AttemptPhase.GENERATING) {
       learnTransfer(attempt, nowMillis);
       releaseTransfer(attempt);
+      attempt.target().ifPresent(target -> target.generates(attempt.request(), nowMillis));
     }
     attempt.enter(report.phase(), nowMillis);
   }
@@ -141,7 +142,7 @@
       releaseTransfer(attempt);
     }
     attempt.target().ifPresent(target -> target.release(attempt.request().alone(), nowMillis));
-    attempt.target().ifPresent(target -> target.giveMemory(attempt.request().memoryTokens()));
+    attempt.target().ifPresent(target -> target.giveMemory(attempt.request()));
     attempt.organisation().ended();
     attempt.enter(AttemptPhase.ENDED, nowMillis);
     running.remove(attempt.request().request());
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
@@ -316,10 +316,14 @@
     return upstream.role() == role
         && upstream.isUsable(nowMillis)
         && freeSlotsOf(upstream, nowMillis) > 0
-        && (role != UpstreamRole.DECODE || upstream.hasMemoryFor(request.memoryTokens()))
+        && (role != UpstreamRole.DECODE || hasMemory(upstream, request, nowMillis))
         && isAllowed(upstream, request);
   }
 
+  private boolean hasMemory(UpstreamState upstream, PlacementRequest request, long nowMillis) {
+    return upstream.hasMemoryFor(request, nowMillis, estimates.decodeMillisPerToken());
+  }
+
   /** Failed attempts are not repeated where they failed, nor two suspects put side by side. */
   private static boolean isAllowed(UpstreamState upstream, PlacementRequest request) {
     return !(request.alone() && upstream.holdsSuspect())
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -20,6 +20,7 @@
 
   private final PlacementSettings settings;
   private final PrefixIndex prefixes = new PrefixIndex();
+  private final MemoryForecast forecast = new MemoryForecast();
   private final MovingAverage millisPerToken;
   private final MovingAverage overheadMillis;
   private final EjectionState ejection;
@@ -131,20 +132,30 @@
     refusedUntil = Math.max(refusedUntil, nowMillis + FULL_MILLIS);
   }
 
-  /** Whether so many tokens fit beside what it is to hold already; true where that is unknown. */
-  boolean hasMemoryFor(int tokens) {
+  /** Whether a request fits into the memory beside all others, to their ends; true if unknown. */
+  boolean hasMemoryFor(PlacementRequest request, long nowMillis, double millisPerToken) {
     int memory = definition.memoryTokens();
-    return memory == 0 || reservedTokens + tokens <= memory * settings.memoryShare();
+    return memory == 0
+        || forecast.peakWith(
+                request.promptTokens(), request.outputTokens(), nowMillis, millisPerToken)
+            <= memory * settings.memoryShare();
   }
 
   /** Takes memory for a request from its grant to its end. */
-  void takeMemory(int tokens) {
-    reservedTokens += tokens;
+  void takeMemory(PlacementRequest request) {
+    reservedTokens += request.memoryTokens();
+    forecast.add(request.request(), request.promptTokens(), request.outputTokens());
+  }
+
+  /** Takes that a request has begun to grow. */
+  void generates(PlacementRequest request, long nowMillis) {
+    forecast.generating(request.request(), nowMillis);
   }
 
   /** Gives memory back. */
-  void giveMemory(int tokens) {
-    reservedTokens -= tokens;
+  void giveMemory(PlacementRequest request) {
+    reservedTokens -= request.memoryTokens();
+    forecast.remove(request.request());
   }
 
   /** How many requests of a size it holds at once, by its slots and its memory. */
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/placement/MemoryForecastTest.java
@@ -0,0 +1,69 @@
+package org.marjoramsail.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.model.RequestId;
+
+/**
+ * At the peak of a vote, decode upstreams were given requests by their length now; eight grew
+ * together past the memory, one was preempted, and its prompt of thousands of tokens was read
+ * again. Counted with their full lengths instead, they left a tenth of the memory idle.
+ */
+class MemoryForecastTest {
+
+  private static final double MILLIS_PER_TOKEN = 5;
+
+  private final MemoryForecast forecast = new MemoryForecast();
+
+  @Test
+  void oneRequestNeedsItsPromptAndItsWholeAnswer() {
+    assertThat(forecast.peakWith(3_000, 800, 0, MILLIS_PER_TOKEN)).isEqualTo(3_800);
+  }
+
+  @Test
+  void requestsThatGrowTogetherNeedAllTheirLengths() {
+    add("a", 0);
+
+    assertThat(forecast.peakWith(3_000, 800, 0, MILLIS_PER_TOKEN)).isEqualTo(7_600);
+  }
+
+  @Test
+  void aRequestThatEndsSoonMakesRoomForTheGrowthOfTheNext() {
+    add("a", 0);
+
+    // It has 100 tokens left, so the new one holds 3,100 when it ends and 3,800 in the end.
+    double peak = forecast.peakWith(3_000, 800, 700 * 5, MILLIS_PER_TOKEN);
+
+    assertThat(peak).isBetween(3_000 + 3_700.0 + 2 * 100, 3_000 + 3_700.0 + 2 * 120 + 1);
+  }
+
+  @Test
+  void aRequestThatOutgrowsItsExpectationIsExpectedToGrowOn() {
+    add("a", 0);
+
+    double peak = forecast.peakWith(0, 1, 2_000 * 5, MILLIS_PER_TOKEN);
+
+    assertThat(peak).isGreaterThan(3_000 + 2_000);
+  }
+
+  @Test
+  void aRequestThatHasNotBegunDoesNotGrow() {
+    forecast.add(new RequestId("a"), 3_000, 800);
+
+    assertThat(forecast.peakWith(0, 1, 1_000_000, MILLIS_PER_TOKEN)).isLessThan(3_802);
+  }
+
+  @Test
+  void whatHasEndedHoldsNothing() {
+    add("a", 0);
+    forecast.remove(new RequestId("a"));
+
+    assertThat(forecast.peakWith(3_000, 800, 0, MILLIS_PER_TOKEN)).isEqualTo(3_800);
+  }
+
+  private void add(String name, long sinceMillis) {
+    forecast.add(new RequestId(name), 3_000, 800);
+    forecast.generating(new RequestId(name), sinceMillis);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/routing/OutputForecastTest.java
@@ -0,0 +1,31 @@
+package org.marjoramsail.core.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.OptionalInt;
+import org.junit.jupiter.api.Test;
+
+class OutputForecastTest {
+
+  private final OutputForecast forecast = new OutputForecast();
+
+  @Test
+  void withoutKnowledgeAShareOfTheMostIsExpected() {
+    assertThat(forecast.tokensOf("r", 1_000, OptionalInt.empty())).isEqualTo(450);
+  }
+
+  @Test
+  void theMeanOfTheRouteIsLearned() {
+    for (int answer = 0; answer < 200; answer++) {
+      forecast.learn("r", 1_000, 800);
+    }
+    assertThat(forecast.tokensOf("r", 1_000, OptionalInt.empty())).isBetween(798, 800);
+    assertThat(forecast.tokensOf("other", 1_000, OptionalInt.empty())).isEqualTo(450);
+  }
+
+  @Test
+  void aCallersEstimateIsPulledTowardsTheMeanAndNeverExceedsTheMost() {
+    assertThat(forecast.tokensOf("r", 1_000, OptionalInt.of(100))).isEqualTo(310);
+    assertThat(forecast.tokensOf("r", 1_000, OptionalInt.of(1_000_000))).isEqualTo(1_000);
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -282,7 +282,8 @@
         fingerprint(service, request),
         receivedAtMillis,
         ForwardingRules.targetAtMillis(route, receivedAtMillis),
-        ForwardingRules.deadlineAtMillis(route, receivedAtMillis, terms.withinMillis()));
+        ForwardingRules.deadlineAtMillis(route, receivedAtMillis, terms.withinMillis()),
+        peers.tokensPerEvent().apply(service));
   }
 
   private static long fingerprint(String service, ForwardedRequest request) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
@@ -13,7 +13,6 @@
 import java.util.Optional;
 import java.util.Properties;
 import java.util.ServiceLoader;
-import org.jline.utils.Signals;
 import org.marjoramsail.daemon.settings.Settings;
 import org.marjoramsail.daemon.settings.SettingsException;
 import org.marjoramsail.daemon.settings.SettingsReader;
@@ -41,6 +40,12 @@
   public interface SignalSource {
     /** Has {@code handler} called for each signal that tells the process to stop. */
     void onStop(Runnable handler);
+
+    /**
+     * Has {@code handler} called for each signal that says that the settings have changed; a source
+     * that knows no such signal never calls it.
+     */
+    default void onReload(Runnable handler) {}
   }
 
   /**
@@ -72,7 +77,7 @@
         new MarjoramsailDaemon(
             launcher,
             new SettingsReader(),
-            MarjoramsailDaemon::listenForSignals,
+            new ProcessSignals(),
             System.out,
             System.err);
     ExitCode exitCode = daemon.run(arguments);
@@ -131,14 +136,16 @@
       return ExitCode.OK;
     }
     LoggingSetup.apply(settings.logging());
-    return runUntilStopped(settings);
+    return runUntilStopped(file, settings);
   }
 
-  private ExitCode runUntilStopped(Settings settings) {
+  private ExitCode runUntilStopped(Path file, Settings settings) {
     StopSequence sequence;
+    SettingsReload reload;
     try {
       RunningDaemon running = launcher.launch(settings);
       sequence = new StopSequence(running);
+      reload = new SettingsReload(file, settings, reader, running);
     } catch (LaunchException failure) {
       LOGGER
           .atError()
@@ -151,6 +158,8 @@
     }
     LOGGER.atInfo().addKeyValue("host", settings.host().name()).log("daemon started");
     signals.onStop(sequence::signalled);
+    signals.onReload(reload::reload);
+    reload.watch();
     return sequence.awaitEnd();
   }
 
@@ -190,6 +199,7 @@
     output.println();
     output.println("SIGNALS");
     output.println("        TERM, INT  stop and lose nothing; a second one stops at once");
+    output.println("        HUP        read the settings again");
   }
 
   private static String version() {
@@ -204,9 +214,4 @@
       throw new UncheckedIOException("The program's own version cannot be read.", failure);
     }
   }
-
-  private static void listenForSignals(Runnable handler) {
-    Signals.register("TERM", handler);
-    Signals.register("INT", handler);
-  }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/RunningDaemon.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/RunningDaemon.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import org.marjoramsail.daemon.settings.Settings;
 
 /** A daemon that listens. */
 public interface RunningDaemon {
@@ -14,6 +15,12 @@
    */
   CompletionStage<Void> stop(Consumer<StopPhase> listener);
 
+  /**
+   * Takes settings that have changed; what cannot change while the daemon runs waits for its next
+   * start.
+   */
+  default void reload(Settings newer) {}
+
   /** What a stop at this moment would lose; callable on any thread. */
   UnfinishedWork unfinished();
 }
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/SettingsReload.java
@@ -0,0 +1,69 @@
+package org.marjoramsail.daemon.main;
+
+import java.nio.file.Path;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.marjoramsail.daemon.settings.Settings;
+import org.marjoramsail.daemon.settings.SettingsException;
+import org.marjoramsail.daemon.settings.SettingsReader;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Reads the settings again when a signal says so, and now and then in case none did. A file with a
+ * fault changes nothing: the daemon goes on with what it had.
+ */
+final class SettingsReload {
+
+  private static final Logger LOGGER = LoggerFactory.getLogger(SettingsReload.class);
+
+  /** How often a file is looked at that changed without a signal, in milliseconds. */
+  private static final long LOOK_MILLIS = 10_000;
+
+  private final Path file;
+  private final SettingsReader reader;
+  private final RunningDaemon daemon;
+  private Settings current;
+
+  SettingsReload(Path file, Settings current, SettingsReader reader, RunningDaemon daemon) {
+    this.file = file;
+    this.current = current;
+    this.reader = reader;
+    this.daemon = daemon;
+  }
+
+  /** Looks at the file from time to time, on a thread that does not keep the process alive. */
+  void watch() {
+    ScheduledExecutorService looks =
+        Executors.newSingleThreadScheduledExecutor(
+            task -> {
+              Thread thread = new Thread(task, "settings");
+              thread.setDaemon(true);
+              return thread;
+            });
+    looks.scheduleWithFixedDelay(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Takes what the file says now. */
+  synchronized void reload() {
+    LOGGER.atInfo().addKeyValue("file", file).log("settings are read again");
+    look();
+  }
+
+  private synchronized void look() {
+    try {
+      Settings newer = reader.read(file);
+      if (!newer.equals(current)) {
+        current = newer;
+        LOGGER.atInfo().addKeyValue("file", file).log("settings have changed");
+        daemon.reload(newer);
+      }
+    } catch (SettingsException fault) {
+      LOGGER
+          .atError()
+          .addKeyValue("fault", fault.getMessage())
+          .log("settings have a fault; those from before stay in force");
+    }
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/Settings.java
@@ -149,6 +149,22 @@
         forwarding);
   }
 
+  /** The same settings with another way of forwarding. */
+  public Settings withForwarding(Optional<ForwardingSettings> other) {
+    return new Settings(
+        host,
+        cluster,
+        listen,
+        platform,
+        peers,
+        limits,
+        placement,
+        logging,
+        administration,
+        tls,
+        other);
+  }
+
   /** The same settings with other encryption. */
   public Settings withTls(Optional<TlsSettings> other) {
     return new Settings(
