Ask the store anew soon after a failure; log requests; balance roles; know returning callers

Ruled out: a lost watch event (the next question got the version at once). Besides, measured next: role orders under a lease, callers that come back go first, one log line for each remarkable request on a queue that never blocks.

--- a/core/src/main/java/org/marjoramsail/core/discovery/FollowPace.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/FollowPace.java
@@ -3,18 +3,29 @@
 import java.util.random.RandomGenerator;
 
 /**
- * How often a list is asked for changes. While it answers, each question waits for a change; while
- * it does not, questions become rarer, each at a moment of its own, so that an outage ends without
- * a flood. Not safe for several threads.
+ * How often a list is asked for changes, and how long for each answer. While it answers, a question
+ * waits for a change. After a failure questions ask for what there is now and are given up soon, so
+ * that the first answer after an outage is not missed by one that still waits in vain: a question
+ * that was to wait for seconds once kept a daemon on old routes for three seconds after the list
+ * was back. They become rarer, each at a moment of its own, so that an outage ends without a flood.
+ * Not safe for several threads.
  */
 public final class FollowPace {
 
-  private static final long FIRST_RETRY_MILLIS = 120;
-  private static final long LONGEST_RETRY_MILLIS = 900;
+  private static final long FIRST_RETRY_MILLIS = 100;
+  private static final long LONGEST_RETRY_MILLIS = 500;
+
+  /** What an answer may take beyond the wait that was asked for, in milliseconds. */
+  private static final long FIRST_ANSWER_MILLIS = 700;
+
+  /** A list that is slow but alive answers within this time, in milliseconds. */
+  private static final long LONGEST_ANSWER_MILLIS = 1_800;
 
   private final long waitMillis;
   private final RandomGenerator random;
   private long retryMillis = FIRST_RETRY_MILLIS;
+  private long answerMillis = FIRST_ANSWER_MILLIS;
+  private boolean failing;
 
   /**
    * Starts with short waits.
@@ -28,20 +39,29 @@
     this.random = random;
   }
 
-  /** How long a question may wait for a change. */
+  /** How long a question may wait for a change; not at all after a failure. */
   public long waitMillis() {
-    return waitMillis;
+    return failing ? 0 : waitMillis;
+  }
+
+  /** After how long a question is given up. */
+  public long giveUpMillis() {
+    return waitMillis() + answerMillis;
   }
 
   /** Takes that a question was answered. */
   public void succeeded() {
+    failing = false;
     retryMillis = FIRST_RETRY_MILLIS;
+    answerMillis = FIRST_ANSWER_MILLIS;
   }
 
-  /** How long to wait after a failure; doubles with each. */
-  public long retryMillis() {
+  /** Takes that a question was not answered; gives how long to wait before the next. */
+  public long failed() {
+    failing = true;
     long now = retryMillis;
     retryMillis = Math.min(LONGEST_RETRY_MILLIS, 2 * retryMillis);
+    answerMillis = Math.min(LONGEST_ANSWER_MILLIS, answerMillis + FIRST_ANSWER_MILLIS / 2);
     return Math.max(1, Math.round(now * (0.5 + random.nextDouble())));
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/order/LeaseKeeper.java
+++ b/core/src/main/java/org/marjoramsail/core/order/LeaseKeeper.java
@@ -25,11 +25,10 @@
   /** How long an order can be under way from its send until the engine has taken it. */
   public static final long UNDER_WAY_MILLIS = 5_000;
 
-  private static final long RENEWAL_MILLIS = 20_000;
-  private static final long RETRY_MILLIS = 2_000;
   private static final int REMEMBERED_RENEWALS = 16;
 
   private final DaemonId self;
+  private final LeaseTimes times;
   private final Map<String, Long> renewalsSent = new LinkedHashMap<>();
 
   private Optional<LeaseRecord> seen = Optional.empty();
@@ -45,7 +44,13 @@
 
   /** Begins without the lease. */
   public LeaseKeeper(DaemonId self, long nowMillis) {
+    this(self, LeaseTimes.standard(), nowMillis);
+  }
+
+  /** Begins without a lease that has times of its own. */
+  public LeaseKeeper(DaemonId self, LeaseTimes times, long nowMillis) {
     this.self = self;
+    this.times = times;
     this.nextCallMillis = nowMillis;
   }
 
@@ -59,7 +64,7 @@
       return Optional.empty();
     }
     calling = true;
-    nextCallMillis = nowMillis + RENEWAL_MILLIS;
+    nextCallMillis = nowMillis + times.renewalMillis();
     if (known && (isSeenAsOurs() || isFree(nowMillis))) {
       return Optional.of(write(nowMillis));
     }
@@ -95,7 +100,7 @@
     // read back, and the time of the renewal that is found counts.
     calling = false;
     known = false;
-    nextCallMillis = nowMillis + RETRY_MILLIS;
+    nextCallMillis = nowMillis + times.retryMillis();
   }
 
   /** Gives the lease back at once; nothing may be sent under it from now on. */
@@ -166,7 +171,7 @@
       heldToken = lease.token();
       heldSinceMillis = nowMillis;
     }
-    sent.ifPresent(time -> actingUntilMillis = Math.max(actingUntilMillis, time + ACTING_MILLIS));
+    sent.ifPresent(time -> actingUntilMillis = Math.max(actingUntilMillis, time + times.actingMillis()));
   }
 
   private boolean isSeenAsOurs() {
@@ -175,6 +180,6 @@
 
   private boolean isFree(long nowMillis) {
     boolean held = seen.flatMap(LeaseRecord::holder).isPresent();
-    return !held || nowMillis - seenSinceMillis >= DURATION_MILLIS;
+    return !held || nowMillis - seenSinceMillis >= times.durationMillis();
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -213,7 +213,8 @@
         Math.max(0, usefulUntilMillis() - nowMillis),
         alone ? suspects.avoided(avoid) : List.copyOf(avoid),
         kv.living(nowMillis).map(KvSource::holder),
-        alone);
+        alone,
+        profile.fingerprint());
   }
 
   /** A place is of use until the deadline, or until the caller has waited too long for a sign. */
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementEstimates.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementEstimates.java
@@ -17,8 +17,11 @@
   private final MovingAverage decodeMillisPerToken;
   private final MovingAverage holdMillis = new MovingAverage(FIRST_HOLD_MILLIS);
   private final MovingAverage heldTokens = new MovingAverage(FIRST_HELD_TOKENS);
+  private final MovingAverage promptTokens = new MovingAverage(FIRST_HELD_TOKENS);
   private final MovingAverage linkBytesPerMilli;
 
+  private long ends;
+
   PlacementEstimates(PlacementSettings settings) {
     this.decodeMillisPerToken = new MovingAverage(settings.decodeMillisPerToken());
     this.linkBytesPerMilli = new MovingAverage(settings.linkBytesPerMilli());
@@ -53,11 +56,23 @@
     return heldTokens.value();
   }
 
-  void learnHeldTokens(int tokens) {
-    heldTokens.observe((double) tokens);
+  void learnHeldTokens(PlacementRequest request) {
+    heldTokens.observe((double) request.memoryTokens());
+    promptTokens.observe((double) request.promptTokens());
+  }
+
+  /** How long a prompt is on average, in tokens. */
+  double promptTokens() {
+    return promptTokens.value();
+  }
+
+  /** How many answers have been learned from. */
+  long ends() {
+    return ends;
   }
 
   void learnHold(long heldMillis) {
+    ends++;
     holdMillis.observe((double) heldMillis);
   }
 
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
@@ -29,6 +29,8 @@
  * @param avoid upstreams on which earlier attempts failed
  * @param kvHeldBy a prefill upstream on which its KV cache still lives
  * @param alone whether it is suspected of crashing upstreams and shares one with no other suspect
+ * @param content hash of what the caller sent, by which it is known again when it comes back; zero
+ *     where that is of no use
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record PlacementRequest(
@@ -47,7 +49,8 @@
     long deadlineWithinMillis,
     List<UpstreamName> avoid,
     Optional<UpstreamName> kvHeldBy,
-    boolean alone) {
+    boolean alone,
+    long content) {
 
   /** Copies the lists, so that the value cannot change. */
   public PlacementRequest {
@@ -55,6 +58,44 @@
     avoid = List.copyOf(avoid);
   }
 
+  /** A request whose caller is not known again. */
+  public PlacementRequest(
+      RequestId request,
+      int attempt,
+      DaemonId entry,
+      String service,
+      String organisation,
+      String rule,
+      ServiceClass serviceClass,
+      int promptTokens,
+      int outputTokens,
+      List<Long> prefixHashes,
+      long waitedMillis,
+      long firstTokenWithinMillis,
+      long deadlineWithinMillis,
+      List<UpstreamName> avoid,
+      Optional<UpstreamName> kvHeldBy,
+      boolean alone) {
+    this(
+        request,
+        attempt,
+        entry,
+        service,
+        organisation,
+        rule,
+        serviceClass,
+        promptTokens,
+        outputTokens,
+        prefixHashes,
+        waitedMillis,
+        firstTokenWithinMillis,
+        deadlineWithinMillis,
+        avoid,
+        kvHeldBy,
+        alone,
+        0);
+  }
+
   /** Whether it asks for engines rather than for a plain service. */
   public boolean isGeneration() {
     return outputTokens > 0;
@@ -87,6 +128,7 @@
         deadlineWithinMillis - millis,
         avoid,
         kvHeldBy,
-        alone);
+        alone,
+        content);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementSettings.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementSettings.java
@@ -77,7 +77,7 @@
    */
   public static PlacementSettings forShortLivedCaches() {
     return new PlacementSettings(
-        30, 30, 17_500_000, 5, 4.5, 120, 450, 1, 0, 2_000, 2_000, 5_000, 250, 1_000, 1_000, 4_000,
+        30, 30, 17_500_000, 5, 4.5, 120, 450, 1, 0, 2_000, 2_000, 5_000, 250, 1_000, 1_000, 1_500,
         0.94, ShardMap.MAXIMUM_UPSTREAMS);
   }
 
--- a/core/src/main/java/org/marjoramsail/core/placement/Placer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/Placer.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.core.placement;
 
 import java.util.List;
+import java.util.Optional;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
@@ -53,6 +54,11 @@
   /** Does what time has made due; called every few milliseconds. */
   List<PlacementResult> tick(long nowMillis);
 
+  /** An engine that should change its role, if the policy looks after roles. */
+  default Optional<RoleChange> wantedRoleChange(long nowMillis) {
+    return Optional.empty();
+  }
+
   /** Whether an attempt waits, so that ticks have to come often; true where that is not known. */
   default boolean isWaiting() {
     return true;
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -39,6 +39,10 @@
   private static final double OUTPUT_COST_TOKENS = 4;
 
   private static final long SHARE_REFRESH_MILLIS = 1_000;
+
+  /** After so many answers the rates are known well enough to change a role for them. */
+  private static final int LEAST_ENDS_FOR_ROLES = 12;
+
   private static final long LEAST_RETRY_MILLIS = 1_000;
 
   private final ShardId shard;
@@ -52,6 +56,7 @@
   private final WaitingQueue queue = new WaitingQueue();
   private final Map<RequestId, WaitingAttempt> waiting = new HashMap<>();
   private final AttemptMemory memory = new AttemptMemory();
+  private final ReturningCallers returning = new ReturningCallers();
   private final Map<PlacementCounter, Long> counters = new EnumMap<>(PlacementCounter.class);
 
   private long nextSequence;
@@ -103,7 +108,7 @@
     if (waiting.get(request.request()) == attempt) {
       diagnose(attempt, nowMillis);
       Optional<Refusal> hopeless = waits.refusal(attempt, nowMillis);
-      hopeless.ifPresent(reason -> results.add(refuse(attempt, reason)));
+      hopeless.ifPresent(reason -> results.add(refuseForNow(attempt, reason, nowMillis)));
     }
     return results;
   }
@@ -206,6 +211,48 @@
     return !waiting.isEmpty();
   }
 
+  @Override
+  public Optional<RoleChange> wantedRoleChange(long nowMillis) {
+    if (estimates.ends() < LEAST_ENDS_FOR_ROLES) {
+      return Optional.empty();
+    }
+    List<UpstreamState> readers = new ArrayList<>();
+    List<UpstreamState> writers = new ArrayList<>();
+    double readMillis = 0;
+    int held = 0;
+    for (UpstreamState upstream : upstreams.all()) {
+      if (!upstream.isUsable(nowMillis)) {
+        continue;
+      }
+      if (upstream.role() == UpstreamRole.PREFILL) {
+        readers.add(upstream);
+        readMillis += upstream.prefillMillis((int) estimates.promptTokens());
+      } else if (upstream.role() == UpstreamRole.DECODE) {
+        writers.add(upstream);
+        held += upstream.slotsFor(estimates.heldTokens());
+      }
+    }
+    if (readers.isEmpty() || writers.isEmpty()) {
+      return Optional.empty();
+    }
+    int engines = readers.size() + writers.size();
+    double readsPerMilli = readers.size() / readMillis;
+    double endsPerMilli = held / (double) writers.size() / estimates.holdMillis();
+    int best =
+        RoleBalance.bestReaders(engines, readers.size(), readsPerMilli, endsPerMilli);
+    if (best == readers.size()) {
+      return Optional.empty();
+    }
+    boolean fewer = best < readers.size();
+    return (fewer ? readers : writers)
+        .stream()
+            .min(Comparator.comparingInt(UpstreamState::reserved))
+            .map(
+                chosen ->
+                    new RoleChange(
+                        chosen.name(), fewer ? UpstreamRole.DECODE : UpstreamRole.PREFILL));
+  }
+
   @Override
   public void cacheEvent(CacheEvent event) {
     Optional<UpstreamState> upstream = upstreams.find(event.upstream());
@@ -319,6 +366,8 @@
             nextSequence++,
             Math.min(leastMillis, Math.max(0, WaitingAttempt.targetWithin(request))),
             selector.needsReader(request, nowMillis),
+            request.serviceClass().isWantedLate()
+                && returning.isBack(request.content(), nowMillis),
             settings,
             nowMillis);
     waiting.put(request.request(), attempt);
@@ -339,7 +388,10 @@
     }
     String detail = "It waited for " + attempt.missing().code() + " until it was too late.";
     results.add(
-        refuse(attempt, Refusal.notRun(attempt.missing().reason(), detail, LEAST_RETRY_MILLIS)));
+        refuseForNow(
+            attempt,
+            Refusal.notRun(attempt.missing().reason(), detail, LEAST_RETRY_MILLIS),
+            nowMillis));
   }
 
   /** Goes on for a late answer, unless even that is out of reach: then the caller is told now. */
@@ -348,7 +400,12 @@
     count(PlacementCounter.WAITING_LATE);
     waits
         .refusal(attempt, nowMillis)
-        .ifPresent(hopeless -> results.add(refuse(attempt, hopeless)));
+        .ifPresent(hopeless -> results.add(refuseForNow(attempt, hopeless, nowMillis)));
+  }
+
+  private PlacementResult refuseForNow(WaitingAttempt attempt, Refusal refusal, long nowMillis) {
+    returning.refused(attempt.request().content(), nowMillis);
+    return refuse(attempt, refusal);
   }
 
   private List<PlacementResult> dispatch(long nowMillis) {
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReturningCallers.java
@@ -0,0 +1,42 @@
+package org.marjoramsail.core.placement;
+
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * Knows callers again that were told to come back, by the content of what they send.
+ *
+ * <p>Guards against the failure in which a caller waits as it was told, comes back into the same
+ * burst and is refused for good, while others that came later are served: who comes back has its
+ * place before those who come for the first time.
+ */
+final class ReturningCallers {
+
+  /** Callers that have not come back by then do not, milliseconds. */
+  private static final long REMEMBERED_MILLIS = 12_000;
+
+  private static final int MOST = 4_096;
+  private static final long NO_CONTENT = 0;
+
+  private final Map<Long, Long> untilMillis = new LinkedHashMap<>();
+
+  /** Takes that a caller was told to come back. */
+  void refused(long content, long nowMillis) {
+    if (content == NO_CONTENT) {
+      return;
+    }
+    untilMillis.remove(content);
+    untilMillis.put(content, nowMillis + REMEMBERED_MILLIS);
+    Iterator<Long> oldest = untilMillis.values().iterator();
+    while (oldest.hasNext() && (oldest.next() <= nowMillis || untilMillis.size() > MOST)) {
+      oldest.remove();
+    }
+  }
+
+  /** Whether a caller comes back; true once for each time that it was told to. */
+  boolean isBack(long content, long nowMillis) {
+    Long until = untilMillis.remove(content);
+    return until != null && nowMillis < until;
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardLedger.java
@@ -128,6 +128,11 @@
     return registrations.isEmpty();
   }
 
+  /** An engine that should change its role, if there is one. */
+  public Optional<RoleChange> wantedRoleChange(long nowMillis) {
+    return placer.wantedRoleChange(nowMillis);
+  }
+
   /** Whether something waits here for a place. */
   public boolean isWaiting() {
     return !registrations.isEmpty() && placer.isWaiting();
--- a/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
@@ -44,7 +44,7 @@
     choice.target().reserve(request.alone());
     choice.target().takeMemory(request);
     if (request.isGeneration()) {
-      estimates.learnHeldTokens(request.memoryTokens());
+      estimates.learnHeldTokens(request);
     }
     if (choice.isPrefillNeeded()) {
       UpstreamState reader = choice.prefill().orElse(choice.target());
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitingAttempt.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitingAttempt.java
@@ -9,6 +9,9 @@
 
   private static final long NEVER = Long.MAX_VALUE;
 
+  /** Who comes back stands before all that wait for the first time. */
+  private static final long RETURNED_BEFORE_MILLIS = 60_000;
+
   private final PlacementRequest request;
   private final OrganisationState organisation;
   private final long sequence;
@@ -32,6 +35,7 @@
    *
    * @param leastServiceMillis the least time from its start to its target
    * @param needsReader whether a prefill upstream has to read its prompt
+   * @param returned whether its caller was told to come back and did
    */
   WaitingAttempt(
       PlacementRequest request,
@@ -39,6 +43,7 @@
       long sequence,
       long leastServiceMillis,
       boolean needsReader,
+      boolean returned,
       PlacementSettings settings,
       long nowMillis) {
     this.request = request;
@@ -54,7 +59,10 @@
     this.kvUntil = nowMillis + settings.kvLifetimeMillis();
     this.needsReader = needsReader;
     this.served = request.serviceClass();
-    this.queuedAt = arrivedAt;
+    this.queuedAt = returned ? arrivedAt - RETURNED_BEFORE_MILLIS : arrivedAt;
+    if (returned) {
+      this.expiresAt = uselessAt;
+    }
     long ageingMillis = Math.max(settings.ageingMillis(), targetWithin(request) / 2);
     this.promoteAt =
         switch (served) {
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/placement/TimelyPlacementTest.java
@@ -0,0 +1,129 @@
+package org.marjoramsail.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.marjoramsail.core.placement.PlacementFixtures.ended;
+import static org.marjoramsail.core.placement.PlacementFixtures.granted;
+import static org.marjoramsail.core.placement.PlacementFixtures.plainPlacer;
+import static org.marjoramsail.core.placement.PlacementFixtures.plainPool;
+import static org.marjoramsail.core.placement.PlacementFixtures.refused;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.failure.RunState;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.UpstreamName;
+
+/** What becomes of requests that want a target and are still wanted after it. */
+class TimelyPlacementTest {
+
+  private static final long TARGET = 100;
+  private static final long DEADLINE = 3_000;
+
+  private final ReservingPlacer placer = plainPlacer(plainPool(1, 1));
+
+  @Test
+  void aRequestThatMissesItsTargetWaitsOnAndIsServedLate() {
+    place("r1", 0);
+    place("r2", 0);
+
+    assertThat(placer.tick(TARGET + 1)).isEmpty();
+
+    assertThat(granted(end("r1", 500))).containsExactly("r2");
+  }
+
+  /**
+   * At the peak of a burst everything waits. Were it served in order of arrival, each answer would
+   * come just too late; what can still be in time goes before what is late already.
+   */
+  @Test
+  void whatCanStillBeInTimeGoesBeforeWhatIsLate() {
+    place("r1", 0);
+    place("late", 0);
+    placer.tick(TARGET + 1);
+    place("fresh", TARGET + 1);
+
+    assertThat(granted(end("r1", TARGET + 2))).containsExactly("fresh");
+    assertThat(granted(end("fresh", TARGET + 3))).containsExactly("late");
+  }
+
+  /** A caller that would leave before its place comes is told at once that it has not run. */
+  @Test
+  void aRequestIsRefusedOnceEvenALateAnswerIsOutOfReach() {
+    place("r1", 0);
+    place("r2", 0);
+
+    List<PlacementResult.Refused> refusals = refused(placer.tick(DEADLINE + 1));
+
+    assertThat(refusals).hasSize(1);
+    assertThat(refusals.get(0).refusal().runState()).isEqualTo(RunState.NOT_RUN);
+    assertThat(refusals.get(0).refusal().retryAfterMillis()).isPresent();
+  }
+
+  /**
+   * A clerk was told to come back, came back as told, and was refused again in the same burst while
+   * others that came after him were served.
+   */
+  @Test
+  void aCallerThatComesBackAsItWasToldGoesFirst() {
+    place("r1", 0);
+    place("refused", 0, 77);
+    placer.tick(DEADLINE + 1);
+    place("fresh", DEADLINE + 2, 78);
+    place("back", DEADLINE + 3, 77);
+
+    assertThat(granted(end("r1", DEADLINE + 4))).containsExactly("back");
+  }
+
+  /** An upstream that others fill as well says that it has no room: it is not at fault. */
+  @Test
+  void anUpstreamThatIsFullIsTriedAgainSoon() {
+    place("r1", 0);
+    placer.report(
+        new AttemptReport(
+            new RequestId("r1"),
+            1,
+            AttemptPhase.ENDED,
+            Optional.of(AttemptResult.FULL),
+            Optional.of(new UpstreamName("plain-0")),
+            0,
+            0,
+            0),
+        10);
+
+    assertThat(granted(place("r2", 11))).isEmpty();
+    assertThat(granted(placer.tick(80))).containsExactly("r2");
+  }
+
+  private List<PlacementResult> place(String name, long nowMillis) {
+    return place(name, nowMillis, 0);
+  }
+
+  private List<PlacementResult> place(String name, long nowMillis, long content) {
+    PlacementRequest request =
+        new PlacementRequest(
+            new RequestId(name),
+            1,
+            PlacementFixtures.ENTRY,
+            "ventanilla",
+            "callers",
+            "rule",
+            ServiceClass.TIMELY,
+            0,
+            0,
+            List.of(),
+            0,
+            TARGET,
+            DEADLINE,
+            List.of(),
+            Optional.empty(),
+            false,
+            content);
+    return placer.place(request, nowMillis);
+  }
+
+  private List<PlacementResult> end(String name, long nowMillis) {
+    return placer.report(ended(name, 1, AttemptResult.COMPLETED), nowMillis);
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/RequestParts.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/RequestParts.java
@@ -22,6 +22,7 @@
 import org.marjoramsail.daemon.metrics.RequestMetrics;
 import org.marjoramsail.daemon.request.ClaimGate;
 import org.marjoramsail.daemon.request.OutcomeRules;
+import org.marjoramsail.daemon.request.RequestLog;
 import org.marjoramsail.daemon.request.RequestPeers;
 import org.marjoramsail.daemon.request.RequestRegistry;
 import org.marjoramsail.daemon.request.UpstreamPeers;
@@ -59,6 +60,7 @@
             new RequestPeers(placement, claims),
             new OutcomeRules(quarantine, invariants, () -> new RetryBudget(RETRY_RESERVE)),
             metrics,
+            new RequestLog(() -> "configuration " + configuration.get().revision()),
             clock,
             (delay, task) -> vertx.setTimer(Math.max(1, delay), timer -> task.run()),
             random);
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -142,6 +142,19 @@
     }
   }
 
+  /** Which routes and upstreams are believed in, and how old that is, for logs. */
+  public String describe() {
+    long version = routing.map(RoutingConfiguration::version).orElse(0L);
+    return "routes "
+        + version
+        + ", upstreams "
+        + configuration.upstreams().size()
+        + (beliefs.isReachable() ? "" : ", list not read")
+        + ", heard "
+        + (clock.millis() - beliefs.heardAtMillis())
+        + " ms ago";
+  }
+
   /** What the engines of a service can do. */
   public Optional<EngineFacts> engines(String service) {
     return routing.flatMap(known -> known.service(service)).flatMap(RoutedService::engines);
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/LoggingSetup.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/LoggingSetup.java
@@ -12,7 +12,7 @@
 import org.marjoramsail.daemon.settings.LoggingSettings;
 import org.slf4j.LoggerFactory;
 
-/** Configures Logback from the settings; lines go to standard error. */
+/** Configures Logback from the settings; lines go to standard output, without ever waiting for it. */
 final class LoggingSetup {
 
   private static final String TEXT_PATTERN = "%d{ISO8601} %-5level %logger{0} %msg %kvp%n%ex";
@@ -27,15 +27,29 @@
     encoder.start();
     ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
     appender.setContext(context);
-    appender.setName("standardError");
-    appender.setTarget("System.err");
+    appender.setName("standardOutput");
+    appender.setTarget("System.out");
     appender.setEncoder(encoder);
     appender.start();
     Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
     root.setLevel(Level.toLevel(settings.level().name()));
-    root.addAppender(appender);
+    BoundedAppender bounded = new BoundedAppender();
+    bounded.setContext(context);
+    bounded.setName("bounded");
+    bounded.addAppender(appender);
+    bounded.start();
+    root.addAppender(bounded);
     // Netty logs each of its probes of the machine at this level.
     context.getLogger("io.netty").setLevel(Level.WARN);
+    // It says at each start that it drew a number; nothing here depends on that number.
+    context.getLogger("io.netty.util.internal.MacAddressUtil").setLevel(Level.ERROR);
+    // A connection that a caller or an upstream resets is told by the request that it carried.
+    context.getLogger("io.vertx.core.net.impl.ConnectionBase").setLevel(Level.OFF);
+  }
+
+  /** Writes what is queued, for a moment at most. */
+  static void close() {
+    ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
   }
 
   private static Encoder<ILoggingEvent> encoderOf(LogFormat format) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
@@ -81,6 +81,7 @@
             System.out,
             System.err);
     ExitCode exitCode = daemon.run(arguments);
+    LoggingSetup.close();
     System.out.flush();
     // Shutdown hooks of libraries could wait for the requests that a second signal gives up.
     Runtime.getRuntime().halt(exitCode.code());
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -32,6 +32,7 @@
 import org.marjoramsail.core.placement.PlacementService;
 import org.marjoramsail.core.placement.PlacementTimings;
 import org.marjoramsail.core.placement.PlacerEvent;
+import org.marjoramsail.core.placement.RoleChange;
 import org.marjoramsail.core.placement.ShardId;
 import org.marjoramsail.core.placement.ShardLedger;
 import org.marjoramsail.core.placement.ShardView;
@@ -265,6 +266,11 @@
         });
   }
 
+  /** Engines decided for here that would be of more use in another role. */
+  public List<RoleChange> wantedRoleChanges() {
+    return owned.wantedRoleChanges();
+  }
+
   /** The shards that this daemon decides for now. */
   public List<ShardView> views() {
     return owned.views();
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
@@ -6,6 +6,7 @@
 import org.marjoramsail.core.placement.OrganisationUsageMessage;
 import org.marjoramsail.core.placement.PlacementMessage;
 import org.marjoramsail.core.placement.PlacerEvent;
+import org.marjoramsail.core.placement.RoleChange;
 import org.marjoramsail.core.placement.ShardId;
 import org.marjoramsail.core.placement.ShardLedger;
 import org.marjoramsail.core.placement.ShardView;
@@ -60,6 +61,10 @@
     return ledger.isEmpty();
   }
 
+  synchronized Optional<RoleChange> wantedRoleChange(long nowMillis) {
+    return ledger.wantedRoleChange(nowMillis);
+  }
+
   synchronized boolean isWaiting() {
     return ledger.isWaiting();
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -11,6 +11,7 @@
 import org.marjoramsail.core.placement.PlacementMessage;
 import org.marjoramsail.core.placement.PlacementTimings;
 import org.marjoramsail.core.placement.PlacerEvent;
+import org.marjoramsail.core.placement.RoleChange;
 import org.marjoramsail.core.placement.ShardId;
 import org.marjoramsail.core.placement.ShardLedger;
 import org.marjoramsail.core.placement.ShardView;
@@ -90,6 +91,14 @@
     return shards.values().stream().anyMatch(OwnedShard::isWaiting);
   }
 
+  /** Engines of the shards that this daemon ranks first for which should change their role. */
+  List<RoleChange> wantedRoleChanges() {
+    return shards.values().stream()
+        .filter(this::keeps)
+        .flatMap(shard -> shard.wantedRoleChange(clock.millis()).stream())
+        .toList();
+  }
+
   Collection<ShardId> ids() {
     return List.copyOf(shards.keySet());
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
@@ -21,6 +21,8 @@
   private final CallerSink sink;
   private final RequestPeers peers;
   private final RequestMeter meter;
+  private final RequestProfile profile;
+  private final RequestLog log;
   private Optional<Call> call = Optional.empty();
 
   ActionRunner(
@@ -30,8 +32,11 @@
       CallerSink sink,
       RequestPeers peers,
       RequestMetrics metrics,
+      RequestLog log,
       Clock clock,
       long perTokenTargetMillis) {
+    this.profile = profile;
+    this.log = log;
     this.sender = sender;
     this.claim = claim;
     this.sink = sink;
@@ -50,6 +55,7 @@
       deliver(deliver.attempt());
     } else if (action instanceof LifecycleAction.Refuse refuse) {
       meter.refused(refuse.refusal());
+      log.refused(profile, refuse.refusal());
       sink.refuse(refuse.refusal());
     } else if (action instanceof LifecycleAction.CountRetry retry) {
       meter.retried(retry.reason());
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
@@ -38,6 +38,7 @@
   private final RequestPeers peers;
   private final OutcomeRules rules;
   private final RequestMetrics metrics;
+  private final RequestLog log;
   private final Clock clock;
   private final DelayedTasks timers;
   private final RandomGenerator random;
@@ -50,6 +51,7 @@
    * @param peers whom requests need
    * @param rules what all requests share in their decisions
    * @param metrics what is counted
+   * @param log what is written of requests
    * @param clock tells the time
    * @param timers wakes requests
    * @param random for the jitter of back-off; safe for several threads
@@ -58,12 +60,14 @@
       RequestPeers peers,
       OutcomeRules rules,
       RequestMetrics metrics,
+      RequestLog log,
       Clock clock,
       DelayedTasks timers,
       RandomGenerator random) {
     this.peers = peers;
     this.rules = rules;
     this.metrics = metrics;
+    this.log = log;
     this.clock = clock;
     this.timers = timers;
     this.random = random;
@@ -103,6 +107,7 @@
             request.sink(),
             peers,
             metrics,
+            log,
             clock,
             request.perTokenTargetMillis());
     return new LiveRequest(
@@ -112,20 +117,23 @@
         timers,
         lifecycle,
         runner,
-        () -> settled(shard, profile.id()));
+        () -> settled(shard, profile));
   }
 
-  private static void settled(Shard shard, RequestId id) {
+  private void settled(Shard shard, RequestProfile profile) {
+    RequestView view;
     synchronized (shard) {
-      LiveRequest live = shard.live.remove(id);
+      LiveRequest live = shard.live.remove(profile.id());
       if (live == null) {
         return;
       }
+      view = live.view();
       if (shard.ended.size() == ENDED_PER_SHARD) {
         shard.ended.removeFirst();
       }
-      shard.ended.addLast(live.view());
+      shard.ended.addLast(view);
     }
+    log.ended(view, profile.firstTokenAtMillis() - profile.receivedAtMillis());
   }
 
   /** Tells all requests that an upstream has started anew, or is gone for good. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/ForwardingSettings.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/ForwardingSettings.java
@@ -13,6 +13,7 @@
  * @param retrySlack how many more such sends there may be in that time, over all daemons
  * @param graceMillis how long this daemon may go on after it is told to stop, in milliseconds
  * @param leaseMillis how long one holder may give orders to an upstream alone, in milliseconds
+ * @param fenced whether upstreams refuse orders that carry an old fencing token
  */
 public record ForwardingSettings(
     Endpoint ready,
@@ -22,7 +23,8 @@
     double retryWindowSeconds,
     int retrySlack,
     long graceMillis,
-    long leaseMillis) {
+    long leaseMillis,
+    boolean fenced) {
 
   /** Copies the map, so that the value cannot change. */
   public ForwardingSettings {
