Place by our own books alone, not by what answers say of load

The other servers' first answers had named the load of before as the servers still worked for old callers; it was believed for 10 s and nothing newer was heard, as nothing was sent there. Ruled out: membership (all alive 0.8 s after the start), ejection (a third of a pool at most). Change: answers' load is not fed to placement; the books of the owner and 'full' answers decide.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -354,7 +354,6 @@
     public boolean head(int status, MultiMap headers) {
       alive();
       verdict = peers.protocol().verdictOf(status, headers, request.terms().attempt(), false);
-      peers.protocol().loadOf(upstream(), headers).ifPresent(peers.loads());
       if (verdict == Verdict.FOREIGN) {
         failed(UpstreamFailure.MALFORMED);
         return false;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardPeers.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardPeers.java
@@ -1,11 +1,9 @@
 package org.marjoramsail.daemon.forward;
 
 import java.util.Optional;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.UpstreamName;
-import org.marjoramsail.core.placement.LoadReport;
 import org.marjoramsail.core.time.Clock;
 
 /**
@@ -15,7 +13,6 @@
  * @param connections the way to upstreams
  * @param upstreams finds upstreams by name
  * @param handleMillis how long KV caches of a service live, in milliseconds
- * @param loads hears what answers say of load
  * @param aliveness hears signs of life
  * @param completions hears how long streams are
  * @param closing marks answers while this daemon stops
@@ -27,7 +24,6 @@
     UpstreamConnections connections,
     Function<UpstreamName, Optional<UpstreamDefinition>> upstreams,
     Function<String, Long> handleMillis,
-    Consumer<LoadReport> loads,
     Aliveness aliveness,
     Completions completions,
     ClosingMark closing,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -67,7 +67,6 @@
             new UpstreamConnections(vertx, peers.clock()),
             peers.upstreams(),
             peers.handleMillis(),
-            peers.loads(),
             peers.aliveness(),
             this::learn,
             closing,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerPeers.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerPeers.java
@@ -9,7 +9,6 @@
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.UpstreamName;
-import org.marjoramsail.core.placement.LoadReport;
 import org.marjoramsail.core.routing.OutputForecast;
 import org.marjoramsail.core.routing.RoutingConfiguration;
 import org.marjoramsail.core.time.Clock;
@@ -25,7 +24,6 @@
  * @param upstreams finds upstreams by name
  * @param handleMillis how long KV caches of a service live, in milliseconds
  * @param tokensPerEvent how many tokens an event of a service's streams carries
- * @param loads hears what answers say of load
  * @param aliveness hears signs of life
  * @param forecast foretells how long answers will be
  * @param refused hears of requests that are refused before they are registered
@@ -40,7 +38,6 @@
     Function<UpstreamName, Optional<UpstreamDefinition>> upstreams,
     Function<String, Long> handleMillis,
     Function<String, Integer> tokensPerEvent,
-    Consumer<LoadReport> loads,
     Aliveness aliveness,
     OutputForecast forecast,
     Consumer<Refusal> refused,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingProtocol.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingProtocol.java
@@ -3,8 +3,6 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
-import org.marjoramsail.core.placement.LoadReport;
-import org.marjoramsail.core.configuration.UpstreamDefinition;
 
 /**
  * Names of headers, calls and fields between callers, this program and upstreams. It only
@@ -38,9 +36,6 @@
   /** The path at which the holder of a KV cache is told to drop it. */
   String handlePath(String handle);
 
-  /** What an answer says of its upstream's load, if it does. */
-  Optional<LoadReport> loadOf(UpstreamDefinition upstream, MultiMap headers);
-
   /** How long, in milliseconds, an upstream keeps an idle connection open; empty if unknown. */
   Optional<Long> keepsIdleMillis(MultiMap headers);
 
