--- a/command/src/main/java/org/marjoramsail/command/CommandList.java
+++ b/command/src/main/java/org/marjoramsail/command/CommandList.java
@@ -15,11 +15,16 @@
   static List<Class<? extends CommandAction>> available(boolean withFleet) {
     if (!withFleet) {
       return List.of(
-          RunCommand.class, ShellCommand.class, WorkloadCommand.class, StandInCommand.class);
+          RunCommand.class,
+          ShellCommand.class,
+          ExplainCommand.class,
+          WorkloadCommand.class,
+          StandInCommand.class);
     }
     return List.of(
         RunCommand.class,
         ShellCommand.class,
+        ExplainCommand.class,
         DemoCommand.class,
         BenchCommand.class,
         BenchCompareCommand.class,
--- /dev/null
+++ b/command/src/main/java/org/marjoramsail/command/explain/package-info.java
@@ -0,0 +1,2 @@
+/** Explains a request afterwards, from the logs of several daemons. */
+package org.marjoramsail.command.explain;
--- a/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
@@ -44,8 +44,7 @@
       int slots,
       boolean fenced,
       boolean drained) {
-    this(
-        name, service, role, address, port, availabilityZone, region, slots, fenced, drained, 0);
+    this(name, service, role, address, port, availabilityZone, region, slots, fenced, drained, 0);
   }
 
   @Override
--- a/core/src/main/java/org/marjoramsail/core/discovery/UpstreamBeliefs.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/UpstreamBeliefs.java
@@ -69,6 +69,19 @@
     return changed;
   }
 
+  /**
+   * Takes the list as another daemon knows it, while it cannot be read here; true when that changes
+   * what is believed. Nothing changes once the list was read.
+   */
+  public boolean learned(List<ListedUpstream> others) {
+    if (known) {
+      return false;
+    }
+    others.forEach(this::put);
+    known = true;
+    return true;
+  }
+
   /** Takes one entry that is new or has changed; true when that changes what is believed. */
   public boolean changed(ListedUpstream one, long nowMillis) {
     heard(nowMillis);
--- a/core/src/main/java/org/marjoramsail/core/order/LeaseKeeper.java
+++ b/core/src/main/java/org/marjoramsail/core/order/LeaseKeeper.java
@@ -171,7 +171,8 @@
       heldToken = lease.token();
       heldSinceMillis = nowMillis;
     }
-    sent.ifPresent(time -> actingUntilMillis = Math.max(actingUntilMillis, time + times.actingMillis()));
+    sent.ifPresent(
+        time -> actingUntilMillis = Math.max(actingUntilMillis, time + times.actingMillis()));
   }
 
   private boolean isSeenAsOurs() {
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LastAnswer.java
@@ -0,0 +1,58 @@
+package org.marjoramsail.core.outcome;
+
+import java.util.Optional;
+import java.util.OptionalInt;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RunState;
+
+/**
+ * What ends a request towards its caller, if the caller is still there.
+ *
+ * <p>An upstream's own answer that it had failed is kept while another upstream is tried. When no
+ * better one comes it is given to the caller in place of a refusal, which would say less.
+ */
+final class LastAnswer {
+
+  private boolean callerGone;
+  private boolean given;
+  private OptionalInt failedAttempt = OptionalInt.empty();
+
+  void callerGone() {
+    callerGone = true;
+  }
+
+  boolean isCallerGone() {
+    return callerGone;
+  }
+
+  /** Whether an end was given already. */
+  boolean isGiven() {
+    return given;
+  }
+
+  /** Marks that an end is given; true for the first. */
+  boolean give() {
+    boolean first = !given;
+    given = true;
+    return first;
+  }
+
+  /** Keeps the answer of an attempt that its upstream says has failed. */
+  void keep(int attempt) {
+    failedAttempt = OptionalInt.of(attempt);
+  }
+
+  /** What the caller gets in place of a whole answer; nothing when it has left. */
+  Optional<LifecycleAction> inPlaceOfAnswer(Refusal refusal, RunState known) {
+    if (callerGone) {
+      return Optional.empty();
+    }
+    if (failedAttempt.isPresent()) {
+      return Optional.of(new LifecycleAction.DeliverAnswer(failedAttempt.getAsInt()));
+    }
+    return Optional.of(
+        new LifecycleAction.Refuse(
+            new Refusal(
+                refusal.reason(), known, refusal.detail(), refusal.retryAfterMillis())));
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecyclePolicy.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecyclePolicy.java
@@ -61,7 +61,6 @@
 
   /** The bounds that daemons use where their settings say nothing else. */
   public static LifecyclePolicy defaults() {
-    return new LifecyclePolicy(
-        6, 40, 1_000, 100, 2_000, 600_000, 150, 5_000, 5_000);
+    return new LifecyclePolicy(6, 40, 1_000, 100, 2_000, 600_000, 150, 5_000, 5_000);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
@@ -40,6 +39,7 @@
   private final KvCustody kv;
   private final AttemptLedger ledger;
   private final BackOff backOff;
+  private final LastAnswer last = new LastAnswer();
   private final Set<UpstreamName> avoid = new LinkedHashSet<>();
   private List<LifecycleAction> actions = new ArrayList<>();
 
@@ -47,14 +47,11 @@
   private long nowMillis;
   private int attempt;
   private int nextIndex;
-  private boolean callerGone;
-  private boolean answered;
   private boolean frameSeen;
   private long lastSignMillis;
   private long waitUntilMillis;
   private long stallAtMillis = Long.MAX_VALUE;
   private Optional<Grant> grant = Optional.empty();
-  private OptionalInt failedAnswer = OptionalInt.empty();
 
   /**
    * Takes the request and what it shares with others.
@@ -197,24 +194,9 @@
   }
 
   private PlacementRequest placementRequest(boolean alone) {
-    return new PlacementRequest(
-        profile.id(),
-        attempt,
-        profile.entry(),
-        profile.service(),
-        profile.organisation(),
-        profile.rule(),
-        profile.serviceClass(),
-        profile.promptTokens() + generatedTokens(),
-        profile.generation() ? Math.max(1, profile.outputTokens() - generatedTokens()) : 0,
-        profile.prefixHashes(),
-        nowMillis - profile.receivedAtMillis(),
-        Math.max(0, profile.firstTokenAtMillis() - nowMillis),
-        Math.max(0, usefulUntilMillis() - nowMillis),
-        alone ? suspects.avoided(avoid) : List.copyOf(avoid),
-        kv.living(nowMillis).map(KvSource::holder),
-        alone,
-        profile.fingerprint());
+    return new PlacementAsk(
+            profile, attempt, generatedTokens(), usefulUntilMillis(), kv.living(nowMillis))
+        .at(nowMillis, alone ? suspects.avoided(avoid) : List.copyOf(avoid), alone);
   }
 
   /** A place is of use until the deadline, or until the caller has waited too long for a sign. */
@@ -279,10 +261,7 @@
     }
     state = LifecycleState.GENERATING;
     long estimateMillis = given.expectedPrefillMillis() + given.expectedTransferMillis();
-    stallAtMillis =
-        profile.repeatability().isResendable()
-            ? nowMillis + ESTIMATE_FACTOR * estimateMillis + policy.tokenStallMillis()
-            : Long.MAX_VALUE;
+    stallAfter(ESTIMATE_FACTOR * estimateMillis + policy.tokenStallMillis());
     ledger.sent(attempt);
     held.add(attempt, given.target());
     suspects.began(attempt, given.target());
@@ -295,10 +274,7 @@
       return;
     }
     state = LifecycleState.PLAIN_RUNNING;
-    stallAtMillis =
-        profile.repeatability().isResendable()
-            ? nowMillis + policy.answerStallMillis()
-            : Long.MAX_VALUE;
+    stallAfter(policy.answerStallMillis());
     ledger.sent(attempt);
     suspects.began(attempt, given.target());
     actions.add(new LifecycleAction.SendPlain(attempt, given.target()));
@@ -359,12 +335,10 @@
 
   private void emit(LifecycleEvent.TokenArrived token) {
     invariants.check(token.index() == nextIndex, Invariant.TOKENS_IN_ORDER, profile.id());
-    invariants.check(!answered, Invariant.SILENT_AFTER_END, profile.id());
+    invariants.check(!last.isGiven(), Invariant.SILENT_AFTER_END, profile.id());
     nextIndex++;
     lastSignMillis = nowMillis;
-    if (profile.repeatability().isResendable()) {
-      stallAtMillis = nowMillis + policy.tokenStallMillis();
-    }
+    stallAfter(policy.tokenStallMillis());
     actions.add(new LifecycleAction.EmitToken(token.index(), token.text()));
   }
 
@@ -406,7 +380,7 @@
       drop(DropReason.LATE_EVENT);
       return;
     }
-    if (!callerGone) {
+    if (!last.isCallerGone()) {
       answer(new LifecycleAction.DeliverAnswer(attempt));
     }
     suspects.completed(nowMillis);
@@ -419,8 +393,7 @@
    */
   void failureAnswered(LifecycleEvent.FailureAnswered failed) {
     boolean awaited =
-        state == LifecycleState.PLAIN_RUNNING
-            || (state == LifecycleState.GENERATING && !frameSeen);
+        state == LifecycleState.PLAIN_RUNNING || (state == LifecycleState.GENERATING && !frameSeen);
     if (!awaited || failed.attempt() != attempt) {
       drop(DropReason.LATE_EVENT);
       return;
@@ -430,7 +403,7 @@
     held.release(attempt, upstream);
     suspects.leave(attempt);
     kv.released();
-    failedAnswer = OptionalInt.of(attempt);
+    last.keep(attempt);
     reportEnd(AttemptResult.FAILED, Optional.of(upstream));
     if (!profile.repeatability().isResendable() || !mayTryAgain() || !budget.trySpend()) {
       state = LifecycleState.BACKING_OFF;
@@ -527,7 +500,7 @@
     if (state == LifecycleState.ENDED) {
       return;
     }
-    callerGone = true;
+    last.callerGone();
     // A plain call that may run only once is left to end, so that its claim can be settled with
     // the truth; it holds no engine memory.
     if (state == LifecycleState.PLAIN_RUNNING && ledger.isClaimRecorded()) {
@@ -557,11 +530,7 @@
   }
 
   private void refuseQuarantined() {
-    refuse(
-        RefusalReason.QUARANTINED,
-        "Content "
-            + Long.toHexString(profile.fingerprint())
-            + " has crashed upstreams and is not run until an operator lifts it or it expires.");
+    refuse(RefusalReason.QUARANTINED, suspects.refusalDetail());
   }
 
   private void refuse(RefusalReason reason, String detail) {
@@ -570,24 +539,12 @@
 
   /** Refuses with the run state that is known here, whatever the refusal itself says of one. */
   private void refuse(Refusal refusal) {
-    if (!callerGone && failedAnswer.isPresent()) {
-      answer(new LifecycleAction.DeliverAnswer(failedAnswer.getAsInt()));
-    } else if (!callerGone) {
-      answer(
-          new LifecycleAction.Refuse(
-              new Refusal(
-                  refusal.reason(),
-                  ledger.runState(),
-                  refusal.detail(),
-                  refusal.retryAfterMillis())));
-    }
+    last.inPlaceOfAnswer(refusal, ledger.runState()).ifPresent(this::answer);
     end(AttemptResult.CANCELLED, ledger.openOutcome());
   }
 
   private void answer(LifecycleAction action) {
-    boolean first = !answered;
-    answered = true;
-    if (invariants.check(first, Invariant.SILENT_AFTER_END, profile.id())) {
+    if (invariants.check(last.give(), Invariant.SILENT_AFTER_END, profile.id())) {
       actions.add(action);
     }
   }
@@ -623,6 +580,11 @@
     }
   }
 
+  /** Silence ends an attempt only where another may follow; else it is no reason to end sooner. */
+  private void stallAfter(long millis) {
+    stallAtMillis = profile.repeatability().isResendable() ? nowMillis + millis : Long.MAX_VALUE;
+  }
+
   private int generatedTokens() {
     return nextIndex * profile.tokensPerPiece();
   }
--- a/core/src/main/java/org/marjoramsail/core/outcome/SuspectGuard.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/SuspectGuard.java
@@ -56,6 +56,13 @@
     return nowMillis < cancelWaitUntilMillis;
   }
 
+  /** What a caller is told whose content is not run any more. */
+  String refusalDetail() {
+    return "Content "
+        + Long.toHexString(profile.fingerprint())
+        + " has crashed upstreams and is not run until an operator lifts it or it expires.";
+  }
+
   /** The upstreams that placement has to avoid for a suspect, besides those that failed. */
   List<UpstreamName> avoided(Collection<UpstreamName> failed) {
     Set<UpstreamName> all = new LinkedHashSet<>(failed);
--- a/core/src/main/java/org/marjoramsail/core/placement/MemoryForecast.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/MemoryForecast.java
@@ -68,8 +68,7 @@
    *
    * @param millisPerToken how long a token takes
    */
-  double peakWith(
-      int promptTokens, int expectedTokens, long nowMillis, double millisPerToken) {
+  double peakWith(int promptTokens, int expectedTokens, long nowMillis, double millisPerToken) {
     List<Standing> all = new ArrayList<>(growing.size() + 1);
     all.add(new Standing(promptTokens, expectedTokens));
     for (Growing one : growing.values()) {
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementSettings.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementSettings.java
@@ -20,8 +20,8 @@
  * @param reportLagMillis how much older than its stated age a load report may be
  * @param ejectionMillis how long an upstream is ejected for the first time; doubles each time
  * @param slowStartMillis how long a returned upstream takes to get its full share
- * @param memoryShare how much of a decode upstream's memory is handed out, as a share: what it holds
- *     beyond makes it preempt a request, whose prompt is then read again
+ * @param memoryShare how much of a decode upstream's memory is handed out, as a share: what it
+ *     holds beyond makes it preempt a request, whose prompt is then read again
  * @param shardUpstreams the most upstreams of a shard; the same in all daemons, else they do not
  *     agree on what a shard is
  */
@@ -77,8 +77,24 @@
    */
   public static PlacementSettings forShortLivedCaches() {
     return new PlacementSettings(
-        30, 30, 17_500_000, 5, 4.5, 120, 450, 1, 0, 2_000, 2_000, 5_000, 250, 1_000, 1_000, 1_500,
-        0.94, ShardMap.MAXIMUM_UPSTREAMS);
+        30,
+        30,
+        17_500_000,
+        5,
+        4.5,
+        120,
+        450,
+        1,
+        0,
+        2_000,
+        2_000,
+        5_000,
+        250,
+        1_000,
+        1_000,
+        1_500,
+        0.94,
+        ShardMap.MAXIMUM_UPSTREAMS);
   }
 
   /** The same values with another bound of the queue, in attempts. */
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -238,8 +238,7 @@
     int engines = readers.size() + writers.size();
     double readsPerMilli = readers.size() / readMillis;
     double endsPerMilli = held / (double) writers.size() / estimates.holdMillis();
-    int best =
-        RoleBalance.bestReaders(engines, readers.size(), readsPerMilli, endsPerMilli);
+    int best = RoleBalance.bestReaders(engines, readers.size(), readsPerMilli, endsPerMilli);
     if (best == readers.size()) {
       return Optional.empty();
     }
@@ -366,8 +365,7 @@
             nextSequence++,
             Math.min(leastMillis, Math.max(0, WaitingAttempt.targetWithin(request))),
             selector.needsReader(request, nowMillis),
-            request.serviceClass().isWantedLate()
-                && returning.isBack(request.content(), nowMillis),
+            request.serviceClass().isWantedLate() && returning.isBack(request.content(), nowMillis),
             settings,
             nowMillis);
     waiting.put(request.request(), attempt);
--- a/core/src/main/java/org/marjoramsail/core/placement/RoleBalance.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RoleBalance.java
@@ -46,8 +46,7 @@
     return best;
   }
 
-  private static double rate(
-      int engines, int readers, double readsPerMilli, double endsPerMilli) {
+  private static double rate(int engines, int readers, double readsPerMilli, double endsPerMilli) {
     return Math.min(readers * readsPerMilli, (engines - readers) * endsPerMilli);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -13,6 +13,7 @@
 
   /** An upstream that was full when this owner thought otherwise is left alone that long. */
   private static final long FULL_MILLIS = 60;
+
   private static final long REPORT_STALE_MILLIS = 10_000;
   private static final int REMEMBERED_ENDS = 256;
   private static final int SHORT_PROMPT_TOKENS = 512;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -326,8 +326,7 @@
       }
       handles.put(
           attempt(),
-          new KvLocation(
-              upstream().address(), upstream().port(), prefilled.get().handle()));
+          new KvLocation(upstream().address(), upstream().port(), prefilled.get().handle()));
       tell(
           new LifecycleEvent.Prefilled(
               attempt(),
@@ -345,8 +344,7 @@
     private final EventSplitter events = new EventSplitter();
     private int lastIndex = -1;
 
-    AnswerListener(
-        int attempt, UpstreamDefinition upstream, Consumer<LifecycleEvent> lifecycle) {
+    AnswerListener(int attempt, UpstreamDefinition upstream, Consumer<LifecycleEvent> lifecycle) {
       super(attempt, upstream, lifecycle);
     }
 
@@ -395,8 +393,7 @@
         streamHead = Optional.of(head);
       }
       lastIndex = event.id() - request.terms().resumeAfter() - 1;
-      tell(
-          new LifecycleEvent.TokenArrived(profile.id(), attempt(), lastIndex, event.text()));
+      tell(new LifecycleEvent.TokenArrived(profile.id(), attempt(), lastIndex, event.text()));
     }
 
     private void endStream() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -88,10 +88,7 @@
             .setIdleTimeout(Math.toIntExact(LONGEST_IDLE_MILLIS))
             .setIdleTimeoutUnit(TimeUnit.MILLISECONDS);
     server =
-        vertx
-            .createHttpServer(options)
-            .connectionHandler(this::opened)
-            .requestHandler(this::take);
+        vertx.createHttpServer(options).connectionHandler(this::opened).requestHandler(this::take);
     return server.listen().map(HttpServer::actualPort);
   }
 
@@ -254,16 +251,13 @@
     request.response().closeHandler(closed -> handle.callerGone());
   }
 
-  private RequestProfile profileOf(
-      ForwardedRequest request, Route route, long receivedAtMillis) {
+  private RequestProfile profileOf(ForwardedRequest request, Route route, long receivedAtMillis) {
     CallerTerms terms = request.terms();
     boolean generation = route.streaming() && terms.promptTokens() > 0;
     String service = route.serviceFor(Fingerprint.of(terms.attempt(), new byte[0]));
     int outputTokens =
         generation
-            ? peers
-                .forecast()
-                .tokensOf(route.name(), terms.outputTokens(), terms.expectedTokens())
+            ? peers.forecast().tokensOf(route.name(), terms.outputTokens(), terms.expectedTokens())
             : 0;
     return new RequestProfile(
         new RequestId(terms.attempt() + "." + peers.daemon().host() + "." + sequence++),
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -95,6 +95,29 @@
     }
   }
 
+  /** Takes what another daemon knows, where the lists cannot be read here. */
+  public void learned(Optional<RoutingConfiguration> routes, List<ListedUpstream> upstreams) {
+    boolean newer =
+        routes
+            .filter(other -> routing.filter(own -> own.version() >= other.version()).isEmpty())
+            .isPresent();
+    if (newer) {
+      routing = routes;
+    }
+    if (beliefs.learned(upstreams) || newer) {
+      LOG.atInfo()
+          .addKeyValue("version", routing.map(RoutingConfiguration::version).orElse(0L))
+          .addKeyValue("upstreams", upstreams.size())
+          .log("learned from another daemon");
+      publish();
+    }
+  }
+
+  /** Whether nothing is known and the lists cannot be read, so that others have to be asked. */
+  public boolean needsOthers() {
+    return !isReady() && !(routesReachable && upstreamsReachable);
+  }
+
   /** Takes an entry that is new or has changed. */
   public void upstream(ListedUpstream one) {
     upstreamsBack();
@@ -179,8 +202,7 @@
       return;
     }
     configuration =
-        PoolConfiguration.of(
-            configuration.revision() + 1, routing.get(), beliefs.upstreams());
+        PoolConfiguration.of(configuration.revision() + 1, routing.get(), beliefs.upstreams());
     pools.accept(configuration);
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/LoggingSetup.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/LoggingSetup.java
@@ -12,7 +12,9 @@
 import org.marjoramsail.daemon.settings.LoggingSettings;
 import org.slf4j.LoggerFactory;
 
-/** Configures Logback from the settings; lines go to standard output, without ever waiting for it. */
+/**
+ * Configures Logback from the settings; lines go to standard output, without ever waiting for it.
+ */
 final class LoggingSetup {
 
   private static final String TEXT_PATTERN = "%d{ISO8601} %-5level %logger{0} %msg %kvp%n%ex";
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
@@ -75,11 +75,7 @@
     DaemonLauncher launcher = MarjoramsailDaemon::launchAccepted;
     MarjoramsailDaemon daemon =
         new MarjoramsailDaemon(
-            launcher,
-            new SettingsReader(),
-            new ProcessSignals(),
-            System.out,
-            System.err);
+            launcher, new SettingsReader(), new ProcessSignals(), System.out, System.err);
     ExitCode exitCode = daemon.run(arguments);
     LoggingSetup.close();
     System.out.flush();
--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
@@ -15,6 +15,8 @@
 import org.marjoramsail.core.configuration.RevisionRequestMessage;
 import org.marjoramsail.core.configuration.RevisionStatusMessage;
 import org.marjoramsail.core.configuration.RevisionStatusRequestMessage;
+import org.marjoramsail.core.discovery.ListingAnswer;
+import org.marjoramsail.core.discovery.ListingQuestion;
 import org.marjoramsail.core.membership.AckMessage;
 import org.marjoramsail.core.membership.DigestMessage;
 import org.marjoramsail.core.membership.PingMessage;
@@ -60,6 +62,8 @@
   REVISION_REQUEST(53, RevisionRequestMessage.class),
   REVISION_STATUS(54, RevisionStatusMessage.class),
   REVISION_STATUS_REQUEST(55, RevisionStatusRequestMessage.class),
+  LISTING_QUESTION(56, ListingQuestion.class),
+  LISTING_ANSWER(57, ListingAnswer.class),
   CRASH_REPORT(70, CrashReportMessage.class),
   CLAIM(71, ClaimMessage.class),
   CLAIM_RESULT(72, ClaimResultMessage.class),
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/AttemptSender.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/AttemptSender.java
@@ -14,8 +14,7 @@
 public interface AttemptSender {
 
   /** Has a prefill upstream read the prompt. */
-  Optional<OpenCall> sendPrefill(
-      LifecycleAction.SendPrefill send, Consumer<LifecycleEvent> events);
+  Optional<OpenCall> sendPrefill(LifecycleAction.SendPrefill send, Consumer<LifecycleEvent> events);
 
   /** Has a decode upstream generate. */
   Optional<OpenCall> sendDecode(LifecycleAction.SendDecode send, Consumer<LifecycleEvent> events);
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
@@ -12,16 +12,16 @@
 /**
  * Writes what an operator needs to explain a request afterwards.
  *
- * <p>Ordinary requests that are answered at the first try would drown the others, so of these one in
- * some is written; whatever was refused, repeated, late or left by its caller is written whole, in
- * one line with each step, its time and its upstream.
+ * <p>Ordinary requests that are answered at the first try would drown the others, so of these one
+ * in some is written; whatever was refused, repeated, late or left by its caller is written whole,
+ * in one line with each step, its time and its upstream.
  */
 public final class RequestLog {
 
   private static final Logger LOG = LoggerFactory.getLogger(RequestLog.class);
 
   /** One in so many ordinary requests is written. */
-  private static final long SAMPLE = 32;
+  public static final long SAMPLE = 32;
 
   private static final Set<TraceKind> REMARKABLE =
       Set.of(
@@ -90,8 +90,7 @@
 
   private static long firstSignMillis(RequestView view) {
     return view.steps().stream()
-        .filter(
-            step -> step.kind() == TraceKind.FIRST_TOKEN || step.kind() == TraceKind.COMPLETED)
+        .filter(step -> step.kind() == TraceKind.FIRST_TOKEN || step.kind() == TraceKind.COMPLETED)
         .mapToLong(TraceStep::afterMillis)
         .findFirst()
         .orElse(0);
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
@@ -94,8 +94,7 @@
         new RequestLifecycle(
             profile,
             request.policy(),
-            budgets.computeIfAbsent(
-                profile.service(), unused -> rules.budgets().get()),
+            budgets.computeIfAbsent(profile.service(), unused -> rules.budgets().get()),
             rules.quarantine(),
             rules.invariants(),
             random);
@@ -111,13 +110,7 @@
             clock,
             request.perTokenTargetMillis());
     return new LiveRequest(
-        shard,
-        request.home(),
-        clock,
-        timers,
-        lifecycle,
-        runner,
-        () -> settled(shard, profile));
+        shard, request.home(), clock, timers, lifecycle, runner, () -> settled(shard, profile));
   }
 
   private void settled(Shard shard, RequestProfile profile) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/Settings.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/Settings.java
@@ -136,17 +136,7 @@
   /** The same settings with other operators. */
   public Settings withAdministration(AdministrationSettings other) {
     return new Settings(
-        host,
-        cluster,
-        listen,
-        platform,
-        peers,
-        limits,
-        placement,
-        logging,
-        other,
-        tls,
-        forwarding);
+        host, cluster, listen, platform, peers, limits, placement, logging, other, tls, forwarding);
   }
 
   /** The same settings with another way of forwarding. */
