--- a/command/src/main/java/org/marjoramsail/command/explain/LogLine.java
+++ b/command/src/main/java/org/marjoramsail/command/explain/LogLine.java
@@ -23,8 +23,14 @@
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final Set<String> KNOWN =
       Set.of(
-          "@timestamp", "@version", "message", "logger_name", "thread_name", "level",
-          "level_value", "request");
+          "@timestamp",
+          "@version",
+          "message",
+          "logger_name",
+          "thread_name",
+          "level",
+          "level_value",
+          "request");
 
   /** Reads a line; what stands before its first brace, as collectors write it, is passed over. */
   static Optional<LogLine> parse(String source, String text) {
--- a/command/src/test/java/org/marjoramsail/command/explain/RequestExplanationTest.java
+++ b/command/src/test/java/org/marjoramsail/command/explain/RequestExplanationTest.java
@@ -19,7 +19,8 @@
     explanation.add(
         log(
             "host-1",
-            line("10:00:00.500", "request refused", "\"request\":\"abc.host-1.4\",\"detail\":\"d\""),
+            line(
+                "10:00:00.500", "request refused", "\"request\":\"abc.host-1.4\",\"detail\":\"d\""),
             line("10:00:00.100", "routes in force", "\"version\":7"),
             line("09:00:00.000", "routes in force", "\"version\":3"),
             "no line of ours"));
@@ -44,7 +45,12 @@
   }
 
   private static String line(String time, String message, String fields) {
-    return "{\"@timestamp\":\"2026-12-02T" + time + "Z\",\"message\":\"" + message + "\"," + fields
+    return "{\"@timestamp\":\"2026-12-02T"
+        + time
+        + "Z\",\"message\":\""
+        + message
+        + "\","
+        + fields
         + "}";
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/LastAnswer.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LastAnswer.java
@@ -52,7 +52,6 @@
     }
     return Optional.of(
         new LifecycleAction.Refuse(
-            new Refusal(
-                refusal.reason(), known, refusal.detail(), refusal.retryAfterMillis())));
+            new Refusal(refusal.reason(), known, refusal.detail(), refusal.retryAfterMillis())));
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -12,6 +12,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -38,6 +39,9 @@
   private static final long LONGEST_BODY_BYTES = 64L << 20;
   private static final int BACKLOG = 1_024;
 
+  /** A colon, a space and the end of the line. */
+  private static final int HEADER_SEPARATORS = 4;
+
   private final Vertx vertx;
   private final ForwardServerPeers peers;
   private final ForwardPeers exchangePeers;
@@ -112,6 +116,11 @@
     return server == null ? Future.succeededFuture() : server.close();
   }
 
+  /** How many connections to upstreams were opened. */
+  public long connectionsOpened() {
+    return exchangePeers.connections().opened();
+  }
+
   /** Forgets connections to upstreams that are no longer known. */
   public void keepOnly(Set<UpstreamName> known) {
     exchangePeers.connections().keepOnly(known);
@@ -163,6 +172,14 @@
               "This daemon has not yet heard of a configuration.",
               500));
     }
+    int headBytes = headBytes(request);
+    int mostHeadBytes = routing.get().bounds().headerBytes();
+    if (headBytes > mostHeadBytes) {
+      return Optional.of(
+          Refusal.notRun(
+              RefusalReason.HEADERS_TOO_LARGE,
+              "The head has " + headBytes + " bytes; allowed: " + mostHeadBytes + "."));
+    }
     long most = routing.get().bounds().bodyBytes();
     long stated = statedLength(request);
     if (stated > most) {
@@ -171,6 +188,14 @@
     return Optional.empty();
   }
 
+  private static int headBytes(HttpServerRequest request) {
+    int bytes = request.uri().length();
+    for (Map.Entry<String, String> header : request.headers()) {
+      bytes += header.getKey().length() + header.getValue().length() + HEADER_SEPARATORS;
+    }
+    return bytes;
+  }
+
   private static Refusal tooLarge(long bytes, long most) {
     return Refusal.notRun(
         RefusalReason.BODY_TOO_LARGE, "The body has " + bytes + " bytes; allowed: " + most + ".");
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -174,10 +174,20 @@
         + configuration.upstreams().size()
         + (beliefs.isReachable() ? "" : ", list not read")
         + ", heard "
-        + (clock.millis() - beliefs.heardAtMillis())
+        + (long) ageMillis()
         + " ms ago";
   }
 
+  /** How long ago the list of upstreams was heard from, in milliseconds. */
+  public double ageMillis() {
+    return (double) (clock.millis() - beliefs.heardAtMillis());
+  }
+
+  /** The version of the routes in force; zero before the first. */
+  public double version() {
+    return routing.map(known -> (double) known.version()).orElse(0.0);
+  }
+
   /** What the engines of a service can do. */
   public Optional<EngineFacts> engines(String service) {
     return routing.flatMap(known -> known.service(service)).flatMap(RoutedService::engines);
