--- a/core/src/main/java/org/marjoramsail/core/discovery/FollowPace.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/FollowPace.java
@@ -56,6 +56,22 @@
     answerMillis = FIRST_ANSWER_MILLIS;
   }
 
+  /**
+   * Whether the whole list has to be read again after an answer to a question for changes.
+   *
+   * <p>Guards against changes that nobody tells: while a store drops its history, questions are
+   * answered without the changes of that moment and with a revision that lies behind them, so that
+   * the next question leaves them out for ever. It showed as daemons that stayed on old routes. The
+   * revision also rises with changes of other kinds, which are rare.
+   *
+   * @param changes how many changes the answer had
+   * @param before the revision after which changes were asked for
+   * @param after the revision that the answer shows
+   */
+  public boolean mustReadAgain(int changes, long before, long after) {
+    return changes == 0 && after > before;
+  }
+
   /** Takes that a question was not answered; gives how long to wait before the next. */
   public long failed() {
     failing = true;
--- a/core/src/test/java/org/marjoramsail/core/discovery/FollowPaceTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/FollowPaceTest.java
@@ -30,6 +30,17 @@
     }
   }
 
+  /**
+   * A store dropped its history. In that second a daemon's question was answered without changes
+   * and with a revision behind a new version of the routes, which the daemon then never heard of.
+   */
+  @Test
+  void anAnswerThatPassesChangesInSilenceHasTheListReadAgain() {
+    assertThat(pace.mustReadAgain(0, 5, 7)).isTrue();
+    assertThat(pace.mustReadAgain(0, 5, 5)).isFalse();
+    assertThat(pace.mustReadAgain(1, 5, 7)).isFalse();
+  }
+
   @Test
   void aSlowListIsGivenMoreTimeWithEachFailure() {
     pace.failed();
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -326,7 +326,7 @@
   }
 
   private static boolean mayHaveBody(HttpServerRequest request) {
-    return request.method() != HttpMethod.GET
+    return !request.method().equals(HttpMethod.GET)
         || request.headers().contains("content-length")
         || request.headers().contains("transfer-encoding");
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/SettingsReload.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/SettingsReload.java
@@ -3,6 +3,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.marjoramsail.daemon.settings.Settings;
 import org.marjoramsail.daemon.settings.SettingsException;
@@ -42,7 +43,8 @@
               thread.setDaemon(true);
               return thread;
             });
-    looks.scheduleWithFixedDelay(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+    ScheduledFuture<?> unused =
+        looks.scheduleWithFixedDelay(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /** Takes what the file says now. */
