Wait for answers of a service that is slow by now; keep old configuration documents readable

Change: AnswerTimes learns by service; an answer is overdue after three means at least; memoryTokens is optional.

--- a/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.core.configuration;
 
+import java.util.Optional;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.model.UpstreamRole;
 
@@ -16,7 +17,7 @@
  * @param slots how many requests it holds at once
  * @param fenced whether it refuses orders that carry an old fencing token
  * @param drained whether an operator has taken it out of service
- * @param memoryTokens how many tokens of KV cache it holds at once; zero where that is not known
+ * @param memoryTokens how many tokens of KV cache it holds at once, where that is known
  */
 public record UpstreamDefinition(
     UpstreamName name,
@@ -29,7 +30,7 @@
     int slots,
     boolean fenced,
     boolean drained,
-    int memoryTokens)
+    Optional<Integer> memoryTokens)
     implements ConfigurationObject {
 
   /** A server whose memory is not known, so that only its slots bound what it holds. */
@@ -44,7 +45,7 @@
       int slots,
       boolean fenced,
       boolean drained) {
-    this(name, service, role, address, port, availabilityZone, region, slots, fenced, drained, 0);
+    this(name, service, role, address, port, availabilityZone, region, slots, fenced, drained, Optional.empty());
   }
 
   @Override
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -17,6 +17,7 @@
   private static final long REPORT_STALE_MILLIS = 10_000;
   private static final int REMEMBERED_ENDS = 256;
   private static final int SHORT_PROMPT_TOKENS = 512;
+  private static final int UNKNOWN_MEMORY = 0;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
   private final PlacementSettings settings;
@@ -135,8 +136,8 @@
 
   /** Whether a request fits into the memory beside all others, to their ends; true if unknown. */
   boolean hasMemoryFor(PlacementRequest request, long nowMillis, double millisPerToken) {
-    int memory = definition.memoryTokens();
-    return memory == 0
+    int memory = definition.memoryTokens().orElse(UNKNOWN_MEMORY);
+    return memory == UNKNOWN_MEMORY
         || forecast.peakWith(
                 request.promptTokens(), request.outputTokens(), nowMillis, millisPerToken)
             <= memory * settings.memoryShare();
@@ -161,8 +162,8 @@
 
   /** How many requests of a size it holds at once, by its slots and its memory. */
   int slotsFor(double tokens) {
-    int memory = definition.memoryTokens();
-    if (memory == 0 || tokens <= 0) {
+    int memory = definition.memoryTokens().orElse(UNKNOWN_MEMORY);
+    if (memory == UNKNOWN_MEMORY || tokens <= 0) {
       return slots();
     }
     return Math.max(1, (int) Math.min(slots(), memory * settings.memoryShare() / tokens));
@@ -203,8 +204,8 @@
 
   double utilisation(long nowMillis) {
     double bySlots = (reserved + foreign(nowMillis)) / (double) Math.max(1, slots());
-    int memory = definition.memoryTokens();
-    return memory == 0 ? bySlots : Math.max(bySlots, reservedTokens / (double) memory);
+    int memory = definition.memoryTokens().orElse(UNKNOWN_MEMORY);
+    return memory == UNKNOWN_MEMORY ? bySlots : Math.max(bySlots, reservedTokens / (double) memory);
   }
 
   boolean hasReportedSince(long sinceMillis) {
--- a/core/src/main/java/org/marjoramsail/core/routing/ForwardingRules.java
+++ b/core/src/main/java/org/marjoramsail/core/routing/ForwardingRules.java
@@ -48,8 +48,12 @@
 
   private ForwardingRules() {}
 
-  /** Bounds of the tries and waits of one request. */
-  public static LifecyclePolicy policyOf(Route route) {
+  /**
+   * Bounds of the tries and waits of one request.
+   *
+   * @param overdueMillis after how long a plain answer is overdue by what its service takes of late
+   */
+  public static LifecyclePolicy policyOf(Route route, long overdueMillis) {
     return new LifecyclePolicy(
         route.maximumSends() + UNSENT_ATTEMPTS,
         BACK_OFF_MILLIS,
@@ -61,7 +65,7 @@
         PREFILL_STALL_MILLIS,
         EVENT_STALL_MILLIS,
         Math.max(1, route.maximumSends()),
-        Math.max(1, Math.round(route.targetMillis() * ANSWER_STALL_SHARE)),
+        Math.max(Math.max(1, overdueMillis), Math.round(route.targetMillis() * ANSWER_STALL_SHARE)),
         patienceMillis(route));
   }
 
--- a/core/src/main/java/org/marjoramsail/core/routing/PoolConfiguration.java
+++ b/core/src/main/java/org/marjoramsail/core/routing/PoolConfiguration.java
@@ -60,6 +60,6 @@
         upstream.slots(),
         upstream.fenced(),
         upstream.drained(),
-        facts.map(EngineFacts::memoryTokens).orElse(0));
+        facts.map(EngineFacts::memoryTokens));
   }
 }
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/routing/AnswerTimesTest.java
@@ -0,0 +1,52 @@
+package org.marjoramsail.core.routing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.model.Repeatability;
+
+class AnswerTimesTest {
+
+  private static final Route ROUTE =
+      new Route(
+          "r",
+          "h",
+          "/r/",
+          Repeatability.IDEMPOTENT,
+          false,
+          2_000,
+          400,
+          0,
+          0,
+          2,
+          List.of(new WeightedService("desk", 1)));
+
+  private final AnswerTimes times = new AnswerTimes();
+
+  @Test
+  void anAnswerOfAQuickServiceIsLookedForElsewhereBeforeItsTarget() {
+    times.learn("desk", 50);
+    assertThat(ForwardingRules.policyOf(ROUTE, times.overdueMillis("desk")).answerStallMillis())
+        .isEqualTo(280);
+  }
+
+  /**
+   * Two of three servers were gone and the last one answered in 350 ms. Lookups were given up after
+   * 270 ms and asked again, so that none was answered and the server was busy for nothing.
+   */
+  @Test
+  void answersOfAServiceThatIsSlowByNowAreWaitedFor() {
+    for (int answer = 0; answer < 50; answer++) {
+      times.learn("desk", 350);
+    }
+    assertThat(ForwardingRules.policyOf(ROUTE, times.overdueMillis("desk")).answerStallMillis())
+        .isEqualTo(1_050);
+  }
+
+  @Test
+  void servicesAreLearnedApart() {
+    times.learn("other", 1_000);
+    assertThat(times.overdueMillis("desk")).isZero();
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -408,6 +408,9 @@
 
     private void endWhole() {
       answers.put(attempt(), new PlainAnswer(head.status(), head.headers(), body()));
+      if (!streaming) {
+        peers.answerTimes().accept(upstream().service(), tookMillis());
+      }
       if (verdict == Verdict.SERVED && !streaming) {
         tell(new LifecycleEvent.PlainAnswered(attempt()));
       } else if (verdict == Verdict.FAILED) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardPeers.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardPeers.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.ObjLongConsumer;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.time.Clock;
@@ -15,6 +16,7 @@
  * @param handleMillis how long KV caches of a service live, in milliseconds
  * @param aliveness hears signs of life
  * @param completions hears how long streams are
+ * @param answerTimes hears how long plain answers of a service take, in milliseconds
  * @param closing marks answers while this daemon stops
  * @param refusals writes answers of this program
  * @param clock tells the time
@@ -26,6 +28,7 @@
     Function<String, Long> handleMillis,
     Aliveness aliveness,
     Completions completions,
+    ObjLongConsumer<String> answerTimes,
     ClosingMark closing,
     RefusalWriter refusals,
     Clock clock) {}
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -23,6 +23,7 @@
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.Fingerprint;
 import org.marjoramsail.core.outcome.RequestProfile;
+import org.marjoramsail.core.routing.AnswerTimes;
 import org.marjoramsail.core.routing.ForwardingRules;
 import org.marjoramsail.core.routing.Route;
 import org.marjoramsail.core.routing.RoutingConfiguration;
@@ -46,6 +47,7 @@
   private final ForwardServerPeers peers;
   private final ForwardPeers exchangePeers;
   private final RefusalWriter refusals;
+  private final AnswerTimes answerTimes = new AnswerTimes();
   private final Set<HttpConnection> connections = new HashSet<>();
   private final Set<HttpConnection> busy = new HashSet<>();
   private HttpServer server;
@@ -73,6 +75,7 @@
             peers.handleMillis(),
             peers.aliveness(),
             this::learn,
+            answerTimes::learn,
             closing,
             refusals,
             peers.clock());
@@ -267,7 +270,7 @@
             .register(
                 new NewRequest(
                     profile,
-                    ForwardingRules.policyOf(route),
+                    ForwardingRules.policyOf(route, answerTimes.overdueMillis(profile.service())),
                     exchange,
                     Optional.empty(),
                     route.gapTargetMillis(),
