--- a/command/src/main/java/org/marjoramsail/command/explain/LogLine.java
+++ b/command/src/main/java/org/marjoramsail/command/explain/LogLine.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.time.Instant;
 import java.time.format.DateTimeParseException;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.StringJoiner;
@@ -42,13 +43,11 @@
       JsonNode line = JSON.readTree(text.substring(brace));
       Instant at = Instant.parse(line.path("@timestamp").asText());
       StringJoiner fields = new StringJoiner(", ");
-      line.fields()
-          .forEachRemaining(
-              field -> {
-                if (!KNOWN.contains(field.getKey())) {
-                  fields.add(field.getKey() + "=" + plain(field.getValue()));
-                }
-              });
+      for (Map.Entry<String, JsonNode> field : line.properties()) {
+        if (!KNOWN.contains(field.getKey())) {
+          fields.add(field.getKey() + "=" + plain(field.getValue()));
+        }
+      }
       return Optional.of(
           new LogLine(
               at,
--- a/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
@@ -45,7 +45,18 @@
       int slots,
       boolean fenced,
       boolean drained) {
-    this(name, service, role, address, port, availabilityZone, region, slots, fenced, drained, Optional.empty());
+    this(
+        name,
+        service,
+        role,
+        address,
+        port,
+        availabilityZone,
+        region,
+        slots,
+        fenced,
+        drained,
+        Optional.empty());
   }
 
   @Override
