Let answers outvote a guessed holding time, and restore growing streams as such

And an owner that takes over a stream which already generates forgot to tell the forecast of memory, which held its engine half empty until the stream had ended. Change: the first value of an average counts as one observation; nothing is refused for a predicted wait before twelve answers, unless its time is over; restored streams generate from their restore.

--- a/core/src/main/java/org/marjoramsail/core/placement/MovingAverage.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/MovingAverage.java
@@ -1,12 +1,20 @@
 package org.marjoramsail.core.placement;
 
-/** An exponentially weighted moving average that ignores nonsense and bounds each step. */
+/**
+ * An exponentially weighted moving average that ignores nonsense and bounds each step.
+ *
+ * <p>The value that it starts with counts as one observation: a guess that is ten times too long is
+ * outvoted by ten samples and not only by forty.
+ */
 final class MovingAverage {
 
-  private static final double WEIGHT = 0.1;
+  /** The weight of one sample once there are enough of them. */
+  private static final double LEAST_WEIGHT = 0.1;
+
   private static final double LARGEST_STEP_FACTOR = 4;
 
   private double value;
+  private double weight = 1;
 
   MovingAverage(double first) {
     this.value = first;
@@ -23,6 +31,7 @@
     }
     double bounded =
         Math.max(value / LARGEST_STEP_FACTOR, Math.min(value * LARGEST_STEP_FACTOR, sample));
-    value += WEIGHT * (bounded - value);
+    weight = Math.max(LEAST_WEIGHT, weight / (weight + 1));
+    value += weight * (bounded - value);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
@@ -107,7 +107,9 @@
       prefill.ifPresent(upstream -> upstream.adopt(request.alone()));
       attempt.reader().ifPresent(reader -> reader.startPrefill(attempt.unreadTokens(), nowMillis));
     }
-    if (known != AttemptPhase.GENERATING) {
+    if (known == AttemptPhase.GENERATING) {
+      target.ifPresent(upstream -> upstream.generates(request, nowMillis));
+    } else {
       prefill.ifPresent(upstream -> upstream.startTransfer(attempt.transferBytes()));
       target.ifPresent(upstream -> upstream.startTransfer(attempt.transferBytes()));
     }
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
@@ -16,6 +16,14 @@
 
   private static final long LEAST_RETRY_MILLIS = 1_000;
 
+  /**
+   * Before so many answers nothing is refused for a predicted wait: the prediction is a guess then.
+   *
+   * <p>An owner that begins in a burst would refuse by it what fits easily, so that few answers
+   * come to correct the guess. What waits in vain meanwhile is refused when its time is over.
+   */
+  private static final int LEAST_ENDS = 12;
+
   private final ShardUpstreams upstreams;
   private final WaitingQueue queue;
   private final PlacementEstimates estimates;
@@ -42,7 +50,8 @@
       return Optional.of(Refusal.notRun(RefusalReason.ORGANISATION_RATE, detail, rateMillis));
     }
     double wait = waitMillis(attempt, nowMillis);
-    if (wait * CONFIDENCE <= leftMillis) {
+    boolean isGuess = estimates.ends() < LEAST_ENDS && leftMillis >= 0;
+    if (isGuess || wait * CONFIDENCE <= leftMillis) {
       return Optional.empty();
     }
     long retryAfter = Math.max(LEAST_RETRY_MILLIS, (long) wait - leftMillis);
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/placement/RestoredMemoryTest.java
@@ -0,0 +1,77 @@
+package org.marjoramsail.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.marjoramsail.core.placement.PlacementFixtures.granted;
+import static org.marjoramsail.core.placement.PlacementFixtures.request;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
+
+class RestoredMemoryTest {
+
+  private static final int MEMORY_TOKENS = 7_000;
+
+  /**
+   * After a change of the owner, an engine stood half empty until the streams of before had ended.
+   * The new owner took them for streams that had not begun: each was to grow by its whole answer
+   * for as long as it lived, and nothing was let in beside it.
+   */
+  @Test
+  void aStreamThatGeneratesWhenItIsTakenOverEndsAsForetold() {
+    ReservingPlacer placer =
+        new ReservingPlacer(
+            PlacementFixtures.setup(PlacementFixtures.MODEL_SHARD, engineWithMemory(), true), 0);
+    Grant old =
+        new Grant(
+            new RequestId("old"),
+            1,
+            GrantMode.DISAGGREGATED,
+            Optional.of(new UpstreamName("prefill-0")),
+            new UpstreamName("decode-0"),
+            100,
+            4);
+    placer.restore(request("old").tokens(3_000, 800).build(), old, AttemptPhase.GENERATING, 0);
+    placer.place(request("next").tokens(3_000, 800).build(), 1);
+
+    assertThat(granted(placer.tick(millisFor(300)))).isEmpty();
+    assertThat(granted(placer.tick(millisFor(650)))).containsExactly("next");
+  }
+
+  private static long millisFor(int tokens) {
+    return Math.round(tokens * PlacementSettings.defaults().decodeMillisPerToken());
+  }
+
+  private static Configuration engineWithMemory() {
+    Configuration pool = PlacementFixtures.pool(1, 1, 4);
+    List<UpstreamDefinition> upstreams =
+        pool.upstreams().stream().map(RestoredMemoryTest::withMemory).toList();
+    return new Configuration(
+        pool.revision(),
+        pool.services(),
+        pool.models(),
+        upstreams,
+        pool.rules(),
+        pool.organisations());
+  }
+
+  private static UpstreamDefinition withMemory(UpstreamDefinition upstream) {
+    return new UpstreamDefinition(
+        upstream.name(),
+        upstream.service(),
+        upstream.role(),
+        upstream.address(),
+        upstream.port(),
+        upstream.availabilityZone(),
+        upstream.region(),
+        upstream.slots(),
+        upstream.fenced(),
+        upstream.drained(),
+        upstream.role() == UpstreamRole.DECODE ? Optional.of(MEMORY_TOKENS) : Optional.empty());
+  }
+}
--- a/core/src/test/java/org/marjoramsail/core/placement/TimelyPlacementTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/TimelyPlacementTest.java
@@ -7,6 +7,7 @@
 import static org.marjoramsail.core.placement.PlacementFixtures.plainPool;
 import static org.marjoramsail.core.placement.PlacementFixtures.refused;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -96,6 +97,36 @@
     assertThat(granted(placer.tick(80))).containsExactly("r2");
   }
 
+  /**
+   * All daemons were killed in a burst. The new owner had seen no answer yet, took the wait of the
+   * seventh lookup for longer than it had left, and so refused most of those that came after.
+   */
+  @Test
+  void nothingIsRefusedForAPredictedWaitBeforeThereAreAnswersToPredictFrom() {
+    List<PlacementResult> results = new ArrayList<>();
+
+    for (int number = 0; number < 20; number++) {
+      results.addAll(place("r" + number, 0));
+    }
+
+    assertThat(refused(results)).isEmpty();
+  }
+
+  @Test
+  void aWaitThatAnswersShowToBeTooLongIsRefusedAtOnce() {
+    for (int number = 0; number < 12; number++) {
+      place("old" + number, number * 1_000L);
+      end("old" + number, (number + 1) * 1_000L);
+    }
+    List<PlacementResult> results = new ArrayList<>();
+
+    for (int number = 0; number < 20; number++) {
+      results.addAll(place("r" + number, 12_000));
+    }
+
+    assertThat(refused(results)).hasSizeBetween(12, 16);
+  }
+
   private List<PlacementResult> place(String name, long nowMillis) {
     return place(name, nowMillis, 0);
   }
