--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementSettings.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementSettings.java
@@ -12,6 +12,9 @@
  * @param prefillAheadMillis how much unread work a prefill upstream is given ahead of need
  * @param kvLifetimeMillis how long a KV cache lives after its prefill
  * @param localPrefillMillis a prompt that a decode upstream reads within this is not disaggregated
+ * @param overflowPrefillMillis a prompt that a decode upstream reads within this goes straight to
+ *     it while all prefill upstreams are busy; zero for never
+ * @param localSlowdown how many times longer a decode upstream takes to read a prompt
  * @param quickHeadroom share of the slots that only quick requests may take while there are any
  * @param maximumWaiting how many attempts wait in a shard at most
  * @param ageingMillis how long a standard attempt waits before it is served like a quick one
@@ -34,6 +37,8 @@
     long prefillAheadMillis,
     long kvLifetimeMillis,
     long localPrefillMillis,
+    long overflowPrefillMillis,
+    double localSlowdown,
     double quickHeadroom,
     int maximumWaiting,
     long ageingMillis,
@@ -56,6 +61,8 @@
         100,
         800,
         30,
+        0,
+        1,
         0.05,
         10_000,
         2_000,
@@ -71,9 +78,9 @@
   /**
    * Values for engines whose KV caches live for half a second, before plain services that answer
    * within some tens of milliseconds. The rates are those that such engines state; the estimates
-   * correct themselves. A prompt is read by a prefill upstream whenever there is one, since reading
-   * it beside running answers slows all of them. An owner settles no longer than entries take to
-   * register again after a change.
+   * correct themselves. A prompt is read by a prefill upstream whenever there is one that is not
+   * busy, since reading it beside running answers slows all of them. An owner settles no longer
+   * than entries take to register again after a change.
    */
   public static PlacementSettings forShortLivedCaches() {
     return new PlacementSettings(
@@ -85,6 +92,8 @@
         120,
         450,
         1,
+        400,
+        2,
         0,
         2_000,
         2_000,
@@ -93,7 +102,7 @@
         1_000,
         1_000,
         1_500,
-        0.94,
+        0.97,
         ShardMap.MAXIMUM_UPSTREAMS);
   }
 
@@ -117,6 +126,8 @@
         prefillAheadMillis,
         kvLifetimeMillis,
         localPrefillMillis,
+        overflowPrefillMillis,
+        localSlowdown,
         quickHeadroom,
         newMaximumWaiting,
         ageingMillis,
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -238,7 +238,10 @@
     int engines = readers.size() + writers.size();
     double readsPerMilli = readers.size() / readMillis;
     double endsPerMilli = held / (double) writers.size() / estimates.holdMillis();
-    int best = RoleBalance.bestReaders(engines, readers.size(), readsPerMilli, endsPerMilli);
+    double readsBeside =
+        settings.overflowPrefillMillis() > 0 ? readsPerMilli / settings.localSlowdown() : 0;
+    RoleBalance.Rates rates = new RoleBalance.Rates(readsPerMilli, readsBeside, endsPerMilli);
+    int best = RoleBalance.bestReaders(engines, readers.size(), rates);
     if (best == readers.size()) {
       return Optional.empty();
     }
@@ -422,20 +425,30 @@
     }
   }
 
-  /** Finds the next attempt that fits; lanes whose resource is used up are not looked at. */
+  /**
+   * Finds the next attempt that fits; lanes whose resource is used up are not looked at.
+   *
+   * <p>Nor are lanes behind a more urgent one that waits for memory: at the peak of a burst small
+   * requests that were late already took each piece of memory that came free, and those that could
+   * still have been in time waited behind them until they were late as well.
+   */
   private Optional<Granting> findNext(long nowMillis) {
     if (selector.freeSlots(ServiceClass.QUICK, nowMillis) <= 0) {
       return Optional.empty();
     }
     boolean isReaderOpen = selector.isReaderOpen(nowMillis);
+    int lastServed = WaitingQueue.LANES;
     for (WaitingQueue.Lane lane : queue.lanesInOrder()) {
-      Optional<Granting> found =
-          lane.needsReader() && !isReaderOpen
-              ? Optional.empty()
-              : findInLane(lane.organisations(), nowMillis);
+      if (lane.index() > lastServed || (lane.needsReader() && !isReaderOpen)) {
+        continue;
+      }
+      Optional<Granting> found = findInLane(lane.organisations(), nowMillis);
       if (found.isPresent()) {
         return found;
       }
+      if (lane.isHeadWithoutSlot()) {
+        lastServed = Math.min(lastServed, lane.index());
+      }
     }
     return Optional.empty();
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/RoleBalance.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RoleBalance.java
@@ -14,9 +14,9 @@
   private static final double LEAST_GAIN = 1.12;
 
   /**
-   * An engine that generates is taken out only for more. Times of reading are measured with their
-   * queues and look too long after each burst; engines that went to and fro with that were out half
-   * of the time. Engines that generate read prompts as well, if need be.
+   * An engine that generates is taken out only for more: times of reading are measured with their
+   * queues and look too long after each burst, and engines that go to and fro with that are out for
+   * half of the time.
    */
   private static final double LEAST_GAIN_OF_READERS = 1.6;
 
@@ -27,16 +27,15 @@
    *
    * @param engines how many engines there are
    * @param reading how many read prompts now
-   * @param readsPerMilli prompts that one engine reads in a millisecond
-   * @param endsPerMilli answers that one engine ends in a millisecond
+   * @param rates what one engine does
    * @return {@code reading} where another number brings too little
    */
-  static int bestReaders(int engines, int reading, double readsPerMilli, double endsPerMilli) {
+  static int bestReaders(int engines, int reading, Rates rates) {
     int best = reading;
-    double now = rate(engines, reading, readsPerMilli, endsPerMilli);
+    double now = rates.ofPool(engines, reading);
     double bestRate = now;
     for (int readers = 1; readers < engines; readers++) {
-      double rate = rate(engines, readers, readsPerMilli, endsPerMilli);
+      double rate = rates.ofPool(engines, readers);
       double leastGain = readers > reading ? LEAST_GAIN_OF_READERS : LEAST_GAIN;
       if (rate > bestRate && rate >= now * leastGain) {
         best = readers;
@@ -46,7 +45,26 @@
     return best;
   }
 
-  private static double rate(int engines, int readers, double readsPerMilli, double endsPerMilli) {
-    return Math.min(readers * readsPerMilli, (engines - readers) * endsPerMilli);
+  /**
+   * What one engine does in a millisecond.
+   *
+   * @param reads prompts that a prefill engine reads
+   * @param readsBeside prompts that a decode engine would read if it did nothing else; zero where
+   *     decode engines read none
+   * @param ends answers that a decode engine ends while it reads none
+   */
+  record Rates(double reads, double readsBeside, double ends) {
+
+    /**
+     * Requests that a pool serves in a millisecond.
+     *
+     * <p>What the prefill engines leave unread the decode engines read, and have the less time for
+     * answers: with {@code x} served, each spends {@code (x - read) / readsBeside} of its time so.
+     */
+    double ofPool(int engines, int readers) {
+      double read = readers * reads;
+      double ended = (engines - readers) * ends;
+      return read >= ended ? ended : (ended * readsBeside + ends * read) / (readsBeside + ends);
+    }
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
@@ -110,15 +110,17 @@
     return isLimited ? free - (int) (slots * settings.quickHeadroom()) : free;
   }
 
-  /** Whether a prefill upstream takes a prompt now, or none is left and decode upstreams read. */
+  /** Whether any upstream takes a prompt to read now. */
   boolean isReaderOpen(long nowMillis) {
     boolean isAnyUsable = false;
     for (UpstreamState upstream : upstreams.all()) {
-      if (upstream.role() == UpstreamRole.PREFILL && upstream.isUsable(nowMillis)) {
-        isAnyUsable = true;
-        if (isOpenReader(upstream, nowMillis)) {
-          return true;
-        }
+      if (!upstream.isUsable(nowMillis)) {
+        continue;
+      }
+      boolean isReader = upstream.role() == UpstreamRole.PREFILL;
+      isAnyUsable |= isReader;
+      if (isReader ? isOpenReader(upstream, nowMillis) : isOpenForOverflow(upstream, nowMillis)) {
+        return true;
       }
     }
     return !isAnyUsable;
@@ -193,10 +195,8 @@
       attempt.missing(missingSlot(request, nowMillis));
       return Optional.empty();
     }
-    int localUnread = unread(local, request);
-    double localMillis = local.prefillMillis(localUnread);
-    if (localMillis <= settings.localPrefillMillis()) {
-      return Optional.of(local(local, localUnread, localMillis));
+    if (local.prefillMillis(unread(local, request)) <= settings.localPrefillMillis()) {
+      return Optional.of(local(local, request));
     }
     boolean isAnyUsable = false;
     UpstreamState reader = null;
@@ -216,11 +216,14 @@
     if (!isAnyUsable) {
       // All prefill upstreams are gone: callers would see refusals though decode upstreams can
       // read prompts themselves. Slower answers are better, and the slots still bound them.
-      return Optional.of(local(local, localUnread, localMillis));
+      return Optional.of(local(local, request));
     }
     if (reader == null) {
-      attempt.missing(MissingResource.PREFILL_CAPACITY);
-      return Optional.empty();
+      Optional<Choice> overflow = overflow(request, nowMillis);
+      if (overflow.isEmpty()) {
+        attempt.missing(MissingResource.PREFILL_CAPACITY);
+      }
+      return overflow;
     }
     UpstreamState target = bestDecode(request, reader, nowMillis);
     if (target == null || linkQueueMillis(reader, target) > largestLinkQueueMillis()) {
@@ -230,14 +233,55 @@
     return Optional.of(disaggregated(request, reader, target, unread(reader, request), true));
   }
 
+  /**
+   * A decode upstream that reads a prompt itself because all prefill upstreams are busy.
+   *
+   * <p>In a burst a pool with one prefill upstream read eleven prompts a second and stood before
+   * decode upstreams with memory for sixteen. Each reads one prompt at a time: two would keep its
+   * answers waiting for longer than callers accept between two events.
+   */
+  private Optional<Choice> overflow(PlacementRequest request, long nowMillis) {
+    UpstreamState best = null;
+    double bestMillis = settings.overflowPrefillMillis();
+    for (UpstreamState upstream : upstreams.all()) {
+      if (!isCandidate(upstream, UpstreamRole.DECODE, request, nowMillis)
+          || !isOpenForOverflow(upstream, nowMillis)) {
+        continue;
+      }
+      double millis =
+          upstream.prefillMillis(unread(upstream, request))
+              + upstream.utilisation(nowMillis) * FULL_PENALTY_MILLIS;
+      if (millis <= bestMillis) {
+        bestMillis = millis;
+        best = upstream;
+      }
+    }
+    return Optional.ofNullable(best).map(target -> local(target, request));
+  }
+
+  private boolean isOpenForOverflow(UpstreamState upstream, long nowMillis) {
+    return upstream.role() == UpstreamRole.DECODE
+        && settings.overflowPrefillMillis() > 0
+        && freeSlotsOf(upstream, nowMillis) > 0
+        && upstream.queueMillis(nowMillis) <= 0;
+  }
+
   private boolean isOpenReader(UpstreamState upstream, long nowMillis) {
     return freeSlotsOf(upstream, nowMillis) > 0
         && upstream.queueMillis(nowMillis) <= settings.prefillAheadMillis();
   }
 
-  private Choice local(UpstreamState target, int unreadTokens, double millis) {
+  private static Choice local(UpstreamState target, PlacementRequest request) {
+    int unreadTokens = unread(target, request);
     return new Choice(
-        GrantMode.LOCAL_PREFILL, Optional.empty(), target, true, unreadTokens, 0, millis, 0);
+        GrantMode.LOCAL_PREFILL,
+        Optional.empty(),
+        target,
+        true,
+        unreadTokens,
+        0,
+        target.prefillMillis(unreadTokens),
+        0);
   }
 
   private Choice disaggregated(
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -281,7 +281,8 @@
   }
 
   double prefillMillis(int tokens) {
-    return overheadMillis.value() + tokens * millisPerToken.value();
+    double slowdown = role == UpstreamRole.DECODE ? settings.localSlowdown() : 1;
+    return overheadMillis.value() + tokens * millisPerToken.value() * slowdown;
   }
 
   double prefillTokensPerMilli() {
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
@@ -141,12 +141,12 @@
     List<Lane> ordered = new ArrayList<>(LANES);
     for (int lane = LANES - 1; lane >= 0; lane--) {
       if (isSkippedTooOften(lane)) {
-        ordered.add(new Lane(lanes.get(lane), lane % 2 == 1));
+        ordered.add(new Lane(lane, lanes.get(lane)));
       }
     }
     for (int lane = 0; lane < LANES; lane++) {
       if (count[lane] > 0 && !isSkippedTooOften(lane)) {
-        ordered.add(new Lane(lanes.get(lane), lane % 2 == 1));
+        ordered.add(new Lane(lane, lanes.get(lane)));
       }
     }
     return ordered;
@@ -188,10 +188,22 @@
   /**
    * One lane.
    *
+   * @param index its number; lower ones are more urgent
    * @param organisations those that wait in it, by their turn
-   * @param needsReader whether a prefill upstream has to read its prompts
    */
-  record Lane(Collection<OrganisationLane> organisations, boolean needsReader) {}
+  record Lane(int index, Collection<OrganisationLane> organisations) {
+
+    /** Whether a prefill upstream has to read its prompts. */
+    boolean needsReader() {
+      return index % 2 == 1;
+    }
+
+    /** Whether what would be served next in it waits for a slot or the memory of an engine. */
+    boolean isHeadWithoutSlot() {
+      WaitingAttempt head = organisations.iterator().next().attempts().first();
+      return !head.isRestricted() && head.missing() == MissingResource.DECODE_SLOT;
+    }
+  }
 
   /**
    * What is served before a new attempt of some lane, and what is left for the lane.
--- a/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
@@ -54,6 +54,35 @@
         organisations);
   }
 
+  /** The same, with decode upstreams whose memory is bounded. */
+  static Configuration poolWithMemory(int prefills, int decodes, int slots, int memoryTokens) {
+    Configuration pool = pool(prefills, decodes, slots);
+    List<UpstreamDefinition> upstreams =
+        pool.upstreams().stream().map(upstream -> withMemory(upstream, memoryTokens)).toList();
+    return new Configuration(
+        pool.revision(),
+        pool.services(),
+        pool.models(),
+        upstreams,
+        pool.rules(),
+        pool.organisations());
+  }
+
+  private static UpstreamDefinition withMemory(UpstreamDefinition upstream, int memoryTokens) {
+    return new UpstreamDefinition(
+        upstream.name(),
+        upstream.service(),
+        upstream.role(),
+        upstream.address(),
+        upstream.port(),
+        upstream.availabilityZone(),
+        upstream.region(),
+        upstream.slots(),
+        upstream.fenced(),
+        upstream.drained(),
+        upstream.role() == UpstreamRole.DECODE ? Optional.of(memoryTokens) : Optional.empty());
+  }
+
   static Configuration plainPool(int size, int slots) {
     List<UpstreamDefinition> upstreams = new ArrayList<>();
     for (int number = 0; number < size; number++) {
--- a/core/src/test/java/org/marjoramsail/core/placement/RestoredMemoryTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/RestoredMemoryTest.java
@@ -4,14 +4,10 @@
 import static org.marjoramsail.core.placement.PlacementFixtures.granted;
 import static org.marjoramsail.core.placement.PlacementFixtures.request;
 
-import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
-import org.marjoramsail.core.configuration.Configuration;
-import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.UpstreamName;
-import org.marjoramsail.core.model.UpstreamRole;
 
 class RestoredMemoryTest {
 
@@ -26,7 +22,11 @@
   void aStreamThatGeneratesWhenItIsTakenOverEndsAsForetold() {
     ReservingPlacer placer =
         new ReservingPlacer(
-            PlacementFixtures.setup(PlacementFixtures.MODEL_SHARD, engineWithMemory(), true), 0);
+            PlacementFixtures.setup(
+                PlacementFixtures.MODEL_SHARD,
+                PlacementFixtures.poolWithMemory(1, 1, 4, MEMORY_TOKENS),
+                true),
+            0);
     Grant old =
         new Grant(
             new RequestId("old"),
@@ -46,32 +46,4 @@
   private static long millisFor(int tokens) {
     return Math.round(tokens * PlacementSettings.defaults().decodeMillisPerToken());
   }
-
-  private static Configuration engineWithMemory() {
-    Configuration pool = PlacementFixtures.pool(1, 1, 4);
-    List<UpstreamDefinition> upstreams =
-        pool.upstreams().stream().map(RestoredMemoryTest::withMemory).toList();
-    return new Configuration(
-        pool.revision(),
-        pool.services(),
-        pool.models(),
-        upstreams,
-        pool.rules(),
-        pool.organisations());
-  }
-
-  private static UpstreamDefinition withMemory(UpstreamDefinition upstream) {
-    return new UpstreamDefinition(
-        upstream.name(),
-        upstream.service(),
-        upstream.role(),
-        upstream.address(),
-        upstream.port(),
-        upstream.availabilityZone(),
-        upstream.region(),
-        upstream.slots(),
-        upstream.fenced(),
-        upstream.drained(),
-        upstream.role() == UpstreamRole.DECODE ? Optional.of(MEMORY_TOKENS) : Optional.empty());
-  }
 }
--- a/core/src/test/java/org/marjoramsail/core/placement/RoleBalanceTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/RoleBalanceTest.java
@@ -15,34 +15,52 @@
 
   @Test
   void readersThatAreIdleAreOfMoreUseGenerating() {
-    assertThat(RoleBalance.bestReaders(10, 4, READS, ENDS)).isEqualTo(2);
+    assertThat(bestReaders(10, 4, READS, ENDS)).isEqualTo(2);
   }
 
   @Test
   void aBalancedPoolIsLeftAlone() {
-    assertThat(RoleBalance.bestReaders(10, 2, READS, ENDS)).isEqualTo(2);
-    assertThat(RoleBalance.bestReaders(6, 2, READS, 3.2 / 1_000)).isEqualTo(2);
+    assertThat(bestReaders(10, 2, READS, ENDS)).isEqualTo(2);
+    assertThat(bestReaders(6, 2, READS, 3.2 / 1_000)).isEqualTo(2);
   }
 
   @Test
   void tooFewReadersGetHelp() {
-    assertThat(RoleBalance.bestReaders(10, 1, READS, 2 * ENDS)).isEqualTo(3);
+    assertThat(bestReaders(10, 1, READS, 2 * ENDS)).isEqualTo(3);
   }
 
   /** After a burst the times of reading look longer than they are; an engine went to and fro. */
   @Test
   void enginesThatGenerateAreNotTakenOutForALittle() {
-    assertThat(RoleBalance.bestReaders(10, 2, READS * 0.7, ENDS)).isEqualTo(2);
+    assertThat(bestReaders(10, 2, READS * 0.7, ENDS)).isEqualTo(2);
   }
 
   @Test
   void aChangeThatBringsLittleIsNotMade() {
-    assertThat(RoleBalance.bestReaders(20, 5, READS, ENDS)).isEqualTo(5);
-    assertThat(RoleBalance.bestReaders(30, 6, READS, ENDS)).isEqualTo(6);
+    assertThat(bestReaders(20, 5, READS, ENDS)).isEqualTo(5);
+    assertThat(bestReaders(30, 6, READS, ENDS)).isEqualTo(6);
   }
 
   @Test
   void atLeastOneEngineReadsAndOneGenerates() {
-    assertThat(RoleBalance.bestReaders(2, 1, READS, ENDS)).isEqualTo(1);
+    assertThat(bestReaders(2, 1, READS, ENDS)).isEqualTo(1);
+  }
+
+  /**
+   * One reader of six kept up with twelve prompts a second before five engines with memory for
+   * sixteen answers. Engines that read what it cannot serve fourteen; a second reader only
+   * thirteen.
+   */
+  @Test
+  void whatReadersLeaveIsReadBesideAnswers() {
+    RoleBalance.Rates rates = new RoleBalance.Rates(10.7, 10.7 / 2, 3.28);
+
+    assertThat(rates.ofPool(6, 1)).isBetween(14.0, 14.4);
+    assertThat(rates.ofPool(6, 2)).isBetween(13.0, 13.2);
+    assertThat(rates.ofPool(6, 0)).isBetween(12.1, 12.3);
+  }
+
+  private static int bestReaders(int engines, int reading, double reads, double ends) {
+    return RoleBalance.bestReaders(engines, reading, new RoleBalance.Rates(reads, 0, ends));
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/QueueLog.java
@@ -0,0 +1,86 @@
+package org.marjoramsail.daemon.placement;
+
+import java.util.List;
+import java.util.StringJoiner;
+import java.util.TreeMap;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.marjoramsail.core.placement.ShardView;
+import org.marjoramsail.core.time.Clock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Writes what waits in the shards that this daemon owns, what it lacks and what each upstream
+ * holds: one line a second and shard, and none while nothing waits.
+ */
+public final class QueueLog {
+
+  private static final Logger LOG = LoggerFactory.getLogger(QueueLog.class);
+
+  /**
+   * Often enough to see a burst build up, seldom enough to be some bytes of all that is written.
+   */
+  private static final long EVERY_MILLIS = 1_000;
+
+  private final Supplier<List<ShardView>> views;
+  private final Clock clock;
+  private long nextAtMillis;
+
+  /** Takes the shards that are owned at each moment. */
+  public QueueLog(Supplier<List<ShardView>> views, Clock clock) {
+    this.views = views;
+    this.clock = clock;
+  }
+
+  /** Writes the lines that are due. */
+  public void tick() {
+    long now = clock.millis();
+    if (now < nextAtMillis) {
+      return;
+    }
+    nextAtMillis = now + EVERY_MILLIS;
+    views.get().stream().filter(view -> !view.waiting().isEmpty()).forEach(QueueLog::write);
+  }
+
+  private static void write(ShardView view) {
+    LOG.atInfo()
+        .addKeyValue("shard", view.shard().toString())
+        .addKeyValue("waiting", view.waiting().size())
+        .addKeyValue("running", view.running().size())
+        .addKeyValue("missing", missing(view))
+        .addKeyValue("longestMillis", longestMillis(view))
+        .addKeyValue("upstreams", upstreams(view))
+        .log("requests wait");
+  }
+
+  private static String missing(ShardView view) {
+    return view.waiting().stream()
+        .collect(
+            Collectors.groupingBy(
+                ShardView.WaitingView::missing, TreeMap::new, Collectors.counting()))
+        .toString();
+  }
+
+  private static long longestMillis(ShardView view) {
+    return view.waiting().stream().mapToLong(ShardView.WaitingView::waitedMillis).max().orElse(0);
+  }
+
+  /** Each upstream with its role, what it holds of its slots, and its state. */
+  private static String upstreams(ShardView view) {
+    StringJoiner all = new StringJoiner("; ");
+    for (ShardView.UpstreamView upstream : view.upstreams()) {
+      all.add(
+          upstream.name()
+              + " "
+              + upstream.role()
+              + " "
+              + upstream.reserved()
+              + "/"
+              + upstream.slots()
+              + " "
+              + upstream.state());
+    }
+    return all.toString();
+  }
+}
