Never eject the last upstream that serves; leave time for a plain answer

Besides, lookups were granted until their very target and answered just after it. Ruled out: the guess of the holding time (answers had been learned), the queue's order. Change: what is away counts as out; one that fails every time is ejected while another serves; ejections double twice at most; a plain request expires before its target by its learned time. The test of the last upstream fails without the change.

--- a/core/src/main/java/org/marjoramsail/core/placement/EjectionState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/EjectionState.java
@@ -6,7 +6,13 @@
   private static final int CONSECUTIVE_FAILURES = 5;
   private static final int WINDOW_RESULTS = 20;
   private static final double FAILURE_RATIO = 0.5;
-  private static final int LARGEST_DOUBLING = 6;
+
+  /**
+   * An upstream that is back after an outage of some seconds is not left out for a minute. One that
+   * is still away costs one request at each return, since it starts slowly.
+   */
+  private static final int LARGEST_DOUBLING = 2;
+
   private static final double FIRST_SHARE = 0.1;
   private static final long NEVER = Long.MIN_VALUE / 2;
 
@@ -17,6 +23,8 @@
   private int ejections;
   private long ejectedUntil = NEVER;
   private long slowSince = NEVER;
+  private long succeededAt = NEVER;
+  private boolean unproven;
 
   EjectionState(PlacementSettings settings) {
     this.settings = settings;
@@ -26,8 +34,25 @@
     return nowMillis < ejectedUntil;
   }
 
-  void succeeded() {
+  /** Whether it was ejected and has not answered well since. */
+  boolean isUnproven() {
+    return unproven;
+  }
+
+  /** Whether its last answer was a good one, and came after {@code sinceMillis}. */
+  boolean isServingSince(long sinceMillis) {
+    return consecutive == 0 && succeededAt >= sinceMillis;
+  }
+
+  /** Whether it fails every time, not only often. */
+  boolean isFailingAlways() {
+    return consecutive >= CONSECUTIVE_FAILURES;
+  }
+
+  void succeeded(long nowMillis) {
     consecutive = 0;
+    succeededAt = nowMillis;
+    unproven = false;
     count(0);
     if (results == 0 && failures == 0) {
       ejections = Math.max(0, ejections - 1);
@@ -46,6 +71,7 @@
   void eject(long nowMillis) {
     long outMillis = settings.ejectionMillis() << Math.min(ejections, LARGEST_DOUBLING);
     ejections++;
+    unproven = true;
     ejectedUntil = nowMillis + outMillis;
     consecutive = 0;
     results = 0;
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -40,8 +40,8 @@
 
   private static final long SHARE_REFRESH_MILLIS = 1_000;
 
-  /** After so many answers the rates are known well enough to change a role for them. */
-  private static final int LEAST_ENDS_FOR_ROLES = 12;
+  /** After so many answers what was learned from them is good enough to decide by. */
+  private static final int LEAST_ENDS = 12;
 
   private static final long LEAST_RETRY_MILLIS = 1_000;
 
@@ -103,7 +103,7 @@
     if (refusal.isPresent()) {
       return List.of(refused(request, refusal.get()));
     }
-    WaitingAttempt attempt = enqueue(request, (long) leastMillis, nowMillis);
+    WaitingAttempt attempt = enqueue(request, leastMillis, nowMillis);
     List<PlacementResult> results = dispatch(nowMillis);
     if (waiting.get(request.request()) == attempt) {
       diagnose(attempt, nowMillis);
@@ -213,7 +213,7 @@
 
   @Override
   public Optional<RoleChange> wantedRoleChange(long nowMillis) {
-    if (estimates.ends() < LEAST_ENDS_FOR_ROLES) {
+    if (estimates.ends() < LEAST_ENDS) {
       return Optional.empty();
     }
     List<UpstreamState> readers = new ArrayList<>();
@@ -357,7 +357,7 @@
     return Optional.empty();
   }
 
-  private WaitingAttempt enqueue(PlacementRequest request, long leastMillis, long nowMillis) {
+  private WaitingAttempt enqueue(PlacementRequest request, double leastMillis, long nowMillis) {
     if (request.serviceClass() == ServiceClass.QUICK) {
       selector.quickSeen(nowMillis);
     }
@@ -366,7 +366,7 @@
             request,
             organisations.of(request.organisation()),
             nextSequence++,
-            Math.min(leastMillis, Math.max(0, WaitingAttempt.targetWithin(request))),
+            serviceMillis(request, leastMillis),
             selector.needsReader(request, nowMillis),
             request.serviceClass().isWantedLate() && returning.isBack(request.content(), nowMillis),
             settings,
@@ -376,6 +376,19 @@
     return attempt;
   }
 
+  /**
+   * How long before its target an attempt has to start.
+   *
+   * <p>A plain request takes as long as its upstreams hold a slot. In a burst lookups that were
+   * granted in the last moment before their target were all answered just after it.
+   */
+  private long serviceMillis(PlacementRequest request, double leastMillis) {
+    double targetWithin = Math.max(0, WaitingAttempt.targetWithin(request));
+    boolean isLearned = !request.isGeneration() && estimates.ends() >= LEAST_ENDS;
+    double answering = isLearned ? Math.min(estimates.holdMillis(), targetWithin / 2) : 0;
+    return (long) Math.min(Math.max(leastMillis, answering), targetWithin);
+  }
+
   private void handleDue(WaitingAttempt attempt, List<PlacementResult> results, long nowMillis) {
     if (attempt.expiresAt() > nowMillis) {
       queue.promote(attempt, nowMillis);
@@ -510,8 +523,8 @@
     AttemptResult result = report.result().orElse(AttemptResult.FAILED);
     if (result == AttemptResult.COMPLETED) {
       ledger.learnCompletion(attempt, report, nowMillis);
-      attempt.target().ifPresent(target -> target.ejection().succeeded());
-      attempt.prefill().ifPresent(prefill -> prefill.ejection().succeeded());
+      attempt.target().ifPresent(target -> target.ejection().succeeded(nowMillis));
+      attempt.prefill().ifPresent(prefill -> prefill.ejection().succeeded(nowMillis));
     }
     if (result.isUpstreamFault()) {
       Optional<UpstreamState> failed =
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
@@ -17,6 +17,9 @@
   /** At most one in that many upstreams of a role is ejected at a time. */
   private static final int EJECTED_DIVISOR = 3;
 
+  /** An upstream serves if it has answered well within that long, and not failed since. */
+  private static final long SERVING_MILLIS = 2_000;
+
   private final PlacementSettings settings;
   private final Map<UpstreamName, UpstreamState> byName = new TreeMap<>();
   private List<UpstreamState> all = List.of();
@@ -62,7 +65,9 @@
    * Counts a failure, and ejects an upstream that fails too often.
    *
    * <p>Where all fail together the cause is elsewhere, and ejecting them would leave the rest to
-   * drown: at most a third of a role is out.
+   * drown: at most a third of a role is out. What is away for other reasons counts as out, else the
+   * last upstream that serves is ejected beside others that are gone, and nothing is served at all.
+   * One that fails every time is ejected all the same while another serves.
    */
   void failed(UpstreamState upstream, long nowMillis) {
     if (!upstream.ejection().failed() || upstream.ejection().isEjected(nowMillis)) {
@@ -70,13 +75,16 @@
     }
     int pool = 0;
     int out = 0;
+    boolean isAnotherServing = false;
     for (UpstreamState other : all) {
-      if (other.role() == upstream.role() && other.isConfigured()) {
+      if (other.role() == upstream.role() && other.isConfigured() && other != upstream) {
         pool++;
-        out += other.ejection().isEjected(nowMillis) ? 1 : 0;
+        out += other.isUsable(nowMillis) && !other.ejection().isUnproven() ? 0 : 1;
+        isAnotherServing |= other.isServingSince(nowMillis - SERVING_MILLIS, nowMillis);
       }
     }
-    if ((out + 1) * EJECTED_DIVISOR <= pool) {
+    boolean isFewOut = (out + 1) * EJECTED_DIVISOR <= pool + 1;
+    if (isFewOut || (isAnotherServing && upstream.ejection().isFailingAlways())) {
       upstream.ejection().eject(nowMillis);
     }
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -129,6 +129,11 @@
         && !ejection.isEjected(nowMillis);
   }
 
+  /** Whether it takes work and its last answer was a good one. */
+  boolean isServingSince(long sinceMillis, long nowMillis) {
+    return isUsable(nowMillis) && ejection.isServingSince(sinceMillis);
+  }
+
   /** The upstream had no room: others use it too, or it held more than was known here. */
   void full(long nowMillis) {
     refusedUntil = Math.max(refusedUntil, nowMillis + FULL_MILLIS);
--- a/core/src/test/java/org/marjoramsail/core/placement/PlainPlacementTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlainPlacementTest.java
@@ -6,7 +6,9 @@
 import static org.marjoramsail.core.placement.PlacementFixtures.plainPlacer;
 import static org.marjoramsail.core.placement.PlacementFixtures.plainPool;
 
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.UpstreamName;
@@ -83,6 +85,54 @@
         .isNotEmpty();
   }
 
+  /**
+   * After a restart hardly any lookup was served for a minute. Two of three servers were gone, the
+   * last one was slow for a moment, and was ejected for it again and again, each time for longer:
+   * one in three may be out, and the two that were gone did not count.
+   */
+  @Test
+  void theLastUpstreamThatIsLeftIsNotEjected() {
+    ReservingPlacer placer = plainPlacer(plainPool(3, 20));
+    placer.availability(new UpstreamName("plain-0"), false, 0);
+    placer.availability(new UpstreamName("plain-1"), false, 0);
+    for (int number = 0; number < 20; number++) {
+      placer.place(lookup("r" + number), 0);
+      fail(placer, "r" + number, "plain-2", 0);
+    }
+
+    assertThat(onlyGrant(placer.place(lookup("next"), 1)).target().value()).isEqualTo("plain-2");
+  }
+
+  /** Two of three servers fall silent: what they are sent is lost until they are left out. */
+  @Test
+  void upstreamsThatFailEveryTimeAreEjectedWhileAnotherServes() {
+    ReservingPlacer placer = plainPlacer(plainPool(3, 20));
+    Map<String, String> targets = new TreeMap<>();
+    for (int round = 0; round < 10; round++) {
+      for (int number = 0; number < 3; number++) {
+        targets.put("r" + round + number, place(placer, "r" + round + number));
+      }
+      targets.forEach((name, target) -> end(placer, name, target));
+      targets.clear();
+    }
+
+    assertThat(placer.view(1).upstreams())
+        .extracting(ShardView.UpstreamView::state)
+        .containsExactly("ejected", "ejected", "available");
+  }
+
+  private static String place(ReservingPlacer placer, String name) {
+    return onlyGrant(placer.place(lookup(name), 0)).target().value();
+  }
+
+  private static void end(ReservingPlacer placer, String name, String target) {
+    if (target.equals("plain-2")) {
+      placer.report(PlacementFixtures.ended(name, 1, AttemptResult.COMPLETED), 0);
+    } else {
+      fail(placer, name, target, 0);
+    }
+  }
+
   @Test
   void anUpstreamThatSaysItIsLeavingGetsNothingMore() {
     ReservingPlacer placer = plainPlacer(plainPool(1, 2));
--- a/core/src/test/java/org/marjoramsail/core/placement/TimelyPlacementTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/TimelyPlacementTest.java
@@ -127,6 +127,24 @@
     assertThat(refused(results)).hasSizeBetween(12, 16);
   }
 
+  /**
+   * In a burst every lookup was granted just before its target and answered just after it. The time
+   * that the answer takes has to be left.
+   */
+  @Test
+  void aRequestThatCannotBeAnsweredInTimeAnyMoreGivesWayToOneThatCan() {
+    for (int number = 0; number < 12; number++) {
+      place("old" + number, number * 100L);
+      end("old" + number, number * 100L + 40);
+    }
+    place("running", 2_000);
+    place("too-late", 2_000);
+    placer.tick(2_080);
+    place("fresh", 2_080);
+
+    assertThat(granted(end("running", 2_081))).containsExactly("fresh");
+  }
+
   private List<PlacementResult> place(String name, long nowMillis) {
     return place(name, nowMillis, 0);
   }
