--- a/core/src/main/java/org/marjoramsail/core/outcome/RetryBudget.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RetryBudget.java
@@ -12,6 +12,18 @@
   /** The share of first sends that may be repeated. */
   public static final double SHARE = 0.1;
 
+  /**
+   * The part of a shared slack that daemons hand out between them: windows of those who count are
+   * not those of daemons, and requests that a daemon forwards are counted where they arrive.
+   */
+  private static final double SLACK_SHARE = 0.5;
+
+  /** The part of an allowed ratio that is used, for what is counted otherwise. */
+  private static final double RATIO_SHARE = 0.8;
+
+  /** At least so many daemons share the slack, also while fewer are known. */
+  private static final int FEWEST_DAEMONS = 6;
+
   private final double share;
   private final double reserve;
   private double tokens;
@@ -41,6 +53,18 @@
     this.tokens = Math.min(reserve, first);
   }
 
+  /**
+   * The part of a fleet's retries that one daemon may use without asking any other.
+   *
+   * @param ratio how many retries the fleet may make for each request
+   * @param slack how many it may make beside these
+   * @param daemons how many daemons there are
+   */
+  public static RetryBudget partOf(double ratio, double slack, int daemons) {
+    double reserve = slack * SLACK_SHARE / Math.max(FEWEST_DAEMONS, daemons);
+    return new RetryBudget(ratio * RATIO_SHARE, reserve, reserve / 2);
+  }
+
   /** Earns for a first send. */
   public synchronized void earn() {
     tokens = Math.min(reserve, tokens + share);
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/placement/RoleChangePaceTest.java
@@ -0,0 +1,63 @@
+package org.marjoramsail.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
+
+class RoleChangePaceTest {
+
+  private static final RoleChange FIRST = change("engine-1");
+  private static final RoleChange SECOND = change("engine-2");
+
+  private final RoleChangePace pace = new RoleChangePace();
+
+  /** An order got no answer and was carried out twelve seconds later, after the next one. */
+  @Test
+  void anEngineThatWasOrderedIsLeftAloneUntilALateOrderIsOver() {
+    pace.asked(FIRST.upstream(), 0);
+
+    assertThat(pace.allowed(List.of(FIRST, SECOND), 13_999)).containsExactly(SECOND);
+    assertThat(pace.allowed(List.of(FIRST, SECOND), 14_000)).containsExactly(FIRST, SECOND);
+  }
+
+  @Test
+  void noMoreThanTwoEnginesAreOutAtATime() {
+    pace.began(FIRST);
+    assertThat(pace.hasRoom()).isTrue();
+
+    pace.began(SECOND);
+    assertThat(pace.hasRoom()).isFalse();
+  }
+
+  @Test
+  void aChangeEndsWhenItIsSeenOrWhenItsEngineWasLeftAloneForLong() {
+    begin(FIRST, 0);
+    begin(SECOND, 0);
+
+    assertThat(pace.ended(FIRST::equals, 1_000)).containsExactly(FIRST);
+    assertThat(pace.ended(change -> false, 13_999)).isEmpty();
+    assertThat(pace.ended(change -> false, 14_000)).containsExactly(SECOND);
+    assertThat(pace.isChanging()).isFalse();
+  }
+
+  @Test
+  void aRefusedOrderIsNotUnderWay() {
+    begin(FIRST, 0);
+
+    assertThat(pace.refused(FIRST)).isTrue();
+    assertThat(pace.refused(FIRST)).isFalse();
+    assertThat(pace.hasRoom()).isTrue();
+  }
+
+  private void begin(RoleChange change, long nowMillis) {
+    pace.asked(change.upstream(), nowMillis);
+    pace.began(change);
+  }
+
+  private static RoleChange change(String upstream) {
+    return new RoleChange(new UpstreamName(upstream), UpstreamRole.DECODE);
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
 import io.micrometer.core.instrument.Timer;
 import java.util.Arrays;
 import java.util.EnumMap;
@@ -16,6 +17,7 @@
 import org.marjoramsail.core.outcome.DropReason;
 import org.marjoramsail.core.outcome.Invariant;
 import org.marjoramsail.core.outcome.Invariants;
+import org.marjoramsail.core.outcome.RetryBudget;
 
 /**
  * What is counted of requests.
@@ -63,7 +65,7 @@
           .more()
           .counter(
               PREFIX + "invariant.violations",
-              io.micrometer.core.instrument.Tags.of("invariant", one.code()),
+              Tags.of("invariant", one.code()),
               invariants,
               counted -> counted.violations(one));
     }
@@ -95,6 +97,12 @@
     return Timer.builder(PREFIX + name).publishPercentileHistogram().register(registry);
   }
 
+  /** Shows how many retries of one service may be made now. */
+  public void showRetryBudget(String service, RetryBudget budget) {
+    registry.gauge(
+        PREFIX + "retry.budget.left", Tags.of("service", service), budget, RetryBudget::available);
+  }
+
   /** Shows how many requests run. */
   public void showRunning(IntSupplier running) {
     registry.gauge(PREFIX + "requests.running", running, IntSupplier::getAsInt);
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
@@ -94,7 +94,7 @@
         new RequestLifecycle(
             profile,
             request.policy(),
-            budgets.computeIfAbsent(profile.service(), unused -> rules.budgets().get()),
+            budgets.computeIfAbsent(profile.service(), this::newBudget),
             rules.quarantine(),
             rules.invariants(),
             random);
@@ -113,6 +113,12 @@
         shard, request.home(), clock, timers, lifecycle, runner, () -> settled(shard, profile));
   }
 
+  private RetryBudget newBudget(String service) {
+    RetryBudget budget = rules.budgets().get();
+    metrics.showRetryBudget(service, budget);
+    return budget;
+  }
+
   private void settled(Shard shard, RequestProfile profile) {
     RequestView view;
     synchronized (shard) {
