--- a/command/src/main/java/org/marjoramsail/command/CommandList.java
+++ b/command/src/main/java/org/marjoramsail/command/CommandList.java
@@ -18,6 +18,7 @@
           RunCommand.class,
           ShellCommand.class,
           ExplainCommand.class,
+          PlatformDemoCommand.class,
           WorkloadCommand.class,
           StandInCommand.class);
     }
@@ -26,6 +27,7 @@
         ShellCommand.class,
         ExplainCommand.class,
         DemoCommand.class,
+        PlatformDemoCommand.class,
         BenchCommand.class,
         BenchCompareCommand.class,
         ControlCommand.class,
