--- a/core/src/test/java/org/marjoramsail/core/outcome/RetryBudgetTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/RetryBudgetTest.java
@@ -49,4 +49,41 @@
 
     assertThat(budget.available()).isEqualTo(RESERVE);
   }
+
+  /**
+   * Seven daemons were restarted in turn while a service failed. Each handed out its reserve of
+   * before and a new one after it, and the fleet made more retries than it may.
+   */
+  @Test
+  void aFleetThatIsRestartedInAnOutageStaysWithinItsSlack() {
+    double slack = 54;
+    int daemons = 7;
+    int retries = 0;
+    for (int daemon = 0; daemon < daemons; daemon++) {
+      retries += spendAll(savedUp(RetryBudget.partOf(0.2, slack, daemons)));
+      retries += spendAll(RetryBudget.partOf(0.2, slack, daemons));
+    }
+
+    assertThat(retries).isPositive().isLessThanOrEqualTo((int) slack);
+  }
+
+  @Test
+  void aDaemonThatKnowsOfNoOtherTakesNoMoreThanASixthOfHalfTheSlack() {
+    assertThat(spendAll(savedUp(RetryBudget.partOf(0.2, 54, 1)))).isEqualTo(4);
+  }
+
+  private static RetryBudget savedUp(RetryBudget budget) {
+    for (int request = 0; request < 1_000; request++) {
+      budget.earn();
+    }
+    return budget;
+  }
+
+  private static int spendAll(RetryBudget budget) {
+    int spent = 0;
+    while (budget.trySpend()) {
+      spent++;
+    }
+    return spent;
+  }
 }
