--- a/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
@@ -59,6 +59,22 @@
         Optional.empty());
   }
 
+  /** The same server, holding so many requests and tokens at once. */
+  public UpstreamDefinition holding(int newSlots, Optional<Integer> newMemoryTokens) {
+    return new UpstreamDefinition(
+        name,
+        service,
+        role,
+        address,
+        port,
+        availabilityZone,
+        region,
+        newSlots,
+        fenced,
+        drained,
+        newMemoryTokens);
+  }
+
   @Override
   public ObjectKey key() {
     return new ObjectKey(ObjectKind.UPSTREAM, name.value());
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementEstimates.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementEstimates.java
@@ -7,6 +7,7 @@
 final class PlacementEstimates {
 
   private static final int MOST_RULES = 256;
+  private static final int LEAST_ENDS = 12;
   private static final double FIRST_OUTPUT_SHARE = 0.5;
   private static final double FIRST_HOLD_MILLIS = 1_000;
   private static final double FIRST_HELD_TOKENS = 1_000;
@@ -81,9 +82,14 @@
     return promptTokens.value();
   }
 
-  /** How many answers have been learned from. */
-  long ends() {
-    return ends;
+  /**
+   * Whether enough answers came for what was learned from them to decide by.
+   *
+   * <p>Before that the estimates are guesses: an owner that begins in a burst would refuse by them
+   * what fits easily, so that few answers come to correct them.
+   */
+  boolean isLearned() {
+    return ends >= LEAST_ENDS;
   }
 
   void learnHold(long heldMillis) {
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -40,9 +40,6 @@
 
   private static final long SHARE_REFRESH_MILLIS = 1_000;
 
-  /** After so many answers what was learned from them is good enough to decide by. */
-  private static final int LEAST_ENDS = 12;
-
   private static final long LEAST_RETRY_MILLIS = 1_000;
 
   private final ShardId shard;
@@ -347,8 +344,8 @@
    */
   private long serviceMillis(PlacementRequest request, double leastMillis) {
     double targetWithin = Math.max(0, WaitingAttempt.targetWithin(request));
-    boolean isLearned = !request.isGeneration() && estimates.ends() >= LEAST_ENDS;
-    double answering = isLearned ? Math.min(estimates.holdMillis(), targetWithin / 2) : 0;
+    boolean isKnown = !request.isGeneration() && estimates.isLearned();
+    double answering = isKnown ? Math.min(estimates.holdMillis(), targetWithin / 2) : 0;
     return (long) Math.min(Math.max(leastMillis, answering), targetWithin);
   }
 
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
@@ -16,14 +16,6 @@
 
   private static final long LEAST_RETRY_MILLIS = 1_000;
 
-  /**
-   * Before so many answers nothing is refused for a predicted wait: the prediction is a guess then.
-   *
-   * <p>An owner that begins in a burst would refuse by it what fits easily, so that few answers
-   * come to correct the guess. What waits in vain meanwhile is refused when its time is over.
-   */
-  private static final int LEAST_ENDS = 12;
-
   private final ShardUpstreams upstreams;
   private final WaitingQueue queue;
   private final PlacementEstimates estimates;
@@ -40,7 +32,12 @@
     this.selector = selector;
   }
 
-  /** The refusal of a waiting attempt that will not start in time. */
+  /**
+   * The refusal of a waiting attempt that will not start in time.
+   *
+   * <p>Nothing is refused for a wait that is only guessed; what waits in vain then is refused when
+   * its time is over.
+   */
   Optional<Refusal> refusal(WaitingAttempt attempt, long nowMillis) {
     long leftMillis = attempt.uselessAt() - nowMillis;
     int ownAhead = ownAhead(attempt);
@@ -50,7 +47,7 @@
       return Optional.of(Refusal.notRun(RefusalReason.ORGANISATION_RATE, detail, rateMillis));
     }
     double wait = waitMillis(attempt, nowMillis);
-    boolean isGuess = estimates.ends() < LEAST_ENDS && leftMillis >= 0;
+    boolean isGuess = !estimates.isLearned() && leftMillis >= 0;
     if (isGuess || wait * CONFIDENCE <= leftMillis) {
       return Optional.empty();
     }
--- a/core/src/main/java/org/marjoramsail/core/routing/PoolConfiguration.java
+++ b/core/src/main/java/org/marjoramsail/core/routing/PoolConfiguration.java
@@ -57,17 +57,9 @@
 
   private static UpstreamDefinition withMemory(
       UpstreamDefinition upstream, Optional<EngineFacts> facts) {
-    return new UpstreamDefinition(
-        upstream.name(),
-        upstream.service(),
-        upstream.role(),
-        upstream.address(),
-        upstream.port(),
-        upstream.availabilityZone(),
-        upstream.region(),
-        facts.isPresent() ? upstream.slots() : upstream.slots() + upstream.slots() / QUEUED_SHARE,
-        upstream.fenced(),
-        upstream.drained(),
+    int slots = upstream.slots();
+    return upstream.holding(
+        facts.isPresent() ? slots : slots + slots / QUEUED_SHARE,
         facts.map(EngineFacts::memoryTokens));
   }
 }
--- a/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
@@ -69,18 +69,9 @@
   }
 
   private static UpstreamDefinition withMemory(UpstreamDefinition upstream, int memoryTokens) {
-    return new UpstreamDefinition(
-        upstream.name(),
-        upstream.service(),
-        upstream.role(),
-        upstream.address(),
-        upstream.port(),
-        upstream.availabilityZone(),
-        upstream.region(),
-        upstream.slots(),
-        upstream.fenced(),
-        upstream.drained(),
-        upstream.role() == UpstreamRole.DECODE ? Optional.of(memoryTokens) : Optional.empty());
+    return upstream.role() == UpstreamRole.DECODE
+        ? upstream.holding(upstream.slots(), Optional.of(memoryTokens))
+        : upstream;
   }
 
   static Configuration plainPool(int size, int slots) {
