Write more lines than queue and writer can hold in the test of dropped lines

Cause: the writing thread takes all that is queued at once; where it came late, it held 4,096 lines itself and the queue had room for the rest of 6,000, so none was dropped. 10,000 lines do not fit both. The check is the same.

--- a/daemon/src/test/java/org/marjoramsail/daemon/main/BoundedAppenderTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/main/BoundedAppenderTest.java
@@ -22,7 +22,11 @@
 @Timeout(60)
 class BoundedAppenderTest {
 
-  private static final int MORE_THAN_FIT = 6_000;
+  /**
+   * More than the queue of 4,096 lines and as many again, which the writing thread may have taken
+   * out of it before it hangs on the first of them.
+   */
+  private static final int MORE_THAN_FIT = 10_000;
 
   private static final class HangingOutput extends AppenderBase<ILoggingEvent> {
     private final CountDownLatch released = new CountDownLatch(1);
