Do not let an organisation at its own limit hold up the lanes behind it

Cause: lanes behind one whose next request lacks a slot get nothing, and that request was taken from the first organisation of the lane. One that has reached its own limit is passed over when a place is looked for, so what it lacked was an old note, and all less urgent requests of others waited for as long as the limit held. Change: the note is read of the first organisation that may start something. The new test fails without it.

--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -419,7 +419,7 @@
       if (found.isPresent()) {
         return found;
       }
-      if (lane.isHeadWithoutSlot()) {
+      if (lane.isHeadWithoutSlot(nowMillis)) {
         lastServed = Math.min(lastServed, lane.index());
       }
     }
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
@@ -199,9 +199,13 @@
     }
 
     /** Whether what would be served next in it waits for a slot or the memory of an engine. */
-    boolean isHeadWithoutSlot() {
-      WaitingAttempt head = organisations.iterator().next().attempts().first();
-      return !head.isRestricted() && head.missing() == MissingResource.DECODE_SLOT;
+    boolean isHeadWithoutSlot(long nowMillis) {
+      return organisations.stream()
+          .filter(lane -> lane.organisation().missing(nowMillis).isEmpty())
+          .findFirst()
+          .map(lane -> lane.attempts().first())
+          .filter(head -> !head.isRestricted() && head.missing() == MissingResource.DECODE_SLOT)
+          .isPresent();
     }
   }
 
--- a/core/src/test/java/org/marjoramsail/core/placement/ReservingPlacerTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ReservingPlacerTest.java
@@ -317,6 +317,25 @@
         .containsExactly(RefusalReason.NO_UPSTREAM);
   }
 
+  /**
+   * An organisation had waited for a slot and then reached its own limit. Slots came free, and the
+   * less urgent requests of all others waited behind it for as long as its limit held.
+   */
+  @Test
+  void anOrganisationAtItsLimitHoldsUpNoOther() {
+    ReservingPlacer placer = placer(pool(0, 1, 2, List.of(organisation("rosario", 1, 0))));
+    placer.place(request("other").organisation("o").tokens(50, 10).build(), 0);
+    placer.place(request("third").organisation("o").tokens(50, 10).build(), 0);
+    placer.place(request("r1").tokens(50, 10).serviceClass(ServiceClass.QUICK).build(), 1);
+    placer.place(request("r2").tokens(50, 10).serviceClass(ServiceClass.QUICK).build(), 1);
+    placer.place(request("late").organisation("o").tokens(50, 10).build(), 2);
+
+    assertThat(granted(placer.report(ended("other", 1, AttemptResult.COMPLETED), 3)))
+        .containsExactly("r1");
+    assertThat(granted(placer.report(ended("third", 1, AttemptResult.COMPLETED), 4)))
+        .containsExactly("late");
+  }
+
   @Test
   void anOrganisationRunsNoMoreThanItsLimit() {
     ReservingPlacer placer = placer(pool(0, 2, 8, List.of(organisation("rosario", 2, 0))));
