Build views only of shards in which something waits; one fixture and one clean counter

QueueLog built the views of all owned shards each second and dropped those in which nothing waits; it asks for the others now. Two tests set up the same placer, now PlacementFixtures.shortLivedPlacer. The demo's count of open requests is read on another thread than it is written on, now atomically. The comment on readers no longer says that times of reading hold their queues.

--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformDemo.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformDemo.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.platform.assembly.LoopbackPlatform;
@@ -34,7 +35,7 @@
   private final CallerStandIn caller = new CallerStandIn(vertx, LoopbackPlatform.ADDRESS);
   private final List<KindCount> kinds = PATHS.stream().map(KindCount::new).toList();
   private int sequence;
-  private int open;
+  private final AtomicInteger open = new AtomicInteger();
 
   /** Starts nothing yet. */
   public PlatformDemo(Clock clock) {
@@ -80,17 +81,17 @@
     List<Integer> ports = loopback.callerPorts();
     int port = ports.get(sequence / kinds.size() % ports.size());
     sequence++;
-    open++;
+    open.incrementAndGet();
     kind.sent();
     caller
         .call(port, HttpMethod.POST, PlatformStandIn.HOST, kind.name() + sequence, Map.of())
         .onSuccess(kind::answered)
         .onFailure(failure -> kind.lost())
-        .onComplete(done -> open--);
+        .onComplete(done -> open.decrementAndGet());
   }
 
   private Future<Void> whenAllAnswered(long leftMillis) {
-    return open == 0 || leftMillis <= 0
+    return open.get() == 0 || leftMillis <= 0
         ? Future.succeededFuture()
         : vertx.timer(1).compose(waited -> whenAllAnswered(leftMillis - 1));
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/RoleBalance.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RoleBalance.java
@@ -14,9 +14,8 @@
   private static final double LEAST_GAIN = 1.12;
 
   /**
-   * An engine that generates is taken out only for more: times of reading are measured with their
-   * queues and look too long after each burst, and engines that go to and fro with that are out for
-   * half of the time.
+   * An engine that generates is taken out only for more: the estimates of reading move with each
+   * burst, and engines that go to and fro with them are out for half of the time.
    */
   private static final double LEAST_GAIN_OF_READERS = 1.6;
 
--- a/core/src/main/java/org/marjoramsail/core/placement/RoleChangePace.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RoleChangePace.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.function.Predicate;
 import org.marjoramsail.core.model.UpstreamName;
 
@@ -64,7 +63,7 @@
   public List<RoleChange> ended(Predicate<RoleChange> isSeen, long nowMillis) {
     List<RoleChange> ended = new ArrayList<>();
     for (RoleChange change : List.copyOf(changing.values())) {
-      long until = Optional.ofNullable(apartUntil.get(change.upstream())).orElse(nowMillis);
+      long until = apartUntil.getOrDefault(change.upstream(), nowMillis);
       if (isSeen.test(change) || nowMillis >= until) {
         changing.remove(change.upstream());
         ended.add(change);
--- a/core/src/test/java/org/marjoramsail/core/placement/OverflowReadingTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/OverflowReadingTest.java
@@ -6,9 +6,8 @@
 import static org.marjoramsail.core.placement.PlacementFixtures.pool;
 import static org.marjoramsail.core.placement.PlacementFixtures.progress;
 import static org.marjoramsail.core.placement.PlacementFixtures.request;
+import static org.marjoramsail.core.placement.PlacementFixtures.shortLivedPlacer;
 
-import java.util.Optional;
-import java.util.Random;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -17,16 +16,7 @@
  */
 class OverflowReadingTest {
 
-  private final ReservingPlacer placer =
-      new ReservingPlacer(
-          new PlacerSetup(
-              PlacementFixtures.MODEL_SHARD,
-              pool(1, 2, 16),
-              PlacementSettings.forShortLivedCaches(),
-              daemon -> Optional.of("a"),
-              new Random(1),
-              false),
-          0);
+  private final ReservingPlacer placer = shortLivedPlacer(pool(1, 2, 16));
 
   @Test
   void decodeUpstreamsReadWhatThePrefillUpstreamHasNoTimeFor() {
--- a/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
@@ -106,6 +106,15 @@
     return new ReservingPlacer(setup(MODEL_SHARD, configuration, false), 0);
   }
 
+  /** A placer of engines whose KV caches live for half a second. */
+  static ReservingPlacer shortLivedPlacer(Configuration configuration) {
+    PlacementSettings settings = PlacementSettings.forShortLivedCaches();
+    return new ReservingPlacer(
+        new PlacerSetup(
+            MODEL_SHARD, configuration, settings, daemon -> Optional.of("a"), new Random(1), false),
+        0);
+  }
+
   static ReservingPlacer plainPlacer(Configuration configuration) {
     return new ReservingPlacer(setup(PLAIN_SHARD, configuration, false), 0);
   }
--- a/core/src/test/java/org/marjoramsail/core/placement/RoleAdvisorTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/RoleAdvisorTest.java
@@ -4,24 +4,14 @@
 import static org.marjoramsail.core.placement.PlacementFixtures.poolWithMemory;
 import static org.marjoramsail.core.placement.PlacementFixtures.progress;
 import static org.marjoramsail.core.placement.PlacementFixtures.request;
+import static org.marjoramsail.core.placement.PlacementFixtures.shortLivedPlacer;
 
-import java.util.Optional;
-import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.model.UpstreamRole;
 
 class RoleAdvisorTest {
 
-  private final ReservingPlacer placer =
-      new ReservingPlacer(
-          new PlacerSetup(
-              PlacementFixtures.MODEL_SHARD,
-              poolWithMemory(3, 3, 48, 42_000),
-              PlacementSettings.forShortLivedCaches(),
-              daemon -> Optional.of("a"),
-              new Random(1),
-              false),
-          0);
+  private final ReservingPlacer placer = shortLivedPlacer(poolWithMemory(3, 3, 48, 42_000));
 
   /**
    * The first burst came six seconds after the start, and a reader that stood idle was turned just
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -276,6 +276,11 @@
     return owned.views();
   }
 
+  /** Those of them in which something waits. */
+  public List<ShardView> viewsOfWaiting() {
+    return owned.viewsOfWaiting();
+  }
+
   /** The shards that this daemon decides for, also those for which there is no request now. */
   public List<ShardView> viewsWithIdle() {
     List<ShardView> views = new ArrayList<>(owned.views());
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -112,6 +112,14 @@
     return shards.values().stream().map(shard -> shard.view(clock.millis())).toList();
   }
 
+  /** The same of shards in which something waits; the others are not looked at. */
+  List<ShardView> viewsOfWaiting() {
+    return shards.values().stream()
+        .filter(OwnedShard::isWaiting)
+        .map(shard -> shard.view(clock.millis()))
+        .toList();
+  }
+
   /** What a shard without requests would look like that begins to exist now with these facts. */
   ShardView idleView(ShardId shard, List<PlacerEvent> facts) {
     OwnedShard idle = open(shard);
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/QueueLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/QueueLog.java
@@ -23,13 +23,13 @@
    */
   private static final long EVERY_MILLIS = 1_000;
 
-  private final Supplier<List<ShardView>> views;
+  private final Supplier<List<ShardView>> waiting;
   private final Clock clock;
   private long nextAtMillis;
 
-  /** Takes the shards that are owned at each moment. */
-  public QueueLog(Supplier<List<ShardView>> views, Clock clock) {
-    this.views = views;
+  /** Takes the owned shards in which something waits at each moment. */
+  public QueueLog(Supplier<List<ShardView>> waiting, Clock clock) {
+    this.waiting = waiting;
     this.clock = clock;
   }
 
@@ -40,7 +40,7 @@
       return;
     }
     nextAtMillis = now + EVERY_MILLIS;
-    views.get().stream().filter(view -> !view.waiting().isEmpty()).forEach(QueueLog::write);
+    waiting.get().forEach(QueueLog::write);
   }
 
   private static void write(ShardView view) {
