Say why an answer was late: by its first sign or by a pause

Cause: a stream that paused for longer than its route allows is late, and was neither counted nor logged as late, so explain found nothing of it.

Change: the trace of a request keeps its longest pause (after which piece, how long, on which upstream); Lateness has a counter for each cause, and the line "request ended" shows cause and pause. The first sign is held against the route's target, no longer against the earlier moment to which placement works.

Ruled out: a step in the trace for each pause; a stream of 130 pieces on a full engine would push its own way out of the bounded trace.

--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHandler.java
@@ -16,6 +16,7 @@
 import org.marjoramsail.daemon.request.CompletionSender;
 import org.marjoramsail.daemon.request.NewRequest;
 import org.marjoramsail.daemon.request.RequestHandle;
+import org.marjoramsail.daemon.request.Timeliness;
 
 /** Takes one HTTP request from its head to its registration. */
 final class CallerHandler {
@@ -153,6 +154,10 @@
                         prepared.profile(), prepared.content(), sink, peers.upstreams()),
                     prepared.claim(),
                     prepared.rule().perTokenTargetMillis(),
+                    new Timeliness(
+                        prepared.profile().firstTokenAtMillis()
+                            - prepared.profile().receivedAtMillis(),
+                        Timeliness.ANY_PAUSE),
                     sink,
                     task -> context.runOnContext(ignored -> task.run())));
     request.response().closeHandler(closed -> handle.callerGone());
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -29,6 +29,7 @@
 import org.marjoramsail.core.routing.RoutingConfiguration;
 import org.marjoramsail.daemon.request.NewRequest;
 import org.marjoramsail.daemon.request.RequestHandle;
+import org.marjoramsail.daemon.request.Timeliness;
 
 /** Takes requests of callers that are forwarded as they are. Lives on one event loop. */
 public final class ForwardServer {
@@ -274,6 +275,7 @@
                     exchange,
                     Optional.empty(),
                     route.gapTargetMillis(),
+                    new Timeliness(route.targetMillis(), route.gapTargetMillis()),
                     exchange,
                     task -> context.runOnContext(ignored -> task.run())));
     request.response().closeHandler(closed -> handle.callerGone());
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -18,6 +18,7 @@
 import org.marjoramsail.core.outcome.Invariant;
 import org.marjoramsail.core.outcome.Invariants;
 import org.marjoramsail.core.outcome.RetryBudget;
+import org.marjoramsail.daemon.request.Lateness;
 
 /**
  * What is counted of requests.
@@ -31,6 +32,7 @@
   private final Map<RunState, Map<RefusalReason, Counter>> refused = new EnumMap<>(RunState.class);
   private final Map<RetryReason, Counter> retries;
   private final Map<DropReason, Counter> drops;
+  private final Map<Lateness, Counter> late;
   private final Counter accepted;
   private final Counter completed;
   private final Counter withinTargets;
@@ -53,6 +55,7 @@
     }
     this.retries = perReason(registry, RetryReason.class, "retries", RetryReason::code);
     this.drops = perReason(registry, DropReason.class, "drops", DropReason::code);
+    this.late = perReason(registry, Lateness.class, "requests.late", Lateness::code);
     this.accepted = registry.counter(PREFIX + "requests.accepted");
     this.completed = registry.counter(PREFIX + "requests.completed");
     this.withinTargets = registry.counter(PREFIX + "requests.within.targets");
@@ -125,6 +128,11 @@
     }
   }
 
+  /** Counts an answer that was late. */
+  public void late(Lateness cause) {
+    late.get(cause).increment();
+  }
+
   /** Counts a refusal. */
   public void refused(Refusal refusal) {
     refused.get(refusal.runState()).get(refusal.reason()).increment();
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -82,7 +82,8 @@
           lifecycle.grant().map(grant -> grant.target()),
           lifecycle.emittedTokens(),
           clock.millis() - lifecycle.profile().receivedAtMillis(),
-          trace.steps());
+          trace.steps(),
+          trace.longestPause());
     }
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.daemon.request;
 
+import java.util.Optional;
 import java.util.Set;
 import java.util.StringJoiner;
 import java.util.concurrent.atomic.AtomicLong;
@@ -58,10 +59,10 @@
   }
 
   /** Writes the way of a request that has ended. */
-  void ended(RequestView view, long lateAfterMillis) {
+  void ended(RequestView view, Optional<Lateness> lateness) {
     boolean remarkable =
         view.steps().stream().anyMatch(step -> REMARKABLE.contains(step.kind()))
-            || firstSignMillis(view) > lateAfterMillis;
+            || lateness.isPresent();
     if (!remarkable && ordinary.getAndIncrement() % SAMPLE != 0) {
       return;
     }
@@ -81,18 +82,11 @@
         .addKeyValue("attempts", view.attempt())
         .addKeyValue("pieces", view.emittedTokens())
         .addKeyValue("tookMillis", view.ageMillis())
-        .addKeyValue("late", firstSignMillis(view) > lateAfterMillis)
+        .addKeyValue("late", lateness.map(Lateness::code).orElse("no"))
+        .addKeyValue("longestPause", view.longestPause().map(StreamPause::toString).orElse("none"))
         .addKeyValue("sampled", !remarkable)
         .addKeyValue("way", way.toString())
         .addKeyValue("beliefs", beliefs.get())
         .log("request ended");
   }
-
-  private static long firstSignMillis(RequestView view) {
-    return view.steps().stream()
-        .filter(step -> step.kind() == TraceKind.FIRST_TOKEN || step.kind() == TraceKind.COMPLETED)
-        .mapToLong(TraceStep::afterMillis)
-        .findFirst()
-        .orElse(0);
-  }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
@@ -110,7 +110,7 @@
             clock,
             request.perTokenTargetMillis());
     return new LiveRequest(
-        shard, request.home(), clock, timers, lifecycle, runner, () -> settled(shard, profile));
+        shard, request.home(), clock, timers, lifecycle, runner, () -> settled(shard, request));
   }
 
   private RetryBudget newBudget(String service) {
@@ -119,7 +119,8 @@
     return budget;
   }
 
-  private void settled(Shard shard, RequestProfile profile) {
+  private void settled(Shard shard, NewRequest request) {
+    RequestProfile profile = request.profile();
     RequestView view;
     synchronized (shard) {
       LiveRequest live = shard.live.remove(profile.id());
@@ -132,7 +133,9 @@
       }
       shard.ended.addLast(view);
     }
-    log.ended(view, profile.firstTokenAtMillis() - profile.receivedAtMillis());
+    Optional<Lateness> lateness = request.timeliness().latenessOf(view);
+    lateness.ifPresent(metrics::late);
+    log.ended(view, lateness);
   }
 
   /** Tells all requests that an upstream has started anew, or is gone for good. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestView.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestView.java
@@ -22,6 +22,7 @@
  * @param emittedTokens how many tokens the caller has
  * @param ageMillis since it arrived
  * @param steps its way so far, bounded
+ * @param longestPause the longest pause between two pieces so far
  */
 public record RequestView(
     RequestId request,
@@ -35,7 +36,17 @@
     Optional<UpstreamName> target,
     int emittedTokens,
     long ageMillis,
-    List<TraceStep> steps) {
+    List<TraceStep> steps,
+    Optional<StreamPause> longestPause) {
+
+  /** After how long the caller had a first piece or a whole answer; zero where it got none. */
+  long firstSignMillis() {
+    return steps.stream()
+        .filter(step -> step.kind() == TraceKind.FIRST_TOKEN || step.kind() == TraceKind.COMPLETED)
+        .mapToLong(TraceStep::afterMillis)
+        .findFirst()
+        .orElse(0);
+  }
 
   /** Copies the list, so that the value cannot change. */
   public RequestView {
