A holder whose host stood still with its clock gives no order

Cause: a lease is counted by the monotonic clock, which stops while a host is suspended. Woken up after others took the lease, a holder believed that it had seconds left; servers that do not check fencing tokens take its order. Found by reading; no run has shown it.

Ruled out: counting by the time of day, which steps.

--- a/core/src/main/java/org/marjoramsail/core/order/LeaseKeeper.java
+++ b/core/src/main/java/org/marjoramsail/core/order/LeaseKeeper.java
@@ -131,6 +131,18 @@
     return fenced || nowMillis - heldSinceMillis >= UNDER_WAY_MILLIS;
   }
 
+  /**
+   * Takes that this daemon may have stood still without noticing, so that its lease may be over. It
+   * acts again only once a renewal that begins from now on is seen in the store.
+   */
+  public void distrust(long nowMillis) {
+    actingUntilMillis = Long.MIN_VALUE;
+    renewalsSent.clear();
+    heldSinceMillis = nowMillis;
+    known = false;
+    nextCallMillis = nowMillis;
+  }
+
   /** The fencing token of the lease that this daemon holds or last held. */
   public long token() {
     return heldToken;
--- a/core/src/main/java/org/marjoramsail/core/time/Clock.java
+++ b/core/src/main/java/org/marjoramsail/core/time/Clock.java
@@ -10,6 +10,8 @@
 @FunctionalInterface
 public interface Clock {
 
-  /** Milliseconds since some fixed instant; never falls. */
+  /**
+   * Milliseconds since some fixed instant; never falls, unless it is said to be the time of day.
+   */
   long millis();
 }
