Read a prompt beside answers only if their pause stays short enough

Hypothesis: most streams that are late on a calm engine are so by one pause of 300 to 470 ms, and the new line of late requests shows it on servers that had just read a prompt themselves. The bound of 400 ms suited engines that answer in small pieces.

Change: a request says in which pieces its answer comes and how long a pause may be (Pieces); a decode upstream reads beside its answers only what takes less than 0.85 of that pause less the time of a piece, and not within a piece of the reading before. The pace of reading beside answers is learned apart from reading alone; the factor of two was applied to learned values again.

Test: OverflowReadingTest; its reader is kept busy for longer now, so that it cannot take the prompt whose wait is tested.

--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/model/Pieces.java
@@ -0,0 +1,16 @@
+package org.marjoramsail.core.model;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+/**
+ * In which pieces an answer comes.
+ *
+ * @param tokens how many tokens one piece carries
+ * @param longestPauseMillis the longest time between two pieces of an answer that is in time
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record Pieces(int tokens, long longestPauseMillis) {
+
+  /** One token a piece, in any time. */
+  public static final Pieces SINGLE_TOKENS = new Pieces(1, Long.MAX_VALUE);
+}
--- a/core/src/main/java/org/marjoramsail/core/outcome/PlacementAsk.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/PlacementAsk.java
@@ -40,6 +40,7 @@
         avoid,
         kv.map(KvSource::holder),
         alone,
-        profile.fingerprint());
+        profile.fingerprint(),
+        profile.pieces());
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -586,7 +586,7 @@
   }
 
   private int generatedTokens() {
-    return nextIndex * profile.tokensPerPiece();
+    return nextIndex * profile.pieces().tokens();
   }
 
   private long backOffEndMillis() {
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestProfile.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestProfile.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.Pieces;
 import org.marjoramsail.core.model.Repeatability;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.ServiceClass;
@@ -25,7 +26,7 @@
  * @param receivedAtMillis when it arrived, on the clock of this daemon
  * @param firstTokenAtMillis when its first token is late, on the clock of this daemon
  * @param deadlineAtMillis when its answer is useless, on the clock of this daemon
- * @param tokensPerPiece how many tokens one piece of its answer carries
+ * @param pieces in which pieces its answer comes
  */
 public record RequestProfile(
     RequestId id,
@@ -44,7 +45,7 @@
     long receivedAtMillis,
     long firstTokenAtMillis,
     long deadlineAtMillis,
-    int tokensPerPiece) {
+    Pieces pieces) {
 
   /** Copies the list, so that the value cannot change. */
   public RequestProfile {
@@ -86,6 +87,6 @@
         receivedAtMillis,
         firstTokenAtMillis,
         deadlineAtMillis,
-        1);
+        Pieces.SINGLE_TOKENS);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.Pieces;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.ServiceClass;
 import org.marjoramsail.core.model.UpstreamName;
@@ -31,6 +32,7 @@
  * @param alone whether it is suspected of crashing upstreams and shares one with no other suspect
  * @param content hash of what the caller sent, by which it is known again when it comes back; zero
  *     where that is of no use
+ * @param pieces in which pieces its answer comes
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record PlacementRequest(
@@ -50,7 +52,8 @@
     List<UpstreamName> avoid,
     Optional<UpstreamName> kvHeldBy,
     boolean alone,
-    long content) {
+    long content,
+    Pieces pieces) {
 
   /** Copies the lists, so that the value cannot change. */
   public PlacementRequest {
@@ -58,7 +61,7 @@
     avoid = List.copyOf(avoid);
   }
 
-  /** A request whose caller is not known again. */
+  /** A request whose caller is not known again, and whose answer comes token by token. */
   public PlacementRequest(
       RequestId request,
       int attempt,
@@ -93,7 +96,8 @@
         avoid,
         kvHeldBy,
         alone,
-        0);
+        0,
+        Pieces.SINGLE_TOKENS);
   }
 
   /** Whether it asks for engines rather than for a plain service. */
@@ -129,6 +133,7 @@
         avoid,
         kvHeldBy,
         alone,
-        content);
+        content,
+        pieces);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementSettings.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementSettings.java
@@ -12,9 +12,10 @@
  * @param prefillAheadMillis how much unread work a prefill upstream is given ahead of need
  * @param kvLifetimeMillis how long a KV cache lives after its prefill
  * @param localPrefillMillis a prompt that a decode upstream reads within this is not disaggregated
- * @param overflowPrefillMillis a prompt that a decode upstream reads within this goes straight to
- *     it while all prefill upstreams are busy; zero for never
- * @param localSlowdown how many times longer a decode upstream takes to read a prompt
+ * @param readsBesideAnswers whether decode upstreams read prompts while all prefill upstreams are
+ *     busy
+ * @param localSlowdown first guess of how many times longer a decode upstream takes to read a
+ *     prompt
  * @param quickHeadroom share of the slots that only quick requests may take while there are any
  * @param maximumWaiting how many attempts wait in a shard at most
  * @param ageingMillis how long a standard attempt waits before it is served like a quick one
@@ -35,7 +36,7 @@
     long prefillAheadMillis,
     long kvLifetimeMillis,
     long localPrefillMillis,
-    long overflowPrefillMillis,
+    boolean readsBesideAnswers,
     double localSlowdown,
     double quickHeadroom,
     int maximumWaiting,
@@ -58,7 +59,7 @@
         100,
         800,
         30,
-        0,
+        false,
         1,
         0.05,
         10_000,
@@ -88,7 +89,7 @@
         120,
         450,
         1,
-        400,
+        true,
         2,
         0,
         2_000,
@@ -121,7 +122,7 @@
         prefillAheadMillis,
         kvLifetimeMillis,
         localPrefillMillis,
-        overflowPrefillMillis,
+        readsBesideAnswers,
         localSlowdown,
         quickHeadroom,
         newMaximumWaiting,
--- a/core/src/main/java/org/marjoramsail/core/placement/RoleAdvisor.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RoleAdvisor.java
@@ -67,8 +67,7 @@
       held += writer.slotsFor(estimates.heldTokens());
     }
     double reads = readers.size() / readMillis;
-    double readsBeside =
-        settings.overflowPrefillMillis() > 0 ? reads / settings.localSlowdown() : 0;
+    double readsBeside = settings.readsBesideAnswers() ? reads / settings.localSlowdown() : 0;
     double ends = held / writers.size() / estimates.generationMillis();
     return new RoleBalance.Rates(reads, readsBeside, ends);
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
@@ -24,6 +24,12 @@
   /** How much a full upstream counts like later, in milliseconds: it generates more slowly. */
   private static final double FULL_PENALTY_MILLIS = 20;
 
+  /**
+   * How much of the longest pause between two pieces may be used up by what is foretold; the way of
+   * a piece to its caller and errors of the forecast take the rest.
+   */
+  private static final double USED_OF_PAUSE = 0.85;
+
   private static final long QUICK_MEMORY_MILLIS = 10_000;
 
   private final ShardUpstreams upstreams;
@@ -237,20 +243,20 @@
    * A decode upstream that reads a prompt itself because all prefill upstreams are busy.
    *
    * <p>In a burst a pool with one prefill upstream read eleven prompts a second and stood before
-   * decode upstreams with memory for sixteen. Each reads one prompt at a time: two would keep its
-   * answers waiting for longer than callers accept between two events.
+   * decode upstreams with memory for sixteen. All answers of such an upstream pause meanwhile, so
+   * each reads one prompt at a time, and only one that leaves the pause as short as they need it:
+   * prompts of eight thousand tokens, read in this way, made ten streams late each.
    */
   private Optional<Choice> overflow(PlacementRequest request, long nowMillis) {
     UpstreamState best = null;
-    double bestMillis = settings.overflowPrefillMillis();
+    double bestMillis = longestReadingMillis(request);
     for (UpstreamState upstream : upstreams.all()) {
       if (!isCandidate(upstream, UpstreamRole.DECODE, request, nowMillis)
-          || !isOpenForOverflow(upstream, nowMillis)) {
+          || !isOpenForOverflow(upstream, nowMillis)
+          || upstream.hasReadWithin(pieceMillis(request), nowMillis)) {
         continue;
       }
-      double millis =
-          upstream.prefillMillis(unread(upstream, request))
-              + upstream.utilisation(nowMillis) * FULL_PENALTY_MILLIS;
+      double millis = upstream.prefillMillis(unread(upstream, request));
       if (millis <= bestMillis) {
         bestMillis = millis;
         best = upstream;
@@ -259,9 +265,19 @@
     return Optional.ofNullable(best).map(target -> local(target, request));
   }
 
+  /** How long reading beside answers may keep them waiting, in milliseconds. */
+  private double longestReadingMillis(PlacementRequest request) {
+    return request.pieces().longestPauseMillis() * USED_OF_PAUSE - pieceMillis(request);
+  }
+
+  /** How long the tokens of one piece take, in milliseconds. */
+  private double pieceMillis(PlacementRequest request) {
+    return request.pieces().tokens() * estimates.decodeMillisPerToken();
+  }
+
   private boolean isOpenForOverflow(UpstreamState upstream, long nowMillis) {
     return upstream.role() == UpstreamRole.DECODE
-        && settings.overflowPrefillMillis() > 0
+        && settings.readsBesideAnswers()
         && freeSlotsOf(upstream, nowMillis) > 0
         && upstream.queueMillis(nowMillis) <= 0;
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -23,7 +23,8 @@
   private final PlacementSettings settings;
   private final PrefixIndex prefixes = new PrefixIndex();
   private final MemoryForecast forecast;
-  private final MovingAverage millisPerToken;
+  private final MovingAverage aloneMillisPerToken;
+  private final MovingAverage besideMillisPerToken;
   private final MovingAverage overheadMillis;
   private final Deque<Long> recentEnds = new ArrayDeque<>();
 
@@ -60,7 +61,9 @@
     this.definition = definition;
     this.role = definition.role();
     this.settings = settings;
-    this.millisPerToken = new MovingAverage(1 / settings.prefillTokensPerMilli());
+    this.aloneMillisPerToken = new MovingAverage(1 / settings.prefillTokensPerMilli());
+    this.besideMillisPerToken =
+        new MovingAverage(settings.localSlowdown() / settings.prefillTokensPerMilli());
     this.overheadMillis = new MovingAverage(settings.prefillOverheadMillis());
     this.ejection = new EjectionState(settings);
   }
@@ -314,16 +317,20 @@
   }
 
   double prefillMillis(int tokens) {
-    double slowdown = role == UpstreamRole.DECODE ? settings.localSlowdown() : 1;
-    return overheadMillis.value() + tokens * millisPerToken.value() * slowdown;
+    return overheadMillis.value() + tokens * millisPerToken().value();
+  }
+
+  /** How long a token of a prompt takes in the present role: beside answers, or alone. */
+  private MovingAverage millisPerToken() {
+    return role == UpstreamRole.DECODE ? besideMillisPerToken : aloneMillisPerToken;
   }
 
   double prefillTokensPerMilli() {
-    return 1 / millisPerToken.value();
+    return 1 / millisPerToken().value();
   }
 
   double queueMillis(long nowMillis) {
-    double others = foreignTokens * millisPerToken.value() - (double) (nowMillis - reportedAt);
+    double others = foreignTokens * millisPerToken().value() - (double) (nowMillis - reportedAt);
     return Math.max(0, busyUntil - nowMillis) + Math.max(0, others);
   }
 
@@ -336,7 +343,7 @@
   void endPrefill(int tokens, long nowMillis) {
     readEndedAt = nowMillis;
     queuedTokens -= tokens;
-    busyUntil = nowMillis + queuedTokens * millisPerToken.value();
+    busyUntil = nowMillis + queuedTokens * millisPerToken().value();
   }
 
   /**
@@ -351,12 +358,17 @@
 
   private void learnPrefill(int tokens, double tookMillis) {
     if (tokens >= SHORT_PROMPT_TOKENS) {
-      millisPerToken.observe((tookMillis - overheadMillis.value()) / tokens);
+      millisPerToken().observe((tookMillis - overheadMillis.value()) / tokens);
     } else {
-      overheadMillis.observe(tookMillis - tokens * millisPerToken.value());
+      overheadMillis.observe(tookMillis - tokens * millisPerToken().value());
     }
   }
 
+  /** Whether it has ended reading a prompt less than that long ago. */
+  boolean hasReadWithin(double millis, long nowMillis) {
+    return nowMillis - readEndedAt < millis;
+  }
+
   long linkBytes() {
     return linkBytes;
   }
--- a/core/src/test/java/org/marjoramsail/core/placement/OverflowReadingTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/OverflowReadingTest.java
@@ -9,6 +9,7 @@
 import static org.marjoramsail.core.placement.PlacementFixtures.shortLivedPlacer;
 
 import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.model.Pieces;
 
 /**
  * In each burst streams waited for seconds though decode upstreams had memory for half as many
@@ -16,6 +17,9 @@
  */
 class OverflowReadingTest {
 
+  /** Eleven tokens, as the first guess of their pace has it. */
+  private static final long PIECE_MILLIS = 50;
+
   private final ReservingPlacer placer = shortLivedPlacer(pool(1, 2, 16));
 
   @Test
@@ -32,8 +36,23 @@
     assertThat(place("r1").target()).isNotEqualTo(place("r2").target());
     assertThat(placer.place(request("r3").build(), 0)).isEmpty();
 
-    assertThat(granted(placer.report(progress("r1", 1, AttemptPhase.GENERATING), 200)))
-        .containsExactly("r3");
+    assertThat(granted(placer.report(progress("r1", 1, AttemptPhase.GENERATING), 200))).isEmpty();
+    assertThat(granted(placer.tick(200 + PIECE_MILLIS - 1))).isEmpty();
+    assertThat(granted(placer.tick(200 + PIECE_MILLIS + 1))).containsExactly("r3");
+  }
+
+  /**
+   * Each lookup of a long report was read by an engine that answered ten others, and all ten paused
+   * for longer than their callers accept: no error, no refusal, ten late answers for one.
+   */
+  @Test
+  void aPromptIsReadBesideAnswersOnlyIfTheirPauseStaysAsShortAsTheyNeedIt() {
+    fillReader();
+
+    Pieces strict = new Pieces(11, 300);
+    assertThat(place(request("short").pieces(strict).tokens(2_500, 100)).mode())
+        .isEqualTo(GrantMode.LOCAL_PREFILL);
+    assertThat(placer.place(request("long").pieces(strict).build(), 0)).isEmpty();
   }
 
   @Test
@@ -50,10 +69,15 @@
 
   /** The first prompt is read at once, and the second waits behind it. */
   private void fillReader() {
-    assertThat(place("first").mode()).isEqualTo(GrantMode.DISAGGREGATED);
+    Grant first = onlyGrant(placer.place(request("first").tokens(20_000, 100).build(), 0));
+    assertThat(first.mode()).isEqualTo(GrantMode.DISAGGREGATED);
   }
 
   private Grant place(String name) {
-    return onlyGrant(placer.place(request(name).build(), 0));
+    return place(request(name));
+  }
+
+  private Grant place(PlacementFixtures.RequestBuilder request) {
+    return onlyGrant(placer.place(request.build(), 0));
   }
 }
--- a/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
@@ -11,6 +11,7 @@
 import org.marjoramsail.core.configuration.ServiceKind;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.Pieces;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.ServiceClass;
 import org.marjoramsail.core.model.UpstreamName;
@@ -181,6 +182,7 @@
     private List<UpstreamName> avoid = List.of();
     private Optional<UpstreamName> kvHeldBy = Optional.empty();
     private boolean alone;
+    private Pieces pieces = new Pieces(11, 450);
 
     RequestBuilder(String name) {
       this.name = name;
@@ -233,6 +235,11 @@
       return this;
     }
 
+    RequestBuilder pieces(Pieces value) {
+      pieces = value;
+      return this;
+    }
+
     RequestBuilder alone() {
       alone = true;
       return this;
@@ -255,7 +262,9 @@
           deadline,
           avoid,
           kvHeldBy,
-          alone);
+          alone,
+          0,
+          pieces);
     }
   }
 }
--- a/core/src/test/java/org/marjoramsail/core/placement/TimelyPlacementTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/TimelyPlacementTest.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.failure.RunState;
+import org.marjoramsail.core.model.Pieces;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.ServiceClass;
 import org.marjoramsail.core.model.UpstreamName;
@@ -168,7 +169,8 @@
             List.of(),
             Optional.empty(),
             false,
-            content);
+            content,
+            Pieces.SINGLE_TOKENS);
     return placer.place(request, nowMillis);
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -19,6 +19,7 @@
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.model.Incarnation;
+import org.marjoramsail.core.model.Pieces;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.ServiceClass;
 import org.marjoramsail.core.outcome.Fingerprint;
@@ -306,7 +307,7 @@
         receivedAtMillis,
         ForwardingRules.targetAtMillis(route, receivedAtMillis),
         ForwardingRules.deadlineAtMillis(route, receivedAtMillis, terms.withinMillis()),
-        peers.tokensPerEvent().apply(service));
+        new Pieces(peers.tokensPerEvent().apply(service), route.gapTargetMillis()));
   }
 
   private static long fingerprint(String service, ForwardedRequest request) {
