Leave an upstream alone that owes a first sign while others give theirs

Hypothesis: servers that go dark without closing a connection swallow a stream for each of their slots, since one that may run once is not taken away and reports no failure until its caller leaves after 3.6 s.

Change: AwaitedSigns notes for each request when its prompt should be read or its first piece come (twice the estimate and 300 ms). An upstream that owes one gets nothing while another of its role owes none. A daemon that is not heard of since says nothing about upstreams.

Ruled out: ejecting it, which takes a third of the pool out for a second at the first false alarm.

--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/AwaitedSigns.java
@@ -0,0 +1,51 @@
+package org.marjoramsail.core.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.ToLongFunction;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.RequestId;
+
+/**
+ * The requests of which one upstream has yet to give the first sign: a prompt that is read, or a
+ * first piece.
+ *
+ * <p>Guards against an upstream that has fallen silent without closing a connection. A request that
+ * may run only once is never taken away from it, so no failure is reported until its caller leaves
+ * seconds later, and until then every slot of the upstream would be filled with requests that are
+ * lost. A first sign is due long before that.
+ */
+final class AwaitedSigns {
+
+  /** How many times the expected time a first sign may take. */
+  private static final int LARGEST_FACTOR = 2;
+
+  /** What a first sign may take beyond that, in milliseconds: messages and a place in a batch. */
+  private static final long SLACK_MILLIS = 300;
+
+  private record Awaited(DaemonId entry, long dueAt) {}
+
+  private final Map<RequestId, Awaited> awaited = new HashMap<>();
+
+  /** Takes that a request was sent, and when its first sign is expected. */
+  void sent(RequestId request, DaemonId entry, double expectedMillis, long nowMillis) {
+    long dueAt = nowMillis + (long) (LARGEST_FACTOR * expectedMillis) + SLACK_MILLIS;
+    awaited.put(request, new Awaited(entry, dueAt));
+  }
+
+  /** Takes that the sign came, or that nobody waits for it any more. */
+  void settled(RequestId request) {
+    awaited.remove(request);
+  }
+
+  /**
+   * Whether a sign is overdue that would have been told by now.
+   *
+   * @param heardAt when each entry daemon was last heard of: one that cannot be heard of says
+   *     nothing about upstreams
+   */
+  boolean isOverdue(ToLongFunction<DaemonId> heardAt) {
+    return awaited.values().stream()
+        .anyMatch(one -> one.dueAt() <= heardAt.applyAsLong(one.entry()));
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -144,6 +144,7 @@
       return List.of();
     }
     RunningAttempt attempt = found.get();
+    upstreams.heardOf(attempt.request().entry(), nowMillis);
     if (report.phase() == AttemptPhase.ENDED) {
       end(attempt, report, nowMillis);
     } else {
@@ -179,6 +180,7 @@
   @Override
   public List<PlacementResult> daemonGone(DaemonId daemon, long nowMillis) {
     memory.gone(daemon, nowMillis);
+    upstreams.gone(daemon);
     List<RequestId> lost = new ArrayList<>();
     ledger.ofDaemon(daemon).forEach(attempt -> lost.add(attempt.request().request()));
     waiting.values().stream()
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.core.placement;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.model.UpstreamRole;
 
@@ -23,6 +25,7 @@
   private final PlacementSettings settings;
   private final AnswerSpread spread;
   private final Map<UpstreamName, UpstreamState> byName = new TreeMap<>();
+  private final Map<DaemonId, Long> heardAt = new HashMap<>();
   private List<UpstreamState> all = List.of();
 
   ShardUpstreams(PlacementSettings settings, AnswerSpread spread) {
@@ -62,6 +65,31 @@
     return startedAgain;
   }
 
+  /** Takes that an entry daemon was heard of. */
+  void heardOf(DaemonId entry, long nowMillis) {
+    heardAt.put(entry, nowMillis);
+  }
+
+  /** Takes that an entry daemon is gone. */
+  void gone(DaemonId entry) {
+    heardAt.keySet().removeIf(known -> SlotLedger.isRunOf(known, entry));
+  }
+
+  /** Whether an upstream owes a first sign while another of its role does not. */
+  boolean isSilent(UpstreamState upstream, long nowMillis) {
+    return owesSign(upstream)
+        && all.stream()
+            .anyMatch(
+                other ->
+                    other.role() == upstream.role()
+                        && other.isUsable(nowMillis)
+                        && !owesSign(other));
+  }
+
+  private boolean owesSign(UpstreamState upstream) {
+    return upstream.awaited().isOverdue(entry -> heardAt.getOrDefault(entry, Long.MIN_VALUE));
+  }
+
   /** Forgets upstreams that are no longer configured and hold nothing of ours. */
   void forgetUnused() {
     byName.values().removeIf(upstream -> !upstream.isConfigured() && upstream.reserved() == 0);
--- a/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
@@ -60,6 +60,7 @@
     if (choice.mode().isTransferring()) {
       choice.target().startTransfer(choice.transferBytes());
     }
+    awaitSign(request, choice, nowMillis);
     attempt.organisation().started(request.promptTokens() + request.outputTokens(), nowMillis);
     AttemptPhase phase =
         choice.isPrefillNeeded() ? AttemptPhase.PREFILLING : AttemptPhase.PREFILLED;
@@ -78,6 +79,17 @@
     return grant;
   }
 
+  private static void awaitSign(PlacementRequest request, Choice choice, long nowMillis) {
+    if (!request.isGeneration()) {
+      return;
+    }
+    UpstreamState first =
+        choice.isPrefillNeeded() ? choice.prefill().orElse(choice.target()) : choice.target();
+    double expected =
+        choice.isPrefillNeeded() ? first.queueMillis(nowMillis) : choice.transferMillis();
+    first.awaited().sent(request.request(), request.entry(), expected, nowMillis);
+  }
+
   /** Counts an attempt that another owner granted, even beyond the slots that there are. */
   void restore(
       PlacementRequest request,
@@ -124,10 +136,20 @@
     if (isLate || report.phase() == AttemptPhase.ENDED) {
       return;
     }
+    settleSigns(attempt);
     if (attempt.phase() == AttemptPhase.PREFILLING) {
       learnPrefill(attempt, report, nowMillis);
       releasePrefill(attempt, nowMillis);
     }
+    if (report.phase() == AttemptPhase.PREFILLED) {
+      PlacementRequest request = attempt.request();
+      double expected = attempt.grant().expectedTransferMillis();
+      attempt
+          .target()
+          .ifPresent(
+              target ->
+                  target.awaited().sent(request.request(), request.entry(), expected, nowMillis));
+    }
     if (report.phase() == AttemptPhase.GENERATING) {
       learnTransfer(attempt, nowMillis);
       releaseTransfer(attempt);
@@ -138,6 +160,7 @@
 
   /** Releases all that an attempt still holds. */
   void release(RunningAttempt attempt, long nowMillis) {
+    settleSigns(attempt);
     if (attempt.phase() == AttemptPhase.PREFILLING) {
       releasePrefill(attempt, nowMillis);
     }
@@ -160,6 +183,12 @@
     }
   }
 
+  private static void settleSigns(RunningAttempt attempt) {
+    RequestId request = attempt.request().request();
+    attempt.prefill().ifPresent(prefill -> prefill.awaited().settled(request));
+    attempt.target().ifPresent(target -> target.awaited().settled(request));
+  }
+
   private void releasePrefill(RunningAttempt attempt, long nowMillis) {
     attempt.reader().ifPresent(reader -> reader.endPrefill(attempt.unreadTokens(), nowMillis));
     attempt.prefill().ifPresent(prefill -> prefill.release(attempt.request().alone(), nowMillis));
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
@@ -284,7 +284,8 @@
 
   private boolean isOpenReader(UpstreamState upstream, long nowMillis) {
     return freeSlotsOf(upstream, nowMillis) > 0
-        && upstream.queueMillis(nowMillis) <= settings.prefillAheadMillis();
+        && upstream.queueMillis(nowMillis) <= settings.prefillAheadMillis()
+        && !upstreams.isSilent(upstream, nowMillis);
   }
 
   private static Choice local(UpstreamState target, PlacementRequest request) {
@@ -377,6 +378,7 @@
         && upstream.isUsable(nowMillis)
         && freeSlotsOf(upstream, nowMillis) > 0
         && (role != UpstreamRole.DECODE || hasMemory(upstream, request, nowMillis))
+        && !upstreams.isSilent(upstream, nowMillis)
         && isAllowed(upstream, request);
   }
 
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -26,6 +26,7 @@
   private final MovingAverage aloneMillisPerToken;
   private final MovingAverage besideMillisPerToken;
   private final MovingAverage overheadMillis;
+  private final AwaitedSigns awaited = new AwaitedSigns();
   private final Deque<Long> recentEnds = new ArrayDeque<>();
 
   private EjectionState ejection;
@@ -84,6 +85,11 @@
     return prefixes;
   }
 
+  /** The requests that wait for their first sign here. */
+  AwaitedSigns awaited() {
+    return awaited;
+  }
+
   EjectionState ejection() {
     return ejection;
   }
