--- a/core/src/main/java/org/marjoramsail/core/discovery/UpstreamBeliefs.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/UpstreamBeliefs.java
@@ -143,16 +143,17 @@
   /**
    * All upstreams that are believed in, by no order; those that leave are marked as drained.
    *
-   * <p>Where most entries say when their upstream started, one that does not was written by
-   * something else and names no upstream.
+   * <p>Where most entries of a service say when their upstream started, one that does not was
+   * written by something else and names no upstream.
    */
   public List<UpstreamDefinition> upstreams() {
     List<UpstreamDefinition> all = new ArrayList<>(beliefs.size());
     beliefs.values().forEach(belief -> all.add(belief.listed.definition()));
-    long stating = all.stream().filter(one -> one.startedAtMillis().isPresent()).count();
-    if (2 * stating > all.size()) {
-      all.removeIf(one -> one.startedAtMillis().isEmpty());
+    Map<String, Integer> stating = new HashMap<>();
+    for (UpstreamDefinition one : all) {
+      stating.merge(one.service(), one.startedAtMillis().isPresent() ? 1 : -1, Integer::sum);
     }
+    all.removeIf(one -> one.startedAtMillis().isEmpty() && stating.get(one.service()) > 0);
     return all;
   }
 
--- a/core/src/test/java/org/marjoramsail/core/discovery/UpstreamBeliefsTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/UpstreamBeliefsTest.java
@@ -111,6 +111,20 @@
     assertThat(names()).containsExactlyInAnyOrder("a", "b");
   }
 
+  /** Engines say when they started and plain servers do not; both serve. */
+  @Test
+  void serversOfOneServiceNeedNotSayWhatThoseOfAnotherDo() {
+    beliefs.listed(
+        List.of(
+            born("a", 1, false, 1_000),
+            born("b", 2, false, 1_000),
+            listed("c", "another", 3, false)),
+        List.of(),
+        0);
+
+    assertThat(names()).containsExactlyInAnyOrder("a", "b", "c");
+  }
+
   private static UpstreamName name(String value) {
     return new UpstreamName(value);
   }
@@ -126,10 +140,15 @@
   }
 
   private static ListedUpstream listed(String name, long revision, boolean drained) {
+    return listed(name, "service", revision, drained);
+  }
+
+  private static ListedUpstream listed(
+      String name, String service, long revision, boolean drained) {
     return new ListedUpstream(
         new UpstreamDefinition(
             new UpstreamName(name),
-            "service",
+            service,
             UpstreamRole.PLAIN,
             "10.0.0.1",
             80,
