Learn how much of a reading falls into one pause of the answers beside it

Hypothesis: the bound on reading beside answers took all of a reading for one pause.

Change: an attempt reports its longest pause, the owner compares it with the longest reading beside it and learns the share that falls into one pause.

Ruled out: the size of the parts from what services say of their engines; no field tells it.

--- a/core/src/main/java/org/marjoramsail/core/outcome/AttemptLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptLedger.java
@@ -108,7 +108,11 @@
 
   /** The one report of an attempt's end; nothing when it was already given. */
   Optional<LifecycleAction> end(
-      int attempt, AttemptResult result, Optional<UpstreamName> failedUpstream, int outputTokens) {
+      int attempt,
+      AttemptResult result,
+      Optional<UpstreamName> failedUpstream,
+      int outputTokens,
+      long longestPauseMillis) {
     boolean first = endReported.add(attempt);
     if (!invariants.check(first, Invariant.ONE_END_REPORT, profile.id())) {
       return Optional.empty();
@@ -123,6 +127,7 @@
                 failedUpstream,
                 0,
                 0,
-                outputTokens)));
+                outputTokens,
+                longestPauseMillis)));
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -40,6 +40,7 @@
   private final AttemptLedger ledger;
   private final BackOff backOff;
   private final LastAnswer last = new LastAnswer();
+  private final SignTimes signs;
   private final Set<UpstreamName> avoid = new LinkedHashSet<>();
   private List<LifecycleAction> actions = new ArrayList<>();
 
@@ -48,9 +49,7 @@
   private int attempt;
   private int nextIndex;
   private boolean frameSeen;
-  private long lastSignMillis;
   private long waitUntilMillis;
-  private long stallAtMillis = Long.MAX_VALUE;
   private Optional<Grant> grant = Optional.empty();
 
   /**
@@ -82,7 +81,7 @@
     this.ledger = new AttemptLedger(profile, invariants);
     this.backOff = new BackOff(policy, random);
     this.nowMillis = profile.receivedAtMillis();
-    this.lastSignMillis = profile.receivedAtMillis();
+    this.signs = new SignTimes(profile.receivedAtMillis());
   }
 
   /** The request. */
@@ -117,10 +116,11 @@
 
   /** When the next {@link LifecycleEvent.TimePassed} is due. */
   public Optional<Long> nextWakeMillis() {
+    long backOffEnds = state == LifecycleState.BACKING_OFF ? waitUntilMillis : Long.MAX_VALUE;
     Stream<Long> own =
         state == LifecycleState.ENDED
             ? Stream.empty()
-            : Stream.of(profile.deadlineAtMillis(), stallAtMillis, backOffEndMillis());
+            : Stream.of(profile.deadlineAtMillis(), signs.stallAtMillis(), backOffEnds);
     return Stream.concat(own, held.nextRepeatMillis().stream()).min(Long::compare);
   }
 
@@ -194,16 +194,14 @@
   }
 
   private PlacementRequest placementRequest(boolean alone) {
+    // A place is of use until the deadline, or until the caller has waited too long for a sign.
+    long usefulUntilMillis =
+        Math.min(profile.deadlineAtMillis(), signs.patientUntilMillis(policy.patienceMillis()));
     return new PlacementAsk(
-            profile, attempt, generatedTokens(), usefulUntilMillis(), kv.living(nowMillis))
+            profile, attempt, generatedTokens(), usefulUntilMillis, kv.living(nowMillis))
         .at(nowMillis, alone ? suspects.avoided(avoid) : List.copyOf(avoid), alone);
   }
 
-  /** A place is of use until the deadline, or until the caller has waited too long for a sign. */
-  private long usefulUntilMillis() {
-    return Math.min(profile.deadlineAtMillis(), lastSignMillis + policy.patienceMillis());
-  }
-
   void granted(Grant given) {
     if (state != LifecycleState.PLACING || given.attempt() != attempt) {
       drop(DropReason.LATE_GRANT);
@@ -232,15 +230,15 @@
   private void placeLater() {
     reportEnd(AttemptResult.CANCELLED, Optional.empty());
     state = LifecycleState.BACKING_OFF;
-    stallAtMillis = Long.MAX_VALUE;
+    signs.expectNothing();
     waitUntilMillis = nowMillis + UNSETTLED_RECHECK_MILLIS;
   }
 
   private void sendPrefill(Grant given) {
     UpstreamName upstream = given.prefill().orElseThrow();
     state = LifecycleState.PREFILLING;
-    stallAtMillis =
-        nowMillis + ESTIMATE_FACTOR * given.expectedPrefillMillis() + policy.prefillStallMillis();
+    signs.expectUntil(
+        nowMillis + ESTIMATE_FACTOR * given.expectedPrefillMillis() + policy.prefillStallMillis());
     held.add(attempt, upstream);
     suspects.began(attempt, upstream);
     actions.add(new LifecycleAction.SendPrefill(attempt, upstream));
@@ -260,6 +258,7 @@
       return;
     }
     state = LifecycleState.GENERATING;
+    signs.began();
     long estimateMillis = given.expectedPrefillMillis() + given.expectedTransferMillis();
     stallAfter(ESTIMATE_FACTOR * estimateMillis + policy.tokenStallMillis());
     ledger.sent(attempt);
@@ -337,7 +336,7 @@
     invariants.check(token.index() == nextIndex, Invariant.TOKENS_IN_ORDER, profile.id());
     invariants.check(!last.isGiven(), Invariant.SILENT_AFTER_END, profile.id());
     nextIndex++;
-    lastSignMillis = nowMillis;
+    signs.piece(nowMillis);
     stallAfter(policy.tokenStallMillis());
     actions.add(new LifecycleAction.EmitToken(token.index(), token.text()));
   }
@@ -412,7 +411,7 @@
     }
     avoid.add(upstream);
     actions.add(new LifecycleAction.CountRetry(RetryReason.UPSTREAM_ERROR));
-    stallAtMillis = Long.MAX_VALUE;
+    signs.expectNothing();
     tryToPlace();
   }
 
@@ -524,7 +523,7 @@
       refuse(RefusalReason.DEADLINE_PASSED, "The deadline of the request has passed.");
     } else if (state == LifecycleState.BACKING_OFF && nowMillis >= waitUntilMillis) {
       tryToPlace();
-    } else if (state.isRunning() && nowMillis >= stallAtMillis) {
+    } else if (state.isRunning() && nowMillis >= signs.stallAtMillis()) {
       failCurrent(UpstreamFailure.TIMED_OUT);
     }
   }
@@ -553,7 +552,7 @@
     boolean waiting = state == LifecycleState.PLACING;
     boolean cut = state.isRunning() && outcome != ClaimOutcome.COMPLETED;
     state = LifecycleState.ENDED;
-    stallAtMillis = Long.MAX_VALUE;
+    signs.expectNothing();
     if (cut) {
       actions.add(new LifecycleAction.CloseAttempt(attempt));
     }
@@ -576,23 +575,25 @@
   private void reportEnd(AttemptResult result, Optional<UpstreamName> failedUpstream) {
     if (grant.isPresent()) {
       grant = Optional.empty();
-      ledger.end(attempt, result, failedUpstream, generatedTokens()).ifPresent(actions::add);
+      long pauseMillis = signs.longestPauseMillis();
+      ledger
+          .end(attempt, result, failedUpstream, generatedTokens(), pauseMillis)
+          .ifPresent(actions::add);
     }
   }
 
   /** Silence ends an attempt only where another may follow; else it is no reason to end sooner. */
   private void stallAfter(long millis) {
-    stallAtMillis = profile.repeatability().isResendable() ? nowMillis + millis : Long.MAX_VALUE;
+    signs.expectNothing();
+    if (profile.repeatability().isResendable()) {
+      signs.expectUntil(nowMillis + millis);
+    }
   }
 
   private int generatedTokens() {
     return nextIndex * profile.pieces().tokens();
   }
 
-  private long backOffEndMillis() {
-    return state == LifecycleState.BACKING_OFF ? waitUntilMillis : Long.MAX_VALUE;
-  }
-
   private void drop(DropReason reason) {
     actions.add(new LifecycleAction.CountDrop(reason));
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/AttemptReport.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/AttemptReport.java
@@ -16,6 +16,7 @@
  * @param cachedPromptTokens how much of the prompt the upstream had in its cache, once known
  * @param tookMillis how long the phase that just ended took; zero when it is not known
  * @param outputTokens tokens generated so far
+ * @param longestPauseMillis the longest pause between two pieces so far; zero where it is not known
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record AttemptReport(
@@ -26,4 +27,28 @@
     Optional<UpstreamName> failedUpstream,
     int cachedPromptTokens,
     long tookMillis,
-    int outputTokens) {}
+    int outputTokens,
+    long longestPauseMillis) {
+
+  /** A report without pauses. */
+  public AttemptReport(
+      RequestId request,
+      int attempt,
+      AttemptPhase phase,
+      Optional<AttemptResult> result,
+      Optional<UpstreamName> failedUpstream,
+      int cachedPromptTokens,
+      long tookMillis,
+      int outputTokens) {
+    this(
+        request,
+        attempt,
+        phase,
+        result,
+        failedUpstream,
+        cachedPromptTokens,
+        tookMillis,
+        outputTokens,
+        0);
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementEstimates.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementEstimates.java
@@ -11,6 +11,16 @@
   private static final double FIRST_OUTPUT_SHARE = 0.5;
   private static final double FIRST_HOLD_MILLIS = 1_000;
   private static final double FIRST_HELD_TOKENS = 1_000;
+  private static final double FIRST_PAUSE_SHARE = 0.8;
+  private static final double LEAST_PAUSE_SHARE = 0.1;
+  private static final double LARGEST_PAUSE_SHARE = 1.5;
+
+  /**
+   * How much of the longest pause between two pieces may be used up by what is foretold; the way of
+   * a piece to its caller and errors of the forecast take the rest.
+   */
+  private static final double USED_OF_PAUSE = 0.85;
+
   private static final long LEARNABLE_TRANSFER_BYTES = 1_000_000;
 
   private final Cache<String, MovingAverage> outputShares =
@@ -21,6 +31,7 @@
   private final MovingAverage heldTokens = new MovingAverage(FIRST_HELD_TOKENS);
   private final MovingAverage promptTokens = new MovingAverage(FIRST_HELD_TOKENS);
   private final MovingAverage linkBytesPerMilli;
+  private final MovingAverage pauseShare = new MovingAverage(FIRST_PAUSE_SHARE);
 
   private long ends;
   private long grants;
@@ -106,6 +117,35 @@
     }
   }
 
+  /** How long the tokens of one piece take, in milliseconds. */
+  double pieceMillis(PlacementRequest request) {
+    return request.pieces().tokens() * decodeMillisPerToken();
+  }
+
+  /**
+   * How long a prompt may be read beside answers that may not pause for longer, in milliseconds.
+   */
+  double readingWithinPause(PlacementRequest request) {
+    double longest = request.pieces().longestPauseMillis() * USED_OF_PAUSE;
+    return (longest - pieceMillis(request)) / pauseShare.value();
+  }
+
+  /**
+   * Learns from an answer how much of a reading beside it falls into one of its pauses.
+   *
+   * <p>An engine that reads in small parts between the tokens spreads a prompt over several pieces;
+   * one that reads in large parts keeps a single piece waiting for all of it. A pause that is
+   * longer than the reading explains has another cause.
+   *
+   * @param readingMillis the longest reading beside it; zero where there was none
+   */
+  void learnPause(PlacementRequest request, long pauseMillis, double readingMillis) {
+    double share = (pauseMillis - pieceMillis(request)) / readingMillis;
+    if (readingMillis > 0 && share <= LARGEST_PAUSE_SHARE) {
+      pauseShare.observe(Math.max(LEAST_PAUSE_SHARE, share));
+    }
+  }
+
   /** How far lengths of answers lie from what was foretold. */
   AnswerSpread spread() {
     return spread;
--- a/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
@@ -180,6 +180,12 @@
     if (attempt.phase() == AttemptPhase.GENERATING) {
       estimates.learnOutput(
           attempt.request(), report.outputTokens(), nowMillis - attempt.phaseAt());
+      double readingMillis =
+          attempt
+              .target()
+              .map(it -> it.readingsBeside().longestAfter(attempt.phaseAt()))
+              .orElse(0.0);
+      estimates.learnPause(attempt.request(), report.longestPauseMillis(), readingMillis);
     }
   }
 
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
@@ -24,12 +24,6 @@
   /** How much a full upstream counts like later, in milliseconds: it generates more slowly. */
   private static final double FULL_PENALTY_MILLIS = 20;
 
-  /**
-   * How much of the longest pause between two pieces may be used up by what is foretold; the way of
-   * a piece to its caller and errors of the forecast take the rest.
-   */
-  private static final double USED_OF_PAUSE = 0.85;
-
   private static final long QUICK_MEMORY_MILLIS = 10_000;
 
   private final ShardUpstreams upstreams;
@@ -249,11 +243,11 @@
    */
   private Optional<Choice> overflow(PlacementRequest request, long nowMillis) {
     UpstreamState best = null;
-    double bestMillis = longestReadingMillis(request);
+    double bestMillis = estimates.readingWithinPause(request);
     for (UpstreamState upstream : upstreams.all()) {
       if (!isCandidate(upstream, UpstreamRole.DECODE, request, nowMillis)
           || !isOpenForOverflow(upstream, nowMillis)
-          || upstream.hasReadWithin(pieceMillis(request), nowMillis)) {
+          || upstream.hasReadWithin(estimates.pieceMillis(request), nowMillis)) {
         continue;
       }
       double millis = upstream.prefillMillis(unread(upstream, request));
@@ -265,16 +259,6 @@
     return Optional.ofNullable(best).map(target -> local(target, request));
   }
 
-  /** How long reading beside answers may keep them waiting, in milliseconds. */
-  private double longestReadingMillis(PlacementRequest request) {
-    return request.pieces().longestPauseMillis() * USED_OF_PAUSE - pieceMillis(request);
-  }
-
-  /** How long the tokens of one piece take, in milliseconds. */
-  private double pieceMillis(PlacementRequest request) {
-    return request.pieces().tokens() * estimates.decodeMillisPerToken();
-  }
-
   private boolean isOpenForOverflow(UpstreamState upstream, long nowMillis) {
     return upstream.role() == UpstreamRole.DECODE
         && settings.readsBesideAnswers()
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -26,6 +26,7 @@
   private final MovingAverage aloneMillisPerToken;
   private final MovingAverage besideMillisPerToken;
   private final MovingAverage overheadMillis;
+  private final ReadingsBeside readingsBeside = new ReadingsBeside();
   private final AwaitedSigns awaited = new AwaitedSigns();
   private final Deque<Long> recentEnds = new ArrayDeque<>();
 
@@ -347,6 +348,9 @@
 
   /** A prefill ended, read or not: what is still queued tells when the upstream is free. */
   void endPrefill(int tokens, long nowMillis) {
+    if (role == UpstreamRole.DECODE) {
+      readingsBeside.ended(prefillMillis(tokens), nowMillis);
+    }
     readEndedAt = nowMillis;
     queuedTokens -= tokens;
     busyUntil = nowMillis + queuedTokens * millisPerToken().value();
@@ -370,6 +374,11 @@
     }
   }
 
+  /** The prompts that it has read beside answers. */
+  ReadingsBeside readingsBeside() {
+    return readingsBeside;
+  }
+
   /** Whether it has ended reading a prompt less than that long ago. */
   boolean hasReadWithin(double millis, long nowMillis) {
     return nowMillis - readEndedAt < millis;
