Take an upstream for silent only if it gives no sign of any request

Change: signs of other requests since the send count.

Test: SilentUpstreamTest has the engine that is only full.

--- a/core/src/main/java/org/marjoramsail/core/placement/AwaitedSigns.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/AwaitedSigns.java
@@ -13,7 +13,8 @@
  * <p>Guards against an upstream that has fallen silent without closing a connection. A request that
  * may run only once is never taken away from it, so no failure is reported until its caller leaves
  * seconds later, and until then every slot of the upstream would be filled with requests that are
- * lost. A first sign is due long before that.
+ * lost. A first sign is due long before that. One that gives signs of other requests meanwhile is
+ * not silent: it is full, and the request waits there.
  */
 final class AwaitedSigns {
 
@@ -23,29 +24,36 @@
   /** What a first sign may take beyond that, in milliseconds: messages and a place in a batch. */
   private static final long SLACK_MILLIS = 300;
 
-  private record Awaited(DaemonId entry, long dueAt) {}
+  private record Awaited(DaemonId entry, long sentAt, long dueAt) {}
 
   private final Map<RequestId, Awaited> awaited = new HashMap<>();
+  private long signedAt = Long.MIN_VALUE;
 
   /** Takes that a request was sent, and when its first sign is expected. */
   void sent(RequestId request, DaemonId entry, double expectedMillis, long nowMillis) {
     long dueAt = nowMillis + (long) (LARGEST_FACTOR * expectedMillis) + SLACK_MILLIS;
-    awaited.put(request, new Awaited(entry, dueAt));
+    awaited.put(request, new Awaited(entry, nowMillis, dueAt));
   }
 
-  /** Takes that the sign came, or that nobody waits for it any more. */
+  /** Takes that the upstream gave a sign, of whichever request. */
+  void signed(long nowMillis) {
+    signedAt = nowMillis;
+  }
+
+  /** Takes that the sign of a request came, or that nobody waits for it any more. */
   void settled(RequestId request) {
     awaited.remove(request);
   }
 
   /**
-   * Whether a sign is overdue that would have been told by now.
+   * Whether a sign is overdue that would have been told by now, and no other came since.
    *
    * @param heardAt when each entry daemon was last heard of: one that cannot be heard of says
    *     nothing about upstreams
    */
   boolean isOverdue(ToLongFunction<DaemonId> heardAt) {
     return awaited.values().stream()
-        .anyMatch(one -> one.dueAt() <= heardAt.applyAsLong(one.entry()));
+        .anyMatch(
+            one -> one.sentAt() > signedAt && one.dueAt() <= heardAt.applyAsLong(one.entry()));
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
@@ -150,6 +150,9 @@
               target ->
                   target.awaited().sent(request.request(), request.entry(), expected, nowMillis));
     }
+    Optional<UpstreamState> signing =
+        report.phase() == AttemptPhase.PREFILLED ? attempt.prefill() : attempt.target();
+    signing.ifPresent(upstream -> upstream.awaited().signed(nowMillis));
     if (report.phase() == AttemptPhase.GENERATING) {
       learnTransfer(attempt, nowMillis);
       releaseTransfer(attempt);
@@ -177,6 +180,7 @@
   /** Takes from a completed attempt how long answers are and how long slots are held. */
   void learnCompletion(RunningAttempt attempt, AttemptReport report, long nowMillis) {
     estimates.learnHold(nowMillis - attempt.startedAt());
+    attempt.target().ifPresent(target -> target.awaited().signed(nowMillis));
     if (attempt.phase() == AttemptPhase.GENERATING) {
       estimates.learnOutput(
           attempt.request(), report.outputTokens(), nowMillis - attempt.phaseAt());
--- a/core/src/test/java/org/marjoramsail/core/placement/SilentUpstreamTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/SilentUpstreamTest.java
@@ -42,6 +42,20 @@
     assertThat(targetsOf(10, 1_200)).contains(late.target().value());
   }
 
+  /** In a burst a request waited for memory on an engine that ended others all the while. */
+  @Test
+  void anEngineThatGivesSignsOfOtherRequestsIsNotSilent() {
+    Grant waiting = read(0);
+    String full = waiting.target().value();
+    Grant other = read(1);
+    while (!other.target().value().equals(full)) {
+      other = read(1);
+    }
+    placer.report(progress(other.request().value(), 1, AttemptPhase.GENERATING), 900);
+
+    assertThat(targetsOf(10, 1_000)).contains(full);
+  }
+
   /** A daemon was cut off; what it would have told of its requests says nothing of the engines. */
   @Test
   void aDaemonThatIsNotHeardOfSaysNothingAboutEngines() {
