--- a/core/src/test/java/org/marjoramsail/core/order/LeaseHistory.java
+++ b/core/src/test/java/org/marjoramsail/core/order/LeaseHistory.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.time.SuspensionWatch;
 
 /**
  * One random history of a lease: three holders with clocks of their own, a store that fails, and
@@ -15,20 +16,31 @@
 
   private static final int HOLDERS = 3;
 
-  /** One daemon; its clock runs at a rate of its own, and it does nothing while it pauses. */
-  private static final class Holder {
+  /**
+   * One daemon; its clock runs at a rate of its own, and it does nothing while it pauses. The clock
+   * of a host that is suspended stands still with it.
+   */
+  private final class Holder {
     final LeaseKeeper keeper;
     final double rate;
+    final SuspensionWatch watch;
     long pausedUntil;
     long cutOffUntil;
+    long stoodStillMillis;
 
-    Holder(int number, double rate) {
+    Holder(int number, double rate, LeaseTimes times) {
       this.rate = rate;
-      this.keeper = new LeaseKeeper(new DaemonId("entry-" + number, 1), 0);
+      this.keeper = new LeaseKeeper(new DaemonId("entry-" + number, 1), times, 0);
+      this.watch = new SuspensionWatch(() -> clock(now), () -> Math.round(now * rate));
     }
 
     long clock(long now) {
-      return Math.round(now * rate);
+      return Math.round((now - stoodStillMillis) * rate);
+    }
+
+    void suspend(long millis) {
+      pausedUntil = now + millis;
+      stoodStillMillis += millis;
     }
   }
 
@@ -36,6 +48,7 @@
 
   private record Answer(int holder, Runnable effect) {}
 
+  private final boolean suspending;
   private final List<Holder> holders = new ArrayList<>();
   private final List<Flight> flights = new ArrayList<>();
   private final List<Answer> answers = new ArrayList<>();
@@ -47,10 +60,21 @@
   private long outageUntil;
   private int changesOfHolder;
 
+  /** A history in which hosts pause, and their clocks go on. */
   LeaseHistory() {
-    holders.add(new Holder(0, 1.0));
-    holders.add(new Holder(1, 1.05));
-    holders.add(new Holder(2, 0.95));
+    this(LeaseTimes.standard(), false);
+  }
+
+  /**
+   * A history with other times.
+   *
+   * @param suspending whether hosts are suspended with their clocks, rather than paused
+   */
+  LeaseHistory(LeaseTimes times, boolean suspending) {
+    this.suspending = suspending;
+    holders.add(new Holder(0, 1.0, times));
+    holders.add(new Holder(1, 1.05, times));
+    holders.add(new Holder(2, 0.95, times));
     carriedOut.put(true, new ArrayList<>());
     carriedOut.put(false, new ArrayList<>());
   }
@@ -79,7 +103,7 @@
     } else if (kind < 78) {
       release(detail % HOLDERS);
     } else if (kind < 80) {
-      holder.pausedUntil = now + 1_000L * (detail % 120);
+      pause(holder, 1_000L * (detail % 120));
     } else if (kind < 83) {
       outageUntil = now + 1_000L * (detail % 60);
     } else if (kind < 86) {
@@ -91,6 +115,17 @@
     }
   }
 
+  private void pause(Holder holder, long millis) {
+    if (now < holder.pausedUntil) {
+      return;
+    }
+    if (suspending) {
+      holder.suspend(millis);
+    } else {
+      holder.pausedUntil = now + millis;
+    }
+  }
+
   /** Lets all orders that are under way arrive. */
   void finish() {
     pass(LeaseKeeper.UNDER_WAY_MILLIS, 0);
@@ -117,7 +152,13 @@
 
   private void act(Holder holder, int detail) {
     boolean fenced = detail / HOLDERS % 2 == 0;
-    if (now >= holder.pausedUntil && holder.keeper.mayAct(fenced, holder.clock(now))) {
+    if (now < holder.pausedUntil) {
+      return;
+    }
+    if (holder.watch.hasSuspended()) {
+      holder.keeper.distrust(holder.clock(now));
+    }
+    if (holder.keeper.mayAct(fenced, holder.clock(now))) {
       long delay = detail / 7 % LeaseKeeper.UNDER_WAY_MILLIS;
       flights.add(new Flight(now + delay, holder.keeper.token(), fenced));
     }
--- a/core/src/test/java/org/marjoramsail/core/order/LeaseHistoryTest.java
+++ b/core/src/test/java/org/marjoramsail/core/order/LeaseHistoryTest.java
@@ -36,6 +36,19 @@
     }
   }
 
+  /** The times of leases on the platform, hosts that stand still with their clocks. */
+  @Property(seed = "63", tries = 500)
+  void norDoesItWhereHostsAreSuspendedAndLeasesAreShort(
+      @ForAll @Size(min = 100, max = 400)
+          List<@IntRange(min = 0, max = 9_999_999) Integer> choices) {
+    LeaseHistory history = new LeaseHistory(LeaseTimes.quick(), true);
+    for (int choice : choices) {
+      history.step(spread(choice, 0));
+    }
+    history.finish();
+    assertThat(history.tokens(false)).isSorted();
+  }
+
   @Test
   void aHolderThatWakesFromALongPauseSendsNothing() {
     // A daemon holds the lease and its process stands still for two minutes. Another takes over.
