--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
@@ -361,9 +361,9 @@
     return upstream.role() == role
         && upstream.isUsable(nowMillis)
         && freeSlotsOf(upstream, nowMillis) > 0
-        && (role != UpstreamRole.DECODE || hasMemory(upstream, request, nowMillis))
+        && isAllowed(upstream, request)
         && !upstreams.isSilent(upstream, nowMillis)
-        && isAllowed(upstream, request);
+        && (role != UpstreamRole.DECODE || hasMemory(upstream, request, nowMillis));
   }
 
   private boolean hasMemory(UpstreamState upstream, PlacementRequest request, long nowMillis) {
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLives.java
@@ -0,0 +1,61 @@
+package org.marjoramsail.daemon.forward;
+
+import java.util.function.Consumer;
+import org.marjoramsail.core.model.Incarnation;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.outcome.Quarantine;
+import org.marjoramsail.core.time.Clock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Tells of signs of life, of crashes and of upstreams that have started again under their name. */
+public final class UpstreamLives implements Aliveness {
+
+  private static final Logger LOG = LoggerFactory.getLogger(UpstreamLives.class);
+
+  /** Stands for the start of an upstream that does not say when it started. */
+  private static final long FIRST_START_MILLIS = 1;
+
+  /** An entry stays in the list when its upstream is gone, so it proves no life after a cut. */
+  private static final long PROVES_NOTHING_MILLIS = Long.MIN_VALUE;
+
+  private final Quarantine quarantine;
+  private final Clock clock;
+  private final Consumer<UpstreamName> startedAgain;
+
+  /**
+   * Takes whom it tells.
+   *
+   * @param quarantine counts a crash once for each life
+   * @param clock tells the time
+   * @param startedAgain hears of upstreams on which all that ran is over
+   */
+  public UpstreamLives(Quarantine quarantine, Clock clock, Consumer<UpstreamName> startedAgain) {
+    this.quarantine = quarantine;
+    this.clock = clock;
+    this.startedAgain = startedAgain;
+  }
+
+  /** Takes a life that the list shows. */
+  public void listed(Incarnation upstream) {
+    if (heardOf(upstream, PROVES_NOTHING_MILLIS)) {
+      LOG.atInfo().addKeyValue("upstream", upstream).log("upstream has started again");
+      startedAgain.accept(upstream.upstream());
+    }
+  }
+
+  @Override
+  public void alive(Incarnation upstream, long sentAtMillis) {
+    heardOf(upstream, sentAtMillis);
+  }
+
+  @Override
+  public void refuses(UpstreamName upstream) {
+    quarantine.refusesConnections(upstream, clock.millis());
+  }
+
+  private boolean heardOf(Incarnation upstream, long asOfMillis) {
+    long start = Math.max(FIRST_START_MILLIS, upstream.startedAtMillis());
+    return quarantine.incarnation(upstream.upstream(), start, asOfMillis, clock.millis());
+  }
+}
