SlotLedger: one step for the sign that a report brings

progress had grown to thirty lines by the signs of silent upstreams; what it notes of them is a function of its own.

--- a/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
@@ -79,6 +79,7 @@
     return grant;
   }
 
+  /** Awaits the first sign: of whoever reads the prompt, or of the target if it is read. */
   private static void awaitSign(PlacementRequest request, Choice choice, long nowMillis) {
     if (!request.isGeneration()) {
       return;
@@ -136,23 +137,11 @@
     if (isLate || report.phase() == AttemptPhase.ENDED) {
       return;
     }
-    settleSigns(attempt);
+    noteSign(attempt, report.phase(), nowMillis);
     if (attempt.phase() == AttemptPhase.PREFILLING) {
       learnPrefill(attempt, report, nowMillis);
       releasePrefill(attempt, nowMillis);
     }
-    if (report.phase() == AttemptPhase.PREFILLED) {
-      PlacementRequest request = attempt.request();
-      double expected = attempt.grant().expectedTransferMillis();
-      attempt
-          .target()
-          .ifPresent(
-              target ->
-                  target.awaited().sent(request.request(), request.entry(), expected, nowMillis));
-    }
-    Optional<UpstreamState> signing =
-        report.phase() == AttemptPhase.PREFILLED ? attempt.prefill() : attempt.target();
-    signing.ifPresent(upstream -> upstream.awaited().signed(nowMillis));
     if (report.phase() == AttemptPhase.GENERATING) {
       learnTransfer(attempt, nowMillis);
       releaseTransfer(attempt);
@@ -193,6 +182,22 @@
     }
   }
 
+  /** Takes the sign by which a phase was reached, and awaits the next: a first piece. */
+  private static void noteSign(RunningAttempt attempt, AttemptPhase reached, long nowMillis) {
+    settleSigns(attempt);
+    if (reached == AttemptPhase.PREFILLED) {
+      PlacementRequest request = attempt.request();
+      double expected = attempt.grant().expectedTransferMillis();
+      attempt.prefill().ifPresent(prefill -> prefill.awaited().signed(nowMillis));
+      attempt
+          .target()
+          .map(UpstreamState::awaited)
+          .ifPresent(signs -> signs.sent(request.request(), request.entry(), expected, nowMillis));
+    } else {
+      attempt.target().ifPresent(target -> target.awaited().signed(nowMillis));
+    }
+  }
+
   private static void settleSigns(RunningAttempt attempt) {
     RequestId request = attempt.request().request();
     attempt.prefill().ifPresent(prefill -> prefill.awaited().settled(request));
