A test of slow readers no longer gives its engine up for silence

The fixture gives an engine up that gives no token for a second; on a busy machine the first use of the engine was that slow, and no other engine is there.

Ruled out: a fault in the end of slow readers; it was not reached.

Change: the tests of this class give the engine a minute, and the fixture keeps its second for those that have an engine fall silent. The checks are as they were.

--- a/daemon/src/test/java/org/marjoramsail/daemon/caller/CallerDefenceTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/caller/CallerDefenceTest.java
@@ -30,6 +30,12 @@
   private static final CallerLimits LIMITS =
       new CallerLimits(4, 2_048, 4_096, 300, 300, 64 * 1024, 300, 1_000_000, 16);
 
+  /**
+   * Longer than any wait of these tests: on a busy machine the engine of a reader that takes
+   * nothing gave no token for a second, was given up, and the reader was refused for that instead.
+   */
+  private static final long ENGINE_SILENCE_MILLIS = 60_000;
+
   private final Vertx vertx = Vertx.vertx();
   private final FakeEngine decode = new FakeEngine(vertx, "decode-1", UpstreamRole.DECODE);
   private CallerPath path;
@@ -38,7 +44,9 @@
   @BeforeEach
   void start() {
     decode.start();
-    path = new CallerPath(vertx, LIMITS, List.of(decode.definition("asistente")));
+    path =
+        new CallerPath(
+            vertx, LIMITS, List.of(decode.definition("asistente")), ENGINE_SILENCE_MILLIS);
     callers = new Callers(path.port());
   }
 
