Keep what runs for a daemon that is taken back: its slots were lost for good

Cause: an owner that learns that a daemon lives forgets the registrations of its requests, so that what it dropped while it held it for dead is asked for again. It forgot those that its placer held, too. Their ends came for registrations that were not known and were dropped; the slots stayed taken. Right after a restart of all daemons each is heard of before it is known to live, and lookups last 90 ms: the whole pool can be lost that way.

Change: daemonBack keeps the registrations of what the placer holds.

Test: ShardLedgerTest.whatRunsForADaemonThatIsTakenBackIsReleasedAtItsEnd; it fails without the change.

--- a/core/src/main/java/org/marjoramsail/core/placement/Placer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/Placer.java
@@ -66,4 +66,9 @@
 
   /** What runs and what waits here, for operators. */
   ShardView view(long nowMillis);
+
+  /** Whether a request waits or runs here; false where that is not known. */
+  default boolean holds(RequestId request) {
+    return false;
+  }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -212,6 +212,11 @@
     return !waiting.isEmpty();
   }
 
+  @Override
+  public boolean holds(RequestId request) {
+    return waiting.containsKey(request) || ledger.find(request).isPresent();
+  }
+
   @Override
   public Optional<RoleChange> wantedRoleChange(long nowMillis) {
     return roles.wanted(nowMillis);
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardLedger.java
@@ -95,9 +95,15 @@
    * <p>What it sent meanwhile was not queued, yet it is registered, so that its entry would be told
    * that it waits and would never send it again. It is forgotten; the entry registers it anew when
    * it next repeats what it holds.
+   *
+   * <p>What the placer does hold stays registered. Guards against slots that are lost for good: a
+   * daemon that has just started sends requests before it is known to live, their ends came for
+   * registrations that were forgotten, and a pool of idle servers looked full to its owner.
    */
   public void daemonBack(DaemonId daemon) {
-    registrations.values().removeIf(registration -> registration.entry.equals(daemon));
+    registrations
+        .entrySet()
+        .removeIf(one -> one.getValue().entry.equals(daemon) && !placer.holds(one.getKey()));
     placer.daemonBack(daemon);
   }
 
--- a/core/src/test/java/org/marjoramsail/core/placement/ShardLedgerTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ShardLedgerTest.java
@@ -120,6 +120,29 @@
     assertThat(placer.waiting()).isEqualTo(1);
   }
 
+  // All lookups are refused for as long as anyone looks, though both servers are idle. In order:
+  // all
+  // daemons lose their power and start again, lookups reach the new owner before it knows that
+  // their
+  // daemons live, it takes them as back, and the lookups end. Cause: the owner had forgotten the
+  // registrations, dropped the ends, and held the slots for ever.
+  @Test
+  void whatRunsForADaemonThatIsTakenBackIsReleasedAtItsEnd() {
+    ShardLedger reserving =
+        new ShardLedger(
+            SHARD,
+            PlacementFixtures.plainPlacer(PlacementFixtures.plainPool(1, 1)),
+            PlacementTimings.standard());
+    reserving.handle(ENTRY, new PlacementMessage.Place(SHARD, asking("first")), 0);
+
+    reserving.daemonBack(ENTRY);
+    reserving.handle(ENTRY, new PlacementMessage.Report(SHARD, ended("first")), 20);
+
+    assertThat(reserving.handle(ENTRY, new PlacementMessage.Place(SHARD, asking("second")), 30))
+        .extracting(ShardLedger.Outgoing::message)
+        .anyMatch(PlacementMessage.Granted.class::isInstance);
+  }
+
   private List<ShardLedger.Outgoing> place(String request) {
     return ledger.handle(ENTRY, new PlacementMessage.Place(SHARD, asking(request)), 0);
   }
