Settings that the platform's figures can always fill, and a start without XML, schema and reflection

Ruled out: rounding in the template, which has no arithmetic. Change: retryRatio, retrySlack, graceSeconds and leaseMillis take any number; out of range or absent they are replaced with a warning (PlatformBound), as refused they would stop a whole fleet alike.

--- a/core/src/main/java/org/marjoramsail/core/order/LeaseTimes.java
+++ b/core/src/main/java/org/marjoramsail/core/order/LeaseTimes.java
@@ -21,4 +21,18 @@
   public static LeaseTimes quick() {
     return new LeaseTimes(12_000, 8_000, 4_000, 1_000);
   }
+
+  /**
+   * The same times, stretched so that a lease is waited out for at least so long.
+   *
+   * @param leastMillis how long one holder has to be alone, in milliseconds
+   */
+  public LeaseTimes lastingAtLeast(double leastMillis) {
+    double factor = Math.max(1, leastMillis / durationMillis);
+    return new LeaseTimes(
+        (long) Math.ceil(durationMillis * factor),
+        (long) (actingMillis * factor),
+        (long) (renewalMillis * factor),
+        retryMillis);
+  }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/LoggingSetup.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/LoggingSetup.java
@@ -3,11 +3,9 @@
 import ch.qos.logback.classic.Level;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
-import ch.qos.logback.classic.encoder.PatternLayoutEncoder;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.ConsoleAppender;
 import ch.qos.logback.core.encoder.Encoder;
-import net.logstash.logback.encoder.LogstashEncoder;
 import org.marjoramsail.daemon.settings.LogFormat;
 import org.marjoramsail.daemon.settings.LoggingSettings;
 import org.slf4j.LoggerFactory;
@@ -17,22 +15,13 @@
  */
 final class LoggingSetup {
 
-  private static final String TEXT_PATTERN = "%d{ISO8601} %-5level %logger{0} %msg %kvp%n%ex";
-
   private LoggingSetup() {}
 
   static void apply(LoggingSettings settings) {
     LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
     context.reset();
-    Encoder<ILoggingEvent> encoder = encoderOf(settings.format());
-    encoder.setContext(context);
-    encoder.start();
-    ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
-    appender.setContext(context);
-    appender.setName("standardOutput");
-    appender.setTarget("System.out");
-    appender.setEncoder(encoder);
-    appender.start();
+    ConsoleAppender<ILoggingEvent> appender =
+        console(context, "System.out", encoderOf(settings.format()));
     Logger root = context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME);
     root.setLevel(Level.toLevel(settings.level().name()));
     BoundedAppender bounded = new BoundedAppender();
@@ -54,12 +43,21 @@
     ((LoggerContext) LoggerFactory.getILoggerFactory()).stop();
   }
 
+  /** An appender that writes to one of the process's outputs; it is started. */
+  static ConsoleAppender<ILoggingEvent> console(
+      LoggerContext context, String target, Encoder<ILoggingEvent> encoder) {
+    encoder.setContext(context);
+    encoder.start();
+    ConsoleAppender<ILoggingEvent> appender = new ConsoleAppender<>();
+    appender.setContext(context);
+    appender.setName(target);
+    appender.setTarget(target);
+    appender.setEncoder(encoder);
+    appender.start();
+    return appender;
+  }
+
   private static Encoder<ILoggingEvent> encoderOf(LogFormat format) {
-    if (format == LogFormat.JSON) {
-      return new LogstashEncoder();
-    }
-    PatternLayoutEncoder encoder = new PatternLayoutEncoder();
-    encoder.setPattern(TEXT_PATTERN);
-    return encoder;
+    return format == LogFormat.JSON ? new JsonLineEncoder() : new TextLineEncoder();
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
@@ -32,8 +32,6 @@
   private final SignalSource signals;
   private final PrintStream output;
   private final PrintStream errors;
-  private final SingleCommand<DaemonArguments> command =
-      SingleCommand.singleCommand(DaemonArguments.class);
 
   /** Calls back when the process is told to stop. */
   @FunctionalInterface
@@ -100,14 +98,18 @@
    * @return how the process ends
    */
   public ExitCode run(String... arguments) {
+    if (isPlainStart(arguments)) {
+      return withSettings(Path.of(arguments[1]), false);
+    }
+    SingleCommand<DaemonArguments> command = SingleCommand.singleCommand(DaemonArguments.class);
     DaemonArguments parsed;
     try {
       parsed = command.parse(arguments);
     } catch (ParseException failure) {
-      return usage(failure.getMessage(), arguments);
+      return usage(command, failure.getMessage(), arguments);
     }
     if (parsed.isHelp()) {
-      printHelp();
+      printHelp(command);
       return ExitCode.OK;
     }
     if (parsed.isVersion()) {
@@ -115,11 +117,18 @@
       return ExitCode.OK;
     }
     if (parsed.settings().isEmpty()) {
-      return usage("--settings FILE is missing.", arguments);
+      return usage(command, "--settings FILE is missing.", arguments);
     }
     return withSettings(Path.of(parsed.settings()), parsed.isCheck());
   }
 
+  /** A start as the platform makes it, which needs no command-line parser to be loaded. */
+  private static boolean isPlainStart(String... arguments) {
+    return arguments.length == 2
+        && arguments[0].equals("--settings")
+        && !arguments[1].startsWith("-");
+  }
+
   private ExitCode withSettings(Path file, boolean checkOnly) {
     Settings settings;
     try {
@@ -160,14 +169,16 @@
     return sequence.awaitEnd();
   }
 
-  private ExitCode usage(String fault, String... arguments) {
+  private ExitCode usage(
+      SingleCommand<DaemonArguments> command, String fault, String... arguments) {
     errors.println(fault);
-    nearestOption(arguments).ifPresent(errors::println);
+    nearestOption(command, arguments).ifPresent(errors::println);
     errors.println("Try marjoramsaild --help.");
     return ExitCode.USAGE;
   }
 
-  private Optional<String> nearestOption(String... arguments) {
+  private static Optional<String> nearestOption(
+      SingleCommand<DaemonArguments> command, String... arguments) {
     List<String> options =
         command.getCommandMetadata().getAllOptions().stream()
             .flatMap(option -> option.getOptions().stream())
@@ -183,7 +194,7 @@
                     .map(option -> argument + ": did you mean " + option + "?"));
   }
 
-  private void printHelp() {
+  private void printHelp(SingleCommand<DaemonArguments> command) {
     try {
       Help.help(command.getCommandMetadata(), output);
     } catch (IOException failure) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/LogLevel.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/LogLevel.java
@@ -1,6 +1,9 @@
 package org.marjoramsail.daemon.settings;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
 
 /** The least severe lines that are logged. */
 public enum LogLevel {
@@ -15,5 +18,14 @@
   WARN,
   /** What does not work. */
   @JsonProperty("error")
-  ERROR
+  ERROR;
+
+  /** The level that settings name so. */
+  static Optional<LogLevel> ofCode(String code) {
+    return Arrays.stream(values()).filter(value -> value.code().equals(code)).findFirst();
+  }
+
+  private String code() {
+    return name().toLowerCase(Locale.ROOT);
+  }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/OperatorRole.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/OperatorRole.java
@@ -1,7 +1,9 @@
 package org.marjoramsail.daemon.settings;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.Arrays;
 import java.util.Locale;
+import java.util.Optional;
 
 /** What the holder of an operator's token may do; each role may do what those before it may. */
 public enum OperatorRole {
@@ -20,6 +22,11 @@
     return compareTo(other) >= 0;
   }
 
+  /** The role that settings name so. */
+  static Optional<OperatorRole> ofCode(String code) {
+    return Arrays.stream(values()).filter(value -> value.code().equals(code)).findFirst();
+  }
+
   /** The role as settings and answers name it. */
   public String code() {
     return name().toLowerCase(Locale.ROOT);
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsReader.java
@@ -13,29 +13,20 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Reads settings and finds every fault in them at once. */
 public final class SettingsReader {
 
-  private final JsonMapper mapper;
-  private final SettingsSchema schema;
-  private final SettingsChecks checks;
+  private static final Logger LOGGER = LoggerFactory.getLogger(SettingsReader.class);
 
-  /** Takes the schema of the program's own resources. */
-  public SettingsReader() {
-    this(
-        JsonMapper.builder()
-            .addModule(new Jdk8Module())
-            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-            .build(),
-        new SettingsChecks());
-  }
+  private final JsonMapper mapper =
+      JsonMapper.builder().enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION).build();
+  private final SettingsChecks checks = new SettingsChecks();
 
-  private SettingsReader(JsonMapper mapper, SettingsChecks checks) {
-    this.mapper = mapper;
-    this.schema = new SettingsSchema(mapper);
-    this.checks = checks;
-  }
+  /** Creates a reader with the schema of the program's own resources. */
+  public SettingsReader() {}
 
   /**
    * Reads a file. Paths in it are relative to the file.
@@ -71,12 +62,26 @@
    */
   public Settings read(String source, String text, Path directory) throws SettingsException {
     JsonNode document = EndpointTexts.expanded(parse(source, text));
-    List<SettingsProblem> problems = new ArrayList<>(schema.problemsOf(document));
+    PlatformBound.adjustAll(document).forEach(SettingsReader::warn);
+    Optional<Settings> decoded = SettingsDecoder.decode(document);
+    List<SettingsProblem> problems = new ArrayList<>();
+    if (decoded.isEmpty()) {
+      problems.addAll(new SettingsSchema(mapper).problemsOf(document));
+    }
     problems.addAll(checks.problemsOf(document, directory));
     if (!problems.isEmpty()) {
       throw new SettingsException(source, problems);
     }
-    return withDefaults(document);
+    return decoded.isPresent() ? decoded.get() : withDefaults(document);
+  }
+
+  private static void warn(SettingsAdjustment adjustment) {
+    LOGGER
+        .atWarn()
+        .addKeyValue("field", adjustment.path())
+        .addKeyValue("value", adjustment.given())
+        .addKeyValue("used", adjustment.used())
+        .log("setting is out of its range or absent");
   }
 
   private JsonNode parse(String source, String text) throws SettingsException {
@@ -98,16 +103,18 @@
     }
   }
 
-  private Settings withDefaults(JsonNode document) {
-    ObjectNode whole = mapper.createObjectNode();
-    whole.set("limits", mapper.valueToTree(LimitSettings.DEFAULT));
-    whole.set("placement", mapper.valueToTree(PlacementSettings.DEFAULT));
-    whole.set("logging", mapper.valueToTree(LoggingSettings.DEFAULT));
-    whole.set("administration", mapper.valueToTree(AdministrationSettings.DEFAULT));
+  /** Decodes what the schema accepts though the quick decoder does not vouch for it. */
+  Settings withDefaults(JsonNode document) {
+    JsonMapper records = mapper.rebuild().addModule(new Jdk8Module()).build();
+    ObjectNode whole = records.createObjectNode();
+    whole.set("limits", records.valueToTree(LimitSettings.DEFAULT));
+    whole.set("placement", records.valueToTree(PlacementSettings.DEFAULT));
+    whole.set("logging", records.valueToTree(LoggingSettings.DEFAULT));
+    whole.set("administration", records.valueToTree(AdministrationSettings.DEFAULT));
     whole.putArray("peers");
     try {
-      JsonNode merged = mapper.readerForUpdating(whole).readValue(document);
-      return mapper.treeToValue(merged, Settings.class);
+      JsonNode merged = records.readerForUpdating(whole).readValue(document);
+      return records.treeToValue(merged, Settings.class);
     } catch (IOException impossible) {
       throw new UncheckedIOException("The schema lets through what no record takes.", impossible);
     }
