--- a/core/src/main/java/org/marjoramsail/core/discovery/FollowPace.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/FollowPace.java
@@ -21,6 +21,23 @@
   /** A list that is slow but alive answers within this time, in milliseconds. */
   private static final long LONGEST_ANSWER_MILLIS = 1_800;
 
+  /**
+   * How long changes are gathered after an answer that had some, in milliseconds. Where upstreams
+   * register one after the other, every answer carries one change and wakes every daemon at once;
+   * gathered, they cost each daemon three questions a second at most. A tenth or so of the time in
+   * which a change has to be in force.
+   */
+  private static final long GATHER_MILLIS = 350;
+
+  /** What a daemon has for giving up a silent question, asking again and acting on the answer. */
+  private static final long RESERVE_MILLIS = FIRST_ANSWER_MILLIS + GATHER_MILLIS + 650;
+
+  /** Below this a question is not worth its price; a fleet asks so often at most. */
+  private static final long SHORTEST_WAIT_MILLIS = 1_000;
+
+  /** Longer waits save little more. */
+  private static final long LONGEST_WAIT_MILLIS = 20_000;
+
   private final long waitMillis;
   private final RandomGenerator random;
   private long retryMillis = FIRST_RETRY_MILLIS;
@@ -39,6 +56,23 @@
     this.random = random;
   }
 
+  /**
+   * How long a question may wait at most so that no bound is missed over a connection that has gone
+   * silent without a reset: what is new by the end of the recovery is known in time.
+   *
+   * @param recoveryMillis for how long after such a fault a daemon may be behind
+   * @param boundMillis the shortest time in which a change has to be in force after that
+   */
+  public static long longestWaitMillis(double recoveryMillis, double boundMillis) {
+    long allowed = (long) (recoveryMillis + boundMillis) - RESERVE_MILLIS;
+    return Math.max(SHORTEST_WAIT_MILLIS, Math.min(LONGEST_WAIT_MILLIS, allowed));
+  }
+
+  /** How long to wait before the next question after an answer with so many changes. */
+  public long pauseMillis(int changes) {
+    return changes == 0 ? 0 : GATHER_MILLIS;
+  }
+
   /** How long a question may wait for a change; not at all after a failure. */
   public long waitMillis() {
     return failing ? 0 : waitMillis;
--- a/core/src/main/java/org/marjoramsail/core/membership/MemberTable.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MemberTable.java
@@ -67,6 +67,10 @@
     return live;
   }
 
+  boolean hasSuspects() {
+    return !suspects.isEmpty();
+  }
+
   List<MemberEntry> suspects() {
     return suspects.stream().map(entries::get).toList();
   }
--- a/core/src/main/java/org/marjoramsail/core/membership/MembershipProtocol.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipProtocol.java
@@ -51,6 +51,7 @@
   private Optional<DaemonId> successor = Optional.empty();
   private long sequence;
   private long lastTickMillis;
+  private long expectedPauseMillis = MembershipSettings.TICK_MILLIS;
   private long nextProbeMillis;
   private long nextSeedMillis;
   private long nextDigestMillis;
@@ -116,9 +117,8 @@
 
   /** Does what is due; to be called every {@link MembershipSettings#TICK_MILLIS}. */
   public List<MembershipAction> tick(long nowMillis) {
-    long sinceLastMillis = nowMillis - lastTickMillis;
-    lastTickMillis = nowMillis;
-    if (sinceLastMillis > settings.lateTickMillis()) {
+    long lateMillis = nowMillis - lastTickMillis - expectedPauseMillis;
+    if (lateMillis > settings.lateTickMillis() - MembershipSettings.TICK_MILLIS) {
       paused(nowMillis);
     }
     probe(nowMillis);
@@ -128,9 +128,24 @@
     trySeed(nowMillis);
     compareState(nowMillis);
     forget(nowMillis);
+    lastTickMillis = nowMillis;
+    expectedPauseMillis = pauseMillis(nowMillis);
     return finish();
   }
 
+  /**
+   * The pause after which {@link #tick} has something to do, in milliseconds.
+   *
+   * <p>While an answer is awaited or a daemon is suspected, times of a fraction of a second count;
+   * otherwise nothing is due before the next ping.
+   */
+  public long pauseMillis(long nowMillis) {
+    if (probes.current().isPresent() || table.hasSuspects()) {
+      return MembershipSettings.TICK_MILLIS;
+    }
+    return Math.max(1, nextProbeMillis - nowMillis);
+  }
+
   /** Takes a message of a proven sender. */
   public List<MembershipAction> receive(DaemonId from, PeerMessage message, long nowMillis) {
     heard(from, nowMillis);
--- a/core/src/main/java/org/marjoramsail/core/membership/VirtualFleet.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/VirtualFleet.java
@@ -220,7 +220,7 @@
 
   private void tick(Node node) {
     perform(node, node.protocol.tick(clock.millis()));
-    schedule(MembershipSettings.TICK_MILLIS, node, () -> tick(node));
+    schedule(node.protocol.pauseMillis(clock.millis()), node, () -> tick(node));
   }
 
   private void dispatch(Event event) {
--- a/core/src/test/java/org/marjoramsail/core/discovery/FollowPaceTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/FollowPaceTest.java
@@ -50,4 +50,43 @@
     pace.succeeded();
     assertThat(pace.giveUpMillis()).isEqualTo(3_700);
   }
+
+  /**
+   * Forty upstreams registered one after the other while a fleet started. Each of them answered the
+   * open question of every daemon, which asked again at once: forty calls of the store a daemon in
+   * two seconds, and no time left for requests.
+   */
+  @Test
+  void upstreamsThatRegisterOneAfterTheOtherCostFewQuestions() {
+    long now = 0;
+    int questions = 0;
+    while (now < 2_000) {
+      questions++;
+      now += 50 + pace.pauseMillis(1);
+    }
+
+    assertThat(questions).isLessThanOrEqualTo(5);
+    assertThat(pace.pauseMillis(0)).isZero();
+  }
+
+  /**
+   * A connection to the store went silent without a reset. A new version of the routes was accepted
+   * at the first moment at which the daemon had to be in touch again; the open question still
+   * waited for an answer that could not come.
+   */
+  @Test
+  void aSilentQuestionIsGivenUpEarlyEnoughForTheBoundsOfThePlatform() {
+    for (double recovery : new double[] {3_000, 5_000}) {
+      for (double bound : new double[] {2_000, 4_000}) {
+        FollowPace bounded =
+            new FollowPace(FollowPace.longestWaitMillis(recovery, bound), new SplittableRandom(1));
+        long knownMillis = bounded.giveUpMillis() + bounded.failed() + bounded.pauseMillis(1);
+
+        assertThat(knownMillis).isLessThan((long) (recovery + bound));
+        assertThat(bounded.pauseMillis(1)).isLessThan((long) (bound / 5));
+      }
+    }
+    assertThat(FollowPace.longestWaitMillis(0, 0)).isEqualTo(1_000);
+    assertThat(FollowPace.longestWaitMillis(1e9, 1e9)).isEqualTo(20_000);
+  }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/membership/MembershipService.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/membership/MembershipService.java
@@ -33,6 +33,7 @@
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.peer.PeerNetwork;
 import org.marjoramsail.daemon.peer.PeerSettings;
+import org.marjoramsail.daemon.timing.PacedTimer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -72,7 +73,7 @@
   private Optional<MembershipProtocol> protocol = Optional.empty();
   private boolean superseded;
   private volatile MembershipView view;
-  private volatile long timer;
+  private final PacedTimer ticks;
 
   /**
    * Takes all that it works with; nothing happens before {@link #start}.
@@ -101,6 +102,7 @@
     this.clock = clock;
     this.random = random;
     this.view = alone(peerSettings);
+    this.ticks = new PacedTimer(vertx, this::pauseMillis, this::tick);
     MembershipMeters.register(registry, this::view, this::statistics);
   }
 
@@ -142,7 +144,7 @@
     for (Class<? extends PeerMessage> message : MESSAGES) {
       network.register(message, this::receive);
     }
-    timer = vertx.setPeriodic(MembershipSettings.TICK_MILLIS, id -> tick());
+    ticks.start();
   }
 
   /** Takes the platform's lagging list of daemons, which is only a hint where to look. */
@@ -161,7 +163,7 @@
 
   /** Tells that this daemon is gone, and ends the pings; done when that was sent. */
   public Future<Void> stop() {
-    vertx.cancelTimer(timer);
+    ticks.stop();
     synchronized (lock) {
       protocol.ifPresent(running -> perform(running.left(clock.millis())));
       protocol = Optional.empty();
@@ -177,11 +179,21 @@
     }
   }
 
+  private long pauseMillis() {
+    synchronized (lock) {
+      return protocol
+          .map(running -> running.pauseMillis(clock.millis()))
+          .orElse(MembershipSettings.TICK_MILLIS);
+    }
+  }
+
   private void receive(DaemonId from, PeerMessage message) {
     synchronized (lock) {
       protocol.ifPresent(running -> perform(running.receive(from, message, clock.millis())));
       noteSuccessor();
     }
+    // A suspicion that was heard of is followed in short steps.
+    ticks.wake();
   }
 
   private void noteSuccessor() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -59,6 +59,7 @@
   private final Map<RequestId, Consumer<PlacementResult>> callbacks = new ConcurrentHashMap<>();
   private final Map<UpstreamName, LoadReport> latestLoads = new ConcurrentHashMap<>();
   private final Set<UpstreamName> unavailable = ConcurrentHashMap.newKeySet();
+  private volatile Runnable workListener = () -> {};
   private Set<DaemonId> reachable = Set.of();
 
   /**
@@ -108,6 +109,7 @@
       actions = entry.place(request, shard.get(), clock.millis());
     }
     act(actions);
+    workListener.run();
   }
 
   @Override
@@ -133,6 +135,7 @@
   public void heard(DaemonId from, PlacementMessage message) {
     if (isForOwner(message)) {
       owned.handle(from, message);
+      workListener.run();
       return;
     }
     List<EntryAction> actions;
@@ -226,6 +229,23 @@
     return owned.isBusy();
   }
 
+  /** Whether any shard is decided here. */
+  public boolean isOwner() {
+    return !owned.isEmpty();
+  }
+
+  /** Whether this entry holds or waits for any attempt. */
+  public boolean isEntryBusy() {
+    synchronized (entryLock) {
+      return entry.size() > 0;
+    }
+  }
+
+  /** Calls {@code listener} whenever something may have come up that a tick has to look after. */
+  public void onWork(Runnable listener) {
+    workListener = listener;
+  }
+
   /** Does what time has made due on the entry's side; called some times a second. */
   public void tickEntry() {
     List<EntryAction> actions;
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -87,6 +87,10 @@
         && choice.owners(shard.shard()).get(0).equals(self);
   }
 
+  boolean isEmpty() {
+    return shards.isEmpty();
+  }
+
   boolean isBusy() {
     return shards.values().stream().anyMatch(OwnedShard::isWaiting);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/ForwardingSettings.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/ForwardingSettings.java
@@ -11,6 +11,9 @@
  * @param retrySlack how many more such sends there may be in one window, over all daemons
  * @param graceSeconds how long this daemon may go on after it is told to stop, in seconds
  * @param leaseMillis how long one holder may give orders to an upstream alone, in milliseconds
+ * @param recoveryMillis for how long after a disturbance a host may be behind, in milliseconds
+ * @param configurationMillis within which time a change of the configuration has to be in force
+ * @param drainMillis after which time an upstream that leaves must get no new work
  * @param fenced whether upstreams refuse orders that carry an old fencing token
  */
 public record ForwardingSettings(
@@ -20,6 +23,9 @@
     double retrySlack,
     double graceSeconds,
     double leaseMillis,
+    double recoveryMillis,
+    double configurationMillis,
+    double drainMillis,
     boolean fenced) {
 
   private static final double MILLIS_PER_SECOND = 1_000;
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/PlatformBound.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/PlatformBound.java
@@ -24,7 +24,13 @@
   /** Without it a stop takes as long as the shortest grace that is known of any deployment. */
   GRACE_SECONDS("graceSeconds", 1, 86_400, 5),
   /** Without it a holder of orders is waited out for as long as by default. */
-  LEASE_MILLIS("leaseMillis", 0, 3_600_000, 0);
+  LEASE_MILLIS("leaseMillis", 0, 3_600_000, 0),
+  /** Without it a host counts as recovered after the shortest time known of any deployment. */
+  RECOVERY_MILLIS("recoveryMillis", 0, 3_600_000, 3_000),
+  /** Without it changes have to be in force in the shortest time known of any deployment. */
+  CONFIGURATION_MILLIS("configurationMillis", 0, 3_600_000, 2_000),
+  /** Without it the same holds for upstreams that leave. */
+  DRAIN_MILLIS("drainMillis", 0, 3_600_000, 2_000);
 
   private static final String PARENT = "forwarding";
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsDecoder.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsDecoder.java
@@ -146,6 +146,9 @@
         fields.number("retrySlack", 0, 1e9),
         fields.number("graceSeconds", 1, 86_400),
         fields.number("leaseMillis", 0, 3_600_000),
+        fields.number("recoveryMillis", 0, 3_600_000),
+        fields.number("configurationMillis", 0, 3_600_000),
+        fields.number("drainMillis", 0, 3_600_000),
         fields.flag("fenced"));
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/timing/PacedTimer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/timing/PacedTimer.java
@@ -2,24 +2,25 @@
 
 import io.vertx.core.Vertx;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 
 /**
  * Calls a task again and again, often while there is work and seldom while there is none.
  *
  * <p>At rest a daemon's timers were most of its control cost. Work that arrives at rest waits for
- * at most the pause at rest until the first call, so what cannot wait is done when it arrives.
+ * at most the pause at rest until the first call, unless its arrival is told with {@link #wake}.
  */
 public final class PacedTimer {
 
   private final Vertx vertx;
-  private final long busyMillis;
-  private final long restMillis;
-  private final BooleanSupplier busy;
+  private final LongSupplier pauseMillis;
   private final Runnable task;
-  private volatile boolean stopped;
+  private long timer;
+  private long pendingMillis = Long.MAX_VALUE;
+  private boolean stopped;
 
   /**
-   * Calls nothing yet.
+   * Creates a timer with one pause while there is work and another at rest.
    *
    * @param busyMillis pause between two calls while there is work; at least one
    * @param restMillis pause while there is none
@@ -28,32 +29,67 @@
    */
   public PacedTimer(
       Vertx vertx, long busyMillis, long restMillis, BooleanSupplier busy, Runnable task) {
+    this(vertx, () -> busy.getAsBoolean() ? busyMillis : restMillis, task);
+  }
+
+  /**
+   * Creates a timer that calls nothing yet.
+   *
+   * @param pauseMillis the pause until the next call, in milliseconds, at least one; asked after
+   *     each call and when work arrives
+   * @param task what to call, on an event loop
+   */
+  public PacedTimer(Vertx vertx, LongSupplier pauseMillis, Runnable task) {
     this.vertx = vertx;
-    this.busyMillis = busyMillis;
-    this.restMillis = restMillis;
-    this.busy = busy;
+    this.pauseMillis = pauseMillis;
     this.task = task;
   }
 
   /** Begins to call, and goes on until stopped. */
   public void start() {
-    vertx.setTimer(busy.getAsBoolean() ? busyMillis : restMillis, timer -> call());
+    schedule(pauseMillis.getAsLong());
+  }
+
+  /** Brings the next call forward if work has arrived for which the pending pause is too long. */
+  public void wake() {
+    long wantedMillis = pauseMillis.getAsLong();
+    synchronized (this) {
+      boolean isStarted = pendingMillis != Long.MAX_VALUE;
+      if (!isStarted || wantedMillis >= pendingMillis) {
+        return;
+      }
+      vertx.cancelTimer(timer);
+    }
+    schedule(wantedMillis);
   }
 
   /** Calls no more. */
-  public void stop() {
+  public synchronized void stop() {
     stopped = true;
+    vertx.cancelTimer(timer);
   }
 
-  private void call() {
-    if (stopped) {
+  private synchronized void schedule(long millis) {
+    if (!stopped) {
+      pendingMillis = millis;
+      timer = vertx.setTimer(millis, id -> call(id));
+    }
+  }
+
+  private void call(long id) {
+    if (!isPending(id)) {
       return;
     }
     try {
       task.run();
     } finally {
       // A task that throws once must not end the timer: whatever waits would wait for ever.
-      start();
+      schedule(pauseMillis.getAsLong());
     }
   }
+
+  /** Whether a call is still wanted; one that {@link #wake} replaced may fire all the same. */
+  private synchronized boolean isPending(long id) {
+    return !stopped && id == timer;
+  }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/settings/PlatformBoundTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/settings/PlatformBoundTest.java
@@ -20,7 +20,9 @@
     "retrySlack, null, 0",
     "graceSeconds, 0, 1",
     "graceSeconds, null, 5",
-    "leaseMillis, -1, 0"
+    "leaseMillis, -1, 0",
+    "recoveryMillis, null, 3000",
+    "drainMillis, 1e10, 3600000"
   })
   void aNumberOutOfRangeIsReplacedByASafeOneAndTold(String field, String given, double used)
       throws Exception {
@@ -52,7 +54,8 @@
     JsonNode document =
         mapper.readTree(
             "{\"forwarding\": {\"retryRatio\": 0.2, \"retrySlack\": 54, \"graceSeconds\": 8,"
-                + " \"leaseMillis\": 3000}}");
+                + " \"leaseMillis\": 3000, \"recoveryMillis\": 3000, \"configurationMillis\": 2000,"
+                + " \"drainMillis\": 2000}}");
     ((com.fasterxml.jackson.databind.node.ObjectNode) document.path("forwarding"))
         .set(field, mapper.readTree(value));
     return document;
--- a/daemon/src/test/java/org/marjoramsail/daemon/settings/SettingsDecoderTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/settings/SettingsDecoderTest.java
@@ -43,6 +43,7 @@
         "forwarding": {"ready": {"address": "127.0.0.1", "port": 8083},
           "regions": {"santiago-a": "santiago", "santiago-b": "santiago"},
           "retryRatio": 0.2, "retrySlack": 54.5, "graceSeconds": 7.5, "leaseMillis": 3000,
+          "recoveryMillis": 3000, "configurationMillis": 2000, "drainMillis": 2000.5,
           "fenced": true}
       }
       """
--- a/daemon/src/test/java/org/marjoramsail/daemon/timing/PacedTimerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/timing/PacedTimerTest.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -52,4 +53,34 @@
     assertThat(calls.await(HANG_SECONDS, TimeUnit.SECONDS)).isTrue();
     timer.stop();
   }
+
+  // A request is answered an hour late. In order: the timer rests, a request arrives. Cause: the
+  // pause at rest was waited for although the arrival was told.
+  @Test
+  void workThatIsToldIsNotLeftUntilTheEndOfTheRest() throws Exception {
+    CountDownLatch calls = new CountDownLatch(CALLS);
+    AtomicBoolean busy = new AtomicBoolean();
+    PacedTimer timer =
+        new PacedTimer(vertx, 1, TimeUnit.HOURS.toMillis(1), busy::get, calls::countDown);
+    timer.start();
+
+    busy.set(true);
+    timer.wake();
+
+    assertThat(calls.await(HANG_SECONDS, TimeUnit.SECONDS)).isTrue();
+    timer.stop();
+  }
+
+  @Test
+  void aTimerThatHasNotBegunIsNotBegunByWork() throws Exception {
+    CountDownLatch calls = new CountDownLatch(1);
+    PacedTimer timer = new PacedTimer(vertx, 1, 1, () -> true, calls::countDown);
+
+    timer.wake();
+    CountDownLatch later = new CountDownLatch(1);
+    vertx.setTimer(CALLS, id -> later.countDown());
+
+    assertThat(later.await(HANG_SECONDS, TimeUnit.SECONDS)).isTrue();
+    assertThat(calls.getCount()).isEqualTo(1);
+  }
 }
