Changes of upstreams in force together, and routes found by the segments of a path

Cause: each changed entry of one answer of the store had the pools built anew of all upstreams (47 times of 47 at a start of large/), the set of lives was made five times a second, and RouteTable.find walked all routes of a host by a stream for each request, of which large/ has 1,400 and more. Change: ForwardingState.together puts one answer's changes in force once, also after a fault in the middle; the lives are kept; HostRoutes looks prefixes up by segments, and walks only those that do not end with a slash. A property test holds the lookup against the walk.

--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/routing/HostRoutes.java
@@ -0,0 +1,62 @@
+package org.marjoramsail.core.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * The routes of one host.
+ *
+ * <p>A configuration may hold thousands of routes, and each request looks one up. Prefixes that end
+ * with a slash, as nearly all do, are looked up by the segments of the path, so that a request
+ * costs as many steps as its path has segments and not as many as there are routes.
+ */
+final class HostRoutes {
+
+  private static final char SLASH = '/';
+  private static final Comparator<Route> BY_LENGTH =
+      Comparator.comparingInt(route -> route.pathPrefix().length());
+
+  private final Map<String, Route> bySegments = new HashMap<>();
+  private final List<Route> others = new ArrayList<>();
+  private int longestPrefix;
+
+  /** Adds a route, unless there is one with its prefix. */
+  void add(Route route) {
+    String prefix = route.pathPrefix();
+    if (!prefix.isEmpty() && prefix.charAt(prefix.length() - 1) == SLASH) {
+      bySegments.putIfAbsent(prefix, route);
+      longestPrefix = Math.max(longestPrefix, prefix.length());
+    } else if (others.stream().noneMatch(known -> known.pathPrefix().equals(prefix))) {
+      others.add(route);
+    }
+  }
+
+  /** The route with the longest prefix that begins the path. */
+  Optional<Route> find(String path) {
+    Optional<Route> found = findBySegments(path);
+    if (others.isEmpty()) {
+      return found;
+    }
+    Optional<Route> other =
+        others.stream().filter(route -> path.startsWith(route.pathPrefix())).max(BY_LENGTH);
+    return other
+        .filter(route -> found.isEmpty() || BY_LENGTH.compare(route, found.get()) > 0)
+        .or(() -> found);
+  }
+
+  private Optional<Route> findBySegments(String path) {
+    int end = path.lastIndexOf(SLASH, longestPrefix - 1) + 1;
+    while (end > 0) {
+      Route route = bySegments.get(path.substring(0, end));
+      if (route != null) {
+        return Optional.of(route);
+      }
+      end = path.lastIndexOf(SLASH, end - 2) + 1;
+    }
+    return Optional.empty();
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/routing/RouteTable.java
+++ b/core/src/main/java/org/marjoramsail/core/routing/RouteTable.java
@@ -1,7 +1,5 @@
 package org.marjoramsail.core.routing;
 
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -11,17 +9,13 @@
 /** Finds the route of a request: among those of its host the one with the longest prefix. */
 public final class RouteTable {
 
-  private static final Comparator<Route> LONGEST_FIRST =
-      Comparator.<Route>comparingInt(route -> route.pathPrefix().length()).reversed();
-
-  private final Map<String, List<Route>> byHost = new HashMap<>();
+  private final Map<String, HostRoutes> byHost = new HashMap<>();
 
   /** Indexes routes; of two with one host and prefix the first in the list counts. */
   public RouteTable(List<Route> routes) {
     for (Route route : routes) {
-      byHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+      byHost.computeIfAbsent(route.host(), host -> new HostRoutes()).add(route);
     }
-    byHost.values().forEach(list -> list.sort(LONGEST_FIRST));
   }
 
   /**
@@ -33,8 +27,6 @@
   public Optional<Route> find(String host, String path) {
     int colon = host.indexOf(':');
     String name = (colon < 0 ? host : host.substring(0, colon)).toLowerCase(Locale.ROOT);
-    return byHost.getOrDefault(name, List.of()).stream()
-        .filter(route -> path.startsWith(route.pathPrefix()))
-        .findFirst();
+    return Optional.ofNullable(byHost.get(name)).flatMap(routes -> routes.find(path));
   }
 }
--- a/core/src/test/java/org/marjoramsail/core/routing/RouteTableTest.java
+++ b/core/src/test/java/org/marjoramsail/core/routing/RouteTableTest.java
@@ -2,7 +2,16 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.model.Repeatability;
 
@@ -43,6 +52,50 @@
     assertThat(split.serviceFor(-1)).isEqualTo("second");
   }
 
+  @Test
+  void ofTwoRoutesWithOnePrefixTheFirstCounts() {
+    RouteTable doubled =
+        new RouteTable(
+            List.of(route("first", "h", "/a/", 1, 0), route("second", "h", "/a/", 1, 0)));
+
+    assertThat(doubled.find("h", "/a/").orElseThrow().name()).isEqualTo("first");
+  }
+
+  /** The lookup by segments against what it stands for: a walk over all routes. */
+  @Property(seed = "2301", tries = 2_000)
+  void theLookupAgreesWithAWalkOverAllRoutes(
+      @ForAll("prefixes") @Size(max = 12) List<String> prefixes, @ForAll("paths") String path) {
+    List<Route> routes = new ArrayList<>();
+    for (String prefix : prefixes) {
+      routes.add(route("route-" + routes.size(), "h", prefix, 1, 0));
+    }
+
+    Optional<String> walked =
+        routes.stream()
+            .filter(route -> path.startsWith(route.pathPrefix()))
+            .max(
+                Comparator.<Route>comparingInt(route -> route.pathPrefix().length())
+                    .thenComparing(routes::indexOf, Comparator.reverseOrder()))
+            .map(Route::name);
+
+    assertThat(new RouteTable(routes).find("h", path).map(Route::name)).isEqualTo(walked);
+  }
+
+  @Provide
+  Arbitrary<List<String>> prefixes() {
+    return texts().list();
+  }
+
+  @Provide
+  Arbitrary<String> paths() {
+    return texts();
+  }
+
+  /** Short texts of few letters, so that prefixes and paths meet. */
+  private static Arbitrary<String> texts() {
+    return Arbitraries.strings().withChars('/', 'a', 'b').ofMaxLength(7);
+  }
+
   private static Route route(String name, String host, String prefix, int first, int second) {
     return new Route(
         name,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -34,6 +34,9 @@
   private final Consumer<Incarnation> lives;
   private Optional<RoutingConfiguration> routing = Optional.empty();
   private volatile Configuration configuration = Configuration.empty();
+  private Set<Incarnation> incarnations = Set.of();
+  private boolean gathering;
+  private boolean publishDue;
   private boolean upstreamsReachable = true;
   private boolean routesReachable = true;
 
@@ -127,6 +130,25 @@
     return !isReady() && !(routesReachable && upstreamsReachable);
   }
 
+  /**
+   * Has all that {@code changes} tells put in force at once, at its end.
+   *
+   * <p>Upstreams change in groups, when a service is replaced or a fleet starts. The pools are
+   * built anew of all upstreams, so that putting each change in force alone costs the square of the
+   * group.
+   */
+  public void together(Runnable changes) {
+    gathering = true;
+    try {
+      changes.run();
+    } finally {
+      gathering = false;
+      if (publishDue) {
+        publish();
+      }
+    }
+  }
+
   /** Takes an entry that is new or has changed. */
   public void upstream(ListedUpstream one) {
     upstreamsBack();
@@ -215,9 +237,7 @@
 
   /** The lives of all upstreams that are believed in. */
   public Set<Incarnation> incarnations() {
-    return configuration.upstreams().stream()
-        .map(UpstreamDefinition::incarnation)
-        .collect(Collectors.toSet());
+    return incarnations;
   }
 
   private void upstreamsBack() {
@@ -228,13 +248,22 @@
   }
 
   private void publish() {
+    if (gathering) {
+      publishDue = true;
+      return;
+    }
+    publishDue = false;
     if (routing.isEmpty()) {
       return;
     }
-    Set<Incarnation> before = incarnations();
+    Set<Incarnation> before = incarnations;
     configuration =
         PoolConfiguration.of(configuration.revision() + 1, routing.get(), beliefs.upstreams());
+    incarnations =
+        configuration.upstreams().stream()
+            .map(UpstreamDefinition::incarnation)
+            .collect(Collectors.toUnmodifiableSet());
     pools.accept(configuration);
-    incarnations().stream().filter(life -> !before.contains(life)).forEach(lives);
+    incarnations.stream().filter(life -> !before.contains(life)).forEach(lives);
   }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardingStateTest.java
@@ -0,0 +1,108 @@
+package org.marjoramsail.daemon.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.discovery.ListedUpstream;
+import org.marjoramsail.core.model.Incarnation;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
+import org.marjoramsail.core.routing.CallerBounds;
+import org.marjoramsail.core.routing.RouteTable;
+import org.marjoramsail.core.routing.RoutedService;
+import org.marjoramsail.core.routing.RoutingConfiguration;
+
+class ForwardingStateTest {
+
+  private static final long SETTLED_MILLIS = 10_000;
+
+  private long now;
+  private final List<Configuration> published = new ArrayList<>();
+  private final List<Incarnation> lives = new ArrayList<>();
+  private final ForwardingState state = new ForwardingState(() -> now, published::add, lives::add);
+
+  @BeforeEach
+  void know() {
+    state.routes(
+        new RoutingConfiguration(
+            1,
+            new RouteTable(List.of()),
+            List.of(new RoutedService("desk", 100, Optional.empty())),
+            new CallerBounds(1, 1, 1, 1)));
+    state.upstreams(List.of(upstream("a"), upstream("b")), List.of());
+    now += SETTLED_MILLIS;
+    published.clear();
+    lives.clear();
+  }
+
+  /**
+   * A service of forty upstreams was replaced at once. The pools were built anew for each of them,
+   * and for as long every request of the daemon waited.
+   */
+  @Test
+  void changesThatAreToldTogetherAreInForceTogether() {
+    state.together(
+        () -> {
+          state.upstreamRemoved(new UpstreamName("a"));
+          state.upstream(upstream("c"));
+          state.upstream(upstream("d"));
+          assertThat(published).isEmpty();
+        });
+
+    assertThat(published).hasSize(1);
+    assertThat(published.get(0).upstreams())
+        .extracting(one -> one.name().value())
+        .containsExactlyInAnyOrder("b", "c", "d");
+    assertThat(lives)
+        .extracting(life -> life.upstream().value())
+        .containsExactlyInAnyOrder("c", "d");
+    assertThat(state.incarnations()).hasSize(3);
+  }
+
+  @Test
+  void changesWithoutEffectPublishNothing() {
+    state.together(() -> state.upstreamRemoved(new UpstreamName("unknown")));
+
+    assertThat(published).isEmpty();
+  }
+
+  /** A leaving upstream must not go on getting work because an entry beside it is broken. */
+  @Test
+  void whatWasToldBeforeAFaultIsInForceAllTheSame() {
+    assertThatThrownBy(
+            () ->
+                state.together(
+                    () -> {
+                      state.upstreamRemoved(new UpstreamName("a"));
+                      throw new IllegalStateException("thrown by the test");
+                    }))
+        .isInstanceOf(IllegalStateException.class);
+
+    assertThat(published).hasSize(1);
+    state.upstream(upstream("c"));
+    assertThat(published).hasSize(2);
+  }
+
+  private static ListedUpstream upstream(String name) {
+    return new ListedUpstream(
+        new UpstreamDefinition(
+            new UpstreamName(name),
+            "desk",
+            UpstreamRole.PLAIN,
+            "10.0.0.1",
+            80,
+            "zone",
+            "region",
+            4,
+            true,
+            false),
+        5);
+  }
+}
