--- a/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
@@ -1,22 +1,16 @@
 package org.marjoramsail.daemon.main;
 
-import com.github.rvesse.airline.SingleCommand;
-import com.github.rvesse.airline.help.Help;
-import com.github.rvesse.airline.parser.errors.ParseException;
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
-import java.util.Arrays;
-import java.util.List;
 import java.util.Optional;
 import java.util.Properties;
 import java.util.ServiceLoader;
 import org.marjoramsail.daemon.settings.Settings;
 import org.marjoramsail.daemon.settings.SettingsException;
 import org.marjoramsail.daemon.settings.SettingsReader;
-import org.marjoramsail.language.NearestName;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -101,25 +95,27 @@
     if (isPlainStart(arguments)) {
       return withSettings(Path.of(arguments[1]), false);
     }
-    SingleCommand<DaemonArguments> command = SingleCommand.singleCommand(DaemonArguments.class);
-    DaemonArguments parsed;
-    try {
-      parsed = command.parse(arguments);
-    } catch (ParseException failure) {
-      return usage(command, failure.getMessage(), arguments);
+    return withCommandLine(new CommandLine(output, errors), arguments);
+  }
+
+  private ExitCode withCommandLine(CommandLine commandLine, String... arguments) {
+    Optional<DaemonArguments> parsed = commandLine.parse(arguments);
+    if (parsed.isEmpty()) {
+      return ExitCode.USAGE;
     }
-    if (parsed.isHelp()) {
-      printHelp(command);
+    if (parsed.get().isHelp()) {
+      commandLine.printHelp();
       return ExitCode.OK;
     }
-    if (parsed.isVersion()) {
+    if (parsed.get().isVersion()) {
       output.println("marjoramsaild " + version());
       return ExitCode.OK;
     }
-    if (parsed.settings().isEmpty()) {
-      return usage(command, "--settings FILE is missing.", arguments);
+    if (parsed.get().settings().isEmpty()) {
+      commandLine.printUsage("--settings FILE is missing.", arguments);
+      return ExitCode.USAGE;
     }
-    return withSettings(Path.of(parsed.settings()), parsed.isCheck());
+    return withSettings(Path.of(parsed.get().settings()), parsed.get().isCheck());
   }
 
   /** A start as the platform makes it, which needs no command-line parser to be loaded. */
@@ -169,47 +165,6 @@
     return sequence.awaitEnd();
   }
 
-  private ExitCode usage(
-      SingleCommand<DaemonArguments> command, String fault, String... arguments) {
-    errors.println(fault);
-    nearestOption(command, arguments).ifPresent(errors::println);
-    errors.println("Try marjoramsaild --help.");
-    return ExitCode.USAGE;
-  }
-
-  private static Optional<String> nearestOption(
-      SingleCommand<DaemonArguments> command, String... arguments) {
-    List<String> options =
-        command.getCommandMetadata().getAllOptions().stream()
-            .flatMap(option -> option.getOptions().stream())
-            .toList();
-    return Arrays.stream(arguments)
-        .filter(argument -> argument.startsWith("-"))
-        .map(argument -> argument.split("=", 2)[0])
-        .filter(argument -> !options.contains(argument))
-        .findFirst()
-        .flatMap(
-            argument ->
-                NearestName.of(argument, options)
-                    .map(option -> argument + ": did you mean " + option + "?"));
-  }
-
-  private void printHelp(SingleCommand<DaemonArguments> command) {
-    try {
-      Help.help(command.getCommandMetadata(), output);
-    } catch (IOException failure) {
-      throw new UncheckedIOException("The help could not be printed.", failure);
-    }
-    output.println("EXIT CODES");
-    for (ExitCode exitCode : ExitCode.values()) {
-      output.printf("        %d  %s%n", exitCode.code(), exitCode.meaning());
-    }
-    output.println();
-    output.println("SIGNALS");
-    output.println("        TERM, INT  stop and lose nothing; a second one stops at once");
-    output.println("        HUP        read the settings again");
-  }
-
   private static String version() {
     try (InputStream stream = MarjoramsailDaemon.class.getResourceAsStream(VERSION_RESOURCE)) {
       if (stream == null) {
