--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsReader.java
@@ -4,10 +4,7 @@
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -72,7 +69,7 @@
     if (!problems.isEmpty()) {
       throw new SettingsException(source, problems);
     }
-    return decoded.isPresent() ? decoded.get() : withDefaults(document);
+    return decoded.isPresent() ? decoded.get() : new SettingsRecords(mapper).withDefaults(document);
   }
 
   private static void warn(SettingsAdjustment adjustment) {
@@ -102,21 +99,4 @@
                   Optional.empty())));
     }
   }
-
-  /** Decodes what the schema accepts though the quick decoder does not vouch for it. */
-  Settings withDefaults(JsonNode document) {
-    JsonMapper records = mapper.rebuild().addModule(new Jdk8Module()).build();
-    ObjectNode whole = records.createObjectNode();
-    whole.set("limits", records.valueToTree(LimitSettings.DEFAULT));
-    whole.set("placement", records.valueToTree(PlacementSettings.DEFAULT));
-    whole.set("logging", records.valueToTree(LoggingSettings.DEFAULT));
-    whole.set("administration", records.valueToTree(AdministrationSettings.DEFAULT));
-    whole.putArray("peers");
-    try {
-      JsonNode merged = records.readerForUpdating(whole).readValue(document);
-      return records.treeToValue(merged, Settings.class);
-    } catch (IOException impossible) {
-      throw new UncheckedIOException("The schema lets through what no record takes.", impossible);
-    }
-  }
 }
