--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/membership/MembershipPauseTest.java
@@ -0,0 +1,79 @@
+package org.marjoramsail.core.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.model.DaemonId;
+
+class MembershipPauseTest {
+
+  private static final long HOST_PAUSE_MILLIS = 1_000;
+
+  private final MembershipSettings settings = MembershipSettings.defaults();
+  private final MembershipProtocol protocol =
+      new MembershipProtocol(settings, daemon("a"), List.of(), new SplittableRandom(1), 0);
+  private long now;
+
+  @Test
+  void aDaemonAtRestTicksNoOftenerThanItPings() {
+    int ticks = 0;
+    while (now < 10_000) {
+      tickWhenDue();
+      ticks++;
+    }
+
+    assertThat(ticks).isLessThanOrEqualTo((int) (now / settings.probePeriodMillis()) + 1);
+  }
+
+  @Test
+  void ticksThatComeWhenTheyAreDueAreNoPauseOfTheProcess() {
+    while (now < 10_000) {
+      tickWhenDue();
+    }
+
+    assertThat(protocol.statistics().pauses()).isZero();
+  }
+
+  /**
+   * A host froze for a second and woke. Its daemon must not suspect others for answers that waited
+   * on its own side, so it has to notice the pause although its next tick was not due for a while.
+   */
+  @Test
+  void aTickThatComesFarTooLateShowsAPauseOfTheProcess() {
+    tickWhenDue();
+    now += protocol.pauseMillis(now) + HOST_PAUSE_MILLIS;
+    protocol.tick(now);
+
+    assertThat(protocol.statistics().pauses()).isEqualTo(1);
+  }
+
+  /**
+   * A suspicion expires within fractions of a second, so its ticks are not left to the next ping.
+   */
+  @Test
+  void whileADaemonIsSuspectedTicksAreShort() {
+    DaemonId teller = daemon("b").id();
+    MemberUpdate suspect = daemon("c", Health.SUSPECT);
+    protocol.receive(teller, new PingMessage(1, List.of(daemon("b"), daemon("c"))), now);
+    assertThat(protocol.pauseMillis(now)).isLessThanOrEqualTo(settings.probePeriodMillis());
+    protocol.receive(teller, new PingMessage(2, List.of(suspect)), now);
+
+    assertThat(protocol.pauseMillis(now)).isEqualTo(MembershipSettings.TICK_MILLIS);
+  }
+
+  private void tickWhenDue() {
+    now += protocol.pauseMillis(now);
+    protocol.tick(now);
+  }
+
+  private static MemberUpdate daemon(String host) {
+    return daemon(host, Health.ALIVE);
+  }
+
+  private static MemberUpdate daemon(String host, Health health) {
+    return new MemberUpdate(
+        host, 1, 0, health, Departure.STAYING, "10.0.0.1", 80, "zone", "region");
+  }
+}
