--- a/benchmark/src/main/java/org/marjoramsail/benchmark/FakeEngines.java
+++ b/benchmark/src/main/java/org/marjoramsail/benchmark/FakeEngines.java
@@ -143,7 +143,7 @@
       pump();
     }
 
-    /** Takes a job out of the queue, if it has not begun. */
+    /** Removes a job from the queue, if it has not begun. */
     boolean abandon(Job job) {
       return queue.remove(job);
     }
--- a/command/src/main/java/org/marjoramsail/command/UsageException.java
+++ b/command/src/main/java/org/marjoramsail/command/UsageException.java
@@ -12,7 +12,7 @@
   private final String option;
 
   /**
-   * Takes what was typed and what is allowed.
+   * Creates an instance with what was typed and what is allowed.
    *
    * @param option the option
    * @param value its value
--- a/command/src/main/java/org/marjoramsail/command/capacity/CapacityException.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/CapacityException.java
@@ -10,7 +10,7 @@
   private final String phase;
 
   /**
-   * Takes what failed.
+   * Creates an instance with what failed.
    *
    * @param phase what was being done
    */
--- a/command/src/main/java/org/marjoramsail/command/capacity/CountingObjectApi.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/CountingObjectApi.java
@@ -13,7 +13,9 @@
   private final ObjectApi store;
   private final LongAdder writtenBytes;
 
-  /** Takes where to pass calls on, and the sum to which written bytes are added. */
+  /**
+   * Creates an instance with where to pass calls on, and the sum to which written bytes are added.
+   */
   CountingObjectApi(ObjectApi store, LongAdder writtenBytes) {
     this.store = store;
     this.writtenBytes = writtenBytes;
--- a/command/src/main/java/org/marjoramsail/command/explain/RequestExplanation.java
+++ b/command/src/main/java/org/marjoramsail/command/explain/RequestExplanation.java
@@ -22,7 +22,7 @@
   public RequestExplanation() {}
 
   /**
-   * Takes a log; lines in another form are passed over.
+   * Reads a log; lines in another form are passed over.
    *
    * @throws IOException when the file cannot be read
    */
--- a/command/src/main/java/org/marjoramsail/command/fleet/ControlRun.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/ControlRun.java
@@ -49,7 +49,7 @@
   private final FleetDaemonFactory factory;
   private final PrintStream output;
 
-  /** Takes the time, what starts daemons, and where figures are printed. */
+  /** Creates an instance with the time, what starts daemons, and where figures are printed. */
   public ControlRun(Clock clock, FleetDaemonFactory factory, PrintStream output) {
     this.clock = clock;
     this.factory = factory;
--- a/command/src/main/java/org/marjoramsail/command/fleet/FleetException.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/FleetException.java
@@ -10,7 +10,7 @@
   private final String phase;
 
   /**
-   * Takes what failed.
+   * Creates an instance with what failed.
    *
    * @param phase what the fleet was doing
    */
--- a/command/src/main/java/org/marjoramsail/command/fleet/FleetRun.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/FleetRun.java
@@ -29,7 +29,7 @@
   private final Clock clock;
   private final FleetDaemonFactory factory;
 
-  /** Takes the time and what starts daemons. */
+  /** Creates an instance with the time and what starts daemons. */
   public FleetRun(Clock clock, FleetDaemonFactory factory) {
     this.clock = clock;
     this.factory = factory;
--- a/command/src/main/java/org/marjoramsail/command/fleet/LocalFleet.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/LocalFleet.java
@@ -73,7 +73,7 @@
   private final List<UpstreamDefinition> upstreams = new ArrayList<>();
   private int platformPort;
 
-  /** Takes all that it needs; nothing runs before {@link #start()}. */
+  /** Creates an instance with all that it needs; nothing runs before {@link #start()}. */
   public LocalFleet(Vertx vertx, Clock clock, FleetSetup setup, FleetDaemonFactory factory) {
     this.vertx = vertx;
     this.clock = clock;
--- a/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
@@ -46,7 +46,7 @@
   private final Path directory;
 
   /**
-   * Takes where settings and logs of the processes are written.
+   * Creates an instance with where settings and logs of the processes are written.
    *
    * @param directory an existing directory
    */
--- a/command/src/main/java/org/marjoramsail/command/operator/DaemonUnreachableException.java
+++ b/command/src/main/java/org/marjoramsail/command/operator/DaemonUnreachableException.java
@@ -9,7 +9,7 @@
 
   private final String server;
 
-  /** Takes where the daemon was looked for and what went wrong. */
+  /** Creates an instance with where the daemon was looked for and what went wrong. */
   public DaemonUnreachableException(String server, String detail, Throwable cause) {
     super("No answer from " + server + ": " + detail, cause);
     this.server = server;
--- a/command/src/main/java/org/marjoramsail/command/operator/OperatorSession.java
+++ b/command/src/main/java/org/marjoramsail/command/operator/OperatorSession.java
@@ -28,7 +28,7 @@
   private final PrintStream errors;
 
   /**
-   * Takes all that it needs.
+   * Creates an instance with all that it needs.
    *
    * @param isJson whether answers are printed as the daemon's JSON, not as tables
    * @param output where answers are printed
--- a/command/src/main/java/org/marjoramsail/command/operator/ServerNames.java
+++ b/command/src/main/java/org/marjoramsail/command/operator/ServerNames.java
@@ -25,7 +25,7 @@
   private final Clock clock;
   private final Map<NameKind, Known> known = new EnumMap<>(NameKind.class);
 
-  /** Takes whom to ask. */
+  /** Creates an instance with whom to ask. */
   public ServerNames(OperatorClient client, Clock clock) {
     this.client = client;
     this.clock = clock;
--- a/command/src/main/java/org/marjoramsail/command/operator/StatementCompleter.java
+++ b/command/src/main/java/org/marjoramsail/command/operator/StatementCompleter.java
@@ -15,7 +15,7 @@
   private final StatementParser parser;
   private final NameSource names;
 
-  /** Takes the parser and the names that there are. */
+  /** Creates an instance with the parser and the names that there are. */
   public StatementCompleter(StatementParser parser, NameSource names) {
     this.parser = parser;
     this.names = names;
--- a/command/src/main/java/org/marjoramsail/command/soak/Resender.java
+++ b/command/src/main/java/org/marjoramsail/command/soak/Resender.java
@@ -37,7 +37,7 @@
     vertx.setPeriodic(EVERY_MILLIS, this::turn);
   }
 
-  /** Takes what came of a request. */
+  /** Handles what came of a request. */
   synchronized void observed(Observation observation) {
     if (observation.isCutWithKey()) {
       PlannedRequest request = observation.outcome().request();
--- a/command/src/main/java/org/marjoramsail/command/soak/SideLoad.java
+++ b/command/src/main/java/org/marjoramsail/command/soak/SideLoad.java
@@ -29,7 +29,7 @@
   private final AtomicInteger turn = new AtomicInteger();
 
   /**
-   * Takes whom it sends to.
+   * Creates an instance with whom it sends to.
    *
    * @param startMillis the start of the run on the clock
    * @param graceMillis how long after its deadline a request counts as lost
--- a/command/src/main/java/org/marjoramsail/command/soak/SoakRun.java
+++ b/command/src/main/java/org/marjoramsail/command/soak/SoakRun.java
@@ -37,7 +37,7 @@
   private final Clock clock;
   private final FleetDaemonFactory factory;
 
-  /** Takes the time and what starts daemons. */
+  /** Creates an instance with the time and what starts daemons. */
   public SoakRun(Clock clock, FleetDaemonFactory factory) {
     this.clock = clock;
     this.factory = factory;
--- a/core/src/main/java/org/marjoramsail/core/claim/ClaimBatcher.java
+++ b/core/src/main/java/org/marjoramsail/core/claim/ClaimBatcher.java
@@ -61,14 +61,14 @@
   private long settleAtMillis = Long.MAX_VALUE;
   private List<ClaimAction> actions = new ArrayList<>();
 
-  /** Takes the bounds and paces, and the time at which it starts. */
+  /** Creates an instance with the bounds and paces, and the time at which it starts. */
   public ClaimBatcher(ClaimSettings settings, long nowMillis) {
     this.settings = settings;
     this.loader = new PageLoader(settings);
     this.time = new SegmentTime(nowMillis);
   }
 
-  /** Takes a claim; the same again changes nothing, or is answered from what is recorded. */
+  /** Handles a claim; the same again changes nothing, or is answered from what is recorded. */
   public List<ClaimAction> claim(Claim claim, long nowMillis) {
     time.observe(nowMillis);
     if (!waiting.containsKey(claim.id()) && !isInFlight(claim.id())) {
@@ -89,7 +89,7 @@
     }
   }
 
-  /** Takes how a claimed request ended; recorded with a later write. */
+  /** Records how a claimed request ended; recorded with a later write. */
   public List<ClaimAction> settle(Settlement settlement, long nowMillis) {
     time.observe(nowMillis);
     if (unsettled.size() < settings.maximumWaiting()) {
@@ -99,7 +99,7 @@
     return progress(nowMillis);
   }
 
-  /** Takes a page that was asked for, or that there is none. */
+  /** Handles a page that was asked for, or that there is none. */
   public List<ClaimAction> pageRead(ReadPage asked, Optional<VersionedPage> page, long nowMillis) {
     time.observe(nowMillis);
     if (phase == Phase.LOADING && loader.isExpecting(asked.read())) {
@@ -111,7 +111,7 @@
     return progress(nowMillis);
   }
 
-  /** Takes that a page could not be read. */
+  /** Records that a page could not be read. */
   public List<ClaimAction> readFailed(ReadPage asked, long nowMillis) {
     time.observe(nowMillis);
     if (phase == Phase.LOADING && loader.isExpecting(asked.read())) {
@@ -124,7 +124,7 @@
     return progress(nowMillis);
   }
 
-  /** Takes that the write under way is recorded at a version. */
+  /** Records that the write under way is recorded at a version. */
   public List<ClaimAction> written(String version, long nowMillis) {
     time.observe(nowMillis);
     Flight landed = flight.orElseThrow();
@@ -135,7 +135,7 @@
     return progress(nowMillis);
   }
 
-  /** Takes that the write under way changed nothing, and when the platform may be asked again. */
+  /** Records that the write under way changed nothing, and when the platform may be asked again. */
   public List<ClaimAction> writeRefused(long retryAfterMillis, long nowMillis) {
     time.observe(nowMillis);
     requeue(flight.orElseThrow());
@@ -144,7 +144,7 @@
     return progress(nowMillis);
   }
 
-  /** Takes that another write came first. */
+  /** Records that another write came first. */
   public List<ClaimAction> writeConflicted(long nowMillis) {
     time.observe(nowMillis);
     phase = Phase.REREADING;
@@ -153,7 +153,7 @@
   }
 
   /**
-   * Takes that it is not known whether the write under way took effect.
+   * Records that it is not known whether the write under way took effect.
    *
    * <p>Guards against a ballot that runs twice because its claim was taken for recorded, or for not
    * recorded, when its answer was lost. The page is read back: if it has the claims, they are
--- a/core/src/main/java/org/marjoramsail/core/claim/ClaimLog.java
+++ b/core/src/main/java/org/marjoramsail/core/claim/ClaimLog.java
@@ -100,7 +100,7 @@
     return overwritten != null && !overwritten.isExpired(segmentMillis);
   }
 
-  /** Takes a page that was written here. */
+  /** Handles a page that was written here. */
   void written(int slot, String version, ClaimPage page, long segmentMillis) {
     replace(slot, version, page);
     while (pages.size() > 1 && pages.firstEntry().getValue().isExpired(segmentMillis)) {
@@ -109,7 +109,7 @@
   }
 
   /**
-   * Takes the open page as another daemon may have written it.
+   * Handles the open page as another daemon may have written it.
    *
    * @return whether the log is still whole; if not, all pages must be read again
    */
--- a/core/src/main/java/org/marjoramsail/core/claim/ClaimRequests.java
+++ b/core/src/main/java/org/marjoramsail/core/claim/ClaimRequests.java
@@ -36,7 +36,7 @@
   private final Map<ClaimId, Open> open = new LinkedHashMap<>();
   private final Map<ClaimId, Claim> abandoned = new LinkedHashMap<>();
 
-  /** Takes the paces. */
+  /** Creates an instance with the paces. */
   public ClaimRequests(ClaimSettings settings) {
     this.settings = settings;
   }
@@ -48,7 +48,7 @@
     return List.of(new Step.Ask(claim));
   }
 
-  /** Takes a result, which may be a copy, late, or of a claim given up. */
+  /** Handles a result, which may be a copy, late, or of a claim given up. */
   public List<Step> result(ClaimId id, ClaimResult result) {
     Open known = open.remove(id);
     if (known == null) {
--- a/core/src/main/java/org/marjoramsail/core/configuration/ConfigurationFollower.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/ConfigurationFollower.java
@@ -96,7 +96,7 @@
     return actions;
   }
 
-  /** Takes a revision from the store or from an acceptance of this daemon. */
+  /** Handles a revision from the store or from an acceptance of this daemon. */
   public List<FollowerAction> learned(
       Configuration configuration, RevisionSource from, MembershipView view) {
     List<FollowerAction> actions = new ArrayList<>();
@@ -106,7 +106,7 @@
     return actions;
   }
 
-  /** Takes a message of another daemon; messages that are about something else do nothing. */
+  /** Handles a message of another daemon; messages that are about something else do nothing. */
   public List<FollowerAction> handle(
       DaemonId from, PeerMessage message, MembershipView view, long nowMillis) {
     List<FollowerAction> actions = new ArrayList<>();
--- a/core/src/main/java/org/marjoramsail/core/configuration/OrderId.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/OrderId.java
@@ -9,7 +9,7 @@
  */
 public record OrderId(@JsonValue String value) {
 
-  /** Takes a value that is not blank. */
+  /** Accepts a value that is not blank. */
   @JsonCreator
   public OrderId {
     if (value == null || value.isBlank()) {
--- a/core/src/main/java/org/marjoramsail/core/configuration/RevisionSurvey.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/RevisionSurvey.java
@@ -43,7 +43,7 @@
     return outstanding;
   }
 
-  /** Takes an answer; one of a daemon that was not asked does nothing. */
+  /** Handles an answer; one of a daemon that was not asked does nothing. */
   public void answered(DaemonId from, long answer) {
     answers.computeIfPresent(
         from, (daemon, earlier) -> Optional.of(Math.max(answer, earlier.orElse(0L))));
--- a/core/src/main/java/org/marjoramsail/core/discovery/FollowPace.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/FollowPace.java
@@ -83,7 +83,7 @@
     return waitMillis() + answerMillis;
   }
 
-  /** Takes that a question was answered. */
+  /** Records that a question was answered. */
   public void succeeded() {
     failing = false;
     retryMillis = FIRST_RETRY_MILLIS;
@@ -106,7 +106,7 @@
     return changes == 0 && after > before;
   }
 
-  /** Takes that a question was not answered; gives how long to wait before the next. */
+  /** Records that a question was not answered; gives how long to wait before the next. */
   public long failed() {
     failing = true;
     long now = retryMillis;
--- a/core/src/main/java/org/marjoramsail/core/discovery/UpstreamBeliefs.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/UpstreamBeliefs.java
@@ -46,13 +46,13 @@
   /** Starts with nothing known. */
   public UpstreamBeliefs() {}
 
-  /** Takes that the list could not be read. */
+  /** Records that the list could not be read. */
   public void lost() {
     reachable = false;
   }
 
   /**
-   * Takes the whole list.
+   * Handles the whole list.
    *
    * @param unusable names whose entries are there and cannot be used
    * @return whether anything that is believed has changed
@@ -76,8 +76,8 @@
   }
 
   /**
-   * Takes the list as another daemon knows it, while it cannot be read here; true when that changes
-   * what is believed. Nothing changes once the list was read.
+   * Handles the list as another daemon knows it, while it cannot be read here; true when that
+   * changes what is believed. Nothing changes once the list was read.
    */
   public boolean learned(List<ListedUpstream> others) {
     if (known) {
@@ -88,28 +88,29 @@
     return true;
   }
 
-  /** Takes one entry that is new or has changed; true when that changes what is believed. */
+  /** Handles one entry that is new or has changed; true when that changes what is believed. */
   public boolean changed(ListedUpstream one, long nowMillis) {
     heard(nowMillis);
     return put(one);
   }
 
-  /** Takes that an entry was removed; true when that changes what is believed. */
+  /** Records that an entry was removed; true when that changes what is believed. */
   public boolean removed(UpstreamName name, long nowMillis) {
     heard(nowMillis);
     return beliefs.containsKey(name) && remove(name, nowMillis);
   }
 
   /**
-   * Takes that the entry of a name cannot be used, whatever it said before; true when that changes
-   * what is believed. It says nothing about a life, so the next entry that can be used counts.
+   * Records that the entry of a name cannot be used, whatever it said before; true when that
+   * changes what is believed. It says nothing about a life, so the next entry that can be used
+   * counts.
    */
   public boolean unusable(UpstreamName name, long nowMillis) {
     heard(nowMillis);
     return beliefs.remove(name) != null;
   }
 
-  /** Takes that the list was heard from without news. */
+  /** Records that the list was heard from without news. */
   public void heard(long nowMillis) {
     if (!reachable) {
       reachable = true;
--- a/core/src/main/java/org/marjoramsail/core/failure/MarjoramsailException.java
+++ b/core/src/main/java/org/marjoramsail/core/failure/MarjoramsailException.java
@@ -5,12 +5,12 @@
 
   private static final long serialVersionUID = 1L;
 
-  /** Takes a message that quotes the failing input and says what is allowed. */
+  /** Creates an instance with a message that quotes the failing input and says what is allowed. */
   protected MarjoramsailException(String message) {
     super(message);
   }
 
-  /** Takes a message and what caused the failure. */
+  /** Creates an instance with a message and what caused the failure. */
   protected MarjoramsailException(String message, Throwable cause) {
     super(message, cause);
   }
--- a/core/src/main/java/org/marjoramsail/core/membership/Dissemination.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/Dissemination.java
@@ -30,7 +30,7 @@
   }
 
   /**
-   * Takes the news for one message.
+   * Removes and returns the news for one message.
    *
    * @param first what the receiver must hear in any case, beyond the bound and uncounted
    * @param maximumBytes an upper bound for the rest, in bytes
--- a/core/src/main/java/org/marjoramsail/core/membership/MembershipProtocol.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipProtocol.java
@@ -110,7 +110,7 @@
     return successor;
   }
 
-  /** Takes the addresses of the platform's lagging list; they are tried as the seeds are. */
+  /** Handles the addresses of the platform's lagging list; they are tried as the seeds are. */
   public void hostList(List<PeerAddress> addresses) {
     hostList = List.copyOf(addresses);
   }
@@ -146,7 +146,7 @@
     return Math.max(1, nextProbeMillis - nowMillis);
   }
 
-  /** Takes a message of a proven sender. */
+  /** Handles a message of a proven sender. */
   public List<MembershipAction> receive(DaemonId from, PeerMessage message, long nowMillis) {
     heard(from, nowMillis);
     if (message instanceof PingMessage ping) {
--- a/core/src/main/java/org/marjoramsail/core/membership/PeerAddress.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/PeerAddress.java
@@ -10,7 +10,7 @@
  */
 public record PeerAddress(String address, int port) {
 
-  /** Takes an address that is present. */
+  /** Accepts an address that is present. */
   public PeerAddress {
     Objects.requireNonNull(address, "address");
   }
--- a/core/src/main/java/org/marjoramsail/core/message/PeerMessageHandler.java
+++ b/core/src/main/java/org/marjoramsail/core/message/PeerMessageHandler.java
@@ -2,12 +2,12 @@
 
 import org.marjoramsail.core.model.DaemonId;
 
-/** Takes the messages of other daemons; called on any thread. */
+/** Handles the messages of other daemons; called on any thread. */
 @FunctionalInterface
 public interface PeerMessageHandler {
 
   /**
-   * Takes one message.
+   * Handles one message.
    *
    * @param from the run of a daemon that sent it, as proven in the handshake
    * @param message what it says
--- a/core/src/main/java/org/marjoramsail/core/model/RequestId.java
+++ b/core/src/main/java/org/marjoramsail/core/model/RequestId.java
@@ -6,7 +6,7 @@
 /** Names one request of a caller, across its attempts and across daemons. */
 public record RequestId(@JsonValue String value) implements Comparable<RequestId> {
 
-  /** Takes a value that is not blank. */
+  /** Accepts a value that is not blank. */
   @JsonCreator
   public RequestId {
     if (value == null || value.isBlank()) {
--- a/core/src/main/java/org/marjoramsail/core/model/UpstreamName.java
+++ b/core/src/main/java/org/marjoramsail/core/model/UpstreamName.java
@@ -6,7 +6,7 @@
 /** Names one upstream, that is one server, for as long as it is configured. */
 public record UpstreamName(@JsonValue String value) implements Comparable<UpstreamName> {
 
-  /** Takes a value that is not blank. */
+  /** Accepts a value that is not blank. */
   @JsonCreator
   public UpstreamName {
     if (value == null || value.isBlank()) {
--- a/core/src/main/java/org/marjoramsail/core/order/LeaseKeeper.java
+++ b/core/src/main/java/org/marjoramsail/core/order/LeaseKeeper.java
@@ -132,8 +132,8 @@
   }
 
   /**
-   * Takes that this daemon may have stood still without noticing, so that its lease may be over. It
-   * acts again only once a renewal that begins from now on is seen in the store.
+   * Records that this daemon may have stood still without noticing, so that its lease may be over.
+   * It acts again only once a renewal that begins from now on is seen in the store.
    */
   public void distrust(long nowMillis) {
     actingUntilMillis = Long.MIN_VALUE;
--- a/core/src/main/java/org/marjoramsail/core/outcome/CrashRecords.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CrashRecords.java
@@ -40,7 +40,7 @@
     this.maximumEntries = maximumEntries;
   }
 
-  /** Takes what was on an upstream that crashed, the least likely cause first. */
+  /** Handles what was on an upstream that crashed, the least likely cause first. */
   void add(CrashId crash, Collection<Long> fingerprints, boolean lifted, long expiresAtMillis) {
     suspects.computeIfAbsent(crash, unused -> new LinkedHashSet<>()).addAll(fingerprints);
     for (long fingerprint : fingerprints) {
--- a/core/src/main/java/org/marjoramsail/core/outcome/Invariants.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Invariants.java
@@ -20,7 +20,7 @@
   private final Mode mode;
   private final Map<Invariant, AtomicLong> violations = new EnumMap<>(Invariant.class);
 
-  /** Takes what a violation does. */
+  /** Creates an instance with what a violation does. */
   public Invariants(Mode mode) {
     this.mode = mode;
     Arrays.stream(Invariant.values()).forEach(one -> violations.put(one, new AtomicLong()));
--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -82,7 +82,7 @@
     }
 
     /**
-     * Takes that an answer came after the cuts, so that no crash explains them.
+     * Records that an answer came after the cuts, so that no crash explains them.
      *
      * <p>Guards against an upstream that crashed and was back under its name before the list said
      * so: its first answers look like those of the earlier life, and the content that crashed it
@@ -136,14 +136,14 @@
     this.records = new CrashRecords(maximumEntries);
   }
 
-  /** Takes that an attempt was sent to an upstream. */
+  /** Records that an attempt was sent to an upstream. */
   public synchronized void began(
       UpstreamName upstream, RequestId request, int attempt, long fingerprint) {
     Run run = new Run(fingerprint, ++sequence);
     upstream(upstream).running.put(new AttemptKey(request, attempt), run);
   }
 
-  /** Takes that an attempt has given tokens, so that running it did not crash its upstream. */
+  /** Records that an attempt has given tokens, so that running it did not crash its upstream. */
   public synchronized void showedLife(UpstreamName upstream, RequestId request, int attempt) {
     Run run = upstream(upstream).running.get(new AttemptKey(request, attempt));
     if (run != null) {
@@ -151,12 +151,12 @@
     }
   }
 
-  /** Takes that an attempt left an upstream without a sign of a crash. */
+  /** Records that an attempt left an upstream without a sign of a crash. */
   public synchronized void left(UpstreamName upstream, RequestId request, int attempt) {
     upstream(upstream).running.remove(new AttemptKey(request, attempt));
   }
 
-  /** Takes that the connection of an attempt was cut. */
+  /** Records that the connection of an attempt was cut. */
   public synchronized void cut(
       UpstreamName upstream, RequestId request, int attempt, long nowMillis) {
     Upstream state = upstream(upstream);
@@ -173,7 +173,7 @@
     state.cut.put(key, run);
   }
 
-  /** Takes that a content was answered in full, which clears it unless it is quarantined. */
+  /** Records that a content was answered in full, which clears it unless it is quarantined. */
   public synchronized void completed(long fingerprint, long nowMillis) {
     if (records.suspicion(fingerprint) != Suspicion.QUARANTINED) {
       upstreams.values().forEach(one -> one.forget(fingerprint));
@@ -182,8 +182,8 @@
   }
 
   /**
-   * Takes the incarnation that an upstream has; a new one proves a restart, the old one disproves a
-   * crash before that moment.
+   * Handles the incarnation that an upstream has; a new one proves a restart, the old one disproves
+   * a crash before that moment.
    *
    * @param name which upstream
    * @param incarnation what it said
@@ -205,7 +205,7 @@
     return restarted;
   }
 
-  /** Takes that an upstream refuses connections; after a cut that proves a crash. */
+  /** Records that an upstream refuses connections; after a cut that proves a crash. */
   public synchronized void refusesConnections(UpstreamName name, long nowMillis) {
     Upstream state = upstream(name);
     if (state.isUnsettled()) {
@@ -252,14 +252,14 @@
         .toList();
   }
 
-  /** Takes what another daemon says of a crash. */
+  /** Handles what another daemon says of a crash. */
   public synchronized void handle(CrashReportMessage message, long nowMillis) {
     CrashId crash = new CrashId(message.upstream(), message.incarnation());
     long expiresAtMillis = nowMillis + Math.min(lifetimeMillis, message.lifetimeMillis());
     records.add(crash, message.fingerprints(), message.lifted(), expiresAtMillis);
   }
 
-  /** Takes the messages that the other daemons should get; each is given once. */
+  /** Removes and returns the messages that the other daemons should get; each is given once. */
   public synchronized List<CrashReportMessage> takeMessages() {
     List<CrashReportMessage> messages = List.copyOf(outgoing);
     outgoing.clear();
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -53,7 +53,7 @@
   private Optional<Grant> grant = Optional.empty();
 
   /**
-   * Takes the request and what it shares with others.
+   * Creates an instance with the request and what it shares with others.
    *
    * @param profile the request
    * @param policy bounds of tries and waits
@@ -125,7 +125,7 @@
   }
 
   /**
-   * Takes one event.
+   * Handles one event.
    *
    * @param event what happened
    * @param atMillis when, on the clock of this daemon
--- a/core/src/main/java/org/marjoramsail/core/outcome/SignTimes.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/SignTimes.java
@@ -20,13 +20,13 @@
     this.lastSignMillis = receivedAtMillis;
   }
 
-  /** Takes that another attempt begins to give pieces. */
+  /** Records that another attempt begins to give pieces. */
   void began() {
     lastPieceMillis = NONE;
     longestPauseMillis = 0;
   }
 
-  /** Takes that the caller was given a piece. */
+  /** Records that the caller was given a piece. */
   void piece(long nowMillis) {
     if (lastPieceMillis != NONE) {
       longestPauseMillis = Math.max(longestPauseMillis, nowMillis - lastPieceMillis);
--- a/core/src/main/java/org/marjoramsail/core/placement/AttemptMemory.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/AttemptMemory.java
@@ -31,7 +31,7 @@
   }
 
   /**
-   * Takes that a daemon lives after all.
+   * Records that a daemon lives after all.
    *
    * <p>Guards against a daemon that was paused for longer than a suspicion lasts: its callers would
    * go without an answer for the rest of the time for which it counts as gone, since none of its
--- a/core/src/main/java/org/marjoramsail/core/placement/AwaitedSigns.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/AwaitedSigns.java
@@ -29,18 +29,18 @@
   private final Map<RequestId, Awaited> awaited = new HashMap<>();
   private long signedAt = Long.MIN_VALUE;
 
-  /** Takes that a request was sent, and when its first sign is expected. */
+  /** Records that a request was sent, and when its first sign is expected. */
   void sent(RequestId request, DaemonId entry, double expectedMillis, long nowMillis) {
     long dueAt = nowMillis + (long) (LARGEST_FACTOR * expectedMillis) + SLACK_MILLIS;
     awaited.put(request, new Awaited(entry, nowMillis, dueAt));
   }
 
-  /** Takes that the upstream gave a sign, of whichever request. */
+  /** Records that the upstream gave a sign, of whichever request. */
   void signed(long nowMillis) {
     signedAt = nowMillis;
   }
 
-  /** Takes that the sign of a request came, or that nobody waits for it any more. */
+  /** Records that the sign of a request came, or that nobody waits for it any more. */
   void settled(RequestId request) {
     awaited.remove(request);
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/CacheObserver.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/CacheObserver.java
@@ -4,6 +4,6 @@
 @FunctionalInterface
 public interface CacheObserver {
 
-  /** Takes one event; events of unknown upstreams are ignored. */
+  /** Handles one event; events of unknown upstreams are ignored. */
   void cacheEvent(CacheEvent event);
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/EjectionState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/EjectionState.java
@@ -67,7 +67,7 @@
     return consecutive >= CONSECUTIVE_FAILURES || isOften;
   }
 
-  /** Takes the upstream out, for twice as long as the last time; then it starts slowly. */
+  /** Ejects the upstream for twice as long as the last time; then it starts slowly. */
   void eject(long nowMillis) {
     long outMillis = settings.ejectionMillis() << Math.min(ejections, LARGEST_DOUBLING);
     ejections++;
--- a/core/src/main/java/org/marjoramsail/core/placement/EntryPlacement.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/EntryPlacement.java
@@ -101,7 +101,7 @@
     return List.of(withdrawal(entry));
   }
 
-  /** Takes the word of an owner. */
+  /** Handles the word of an owner. */
   public List<EntryAction> heard(DaemonId from, PlacementMessage message, long nowMillis) {
     silence.heard(from);
     if (message instanceof PlacementMessage.Granted granted) {
@@ -116,7 +116,7 @@
     return List.of();
   }
 
-  /** Takes that the connection to a daemon is gone: its shards move at once. */
+  /** Records that the connection to a daemon is gone: its shards move at once. */
   public List<EntryAction> lost(DaemonId owner, long nowMillis) {
     silence.lost(owner, nowMillis);
     return move(nowMillis);
--- a/core/src/main/java/org/marjoramsail/core/placement/MemoryForecast.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/MemoryForecast.java
@@ -58,17 +58,17 @@
   private final AnswerSpread spread;
   private final Map<RequestId, Growing> growing = new HashMap<>();
 
-  /** Takes how far lengths lie from what was foretold. */
+  /** Creates an instance with how far lengths lie from what was foretold. */
   MemoryForecast(AnswerSpread spread) {
     this.spread = spread;
   }
 
-  /** Takes a request that is to run here. */
+  /** Handles a request that is to run here. */
   void add(RequestId request, int promptTokens, int expectedTokens) {
     growing.put(request, new Growing(promptTokens, expectedTokens));
   }
 
-  /** Takes that a request generates from now on. */
+  /** Records that a request generates from now on. */
   void generating(RequestId request, long nowMillis) {
     Growing known = growing.get(request);
     if (known != null && known.generatingSince == NOT_BEGUN) {
@@ -76,7 +76,7 @@
     }
   }
 
-  /** Takes that a request holds nothing here any more. */
+  /** Records that a request holds nothing here any more. */
   void remove(RequestId request) {
     growing.remove(request);
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/MovingAverage.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/MovingAverage.java
@@ -24,7 +24,7 @@
     return value;
   }
 
-  /** Takes one observation; one outlier moves the average by a bounded factor only. */
+  /** Handles one observation; one outlier moves the average by a bounded factor only. */
   void observe(double sample) {
     if (!(sample > 0) || Double.isInfinite(sample)) {
       return;
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
@@ -68,7 +68,7 @@
     return maximumConcurrency > 0 || requestsPerSecond > 0 || tokensPerSecond > 0;
   }
 
-  /** Takes the limits of its definition; an organisation without one has none. */
+  /** Handles the limits of its definition; an organisation without one has none. */
   void define(Optional<OrganisationDefinition> definition) {
     weight = definition.map(OrganisationDefinition::weight).filter(value -> value > 0).orElse(1.0);
     maximumConcurrency = definition.map(OrganisationDefinition::maximumConcurrency).orElse(0);
--- a/core/src/main/java/org/marjoramsail/core/placement/OwnerSilence.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OwnerSilence.java
@@ -29,7 +29,7 @@
     unansweredSince.remove(owner);
   }
 
-  /** Takes that the connection to an owner is gone, which tells more than waiting does. */
+  /** Records that the connection to an owner is gone, which tells more than waiting does. */
   void lost(DaemonId owner, long nowMillis) {
     unansweredSince.remove(owner);
     silentUntil.put(owner, nowMillis + timings.silenceHoldMillis());
--- a/core/src/main/java/org/marjoramsail/core/placement/Placer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/Placer.java
@@ -16,7 +16,7 @@
  */
 public interface Placer {
 
-  /** Takes the shard's upstreams and the organisations' limits from a newer configuration. */
+  /** Handles the shard's upstreams and the organisations' limits from a newer configuration. */
   List<PlacementResult> configure(Configuration configuration, long nowMillis);
 
   /** Queues or decides one attempt; the same attempt again replaces nothing. */
@@ -36,17 +36,17 @@
   /** Forgets a request that waits or was granted, because its caller is gone. */
   List<PlacementResult> withdraw(RequestId request, long nowMillis);
 
-  /** Takes what an upstream says of its load. */
+  /** Handles what an upstream says of its load. */
   List<PlacementResult> load(LoadReport report, long nowMillis);
 
-  /** Takes that an upstream is leaving or unreachable, however that was learned, or is back. */
+  /** Records that an upstream is leaving or unreachable, however that was learned, or is back. */
   List<PlacementResult> availability(UpstreamName upstream, boolean available, long nowMillis);
 
   /** Drops all that a dead daemon had waiting or granted. */
   List<PlacementResult> daemonGone(DaemonId daemon, long nowMillis);
 
   /**
-   * Takes that a daemon lives that was said to be dead: what it asks for counts again. A policy
+   * Records that a daemon lives that was said to be dead: what it asks for counts again. A policy
    * that remembers no dead daemons has nothing to do.
    */
   default void daemonBack(DaemonId daemon) {}
--- a/core/src/main/java/org/marjoramsail/core/placement/ReturningCallers.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReturningCallers.java
@@ -21,7 +21,7 @@
 
   private final Map<Long, Long> untilMillis = new LinkedHashMap<>();
 
-  /** Takes that a caller was told to come back. */
+  /** Records that a caller was told to come back. */
   void refused(long content, long nowMillis) {
     if (content == NO_CONTENT) {
       return;
--- a/core/src/main/java/org/marjoramsail/core/placement/RoleChangePace.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RoleChangePace.java
@@ -41,17 +41,17 @@
     return !changing.isEmpty();
   }
 
-  /** Takes that an engine is asked what it does, before it is given an order. */
+  /** Records that an engine is asked what it does, before it is given an order. */
   public void asked(UpstreamName upstream, long nowMillis) {
     apartUntil.put(upstream, nowMillis + APART_MILLIS);
   }
 
-  /** Takes that an order is sent. */
+  /** Records that an order is sent. */
   public void began(RoleChange change) {
     changing.put(change.upstream(), change);
   }
 
-  /** Takes that an order was refused; tells whether it was under way. */
+  /** Records that an order was refused; tells whether it was under way. */
   public boolean refused(RoleChange change) {
     return changing.remove(change.upstream()) != null;
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/RoundRobinPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RoundRobinPlacer.java
@@ -5,7 +5,7 @@
 import java.util.Map;
 import org.marjoramsail.core.model.UpstreamRole;
 
-/** Takes the upstreams of each role in turn. */
+/** Picks the upstreams of each role in turn. */
 final class RoundRobinPlacer extends DirectPlacer {
 
   private final Map<UpstreamRole, Integer> turns = new EnumMap<>(UpstreamRole.class);
--- a/core/src/main/java/org/marjoramsail/core/placement/RunningAttempt.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RunningAttempt.java
@@ -19,7 +19,7 @@
   private long phaseAt;
 
   /**
-   * Takes what was reserved for it.
+   * Creates an instance with what was reserved for it.
    *
    * @param prefill absent where the grant has none or this owner does not know it
    * @param target absent where this owner does not know it
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardLedger.java
@@ -63,7 +63,7 @@
     this.timings = timings;
   }
 
-  /** Takes a message of an entry daemon. */
+  /** Handles a message of an entry daemon. */
   public List<Outgoing> handle(DaemonId from, PlacementMessage message, long nowMillis) {
     if (message instanceof PlacementMessage.Place place) {
       return place(from, place.request(), nowMillis);
@@ -90,7 +90,7 @@
   }
 
   /**
-   * Takes that a daemon lives that was said to be dead.
+   * Records that a daemon lives that was said to be dead.
    *
    * <p>What it sent meanwhile was not queued, yet it is registered, so that its entry would be told
    * that it waits and would never send it again. It is forgotten; the entry registers it anew when
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
@@ -65,12 +65,12 @@
     return startedAgain;
   }
 
-  /** Takes that an entry daemon was heard of. */
+  /** Records that an entry daemon was heard of. */
   void heardOf(DaemonId entry, long nowMillis) {
     heardAt.put(entry, nowMillis);
   }
 
-  /** Takes that an entry daemon is gone. */
+  /** Records that an entry daemon is gone. */
   void gone(DaemonId entry) {
     heardAt.keySet().removeIf(known -> SlotLedger.isRunOf(known, entry));
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
@@ -182,7 +182,7 @@
     }
   }
 
-  /** Takes the sign by which a phase was reached, and awaits the next: a first piece. */
+  /** Handles the sign by which a phase was reached, and awaits the next: a first piece. */
   private static void noteSign(RunningAttempt attempt, AttemptPhase reached, long nowMillis) {
     settleSigns(attempt);
     if (reached == AttemptPhase.PREFILLED) {
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -112,7 +112,7 @@
   }
 
   /**
-   * Takes a newer definition; a changed role in it counts until the engine reports its own.
+   * Handles a newer definition; a changed role in it counts until the engine reports its own.
    *
    * @return whether it is of a later life of the upstream
    */
@@ -192,7 +192,7 @@
     forecast.add(request.request(), request.promptTokens(), request.outputTokens());
   }
 
-  /** Takes that a request has begun to grow. */
+  /** Records that a request has begun to grow. */
   void generates(PlacementRequest request, long nowMillis) {
     forecast.generating(request.request(), nowMillis);
   }
@@ -287,7 +287,7 @@
   }
 
   /**
-   * Takes a load report.
+   * Handles a load report.
    *
    * <p>A report is late: attempts that ended since it was made may still be in it, and attempts
    * granted since are not. Were it taken at its word, a slot would be freed while it is in use, and
--- a/core/src/main/java/org/marjoramsail/core/placement/UsageSharing.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UsageSharing.java
@@ -6,6 +6,6 @@
   /** What the owners of other shards should hear. */
   OrganisationUsageMessage usage();
 
-  /** Takes what the owner of another shard told of its usage. */
+  /** Handles what the owner of another shard told of its usage. */
   void takeUsage(OrganisationUsageMessage message, long nowMillis);
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/OperatorParts.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/OperatorParts.java
@@ -124,7 +124,7 @@
     return server.stop();
   }
 
-  /** Takes what other daemons ask and tell for operators. */
+  /** Handles what other daemons ask and tell for operators. */
   void heard(DaemonId from, PeerMessage message) {
     if (message instanceof DrainHostMessage) {
       control.drain();
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/PlacementParts.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/PlacementParts.java
@@ -125,7 +125,7 @@
     return !placement.watchedShards().isEmpty();
   }
 
-  /** Takes where upstreams listen that the platform lists as leaving. */
+  /** Handles where upstreams listen that the platform lists as leaving. */
   void leaving(Set<PeerAddress> listed) {
     leaving = Set.copyOf(listed);
     tellAvailability();
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHandler.java
@@ -18,7 +18,7 @@
 import org.marjoramsail.daemon.request.RequestHandle;
 import org.marjoramsail.daemon.request.Timeliness;
 
-/** Takes one HTTP request from its head to its registration. */
+/** Handles one HTTP request from its head to its registration. */
 final class CallerHandler {
 
   private final Vertx vertx;
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
@@ -36,7 +36,7 @@
   private volatile String deployment = "";
 
   /**
-   * Takes all that it needs; serves nobody yet.
+   * Creates an instance with all that it needs; serves nobody yet.
    *
    * @param vertx runs the event loops
    * @param binding where to listen
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/ConnectionGuard.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/ConnectionGuard.java
@@ -38,7 +38,7 @@
     this.limits = limits;
   }
 
-  /** Takes a new connection. */
+  /** Handles a new connection. */
   void opened(HttpConnection connection) {
     int now = open.incrementAndGet();
     State state = new State(now > limits.maximumConnections());
@@ -56,7 +56,7 @@
     }
   }
 
-  /** Takes a request on a connection; false when the connection is over the limit. */
+  /** Handles a request on a connection; false when the connection is over the limit. */
   boolean admit(HttpServerRequest request) {
     HttpConnection connection = request.connection();
     State state = states.get(connection);
--- a/daemon/src/main/java/org/marjoramsail/daemon/claim/ClaimMeasurement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/claim/ClaimMeasurement.java
@@ -79,7 +79,7 @@
   private final AtomicLong others = new AtomicLong();
   private final AtomicLong nextKey = new AtomicLong();
 
-  /** Takes all that it needs; one instance measures once. */
+  /** Creates an instance with all that it needs; one instance measures once. */
   public ClaimMeasurement(
       Vertx vertx, Clock clock, ClaimSettings settings, RandomGenerator random) {
     this.vertx = vertx;
--- a/daemon/src/main/java/org/marjoramsail/daemon/claim/PeerClaimService.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/claim/PeerClaimService.java
@@ -69,7 +69,7 @@
   private long ownerTimer;
 
   /**
-   * Takes all that it needs; nothing runs before {@link #start()}.
+   * Creates an instance with all that it needs; nothing runs before {@link #start()}.
    *
    * @param live the live runs of daemons, this one included
    */
--- a/daemon/src/main/java/org/marjoramsail/daemon/configuration/ChangeAcceptance.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/configuration/ChangeAcceptance.java
@@ -34,7 +34,7 @@
   private final MeterRegistry meters;
 
   /**
-   * Takes all that it needs.
+   * Creates an instance with all that it needs.
    *
    * @param store where the root is kept
    * @param clock for the time that an attempt may take
--- a/daemon/src/main/java/org/marjoramsail/daemon/configuration/ConfigurationFormatException.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/configuration/ConfigurationFormatException.java
@@ -10,7 +10,7 @@
   private final String path;
 
   /**
-   * Takes where the text is wrong.
+   * Creates an instance with where the text is wrong.
    *
    * @param path the field, from the outermost inwards
    * @param detail what is there and what is allowed
--- a/daemon/src/main/java/org/marjoramsail/daemon/configuration/ConfigurationService.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/configuration/ConfigurationService.java
@@ -60,7 +60,7 @@
   private volatile boolean storeReachable = true;
 
   /**
-   * Takes all that it needs; does nothing until it is started.
+   * Creates an instance with all that it needs; does nothing until it is started.
    *
    * @param store where the root is kept
    * @param transport sends messages to other daemons
--- a/daemon/src/main/java/org/marjoramsail/daemon/configuration/RootWatch.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/configuration/RootWatch.java
@@ -186,7 +186,7 @@
         : "malformed";
   }
 
-  /** Hears one watch. */
+  /** Receives the events of one watch. */
   private final class Listener implements ObjectApi.WatchListener {
 
     private final long number;
--- a/daemon/src/main/java/org/marjoramsail/daemon/configuration/VertxTimers.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/configuration/VertxTimers.java
@@ -7,7 +7,7 @@
 
   private final Vertx vertx;
 
-  /** Takes the instance whose event loops run the tasks. */
+  /** Creates an instance with the instance whose event loops run the tasks. */
   public VertxTimers(Vertx vertx) {
     this.vertx = vertx;
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/EventSplitter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/EventSplitter.java
@@ -28,7 +28,7 @@
   private int scanned;
 
   /**
-   * Takes the next bytes.
+   * Handles the next bytes.
    *
    * @return the events that they complete; lines without an event's number stay with the next one
    * @throws NumberFormatException when the number of an event is none
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -18,7 +18,7 @@
  */
 final class ForwardCall implements OpenCall {
 
-  /** Hears what comes back, until the call is closed. */
+  /** Receives what comes back, until the call is closed. */
   interface Listener {
     /** The head of the answer; gives whether its body is wanted. */
     boolean head(int status, MultiMap headers);
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -58,7 +58,7 @@
   private long sequence;
 
   /**
-   * Takes all that it needs; serves nobody yet.
+   * Creates an instance with all that it needs; serves nobody yet.
    *
    * @param vertx runs the event loop
    * @param peers the rest of the daemon
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -79,7 +79,7 @@
     publish();
   }
 
-  /** Takes that the routes could not be read. */
+  /** Records that the routes could not be read. */
   public void routesLost(String cause) {
     if (routesReachable) {
       routesReachable = false;
@@ -87,7 +87,7 @@
     }
   }
 
-  /** Takes that the routes were read. */
+  /** Records that the routes were read. */
   public void routesBack() {
     if (!routesReachable) {
       routesReachable = true;
@@ -96,7 +96,7 @@
   }
 
   /**
-   * Takes the whole list of upstreams.
+   * Handles the whole list of upstreams.
    *
    * @param unusable names whose entries are there and cannot be used
    */
@@ -107,7 +107,7 @@
     }
   }
 
-  /** Takes what another daemon knows, where the lists cannot be read here. */
+  /** Handles what another daemon knows, where the lists cannot be read here. */
   public void learned(Optional<RoutingConfiguration> routes, List<ListedUpstream> upstreams) {
     boolean newer =
         routes
@@ -149,7 +149,7 @@
     }
   }
 
-  /** Takes an entry that is new or has changed. */
+  /** Handles an entry that is new or has changed. */
   public void upstream(ListedUpstream one) {
     upstreamsBack();
     if (beliefs.changed(one, clock.millis())) {
@@ -164,7 +164,7 @@
     }
   }
 
-  /** Takes that an entry cannot be used any more. */
+  /** Records that an entry cannot be used any more. */
   public void upstreamUnusable(UpstreamName name) {
     upstreamsBack();
     if (beliefs.unusable(name, clock.millis())) {
@@ -175,7 +175,7 @@
     }
   }
 
-  /** Takes that an entry was removed. */
+  /** Records that an entry was removed. */
   public void upstreamRemoved(UpstreamName name) {
     upstreamsBack();
     if (beliefs.removed(name, clock.millis())) {
@@ -184,13 +184,13 @@
     }
   }
 
-  /** Takes that the list of upstreams was heard from without news. */
+  /** Records that the list of upstreams was heard from without news. */
   public void upstreamsHeard() {
     upstreamsBack();
     beliefs.heard(clock.millis());
   }
 
-  /** Takes that the list of upstreams could not be read. */
+  /** Records that the list of upstreams could not be read. */
   public void upstreamsLost(String cause) {
     if (upstreamsReachable) {
       upstreamsReachable = false;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLives.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLives.java
@@ -24,7 +24,7 @@
   private final Consumer<UpstreamName> startedAgain;
 
   /**
-   * Takes whom it tells.
+   * Creates an instance with whom it tells.
    *
    * @param quarantine counts a crash once for each life
    * @param clock tells the time
@@ -36,7 +36,7 @@
     this.startedAgain = startedAgain;
   }
 
-  /** Takes a life that the list shows. */
+  /** Handles a life that the list shows. */
   public void listed(Incarnation upstream) {
     if (heardOf(upstream, PROVES_NOTHING_MILLIS)) {
       LOG.atInfo().addKeyValue("upstream", upstream).log("upstream has started again");
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/LaunchException.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/LaunchException.java
@@ -34,7 +34,7 @@
   private final String subject;
 
   /**
-   * Takes what failed.
+   * Creates an instance with what failed.
    *
    * @param subject the address, file or part that failed
    * @param detail a sentence that says what is needed
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
@@ -41,7 +41,7 @@
   }
 
   /**
-   * Takes all that the program uses.
+   * Creates an instance with all that the program uses.
    *
    * @param launcher starts the daemon
    * @param reader reads the settings
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/SettingsReload.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/SettingsReload.java
@@ -47,7 +47,7 @@
         looks.scheduleWithFixedDelay(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  /** Takes what the file says now. */
+  /** Handles what the file says now. */
   synchronized void reload() {
     LOGGER.atInfo().addKeyValue("file", file).log("settings are read again");
     look();
--- a/daemon/src/main/java/org/marjoramsail/daemon/membership/MembershipMeasurement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/membership/MembershipMeasurement.java
@@ -102,7 +102,7 @@
   private long messages;
 
   /**
-   * Takes what to measure.
+   * Creates an instance with what to measure.
    *
    * @param seed the same seed gives the same bytes and detection times
    * @param deaths how many deaths are tried for each size
--- a/daemon/src/main/java/org/marjoramsail/daemon/membership/MembershipService.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/membership/MembershipService.java
@@ -76,7 +76,7 @@
   private final PacedTimer ticks;
 
   /**
-   * Takes all that it works with; nothing happens before {@link #start}.
+   * Creates an instance with all that it works with; nothing happens before {@link #start}.
    *
    * @param network the connections; started before this and stopped after it
    * @param directory the one that {@code network} reads
@@ -147,7 +147,7 @@
     ticks.start();
   }
 
-  /** Takes the platform's lagging list of daemons, which is only a hint where to look. */
+  /** Handles the platform's lagging list of daemons, which is only a hint where to look. */
   public void hostList(List<PeerAddress> addresses) {
     synchronized (lock) {
       protocol.ifPresent(running -> running.hostList(addresses));
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -167,19 +167,19 @@
     drops.get(reason).increment();
   }
 
-  /** Takes how long a first token took. */
+  /** Records how long a first token took. */
   public void firstToken(long millis) {
     tokens.increment();
     firstToken.record(millis, TimeUnit.MILLISECONDS);
   }
 
-  /** Takes how long after the one before a token came. */
+  /** Records how long after the one before a token came. */
   public void laterToken(long millis) {
     tokens.increment();
     betweenTokens.record(millis, TimeUnit.MILLISECONDS);
   }
 
-  /** Takes how long the answer of a plain service took. */
+  /** Records how long the answer of a plain service took. */
   public void plainAnswer(long millis) {
     plainAnswer.record(millis, TimeUnit.MILLISECONDS);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/Administration.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/Administration.java
@@ -40,7 +40,7 @@
   private final MeterRegistry meters;
 
   /**
-   * Takes all that it needs.
+   * Creates an instance with all that it needs.
    *
    * @param queries asks all daemons
    * @param configurationOrders carries out orders to the configuration
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/AdministrationException.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/AdministrationException.java
@@ -22,13 +22,13 @@
   private final AdministrationFailure failure;
   private final transient List<Problem> problems;
 
-  /** Takes a sentence that says what is wrong. */
+  /** Creates an instance with a sentence that says what is wrong. */
   public AdministrationException(AdministrationFailure failure, String detail) {
     this(failure, detail, List.of());
   }
 
   /**
-   * Takes what is wrong.
+   * Creates an instance with what is wrong.
    *
    * @param detail a sentence
    * @param problems each field that is wrong
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/AdministrationServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/AdministrationServer.java
@@ -41,7 +41,7 @@
   private final HttpServer server;
 
   /**
-   * Takes all that it needs; nothing happens before {@link #start}.
+   * Creates an instance with all that it needs; nothing happens before {@link #start}.
    *
    * @param listener where operators connect
    * @param settings the tokens and the limits of the API itself
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/AuditLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/AuditLog.java
@@ -4,6 +4,6 @@
 @FunctionalInterface
 public interface AuditLog {
 
-  /** Takes a record; does not wait for it to be kept. */
+  /** Accepts a record; does not wait for it to be kept. */
   void add(AuditRecord entry);
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/ConfigurationOrders.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/ConfigurationOrders.java
@@ -32,7 +32,7 @@
   private final LongFunction<Future<InForceReport>> inForce;
 
   /**
-   * Takes what accepts changes.
+   * Creates an instance with what accepts changes.
    *
    * @param inForce tells where a revision is in force, after a bounded wait; never fails
    */
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/EngineOrderExecutor.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/EngineOrderExecutor.java
@@ -36,7 +36,7 @@
   private final OrderExecutor configurationOrders;
 
   /**
-   * Takes all that it needs.
+   * Creates an instance with all that it needs.
    *
    * @param store keeps the orders until they are carried out
    * @param configuration the configuration in force
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/HostOrderExecutor.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/HostOrderExecutor.java
@@ -37,7 +37,7 @@
   private final Timers timers;
 
   /**
-   * Takes all that it needs.
+   * Creates an instance with all that it needs.
    *
    * @param membership the daemons as they are known now
    * @param configuration the configuration in force
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/LocalAnswers.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/LocalAnswers.java
@@ -22,7 +22,7 @@
   private final Map<Subject, Function<OperatorQuestion, Stream<List<String>>>> sources =
       new EnumMap<>(Subject.class);
 
-  /** Takes what this daemon knows. */
+  /** Creates an instance with what this daemon knows. */
   public LocalAnswers(LocalState state) {
     this.state = state;
     sources.put(Subject.REQUESTS, question -> requests());
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/ObjectApiAuditLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/ObjectApiAuditLog.java
@@ -46,7 +46,7 @@
   private boolean isScheduled;
 
   /**
-   * Takes all that it needs.
+   * Creates an instance with all that it needs.
    *
    * @param store where records are kept
    * @param self the run of the daemon, which makes names of objects unique
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/PeerFleetQueries.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/PeerFleetQueries.java
@@ -33,7 +33,7 @@
   private final Map<Long, Gathering> gatherings = new ConcurrentHashMap<>();
 
   /**
-   * Takes all that it needs.
+   * Creates an instance with all that it needs.
    *
    * @param local answers for this daemon
    * @param membership the daemons as they are known now
@@ -66,7 +66,7 @@
     return gathering.promise.future().onComplete(ended -> gatherings.remove(numbered.number()));
   }
 
-  /** Takes a question or an answer of another daemon; for the transport's handlers. */
+  /** Handles a question or an answer of another daemon; for the transport's handlers. */
   public void handle(DaemonId from, PeerMessage message) {
     if (message instanceof OperatorQuestion question) {
       transport.send(from, local.answer(question));
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/QuarantineOrderExecutor.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/QuarantineOrderExecutor.java
@@ -24,7 +24,7 @@
   private final PeerTransport transport;
 
   /**
-   * Takes all that it needs.
+   * Creates an instance with all that it needs.
    *
    * @param lift clears a content here and tells the others; false when there is nothing to clear
    * @param queries finds the daemons that remember it
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/StoredFacts.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/StoredFacts.java
@@ -42,7 +42,7 @@
   private volatile List<OrderRecord> history = List.of();
   private volatile List<EngineOrderView> engineOrders = List.of();
 
-  /** Takes where accepted changes and all other objects are read. */
+  /** Creates an instance with where accepted changes and all other objects are read. */
   public StoredFacts(ConfigurationChanges changes, ObjectApi store) {
     this.changes = changes;
     this.store = store;
--- a/daemon/src/main/java/org/marjoramsail/daemon/order/EngineAnswerException.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/order/EngineAnswerException.java
@@ -10,7 +10,7 @@
 
   private final String upstream;
 
-  /** Takes the engine and what was wrong with its answer. */
+  /** Creates an instance with the engine and what was wrong with its answer. */
   public EngineAnswerException(UpstreamName upstream, String detail, Throwable cause) {
     super(upstream + ": " + detail, cause);
     this.upstream = upstream.value();
--- a/daemon/src/main/java/org/marjoramsail/daemon/order/HttpEngineOrders.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/order/HttpEngineOrders.java
@@ -44,7 +44,7 @@
 
   private final HttpClient client;
 
-  /** Takes the client whose connections it uses. */
+  /** Creates an instance with the client whose connections it uses. */
   public HttpEngineOrders(HttpClient client) {
     this.client = client;
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/order/OrderService.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/order/OrderService.java
@@ -59,7 +59,7 @@
   private volatile boolean running;
 
   /**
-   * Takes all that it needs; does nothing until it is started.
+   * Creates an instance with all that it needs; does nothing until it is started.
    *
    * @param store where leases, operators' orders and statuses are kept
    * @param engines sends the orders
--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/AdjustablePeerFaults.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/AdjustablePeerFaults.java
@@ -32,7 +32,7 @@
   private final Set<Path> cuts = new HashSet<>();
   private Rates rates = Rates.NONE;
 
-  /** Takes the source of chance. */
+  /** Creates an instance with the source of chance. */
   public AdjustablePeerFaults(RandomGenerator random) {
     this.random = random;
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerCodec.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerCodec.java
@@ -28,7 +28,7 @@
   private final int maximumBytes;
   private final ObjectMapper mapper;
 
-  /** Takes the largest body, in bytes. */
+  /** Creates an instance with the largest body, in bytes. */
   public PeerCodec(int maximumBytes) {
     this.maximumBytes = maximumBytes;
     this.mapper =
--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerLink.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerLink.java
@@ -90,7 +90,7 @@
     }
   }
 
-  /** Takes a proven connection, unless there is one already. */
+  /** Handles a proven connection, unless there is one already. */
   void opened(PeerSession opened) {
     connecting = false;
     failures = 0;
--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerNetwork.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerNetwork.java
@@ -71,7 +71,7 @@
   private volatile boolean stopped;
 
   /**
-   * Takes all that it works with; nothing happens before {@link #start}.
+   * Creates an instance with all that it works with; nothing happens before {@link #start}.
    *
    * @param random chance for nonces and back-off; a stranger must not be able to foretell it
    * @param addresses where a run of a daemon listens, as membership knows it; called on any thread
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -131,7 +131,7 @@
     act(actions);
   }
 
-  /** Takes a message of another daemon. */
+  /** Handles a message of another daemon. */
   public void heard(DaemonId from, PlacementMessage message) {
     if (isForOwner(message)) {
       owned.handle(from, message);
@@ -145,7 +145,7 @@
     act(actions);
   }
 
-  /** Takes that the connection to a daemon is gone. */
+  /** Records that the connection to a daemon is gone. */
   public void connectionLost(DaemonId daemon) {
     List<EntryAction> actions;
     synchronized (entryLock) {
@@ -154,7 +154,7 @@
     act(actions);
   }
 
-  /** Takes a newer view of the daemons; what a dead one had here is dropped. */
+  /** Handles a newer view of the daemons; what a dead one had here is dropped. */
   public void members(MembershipView view) {
     choice.members(view);
     Set<DaemonId> now = new HashSet<>();
@@ -176,20 +176,20 @@
     tickEntry();
   }
 
-  /** Takes a newer configuration. */
+  /** Applies a newer configuration. */
   public void configure(Configuration configuration) {
     choice.configure(configuration);
     owned.informAll((placer, now) -> placer.configure(configuration, now));
     tickEntry();
   }
 
-  /** Takes what an upstream says of its load. */
+  /** Handles what an upstream says of its load. */
   public void load(LoadReport report) {
     latestLoads.put(report.upstream(), report);
     inform(report.upstream(), (placer, now) -> placer.load(report, now));
   }
 
-  /** Takes that an upstream is leaving or unreachable, or is back. */
+  /** Records that an upstream is leaving or unreachable, or is back. */
   public void availability(UpstreamName upstream, boolean available) {
     if (available) {
       unavailable.remove(upstream);
@@ -199,7 +199,7 @@
     inform(upstream, (placer, now) -> placer.availability(upstream, available, now));
   }
 
-  /** Takes what an upstream says of its prefix cache; policies without an index ignore it. */
+  /** Handles what an upstream says of its prefix cache; policies without an index ignore it. */
   public void cached(CacheEvent event) {
     inform(
         event.upstream(),
@@ -275,7 +275,7 @@
     }
   }
 
-  /** Takes what the owner of another shard told. */
+  /** Handles what the owner of another shard told. */
   public void heardUsage(OrganisationUsageMessage usage) {
     owned.informAll(
         (placer, now) -> {
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/QueueLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/QueueLog.java
@@ -27,7 +27,7 @@
   private final Clock clock;
   private long nextAtMillis;
 
-  /** Takes the owned shards in which something waits at each moment. */
+  /** Creates an instance with the owned shards in which something waits at each moment. */
   public QueueLog(Supplier<List<ShardView>> waiting, Clock clock) {
     this.waiting = waiting;
     this.clock = clock;
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/ShardChoice.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/ShardChoice.java
@@ -29,9 +29,9 @@
   /** A placer for a shard that this daemon begins to own. */
   Placer placerFor(ShardId shard);
 
-  /** Takes a newer configuration. */
+  /** Applies a newer configuration. */
   void configure(Configuration configuration);
 
-  /** Takes a newer view of the daemons. */
+  /** Handles a newer view of the daemons. */
   void members(MembershipView view);
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/platform/HostListClient.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/HostListClient.java
@@ -39,7 +39,7 @@
   private volatile boolean closed;
 
   /**
-   * Takes all that it needs.
+   * Creates an instance with all that it needs.
    *
    * @param intervalMillis mean time between two calls, in milliseconds; each is drawn between half
    *     and one and a half of it; may change at any time, also during a wait
--- a/daemon/src/main/java/org/marjoramsail/daemon/platform/HttpObjectApi.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/HttpObjectApi.java
@@ -39,7 +39,7 @@
   private final HttpClient watchClient;
   private final ObjectJson json = new ObjectJson();
 
-  /** Takes all that it needs; connections are opened when calls come. */
+  /** Creates an instance with all that it needs; connections are opened when calls come. */
   public HttpObjectApi(Vertx vertx, HttpObjectApiSettings settings, MeterRegistry meters) {
     this.vertx = vertx;
     this.settings = settings;
--- a/daemon/src/main/java/org/marjoramsail/daemon/platform/ObjectApi.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/ObjectApi.java
@@ -41,7 +41,7 @@
     void close();
   }
 
-  /** Hears the events of a watch. */
+  /** Receives the events of a watch. */
   interface WatchListener {
     /** An object was created or replaced. */
     void stored(StoredObject object);
--- a/daemon/src/main/java/org/marjoramsail/daemon/platform/ObjectApiException.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/ObjectApiException.java
@@ -45,7 +45,7 @@
   private final Long retryAfterMillis;
 
   /**
-   * Takes what failed.
+   * Creates an instance with what failed.
    *
    * @param retryAfterMillis when the platform wants to be asked again, if it said so
    */
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/CallerSink.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/CallerSink.java
@@ -7,15 +7,15 @@
 /** Where a request's answer goes; called on the request's own executor, in order. */
 public interface CallerSink {
 
-  /** Takes the next token. */
+  /** Handles the next token. */
   void token(int index, String text);
 
-  /** Takes the end of a whole answer. */
+  /** Handles the end of a whole answer. */
   void complete(Completion completion);
 
-  /** Takes the answer of a plain service. */
+  /** Handles the answer of a plain service. */
   void answer(PlainAnswer answer);
 
-  /** Takes an end without the whole answer. */
+  /** Handles an end without the whole answer. */
   void refuse(Refusal refusal);
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/CompletionSender.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/CompletionSender.java
@@ -33,7 +33,7 @@
   private volatile Optional<Answer> answer = Optional.empty();
 
   /**
-   * Takes one request.
+   * Creates an instance with one request.
    *
    * @param profile what decisions know of it
    * @param content what upstreams get
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -47,9 +47,9 @@
   }
 
   /**
-   * Takes an event on any thread. The end of the caller goes before all that waits. Guards against
-   * the failure in which a fast engine fills the mailbox for a reader that takes nothing: the
-   * request would end as completed, and others on the same executor would wait until then.
+   * Handles an event on any thread. The end of the caller goes before all that waits. Guards
+   * against the failure in which a fast engine fills the mailbox for a reader that takes nothing:
+   * the request would end as completed, and others on the same executor would wait until then.
    */
   void deliver(LifecycleEvent event) {
     synchronized (shardLock) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/OutcomeObserver.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/OutcomeObserver.java
@@ -27,7 +27,7 @@
   private final Clock clock;
 
   /**
-   * Takes all that it needs.
+   * Creates an instance with all that it needs.
    *
    * @param quarantine contents that crash upstreams
    * @param registry requests that may have run on an upstream that crashed
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
@@ -36,7 +36,7 @@
   private final AtomicLong ordinary = new AtomicLong();
 
   /**
-   * Takes what is believed.
+   * Creates an instance with what is believed.
    *
    * @param beliefs says in a word which configuration and list were in force and how old they are
    */
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestTrace.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestTrace.java
@@ -43,7 +43,7 @@
     later.addLast(step);
   }
 
-  /** Takes that the caller was given a piece; the first has the index zero. */
+  /** Records that the caller was given a piece; the first has the index zero. */
   void piece(long nowMillis, int index) {
     long pauseMillis = nowMillis - lastPieceAtMillis;
     boolean longer = longestPause.filter(known -> known.millis() >= pauseMillis).isEmpty();
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsException.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsException.java
@@ -13,7 +13,7 @@
   private final transient List<SettingsProblem> problems;
 
   /**
-   * Takes what is wrong.
+   * Creates an instance with what is wrong.
    *
    * @param source the file or other origin of the settings
    * @param problems at least one
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/CacheEventPoller.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/CacheEventPoller.java
@@ -28,7 +28,7 @@
   private final EngineClient engines;
   private final Map<UpstreamName, Position> positions = new HashMap<>();
 
-  /** Takes what it asks with. */
+  /** Creates an instance with what it asks with. */
   public CacheEventPoller(EngineClient engines) {
     this.engines = engines;
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/EngineClient.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/EngineClient.java
@@ -39,7 +39,7 @@
   private final AtomicBoolean unwritableSeen = new AtomicBoolean();
 
   /**
-   * Takes what it calls with.
+   * Creates an instance with what it calls with.
    *
    * @param http the connections
    * @param json a mapper that knows {@code Optional}
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/LineParser.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/LineParser.java
@@ -21,7 +21,7 @@
     this.lines = lines;
   }
 
-  /** Takes the next bytes; false when a line is over the limit. */
+  /** Handles the next bytes; false when a line is over the limit. */
   boolean feed(Buffer bytes) {
     rest.appendBuffer(bytes);
     int lineStart = 0;
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/OrphanCanceller.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/OrphanCanceller.java
@@ -52,7 +52,7 @@
     this.failures = meters.counter("marjoramsail.orphans.cancel.failures");
   }
 
-  /** Takes that a run of a daemon is dead. */
+  /** Records that a run of a daemon is dead. */
   public synchronized void daemonGone(DaemonId daemon) {
     gone.put(daemon, new Gone(clock.millis() + SEARCH_MILLIS));
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/PlainClient.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/PlainClient.java
@@ -40,7 +40,7 @@
   private final UpstreamHttp http;
   private final ObjectMapper json;
 
-  /** Takes what it calls with. */
+  /** Creates an instance with what it calls with. */
   public PlainClient(UpstreamHttp http, ObjectMapper json) {
     this.http = http;
     this.json = json;
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamCall.java
@@ -12,7 +12,7 @@
 
   UpstreamCall() {}
 
-  /** Takes the HTTP request once there is a connection; false when the call was closed before. */
+  /** Handles the HTTP request once there is a connection; false when the call was closed before. */
   synchronized boolean attach(HttpClientRequest connected) {
     request = connected;
     if (closed) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamDirectory.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamDirectory.java
@@ -17,7 +17,7 @@
   private final Supplier<Configuration> configuration;
   private volatile Index index;
 
-  /** Takes where the newest configuration comes from. */
+  /** Creates an instance with where the newest configuration comes from. */
   public UpstreamDirectory(Supplier<Configuration> configuration) {
     this.configuration = configuration;
     this.index = index(configuration.get());
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamObserver.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamObserver.java
@@ -4,11 +4,11 @@
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.placement.LoadReport;
 
-/** Hears what polls find; called on any thread. */
+/** Receives what polls find; called on any thread. */
 public interface UpstreamObserver {
 
   /**
-   * Takes the load of an upstream.
+   * Handles the load of an upstream.
    *
    * @param report what it said
    * @param askedAtMillis when it was asked, on the clock of this daemon
@@ -19,7 +19,7 @@
   void status(UpstreamDefinition definition, UpstreamStatus status);
 
   /**
-   * Takes that an upstream did not answer.
+   * Records that an upstream did not answer.
    *
    * @param upstream which
    * @param connectionRefused whether its host refused the connection, so that nothing listens there
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamStatusPoller.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamStatusPoller.java
@@ -38,7 +38,7 @@
   private long timer = NO_TIMER;
 
   /**
-   * Takes all that it needs; asks nobody yet.
+   * Creates an instance with all that it needs; asks nobody yet.
    *
    * @param vertx for its timer
    * @param engines calls model engines
--- a/daemon/src/test/java/org/marjoramsail/daemon/configuration/ConfigurationHistory.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/configuration/ConfigurationHistory.java
@@ -52,7 +52,7 @@
     return violations;
   }
 
-  /** Takes one random step; the choice decides what and where. */
+  /** Makes one random step; the choice decides what and where. */
   void step(int choice) {
     int kind = choice % 100;
     int detail = choice / 100;
--- a/language/src/main/java/org/marjoramsail/language/Lexis.java
+++ b/language/src/main/java/org/marjoramsail/language/Lexis.java
@@ -58,12 +58,12 @@
                 : none());
   }
 
-  /** Takes any word or quoted text that is not blank. */
+  /** Accepts any word or quoted text that is not blank. */
   static Parser<String> name(NameKind kind) {
     return text(kind.label(), text -> !text.isBlank());
   }
 
-  /** Takes any word or quoted text that passes a check. */
+  /** Accepts any word or quoted text that passes a check. */
   static Parser<String> text(String label, Predicate<String> check) {
     return token(
         label,
--- a/language/src/main/java/org/marjoramsail/language/StatementException.java
+++ b/language/src/main/java/org/marjoramsail/language/StatementException.java
@@ -18,7 +18,7 @@
   private final String nearest;
 
   /**
-   * Takes where the text stops making sense.
+   * Creates an instance with where the text stops making sense.
    *
    * @param text all that was said
    * @param offset where, in characters from zero
--- a/language/src/main/java/org/marjoramsail/language/StatementParser.java
+++ b/language/src/main/java/org/marjoramsail/language/StatementParser.java
@@ -19,7 +19,7 @@
 
   private final Parser<Command> parser = Lexis.whole(Grammar.command());
 
-  /** Takes the one grammar that there is. */
+  /** Creates an instance with the one grammar that there is. */
   public StatementParser() {}
 
   /**
--- a/standin/src/main/java/org/marjoramsail/standin/engine/EngineBatch.java
+++ b/standin/src/main/java/org/marjoramsail/standin/engine/EngineBatch.java
@@ -44,7 +44,7 @@
     this.events = events;
   }
 
-  /** Takes an attempt in; it begins at once if a slot and memory are free. */
+  /** Admits an attempt; it begins at once if a slot and memory are free. */
   void add(HeldAttempt attempt, long nowMicros) {
     attempt.sequence = arrivals;
     arrivals++;
--- a/standin/src/main/java/org/marjoramsail/standin/engine/EngineModel.java
+++ b/standin/src/main/java/org/marjoramsail/standin/engine/EngineModel.java
@@ -83,7 +83,7 @@
         faults.isPoisonous(prompt));
   }
 
-  /** Takes an attempt in, or says why not. */
+  /** Admits an attempt, or says why not. */
   Optional<EngineRefusal> accept(HeldAttempt attempt, String model) {
     advance();
     Optional<EngineRefusal> refusal = refusalFor(attempt, model);
@@ -377,7 +377,7 @@
     audit.kvHeld(0);
   }
 
-  /** Takes the model's blocks out of the prefix cache. */
+  /** Removes the model's blocks from the prefix cache. */
   void clearCache() {
     prefixCache.clear(time.millis());
   }
--- a/standin/src/main/java/org/marjoramsail/standin/engine/EngineStandIn.java
+++ b/standin/src/main/java/org/marjoramsail/standin/engine/EngineStandIn.java
@@ -26,7 +26,7 @@
   private final UpstreamHost host;
 
   /**
-   * Takes all dependencies; nothing runs before {@link #start()}.
+   * Creates an instance with all dependencies; nothing runs before {@link #start()}.
    *
    * @param vertx runs the HTTP side
    * @param settings what the engine is
--- a/standin/src/main/java/org/marjoramsail/standin/load/EventStreamReader.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/EventStreamReader.java
@@ -3,10 +3,10 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.parsetools.RecordParser;
 
-/** Takes the bytes of a stream of server-sent events and gives its events. */
+/** Handles the bytes of a stream of server-sent events and gives its events. */
 final class EventStreamReader {
 
-  /** Hears the events of a stream. */
+  /** Receives the events of a stream. */
   interface Listener {
     /**
      * An event is complete.
--- a/standin/src/main/java/org/marjoramsail/standin/load/LoadRunner.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/LoadRunner.java
@@ -22,7 +22,7 @@
   private final LoadRunnerOptions options;
   private final ObjectMapper mapper = new ObjectMapper();
 
-  /** Takes what it runs on, its clock, and what the right answers are. */
+  /** Creates an instance with what it runs on, its clock, and what the right answers are. */
   public LoadRunner(Vertx vertx, Clock clock, ExpectedAnswer expected, LoadRunnerOptions options) {
     this.vertx = vertx;
     this.clock = clock;
--- a/standin/src/main/java/org/marjoramsail/standin/load/TargetPool.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/TargetPool.java
@@ -43,7 +43,7 @@
     return ready;
   }
 
-  /** Takes that a target did not take a connection. */
+  /** Records that a target did not take a connection. */
   void connectFailed(LoadTarget target) {
     avoidedUntil.put(target, clock.millis() + AVOIDED_MILLIS);
   }
--- a/standin/src/main/java/org/marjoramsail/standin/load/WorkloadDefinition.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/WorkloadDefinition.java
@@ -23,7 +23,7 @@
   private static final long WARM_UP_SEED_STEP = 1_000_003;
   private static final double LARGEST_WARM_UP_LOAD = 0.6;
 
-  /** Takes a duration, a capacity and a load above zero. */
+  /** Accepts a duration, a capacity and a load above zero. */
   public WorkloadDefinition {
     if (durationMillis <= 0 || capacityPerSecond <= 0 || loadFactor <= 0) {
       throw new IllegalArgumentException(
--- a/standin/src/main/java/org/marjoramsail/standin/plain/PlainServiceStandIn.java
+++ b/standin/src/main/java/org/marjoramsail/standin/plain/PlainServiceStandIn.java
@@ -23,7 +23,7 @@
   private final UpstreamHost host;
 
   /**
-   * Takes all dependencies; nothing runs before {@link #start()}.
+   * Creates an instance with all dependencies; nothing runs before {@link #start()}.
    *
    * @param vertx runs the HTTP side
    * @param settings what the service is
--- a/standin/src/main/java/org/marjoramsail/standin/plain/PlainSlots.java
+++ b/standin/src/main/java/org/marjoramsail/standin/plain/PlainSlots.java
@@ -23,7 +23,7 @@
     this.queueLimit = queueLimit;
   }
 
-  /** Takes a call in, unless slots and queue are full. */
+  /** Admits a call, unless slots and queue are full. */
   boolean offer(C call) {
     if (running.size() + waiting.size() >= slots + queueLimit) {
       return false;
--- a/standin/src/main/java/org/marjoramsail/standin/platform/CallBudget.java
+++ b/standin/src/main/java/org/marjoramsail/standin/platform/CallBudget.java
@@ -21,7 +21,7 @@
     this.filledMillis = clock.millis();
   }
 
-  /** Takes one call if the budget has one left. */
+  /** Spends one call if the budget has one left. */
   synchronized boolean tryTake() {
     long now = clock.millis();
     tokens = Math.min(capacity, tokens + (now - filledMillis) * callsPerMilli);
--- a/standin/src/main/java/org/marjoramsail/standin/platform/PlatformStandIn.java
+++ b/standin/src/main/java/org/marjoramsail/standin/platform/PlatformStandIn.java
@@ -19,7 +19,7 @@
 import org.marjoramsail.standin.platform.StoreException.Reason;
 
 /**
- * Takes the place of the platform in tests, demonstrations and measurements.
+ * Stands in for the platform in tests, demonstrations and measurements.
  *
  * <p>It serves the object API, the lagging host list and the rate-limited weight store over HTTP,
  * and can be told to fail in the ways that the real platform does.
@@ -43,7 +43,7 @@
   private HttpServer server;
   private int port;
 
-  /** Takes all that it needs; nothing runs before {@link #start()}. */
+  /** Creates an instance with all that it needs; nothing runs before {@link #start()}. */
   public PlatformStandIn(
       Vertx vertx, PlatformSettings settings, Clock clock, RandomGenerator random) {
     this.vertx = vertx;
--- a/standin/src/main/java/org/marjoramsail/standin/server/CrashableServer.java
+++ b/standin/src/main/java/org/marjoramsail/standin/server/CrashableServer.java
@@ -36,7 +36,7 @@
   private int port;
 
   /**
-   * Takes where to listen.
+   * Creates an instance with where to listen.
    *
    * @param vertx runs the server
    * @param time whose stalls hold back requests
--- a/standin/src/main/java/org/marjoramsail/standin/server/StatusHistory.java
+++ b/standin/src/main/java/org/marjoramsail/standin/server/StatusHistory.java
@@ -26,7 +26,7 @@
   private final Deque<Taken<S>> snapshots = new ArrayDeque<>();
 
   /**
-   * Takes the first snapshot, which is seen until a later one is old enough.
+   * Creates an instance with the first snapshot, which is seen until a later one is old enough.
    *
    * @param everyMillis time between snapshots, in milliseconds
    * @param lagMillis age at which a snapshot is first seen, in milliseconds
@@ -39,7 +39,7 @@
     snapshots.add(new Taken<>(first, nowMillis));
   }
 
-  /** Takes a snapshot if the last one is old enough, and forgets those that nobody can see. */
+  /** Makes a snapshot if the last one is old enough, and forgets those that nobody can see. */
   public void observe(long nowMillis, Supplier<S> state) {
     if (nowMillis - snapshots.getLast().atMillis() < everyMillis) {
       return;
--- a/standin/src/main/java/org/marjoramsail/standin/server/UpstreamHost.java
+++ b/standin/src/main/java/org/marjoramsail/standin/server/UpstreamHost.java
@@ -12,7 +12,7 @@
   private final UpstreamVerticle verticle;
   private volatile Optional<String> deployment = Optional.empty();
 
-  /** Takes the upstream that it runs. */
+  /** Creates an instance with the upstream that it runs. */
   public UpstreamHost(Vertx vertx, UpstreamVerticle verticle) {
     this.vertx = vertx;
     this.verticle = verticle;
