One place for the ranges of the platform's figures

Cause: PlatformBound and SettingsDecoder named each figure and its range, one beside the other. Change: the decoder reads each through its bound. Behaviour is the same; the property test against the schema passes.

--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/PlatformBound.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/PlatformBound.java
@@ -57,6 +57,11 @@
     return adjustments;
   }
 
+  /** Reads the number of this bound from the fields of its parent. */
+  double read(SettingsFields forwarding) throws UnclearSettingsException {
+    return forwarding.number(field, lowest, highest);
+  }
+
   private Optional<SettingsAdjustment> adjust(ObjectNode forwarding) {
     JsonNode given = forwarding.path(field);
     if (given.isMissingNode() || given.isNull()) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsDecoder.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsDecoder.java
@@ -142,13 +142,13 @@
     return new ForwardingSettings(
         fields.object("ready", SettingsDecoder::local),
         fields.object("regions", SettingsDecoder::regions),
-        fields.number("retryRatio", 0, 10),
-        fields.number("retrySlack", 0, 1e9),
-        fields.number("graceSeconds", 1, 86_400),
-        fields.number("leaseMillis", 0, 3_600_000),
-        fields.number("recoveryMillis", 0, 3_600_000),
-        fields.number("configurationMillis", 0, 3_600_000),
-        fields.number("drainMillis", 0, 3_600_000),
+        PlatformBound.RETRY_RATIO.read(fields),
+        PlatformBound.RETRY_SLACK.read(fields),
+        PlatformBound.GRACE_SECONDS.read(fields),
+        PlatformBound.LEASE_MILLIS.read(fields),
+        PlatformBound.RECOVERY_MILLIS.read(fields),
+        PlatformBound.CONFIGURATION_MILLIS.read(fields),
+        PlatformBound.DRAIN_MILLIS.read(fields),
         fields.flag("fenced"));
   }
 
