An empty path of settings is a usage fault again

Change: an empty path goes through the command line as before, with a test. Conclusion: behaviour as it was.

--- a/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
@@ -122,6 +122,7 @@
   private static boolean isPlainStart(String... arguments) {
     return arguments.length == 2
         && arguments[0].equals("--settings")
+        && !arguments[1].isEmpty()
         && !arguments[1].startsWith("-");
   }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/main/MarjoramsailDaemonTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/main/MarjoramsailDaemonTest.java
@@ -53,6 +53,13 @@
     assertThat(text(errors)).contains("--settings FILE is missing.");
   }
 
+  @Test
+  void anEmptyPathOfSettingsIsTheSameUsageFault() {
+    assertThat(run("--settings", "")).isEqualTo(ExitCode.USAGE);
+
+    assertThat(text(errors)).contains("--settings FILE is missing.");
+  }
+
   @Test
   void versionIsPrinted() {
     assertThat(run("--version")).isEqualTo(ExitCode.OK);
