Callers' keys and organisations' limits on the forwarding path

Change: OrganisationKeys holds digests of keys and serves both front ends; CallerAccess decides, a key that nobody holds is refused on every route. Keys and organisations as callers send them never reach an upstream; the holder's name goes with every send. Limits are charged where places are granted, so that a request that waits for nothing costs no message more: owners divide each limit by the tokens that are wanted of each, tell each other twice a second, begin empty and with an even share when they take over, and the smaller side of a cut spends only its part. What is beyond a limit is refused at once with the time after which it fits; repeats are not counted again.

Ruled out: an owner for each organisation that is asked before each placement (two messages a request more, one more wait); shares held at each host (2.5 requests a second and host, so that a share is less than one request). Neither was built; a comparison on the virtual clock is owed.

Found by the property test while it was built: an owner that takes over took the whole of a limit until it had heard of the others (121,000 tokens in a window of 111,500). It keeps to an even share for a second now.

--- a/command/src/main/java/org/marjoramsail/command/capacity/PlacementMessages.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/PlacementMessages.java
@@ -94,7 +94,8 @@
   private static OrganisationUsageMessage usage(int organisations) {
     List<OrganisationUsageMessage.Usage> usages =
         IntStream.range(0, organisations)
-            .mapToObj(number -> new OrganisationUsageMessage.Usage("organisation-" + number, 10))
+            .mapToObj(
+                number -> new OrganisationUsageMessage.Usage("organisation-" + number, 10, 10_000))
             .toList();
     return new OrganisationUsageMessage(TargetShard.SHARD, usages);
   }
--- a/core/src/main/java/org/marjoramsail/core/membership/MembershipView.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipView.java
@@ -21,4 +21,17 @@
         .filter(member -> member.state().isEligible() && member.region().equals(region))
         .toList();
   }
+
+  /**
+   * Which part of a budget that all daemons share this one may spend: all of it while it sees half
+   * of the known daemons or more, else the share that it sees.
+   *
+   * <p>Daemons beyond a cut decide for the same organisations with full budgets of their own, and
+   * what both sides grant adds up at the upstreams. The smaller side keeps to its part.
+   */
+  public double budgetShare() {
+    long known = members.stream().filter(member -> member.state() != MemberState.LEFT).count();
+    long seen = members.stream().filter(member -> member.state().isReachable()).count();
+    return known == 0 || 2 * seen >= known ? 1 : seen / (double) known;
+  }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/PlacementAsk.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/PlacementAsk.java
@@ -21,6 +21,9 @@
     long usefulUntilMillis,
     Optional<KvSource> kv) {
 
+  /** The attempt that is counted against the limits of its organisation; repeats are free. */
+  private static final int FIRST_ATTEMPT = 1;
+
   /** The request with times that hold on any clock, as seen at one moment. */
   PlacementRequest at(long nowMillis, List<UpstreamName> avoid, boolean alone) {
     return new PlacementRequest(
@@ -41,6 +44,7 @@
         kv.map(KvSource::holder),
         alone,
         profile.fingerprint(),
-        profile.pieces());
+        profile.pieces(),
+        attempt == FIRST_ATTEMPT ? profile.countedTokens() : 0);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestProfile.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestProfile.java
@@ -27,6 +27,7 @@
  * @param firstTokenAtMillis when its first token is late, on the clock of this daemon
  * @param deadlineAtMillis when its answer is useless, on the clock of this daemon
  * @param pieces in which pieces its answer comes
+ * @param countedTokens what it counts for against its organisation's limit in tokens
  */
 public record RequestProfile(
     RequestId id,
@@ -45,7 +46,8 @@
     long receivedAtMillis,
     long firstTokenAtMillis,
     long deadlineAtMillis,
-    Pieces pieces) {
+    Pieces pieces,
+    int countedTokens) {
 
   /** Copies the list, so that the value cannot change. */
   public RequestProfile {
@@ -87,6 +89,7 @@
         receivedAtMillis,
         firstTokenAtMillis,
         deadlineAtMillis,
-        Pieces.SINGLE_TOKENS);
+        Pieces.SINGLE_TOKENS,
+        promptTokens + outputTokens);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
@@ -14,23 +14,33 @@
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final double RATE_WINDOW_MILLIS = 10_000;
 
+  /** Over how long demand is measured by which limits are divided between shards. */
+  private static final double DEMAND_WINDOW_MILLIS = 2_000;
+
   private final String name;
   private final OrganisationLane[] lanes = new OrganisationLane[WaitingQueue.LANES];
-  private final TokenBucket requests = new TokenBucket();
-  private final TokenBucket tokens = new TokenBucket();
+  private final TokenBucket requests;
+  private final TokenBucket tokens;
 
   private double weight = 1;
   private int maximumConcurrency;
   private int concurrencyShare;
   private double requestsPerSecond;
   private double tokensPerSecond;
+  private double burst;
   private int running;
+  private double waitingTokens;
+  private double wantedTokens;
+  private long wantedAt;
   private double recentRequests;
   private double recentTokens;
   private long recentAt;
 
-  OrganisationState(String name) {
+  /** Creates one without demand; see {@link TokenBucket} for what a former owner changes. */
+  OrganisationState(String name, boolean isTakenOver) {
     this.name = name;
+    this.requests = new TokenBucket(isTakenOver);
+    this.tokens = new TokenBucket(isTakenOver);
     for (int lane = 0; lane < WaitingQueue.LANES; lane++) {
       lanes[lane] = new OrganisationLane(this);
     }
@@ -74,21 +84,49 @@
     maximumConcurrency = definition.map(OrganisationDefinition::maximumConcurrency).orElse(0);
     requestsPerSecond = definition.map(OrganisationDefinition::requestsPerSecond).orElse(0.0);
     tokensPerSecond = definition.map(OrganisationDefinition::tokensPerSecond).orElse(0.0);
+    burst = definition.flatMap(OrganisationDefinition::burst).orElse(0.0);
   }
 
   /**
-   * Takes this shard's share of each limit: its demand over that of all shards.
+   * Sets this shard's share of each limit: its demand over that of all shards.
    *
    * <p>Each shard counts for a little without demand, so that shares add up to at most one where
    * all know the same demands. A share of concurrency is at least one, else an organisation with a
    * low limit and many shards would never run.
+   *
+   * @param others what it wants in other shards
+   * @param bounds what else holds for the shares of rates
    */
-  void share(int otherDemand, int shardCount) {
+  void share(Demand others, int shardCount, ShareBounds bounds, long nowMillis) {
+    double floors = (shardCount - 1) * DEMAND_FLOOR;
     double own = running + waiting() + DEMAND_FLOOR;
-    double share = own / (own + otherDemand + (shardCount - 1) * DEMAND_FLOOR);
+    double share = own / (own + others.attempts() + floors);
     concurrencyShare = Math.max(1, (int) Math.floor(maximumConcurrency * share + 1e-9));
-    requests.rate(requestsPerSecond * share);
-    tokens.rate(tokensPerSecond * share);
+    double requestShare = bounds.apply(share);
+    requests.limit(requestsPerSecond * requestShare, burst * requestShare);
+    double ownTokens = wantedTokens(nowMillis) + DEMAND_FLOOR;
+    double tokenShare = bounds.apply(ownTokens / (ownTokens + others.tokensPerSecond() + floors));
+    tokens.limit(tokensPerSecond * tokenShare, burst * tokenShare);
+  }
+
+  /** What it wants in this shard. */
+  Demand demand(long nowMillis) {
+    return new Demand(running + waiting(), (int) Math.ceil(wantedTokens(nowMillis)));
+  }
+
+  /** Counts a new attempt into what it wants. */
+  void wants(int tokenCount, long nowMillis) {
+    wantedTokens = wantedTokens(nowMillis) + tokenCount * MILLIS_PER_SECOND / DEMAND_WINDOW_MILLIS;
+    wantedAt = nowMillis;
+  }
+
+  /** Counts an attempt that begins or, with a negative number, ceases to wait. */
+  void waitingTokens(int change) {
+    waitingTokens += change;
+  }
+
+  private double wantedTokens(long nowMillis) {
+    return wantedTokens * Math.exp(-Math.max(0, nowMillis - wantedAt) / DEMAND_WINDOW_MILLIS);
   }
 
   /** What keeps it from starting one more attempt now. */
@@ -102,11 +140,28 @@
     return Optional.empty();
   }
 
-  /** How long its rates keep it from starting that many attempts more. */
-  long rateWaitMillis(int attempts, long nowMillis) {
-    long wait = Math.max(requests.waitMillis(nowMillis), tokens.waitMillis(nowMillis));
-    double queued = requestsPerSecond > 0 ? attempts / requestsPerSecond * MILLIS_PER_SECOND : 0;
-    return wait + (long) queued;
+  /**
+   * How long its rates keep an attempt from starting.
+   *
+   * @param attempts how many wait before it
+   * @param attemptTokens what it counts for itself, which is among what waits
+   */
+  long rateWaitMillis(int attempts, int attemptTokens, long nowMillis) {
+    double tokensAhead = Math.max(0, waitingTokens - attemptTokens);
+    return Math.max(
+        requests.waitMillis(attempts, nowMillis), tokens.waitMillis(tokensAhead, nowMillis));
+  }
+
+  /** Its limits here and what is left of them, for a refusal that has to be explained. */
+  String describeLimits(long nowMillis) {
+    return "tokens left "
+        + (long) tokens.credit(nowMillis)
+        + ", waiting "
+        + (long) waitingTokens
+        + " of "
+        + (long) tokensPerSecond
+        + " a second; requests a second "
+        + (long) requestsPerSecond;
   }
 
   void started(int tokenCount, long nowMillis) {
@@ -141,6 +196,35 @@
     recentAt = nowMillis;
   }
 
+  /**
+   * What bounds the share of one shard beside demand.
+   *
+   * @param largest the most that the shard may take of what the fleet may
+   * @param fleet which part of a limit the daemons may spend that see each other
+   */
+  record ShareBounds(double largest, double fleet) {
+
+    double apply(double share) {
+      return Math.min(share, largest) * fleet;
+    }
+  }
+
+  /**
+   * What an organisation wants in some shards.
+   *
+   * @param attempts attempts that run or wait
+   * @param tokensPerSecond tokens that its attempts of late count for, each second
+   */
+  record Demand(int attempts, int tokensPerSecond) {
+
+    /** None. */
+    static final Demand NONE = new Demand(0, 0);
+
+    Demand plus(Demand other) {
+      return new Demand(attempts + other.attempts, tokensPerSecond + other.tokensPerSecond);
+    }
+  }
+
   /** The attempts of one organisation in one lane, in their order of service. */
   static final class OrganisationLane {
 
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationUsageMessage.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationUsageMessage.java
@@ -21,6 +21,7 @@
    *
    * @param organisation its name
    * @param demand attempts that run or wait
+   * @param tokensPerSecond tokens that its attempts of late count for, each second
    */
-  public record Usage(String organisation, int demand) {}
+  public record Usage(String organisation, int demand, int tokensPerSecond) {}
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
@@ -33,6 +33,8 @@
  * @param content hash of what the caller sent, by which it is known again when it comes back; zero
  *     where that is of no use
  * @param pieces in which pieces its answer comes
+ * @param countedTokens what it counts for against its organisation's limit in tokens; zero for a
+ *     repeat, which was counted before
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record PlacementRequest(
@@ -53,7 +55,8 @@
     Optional<UpstreamName> kvHeldBy,
     boolean alone,
     long content,
-    Pieces pieces) {
+    Pieces pieces,
+    int countedTokens) {
 
   /** Copies the lists, so that the value cannot change. */
   public PlacementRequest {
@@ -97,7 +100,8 @@
         kvHeldBy,
         alone,
         0,
-        Pieces.SINGLE_TOKENS);
+        Pieces.SINGLE_TOKENS,
+        promptTokens + outputTokens);
   }
 
   /** Whether it asks for engines rather than for a plain service. */
@@ -134,6 +138,7 @@
         kvHeldBy,
         alone,
         content,
-        pieces);
+        pieces,
+        countedTokens);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -38,7 +38,7 @@
   /** How much one generated token counts in tokens of a prompt: it holds a slot. */
   private static final double OUTPUT_COST_TOKENS = 4;
 
-  private static final long SHARE_REFRESH_MILLIS = 1_000;
+  private static final long SHARE_REFRESH_MILLIS = 500;
 
   private static final long LEAST_RETRY_MILLIS = 1_000;
 
@@ -64,7 +64,7 @@
   public ReservingPlacer(PlacerSetup setup, long nowMillis) {
     this.shard = setup.shard();
     this.settings = setup.settings();
-    this.organisations = new OrganisationTable(shard);
+    this.organisations = new OrganisationTable(shard, setup.isTakenOver(), nowMillis);
     this.estimates = new PlacementEstimates(settings);
     this.upstreams = new ShardUpstreams(settings, estimates.spread());
     this.selector = new UpstreamSelector(upstreams, estimates, setup, nowMillis);
@@ -126,7 +126,7 @@
       return List.of();
     }
     forget(request.request(), nowMillis);
-    OrganisationState organisation = organisations.of(request.organisation());
+    OrganisationState organisation = organisations.of(request.organisation(), nowMillis);
     long bytes = selector.transferBytes(request);
     ledger.restore(request, grant, phase, organisation, bytes, nowMillis);
     count(PlacementCounter.RESTORED);
@@ -237,8 +237,8 @@
   }
 
   @Override
-  public OrganisationUsageMessage usage() {
-    return organisations.usage();
+  public OrganisationUsageMessage usage(long nowMillis) {
+    return organisations.usage(nowMillis);
   }
 
   @Override
@@ -246,6 +246,12 @@
     organisations.take(message, nowMillis);
   }
 
+  @Override
+  public void fleetShare(double share, long nowMillis) {
+    organisations.fleetShare(share);
+    organisations.refresh(nowMillis);
+  }
+
   /** How often each thing happened since the start. */
   public Map<PlacementCounter, Long> counters() {
     return Map.copyOf(counters);
@@ -331,10 +337,12 @@
     if (request.serviceClass() == ServiceClass.QUICK) {
       selector.quickSeen(nowMillis);
     }
+    OrganisationState organisation = organisations.of(request.organisation(), nowMillis);
+    organisation.wants(request.countedTokens(), nowMillis);
     WaitingAttempt attempt =
         new WaitingAttempt(
             request,
-            organisations.of(request.organisation()),
+            organisation,
             nextSequence++,
             serviceMillis(request, leastMillis),
             selector.needsReader(request, nowMillis),
@@ -366,7 +374,8 @@
       return;
     }
     diagnose(attempt, nowMillis);
-    if (attempt.canWaitLate()) {
+    // What is beyond a limit is told at once: it would wait for credit that newer requests take.
+    if (attempt.canWaitLate() && attempt.missing() != MissingResource.ORGANISATION_RATE) {
       waitLate(attempt, results, nowMillis);
       return;
     }
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardLedger.java
@@ -113,9 +113,9 @@
   }
 
   /** What the owners of other shards should hear of the organisations here, if it is anything. */
-  public Optional<OrganisationUsageMessage> usage() {
+  public Optional<OrganisationUsageMessage> usage(long nowMillis) {
     return placer instanceof UsageSharing sharing
-        ? Optional.of(sharing.usage()).filter(message -> !message.usages().isEmpty())
+        ? Optional.of(sharing.usage(nowMillis)).filter(message -> !message.usages().isEmpty())
         : Optional.empty();
   }
 
--- a/core/src/main/java/org/marjoramsail/core/placement/TokenBucket.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/TokenBucket.java
@@ -1,27 +1,44 @@
 package org.marjoramsail.core.placement;
 
-/** Limits a rate; a cost is taken whole once there is any credit, so that large ones pass. */
+/**
+ * Limits a rate; a cost is taken whole once there is any credit, so that large ones pass.
+ *
+ * <p>Where another owner came before, it begins empty. The limit holds over all owners, and a new
+ * one does not know what the one before it let through: a full bucket would grant the burst once
+ * more with each change of owner.
+ */
 final class TokenBucket {
 
   private static final double MILLIS_PER_SECOND = 1_000;
+
+  /** How long a rate may be saved up where no burst is stated, in seconds. */
   private static final double BURST_SECONDS = 1;
 
   private double perSecond;
+  private double burst;
   private double credit;
   private long filledAt;
+  private final boolean startsEmpty;
   private boolean fresh = true;
 
-  /** Sets the rate; not positive means no limit. */
-  void rate(double newPerSecond) {
+  /** Creates a bucket without a limit, which will be full or empty when it gets one. */
+  TokenBucket(boolean startsEmpty) {
+    this.startsEmpty = startsEmpty;
+  }
+
+  /**
+   * Sets the limit.
+   *
+   * @param newPerSecond the rate; not positive means no limit
+   * @param newBurst how much may be saved up; not positive for what the rate gives in a second
+   */
+  void limit(double newPerSecond, double newBurst) {
     perSecond = newPerSecond;
+    burst = newBurst > 0 ? newBurst : Math.max(1, newPerSecond * BURST_SECONDS);
   }
 
   boolean isOpen(long nowMillis) {
-    if (perSecond <= 0) {
-      return true;
-    }
-    fill(nowMillis);
-    return credit > 0;
+    return waitMillis(0, nowMillis) <= 0;
   }
 
   void take(double cost, long nowMillis) {
@@ -31,16 +48,29 @@
     }
   }
 
-  /** How long until it is open; zero when it is. */
-  long waitMillis(long nowMillis) {
-    return isOpen(nowMillis) ? 0 : (long) Math.ceil(-credit / perSecond * MILLIS_PER_SECOND) + 1;
+  /** How long until it is open to one more cost behind those that wait; zero when it is. */
+  long waitMillis(double waitingCosts, long nowMillis) {
+    if (perSecond <= 0) {
+      return 0;
+    }
+    fill(nowMillis);
+    double missing = waitingCosts - credit;
+    return missing < 0 ? 0 : (long) Math.ceil(missing / perSecond * MILLIS_PER_SECOND) + 1;
+  }
+
+  /** What could be taken now; negative where more was taken than there was. */
+  double credit(long nowMillis) {
+    fill(nowMillis);
+    return credit;
   }
 
   private void fill(long nowMillis) {
-    double most = Math.max(1, perSecond * BURST_SECONDS);
-    double gained = fresh ? most : (nowMillis - filledAt) / MILLIS_PER_SECOND * perSecond;
-    fresh = false;
-    filledAt = nowMillis;
-    credit = Math.min(most, credit + Math.max(0, gained));
+    double gained = (nowMillis - filledAt) / MILLIS_PER_SECOND * perSecond;
+    if (fresh) {
+      gained = startsEmpty ? 0 : burst;
+      fresh = false;
+    }
+    filledAt = Math.max(filledAt, nowMillis);
+    credit = Math.min(burst, credit + Math.max(0, gained));
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/UsageSharing.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UsageSharing.java
@@ -4,8 +4,11 @@
 public interface UsageSharing {
 
   /** What the owners of other shards should hear. */
-  OrganisationUsageMessage usage();
+  OrganisationUsageMessage usage(long nowMillis);
 
   /** Handles what the owner of another shard told of its usage. */
   void takeUsage(OrganisationUsageMessage message, long nowMillis);
+
+  /** Sets which part of the daemons this owner sees; the others may decide for the same shards. */
+  void fleetShare(double share, long nowMillis);
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
@@ -35,15 +35,25 @@
   /**
    * The refusal of a waiting attempt that will not start in time.
    *
+   * <p>What is beyond the limits of its organisation waits only as long as it can be in time: those
+   * beyond a limit are never caught up, and would take the places of its next requests.
+   *
    * <p>Nothing is refused for a wait that is only guessed; what waits in vain then is refused when
    * its time is over.
    */
   Optional<Refusal> refusal(WaitingAttempt attempt, long nowMillis) {
     long leftMillis = attempt.uselessAt() - nowMillis;
     int ownAhead = ownAhead(attempt);
-    long rateMillis = attempt.organisation().rateWaitMillis(ownAhead, nowMillis);
-    if (rateMillis > Math.max(0, leftMillis)) {
-      String detail = "The rates of " + attempt.organisation().name() + " leave no room for it.";
+    OrganisationState organisation = attempt.organisation();
+    long rateMillis =
+        organisation.rateWaitMillis(ownAhead, attempt.request().countedTokens(), nowMillis);
+    if (rateMillis > Math.max(0, attempt.expiresAt() - nowMillis)) {
+      String detail =
+          "The rates of "
+              + organisation.name()
+              + " leave no room for it: "
+              + organisation.describeLimits(nowMillis)
+              + ".";
       return Optional.of(Refusal.notRun(RefusalReason.ORGANISATION_RATE, detail, rateMillis));
     }
     double wait = waitMillis(attempt, nowMillis);
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
@@ -183,6 +183,7 @@
     count[lane] += sign;
     pressing[lane] += attempt.isPressing() ? sign : 0;
     work[lane] += sign * (double) attempt.request().promptTokens();
+    attempt.organisation().waitingTokens(sign * attempt.request().countedTokens());
   }
 
   /**
--- a/core/src/main/java/org/marjoramsail/core/routing/PoolConfiguration.java
+++ b/core/src/main/java/org/marjoramsail/core/routing/PoolConfiguration.java
@@ -52,7 +52,7 @@
           .service(upstream.service())
           .ifPresent(service -> known.add(withMemory(upstream, service.engines())));
     }
-    return new Configuration(revision, services, models, known, List.of(), List.of());
+    return new Configuration(revision, services, models, known, List.of(), routing.organisations());
   }
 
   private static UpstreamDefinition withMemory(
--- a/core/src/main/java/org/marjoramsail/core/routing/Route.java
+++ b/core/src/main/java/org/marjoramsail/core/routing/Route.java
@@ -17,6 +17,7 @@
  * @param priority its rank; zero is the most urgent
  * @param maximumSends how many upstreams one request may be sent to at most
  * @param services where its requests go; at least one
+ * @param anonymous whether callers without a key may use it
  */
 public record Route(
     String name,
@@ -29,13 +30,42 @@
     long gapTargetMillis,
     int priority,
     int maximumSends,
-    List<WeightedService> services) {
+    List<WeightedService> services,
+    boolean anonymous) {
 
   /** Copies the list, so that the value cannot change. */
   public Route {
     services = List.copyOf(services);
   }
 
+  /** A route that needs a key wherever the configuration has organisations. */
+  public Route(
+      String name,
+      String host,
+      String pathPrefix,
+      Repeatability repeatability,
+      boolean streaming,
+      long timeoutMillis,
+      long targetMillis,
+      long gapTargetMillis,
+      int priority,
+      int maximumSends,
+      List<WeightedService> services) {
+    this(
+        name,
+        host,
+        pathPrefix,
+        repeatability,
+        streaming,
+        timeoutMillis,
+        targetMillis,
+        gapTargetMillis,
+        priority,
+        maximumSends,
+        services,
+        false);
+  }
+
   /**
    * The service of one request.
    *
--- a/core/src/main/java/org/marjoramsail/core/routing/RoutingConfiguration.java
+++ b/core/src/main/java/org/marjoramsail/core/routing/RoutingConfiguration.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.marjoramsail.core.configuration.OrganisationDefinition;
+import org.marjoramsail.core.configuration.OrganisationKeys;
 
 /**
  * One version of the routes and services that an operator has put in force.
@@ -10,13 +12,38 @@
  * @param routes where requests go
  * @param services what they go to
  * @param bounds what callers may cost
+ * @param organisations who may call, and how much; empty where anybody may
+ * @param keys by which their callers are known
  */
 public record RoutingConfiguration(
-    long version, RouteTable routes, List<RoutedService> services, CallerBounds bounds) {
+    long version,
+    RouteTable routes,
+    List<RoutedService> services,
+    CallerBounds bounds,
+    List<OrganisationDefinition> organisations,
+    OrganisationKeys keys) {
 
   /** Copies the list, so that the value cannot change. */
   public RoutingConfiguration {
     services = List.copyOf(services);
+    organisations = List.copyOf(organisations);
+  }
+
+  /** A configuration that anybody may use as much as they like. */
+  public RoutingConfiguration(
+      long version, RouteTable routes, List<RoutedService> services, CallerBounds bounds) {
+    this(version, routes, services, bounds, List.of(), OrganisationKeys.NONE);
+  }
+
+  /** The same with organisations, whose callers alone may use it. */
+  public RoutingConfiguration withOrganisations(List<OrganisationDefinition> newer) {
+    return new RoutingConfiguration(
+        version, routes, services, bounds, newer, new OrganisationKeys(newer));
+  }
+
+  /** Whether callers have to show a key. */
+  public boolean isKeyed() {
+    return !organisations.isEmpty();
   }
 
   /** What is known of a service. */
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
@@ -0,0 +1,209 @@
+package org.marjoramsail.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.marjoramsail.core.placement.PlacementFixtures.ended;
+import static org.marjoramsail.core.placement.PlacementFixtures.granted;
+import static org.marjoramsail.core.placement.PlacementFixtures.limitedInTokens;
+import static org.marjoramsail.core.placement.PlacementFixtures.pool;
+import static org.marjoramsail.core.placement.PlacementFixtures.refused;
+import static org.marjoramsail.core.placement.PlacementFixtures.request;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.model.ServiceClass;
+
+/** Limits of organisations in tokens, over several owners and their successors. */
+class OrganisationRateTest {
+
+  private static final double PER_SECOND = 10_000;
+  private static final double BURST = 10_000;
+  private static final int REQUEST_TOKENS = 500;
+  private static final int UPSTREAMS = 8;
+
+  /** What platforms of these sizes allow beyond a limit: a tenth, and rather more than a burst. */
+  private static final double OVERSHOOT = 1.1;
+
+  private static final double SLACK = 1.25 * BURST;
+  private static final int WINDOW_SECONDS = 8;
+  private static final long STEP_MILLIS = 20;
+  private static final long SHARING_MILLIS = 500;
+
+  private final Configuration configuration =
+      pool(0, UPSTREAMS, 200, List.of(limitedInTokens("rosario", PER_SECOND, BURST)));
+
+  /**
+   * A desk sent four times what it may. Its requests were kept for a rate that its newer requests
+   * used up, and all were refused seconds later, when no clerk could use the answer any more.
+   */
+  @Test
+  void whatIsBeyondALimitIsToldAtOnceWithTheTimeToComeBack() {
+    ReservingPlacer placer = placer(false);
+    placer.tick(0);
+    List<PlacementResult> results = new ArrayList<>();
+    for (int number = 0; number < 60; number++) {
+      results.addAll(place(placer, "r" + number, 100));
+    }
+
+    assertThat(granted(results)).isNotEmpty();
+    assertThat(refused(results))
+        .isNotEmpty()
+        .allMatch(refused -> refused.refusal().reason() == RefusalReason.ORGANISATION_RATE)
+        .allMatch(refused -> refused.refusal().retryAfterMillis().orElseThrow() > 0);
+  }
+
+  /** The same request that is placed again after a failure was counted when it was first placed. */
+  @Test
+  void aRepeatIsNotCountedAgain() {
+    ReservingPlacer placer = placer(false);
+    placer.tick(0);
+    for (int number = 0; number < 100; number++) {
+      PlacementRequest first = request("r" + number).tokens(REQUEST_TOKENS - 10, 10).build();
+      PlacementRequest repeat =
+          new PlacementRequest(
+              first.request(),
+              2,
+              first.entry(),
+              first.service(),
+              first.organisation(),
+              first.rule(),
+              first.serviceClass(),
+              first.promptTokens(),
+              first.outputTokens(),
+              first.prefixHashes(),
+              0,
+              first.firstTokenWithinMillis(),
+              first.deadlineWithinMillis(),
+              first.avoid(),
+              first.kvHeldBy(),
+              first.alone(),
+              0,
+              first.pieces(),
+              0);
+
+      assertThat(granted(placer.place(repeat, 1_000 + number))).hasSize(1);
+    }
+  }
+
+  /**
+   * Hosts were restarted in turn while one organisation sent many times what it may: each new owner
+   * of a shard granted the whole burst once more, and engines got twice the limit.
+   */
+  @Property(tries = 30)
+  void ownersTogetherKeepToALimitWhoeverFollowsThem(
+      @ForAll long seed, @ForAll @IntRange(max = 2) int halvings) {
+    Grants grants = play(seed, 1 << halvings, true);
+
+    for (int second = WINDOW_SECONDS; second <= grants.seconds(); second++) {
+      assertThat(grants.tokensOfWindow(second))
+          .isLessThanOrEqualTo((PER_SECOND * WINDOW_SECONDS + BURST) * OVERSHOOT + SLACK);
+    }
+  }
+
+  /** An organisation that wants more than its limit gets nearly all of it, however it is spread. */
+  @Property(tries = 30)
+  void aLimitIsUsedUpWhereMoreIsWanted(@ForAll long seed, @ForAll @IntRange(max = 2) int halvings) {
+    Grants grants = play(seed, 1 << halvings, false);
+
+    assertThat(grants.tokensOfWindow(grants.seconds()))
+        .isGreaterThan(0.95 * PER_SECOND * WINDOW_SECONDS);
+  }
+
+  private Grants play(long seed, int shards, boolean successors) {
+    Random random = new Random(seed);
+    List<ReservingPlacer> owners = new ArrayList<>();
+    for (int shard = 0; shard < shards; shard++) {
+      owners.add(placer(shard, shards, false, 0));
+    }
+    Grants grants = new Grants();
+    int sequence = 0;
+    for (long now = 0; now < 20_000; now += STEP_MILLIS) {
+      if (now % SHARING_MILLIS == 0) {
+        share(owners, now);
+      }
+      if (successors && random.nextInt(200) == 0) {
+        int changed = random.nextInt(shards);
+        owners.set(changed, placer(changed, shards, true, now));
+      }
+      // Four times the limit, more of it for the first shard than for the last.
+      int wanted = (int) (4 * PER_SECOND * STEP_MILLIS / 1_000 / REQUEST_TOKENS) + 1;
+      for (int number = 0; number < wanted; number++) {
+        ReservingPlacer owner = owners.get(Math.min(shards - 1, random.nextInt(shards + 1)));
+        List<PlacementResult> results = place(owner, "r" + sequence++, now);
+        grants.count(granted(results).size(), now);
+        for (String name : granted(results)) {
+          grants.count(
+              granted(owner.report(ended(name, 1, AttemptResult.COMPLETED), now)).size(), now);
+        }
+      }
+      for (ReservingPlacer owner : owners) {
+        grants.count(granted(owner.tick(now)).size(), now);
+      }
+    }
+    return grants;
+  }
+
+  private static void share(List<ReservingPlacer> owners, long now) {
+    List<OrganisationUsageMessage> usages = owners.stream().map(owner -> owner.usage(now)).toList();
+    for (ReservingPlacer owner : owners) {
+      usages.forEach(usage -> owner.takeUsage(usage, now));
+    }
+  }
+
+  private static List<PlacementResult> place(ReservingPlacer placer, String name, long now) {
+    return placer.place(
+        request(name)
+            .serviceClass(ServiceClass.TIMELY)
+            .tokens(REQUEST_TOKENS - 10, 10)
+            .within(900, 14_000)
+            .build(),
+        now);
+  }
+
+  private ReservingPlacer placer(boolean takenOver) {
+    return placer(0, 1, takenOver, 0);
+  }
+
+  /** An owner of one of several shards, each of which could serve all that is wanted. */
+  private ReservingPlacer placer(int slice, int slices, boolean takenOver, long now) {
+    ShardId shard = new ShardId("lector", "litoral", slice);
+    PlacementSettings settings = PlacementSettings.defaults();
+    PlacerSetup setup = PlacementFixtures.setup(shard, configuration, takenOver);
+    return new ReservingPlacer(
+        new PlacerSetup(
+            shard,
+            configuration,
+            settings.withShardUpstreams(UPSTREAMS / slices),
+            setup.zoneOf(),
+            new Random(1),
+            takenOver),
+        now);
+  }
+
+  /** Tokens that were granted, by second. */
+  private static final class Grants {
+    private final List<Integer> tokens = new ArrayList<>();
+
+    void count(int granted, long now) {
+      int second = (int) (now / 1_000);
+      while (tokens.size() <= second) {
+        tokens.add(0);
+      }
+      tokens.set(second, tokens.get(second) + granted * REQUEST_TOKENS);
+    }
+
+    int seconds() {
+      return tokens.size();
+    }
+
+    double tokensOfWindow(int end) {
+      return tokens.subList(end - WINDOW_SECONDS, end).stream().mapToInt(each -> each).sum();
+    }
+  }
+}
--- a/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
@@ -93,6 +93,20 @@
     return new OrganisationDefinition(name, List.of(), List.of(), 1, concurrency, perSecond, 0);
   }
 
+  /** An organisation whose limit counts tokens. */
+  static OrganisationDefinition limitedInTokens(String name, double perSecond, double burst) {
+    return new OrganisationDefinition(
+        name,
+        List.of(),
+        List.of(),
+        perSecond,
+        0,
+        0,
+        perSecond,
+        Optional.of(burst),
+        Optional.empty());
+  }
+
   static PlacerSetup setup(ShardId shard, Configuration configuration, boolean takenOver) {
     return new PlacerSetup(
         shard,
@@ -264,7 +278,8 @@
           kvHeldBy,
           alone,
           0,
-          pieces);
+          pieces,
+          promptTokens + outputTokens);
     }
   }
 }
--- a/core/src/test/java/org/marjoramsail/core/placement/TimelyPlacementTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/TimelyPlacementTest.java
@@ -170,7 +170,8 @@
             Optional.empty(),
             false,
             content,
-            Pieces.SINGLE_TOKENS);
+            Pieces.SINGLE_TOKENS,
+            0);
     return placer.place(request, nowMillis);
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerTerms.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerTerms.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.daemon.forward;
 
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 
@@ -12,6 +13,7 @@
  * @param outputTokens how many tokens it generates at most; zero for a plain request
  * @param expectedTokens how many tokens the caller expects to be generated
  * @param resumeAfter the last event that the caller has of a broken stream; zero for none
+ * @param key what proves of which organisation the caller is; empty when it shows none
  */
 public record CallerTerms(
     String attempt,
@@ -19,4 +21,12 @@
     int promptTokens,
     int outputTokens,
     OptionalInt expectedTokens,
-    int resumeAfter) {}
+    int resumeAfter,
+    Optional<String> key) {
+
+  /** Leaves out the key, which no line of a log may hold. */
+  @Override
+  public String toString() {
+    return "attempt " + attempt + ", prompt " + promptTokens + ", output " + outputTokens;
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -124,7 +124,8 @@
             headers,
             Buffer.buffer(),
             false,
-            request.terms());
+            request.terms(),
+            request.organisation());
     ForwardCall unused =
         new ForwardCall(
                 peers.connections(),
@@ -225,7 +226,10 @@
     long leftMillis = Math.max(1, profile.deadlineAtMillis() - peers.clock().millis());
     peers
         .protocol()
-        .tell(headers, new SendTerms(target.name(), leftMillis, prefill, kv, resumeAfter));
+        .tell(
+            headers,
+            new SendTerms(
+                target.name(), leftMillis, prefill, kv, resumeAfter, request.organisation()));
     return new ForwardCall(peers.connections(), peers.protocol(), target, listener)
         .start(request, headers);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -16,6 +16,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.marjoramsail.core.configuration.OrganisationDefinition;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.model.Incarnation;
@@ -25,6 +26,8 @@
 import org.marjoramsail.core.outcome.Fingerprint;
 import org.marjoramsail.core.outcome.RequestProfile;
 import org.marjoramsail.core.routing.AnswerTimes;
+import org.marjoramsail.core.routing.CallerAccess;
+import org.marjoramsail.core.routing.CallerBounds;
 import org.marjoramsail.core.routing.ForwardingRules;
 import org.marjoramsail.core.routing.Route;
 import org.marjoramsail.core.routing.RoutingConfiguration;
@@ -161,7 +164,14 @@
       reject(request, terms, unknown);
       return;
     }
-    readBody(request, terms, route.get(), routing, receivedAtMillis);
+    CallerAccess access = CallerAccess.of(routing, route.get(), terms.key());
+    if (access.refusal().isPresent()) {
+      reject(request, terms, access.refusal().get());
+      return;
+    }
+    Arrival arrival =
+        new Arrival(request, terms, route.get(), access.organisation(), receivedAtMillis);
+    readBody(arrival, routing.bounds());
   }
 
   private Optional<Refusal> refusalOf(HttpServerRequest request) {
@@ -219,13 +229,9 @@
     return Optional.ofNullable(request.getHeader("host")).orElse("");
   }
 
-  private void readBody(
-      HttpServerRequest request,
-      CallerTerms terms,
-      Route route,
-      RoutingConfiguration routing,
-      long receivedAtMillis) {
-    long most = Math.min(LONGEST_BODY_BYTES, routing.bounds().bodyBytes());
+  private void readBody(Arrival arrival, CallerBounds bounds) {
+    HttpServerRequest request = arrival.request();
+    long most = Math.min(LONGEST_BODY_BYTES, bounds.bodyBytes());
     Buffer body = Buffer.buffer();
     request.handler(
         bytes -> {
@@ -233,18 +239,15 @@
           if (body.length() > most) {
             request.handler(ignored -> {});
             request.endHandler(ignored -> {});
-            reject(request, terms, tooLarge(body.length(), most));
+            reject(request, arrival.terms(), tooLarge(body.length(), most));
           }
         });
-    request.endHandler(ended -> register(request, terms, route, body, receivedAtMillis));
+    request.endHandler(ended -> register(arrival, body));
   }
 
-  private void register(
-      HttpServerRequest request,
-      CallerTerms terms,
-      Route route,
-      Buffer body,
-      long receivedAtMillis) {
+  private void register(Arrival arrival, Buffer body) {
+    HttpServerRequest request = arrival.request();
+    Route route = arrival.route();
     if (request.response().closed()) {
       return;
     }
@@ -260,8 +263,9 @@
             peers.protocol().forwarded(request.headers()),
             body,
             hasBody,
-            terms);
-    RequestProfile profile = profileOf(forwarded, route, receivedAtMillis);
+            arrival.terms(),
+            arrival.organisation().map(OrganisationDefinition::name));
+    RequestProfile profile = profileOf(forwarded, arrival);
     boolean streaming = route.streaming();
     ForwardExchange exchange =
         new ForwardExchange(exchangePeers, forwarded, profile, request, streaming);
@@ -282,8 +286,10 @@
     request.response().closeHandler(closed -> handle.callerGone());
   }
 
-  private RequestProfile profileOf(ForwardedRequest request, Route route, long receivedAtMillis) {
-    CallerTerms terms = request.terms();
+  private RequestProfile profileOf(ForwardedRequest request, Arrival arrival) {
+    CallerTerms terms = arrival.terms();
+    Route route = arrival.route();
+    long receivedAtMillis = arrival.receivedAtMillis();
     boolean generation = route.streaming() && terms.promptTokens() > 0;
     String service = route.serviceFor(Fingerprint.of(terms.attempt(), new byte[0]));
     int outputTokens =
@@ -294,7 +300,7 @@
         new RequestId(terms.attempt() + "." + peers.daemon().host() + "." + sequence++),
         peers.daemon(),
         service,
-        route.host(),
+        request.organisation().orElse(route.host()),
         route.name(),
         ServiceClass.TIMELY,
         route.repeatability(),
@@ -307,9 +313,21 @@
         receivedAtMillis,
         ForwardingRules.targetAtMillis(route, receivedAtMillis),
         ForwardingRules.deadlineAtMillis(route, receivedAtMillis, terms.withinMillis()),
-        new Pieces(peers.tokensPerEvent().apply(service), route.gapTargetMillis()));
+        new Pieces(peers.tokensPerEvent().apply(service), route.gapTargetMillis()),
+        arrival
+            .organisation()
+            .map(holder -> holder.countedTokens(terms.promptTokens(), terms.outputTokens()))
+            .orElse(0));
   }
 
+  /** A request whose head was accepted. */
+  private record Arrival(
+      HttpServerRequest request,
+      CallerTerms terms,
+      Route route,
+      Optional<OrganisationDefinition> organisation,
+      long receivedAtMillis) {}
+
   private static long fingerprint(String service, ForwardedRequest request) {
     String line = request.method() + " " + request.uri() + "\n";
     Buffer whole = Buffer.buffer(line).appendBuffer(request.body());
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardedRequest.java
@@ -3,6 +3,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import java.util.Optional;
 
 /**
  * A caller's request as upstreams get it.
@@ -14,6 +15,7 @@
  * @param body the whole body
  * @param hasBody whether the caller sent a body, be it empty
  * @param terms what the caller says of it
+ * @param organisation whose request it is; empty where callers need no key
  */
 record ForwardedRequest(
     HttpMethod method,
@@ -22,4 +24,5 @@
     MultiMap headers,
     Buffer body,
     boolean hasBody,
-    CallerTerms terms) {}
+    CallerTerms terms,
+    Optional<String> organisation) {}
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -76,6 +76,11 @@
     }
     routing = Optional.of(newer);
     LOG.atInfo().addKeyValue("version", newer.version()).log("routes in force");
+    for (String organisation : newer.keys().withKeysOfOthers()) {
+      LOG.atWarn()
+          .addKeyValue("organisation", organisation)
+          .log("organisation states a key that another one holds");
+    }
     publish();
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/SendTerms.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/SendTerms.java
@@ -12,10 +12,12 @@
  * @param prefill whether only the prompt is to be read
  * @param kv where the KV cache of the prompt is
  * @param resumeAfter the last event that the caller has; zero for none
+ * @param organisation whose request it is; empty where that is not known
  */
 public record SendTerms(
     UpstreamName upstream,
     long leftMillis,
     boolean prefill,
     Optional<KvLocation> kv,
-    int resumeAfter) {}
+    int resumeAfter,
+    Optional<String> organisation) {}
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/ConfiguredShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/ConfiguredShards.java
@@ -21,6 +21,7 @@
 import org.marjoramsail.core.placement.PlacerSetup;
 import org.marjoramsail.core.placement.ShardId;
 import org.marjoramsail.core.placement.ShardMap;
+import org.marjoramsail.core.placement.UsageSharing;
 import org.marjoramsail.core.time.Clock;
 
 /** Shards as the newest configuration and the newest view of the daemons make them. */
@@ -129,7 +130,11 @@
             daemon -> Optional.ofNullable(seen.zones().get(daemon)),
             random,
             policy.isSharedOwner() && current.view().members().size() > 1);
-    return policy.create(setup, clock.millis());
+    Placer placer = policy.create(setup, clock.millis());
+    if (placer instanceof UsageSharing sharing) {
+      sharing.fleetShare(current.view().budgetShare(), clock.millis());
+    }
+    return placer;
   }
 
   @Override
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.failure.Refusal;
@@ -171,6 +172,8 @@
       back.removeAll(reachable);
       reachable = now;
     }
+    double share = view.budgetShare();
+    informSharing((sharing, millis) -> sharing.fleetShare(share, millis));
     gone.forEach(owned::daemonGone);
     back.forEach(owned::daemonBack);
     tickEntry();
@@ -277,10 +280,14 @@
 
   /** Handles what the owner of another shard told. */
   public void heardUsage(OrganisationUsageMessage usage) {
+    informSharing((sharing, now) -> sharing.takeUsage(usage, now));
+  }
+
+  private void informSharing(ObjLongConsumer<UsageSharing> fact) {
     owned.informAll(
         (placer, now) -> {
           if (placer instanceof UsageSharing sharing) {
-            sharing.takeUsage(usage, now);
+            fact.accept(sharing, now);
           }
           return List.of();
         });
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
@@ -53,8 +53,8 @@
     return ledger.tick(nowMillis);
   }
 
-  synchronized Optional<OrganisationUsageMessage> usage() {
-    return ledger.usage();
+  synchronized Optional<OrganisationUsageMessage> usage(long nowMillis) {
+    return ledger.usage(nowMillis);
   }
 
   synchronized boolean isEmpty() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -109,7 +109,11 @@
 
   /** What the owners of other shards should hear of the organisations in each shard here. */
   List<OrganisationUsageMessage> usages() {
-    return shards.values().stream().map(OwnedShard::usage).flatMap(Optional::stream).toList();
+    long now = clock.millis();
+    return shards.values().stream()
+        .map(shard -> shard.usage(now))
+        .flatMap(Optional::stream)
+        .toList();
   }
 
   List<ShardView> views() {
