Owners of shards hold whole rates and count what the others start

Cause: each owner held a share of an organisation's rate by the demand it had seen.

Change: each owner holds the whole rate, and takes off what the others have started since they told last. Counts only rise, so that a lost message is made good by the next; another owner of a shard begins anew.

Ruled out: an even share at least (adds up to more than the limit with each further shard).

--- a/command/src/main/java/org/marjoramsail/command/capacity/PlacementMessages.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/PlacementMessages.java
@@ -95,9 +95,10 @@
     List<OrganisationUsageMessage.Usage> usages =
         IntStream.range(0, organisations)
             .mapToObj(
-                number -> new OrganisationUsageMessage.Usage("organisation-" + number, 10, 10_000))
+                number ->
+                    new OrganisationUsageMessage.Usage("organisation-" + number, 10, 100, 10_000))
             .toList();
-    return new OrganisationUsageMessage(TargetShard.SHARD, usages);
+    return new OrganisationUsageMessage(TargetShard.SHARD, 0, usages);
   }
 
   private static PlacementMessage.Holding holding(RequestId request) {
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
@@ -14,9 +14,6 @@
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final double RATE_WINDOW_MILLIS = 10_000;
 
-  /** Over how long demand is measured by which limits are divided between shards. */
-  private static final double DEMAND_WINDOW_MILLIS = 2_000;
-
   private final String name;
   private final OrganisationLane[] lanes = new OrganisationLane[WaitingQueue.LANES];
   private final TokenBucket requests;
@@ -30,17 +27,21 @@
   private double burst;
   private int running;
   private double waitingTokens;
-  private double wantedTokens;
-  private long wantedAt;
+  private long startedRequests;
+  private long startedTokens;
   private double recentRequests;
   private double recentTokens;
   private long recentAt;
 
-  /** Creates one without demand; see {@link TokenBucket} for what a former owner changes. */
-  OrganisationState(String name, boolean isTakenOver) {
+  /**
+   * Creates one without demand.
+   *
+   * @param takenOverAt when its shard was taken over from another owner; see {@link TokenBucket}
+   */
+  OrganisationState(String name, Optional<Long> takenOverAt) {
     this.name = name;
-    this.requests = new TokenBucket(isTakenOver);
-    this.tokens = new TokenBucket(isTakenOver);
+    this.requests = takenOverAt.map(TokenBucket::emptyAt).orElseGet(TokenBucket::full);
+    this.tokens = takenOverAt.map(TokenBucket::emptyAt).orElseGet(TokenBucket::full);
     for (int lane = 0; lane < WaitingQueue.LANES; lane++) {
       lanes[lane] = new OrganisationLane(this);
     }
@@ -88,36 +89,52 @@
   }
 
   /**
-   * Sets this shard's share of each limit: its demand over that of all shards.
+   * Sets what this shard may use of each limit.
    *
-   * <p>Each shard counts for a little without demand, so that shares add up to at most one where
-   * all know the same demands. A share of concurrency is at least one, else an organisation with a
-   * low limit and many shards would never run.
+   * <p>Of concurrency it has a share by demand: what it has running over that of all shards. Each
+   * shard counts for a little without demand, so that shares add up to at most one where all know
+   * the same demands. A share is at least one, else an organisation with a low limit and many
+   * shards would never run.
    *
-   * @param others what it wants in other shards
-   * @param bounds what else holds for the shares of rates
+   * <p>Rates are not divided: requests of one organisation come to a shard seconds apart, and a
+   * shard that has had none for a while would refuse the first of the next ones. Each shard holds
+   * the whole rate and takes off what {@linkplain #startedElsewhere others} start.
+   *
+   * @param elsewhere attempts that run or wait in other shards
+   * @param fleetShare which part of a rate the daemons may spend that see each other
    */
-  void share(Demand others, int shardCount, ShareBounds bounds, long nowMillis) {
-    double floors = (shardCount - 1) * DEMAND_FLOOR;
-    double own = running + waiting() + DEMAND_FLOOR;
-    double share = own / (own + others.attempts() + floors);
+  void share(int elsewhere, int shardCount, double fleetShare) {
+    double own = demand() + DEMAND_FLOOR;
+    double share = own / (own + elsewhere + (shardCount - 1) * DEMAND_FLOOR);
     concurrencyShare = Math.max(1, (int) Math.floor(maximumConcurrency * share + 1e-9));
-    double requestShare = bounds.apply(share);
-    requests.limit(requestsPerSecond * requestShare, burst * requestShare);
-    double ownTokens = wantedTokens(nowMillis) + DEMAND_FLOOR;
-    double tokenShare = bounds.apply(ownTokens / (ownTokens + others.tokensPerSecond() + floors));
-    tokens.limit(tokensPerSecond * tokenShare, burst * tokenShare);
+    requests.limit(requestsPerSecond * fleetShare, burst * fleetShare);
+    tokens.limit(tokensPerSecond * fleetShare, burst * fleetShare);
+  }
+
+  /** Attempts that run or wait here. */
+  int demand() {
+    return running + waiting();
   }
 
-  /** What it wants in this shard. */
-  Demand demand(long nowMillis) {
-    return new Demand(running + waiting(), (int) Math.ceil(wantedTokens(nowMillis)));
+  /** Counts what another shard started against the rates that both hold. */
+  void startedElsewhere(long requestCount, long tokenCount, long nowMillis) {
+    requests.take((double) requestCount, nowMillis);
+    tokens.take((double) tokenCount, nowMillis);
   }
 
-  /** Counts a new attempt into what it wants. */
-  void wants(int tokenCount, long nowMillis) {
-    wantedTokens = wantedTokens(nowMillis) + tokenCount * MILLIS_PER_SECOND / DEMAND_WINDOW_MILLIS;
-    wantedAt = nowMillis;
+  /** Requests that were started here since this owner began. */
+  long startedRequests() {
+    return startedRequests;
+  }
+
+  /** What these counted for in tokens. */
+  long startedTokens() {
+    return startedTokens;
+  }
+
+  /** Whether so much of a rate is used that other shards have to hear of each start soon. */
+  boolean isPressed(long nowMillis) {
+    return requests.isHalfUsed(nowMillis) || tokens.isHalfUsed(nowMillis);
   }
 
   /** Counts an attempt that begins or, with a negative number, ceases to wait. */
@@ -125,10 +142,6 @@
     waitingTokens += change;
   }
 
-  private double wantedTokens(long nowMillis) {
-    return wantedTokens * Math.exp(-Math.max(0, nowMillis - wantedAt) / DEMAND_WINDOW_MILLIS);
-  }
-
   /** What keeps it from starting one more attempt now. */
   Optional<MissingResource> missing(long nowMillis) {
     if (maximumConcurrency > 0 && running >= concurrencyShare) {
@@ -166,6 +179,8 @@
 
   void started(int tokenCount, long nowMillis) {
     running++;
+    startedRequests++;
+    startedTokens += tokenCount;
     requests.take(1, nowMillis);
     tokens.take(tokenCount, nowMillis);
     decay(nowMillis);
@@ -196,35 +211,6 @@
     recentAt = nowMillis;
   }
 
-  /**
-   * What bounds the share of one shard beside demand.
-   *
-   * @param largest the most that the shard may take of what the fleet may
-   * @param fleet which part of a limit the daemons may spend that see each other
-   */
-  record ShareBounds(double largest, double fleet) {
-
-    double apply(double share) {
-      return Math.min(share, largest) * fleet;
-    }
-  }
-
-  /**
-   * What an organisation wants in some shards.
-   *
-   * @param attempts attempts that run or wait
-   * @param tokensPerSecond tokens that its attempts of late count for, each second
-   */
-  record Demand(int attempts, int tokensPerSecond) {
-
-    /** None. */
-    static final Demand NONE = new Demand(0, 0);
-
-    Demand plus(Demand other) {
-      return new Demand(attempts + other.attempts, tokensPerSecond + other.tokensPerSecond);
-    }
-  }
-
   /** The attempts of one organisation in one lane, in their order of service. */
   static final class OrganisationLane {
 
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationTable.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationTable.java
@@ -9,35 +9,34 @@
 import java.util.stream.Collectors;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.configuration.OrganisationDefinition;
-import org.marjoramsail.core.placement.OrganisationState.Demand;
-import org.marjoramsail.core.placement.OrganisationState.ShareBounds;
+import org.marjoramsail.core.placement.OrganisationUsageMessage.Usage;
 
-/** The organisations of one shard and this shard's shares of their limits. */
+/** The organisations of one shard and this shard's part in their limits. */
 final class OrganisationTable {
 
-  /** Usage of another shard counts for that long after it was told. */
+  /** Demand of another shard counts for that long after it was told. */
   private static final long USAGE_MILLIS = 5_000;
 
-  /**
-   * How long an owner that takes over keeps to an even share: it has not heard of the usage of
-   * other shards, and would take the whole of each limit for its own. Longer than owners take to
-   * tell each other twice.
-   */
-  private static final long SETTLING_MILLIS = 1_000;
+  /** How often usage is told while every organisation is well below its rates. */
+  private static final long QUIET_MILLIS = 1_000;
+
+  private static final Usage NOTHING = new Usage("", 0, 0, 0);
 
   private final ShardId shard;
-  private final boolean isTakenOver;
-  private final long settledAt;
+  private final Optional<Long> takenOverAt;
+  private final long sinceMillis;
   private final Map<String, OrganisationState> byName = new TreeMap<>();
-  private final Map<ShardId, TakenUsage> others = new HashMap<>();
+  private final Map<ShardId, HeardUsage> others = new HashMap<>();
   private Map<String, OrganisationDefinition> definitions = Map.of();
   private int shardCount = 1;
   private double fleetShare = 1;
+  private long toldAt;
 
   OrganisationTable(ShardId shard, boolean isTakenOver, long nowMillis) {
     this.shard = shard;
-    this.isTakenOver = isTakenOver;
-    this.settledAt = isTakenOver ? nowMillis + SETTLING_MILLIS : nowMillis;
+    this.takenOverAt = isTakenOver ? Optional.of(nowMillis) : Optional.empty();
+    this.sinceMillis = nowMillis;
+    this.toldAt = nowMillis;
   }
 
   void configure(Configuration configuration, int newShardCount) {
@@ -53,61 +52,80 @@
     fleetShare = share;
   }
 
-  OrganisationState of(String name, long nowMillis) {
-    return byName.computeIfAbsent(name, unknown -> create(unknown, nowMillis));
+  OrganisationState of(String name) {
+    return byName.computeIfAbsent(name, this::create);
   }
 
   List<OrganisationState> all() {
     return List.copyOf(byName.values());
   }
 
-  /** What the owners of other shards should know. */
+  /**
+   * What the owners of other shards should hear now: usage of organisations with limits, every
+   * second, and at once where one of them nears a rate.
+   */
   OrganisationUsageMessage usage(long nowMillis) {
-    List<OrganisationUsageMessage.Usage> usages = new ArrayList<>();
+    List<Usage> usages = new ArrayList<>();
+    boolean isDue = nowMillis - toldAt >= QUIET_MILLIS;
     for (OrganisationState organisation : byName.values()) {
-      Demand demand = organisation.demand(nowMillis);
-      if (organisation.isLimited() && !demand.equals(Demand.NONE)) {
+      if (organisation.isLimited()) {
         usages.add(
-            new OrganisationUsageMessage.Usage(
-                organisation.name(), demand.attempts(), demand.tokensPerSecond()));
+            new Usage(
+                organisation.name(),
+                organisation.demand(),
+                organisation.startedRequests(),
+                organisation.startedTokens()));
+        isDue |= organisation.isPressed(nowMillis);
       }
     }
-    return new OrganisationUsageMessage(shard, usages);
+    if (!isDue) {
+      return new OrganisationUsageMessage(shard, sinceMillis, List.of());
+    }
+    toldAt = nowMillis;
+    return new OrganisationUsageMessage(shard, sinceMillis, usages);
   }
 
+  /** Handles what the owner of another shard told. */
   void take(OrganisationUsageMessage message, long nowMillis) {
-    if (!message.shard().equals(shard)) {
-      others.put(message.shard(), new TakenUsage(message, nowMillis));
+    if (message.shard().equals(shard)) {
+      return;
+    }
+    HeardUsage before = others.get(message.shard());
+    boolean isSameOwner = before != null && before.ownerSinceMillis() == message.ownerSinceMillis();
+    Map<String, Usage> known = isSameOwner ? before.byOrganisation() : new HashMap<>();
+    for (Usage usage : message.usages()) {
+      Usage told = known.put(usage.organisation(), usage);
+      Usage last = told == null ? NOTHING : told;
+      of(usage.organisation())
+          .startedElsewhere(
+              Math.max(0, usage.startedRequests() - last.startedRequests()),
+              Math.max(0, usage.startedTokens() - last.startedTokens()),
+              nowMillis);
     }
+    others.put(message.shard(), new HeardUsage(message.ownerSinceMillis(), known, nowMillis));
   }
 
   /** Works out the shares again, and forgets organisations without demand or limits. */
   void refresh(long nowMillis) {
-    others.values().removeIf(taken -> nowMillis - taken.atMillis() > USAGE_MILLIS);
-    Map<String, Demand> demand = new HashMap<>();
-    for (TakenUsage taken : others.values()) {
-      for (OrganisationUsageMessage.Usage usage : taken.message().usages()) {
-        demand.merge(
-            usage.organisation(),
-            new Demand(usage.demand(), usage.tokensPerSecond()),
-            Demand::plus);
+    Map<String, Integer> demand = new HashMap<>();
+    for (HeardUsage heard : others.values()) {
+      if (nowMillis - heard.atMillis() <= USAGE_MILLIS) {
+        heard
+            .byOrganisation()
+            .values()
+            .forEach(usage -> demand.merge(usage.organisation(), usage.demand(), Integer::sum));
       }
     }
     byName.values().removeIf(organisation -> organisation.isIdle() && !organisation.isLimited());
     for (OrganisationState organisation : byName.values()) {
-      Demand others = demand.getOrDefault(organisation.name(), Demand.NONE);
-      organisation.share(others, shardCount, bounds(nowMillis), nowMillis);
+      organisation.share(demand.getOrDefault(organisation.name(), 0), shardCount, fleetShare);
     }
   }
 
-  private ShareBounds bounds(long nowMillis) {
-    return new ShareBounds(nowMillis < settledAt ? 1.0 / shardCount : 1, fleetShare);
-  }
-
-  private OrganisationState create(String name, long nowMillis) {
-    OrganisationState organisation = new OrganisationState(name, isTakenOver);
+  private OrganisationState create(String name) {
+    OrganisationState organisation = new OrganisationState(name, takenOverAt);
     organisation.define(definitionOf(organisation));
-    organisation.share(Demand.NONE, shardCount, bounds(nowMillis), nowMillis);
+    organisation.share(0, shardCount, fleetShare);
     return organisation;
   }
 
@@ -115,5 +133,6 @@
     return Optional.ofNullable(definitions.get(organisation.name()));
   }
 
-  private record TakenUsage(OrganisationUsageMessage message, long atMillis) {}
+  private record HeardUsage(
+      long ownerSinceMillis, Map<String, Usage> byOrganisation, long atMillis) {}
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationUsageMessage.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationUsageMessage.java
@@ -7,9 +7,12 @@
  * What organisations with limits use and want in one shard; its owner tells the other owners.
  *
  * @param shard whose usage
+ * @param ownerSinceMillis when its owner began, on the clock of that owner; another value means
+ *     another owner, whose counts begin at zero
  * @param usages one for each organisation with demand
  */
-public record OrganisationUsageMessage(ShardId shard, List<Usage> usages) implements PeerMessage {
+public record OrganisationUsageMessage(ShardId shard, long ownerSinceMillis, List<Usage> usages)
+    implements PeerMessage {
 
   /** Copies the list, so that the value cannot change. */
   public OrganisationUsageMessage {
@@ -17,11 +20,13 @@
   }
 
   /**
-   * The demand of one organisation.
+   * The usage of one organisation. Counts only rise, so that a message that is lost is made good by
+   * the next.
    *
    * @param organisation its name
    * @param demand attempts that run or wait
-   * @param tokensPerSecond tokens that its attempts of late count for, each second
+   * @param startedRequests attempts that its owner has started
+   * @param startedTokens what these counted for in tokens
    */
-  public record Usage(String organisation, int demand, int tokensPerSecond) {}
+  public record Usage(String organisation, int demand, long startedRequests, long startedTokens) {}
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -126,7 +126,7 @@
       return List.of();
     }
     forget(request.request(), nowMillis);
-    OrganisationState organisation = organisations.of(request.organisation(), nowMillis);
+    OrganisationState organisation = organisations.of(request.organisation());
     long bytes = selector.transferBytes(request);
     ledger.restore(request, grant, phase, organisation, bytes, nowMillis);
     count(PlacementCounter.RESTORED);
@@ -337,8 +337,7 @@
     if (request.serviceClass() == ServiceClass.QUICK) {
       selector.quickSeen(nowMillis);
     }
-    OrganisationState organisation = organisations.of(request.organisation(), nowMillis);
-    organisation.wants(request.countedTokens(), nowMillis);
+    OrganisationState organisation = organisations.of(request.organisation());
     WaitingAttempt attempt =
         new WaitingAttempt(
             request,
--- a/core/src/main/java/org/marjoramsail/core/placement/TokenBucket.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/TokenBucket.java
@@ -18,12 +18,21 @@
   private double burst;
   private double credit;
   private long filledAt;
-  private final boolean startsEmpty;
-  private boolean fresh = true;
+  private boolean fresh;
 
-  /** Creates a bucket without a limit, which will be full or empty when it gets one. */
-  TokenBucket(boolean startsEmpty) {
-    this.startsEmpty = startsEmpty;
+  private TokenBucket(boolean fresh, long filledAt) {
+    this.fresh = fresh;
+    this.filledAt = filledAt;
+  }
+
+  /** Creates a bucket without a limit, which is full when it gets one. */
+  static TokenBucket full() {
+    return new TokenBucket(true, 0);
+  }
+
+  /** Creates a bucket without a limit, which was empty at some time. */
+  static TokenBucket emptyAt(long millis) {
+    return new TokenBucket(false, millis);
   }
 
   /**
@@ -64,10 +73,15 @@
     return credit;
   }
 
+  /** Whether less than half of what may be saved up is left. */
+  boolean isHalfUsed(long nowMillis) {
+    return perSecond > 0 && credit(nowMillis) < burst / 2;
+  }
+
   private void fill(long nowMillis) {
     double gained = (nowMillis - filledAt) / MILLIS_PER_SECOND * perSecond;
     if (fresh) {
-      gained = startsEmpty ? 0 : burst;
+      gained = burst;
       fresh = false;
     }
     filledAt = Math.max(filledAt, nowMillis);
--- a/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
@@ -33,7 +33,7 @@
   private static final double SLACK = 1.25 * BURST;
   private static final int WINDOW_SECONDS = 8;
   private static final long STEP_MILLIS = 20;
-  private static final long SHARING_MILLIS = 500;
+  private static final long SHARING_MILLIS = 200;
 
   private final Configuration configuration =
       pool(0, UPSTREAMS, 200, List.of(limitedInTokens("rosario", PER_SECOND, BURST)));
@@ -58,6 +58,36 @@
         .allMatch(refused -> refused.refusal().retryAfterMillis().orElseThrow() > 0);
   }
 
+  /**
+   * A small desk sent a request every other second, in turn to two owners. Each owner had kept the
+   * share of its limit that the desk had used there of late, which was none, and refused it.
+   */
+  @Test
+  void requestsThatAreFarApartAreNotRefusedBelowTheLimit() {
+    List<ReservingPlacer> owners = List.of(placer(0, 2, true, 0), placer(1, 2, true, 0));
+    List<PlacementResult> results = new ArrayList<>();
+    for (int number = 0; number < 20; number++) {
+      long now = 2_000 + number * 2_000L;
+      for (long tick = now - 2_000; tick <= now; tick += SHARING_MILLIS) {
+        for (ReservingPlacer owner : owners) {
+          results.addAll(owner.tick(tick));
+        }
+        share(owners, tick);
+      }
+      PlacementRequest large =
+          request("r" + number)
+              .serviceClass(ServiceClass.TIMELY)
+              .tokens(8_000, 200)
+              .within(900, 14_000)
+              .build();
+      ReservingPlacer owner = owners.get(number % 2);
+      results.addAll(owner.place(large, now));
+      owner.report(ended("r" + number, 1, AttemptResult.COMPLETED), now);
+    }
+
+    assertThat(granted(results)).hasSize(20);
+  }
+
   /** The same request that is placed again after a failure was counted when it was first placed. */
   @Test
   void aRepeatIsNotCountedAgain() {
--- a/core/src/test/java/org/marjoramsail/core/placement/ReservingPlacerTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ReservingPlacerTest.java
@@ -351,10 +351,10 @@
   @Test
   void ownersDivideALimitByTheirDemand() {
     ReservingPlacer placer = placer(pool(0, 2, 8, List.of(organisation("rosario", 4, 0))));
-    OrganisationUsageMessage.Usage usage = new OrganisationUsageMessage.Usage("rosario", 8, 0);
+    OrganisationUsageMessage.Usage usage = new OrganisationUsageMessage.Usage("rosario", 8, 0, 0);
     placer.place(request("r1").tokens(50, 10).build(), 0);
     placer.takeUsage(
-        new OrganisationUsageMessage(new ShardId("lector", "litoral", 1), List.of(usage)), 1);
+        new OrganisationUsageMessage(new ShardId("lector", "litoral", 1), 0, List.of(usage)), 1);
     placer.tick(2);
 
     assertThat(granted(placer.place(request("r2").tokens(50, 10).build(), 3))).isEmpty();
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/PlacementParts.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/PlacementParts.java
@@ -33,7 +33,7 @@
   private static final long OWNER_TICK_MILLIS = 5;
   private static final long OWNER_REST_MILLIS = 50;
   private static final long ENTRY_TICK_MILLIS = 100;
-  private static final long USAGE_MILLIS = 2_000;
+  private static final long USAGE_MILLIS = 500;
   private static final long AVAILABILITY_MILLIS = 500;
 
   /** How many polls in a row have to fail before an upstream counts as unreachable. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -260,7 +260,7 @@
 
   /**
    * Tells the owners of other shards what organisations use here, so that limits hold over all
-   * shards; called every other second.
+   * shards; called some times a second, and most calls send nothing.
    */
   public void shareUsage() {
     List<OrganisationUsageMessage> usages = owned.usages();
