--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/ForwardingSettings.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/ForwardingSettings.java
@@ -15,6 +15,8 @@
  * @param configurationMillis within which time a change of the configuration has to be in force
  * @param drainMillis after which time an upstream that leaves must get no new work
  * @param fenced whether upstreams refuse orders that carry an old fencing token
+ * @param warmUp whether the request path is run before the first caller is served; for a start that
+ *     nobody waits for
  */
 public record ForwardingSettings(
     Endpoint ready,
@@ -26,7 +28,8 @@
     double recoveryMillis,
     double configurationMillis,
     double drainMillis,
-    boolean fenced) {
+    boolean fenced,
+    boolean warmUp) {
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsDecoder.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsDecoder.java
@@ -149,7 +149,8 @@
         PlatformBound.RECOVERY_MILLIS.read(fields),
         PlatformBound.CONFIGURATION_MILLIS.read(fields),
         PlatformBound.DRAIN_MILLIS.read(fields),
-        fields.flag("fenced"));
+        fields.flag("fenced"),
+        fields.optionalFlag("warmUp").orElse(false));
   }
 
   private static Map<String, String> regions(SettingsFields fields)
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsFields.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsFields.java
@@ -99,6 +99,10 @@
     return clear(value.booleanValue(), value.isBoolean());
   }
 
+  Optional<Boolean> optionalFlag(String field) throws UnclearSettingsException {
+    return given(field).isPresent() ? Optional.of(flag(field)) : Optional.empty();
+  }
+
   double number(String field, double lowest, double highest) throws UnclearSettingsException {
     JsonNode value = needed(field);
     double number = value.doubleValue();
