Daemons of a large fleet ping few others

Cause: each daemon pinged all others in turn, so that 77 hosts opened, proved and kept 2,926 connections before the first request, with nothing to say on most.

Change: hosts stand in a circle by the hash of their names, and each pings those at distances of a power of two. Fleets of eight or fewer ping all, as before.

Two ways: all in turn (stood); powers of two. Neighbours on both sides alone were ruled out: news would take as many steps as the circle is long.

--- a/core/src/main/java/org/marjoramsail/core/membership/ProbeSchedule.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/ProbeSchedule.java
@@ -1,7 +1,6 @@
 package org.marjoramsail.core.membership;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Collections;
 import java.util.Deque;
 import java.util.List;
@@ -10,8 +9,9 @@
 import org.marjoramsail.core.model.DaemonId;
 
 /**
- * Whom to ping next in the own region, and the ping that is under way. Each daemon is pinged once
- * in a round of random order, so that the time to the next ping of any is bounded.
+ * Whom to ping next in the own region, and the ping that is under way. Each of {@linkplain
+ * ProbeNeighbours a few daemons} is pinged once in a round of random order, so that the time to the
+ * next ping of any is bounded.
  */
 final class ProbeSchedule {
 
@@ -58,7 +58,8 @@
   /** The next host of the round that is still among those that can be pinged. */
   Optional<MemberEntry> next(MemberTable table) {
     if (round.isEmpty()) {
-      List<String> hosts = new ArrayList<>(table.reachableIn(table.self().update().region()));
+      MemberUpdate self = table.self().update();
+      List<String> hosts = ProbeNeighbours.of(self.host(), table.reachableIn(self.region()));
       shuffle(hosts);
       round.addAll(hosts);
     }
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/membership/SparseProbesTest.java
@@ -0,0 +1,77 @@
+package org.marjoramsail.core.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.marjoramsail.core.model.DaemonId;
+
+/** What it costs the daemons of a large fleet to watch each other, and how fast news spread. */
+class SparseProbesTest {
+
+  private static final long SECOND = 1_000;
+
+  /** Within this time after a fault a host of a fleet of this size may be behind. */
+  private static final long RECOVERY_MILLIS = 4_000;
+
+  /**
+   * Seventy-seven hosts started at once. Each opened connections to all others, only to ask them
+   * whether they lived, and had spent half of its processor time before the first caller came.
+   */
+  @ParameterizedTest
+  @CsvSource({"30, 1", "77, 2", "100, 3", "300, 4"})
+  void aDaemonOfALargeFleetTalksToFewOthers(int daemons, long seed) {
+    VirtualFleet fleet = fleet(daemons, seed);
+    fleet.run(20 * SECOND);
+    Map<String, Set<String>> talkedTo = new HashMap<>();
+    fleet.cut(
+        (from, to) -> {
+          talkedTo.computeIfAbsent(from.host(), unused -> new HashSet<>()).add(to.host());
+          return false;
+        });
+    fleet.run(10 * SECOND);
+
+    int few = Integer.SIZE - Integer.numberOfLeadingZeros(daemons);
+    assertThat(talkedTo).hasSize(daemons);
+    // Those that it pings, those that ping it, and now and then one whose whole table it compares.
+    assertThat(talkedTo.values()).allMatch(others -> others.size() <= 2 * few + 2);
+  }
+
+  /** A host lost its power; requests went on to it from hosts that had not heard of its death. */
+  @ParameterizedTest
+  @CsvSource({"30, 1", "30, 2", "77, 3", "77, 4", "77, 5", "100, 6", "100, 7"})
+  void allOfALargeFleetKnowOfADeathInTime(int daemons, long seed) {
+    VirtualFleet fleet = fleet(daemons, seed);
+    fleet.run(20 * SECOND);
+    assertThat(fleet.running())
+        .allMatch(viewer -> fleet.view(viewer.host()).members().size() == daemons);
+
+    fleet.kill("host-7");
+    fleet.run(RECOVERY_MILLIS);
+
+    List<DaemonId> unaware =
+        fleet.running().stream()
+            .filter(
+                viewer ->
+                    fleet.belief(viewer.host(), "host-7").equals(Optional.of(MemberState.ALIVE)))
+            .toList();
+    assertThat(unaware).isEmpty();
+  }
+
+  private static VirtualFleet fleet(int daemons, long seed) {
+    VirtualFleet fleet =
+        new VirtualFleet(
+            MembershipSettings.defaults(), new SplittableRandom(seed), (from, message) -> {});
+    for (int number = 0; number < daemons; number++) {
+      fleet.start("host-" + number, "zone-" + number % 3, "region");
+    }
+    return fleet;
+  }
+}
