Hosts with the greatest processors own the pools

Cause: an owner was drawn by hash among all hosts.

Change: the platform says what a host gives of a processor; daemons tell each other, and those with half of the greatest or more come first in the ranking of owners, by hash among themselves.

Ruled out: weights in the hash (six large hosts among seventy would own a quarter of the pools).

Tests: hostsWithTheGreatestProcessorsOwnShardsWhileThereAreAny, hostsWithLikeProcessorsShareTheShards.

--- a/core/src/main/java/org/marjoramsail/core/membership/Member.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/Member.java
@@ -11,6 +11,8 @@
  * @param availabilityZone where it runs
  * @param region the region of that availability zone
  * @param state what is believed of it
+ * @param milliCores what its host gives it of a processor, in thousandths of a core; zero if
+ *     unknown
  */
 public record Member(
     DaemonId id,
@@ -18,4 +20,17 @@
     int port,
     String availabilityZone,
     String region,
-    MemberState state) {}
+    MemberState state,
+    int milliCores) {
+
+  /** A daemon whose processor is not known. */
+  public Member(
+      DaemonId id,
+      String address,
+      int port,
+      String availabilityZone,
+      String region,
+      MemberState state) {
+    this(id, address, port, availabilityZone, region, state, 0);
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/membership/MemberEntry.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MemberEntry.java
@@ -74,7 +74,8 @@
         update.port(),
         update.availabilityZone(),
         update.region(),
-        state(regionReachable));
+        state(regionReachable),
+        update.milliCores());
   }
 
   MemberState state(boolean regionReachable) {
@@ -117,6 +118,7 @@
         update.address(),
         update.port(),
         update.availabilityZone(),
-        update.region());
+        update.region(),
+        update.milliCores());
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/membership/MemberUpdate.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MemberUpdate.java
@@ -18,6 +18,8 @@
  * @param port the TCP port on which it listens for daemons
  * @param availabilityZone where it runs
  * @param region the region of that availability zone
+ * @param milliCores what its host gives it of a processor, in thousandths of a core; zero if
+ *     unknown
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 @JsonIgnoreProperties(ignoreUnknown = true)
@@ -30,7 +32,8 @@
     String address,
     int port,
     String availabilityZone,
-    String region) {
+    String region,
+    int milliCores) {
 
   private static final int NUMBER_AND_HEADER_BYTES = 40;
 
@@ -44,6 +47,20 @@
     Objects.requireNonNull(region, "region");
   }
 
+  /** News of a daemon whose processor is not known. */
+  public MemberUpdate(
+      String host,
+      long incarnation,
+      int version,
+      Health health,
+      Departure departure,
+      String address,
+      int port,
+      String availabilityZone,
+      String region) {
+    this(host, incarnation, version, health, departure, address, port, availabilityZone, region, 0);
+  }
+
   /** The run that it is about. */
   public DaemonId id() {
     return new DaemonId(host, incarnation);
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
@@ -82,12 +82,19 @@
   /**
    * The daemons that may own a shard, the owner first: whoever is next takes over when those before
    * it are gone or silent.
+   *
+   * <p>Those whose hosts have half of the greatest processor or more come first. An owner handles
+   * some messages for each request of its pool; a host with a third of a core was busy with those
+   * of two hundred requests a second, and plain requests waited a second for their places.
    */
   public static Stream<Member> ranking(ShardId shard, MembershipView view) {
+    List<Member> eligible = view.eligibleInRegion(shard.region());
+    int greatest = eligible.stream().mapToInt(Member::milliCores).max().orElse(0);
     String prefix = shard + "|";
-    return view.eligibleInRegion(shard.region()).stream()
+    return eligible.stream()
         .sorted(
-            Comparator.<Member>comparingLong(member -> hash(prefix + member.id().host()))
+            Comparator.<Member, Boolean>comparing(member -> 2L * member.milliCores() >= greatest)
+                .thenComparingLong(member -> hash(prefix + member.id().host()))
                 .thenComparing(Member::id)
                 .reversed());
   }
--- a/core/src/test/java/org/marjoramsail/core/placement/ShardMapTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ShardMapTest.java
@@ -67,6 +67,44 @@
     assertThat(ShardMap.ownerOf(new ShardId("lector", "nowhere", 0), view)).isEmpty();
   }
 
+  /**
+   * A burst of lookups waited a second for their places. The one host that decided over all of them
+   * was one of the smallest of the fleet, and busy with its messages, while large ones stood idle.
+   */
+  @Test
+  void hostsWithTheGreatestProcessorsOwnShardsWhileThereAreAny() {
+    List<Member> members = new ArrayList<>();
+    IntStream.range(0, 70).forEach(number -> members.add(member("small-" + number, 360)));
+    IntStream.range(0, 3).forEach(number -> members.add(member("large-" + number, 1_500)));
+    MembershipView view = new MembershipView(members.get(0), members);
+
+    for (int slice = 0; slice < 50; slice++) {
+      ShardId shard = new ShardId("lector", "litoral", slice);
+      List<String> ranked =
+          ShardMap.ranking(shard, view).map(member -> member.id().host()).toList();
+
+      assertThat(ranked).hasSize(73);
+      assertThat(ranked.subList(0, 3)).allMatch(host -> host.startsWith("large-"));
+    }
+  }
+
+  /** Where processors are alike, or unknown on some, all share the work. */
+  @Test
+  void hostsWithLikeProcessorsShareTheShards() {
+    List<Member> members = new ArrayList<>();
+    IntStream.range(0, 10).forEach(number -> members.add(member("host-" + number, 700 + number)));
+    MembershipView view = new MembershipView(members.get(0), members);
+
+    long owners =
+        IntStream.range(0, 200)
+            .mapToObj(slice -> new ShardId("lector", "litoral", slice))
+            .map(shard -> ShardMap.ownerOf(shard, view).orElseThrow().id())
+            .distinct()
+            .count();
+
+    assertThat(owners).isEqualTo(10);
+  }
+
   @Test
   void theSamePrefixMeetsTheSameSliceUntilItIsMuchFuller() {
     ShardMap map = new ShardMap(PlacementFixtures.pool(64, 128, 20));
@@ -87,5 +125,10 @@
     return new Member(new DaemonId(host, 1), "127.0.0.1", 1, "a", region, MemberState.ALIVE);
   }
 
+  private static Member member(String host, int milliCores) {
+    return new Member(
+        new DaemonId(host, 1), "127.0.0.1", 1, "a", "litoral", MemberState.ALIVE, milliCores);
+  }
+
   private record Place(ShardId shard, UpstreamDefinition upstream) {}
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/membership/MembershipService.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/membership/MembershipService.java
@@ -253,7 +253,8 @@
         listening.address(),
         listening.port(),
         peerSettings.availabilityZone(),
-        peerSettings.region());
+        peerSettings.region(),
+        peerSettings.milliCores());
   }
 
   private static MembershipView alone(PeerSettings settings) {
@@ -264,7 +265,8 @@
             settings.port(),
             settings.availabilityZone(),
             settings.region(),
-            MemberState.ALIVE);
+            MemberState.ALIVE,
+            settings.milliCores());
     return new MembershipView(self, List.of(self));
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerSettings.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerSettings.java
@@ -13,6 +13,8 @@
  * @param availabilityZone where it runs
  * @param region the region of that availability zone
  * @param bounds what it spends at most
+ * @param milliCores what the host gives it of a processor, in thousandths of a core; zero if
+ *     unknown
  */
 public record PeerSettings(
     String listenAddress,
@@ -22,7 +24,21 @@
     DaemonId self,
     String availabilityZone,
     String region,
-    PeerBounds bounds) {
+    PeerBounds bounds,
+    int milliCores) {
+
+  /** A daemon that does not know what its host gives it of a processor. */
+  public PeerSettings(
+      String listenAddress,
+      int port,
+      String cluster,
+      String clusterKey,
+      DaemonId self,
+      String availabilityZone,
+      String region,
+      PeerBounds bounds) {
+    this(listenAddress, port, cluster, clusterKey, self, availabilityZone, region, bounds, 0);
+  }
 
   /** Names the daemon without the secret, which must not reach a log. */
   @Override
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/ForwardingSettings.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/ForwardingSettings.java
@@ -14,6 +14,8 @@
  * @param recoveryMillis for how long after a disturbance a host may be behind, in milliseconds
  * @param configurationMillis within which time a change of the configuration has to be in force
  * @param drainMillis after which time an upstream that leaves must get no new work
+ * @param processorShare what the host gives this daemon of one core
+ * @param processorSpeed how many times as fast as usual that core is
  * @param fenced whether upstreams refuse orders that carry an old fencing token
  * @param warmUp whether the request path is run before the first caller is served; for a start that
  *     nobody waits for
@@ -28,16 +30,25 @@
     double recoveryMillis,
     double configurationMillis,
     double drainMillis,
+    double processorShare,
+    double processorSpeed,
     boolean fenced,
     boolean warmUp) {
 
   private static final double MILLIS_PER_SECOND = 1_000;
+  private static final double MILLI_CORES_PER_CORE = 1_000;
 
   /** Copies the map, so that the value cannot change. */
   public ForwardingSettings {
     regions = Map.copyOf(regions);
   }
 
+  /** What the host gives this daemon of a processor, in thousandths of a usual core. */
+  public int milliCores() {
+    double cores = Math.min(processorShare * processorSpeed, Integer.MAX_VALUE);
+    return (int) Math.min(Integer.MAX_VALUE, Math.max(1, cores * MILLI_CORES_PER_CORE));
+  }
+
   /** How long this daemon may go on after it is told to stop, in milliseconds. */
   public long graceMillis() {
     return (long) (graceSeconds * MILLIS_PER_SECOND);
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/PlatformBound.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/PlatformBound.java
@@ -30,7 +30,11 @@
   /** Without it changes have to be in force in the shortest time known of any deployment. */
   CONFIGURATION_MILLIS("configurationMillis", 0, 3_600_000, 2_000),
   /** Without it the same holds for upstreams that leave. */
-  DRAIN_MILLIS("drainMillis", 0, 3_600_000, 2_000);
+  DRAIN_MILLIS("drainMillis", 0, 3_600_000, 2_000),
+  /** Without it a host counts as one that gives a whole core. */
+  PROCESSOR_SHARE("processorShare", 0.001, 1_000, 1),
+  /** Without it a core counts as one of the usual speed. */
+  PROCESSOR_SPEED("processorSpeed", 0.001, 1_000, 1);
 
   private static final String PARENT = "forwarding";
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsDecoder.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsDecoder.java
@@ -149,6 +149,8 @@
         PlatformBound.RECOVERY_MILLIS.read(fields),
         PlatformBound.CONFIGURATION_MILLIS.read(fields),
         PlatformBound.DRAIN_MILLIS.read(fields),
+        PlatformBound.PROCESSOR_SHARE.read(fields),
+        PlatformBound.PROCESSOR_SPEED.read(fields),
         fields.flag("fenced"),
         fields.optionalFlag("warmUp").orElse(false));
   }
