What prefill upstreams do tells how fast decode upstreams would read

Cause: a decode upstream reads a prompt beside its answers only where that keeps their pauses short. Its first guess was the rate of the settings, 30 tokens a millisecond, halved; engines that read 55 were guessed to need 377 ms for 5,200 tokens where 256 ms are allowed, so none ever read one, and none was ever seen to be faster.

Change: an upstream that has not read yet is expected to read as the prefill upstreams of its shard do, slowed by the factor of the settings; what it does itself then counts.

Ruled out: that readers were fed too slowly because delays at busy hosts were taken for reading time.

--- a/core/src/main/java/org/marjoramsail/core/placement/MovingAverage.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/MovingAverage.java
@@ -24,6 +24,11 @@
     return value;
   }
 
+  /** Whether anything was observed, so that the value is no guess. */
+  boolean isLearned() {
+    return weight < 1;
+  }
+
   /** Handles one observation; one outlier moves the average by a bounded factor only. */
   void observe(double sample) {
     if (!(sample > 0) || Double.isInfinite(sample)) {
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
@@ -24,6 +24,7 @@
 
   private final PlacementSettings settings;
   private final AnswerSpread spread;
+  private final ReadingPace pace;
   private final Map<UpstreamName, UpstreamState> byName = new TreeMap<>();
   private final Map<DaemonId, Long> heardAt = new HashMap<>();
   private List<UpstreamState> all = List.of();
@@ -31,6 +32,7 @@
   ShardUpstreams(PlacementSettings settings, AnswerSpread spread) {
     this.settings = settings;
     this.spread = spread;
+    this.pace = new ReadingPace(settings);
   }
 
   List<UpstreamState> all() {
@@ -53,7 +55,7 @@
       names.add(definition.name());
       UpstreamState known =
           byName.computeIfAbsent(
-              definition.name(), name -> new UpstreamState(definition, settings, spread));
+              definition.name(), name -> new UpstreamState(definition, settings, spread, pace));
       if (known.define(definition, nowMillis)) {
         startedAgain.add(definition.name());
       }
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -23,6 +23,7 @@
   private final PlacementSettings settings;
   private final PrefixIndex prefixes = new PrefixIndex();
   private final MemoryForecast forecast;
+  private final ReadingPace pace;
   private final MovingAverage aloneMillisPerToken;
   private final MovingAverage besideMillisPerToken;
   private final MovingAverage overheadMillis;
@@ -57,8 +58,14 @@
    * Starts with nothing on it.
    *
    * @param spread how far answers of its shard lie from what was foretold
+   * @param pace how fast prefill upstreams of its shard read
    */
-  UpstreamState(UpstreamDefinition definition, PlacementSettings settings, AnswerSpread spread) {
+  UpstreamState(
+      UpstreamDefinition definition,
+      PlacementSettings settings,
+      AnswerSpread spread,
+      ReadingPace pace) {
+    this.pace = pace;
     this.forecast = new MemoryForecast(spread);
     this.definition = definition;
     this.role = definition.role();
@@ -324,20 +331,28 @@
   }
 
   double prefillMillis(int tokens) {
-    return overheadMillis.value() + tokens * millisPerToken().value();
+    return overheadMillis.value() + tokens * millisPerToken();
   }
 
   /** How long a token of a prompt takes in the present role: beside answers, or alone. */
-  private MovingAverage millisPerToken() {
+  private double millisPerToken() {
+    MovingAverage own = learnedPerToken();
+    if (own.isLearned()) {
+      return own.value();
+    }
+    return role == UpstreamRole.DECODE ? pace.besideMillisPerToken() : pace.aloneMillisPerToken();
+  }
+
+  private MovingAverage learnedPerToken() {
     return role == UpstreamRole.DECODE ? besideMillisPerToken : aloneMillisPerToken;
   }
 
   double prefillTokensPerMilli() {
-    return 1 / millisPerToken().value();
+    return 1 / millisPerToken();
   }
 
   double queueMillis(long nowMillis) {
-    double others = foreignTokens * millisPerToken().value() - (double) (nowMillis - reportedAt);
+    double others = foreignTokens * millisPerToken() - (double) (nowMillis - reportedAt);
     return Math.max(0, busyUntil - nowMillis) + Math.max(0, others);
   }
 
@@ -353,7 +368,7 @@
     }
     readEndedAt = nowMillis;
     queuedTokens -= tokens;
-    busyUntil = nowMillis + queuedTokens * millisPerToken().value();
+    busyUntil = nowMillis + queuedTokens * millisPerToken();
   }
 
   /**
@@ -368,9 +383,13 @@
 
   private void learnPrefill(int tokens, double tookMillis) {
     if (tokens >= SHORT_PROMPT_TOKENS) {
-      millisPerToken().observe((tookMillis - overheadMillis.value()) / tokens);
+      double perToken = (tookMillis - overheadMillis.value()) / tokens;
+      learnedPerToken().observe(perToken);
+      if (role == UpstreamRole.PREFILL) {
+        pace.learnAlone(perToken);
+      }
     } else {
-      overheadMillis.observe(tookMillis - tokens * millisPerToken().value());
+      overheadMillis.observe(tookMillis - tokens * millisPerToken());
     }
   }
 
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/placement/ReaderFeedingTest.java
@@ -0,0 +1,151 @@
+package org.marjoramsail.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.marjoramsail.core.placement.PlacementFixtures.poolWithMemory;
+import static org.marjoramsail.core.placement.PlacementFixtures.request;
+import static org.marjoramsail.core.placement.PlacementFixtures.shortLivedPlacer;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.marjoramsail.core.model.Pieces;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.ServiceClass;
+
+/**
+ * At the peak of a burst streams waited for seconds for prefill upstreams, while decode upstreams
+ * stood at a third of their memory. These could have read prompts beside their answers, but were
+ * guessed to read half as fast as they do, so that no pause allowed it, and never read one by which
+ * the guess could have been mended.
+ */
+class ReaderFeedingTest {
+
+  private static final int READERS = 4;
+  private static final int PROMPT_TOKENS = 5_200;
+  private static final double TOKENS_PER_MILLI = 55;
+  private static final double FIXED_MILLIS = 30;
+  private static final long GENERATING_MILLIS = 300;
+
+  /** What is offered, of what the prefill upstreams alone can read. */
+  private static final double OFFERED_SHARE = 1.3;
+
+  /** What a busy host takes to send on what it was told, in milliseconds. */
+  private static final int LATEST_REPORT_MILLIS = 120;
+
+  private static final long LENGTH_MILLIS = 20_000;
+  private static final long LEARNING_MILLIS = 8_000;
+  private static final long TARGET_MILLIS = 900;
+
+  private record Event(long atMillis, long order, Runnable action) {}
+
+  private final ReservingPlacer placer = shortLivedPlacer(poolWithMemory(READERS, 8, 16, 42_000));
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          (first, second) ->
+              first.atMillis() == second.atMillis()
+                  ? Long.compare(first.order(), second.order())
+                  : Long.compare(first.atMillis(), second.atMillis()));
+  private final Map<String, Double> readerFreeAt = new HashMap<>();
+  private final Map<RequestId, Long> arrivedAt = new HashMap<>();
+  private final List<Long> waits = new ArrayList<>();
+  private long order;
+  private long now;
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4, 5})
+  void decodeUpstreamsReadWhatPrefillUpstreamsHaveNoTimeFor(long seed) {
+    Random random = new Random(seed);
+    double readMillis = FIXED_MILLIS + PROMPT_TOKENS / TOKENS_PER_MILLI;
+    double betweenMillis = readMillis / READERS / OFFERED_SHARE;
+    double next = 0;
+    int number = 0;
+    while (next < LENGTH_MILLIS) {
+      String name = "r" + number++;
+      at((long) next, () -> arrive(name));
+      next += betweenMillis * (0.5 + random.nextDouble());
+    }
+    for (long tick = 0; tick < LENGTH_MILLIS; tick += 5) {
+      at(tick, () -> handle(placer.tick(now), random));
+    }
+    while (!events.isEmpty()) {
+      Event event = events.poll();
+      now = event.atMillis();
+      event.action().run();
+      handle(List.of(), random);
+    }
+
+    long late = waits.stream().filter(wait -> wait > TARGET_MILLIS / 2).count();
+    assertThat(waits).isNotEmpty();
+    assertThat((double) late / waits.size()).isLessThan(0.05);
+  }
+
+  private void arrive(String name) {
+    arrivedAt.put(new RequestId(name), now);
+    handle(
+        placer.place(
+            request(name)
+                .serviceClass(ServiceClass.TIMELY)
+                .tokens(PROMPT_TOKENS, 70)
+                .pieces(new Pieces(11, 300))
+                .within(TARGET_MILLIS, 14_000)
+                .build(),
+            now),
+        new Random(name.hashCode()));
+  }
+
+  private void handle(List<PlacementResult> results, Random random) {
+    for (PlacementResult result : results) {
+      if (result instanceof PlacementResult.Granted granted) {
+        granted(granted.grant(), random);
+      } else if (now > LEARNING_MILLIS) {
+        waits.add(TARGET_MILLIS);
+      }
+    }
+  }
+
+  private void granted(Grant grant, Random random) {
+    if (now > LEARNING_MILLIS) {
+      waits.add(now - arrivedAt.get(grant.request()));
+    }
+    String reader = grant.prefill().orElse(grant.target()).value();
+    boolean isBeside = grant.prefill().isEmpty();
+    double readMillis = FIXED_MILLIS + PROMPT_TOKENS / TOKENS_PER_MILLI * (isBeside ? 2 : 1);
+    double readAt = Math.max((double) now, readerFreeAt.getOrDefault(reader, 0.0)) + readMillis;
+    readerFreeAt.put(reader, readAt);
+    long sentAt = now;
+    long toldAt = (long) readAt + random.nextInt(LATEST_REPORT_MILLIS);
+    if (!isBeside) {
+      at(toldAt, () -> tell(grant, AttemptPhase.PREFILLED, toldAt - sentAt, random));
+    }
+    at(toldAt + 40, () -> tell(grant, AttemptPhase.GENERATING, 0, random));
+    at(toldAt + 40 + GENERATING_MILLIS, () -> tell(grant, AttemptPhase.ENDED, 0, random));
+  }
+
+  private void tell(Grant grant, AttemptPhase phase, long tookMillis, Random random) {
+    Optional<AttemptResult> result =
+        phase == AttemptPhase.ENDED ? Optional.of(AttemptResult.COMPLETED) : Optional.empty();
+    handle(
+        placer.report(
+            new AttemptReport(
+                grant.request(),
+                grant.attempt(),
+                phase,
+                result,
+                Optional.empty(),
+                0,
+                tookMillis,
+                70),
+            now),
+        random);
+  }
+
+  private void at(long millis, Runnable action) {
+    events.add(new Event(millis, order++, action));
+  }
+}
--- a/core/src/test/java/org/marjoramsail/core/placement/RoleAdvisorTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/RoleAdvisorTest.java
@@ -36,7 +36,8 @@
         new UpstreamState(
             PlacementFixtures.upstream("lector", "p", UpstreamRole.PREFILL, 48),
             PlacementSettings.forShortLivedCaches(),
-            AnswerSpread.guessed());
+            AnswerSpread.guessed(),
+            new ReadingPace(PlacementSettings.forShortLivedCaches()));
     for (long end = 200; end <= 20_000; end += 100) {
       reader.endPrefill(0, end - 100);
       reader.learnPrefill(3_000, 200, end);
