Two owners of one shard are counted once each, and rates are weights beside their mean

A change of owner made the whole count of the other count anew, so that every word charged seconds of use, and all organisations were refused.

Change: usage is kept by shard and owner, which draws a number when it begins; of an owner that was not heard of before a burst counts at most. Weights are rates beside the mean rate; callers without a rate or an organisation count like the mean.

Tests: twoOwnersOfOneShardAreCountedOnceEach and FairWeightsTest, which failed before. PlatformBoundTest has the two figures that came with the owners' processors in its whole document, and two more cases.

--- a/core/src/main/java/org/marjoramsail/core/configuration/OrganisationDefinition.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/OrganisationDefinition.java
@@ -57,6 +57,20 @@
         Optional.empty());
   }
 
+  /** The same with another share of a full pool. */
+  OrganisationDefinition withWeight(double newWeight) {
+    return new OrganisationDefinition(
+        name,
+        tokenHashes,
+        services,
+        newWeight,
+        maximumConcurrency,
+        requestsPerSecond,
+        tokensPerSecond,
+        burst,
+        tokensPerPlainRequest);
+  }
+
   /** What a request counts for against the limit in tokens. */
   public int countedTokens(int promptTokens, int outputTokens) {
     int stated = promptTokens + outputTokens;
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
@@ -122,6 +122,12 @@
     tokens.take((double) tokenCount, nowMillis);
   }
 
+  /** Counts what an owner has started that was not heard of before, at most a burst of it. */
+  void startedByUnknown(long requestCount, long tokenCount, long nowMillis) {
+    requests.take(Math.min((double) requestCount, requests.burst()), nowMillis);
+    tokens.take(Math.min((double) tokenCount, tokens.burst()), nowMillis);
+  }
+
   /** Requests that were started here since this owner began. */
   long startedRequests() {
     return startedRequests;
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationTable.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationTable.java
@@ -20,22 +20,29 @@
   /** How often usage is told while every organisation is well below its rates. */
   private static final long QUIET_MILLIS = 1_000;
 
-  private static final Usage NOTHING = new Usage("", 0, 0, 0);
+  /** An owner that was not heard of for so long is gone; it told something every second. */
+  private static final long FORGET_MILLIS = 60_000;
 
   private final ShardId shard;
   private final Optional<Long> takenOverAt;
-  private final long sinceMillis;
+  private final long epoch;
   private final Map<String, OrganisationState> byName = new TreeMap<>();
-  private final Map<ShardId, HeardUsage> others = new HashMap<>();
+  private final Map<OwnerKey, HeardUsage> others = new HashMap<>();
   private Map<String, OrganisationDefinition> definitions = Map.of();
   private int shardCount = 1;
   private double fleetShare = 1;
   private long toldAt;
 
-  OrganisationTable(ShardId shard, boolean isTakenOver, long nowMillis) {
+  /**
+   * Creates the table of a new owner.
+   *
+   * @param epoch tells this owner from others of the same shard
+   * @param isTakenOver whether another owner may have come before
+   */
+  OrganisationTable(ShardId shard, long epoch, boolean isTakenOver, long nowMillis) {
     this.shard = shard;
     this.takenOverAt = isTakenOver ? Optional.of(nowMillis) : Optional.empty();
-    this.sinceMillis = nowMillis;
+    this.epoch = epoch;
     this.toldAt = nowMillis;
   }
 
@@ -79,34 +86,43 @@
       }
     }
     if (!isDue) {
-      return new OrganisationUsageMessage(shard, sinceMillis, List.of());
+      return new OrganisationUsageMessage(shard, epoch, List.of());
     }
     toldAt = nowMillis;
-    return new OrganisationUsageMessage(shard, sinceMillis, usages);
+    return new OrganisationUsageMessage(shard, epoch, usages);
   }
 
-  /** Handles what the owner of another shard told. */
+  /**
+   * Handles what the owner of another shard told.
+   *
+   * <p>A shard may have two owners for a while, each of which tells its own counts. Of one that was
+   * not heard of before, no more than a burst is counted: what it started long ago is over.
+   */
   void take(OrganisationUsageMessage message, long nowMillis) {
     if (message.shard().equals(shard)) {
       return;
     }
-    HeardUsage before = others.get(message.shard());
-    boolean isSameOwner = before != null && before.ownerSinceMillis() == message.ownerSinceMillis();
-    Map<String, Usage> known = isSameOwner ? before.byOrganisation() : new HashMap<>();
+    OwnerKey owner = new OwnerKey(message.shard(), message.epoch());
+    HeardUsage before = others.get(owner);
+    Map<String, Usage> known = before == null ? new HashMap<>() : before.byOrganisation();
     for (Usage usage : message.usages()) {
       Usage told = known.put(usage.organisation(), usage);
-      Usage last = told == null ? NOTHING : told;
-      of(usage.organisation())
-          .startedElsewhere(
-              Math.max(0, usage.startedRequests() - last.startedRequests()),
-              Math.max(0, usage.startedTokens() - last.startedTokens()),
-              nowMillis);
+      OrganisationState organisation = of(usage.organisation());
+      if (told == null) {
+        organisation.startedByUnknown(usage.startedRequests(), usage.startedTokens(), nowMillis);
+      } else {
+        organisation.startedElsewhere(
+            Math.max(0, usage.startedRequests() - told.startedRequests()),
+            Math.max(0, usage.startedTokens() - told.startedTokens()),
+            nowMillis);
+      }
     }
-    others.put(message.shard(), new HeardUsage(message.ownerSinceMillis(), known, nowMillis));
+    others.put(owner, new HeardUsage(known, nowMillis));
   }
 
   /** Works out the shares again, and forgets organisations without demand or limits. */
   void refresh(long nowMillis) {
+    others.values().removeIf(heard -> nowMillis - heard.atMillis() > FORGET_MILLIS);
     Map<String, Integer> demand = new HashMap<>();
     for (HeardUsage heard : others.values()) {
       if (nowMillis - heard.atMillis() <= USAGE_MILLIS) {
@@ -133,6 +149,7 @@
     return Optional.ofNullable(definitions.get(organisation.name()));
   }
 
-  private record HeardUsage(
-      long ownerSinceMillis, Map<String, Usage> byOrganisation, long atMillis) {}
+  private record OwnerKey(ShardId shard, long epoch) {}
+
+  private record HeardUsage(Map<String, Usage> byOrganisation, long atMillis) {}
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationUsageMessage.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationUsageMessage.java
@@ -7,11 +7,11 @@
  * What organisations with limits use and want in one shard; its owner tells the other owners.
  *
  * @param shard whose usage
- * @param ownerSinceMillis when its owner began, on the clock of that owner; another value means
- *     another owner, whose counts begin at zero
+ * @param epoch drawn by its owner when it began; another value means another owner, whose counts
+ *     begin at zero, and there may be two for a while
  * @param usages one for each organisation with demand
  */
-public record OrganisationUsageMessage(ShardId shard, long ownerSinceMillis, List<Usage> usages)
+public record OrganisationUsageMessage(ShardId shard, long epoch, List<Usage> usages)
     implements PeerMessage {
 
   /** Copies the list, so that the value cannot change. */
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -64,7 +64,8 @@
   public ReservingPlacer(PlacerSetup setup, long nowMillis) {
     this.shard = setup.shard();
     this.settings = setup.settings();
-    this.organisations = new OrganisationTable(shard, setup.isTakenOver(), nowMillis);
+    this.organisations =
+        new OrganisationTable(shard, setup.random().nextLong(), setup.isTakenOver(), nowMillis);
     this.estimates = new PlacementEstimates(settings);
     this.upstreams = new ShardUpstreams(settings, estimates.spread());
     this.selector = new UpstreamSelector(upstreams, estimates, setup, nowMillis);
--- a/core/src/main/java/org/marjoramsail/core/placement/TokenBucket.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/TokenBucket.java
@@ -73,6 +73,11 @@
     return credit;
   }
 
+  /** How much may be saved up. */
+  double burst() {
+    return burst;
+  }
+
   /** Whether less than half of what may be saved up is left. */
   boolean isHalfUsed(long nowMillis) {
     return perSecond > 0 && credit(nowMillis) < burst / 2;
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/configuration/FairWeightsTest.java
@@ -0,0 +1,38 @@
+package org.marjoramsail.core.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class FairWeightsTest {
+
+  /**
+   * Callers of a route that is open to all were refused in every burst, while callers with keys
+   * were served: the rates of organisations stood as their weights beside the one of those without.
+   */
+  @Test
+  void organisationsWithoutARateCountLikeTheMeanOfTheOthers() {
+    List<OrganisationDefinition> weighted =
+        FairWeights.byRates(
+            List.of(tokens("large", 150_000), tokens("small", 50_000), tokens("none", 0)));
+
+    assertThat(weighted).extracting(OrganisationDefinition::weight).containsExactly(1.5, 0.5, 1.0);
+  }
+
+  @Test
+  void ratesOfTokensAndOfRequestsAreNotMixed() {
+    OrganisationDefinition counted =
+        new OrganisationDefinition("counted", List.of(), List.of(), 1, 0, 20, 0);
+
+    assertThat(FairWeights.byRates(List.of(counted, tokens("large", 150_000))))
+        .extracting(OrganisationDefinition::weight)
+        .containsExactly(1.0, 1.0);
+  }
+
+  private static OrganisationDefinition tokens(String name, double perSecond) {
+    return new OrganisationDefinition(
+        name, List.of(), List.of(), 1, 0, 0, perSecond, Optional.empty(), Optional.empty());
+  }
+}
--- a/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
@@ -88,6 +88,32 @@
     assertThat(granted(results)).hasSize(20);
   }
 
+  /**
+   * Hosts were restarted, and for a while two of them told what they had started as owners of one
+   * shard, in turn. Each word of the one made the next of the other count in full again, and all
+   * requests of an organisation far below its limit were refused for as long as both went on.
+   */
+  @Test
+  void twoOwnersOfOneShardAreCountedOnceEach() {
+    ReservingPlacer before = placer(1, 2, false, 0);
+    ReservingPlacer after = placer(1, 2, true, 7);
+    ReservingPlacer other = placer(0, 2, false, 0);
+    for (ReservingPlacer owner : List.of(before, after)) {
+      for (int number = 0; number < 10; number++) {
+        place(owner, owner.hashCode() + "-" + number, 1_000);
+      }
+    }
+
+    for (long now = 1_000; now < 20_000; now += 1_000) {
+      for (ReservingPlacer owner : List.of(before, after)) {
+        owner.tick(now);
+        other.takeUsage(owner.usage(now), now);
+      }
+    }
+
+    assertThat(granted(place(other, "r", 20_000))).containsExactly("r");
+  }
+
   /** The same request that is placed again after a failure was counted when it was first placed. */
   @Test
   void aRepeatIsNotCountedAgain() {
@@ -211,7 +237,7 @@
             configuration,
             settings.withShardUpstreams(UPSTREAMS / slices),
             setup.zoneOf(),
-            new Random(1),
+            new Random(now + slice),
             takenOver),
         now);
   }
--- a/daemon/src/test/java/org/marjoramsail/daemon/settings/PlatformBoundTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/settings/PlatformBoundTest.java
@@ -22,7 +22,9 @@
     "graceSeconds, null, 5",
     "leaseMillis, -1, 0",
     "recoveryMillis, null, 3000",
-    "drainMillis, 1e10, 3600000"
+    "drainMillis, 1e10, 3600000",
+    "processorShare, 0, 0.001",
+    "processorSpeed, null, 1"
   })
   void aNumberOutOfRangeIsReplacedByASafeOneAndTold(String field, String given, double used)
       throws Exception {
@@ -55,7 +57,7 @@
         mapper.readTree(
             "{\"forwarding\": {\"retryRatio\": 0.2, \"retrySlack\": 54, \"graceSeconds\": 8,"
                 + " \"leaseMillis\": 3000, \"recoveryMillis\": 3000, \"configurationMillis\": 2000,"
-                + " \"drainMillis\": 2000}}");
+                + " \"drainMillis\": 2000, \"processorShare\": 0.36, \"processorSpeed\": 1}}");
     ((com.fasterxml.jackson.databind.node.ObjectNode) document.path("forwarding"))
         .set(field, mapper.readTree(value));
     return document;
