Slots of plain services are held for longer than upstreams work

Cause: an owner holds a slot from the grant to the report of the end.

Change: entries tell how long an answer took from its send; where slots are held for longer, upstreams are granted as many more, at most twice. Learned from what is seen, so that a service whose answers are told at once gets no more than its slots.

--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -274,6 +274,7 @@
     }
     state = LifecycleState.PLAIN_RUNNING;
     stallAfter(policy.answerStallMillis());
+    signs.asked(nowMillis);
     ledger.sent(attempt);
     suspects.began(attempt, given.target());
     actions.add(new LifecycleAction.SendPlain(attempt, given.target()));
@@ -379,6 +380,7 @@
       drop(DropReason.LATE_EVENT);
       return;
     }
+    signs.answered(nowMillis);
     if (!last.isCallerGone()) {
       answer(new LifecycleAction.DeliverAnswer(attempt));
     }
@@ -423,9 +425,8 @@
     if (failed.failure().isNotRun()) {
       held.release(failed.attempt(), failed.upstream());
     }
-    boolean current =
-        state.isRunning() && failed.attempt() == attempt && suspects.isRunningOn(failed.upstream());
-    if (current) {
+    boolean isCurrent = state.isRunning() && failed.attempt() == attempt;
+    if (isCurrent && suspects.isRunningOn(failed.upstream())) {
       failCurrent(failed.failure());
     } else {
       drop(DropReason.LATE_EVENT);
@@ -575,10 +576,7 @@
   private void reportEnd(AttemptResult result, Optional<UpstreamName> failedUpstream) {
     if (grant.isPresent()) {
       grant = Optional.empty();
-      long pauseMillis = signs.longestPauseMillis();
-      ledger
-          .end(attempt, result, failedUpstream, generatedTokens(), pauseMillis)
-          .ifPresent(actions::add);
+      ledger.end(attempt, result, failedUpstream, generatedTokens(), signs).ifPresent(actions::add);
     }
   }
 
--- a/core/src/main/java/org/marjoramsail/core/outcome/SignTimes.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/SignTimes.java
@@ -10,6 +10,8 @@
   private long lastPieceMillis = NONE;
   private long longestPauseMillis;
   private long stallAtMillis = NEVER;
+  private long askedMillis;
+  private long answerMillis;
 
   /**
    * Starts with the arrival of the request.
@@ -59,4 +61,20 @@
   long stallAtMillis() {
     return stallAtMillis;
   }
+
+  /** Records that a plain request is sent. */
+  void asked(long nowMillis) {
+    askedMillis = nowMillis;
+    answerMillis = 0;
+  }
+
+  /** Records that a plain request is answered. */
+  void answered(long nowMillis) {
+    answerMillis = nowMillis - askedMillis;
+  }
+
+  /** How long the answer to a plain request took; zero if there is none. */
+  long answerMillis() {
+    return answerMillis;
+  }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
@@ -25,6 +25,7 @@
   private final PlacementSettings settings;
   private final AnswerSpread spread;
   private final ReadingPace pace;
+  private final PlainOccupancy occupancy = new PlainOccupancy();
   private final Map<UpstreamName, UpstreamState> byName = new TreeMap<>();
   private final Map<DaemonId, Long> heardAt = new HashMap<>();
   private List<UpstreamState> all = List.of();
@@ -35,6 +36,11 @@
     this.pace = new ReadingPace(settings);
   }
 
+  /** How long plain requests hold their slots. */
+  PlainOccupancy occupancy() {
+    return occupancy;
+  }
+
   List<UpstreamState> all() {
     return all;
   }
@@ -55,7 +61,8 @@
       names.add(definition.name());
       UpstreamState known =
           byName.computeIfAbsent(
-              definition.name(), name -> new UpstreamState(definition, settings, spread, pace));
+              definition.name(),
+              name -> new UpstreamState(definition, settings, spread, pace, occupancy));
       if (known.define(definition, nowMillis)) {
         startedAgain.add(definition.name());
       }
--- a/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
@@ -169,6 +169,9 @@
   /** Takes from a completed attempt how long answers are and how long slots are held. */
   void learnCompletion(RunningAttempt attempt, AttemptReport report, long nowMillis) {
     estimates.learnHold(nowMillis - attempt.startedAt());
+    if (!attempt.request().isGeneration()) {
+      upstreams.occupancy().learn(nowMillis - attempt.startedAt(), report.tookMillis());
+    }
     attempt.target().ifPresent(target -> target.awaited().signed(nowMillis));
     if (attempt.phase() == AttemptPhase.GENERATING) {
       estimates.learnOutput(
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -24,6 +24,7 @@
   private final PrefixIndex prefixes = new PrefixIndex();
   private final MemoryForecast forecast;
   private final ReadingPace pace;
+  private final PlainOccupancy occupancy;
   private final MovingAverage aloneMillisPerToken;
   private final MovingAverage besideMillisPerToken;
   private final MovingAverage overheadMillis;
@@ -59,13 +60,16 @@
    *
    * @param spread how far answers of its shard lie from what was foretold
    * @param pace how fast prefill upstreams of its shard read
+   * @param occupancy how long plain requests of its shard hold their slots
    */
   UpstreamState(
       UpstreamDefinition definition,
       PlacementSettings settings,
       AnswerSpread spread,
-      ReadingPace pace) {
+      ReadingPace pace,
+      PlainOccupancy occupancy) {
     this.pace = pace;
+    this.occupancy = occupancy;
     this.forecast = new MemoryForecast(spread);
     this.definition = definition;
     this.role = definition.role();
@@ -239,7 +243,8 @@
   /** How many requests it holds at most; an engine may say less than its definition. */
   int slots() {
     int configuredSlots = definition.slots();
-    return reportedSlots > 0 ? Math.min(configuredSlots, reportedSlots) : configuredSlots;
+    int stated = reportedSlots > 0 ? Math.min(configuredSlots, reportedSlots) : configuredSlots;
+    return role == UpstreamRole.PLAIN ? (int) (stated * occupancy.factor()) : stated;
   }
 
   /** Slots that this owner may still reserve now; never negative. */
