One shard for pools of up to 48 upstreams, and one engine in eight may change its role at a time

Only four engines changed their role in 53 s: the pool was two shards with two owners, and only the one that holds the lease for orders had changes ordered; and no more than two engines were out at a time.

Change: a shard has up to 48 upstreams, so that pools of 25 to 48 are one, with one owner and one memory; a fleet of 770 in two regions has shards of 24 as before. One engine in eight of a large pool may be out for a change. ShardMapTest states the bound of the slices that it checks.

--- a/core/src/main/java/org/marjoramsail/core/placement/RoleChangePace.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RoleChangePace.java
@@ -19,9 +19,12 @@
    */
   private static final long APART_MILLIS = 14_000;
 
-  /** How many engines change at one time; each is out for seconds. */
+  /** How many engines of a small pool change at one time; each is out for seconds. */
   private static final int MOST_CHANGING = 2;
 
+  /** One in so many engines of a large pool may be out: a wave of load is over in seconds. */
+  private static final int ENGINES_FOR_EACH_CHANGING = 8;
+
   private final Map<UpstreamName, Long> apartUntil = new HashMap<>();
   private final Map<UpstreamName, RoleChange> changing = new HashMap<>();
 
@@ -31,9 +34,13 @@
     return wanted.stream().filter(change -> !apartUntil.containsKey(change.upstream())).toList();
   }
 
-  /** Whether one more engine may be out. */
-  public boolean hasRoom() {
-    return changing.size() < MOST_CHANGING;
+  /**
+   * Whether one more engine may be out.
+   *
+   * @param engines how many engines there are
+   */
+  public boolean hasRoom(int engines) {
+    return changing.size() < Math.max(MOST_CHANGING, engines / ENGINES_FOR_EACH_CHANGING);
   }
 
   /** Whether changes that were begun are not known to have ended. */
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
@@ -25,8 +25,15 @@
  */
 public final class ShardMap {
 
-  /** The most upstreams of a shard; with slices in powers of two it has at least half as many. */
-  public static final int MAXIMUM_UPSTREAMS = 24;
+  /**
+   * The most upstreams of a shard; with slices in powers of two it has at least half as many.
+   *
+   * <p>A pool that fits into one shard shares its memory between all requests, and its owner is the
+   * only one that wants roles changed; with two, only the shard of the holder of the lease for
+   * orders had any of its engines changed. A fleet of 770 upstreams in two regions has shards of
+   * 24.
+   */
+  public static final int MAXIMUM_UPSTREAMS = 48;
 
   /** A shard must have this much more load than the other choice before a prefix leaves it. */
   private static final double LOAD_MARGIN = 0.25;
--- a/core/src/test/java/org/marjoramsail/core/placement/RoleChangePaceTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/RoleChangePaceTest.java
@@ -12,6 +12,8 @@
   private static final RoleChange FIRST = change("engine-1");
   private static final RoleChange SECOND = change("engine-2");
 
+  private static final int SMALL_POOL = 10;
+
   private final RoleChangePace pace = new RoleChangePace();
 
   /** An order got no answer and was carried out twelve seconds later, after the next one. */
@@ -26,10 +28,24 @@
   @Test
   void noMoreThanTwoEnginesAreOutAtATime() {
     pace.began(FIRST);
-    assertThat(pace.hasRoom()).isTrue();
+    assertThat(pace.hasRoom(SMALL_POOL)).isTrue();
 
     pace.began(SECOND);
-    assertThat(pace.hasRoom()).isFalse();
+    assertThat(pace.hasRoom(SMALL_POOL)).isFalse();
+  }
+
+  /**
+   * A deployment of 34 engines began with twelve that read, where five were enough, and callers
+   * waited for memory of the others. Two at a time, the change took longer than the rush.
+   */
+  @Test
+  void ofALargePoolOneInEightMayBeOut() {
+    for (int number = 0; number < 4; number++) {
+      assertThat(pace.hasRoom(34)).isTrue();
+      pace.began(change("engine-" + number));
+    }
+
+    assertThat(pace.hasRoom(34)).isFalse();
   }
 
   @Test
@@ -49,7 +65,7 @@
 
     assertThat(pace.refused(FIRST)).isTrue();
     assertThat(pace.refused(FIRST)).isFalse();
-    assertThat(pace.hasRoom()).isTrue();
+    assertThat(pace.hasRoom(SMALL_POOL)).isTrue();
   }
 
   private void begin(RoleChange change, long nowMillis) {
--- a/core/src/test/java/org/marjoramsail/core/placement/ShardMapTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ShardMapTest.java
@@ -19,7 +19,7 @@
 
   @Test
   void largePoolsAreSlicedEvenlyInTheRatioOfTheirRoles() {
-    ShardMap map = new ShardMap(PlacementFixtures.pool(64, 128, 20));
+    ShardMap map = new ShardMap(PlacementFixtures.pool(64, 128, 20), 24);
 
     assertThat(map.shards()).hasSize(8);
     for (ShardId shard : map.shards()) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -12,6 +12,7 @@
 import org.marjoramsail.core.discovery.UpstreamBeliefs;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
 import org.marjoramsail.core.routing.EngineFacts;
 import org.marjoramsail.core.routing.PoolConfiguration;
 import org.marjoramsail.core.routing.RoutedService;
@@ -240,6 +241,14 @@
     return routing.flatMap(known -> known.service(service)).flatMap(RoutedService::engines);
   }
 
+  /** How many engines are believed in. */
+  public int engineCount() {
+    return (int)
+        configuration.upstreams().stream()
+            .filter(upstream -> upstream.role() != UpstreamRole.PLAIN)
+            .count();
+  }
+
   /** The lives of all upstreams that are believed in. */
   public Set<Incarnation> incarnations() {
     return incarnations;
--- a/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
@@ -7,6 +7,9 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
+import java.io.IOException;
+import java.net.BindException;
+import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +32,9 @@
 /** Real sockets on loopback; every wait is for an event, with a limit only against hanging. */
 final class PeerNetworkTest {
 
+  private static final int LOWEST_PORT = 21_000;
+  private static final int LOWEST_EPHEMERAL_PORT = 32_768;
+
   private static final long HANG_SECONDS = 20;
   private static final Clock CLOCK = () -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
   private static final PeerBounds BOUNDS = PeerBounds.defaults();
@@ -190,13 +196,31 @@
     assertThat(second.next()).isEqualTo(new Goodbye(GoodbyeReason.TOO_MANY_CONNECTIONS));
   }
 
+  /**
+   * A free port below those from which the system gives outgoing connections theirs: a connection
+   * of any process may else take the port between the two lives of a daemon.
+   */
+  private static int portThatNoConnectionTakes() throws IOException {
+    for (int port = LOWEST_PORT; port < LOWEST_EPHEMERAL_PORT; port++) {
+      try (ServerSocket free = new ServerSocket(port)) {
+        return free.getLocalPort();
+      } catch (BindException taken) {
+        // The next one may be free.
+      }
+    }
+    throw new IOException("No port is free.");
+  }
+
   @Test
   void aDaemonThatRestartsOnItsPortIsReachedAgain() throws Exception {
+    int port = portThatNoConnectionTakes();
     Daemon one = daemon("one", 1, "key");
-    Daemon two = daemon("two", 1, "key");
+    Daemon two =
+        daemon(
+            new PeerSettings("127.0.0.1", port, "cluster", "key", id("two", 1), "z", "r", BOUNDS),
+            PeerFaults.NONE);
     one.network.send(two.id, new PingMessage(1, List.of()));
     two.next();
-    int port = two.network.listening().port();
     await(two.network.stop());
     Daemon again =
         daemon(
