Models of three tests share their events and their plain request

VirtualEvents runs the events of a small model; PlacementFixtures.timelyPlain makes the request that three tests wrote out.

--- a/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
@@ -134,6 +134,31 @@
     return new ReservingPlacer(setup(PLAIN_SHARD, configuration, false), 0);
   }
 
+  /** A plain request that wants its target and is still wanted after it. */
+  static PlacementRequest timelyPlain(
+      RequestId id, long targetWithinMillis, long deadlineWithinMillis, long content) {
+    return new PlacementRequest(
+        id,
+        1,
+        ENTRY,
+        "ventanilla",
+        "callers",
+        "rule",
+        ServiceClass.TIMELY,
+        0,
+        0,
+        List.of(),
+        0,
+        targetWithinMillis,
+        deadlineWithinMillis,
+        List.of(),
+        Optional.empty(),
+        false,
+        content,
+        Pieces.SINGLE_TOKENS,
+        0);
+  }
+
   static RequestBuilder request(String name) {
     return new RequestBuilder(name);
   }
--- a/core/src/test/java/org/marjoramsail/core/placement/PlainOccupancyTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlainOccupancyTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.marjoramsail.core.placement.PlacementFixtures.plainPool;
+import static org.marjoramsail.core.placement.PlacementFixtures.timelyPlain;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -9,14 +10,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.marjoramsail.core.model.Pieces;
 import org.marjoramsail.core.model.RequestId;
-import org.marjoramsail.core.model.ServiceClass;
 
 /**
  * Lookups waited for slots while the servers of their service worked on a third of what they can.
@@ -30,11 +28,11 @@
   private static final double WORK_MILLIS = 43;
   private static final int SLOWEST_HOST_MILLIS = 70;
   private static final long TARGET_MILLIS = 250;
+  private static final long DEADLINE_MILLIS = 2_500;
+  private static final long TICK_MILLIS = 5;
   private static final long LENGTH_MILLIS = 12_000;
   private static final long LEARNING_MILLIS = 2_000;
 
-  private record Event(long atMillis, long order, Runnable action) {}
-
   private final ReservingPlacer placer =
       new ReservingPlacer(
           new PlacerSetup(
@@ -45,18 +43,11 @@
               new Random(1),
               false),
           0);
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(
-          (first, second) ->
-              first.atMillis() == second.atMillis()
-                  ? Long.compare(first.order(), second.order())
-                  : Long.compare(first.atMillis(), second.atMillis()));
+  private final VirtualEvents events = new VirtualEvents();
   private final Map<String, Deque<Runnable>> queued = new HashMap<>();
   private final Map<String, Integer> working = new HashMap<>();
   private final Map<RequestId, Long> arrivedAt = new HashMap<>();
   private Random random = new Random(0);
-  private long order;
-  private long now;
   private int asked;
   private int inTime;
 
@@ -68,17 +59,11 @@
     int number = 0;
     while (next < LENGTH_MILLIS) {
       RequestId id = new RequestId("r" + number++);
-      at((long) next, () -> arrive(id));
+      events.at((long) next, () -> arrive(id));
       next += -Math.log(1 - random.nextDouble()) * WORK_MILLIS / (SERVERS * SLOTS) / 0.75;
     }
-    for (long tick = 0; tick < LENGTH_MILLIS; tick += 5) {
-      at(tick, () -> handle(placer.tick(now)));
-    }
-    while (!events.isEmpty()) {
-      Event event = events.poll();
-      now = event.atMillis();
-      event.action().run();
-    }
+    events.every(TICK_MILLIS, LENGTH_MILLIS, () -> handle(placer.tick(events.now())));
+    events.run();
 
     assertThat((double) inTime / asked).isGreaterThan(0.9);
   }
@@ -95,48 +80,26 @@
   }
 
   private void arrive(RequestId id) {
-    arrivedAt.put(id, now);
-    asked += now > LEARNING_MILLIS ? 1 : 0;
-    handle(
-        placer.place(
-            new PlacementRequest(
-                id,
-                1,
-                PlacementFixtures.ENTRY,
-                "ventanilla",
-                "callers",
-                "rule",
-                ServiceClass.TIMELY,
-                0,
-                0,
-                List.of(),
-                0,
-                TARGET_MILLIS * 7 / 10,
-                2_500,
-                List.of(),
-                Optional.empty(),
-                false,
-                0,
-                Pieces.SINGLE_TOKENS,
-                0),
-            now));
+    arrivedAt.put(id, events.now());
+    asked += events.now() > LEARNING_MILLIS ? 1 : 0;
+    handle(placer.place(timelyPlain(id, TARGET_MILLIS * 7 / 10, DEADLINE_MILLIS, 0), events.now()));
   }
 
   private void handle(List<PlacementResult> results) {
     for (PlacementResult result : results) {
       if (result instanceof PlacementResult.Granted granted) {
-        at(now + random.nextInt(SLOWEST_HOST_MILLIS), () -> send(granted.grant()));
+        events.at(events.now() + random.nextInt(SLOWEST_HOST_MILLIS), () -> send(granted.grant()));
       }
     }
   }
 
   private void send(Grant grant) {
     String server = grant.target().value();
-    long sentAt = now;
+    long sentAt = events.now();
     Runnable work =
         () ->
-            at(
-                now + (long) (WORK_MILLIS * (0.5 + random.nextDouble())),
+            events.at(
+                events.now() + (long) (WORK_MILLIS * (0.5 + random.nextDouble())),
                 () -> answered(grant, sentAt));
     if (working.merge(server, 1, Integer::sum) <= SLOTS) {
       work.run();
@@ -149,10 +112,10 @@
     String server = grant.target().value();
     working.merge(server, -1, Integer::sum);
     Optional.ofNullable(queued.get(server)).map(Deque::poll).ifPresent(Runnable::run);
-    boolean isInTime = now - arrivedAt.get(grant.request()) <= TARGET_MILLIS;
+    boolean isInTime = events.now() - arrivedAt.get(grant.request()) <= TARGET_MILLIS;
     inTime += isInTime && arrivedAt.get(grant.request()) > LEARNING_MILLIS ? 1 : 0;
-    long answerMillis = now - sentAt;
-    at(now + random.nextInt(SLOWEST_HOST_MILLIS), () -> ended(grant, answerMillis));
+    long answerMillis = events.now() - sentAt;
+    events.at(events.now() + random.nextInt(SLOWEST_HOST_MILLIS), () -> ended(grant, answerMillis));
   }
 
   private void ended(Grant grant, long answerMillis) {
@@ -167,10 +130,6 @@
                 0,
                 answerMillis,
                 0),
-            now));
-  }
-
-  private void at(long millis, Runnable action) {
-    events.add(new Event(millis, order++, action));
+            events.now()));
   }
 }
--- a/core/src/test/java/org/marjoramsail/core/placement/PlainOverloadTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlainOverloadTest.java
@@ -3,19 +3,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.marjoramsail.core.placement.PlacementFixtures.ended;
 import static org.marjoramsail.core.placement.PlacementFixtures.plainPool;
+import static org.marjoramsail.core.placement.PlacementFixtures.timelyPlain;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.marjoramsail.core.model.Pieces;
 import org.marjoramsail.core.model.RequestId;
-import org.marjoramsail.core.model.ServiceClass;
 
 /**
  * For five seconds a third more lookups came than the plain service can answer, and for ten seconds
@@ -33,10 +31,9 @@
   private static final long WILLING_MILLIS = 2_500;
   private static final long BURST_FROM_MILLIS = 4_000;
   private static final long BURST_TO_MILLIS = 9_000;
+  private static final long TICK_MILLIS = 5;
   private static final long LENGTH_MILLIS = 20_000;
 
-  private record Event(long atMillis, long order, Runnable action) {}
-
   private record Caller(long content, long firstMillis, int tries) {}
 
   private final ReservingPlacer placer =
@@ -49,16 +46,9 @@
               new Random(1),
               false),
           0);
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(
-          (first, second) ->
-              first.atMillis() == second.atMillis()
-                  ? Long.compare(first.order(), second.order())
-                  : Long.compare(first.atMillis(), second.atMillis()));
+  private final VirtualEvents events = new VirtualEvents();
   private final Map<RequestId, Caller> callers = new HashMap<>();
   private Random random = new Random(0);
-  private long order;
-  private long now;
   private int asked;
   private int inTime;
   private int askedAfter;
@@ -80,18 +70,12 @@
     while (next < LENGTH_MILLIS) {
       long arrival = (long) next;
       Caller caller = new Caller(content++, arrival, 1);
-      at(arrival, () -> arrive(caller));
+      events.at(arrival, () -> arrive(caller));
       boolean isBurst = arrival >= BURST_FROM_MILLIS && arrival < BURST_TO_MILLIS;
       next += -Math.log(1 - random.nextDouble()) / (perMilli * (isBurst ? 1.35 : 0.8));
     }
-    for (long tick = 0; tick < LENGTH_MILLIS; tick += 5) {
-      at(tick, () -> handle(placer.tick(now)));
-    }
-    while (!events.isEmpty()) {
-      Event event = events.poll();
-      now = event.atMillis();
-      event.action().run();
-    }
+    events.every(TICK_MILLIS, LENGTH_MILLIS, () -> handle(placer.tick(events.now())));
+    events.run();
   }
 
   private void arrive(Caller caller) {
@@ -103,27 +87,7 @@
     callers.put(id, caller);
     handle(
         placer.place(
-            new PlacementRequest(
-                id,
-                1,
-                PlacementFixtures.ENTRY,
-                "ventanilla",
-                "callers",
-                "rule",
-                ServiceClass.TIMELY,
-                0,
-                0,
-                List.of(),
-                0,
-                PLACE_MILLIS,
-                DEADLINE_MILLIS,
-                List.of(),
-                Optional.empty(),
-                false,
-                caller.content(),
-                Pieces.SINGLE_TOKENS,
-                0),
-            now));
+            timelyPlain(id, PLACE_MILLIS, DEADLINE_MILLIS, caller.content()), events.now()));
   }
 
   /** Some seconds after the burst its backlog should be gone. */
@@ -138,26 +102,22 @@
         comeBack(caller, refused.refusal().retryAfterMillis().orElse(150L));
       } else {
         double work = WORK_MILLIS * (0.5 + random.nextDouble());
-        at(now + (long) work + 8, () -> answered(result.request(), caller));
+        events.at(events.now() + (long) work + 8, () -> answered(result.request(), caller));
       }
     }
   }
 
   private void answered(RequestId request, Caller caller) {
-    boolean isInTime = now - caller.firstMillis() <= TARGET_MILLIS;
+    boolean isInTime = events.now() - caller.firstMillis() <= TARGET_MILLIS;
     inTime += isInTime ? 1 : 0;
     inTimeAfter += isInTime && isAfter(caller) ? 1 : 0;
-    handle(placer.report(ended(request.value(), 1, AttemptResult.COMPLETED), now));
+    handle(placer.report(ended(request.value(), 1, AttemptResult.COMPLETED), events.now()));
   }
 
   private void comeBack(Caller caller, long afterMillis) {
-    long again = now + afterMillis;
+    long again = events.now() + afterMillis;
     if (caller.tries() < 2 && again < caller.firstMillis() + WILLING_MILLIS) {
-      at(again, () -> arrive(new Caller(caller.content(), caller.firstMillis(), 2)));
+      events.at(again, () -> arrive(new Caller(caller.content(), caller.firstMillis(), 2)));
     }
   }
-
-  private void at(long millis, Runnable action) {
-    events.add(new Event(millis, order++, action));
-  }
 }
--- a/core/src/test/java/org/marjoramsail/core/placement/ReaderFeedingTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ReaderFeedingTest.java
@@ -10,7 +10,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -38,24 +37,16 @@
   /** What a busy host takes to send on what it was told, in milliseconds. */
   private static final int LATEST_REPORT_MILLIS = 120;
 
+  private static final long TICK_MILLIS = 5;
   private static final long LENGTH_MILLIS = 20_000;
   private static final long LEARNING_MILLIS = 8_000;
   private static final long TARGET_MILLIS = 900;
 
-  private record Event(long atMillis, long order, Runnable action) {}
-
   private final ReservingPlacer placer = shortLivedPlacer(poolWithMemory(READERS, 8, 16, 42_000));
-  private final PriorityQueue<Event> events =
-      new PriorityQueue<>(
-          (first, second) ->
-              first.atMillis() == second.atMillis()
-                  ? Long.compare(first.order(), second.order())
-                  : Long.compare(first.atMillis(), second.atMillis()));
+  private final VirtualEvents events = new VirtualEvents();
   private final Map<String, Double> readerFreeAt = new HashMap<>();
   private final Map<RequestId, Long> arrivedAt = new HashMap<>();
   private final List<Long> waits = new ArrayList<>();
-  private long order;
-  private long now;
 
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5})
@@ -67,18 +58,11 @@
     int number = 0;
     while (next < LENGTH_MILLIS) {
       String name = "r" + number++;
-      at((long) next, () -> arrive(name));
+      events.at((long) next, () -> arrive(name));
       next += betweenMillis * (0.5 + random.nextDouble());
     }
-    for (long tick = 0; tick < LENGTH_MILLIS; tick += 5) {
-      at(tick, () -> handle(placer.tick(now), random));
-    }
-    while (!events.isEmpty()) {
-      Event event = events.poll();
-      now = event.atMillis();
-      event.action().run();
-      handle(List.of(), random);
-    }
+    events.every(TICK_MILLIS, LENGTH_MILLIS, () -> handle(placer.tick(events.now()), random));
+    events.run();
 
     long late = waits.stream().filter(wait -> wait > TARGET_MILLIS / 2).count();
     assertThat(waits).isNotEmpty();
@@ -86,7 +70,7 @@
   }
 
   private void arrive(String name) {
-    arrivedAt.put(new RequestId(name), now);
+    arrivedAt.put(new RequestId(name), events.now());
     handle(
         placer.place(
             request(name)
@@ -95,7 +79,7 @@
                 .pieces(new Pieces(11, 300))
                 .within(TARGET_MILLIS, 14_000)
                 .build(),
-            now),
+            events.now()),
         new Random(name.hashCode()));
   }
 
@@ -103,28 +87,29 @@
     for (PlacementResult result : results) {
       if (result instanceof PlacementResult.Granted granted) {
         granted(granted.grant(), random);
-      } else if (now > LEARNING_MILLIS) {
+      } else if (events.now() > LEARNING_MILLIS) {
         waits.add(TARGET_MILLIS);
       }
     }
   }
 
   private void granted(Grant grant, Random random) {
-    if (now > LEARNING_MILLIS) {
-      waits.add(now - arrivedAt.get(grant.request()));
+    if (events.now() > LEARNING_MILLIS) {
+      waits.add(events.now() - arrivedAt.get(grant.request()));
     }
     String reader = grant.prefill().orElse(grant.target()).value();
     boolean isBeside = grant.prefill().isEmpty();
     double readMillis = FIXED_MILLIS + PROMPT_TOKENS / TOKENS_PER_MILLI * (isBeside ? 2 : 1);
-    double readAt = Math.max((double) now, readerFreeAt.getOrDefault(reader, 0.0)) + readMillis;
+    double readAt =
+        Math.max((double) events.now(), readerFreeAt.getOrDefault(reader, 0.0)) + readMillis;
     readerFreeAt.put(reader, readAt);
-    long sentAt = now;
+    long sentAt = events.now();
     long toldAt = (long) readAt + random.nextInt(LATEST_REPORT_MILLIS);
     if (!isBeside) {
-      at(toldAt, () -> tell(grant, AttemptPhase.PREFILLED, toldAt - sentAt, random));
+      events.at(toldAt, () -> tell(grant, AttemptPhase.PREFILLED, toldAt - sentAt, random));
     }
-    at(toldAt + 40, () -> tell(grant, AttemptPhase.GENERATING, 0, random));
-    at(toldAt + 40 + GENERATING_MILLIS, () -> tell(grant, AttemptPhase.ENDED, 0, random));
+    events.at(toldAt + 40, () -> tell(grant, AttemptPhase.GENERATING, 0, random));
+    events.at(toldAt + 40 + GENERATING_MILLIS, () -> tell(grant, AttemptPhase.ENDED, 0, random));
   }
 
   private void tell(Grant grant, AttemptPhase phase, long tookMillis, Random random) {
@@ -141,11 +126,7 @@
                 0,
                 tookMillis,
                 70),
-            now),
+            events.now()),
         random);
   }
-
-  private void at(long millis, Runnable action) {
-    events.add(new Event(millis, order++, action));
-  }
 }
--- a/core/src/test/java/org/marjoramsail/core/placement/TimelyPlacementTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/TimelyPlacementTest.java
@@ -6,15 +6,14 @@
 import static org.marjoramsail.core.placement.PlacementFixtures.plainPlacer;
 import static org.marjoramsail.core.placement.PlacementFixtures.plainPool;
 import static org.marjoramsail.core.placement.PlacementFixtures.refused;
+import static org.marjoramsail.core.placement.PlacementFixtures.timelyPlain;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.failure.RunState;
-import org.marjoramsail.core.model.Pieces;
 import org.marjoramsail.core.model.RequestId;
-import org.marjoramsail.core.model.ServiceClass;
 import org.marjoramsail.core.model.UpstreamName;
 
 /** What becomes of requests that want a target and are still wanted after it. */
@@ -156,27 +155,7 @@
   }
 
   private List<PlacementResult> place(String name, long nowMillis, long content) {
-    PlacementRequest request =
-        new PlacementRequest(
-            new RequestId(name),
-            1,
-            PlacementFixtures.ENTRY,
-            "ventanilla",
-            "callers",
-            "rule",
-            ServiceClass.TIMELY,
-            0,
-            0,
-            List.of(),
-            0,
-            TARGET,
-            DEADLINE,
-            List.of(),
-            Optional.empty(),
-            false,
-            content,
-            Pieces.SINGLE_TOKENS,
-            0);
+    PlacementRequest request = timelyPlain(new RequestId(name), TARGET, DEADLINE, content);
     return placer.place(request, nowMillis);
   }
 
