--- a/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
@@ -25,15 +25,16 @@
  */
 public final class ShardMap {
 
+  /** The most upstreams of a slice; with slices in powers of two it has at least half as many. */
+  public static final int MAXIMUM_UPSTREAMS = 24;
+
   /**
-   * The most upstreams of a shard; with slices in powers of two it has at least half as many.
-   *
-   * <p>A pool that fits into one shard shares its memory between all requests, and its owner is the
-   * only one that wants roles changed; with two, only the shard of the holder of the lease for
-   * orders had any of its engines changed. A fleet of 770 upstreams in two regions has shards of
-   * 24.
+   * Pools of up to so many slices' upstreams are not sliced. All requests of such a pool share its
+   * memory, and its one owner, which also holds the lease for orders, has roles changed wherever
+   * that helps; of two slices only one had any changed. An owner of more would exceed what control
+   * may cost a host.
    */
-  public static final int MAXIMUM_UPSTREAMS = 48;
+  private static final int SLICES_KEPT_WHOLE = 2;
 
   /** A shard must have this much more load than the other choice before a prefix leaves it. */
   private static final double LOAD_MARGIN = 0.25;
@@ -137,7 +138,10 @@
 
   /** How many slices a pool of that many configured upstreams has. */
   private int sliceCount(int upstreams) {
-    int slices = 1;
+    if (upstreams <= SLICES_KEPT_WHOLE * maximumUpstreams) {
+      return 1;
+    }
+    int slices = SLICES_KEPT_WHOLE;
     while (upstreams > slices * maximumUpstreams) {
       slices *= 2;
     }
--- a/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
@@ -25,7 +25,8 @@
   private static final double PER_SECOND = 10_000;
   private static final double BURST = 10_000;
   private static final int REQUEST_TOKENS = 500;
-  private static final int UPSTREAMS = 8;
+  private static final int UPSTREAMS = 16;
+  private static final int[] SLICES = {1, 4, 8};
 
   /** What platforms of these sizes allow beyond a limit: a tenth, and rather more than a burst. */
   private static final double OVERSHOOT = 1.1;
@@ -64,7 +65,7 @@
    */
   @Test
   void requestsThatAreFarApartAreNotRefusedBelowTheLimit() {
-    List<ReservingPlacer> owners = List.of(placer(0, 2, true, 0), placer(1, 2, true, 0));
+    List<ReservingPlacer> owners = List.of(placer(0, 4, true, 0), placer(1, 4, true, 0));
     List<PlacementResult> results = new ArrayList<>();
     for (int number = 0; number < 20; number++) {
       long now = 2_000 + number * 2_000L;
@@ -95,9 +96,9 @@
    */
   @Test
   void twoOwnersOfOneShardAreCountedOnceEach() {
-    ReservingPlacer before = placer(1, 2, false, 0);
-    ReservingPlacer after = placer(1, 2, true, 7);
-    ReservingPlacer other = placer(0, 2, false, 0);
+    ReservingPlacer before = placer(1, 4, false, 0);
+    ReservingPlacer after = placer(1, 4, true, 7);
+    ReservingPlacer other = placer(0, 4, false, 0);
     for (ReservingPlacer owner : List.of(before, after)) {
       for (int number = 0; number < 10; number++) {
         place(owner, owner.hashCode() + "-" + number, 1_000);
@@ -153,8 +154,8 @@
    */
   @Property(tries = 30)
   void ownersTogetherKeepToALimitWhoeverFollowsThem(
-      @ForAll long seed, @ForAll @IntRange(max = 2) int halvings) {
-    Grants grants = play(seed, 1 << halvings, true);
+      @ForAll long seed, @ForAll @IntRange(max = 2) int choice) {
+    Grants grants = play(seed, SLICES[choice], true);
 
     for (int second = WINDOW_SECONDS; second <= grants.seconds(); second++) {
       assertThat(grants.tokensOfWindow(second))
@@ -164,8 +165,8 @@
 
   /** An organisation that wants more than its limit gets nearly all of it, however it is spread. */
   @Property(tries = 30)
-  void aLimitIsUsedUpWhereMoreIsWanted(@ForAll long seed, @ForAll @IntRange(max = 2) int halvings) {
-    Grants grants = play(seed, 1 << halvings, false);
+  void aLimitIsUsedUpWhereMoreIsWanted(@ForAll long seed, @ForAll @IntRange(max = 2) int choice) {
+    Grants grants = play(seed, SLICES[choice], false);
 
     assertThat(grants.tokensOfWindow(grants.seconds()))
         .isGreaterThan(0.95 * PER_SECOND * WINDOW_SECONDS);
--- a/core/src/test/java/org/marjoramsail/core/placement/ShardMapTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ShardMapTest.java
@@ -19,7 +19,7 @@
 
   @Test
   void largePoolsAreSlicedEvenlyInTheRatioOfTheirRoles() {
-    ShardMap map = new ShardMap(PlacementFixtures.pool(64, 128, 20), 24);
+    ShardMap map = new ShardMap(PlacementFixtures.pool(64, 128, 20));
 
     assertThat(map.shards()).hasSize(8);
     for (ShardId shard : map.shards()) {
@@ -67,6 +67,17 @@
     assertThat(ShardMap.ownerOf(new ShardId("lector", "nowhere", 0), view)).isEmpty();
   }
 
+  /**
+   * Of a pool of 34 engines in two slices only those of one slice had their roles changed, and
+   * callers waited for memory in one slice while there was some in the other.
+   */
+  @Test
+  void poolsThatOneOwnerCanDecideForAreNotSliced() {
+    assertThat(new ShardMap(PlacementFixtures.pool(12, 22, 16)).shards()).hasSize(1);
+    assertThat(new ShardMap(PlacementFixtures.pool(16, 32, 16)).shards()).hasSize(1);
+    assertThat(new ShardMap(PlacementFixtures.pool(16, 33, 16)).shards()).hasSize(4);
+  }
+
   /**
    * A burst of lookups waited a second for their places. The one host that decided over all of them
    * was one of the smallest of the fleet, and busy with its messages, while large ones stood idle.
