--- a/core/src/main/java/org/marjoramsail/core/placement/ReadingPace.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PrefillPace.java
@@ -1,26 +1,26 @@
 package org.marjoramsail.core.placement;
 
 /**
- * How fast the prefill upstreams of a shard read, as the first guess for an upstream that has not
- * read yet.
+ * How fast the prefill upstreams of a shard are, as the first guess for an upstream that has done
+ * no prefill yet.
  *
- * <p>Decode upstreams read prompts only where that keeps the pauses of their answers short. A first
- * guess that had them read half as fast as they do kept them from ever reading, and so from ever
- * being seen to be faster, while prompts waited for seconds.
+ * <p>Decode upstreams take a prefill only where that keeps the pauses of their streams short. A
+ * first guess of half their rate kept them from ever taking one, and so from ever being seen to be
+ * faster, while prompts waited for seconds.
  */
-final class ReadingPace {
+final class PrefillPace {
 
   private final MovingAverage aloneMillisPerToken;
   private final double slowdown;
 
   /** Starts with the rates of the settings. */
-  ReadingPace(PlacementSettings settings) {
+  PrefillPace(PlacementSettings settings) {
     this.aloneMillisPerToken = new MovingAverage(1 / settings.prefillTokensPerMilli());
     this.slowdown = settings.localSlowdown();
   }
 
   /** Handles what a token took on a prefill upstream. */
-  void learnAlone(double millisPerToken) {
+  void learn(double millisPerToken) {
     aloneMillisPerToken.observe(millisPerToken);
   }
 
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
@@ -24,7 +24,7 @@
 
   private final PlacementSettings settings;
   private final AnswerSpread spread;
-  private final ReadingPace pace;
+  private final PrefillPace pace;
   private final PlainOccupancy occupancy = new PlainOccupancy();
   private final Map<UpstreamName, UpstreamState> byName = new TreeMap<>();
   private final Map<DaemonId, Long> heardAt = new HashMap<>();
@@ -33,7 +33,7 @@
   ShardUpstreams(PlacementSettings settings, AnswerSpread spread) {
     this.settings = settings;
     this.spread = spread;
-    this.pace = new ReadingPace(settings);
+    this.pace = new PrefillPace(settings);
   }
 
   /** How long plain requests hold their slots. */
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -23,7 +23,7 @@
   private final PlacementSettings settings;
   private final PrefixIndex prefixes = new PrefixIndex();
   private final MemoryForecast forecast;
-  private final ReadingPace pace;
+  private final PrefillPace pace;
   private final PlainOccupancy occupancy;
   private final MovingAverage aloneMillisPerToken;
   private final MovingAverage besideMillisPerToken;
@@ -66,7 +66,7 @@
       UpstreamDefinition definition,
       PlacementSettings settings,
       AnswerSpread spread,
-      ReadingPace pace,
+      PrefillPace pace,
       PlainOccupancy occupancy) {
     this.pace = pace;
     this.occupancy = occupancy;
@@ -391,7 +391,7 @@
       double perToken = (tookMillis - overheadMillis.value()) / tokens;
       learnedPerToken().observe(perToken);
       if (role == UpstreamRole.PREFILL) {
-        pace.learnAlone(perToken);
+        pace.learn(perToken);
       }
     } else {
       overheadMillis.observe(tookMillis - tokens * millisPerToken());
--- a/core/src/test/java/org/marjoramsail/core/membership/SparseProbesTest.java
+++ b/core/src/test/java/org/marjoramsail/core/membership/SparseProbesTest.java
@@ -22,8 +22,8 @@
   private static final long RECOVERY_MILLIS = 4_000;
 
   /**
-   * Seventy-seven hosts started at once. Each opened connections to all others, only to ask them
-   * whether they lived, and had spent half of its processor time before the first caller came.
+   * Seventy-seven hosts started at once. Each opened, proved and kept connections to all others,
+   * only to ask them whether they lived, while the first callers waited for it.
    */
   @ParameterizedTest
   @CsvSource({"30, 1", "77, 2", "100, 3", "300, 4"})
--- a/core/src/test/java/org/marjoramsail/core/placement/ReaderFeedingTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/MixedPrefillTest.java
@@ -23,7 +23,7 @@
  * guessed to read half as fast as they do, so that no pause allowed it, and never read one by which
  * the guess could have been mended.
  */
-class ReaderFeedingTest {
+class MixedPrefillTest {
 
   private static final int READERS = 4;
   private static final int PROMPT_TOKENS = 5_200;
