Failing tests: an upstream that names a limit gets more than that

Reproduced without any deployment: hosts with one owner on a virtual clock, before plain upstreams that name limits of 4.1 and 3.5 requests a second from 4 s on, with 7, 77 and 390 hosts; requests are counted from hosts that had been told half a second before, in windows of four seconds, from three seconds after the first word.

--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/placement/HostsBeforeUpstreams.java
@@ -0,0 +1,296 @@
+package org.marjoramsail.core.placement;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Function;
+import org.marjoramsail.core.condition.UpstreamConditions;
+import org.marjoramsail.core.condition.UpstreamStatement;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.Pieces;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.UpstreamName;
+
+/**
+ * Hosts that place requests with one owner among them, before plain upstreams that say things of
+ * themselves in their answers; on a virtual clock, with hosts that die or see only some others.
+ */
+final class HostsBeforeUpstreams {
+
+  private static final ShardId SHARD = PlacementFixtures.PLAIN_SHARD;
+  private static final long LINK_MILLIS = 2;
+  private static final long OWNER_TICK_MILLIS = 10;
+  private static final long ENTRY_TICK_MILLIS = 100;
+  private static final long TARGET_MILLIS = 300;
+  private static final long DEADLINE_MILLIS = 1_500;
+
+  /** A request that reached an upstream. */
+  record Arrival(UpstreamName upstream, DaemonId host, long atMillis) {}
+
+  /** What became of a request. */
+  record End(boolean served, long askedAtMillis, long endedAtMillis, Optional<Long> retryAfter) {}
+
+  private static final class Host {
+    private final DaemonId id;
+    private final UpstreamConditions conditions = new UpstreamConditions();
+    private final EntryPlacement entry;
+    private Optional<ShardLedger> ledger = Optional.empty();
+    private int side;
+    private boolean dead;
+
+    Host(DaemonId id, ShardDirectory directory) {
+      this.id = id;
+      this.entry = new EntryPlacement(id, PlacementTimings.standard(), directory);
+    }
+  }
+
+  private record Asked(DaemonId host, long atMillis) {}
+
+  private final VirtualEvents events = new VirtualEvents();
+  private final Map<DaemonId, Host> hosts = new HashMap<>();
+  private final List<DaemonId> ranking = new ArrayList<>();
+  private final Map<RequestId, Asked> asked = new HashMap<>();
+  private final Map<UpstreamName, Map<DaemonId, Long>> toldAt = new HashMap<>();
+  private final List<Arrival> arrivals = new ArrayList<>();
+  private final List<End> ends = new ArrayList<>();
+  private final Configuration configuration;
+  private final Random random;
+  private final long workMillis;
+  private Function<UpstreamName, UpstreamStatement> statements = name -> UpstreamStatement.NOTHING;
+  private int sequence;
+
+  /**
+   * Creates hosts and upstreams.
+   *
+   * @param hostCount how many hosts; the first owns the pool while it lives and is seen
+   * @param workMillis how long an upstream works on a request
+   */
+  HostsBeforeUpstreams(int hostCount, int upstreams, int slots, long workMillis, long seed) {
+    this.configuration = PlacementFixtures.plainPool(upstreams, slots);
+    this.workMillis = workMillis;
+    this.random = new Random(seed);
+    for (int number = 0; number < hostCount; number++) {
+      DaemonId id = new DaemonId("host-" + number, 1);
+      ranking.add(id);
+      hosts.put(id, new Host(id, shard -> seenBy(id)));
+    }
+  }
+
+  VirtualEvents events() {
+    return events;
+  }
+
+  /** What each upstream says in its answers at this moment. */
+  void saying(Function<UpstreamName, UpstreamStatement> newer) {
+    statements = newer;
+  }
+
+  /** Has requests come at random hosts, so many a second on average, over a time. */
+  void load(double perSecond, long fromMillis, long toMillis) {
+    double next = fromMillis;
+    while (next < toMillis) {
+      events.at((long) next, () -> ask(ranking.get(random.nextInt(ranking.size()))));
+      next += -Math.log(1 - random.nextDouble()) * 1_000 / perSecond;
+    }
+  }
+
+  /** Has a host die; it starts again as a new run that knows nothing. */
+  void kill(int number) {
+    DaemonId before = ranking.get(number);
+    hosts.get(before).dead = true;
+    DaemonId after = new DaemonId(before.host(), before.incarnation() + 1);
+    Host born = new Host(after, shard -> seenBy(after));
+    born.side = hosts.get(before).side;
+    ranking.set(number, after);
+    hosts.put(after, born);
+    for (Host host : living()) {
+      act(host, host.entry.lost(before, events.now()));
+      host.ledger.ifPresent(ledger -> send(host, ledger.daemonGone(before, events.now())));
+    }
+  }
+
+  /** Puts a host on a side; only hosts of one side reach each other. */
+  void putOnSide(int number, int side) {
+    hosts.get(ranking.get(number)).side = side;
+  }
+
+  /** Runs until a time. */
+  void run(long untilMillis) {
+    events.every(OWNER_TICK_MILLIS, untilMillis, this::tickOwners);
+    events.every(ENTRY_TICK_MILLIS, untilMillis, this::tickEntries);
+    events.run();
+  }
+
+  List<Arrival> arrivals() {
+    return arrivals;
+  }
+
+  List<End> ends() {
+    return ends;
+  }
+
+  /** When a host first passed on an answer in which an upstream said something of itself. */
+  Optional<Long> toldAt(UpstreamName upstream, DaemonId host) {
+    return Optional.ofNullable(toldAt.getOrDefault(upstream, Map.of()).get(host));
+  }
+
+  /** All upstreams. */
+  List<UpstreamName> upstreams() {
+    return configuration.upstreams().stream().map(UpstreamDefinition::name).toList();
+  }
+
+  private List<DaemonId> seenBy(DaemonId id) {
+    int side = hosts.get(id).side;
+    return ranking.stream().filter(other -> hosts.get(other).side == side).toList();
+  }
+
+  private List<Host> living() {
+    return ranking.stream().map(hosts::get).toList();
+  }
+
+  private void ask(DaemonId at) {
+    Host host = hosts.get(at);
+    RequestId id = new RequestId("request-" + sequence++);
+    asked.put(id, new Asked(at, events.now()));
+    PlacementRequest request =
+        new PlacementRequest(
+            id,
+            1,
+            at,
+            "ventanilla",
+            "callers",
+            "rule",
+            ServiceClass.TIMELY,
+            0,
+            0,
+            List.of(),
+            0,
+            TARGET_MILLIS,
+            DEADLINE_MILLIS,
+            List.of(),
+            Optional.empty(),
+            false,
+            0,
+            Pieces.SINGLE_TOKENS,
+            0);
+    act(host, host.entry.place(request, SHARD, events.now()));
+  }
+
+  private void tickOwners() {
+    for (Host host : living()) {
+      host.ledger.ifPresent(ledger -> send(host, ledger.tick(events.now())));
+    }
+  }
+
+  private void tickEntries() {
+    for (Host host : living()) {
+      act(host, host.entry.tick(events.now()));
+    }
+  }
+
+  private void act(Host host, List<EntryAction> actions) {
+    for (EntryAction action : actions) {
+      if (action instanceof EntryAction.Send send) {
+        post(host.id, send.to(), send.message());
+      } else if (action instanceof EntryAction.Answer answer) {
+        answered(host, answer.result());
+      }
+    }
+  }
+
+  private void send(Host owner, List<ShardLedger.Outgoing> messages) {
+    messages.forEach(outgoing -> post(owner.id, outgoing.to(), outgoing.message()));
+  }
+
+  private void post(DaemonId from, DaemonId to, PlacementMessage message) {
+    long delayMillis = from.equals(to) ? 0 : LINK_MILLIS;
+    events.at(events.now() + delayMillis, () -> receive(from, to, message));
+  }
+
+  private void receive(DaemonId from, DaemonId to, PlacementMessage message) {
+    Host host = hosts.get(to);
+    if (host.dead || hosts.get(from).side != host.side) {
+      return;
+    }
+    boolean isForOwner =
+        message instanceof PlacementMessage.Place
+            || message instanceof PlacementMessage.Restore
+            || message instanceof PlacementMessage.Report
+            || message instanceof PlacementMessage.Withdraw
+            || message instanceof PlacementMessage.Holdings;
+    if (isForOwner) {
+      send(host, ledgerOf(host).handle(from, message, events.now()));
+    } else {
+      act(host, host.entry.heard(from, message, events.now()));
+    }
+  }
+
+  private ShardLedger ledgerOf(Host host) {
+    if (host.ledger.isEmpty()) {
+      PlacerSetup setup = PlacementFixtures.setup(SHARD, configuration, events.now() > 0);
+      ReservingPlacer placer = new ReservingPlacer(setup, events.now());
+      host.ledger = Optional.of(new ShardLedger(SHARD, placer, PlacementTimings.standard()));
+    }
+    return host.ledger.get();
+  }
+
+  private void answered(Host host, PlacementResult result) {
+    if (result instanceof PlacementResult.Refused refused) {
+      end(result.request(), false, refused.refusal().retryAfterMillis());
+    } else if (result instanceof PlacementResult.Granted granted && !host.dead) {
+      UpstreamName target = granted.grant().target();
+      arrivals.add(new Arrival(target, host.id, events.now()));
+      events.at(events.now() + workMillis, () -> head(host, target, result.request()));
+    }
+  }
+
+  private void head(Host host, UpstreamName upstream, RequestId request) {
+    if (host.dead) {
+      return;
+    }
+    UpstreamStatement statement = statements.apply(upstream);
+    UpstreamDefinition definition =
+        configuration.upstreams().stream()
+            .filter(known -> known.name().equals(upstream))
+            .findFirst()
+            .orElseThrow();
+    host.conditions.heard(definition.incarnation(), statement, events.now());
+    if (!statement.equals(UpstreamStatement.NOTHING)) {
+      toldAt.computeIfAbsent(upstream, name -> new HashMap<>()).putIfAbsent(host.id, events.now());
+    }
+    act(host, host.entry.report(ended(request)));
+    end(request, true, Optional.empty());
+  }
+
+  private void end(RequestId request, boolean served, Optional<Long> retryAfter) {
+    Asked since = asked.remove(request);
+    if (since != null) {
+      ends.add(new End(served, since.atMillis(), events.now(), retryAfter));
+    }
+  }
+
+  /** Hosts that were told of what an upstream says. */
+  Set<DaemonId> told(UpstreamName upstream) {
+    return new HashSet<>(toldAt.getOrDefault(upstream, Map.of()).keySet());
+  }
+
+  private static AttemptReport ended(RequestId request) {
+    return new AttemptReport(
+        request,
+        1,
+        AttemptPhase.ENDED,
+        Optional.of(AttemptResult.COMPLETED),
+        Optional.empty(),
+        0,
+        1,
+        0);
+  }
+}
