--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/placement/AskedPauseTest.java
@@ -0,0 +1,87 @@
+package org.marjoramsail.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.marjoramsail.core.condition.UpstreamStatement;
+import org.marjoramsail.core.placement.HostsBeforeUpstreams.Arrival;
+import org.marjoramsail.core.placement.HostsBeforeUpstreams.End;
+import org.marjoramsail.core.placement.HostsBeforeUpstreams.Way;
+
+/**
+ * An upstream turned requests away and said to each host for how long it wants nothing of it. Hosts
+ * left it alone for 60 ms and came again: what it had turned away was all that it got to do.
+ */
+class AskedPauseTest {
+
+  private static final long FROM_MILLIS = 4_000;
+  private static final long LENGTH_MILLIS = 14_000;
+  private static final long PAUSE_MILLIS = 3_000;
+
+  /** How long a host may take to act on what it was told. */
+  private static final long REACTION_MILLIS = 500;
+
+  private static final int ALLOWED_REQUESTS = 2;
+
+  private static final UpstreamStatement TURNS_AWAY =
+      new UpstreamStatement(Optional.empty(), false, Optional.of(PAUSE_MILLIS), 0);
+
+  @ParameterizedTest
+  @CsvSource({"7, 3, 1, 1", "7, 3, 2, 2", "77, 12, 3, 1"})
+  void aHostLeavesAnUpstreamAloneForAsLongAsItAsksFor(
+      int hosts, int upstreams, int turning, long seed) {
+    HostsBeforeUpstreams fleet = fleet(hosts, upstreams, turning, seed);
+
+    fleet.run(LENGTH_MILLIS);
+
+    assertPausesHold(fleet);
+  }
+
+  /** With a pause asked for everywhere a caller is told at once, and comes back after it. */
+  @Test
+  void requestsThatFitNowhereAreRefusedAtOnceUntilAPauseEnds() {
+    HostsBeforeUpstreams fleet = fleet(2, 3, 3, 1);
+
+    fleet.run(LENGTH_MILLIS);
+
+    assertPausesHold(fleet);
+    List<End> refused =
+        fleet.ends().stream()
+            .filter(end -> !end.served() && end.askedAtMillis() > FROM_MILLIS + 1_000)
+            .filter(end -> end.endedAtMillis() - end.askedAtMillis() <= 50)
+            .toList();
+    assertThat(refused).hasSizeGreaterThan(100);
+    assertThat(refused).anyMatch(end -> end.retryAfter().orElse(0L) > 1_500);
+    assertThat(refused).allMatch(end -> end.retryAfter().orElse(0L) <= PAUSE_MILLIS);
+  }
+
+  private static HostsBeforeUpstreams fleet(int hosts, int upstreams, int turning, long seed) {
+    HostsBeforeUpstreams fleet =
+        new HostsBeforeUpstreams(hosts, upstreams, 6, 86, seed, Way.AT_THE_OWNER);
+    fleet.saying(
+        name ->
+            fleet.events().now() >= FROM_MILLIS && fleet.upstreams().indexOf(name) < turning
+                ? TURNS_AWAY
+                : UpstreamStatement.NOTHING);
+    fleet.load(10.0 * upstreams, 0, LENGTH_MILLIS);
+    return fleet;
+  }
+
+  private static void assertPausesHold(HostsBeforeUpstreams fleet) {
+    assertThat(fleet.pauses()).isNotEmpty();
+    for (Arrival asked : fleet.pauses()) {
+      long since =
+          fleet.arrivals().stream()
+              .filter(one -> one.upstream().equals(asked.upstream()))
+              .filter(one -> one.host().equals(asked.host()))
+              .filter(one -> one.atMillis() > asked.atMillis() + REACTION_MILLIS)
+              .filter(one -> one.atMillis() < asked.atMillis() + PAUSE_MILLIS)
+              .count();
+      assertThat(since).isLessThanOrEqualTo(ALLOWED_REQUESTS);
+    }
+  }
+}
--- a/core/src/test/java/org/marjoramsail/core/placement/HostsBeforeUpstreams.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/HostsBeforeUpstreams.java
@@ -77,6 +77,7 @@
   private final Map<UpstreamName, Map<DaemonId, Long>> toldAt = new HashMap<>();
   private final List<Arrival> arrivals = new ArrayList<>();
   private final List<End> ends = new ArrayList<>();
+  private final List<Arrival> pauses = new ArrayList<>();
   private final Configuration configuration;
   private final Random random;
   private final long workMillis;
@@ -181,6 +182,11 @@
     return ends;
   }
 
+  /** When an upstream asked a host for a pause. */
+  List<Arrival> pauses() {
+    return pauses;
+  }
+
   /** When a host first passed on an answer in which an upstream said something of itself. */
   Optional<Long> toldAt(UpstreamName upstream, DaemonId host) {
     return Optional.ofNullable(toldAt.getOrDefault(upstream, Map.of()).get(host));
@@ -364,6 +370,12 @@
     if (!statement.equals(UpstreamStatement.NOTHING)) {
       toldAt.computeIfAbsent(upstream, name -> new HashMap<>()).putIfAbsent(host.id, events.now());
     }
+    if (statement.pauseMillis().isPresent()) {
+      pauses.add(new Arrival(upstream, host.id, events.now()));
+      act(host, host.entry.report(full(request, upstream), events.now()));
+      askElsewhere(host, request, upstream);
+      return;
+    }
     act(host, host.entry.report(ended(request), events.now()));
     end(request, true, Optional.empty());
   }
@@ -375,6 +387,18 @@
     }
   }
 
+  private static AttemptReport full(RequestId request, UpstreamName upstream) {
+    return new AttemptReport(
+        request,
+        1,
+        AttemptPhase.ENDED,
+        Optional.of(AttemptResult.FULL),
+        Optional.of(upstream),
+        0,
+        1,
+        0);
+  }
+
   private static AttemptReport ended(RequestId request) {
     return new AttemptReport(
         request,
--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/placement/StatedLeavingTest.java
@@ -0,0 +1,131 @@
+package org.marjoramsail.core.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.marjoramsail.core.condition.UpstreamStatement;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.placement.HostsBeforeUpstreams.Arrival;
+import org.marjoramsail.core.placement.HostsBeforeUpstreams.End;
+import org.marjoramsail.core.placement.HostsBeforeUpstreams.Way;
+
+/**
+ * The store was away when an upstream began to leave, so that its entry did not say so; its answers
+ * did. A host that had passed such an answer on sent it a ballot 2.9 seconds later. Had it ended by
+ * then, the ballot would have been cut off.
+ */
+class StatedLeavingTest {
+
+  private static final long LEAVES_AT_MILLIS = 4_000;
+  private static final long LENGTH_MILLIS = 14_000;
+
+  /** How long after its word an upstream may still get work of a host that passed it on. */
+  private static final long DRAIN_MILLIS = 2_000;
+
+  private static final UpstreamStatement LEAVES =
+      new UpstreamStatement(Optional.empty(), true, Optional.empty(), 0);
+
+  @ParameterizedTest
+  @CsvSource({"7, 3, 1, 1", "7, 3, 2, 2", "77, 12, 3, 1", "390, 40, 8, 1"})
+  void anUpstreamThatSaysThatItLeavesGetsNoNewWork(
+      int hosts, int upstreams, int leaving, long seed) {
+    HostsBeforeUpstreams fleet = fleet(hosts, upstreams, leaving, seed);
+
+    fleet.run(LENGTH_MILLIS);
+
+    assertThat(lateArrivals(fleet)).isEmpty();
+  }
+
+  /** Owners die one after the other; none of them was told what the ones before it were. */
+  @Property(seed = "20261203", tries = 12)
+  void itGetsNoneWhateverOwnersDie(@ForAll @LongRange(min = 1) long seed) {
+    HostsBeforeUpstreams fleet = fleet(7, 3, 1, seed);
+    Random random = new Random(seed);
+    for (long at = LEAVES_AT_MILLIS; at < LENGTH_MILLIS; at += 300 + random.nextInt(2_000)) {
+      int dead = random.nextInt(3);
+      fleet.events().at(at, () -> fleet.kill(dead));
+    }
+
+    fleet.run(LENGTH_MILLIS);
+
+    assertThat(lateArrivals(fleet)).isEmpty();
+  }
+
+  /** Hosts cannot reach each other; each keeps to what it was told itself. */
+  @Test
+  void itGetsNoneFromHostsThatAreAlone() {
+    HostsBeforeUpstreams fleet = fleet(3, 3, 1, 1);
+    fleet.putOnSide(1, 1);
+    fleet.putOnSide(2, 2);
+
+    fleet.run(LENGTH_MILLIS);
+
+    assertThat(lateArrivals(fleet)).isEmpty();
+  }
+
+  /** One that was seen to leave and then says nothing of it any more is ending all the same. */
+  @Test
+  void itGetsNoneWhenItsAnswersNoLongerSaySo() {
+    HostsBeforeUpstreams fleet = new HostsBeforeUpstreams(7, 3, 6, 86, 1, Way.AT_THE_OWNER);
+    UpstreamName first = fleet.upstreams().get(0);
+    fleet.saying(
+        name ->
+            name.equals(first) && fleet.events().now() > 4_000 && fleet.events().now() < 4_200
+                ? LEAVES
+                : UpstreamStatement.NOTHING);
+    fleet.load(30, 0, LENGTH_MILLIS);
+
+    fleet.run(LENGTH_MILLIS);
+
+    assertThat(lateArrivals(fleet)).isEmpty();
+  }
+
+  /** With all of a service leaving a caller is told at once, and when to come back. */
+  @Test
+  void requestsThatNoUpstreamTakesAnyMoreAreRefusedAtOnce() {
+    HostsBeforeUpstreams fleet = fleet(7, 3, 3, 1);
+
+    fleet.run(LENGTH_MILLIS);
+
+    assertThat(lateArrivals(fleet)).isEmpty();
+    List<End> refused =
+        fleet.ends().stream()
+            .filter(end -> !end.served() && end.askedAtMillis() > LEAVES_AT_MILLIS + 1_000)
+            .toList();
+    assertThat(refused).hasSizeGreaterThan(100);
+    assertThat(refused).allMatch(end -> end.endedAtMillis() - end.askedAtMillis() <= 50);
+    assertThat(refused).allMatch(end -> end.retryAfter().orElse(0L) > 0);
+  }
+
+  private static HostsBeforeUpstreams fleet(int hosts, int upstreams, int leaving, long seed) {
+    HostsBeforeUpstreams fleet =
+        new HostsBeforeUpstreams(hosts, upstreams, 6, 86, seed, Way.AT_THE_OWNER);
+    fleet.saying(
+        name ->
+            fleet.events().now() >= LEAVES_AT_MILLIS && fleet.upstreams().indexOf(name) < leaving
+                ? LEAVES
+                : UpstreamStatement.NOTHING);
+    fleet.load(10.0 * upstreams, 0, LENGTH_MILLIS);
+    return fleet;
+  }
+
+  /** Requests that came too long after their host had passed on that the upstream leaves. */
+  private static List<Arrival> lateArrivals(HostsBeforeUpstreams fleet) {
+    return fleet.arrivals().stream()
+        .filter(
+            arrival ->
+                fleet
+                    .toldAt(arrival.upstream(), arrival.host())
+                    .filter(toldAt -> arrival.atMillis() > toldAt + DRAIN_MILLIS)
+                    .isPresent())
+        .toList();
+  }
+}
