An upstream that leaves, or asks for a pause, gets nothing more from a host that heard it

Only the list of upstreams told who leaves; while the store was away nobody believed it, whatever the upstream itself said, and 503 with a time was read as 'full', left alone for 60 ms. The same class as the limit: news in an answer, known at one host, with another host deciding.

Ruled out: an owner that granted against its knowledge, and beliefs that were overwritten: there were none.

Change: a host asks its own beliefs just before each send, whoever granted it; what is not welcome is not sent, counts as no send, and is placed elsewhere at once (UPSTREAM_NOT_WELCOME). Owners are told who leaves with each message that may lead to a grant, from answers and from the list (the store may turn the owner away and serve the host), and grant nothing there to anyone. Pauses are asked of one host: its requests name the upstreams to be passed over. What then fits nowhere is refused at once; where pauses are in the way, with the time at which the first one ends. Leaving is final for one life of an upstream: an answer without it says nothing new, since what leaves has begun to end.

Price: an upstream that says it leaves and stays gets nothing until it starts again. Where all of a service leave, requests are refused at once and not held for one that may come.

--- a/core/src/main/java/org/marjoramsail/core/condition/UpstreamConditions.java
+++ b/core/src/main/java/org/marjoramsail/core/condition/UpstreamConditions.java
@@ -7,9 +7,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
+import org.marjoramsail.core.model.UpstreamName;
 
 /**
  * What one host believes of upstreams because of what they said in answers to it.
@@ -37,15 +37,7 @@
     private long pausedUntilMillis = Long.MIN_VALUE;
 
     boolean isToTell() {
-      return requestsPerSecond.isPresent();
-    }
-
-    StatedCondition told(Incarnation upstream, long nowMillis) {
-      return new StatedCondition(
-          upstream.upstream(),
-          upstream.startedAtMillis(),
-          requestsPerSecond,
-          nowMillis - limitHeardAtMillis);
+      return leaving || requestsPerSecond.isPresent();
     }
   }
 
@@ -98,25 +90,62 @@
   }
 
   /**
-   * What the owner of a shard has to know of its upstreams; mostly that is nothing, and they are
-   * not looked up.
+   * What the owner of a shard has to know of its upstreams; mostly nothing.
+   *
+   * <p>That one is listed as leaving is told as well: the owner may be turned away by a store that
+   * serves this host.
    */
   public synchronized List<StatedCondition> toTell(
-      Supplier<List<UpstreamDefinition>> upstreams, long nowMillis) {
-    if (beliefs.values().stream().noneMatch(Belief::isToTell)) {
-      return List.of();
-    }
-    List<StatedCondition> told = new ArrayList<>();
-    for (UpstreamDefinition definition : upstreams.get()) {
-      Incarnation upstream = definition.incarnation();
-      Belief belief = beliefs.get(upstream);
-      if (belief != null && belief.isToTell()) {
-        told.add(belief.told(upstream, nowMillis));
+      List<UpstreamDefinition> upstreams, long nowMillis) {
+    boolean isAnyStated = beliefs.values().stream().anyMatch(Belief::isToTell);
+    List<StatedCondition> told = new ArrayList<>(0);
+    for (UpstreamDefinition upstream : upstreams) {
+      Belief belief = isAnyStated ? beliefs.get(upstream.incarnation()) : null;
+      if (upstream.drained() || (belief != null && belief.isToTell())) {
+        told.add(told(upstream, Optional.ofNullable(belief), nowMillis));
       }
     }
     return told;
   }
 
+  private static StatedCondition told(
+      UpstreamDefinition upstream, Optional<Belief> belief, long nowMillis) {
+    Optional<Double> limit = belief.flatMap(one -> one.requestsPerSecond);
+    return new StatedCondition(
+        upstream.name(),
+        upstream.incarnation().startedAtMillis(),
+        limit,
+        upstream.drained() || belief.filter(one -> one.leaving).isPresent(),
+        limit.isPresent() ? nowMillis - belief.get().limitHeardAtMillis : 0);
+  }
+
+  /**
+   * Whether an upstream wants a request from this host now.
+   *
+   * <p>Asked just before a send, whoever granted it: an owner that had not heard of what was said
+   * here would else have new work sent to an upstream that ends meanwhile.
+   */
+  public synchronized boolean isWelcome(Incarnation upstream, long nowMillis) {
+    Belief belief = beliefs.get(upstream);
+    return belief == null || !(belief.leaving || nowMillis < belief.pausedUntilMillis);
+  }
+
+  /** Which of these upstreams have asked this host for a pause, and until when. */
+  public synchronized Map<UpstreamName, Long> pausedUntil(
+      List<UpstreamDefinition> upstreams, long nowMillis) {
+    if (paused(nowMillis) == 0) {
+      return Map.of();
+    }
+    Map<UpstreamName, Long> paused = new HashMap<>();
+    for (UpstreamDefinition upstream : upstreams) {
+      Belief belief = beliefs.get(upstream.incarnation());
+      if (belief != null && nowMillis < belief.pausedUntilMillis) {
+        paused.put(upstream.name(), belief.pausedUntilMillis);
+      }
+    }
+    return paused;
+  }
+
   /** How many upstreams name a limit. */
   public synchronized long limited() {
     return beliefs.values().stream().filter(one -> one.requestsPerSecond.isPresent()).count();
--- a/core/src/main/java/org/marjoramsail/core/failure/Refusal.java
+++ b/core/src/main/java/org/marjoramsail/core/failure/Refusal.java
@@ -23,6 +23,11 @@
     return new Refusal(reason, RunState.NOT_RUN, detail, Optional.of(retryAfterMillis));
   }
 
+  /** The same refusal with another time after which the request may succeed. */
+  public Refusal retryingAfter(long millis) {
+    return new Refusal(reason, runState, detail, Optional.of(millis));
+  }
+
   /** The same refusal of a request of which nothing is proven, since it repeats another's key. */
   public Refusal withUnknownRun() {
     return new Refusal(reason, RunState.UNKNOWN, detail, retryAfterMillis);
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -456,7 +456,7 @@
     if (failure.isNotRun()) {
       ledger.provenNotRun(attempt);
     }
-    if (failure == UpstreamFailure.CONNECT_FAILED) {
+    if (failure.isNeverSent()) {
       ledger.neverSent(prefillFailed);
     } else {
       ledger.arrived();
--- a/core/src/main/java/org/marjoramsail/core/outcome/UpstreamFailure.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/UpstreamFailure.java
@@ -13,6 +13,8 @@
   FULL(true, RetryReason.UPSTREAM_FULL, AttemptResult.FULL),
   /** The upstream said that it is leaving and did not run the request. */
   LEAVING(true, RetryReason.UPSTREAM_LEAVING, AttemptResult.REFUSED),
+  /** Nothing was sent: the upstream leaves, or wants nothing from this host for now. */
+  NOT_WELCOME(true, RetryReason.UPSTREAM_NOT_WELCOME, AttemptResult.CANCELLED),
   /** The decode upstream said that the KV cache was gone before it could begin. */
   KV_EXPIRED(true, RetryReason.KV_EXPIRED, AttemptResult.KV_LOST),
   /** The decode upstream said that it could not fetch the KV cache and did not begin. */
@@ -39,6 +41,11 @@
     return notRun;
   }
 
+  /** Whether the upstream never met the request, not even to turn it away. */
+  public boolean isNeverSent() {
+    return this == CONNECT_FAILED || this == NOT_WELCOME;
+  }
+
   /** Why a retry after it happens. */
   public RetryReason retryReason() {
     return retryReason;
--- a/core/src/main/java/org/marjoramsail/core/placement/EntryPlacement.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/EntryPlacement.java
@@ -8,8 +8,11 @@
 import java.util.Optional;
 import org.marjoramsail.core.condition.StatedCondition;
 import org.marjoramsail.core.condition.UpstreamConditions;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.placement.PlacementMessage.Holding;
 
 /**
@@ -81,7 +84,10 @@
     if (earlier != null) {
       actions.add(withdrawal(earlier));
     }
-    Entry entry = new Entry(request, shard, ownerOf(shard, nowMillis), nowMillis);
+    Map<UpstreamName, Long> paused = pausedIn(shard, nowMillis);
+    Entry entry =
+        new Entry(
+            request.avoidingToo(paused.keySet()), shard, ownerOf(shard, nowMillis), nowMillis);
     entries.put(request.request(), entry);
     actions.add(registration(entry, nowMillis));
     return actions;
@@ -120,7 +126,7 @@
       return granted(from, granted);
     }
     if (message instanceof PlacementMessage.Refused refused) {
-      return refused(from, refused);
+      return refused(from, refused, nowMillis);
     }
     if (message instanceof PlacementMessage.Unknown unknown) {
       return registerAgain(from, unknown, nowMillis);
@@ -168,7 +174,8 @@
         new EntryAction.Answer(grant.request(), new PlacementResult.Granted(self, grant)));
   }
 
-  private List<EntryAction> refused(DaemonId from, PlacementMessage.Refused refused) {
+  private List<EntryAction> refused(
+      DaemonId from, PlacementMessage.Refused refused, long nowMillis) {
     Entry entry = entries.get(refused.request());
     boolean wanted =
         entry != null
@@ -180,10 +187,29 @@
     }
     entries.remove(refused.request());
     PlacementResult result =
-        new PlacementResult.Refused(self, refused.request(), refused.attempt(), refused.refusal());
+        new PlacementResult.Refused(
+            self,
+            refused.request(),
+            refused.attempt(),
+            untilAPauseEnds(refused.refusal(), entry.shard, nowMillis));
     return List.of(new EntryAction.Answer(refused.request(), result));
   }
 
+  /** Where only pauses are in the way, a caller comes back when the first of them ends. */
+  private Refusal untilAPauseEnds(Refusal refusal, ShardId shard, long nowMillis) {
+    if (refusal.reason() != RefusalReason.NO_UPSTREAM) {
+      return refusal;
+    }
+    return pausedIn(shard, nowMillis).values().stream()
+        .min(Long::compare)
+        .map(until -> refusal.retryingAfter(until - nowMillis))
+        .orElse(refusal);
+  }
+
+  private Map<UpstreamName, Long> pausedIn(ShardId shard, long nowMillis) {
+    return conditions.pausedUntil(directory.upstreamsOf(shard), nowMillis);
+  }
+
   private List<EntryAction> registerAgain(
       DaemonId from, PlacementMessage.Unknown unknown, long nowMillis) {
     List<EntryAction> actions = new ArrayList<>();
@@ -253,7 +279,7 @@
   }
 
   private List<StatedCondition> conditionsOf(ShardId shard, long nowMillis) {
-    return conditions.toTell(() -> directory.upstreamsOf(shard), nowMillis);
+    return conditions.toTell(directory.upstreamsOf(shard), nowMillis);
   }
 
   private static PlacementRequest aged(Entry entry, long nowMillis) {
--- a/core/src/main/java/org/marjoramsail/core/placement/OwnerConditions.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OwnerConditions.java
@@ -53,6 +53,7 @@
 
   private void believe(UpstreamState upstream, DaemonId from, long ageMillis) {
     beliefs.add(
-        new ConditionBelief(upstream.name(), upstream.limit().perSecond(), from, ageMillis));
+        new ConditionBelief(
+            upstream.name(), upstream.limit().perSecond(), upstream.isLeaving(), from, ageMillis));
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
@@ -1,8 +1,10 @@
 package org.marjoramsail.core.placement;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.Pieces;
 import org.marjoramsail.core.model.RequestId;
@@ -114,12 +116,26 @@
     return promptTokens + outputTokens;
   }
 
+  /** The same request, kept from some upstreams more. */
+  public PlacementRequest avoidingToo(Set<UpstreamName> more) {
+    if (avoid.containsAll(more)) {
+      return this;
+    }
+    Set<UpstreamName> all = new LinkedHashSet<>(avoid);
+    all.addAll(more);
+    return copy(0, List.copyOf(all));
+  }
+
   /**
    * The same request as it stands some time later.
    *
    * @param millis how much later, in milliseconds
    */
   public PlacementRequest laterBy(long millis) {
+    return copy(millis, avoid);
+  }
+
+  private PlacementRequest copy(long millis, List<UpstreamName> newAvoid) {
     return new PlacementRequest(
         request,
         attempt,
@@ -134,7 +150,7 @@
         waitedMillis + millis,
         firstTokenWithinMillis - millis,
         deadlineWithinMillis - millis,
-        avoid,
+        newAvoid,
         kvHeldBy,
         alone,
         content,
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -329,6 +329,7 @@
             .anyMatch(
                 upstream ->
                     upstream.isConfigured()
+                        && !upstream.isLeaving()
                         && upstream.role() == role
                         && !request.avoid().contains(upstream.name()));
     if (!isAnyLeft) {
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -40,6 +40,7 @@
   private boolean configured = true;
   private boolean listedOut;
   private boolean reportedLeaving;
+  private boolean statedLeaving;
   private long refusedUntil = NEVER;
 
   private int reserved;
@@ -148,6 +149,7 @@
     busyUntil = nowMillis;
     refusedUntil = NEVER;
     reportedLeaving = false;
+    statedLeaving = false;
     limit = limit.ofNextLife();
     foreign = 0;
     foreignTokens = 0;
@@ -169,11 +171,15 @@
     if (definition.incarnation().isOtherThan(condition.startedAtMillis())) {
       return false;
     }
+    boolean isNew = condition.leaving() && !isLeaving();
+    statedLeaving |= condition.leaving();
     long statedAt = nowMillis - condition.ageMillis();
-    return condition
-        .requestsPerSecond()
-        .filter(perSecond -> limit.stated(perSecond, statedAt, nowMillis))
-        .isPresent();
+    isNew |=
+        condition
+            .requestsPerSecond()
+            .filter(perSecond -> limit.stated(perSecond, statedAt, nowMillis))
+            .isPresent();
+    return isNew;
   }
 
   /** The configuration no longer has it; it is forgotten once nothing runs on it. */
@@ -193,11 +199,15 @@
     refusedUntil = nowMillis + REFUSED_MILLIS;
   }
 
+  /** Whether this life of it takes no new work any more, however that was learned. */
+  boolean isLeaving() {
+    return definition.drained() || reportedLeaving || statedLeaving;
+  }
+
   boolean isUsable(long nowMillis) {
     return configured
-        && !definition.drained()
+        && !isLeaving()
         && !listedOut
-        && !reportedLeaving
         && nowMillis >= refusedUntil
         && !ejection.isEjected(nowMillis);
   }
@@ -252,7 +262,7 @@
     if (!configured || definition.drained()) {
       return "drained";
     }
-    if (reportedLeaving || nowMillis < refusedUntil) {
+    if (isLeaving() || nowMillis < refusedUntil) {
       return "leaving";
     }
     if (listedOut) {
--- a/core/src/test/java/org/marjoramsail/core/condition/UpstreamConditionsTest.java
+++ b/core/src/test/java/org/marjoramsail/core/condition/UpstreamConditionsTest.java
@@ -2,11 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
 
 /** What a host believes of upstreams after what they said of themselves. */
 class UpstreamConditionsTest {
@@ -77,6 +80,54 @@
     assertThat(conditions.leaving()).isZero();
   }
 
+  /** The store turned the owner of a pool away, and served a host that asks it for places. */
+  @Test
+  void anOwnerIsToldWhichUpstreamsAreListedAsLeaving() {
+    UpstreamDefinition leaving = upstream("plain-1", true);
+    UpstreamDefinition staying = upstream("plain-2", false);
+
+    assertThat(conditions.toTell(List.of(leaving, staying), 10))
+        .containsExactly(
+            new StatedCondition(
+                leaving.name(), Incarnation.UNKNOWN_START, Optional.empty(), true, 0));
+  }
+
+  @Test
+  void anOwnerIsToldALimitWithItsAge() {
+    UpstreamDefinition limited = upstream("plain-1", false);
+    conditions.heard(limited.incarnation(), limit(4), 100);
+
+    assertThat(conditions.toTell(List.of(limited), 350))
+        .containsExactly(
+            new StatedCondition(
+                limited.name(), Incarnation.UNKNOWN_START, Optional.of(4.0), false, 250));
+  }
+
+  @Test
+  void anUpstreamTakesRequestsAgainAfterAPauseAndNotOnceItLeaves() {
+    conditions.heard(FIRST_LIFE, pause(500), 0);
+    assertThat(conditions.isWelcome(FIRST_LIFE, 499)).isFalse();
+    assertThat(conditions.isWelcome(FIRST_LIFE, 500)).isTrue();
+
+    hear(LEAVES);
+    assertThat(conditions.isWelcome(FIRST_LIFE, 60_000)).isFalse();
+    assertThat(conditions.isWelcome(NEXT_LIFE, 60_000)).isTrue();
+  }
+
+  private static UpstreamDefinition upstream(String name, boolean drained) {
+    return new UpstreamDefinition(
+        new UpstreamName(name),
+        "desk",
+        UpstreamRole.PLAIN,
+        "127.0.0.1",
+        1,
+        "a",
+        "litoral",
+        6,
+        true,
+        drained);
+  }
+
   private Set<ConditionChange> hear(UpstreamStatement statement) {
     return conditions.heard(FIRST_LIFE, statement, 0);
   }
--- a/core/src/test/java/org/marjoramsail/core/placement/HostsBeforeUpstreams.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/HostsBeforeUpstreams.java
@@ -315,7 +315,7 @@
       end(result.request(), false, refused.refusal().retryAfterMillis());
     } else if (result instanceof PlacementResult.Granted granted && !host.dead) {
       UpstreamName target = granted.grant().target();
-      if (!isWithinShare(host, target)) {
+      if (!isWithinShare(host, target) || !isWelcome(host, target)) {
         askElsewhere(host, granted.request(), target);
         return;
       }
@@ -324,6 +324,17 @@
     }
   }
 
+  private boolean isWelcome(Host host, UpstreamName target) {
+    return host.conditions.isWelcome(definitionOf(target).incarnation(), events.now());
+  }
+
+  private UpstreamDefinition definitionOf(UpstreamName name) {
+    return configuration.upstreams().stream()
+        .filter(known -> known.name().equals(name))
+        .findFirst()
+        .orElseThrow();
+  }
+
   private boolean isWithinShare(Host host, UpstreamName target) {
     TokenBucket share = host.shares.get(target);
     if (share == null) {
@@ -360,12 +371,7 @@
       return;
     }
     UpstreamStatement statement = statements.apply(upstream);
-    UpstreamDefinition definition =
-        configuration.upstreams().stream()
-            .filter(known -> known.name().equals(upstream))
-            .findFirst()
-            .orElseThrow();
-    host.conditions.heard(definition.incarnation(), statement, events.now());
+    host.conditions.heard(definitionOf(upstream).incarnation(), statement, events.now());
     learnShare(host, upstream, statement);
     if (!statement.equals(UpstreamStatement.NOTHING)) {
       toldAt.computeIfAbsent(upstream, name -> new HashMap<>()).putIfAbsent(host.id, events.now());
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -199,16 +199,17 @@
 
   private Optional<UpstreamDefinition> target(
       UpstreamName upstream, int attempt, Consumer<LifecycleEvent> events) {
-    Optional<UpstreamDefinition> known =
-        peers.upstreams().apply(upstream).filter(found -> !found.drained());
-    known.ifPresentOrElse(
-        found -> used.put(upstream, found),
-        // The owner of the shard did not know yet that it leaves; nothing was sent.
-        () ->
-            events.accept(
-                new LifecycleEvent.UpstreamFailed(
-                    attempt, upstream, UpstreamFailure.CONNECT_FAILED)));
-    return known;
+    Optional<UpstreamDefinition> known = peers.upstreams().apply(upstream);
+    Optional<UpstreamDefinition> welcome = known.filter(peers.statements()::isWelcome);
+    if (welcome.isPresent()) {
+      used.put(upstream, welcome.get());
+    } else {
+      // The owner of the shard granted it before it knew what this host knows.
+      UpstreamFailure failure =
+          known.isPresent() ? UpstreamFailure.NOT_WELCOME : UpstreamFailure.CONNECT_FAILED;
+      events.accept(new LifecycleEvent.UpstreamFailed(attempt, upstream, failure));
+    }
+    return welcome;
   }
 
   private Optional<KvLocation> location(KvSource source) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamStatements.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamStatements.java
@@ -13,7 +13,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Hears what upstreams say of themselves, and shows operators what this host believes since. */
+/**
+ * Hears what upstreams say of themselves, shows operators what this host believes since, and has it
+ * kept at each send.
+ */
 public final class UpstreamStatements {
 
   private static final Logger LOG = LoggerFactory.getLogger(UpstreamStatements.class);
@@ -57,6 +60,11 @@
     }
   }
 
+  /** Whether an upstream wants a request from this host now. */
+  public boolean isWelcome(UpstreamDefinition upstream) {
+    return !upstream.drained() && conditions.isWelcome(upstream.incarnation(), clock.millis());
+  }
+
   private static void log(
       UpstreamDefinition upstream, UpstreamStatement statement, ConditionChange change) {
     LOG.atInfo()
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -147,6 +147,7 @@
           .addKeyValue("shard", shard.shard())
           .addKeyValue("upstream", belief.upstream())
           .addKeyValue("requestsPerSecond", belief.requestsPerSecond().orElse(null))
+          .addKeyValue("leaving", belief.leaving())
           .addKeyValue("heardFrom", belief.heardFrom())
           .addKeyValue("ageMillis", belief.ageMillis())
           .log("owner believes what an upstream said of itself");
--- a/daemon/src/test/java/org/marjoramsail/daemon/placement/PlacementMessageFormatTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/placement/PlacementMessageFormatTest.java
@@ -36,7 +36,11 @@
 
   private static final StatedCondition LIMITED =
       new StatedCondition(
-          new UpstreamName("asistente-concejo-d-2"), 1_764_700_000_000L, Optional.of(4.1), 120);
+          new UpstreamName("asistente-concejo-d-2"),
+          1_764_700_000_000L,
+          Optional.of(4.1),
+          true,
+          120);
 
   private final PeerCodec codec = new PeerCodec(1 << 20);
 
