--- a/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
@@ -69,6 +69,19 @@
         pool.organisations());
   }
 
+  /** The same pool once all its upstreams have started at a time. */
+  static Configuration startedAt(Configuration pool, long startedAtMillis) {
+    List<UpstreamDefinition> upstreams =
+        pool.upstreams().stream().map(one -> one.startedAt(startedAtMillis)).toList();
+    return new Configuration(
+        pool.revision() + 1,
+        pool.services(),
+        pool.models(),
+        upstreams,
+        pool.rules(),
+        pool.organisations());
+  }
+
   private static UpstreamDefinition withMemory(UpstreamDefinition upstream, int memoryTokens) {
     return upstream.role() == UpstreamRole.DECODE
         ? upstream.holding(upstream.slots(), Optional.of(memoryTokens))
--- a/core/src/test/java/org/marjoramsail/core/placement/StartedAgainTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/StartedAgainTest.java
@@ -3,12 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.marjoramsail.core.placement.PlacementFixtures.granted;
 import static org.marjoramsail.core.placement.PlacementFixtures.request;
+import static org.marjoramsail.core.placement.PlacementFixtures.startedAt;
 
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.configuration.Configuration;
-import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.RequestId;
 
 class StartedAgainTest {
@@ -57,16 +57,4 @@
         0,
         0);
   }
-
-  private static Configuration startedAt(Configuration pool, long startedAtMillis) {
-    List<UpstreamDefinition> upstreams =
-        pool.upstreams().stream().map(one -> one.startedAt(startedAtMillis)).toList();
-    return new Configuration(
-        pool.revision() + 1,
-        pool.services(),
-        pool.models(),
-        upstreams,
-        pool.rules(),
-        pool.organisations());
-  }
 }
