Entries of a store that came back from a copy are ordered by era and revision

Callers would have seen work on servers that end: after the store came back from a copy, a server's entry at a lower revision than one known before was taken for old news for good, its leave included. Cause: revisions were compared as numbers, and the store gives numbers out again.

Change: StoreRevision (era, then number) wherever revisions of entries are compared, also in what daemons tell each other. A server that leaves does not come back with a copy made before.

--- a/core/src/main/java/org/marjoramsail/core/discovery/ListingAnswer.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/ListingAnswer.java
@@ -16,10 +16,10 @@
    * One document.
    *
    * @param name its name in the list
-   * @param revision the list's revision at its last change
+   * @param revision the state of the store at its last change
    * @param content its content, as text
    */
-  public record Document(String name, long revision, String content) {}
+  public record Document(String name, StoreRevision revision, String content) {}
 
   /** Copies the lists, so that the value cannot change. */
   public ListingAnswer {
--- a/core/src/main/java/org/marjoramsail/core/discovery/UpstreamBeliefs.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/UpstreamBeliefs.java
@@ -168,7 +168,10 @@
     boolean ofEarlierLife =
         one.definition().startedAtMillis().isPresent()
             && belief.listed.definition().incarnation().supersedes(one.definition().incarnation());
-    if (belief.listed.revision() > one.revision() || ofEarlierLife) {
+    if (belief.listed.revision().compareTo(one.revision()) > 0 || ofEarlierLife) {
+      return false;
+    }
+    if (isUndone(belief.listed, one)) {
       return false;
     }
     boolean changed = !belief.listed.definition().equals(one.definition());
@@ -176,6 +179,17 @@
     return changed;
   }
 
+  /**
+   * Guards against new work on an upstream that leaves: the store came back from a copy made before
+   * it said so, and its entry shows it as it was then. A life that leaves does not come back.
+   */
+  private static boolean isUndone(ListedUpstream known, ListedUpstream restored) {
+    return restored.revision().era() > known.revision().era()
+        && known.definition().drained()
+        && !restored.definition().drained()
+        && known.definition().incarnation().equals(restored.definition().incarnation());
+  }
+
   private boolean remove(UpstreamName name, long nowMillis) {
     Belief belief = beliefs.get(name);
     long mayReturnUntil = backAtMillis + RETURN_MILLIS;
--- a/core/src/test/java/org/marjoramsail/core/discovery/UpstreamBeliefsTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/UpstreamBeliefsTest.java
@@ -132,7 +132,35 @@
   private static ListedUpstream born(
       String name, long revision, boolean drained, long startedAtMillis) {
     return new ListedUpstream(
-        listed(name, revision, drained).definition().startedAt(startedAtMillis), revision);
+        listed(name, revision, drained).definition().startedAt(startedAtMillis),
+        new StoreRevision(1, revision));
+  }
+
+  /**
+   * The store came back from a copy, and a server wrote there that it leaves: at a lower revision
+   * than it had before, which was taken for old news.
+   */
+  @Test
+  void aLowerRevisionOfALaterEraIsNewer() {
+    beliefs.listed(List.of(listed("a", 900, false)), List.of(), 0);
+
+    assertThat(beliefs.listed(List.of(inEra(2, listed("a", 400, true))), List.of(), 10)).isTrue();
+    assertThat(beliefs.upstreams()).singleElement().matches(UpstreamDefinition::drained);
+    assertThat(beliefs.changed(listed("a", 901, false), 20)).isFalse();
+  }
+
+  /** The copy was made before a server said that it leaves, and shows it as it was then. */
+  @Test
+  void aServerThatLeavesDoesNotComeBackWithACopy() {
+    beliefs.listed(List.of(listed("a", 900, true)), List.of(), 0);
+
+    beliefs.listed(List.of(inEra(2, listed("a", 400, false))), List.of(), 10);
+
+    assertThat(beliefs.upstreams()).singleElement().matches(UpstreamDefinition::drained);
+  }
+
+  private static ListedUpstream inEra(long era, ListedUpstream one) {
+    return new ListedUpstream(one.definition(), new StoreRevision(era, one.revision().number()));
   }
 
   private List<String> names() {
@@ -157,6 +185,6 @@
             4,
             true,
             drained),
-        revision);
+        new StoreRevision(1, revision));
   }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardingStateTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardingStateTest.java
@@ -11,6 +11,7 @@
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.discovery.ListedUpstream;
+import org.marjoramsail.core.discovery.StoreRevision;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.model.UpstreamRole;
@@ -103,6 +104,6 @@
             4,
             true,
             false),
-        5);
+        new StoreRevision(1, 5));
   }
 }
