A repeat takes nothing from an organisation's limit in requests

A desk whose upstreams fail half of what they run was refused at half of its limit.

Test first: of 100 repeats 11 were granted at a limit of ten a second; now 100. Ruled out: the bucket of tokens, which a repeat counts nothing in.

--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
@@ -183,15 +183,20 @@
         + (long) requestsPerSecond;
   }
 
-  void started(int tokenCount, long nowMillis) {
+  /**
+   * Counts an attempt that was granted here; what this program repeats costs its limits nothing.
+   */
+  void started(PlacementRequest request, long nowMillis) {
     running++;
-    startedRequests++;
-    startedTokens += tokenCount;
-    requests.take(1, nowMillis);
-    tokens.take(tokenCount, nowMillis);
     decay(nowMillis);
     recentRequests++;
-    recentTokens += tokenCount;
+    recentTokens += request.countedTokens();
+    if (!request.isRepeat()) {
+      startedRequests++;
+      startedTokens += request.countedTokens();
+      requests.take(1, nowMillis);
+      tokens.take(request.countedTokens(), nowMillis);
+    }
   }
 
   /** Counts an attempt that another owner started: its rates were charged there. */
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
@@ -60,6 +60,8 @@
     Pieces pieces,
     int countedTokens) {
 
+  private static final int FIRST_ATTEMPT = 1;
+
   /** Copies the lists, so that the value cannot change. */
   public PlacementRequest {
     prefixHashes = List.copyOf(prefixHashes);
@@ -106,6 +108,11 @@
         promptTokens + outputTokens);
   }
 
+  /** Whether an earlier attempt of the request was placed, and counted against its limits. */
+  public boolean isRepeat() {
+    return attempt > FIRST_ATTEMPT;
+  }
+
   /** Whether it asks for engines rather than for a plain service. */
   public boolean isGeneration() {
     return outputTokens > 0;
--- a/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SlotLedger.java
@@ -61,7 +61,7 @@
       choice.target().startTransfer(choice.transferBytes());
     }
     awaitSign(request, choice, nowMillis);
-    attempt.organisation().started(request.countedTokens(), nowMillis);
+    attempt.organisation().started(request, nowMillis);
     AttemptPhase phase =
         choice.isPrefillNeeded() ? AttemptPhase.PREFILLING : AttemptPhase.PREFILLED;
     running.put(
--- a/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
@@ -148,6 +148,24 @@
     }
   }
 
+  /**
+   * Upstreams failed half of what they ran, and each repeat took one from its organisation's limit
+   * in requests as well: its desk was refused at half of what it may send.
+   */
+  @Test
+  void aRepeatTakesNothingFromALimitInRequests() {
+    Configuration limited =
+        pool(0, UPSTREAMS, 200, List.of(PlacementFixtures.organisation("rosario", 0, 10)));
+    ReservingPlacer placer = PlacementFixtures.placer(limited);
+    placer.tick(0);
+    List<PlacementResult> results = new ArrayList<>();
+    for (int number = 0; number < 100; number++) {
+      results.addAll(placer.place(request("r" + number).attempt(2).build(), 1_000 + number));
+    }
+
+    assertThat(granted(results)).hasSize(100);
+  }
+
   /**
    * Hosts were restarted in turn while one organisation sent many times what it may: each new owner
    * of a shard granted the whole burst once more, and engines got twice the limit.
