Epoch in place of era, outside of the header's own name

The word of the platform's pages is translated at the adapter like its others; what rises with each restore is called an epoch in this field. Mechanical; the tests of the renamed parts were green in the working tree that this is of.

--- a/core/src/main/java/org/marjoramsail/core/discovery/StoreRevision.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/StoreRevision.java
@@ -6,17 +6,17 @@
 /**
  * A state of the store, in the order in which its states came about.
  *
- * <p>A store that comes back from a copy begins a new era and gives revisions out again, so that
+ * <p>A store that comes back from a copy begins a new epoch and gives revisions out again, so that
  * one number may stand for two states.
  *
- * @param era rises each time that the store comes back from a copy; zero where it does not say
- * @param number the revision within the era
+ * @param epoch rises each time that the store comes back from a copy; zero where it does not say
+ * @param number the revision within the epoch
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-public record StoreRevision(long era, long number) implements Comparable<StoreRevision> {
+public record StoreRevision(long epoch, long number) implements Comparable<StoreRevision> {
 
   private static final Comparator<StoreRevision> ORDER =
-      Comparator.comparingLong(StoreRevision::era).thenComparingLong(StoreRevision::number);
+      Comparator.comparingLong(StoreRevision::epoch).thenComparingLong(StoreRevision::number);
 
   @Override
   public int compareTo(StoreRevision other) {
@@ -25,6 +25,6 @@
 
   @Override
   public String toString() {
-    return era + "/" + number;
+    return epoch + "/" + number;
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/discovery/UpstreamBeliefs.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/UpstreamBeliefs.java
@@ -184,7 +184,7 @@
    * it said so, and its entry shows it as it was then. A life that leaves does not come back.
    */
   private static boolean isUndone(ListedUpstream known, ListedUpstream restored) {
-    return restored.revision().era() > known.revision().era()
+    return restored.revision().epoch() > known.revision().epoch()
         && known.definition().drained()
         && !restored.definition().drained()
         && known.definition().incarnation().equals(restored.definition().incarnation());
--- a/core/src/main/java/org/marjoramsail/core/order/LeaseKeeper.java
+++ b/core/src/main/java/org/marjoramsail/core/order/LeaseKeeper.java
@@ -27,11 +27,11 @@
 
   private static final int REMEMBERED_RENEWALS = 16;
 
-  /** Tokens of one era of the store; far more than changes of holder between two restores. */
-  private static final long TOKENS_OF_ERA = 1_000_000;
+  /** Tokens of one epoch of the store; far more than changes of holder between two restores. */
+  private static final long TOKENS_OF_EPOCH = 1_000_000;
 
-  /** In its first era the store has not come back from a copy, so that nothing of it is gone. */
-  private static final long FIRST_ERA = 1;
+  /** In its first epoch the store has not come back from a copy, so that nothing of it is gone. */
+  private static final long FIRST_EPOCH = 1;
 
   private final DaemonId self;
   private final LeaseTimes times;
@@ -47,7 +47,7 @@
   private long actingUntilMillis = Long.MIN_VALUE;
   private long heldToken;
   private long heldSinceMillis;
-  private long era;
+  private long epoch;
 
   /** Begins without the lease. */
   public LeaseKeeper(DaemonId self, long nowMillis) {
@@ -151,19 +151,19 @@
   }
 
   /**
-   * Records the era of the store, which rises when it comes back from a copy.
+   * Records the epoch of the store, which rises when it comes back from a copy.
    *
    * <p>Guards against two holders with one fencing token: the copy was made before a host took the
    * lease, and the next one to read it would take it at once, under the same token. So a lease of
-   * an earlier era is void at its holder, is waited out by all others, and each token of an era is
-   * above all of those before it.
+   * an earlier epoch is void at its holder, is waited out by all others, and each token of an epoch
+   * is above all of those before it.
    */
-  public void era(long newest, long nowMillis) {
-    if (newest == era) {
+  public void epoch(long newest, long nowMillis) {
+    if (newest == epoch) {
       return;
     }
-    boolean isRestored = era != 0;
-    era = newest;
+    boolean isRestored = epoch != 0;
+    epoch = newest;
     if (isRestored) {
       distrust(nowMillis);
       seen = Optional.empty();
@@ -190,7 +190,7 @@
     if (renewalsSent.size() > REMEMBERED_RENEWALS) {
       renewalsSent.remove(renewalsSent.keySet().iterator().next());
     }
-    long next = isSeenAsOurs() ? token : Math.max(token, era * TOKENS_OF_ERA) + 1;
+    long next = isSeenAsOurs() ? token : Math.max(token, epoch * TOKENS_OF_EPOCH) + 1;
     return new LeaseCall.Write(
         new LeaseRecord(Optional.of(self.toString()), next, renewal), seenVersion);
   }
@@ -217,17 +217,18 @@
   }
 
   private boolean isSeenAsOurs() {
-    return !isOfEarlierEra()
+    return !isOfEarlierEpoch()
         && seen.flatMap(LeaseRecord::holder).filter(self.toString()::equals).isPresent();
   }
 
   /** Whether others may have held the lease since what is seen of it was written. */
-  private boolean isOfEarlierEra() {
-    return era > FIRST_ERA && seen.map(LeaseRecord::token).orElse(0L) <= era * TOKENS_OF_ERA;
+  private boolean isOfEarlierEpoch() {
+    return epoch > FIRST_EPOCH
+        && seen.map(LeaseRecord::token).orElse(0L) <= epoch * TOKENS_OF_EPOCH;
   }
 
   private boolean isFree(long nowMillis) {
     boolean held = seen.flatMap(LeaseRecord::holder).isPresent();
-    return (!held && !isOfEarlierEra()) || nowMillis - seenSinceMillis >= times.durationMillis();
+    return (!held && !isOfEarlierEpoch()) || nowMillis - seenSinceMillis >= times.durationMillis();
   }
 }
--- a/core/src/test/java/org/marjoramsail/core/discovery/UpstreamBeliefsTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/UpstreamBeliefsTest.java
@@ -141,10 +141,10 @@
    * than it had before, which was taken for old news.
    */
   @Test
-  void aLowerRevisionOfALaterEraIsNewer() {
+  void aLowerRevisionOfALaterEpochIsNewer() {
     beliefs.listed(List.of(listed("a", 900, false)), List.of(), 0);
 
-    assertThat(beliefs.listed(List.of(inEra(2, listed("a", 400, true))), List.of(), 10)).isTrue();
+    assertThat(beliefs.listed(List.of(inEpoch(2, listed("a", 400, true))), List.of(), 10)).isTrue();
     assertThat(beliefs.upstreams()).singleElement().matches(UpstreamDefinition::drained);
     assertThat(beliefs.changed(listed("a", 901, false), 20)).isFalse();
   }
@@ -154,13 +154,13 @@
   void aServerThatLeavesDoesNotComeBackWithACopy() {
     beliefs.listed(List.of(listed("a", 900, true)), List.of(), 0);
 
-    beliefs.listed(List.of(inEra(2, listed("a", 400, false))), List.of(), 10);
+    beliefs.listed(List.of(inEpoch(2, listed("a", 400, false))), List.of(), 10);
 
     assertThat(beliefs.upstreams()).singleElement().matches(UpstreamDefinition::drained);
   }
 
-  private static ListedUpstream inEra(long era, ListedUpstream one) {
-    return new ListedUpstream(one.definition(), new StoreRevision(era, one.revision().number()));
+  private static ListedUpstream inEpoch(long epoch, ListedUpstream one) {
+    return new ListedUpstream(one.definition(), new StoreRevision(epoch, one.revision().number()));
   }
 
   private List<String> names() {
--- a/core/src/test/java/org/marjoramsail/core/order/RestoredLeaseTest.java
+++ b/core/src/test/java/org/marjoramsail/core/order/RestoredLeaseTest.java
@@ -23,9 +23,9 @@
   private long now;
 
   @BeforeEach
-  void hearTheFirstEra() {
-    first.era(1, now);
-    second.era(1, now);
+  void hearTheFirstEpoch() {
+    first.epoch(1, now);
+    second.epoch(1, now);
   }
 
   @Test
@@ -33,7 +33,7 @@
     takeLease(first);
 
     restore(Optional.empty());
-    first.era(2, now);
+    first.epoch(2, now);
 
     assertThat(first.mayAct(true, now)).isFalse();
   }
@@ -44,7 +44,7 @@
     long before = first.token();
 
     restore(Optional.empty());
-    second.era(2, now);
+    second.epoch(2, now);
     takeLease(second);
 
     assertThat(second.token()).isGreaterThan(before);
@@ -52,11 +52,11 @@
 
   /** The holder is cut off, and cannot hear that what it renewed is gone. */
   @Test
-  void aSuccessorWaitsOutTheHolderOfTheEraBefore() {
+  void aSuccessorWaitsOutTheHolderOfTheEpochBefore() {
     takeLease(first);
 
     restore(Optional.empty());
-    second.era(2, now);
+    second.epoch(2, now);
     takeLease(second);
 
     assertThat(first.mayAct(true, now)).isFalse();
@@ -70,7 +70,7 @@
     long before = first.token();
 
     restore(copied);
-    first.era(2, now);
+    first.epoch(2, now);
     takeLease(first);
 
     assertThat(first.token()).isGreaterThan(before);
