What an operator takes out of service can be put back: only an upstream's own word is final

Worse, read then: a host told owners which upstreams its list shows as leaving, and owners took that for the upstream's own word, which is final. An upstream that an operator of the own interface drained and put back would never have got work again.

Change: owners are told the upstream's own word alone, and only that refuses at once. Sends to what the list shows as leaving fail as they did before.

--- a/core/src/main/java/org/marjoramsail/core/condition/StatedCondition.java
+++ b/core/src/main/java/org/marjoramsail/core/condition/StatedCondition.java
@@ -11,7 +11,7 @@
  * @param startedAtMillis in which of its lives, as in {@link
  *     org.marjoramsail.core.model.Incarnation}
  * @param requestsPerSecond how many requests it takes from all hosts together, where it named that
- * @param leaving whether the host knows, by its word or its entry in the list, that it leaves
+ * @param leaving whether it said that it leaves
  * @param ageMillis how long ago the host heard of its limit last; zero where there is none
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
--- a/core/src/main/java/org/marjoramsail/core/condition/UpstreamConditions.java
+++ b/core/src/main/java/org/marjoramsail/core/condition/UpstreamConditions.java
@@ -39,6 +39,15 @@
     boolean isToTell() {
       return leaving || requestsPerSecond.isPresent();
     }
+
+    StatedCondition told(Incarnation upstream, long nowMillis) {
+      return new StatedCondition(
+          upstream.upstream(),
+          upstream.startedAtMillis(),
+          requestsPerSecond,
+          leaving,
+          requestsPerSecond.isPresent() ? nowMillis - limitHeardAtMillis : 0);
+    }
   }
 
   private final Map<Incarnation, Belief> beliefs = new HashMap<>();
@@ -54,6 +63,9 @@
    */
   public synchronized Set<ConditionChange> heard(
       Incarnation upstream, UpstreamStatement statement, long nowMillis) {
+    if (statement.equals(UpstreamStatement.NOTHING) && !beliefs.containsKey(upstream)) {
+      return Set.of();
+    }
     Set<ConditionChange> changes = EnumSet.noneOf(ConditionChange.class);
     Belief belief = beliefs.computeIfAbsent(upstream, life -> new Belief());
     belief.listedAtMillis = nowMillis;
@@ -89,43 +101,29 @@
     beliefs.values().removeIf(belief -> nowMillis - belief.listedAtMillis > FORGET_MILLIS);
   }
 
-  /**
-   * What the owner of a shard has to know of its upstreams; mostly nothing.
-   *
-   * <p>That one is listed as leaving is told as well: the owner may be turned away by a store that
-   * serves this host.
-   */
+  /** What the owner of a shard has to know of its upstreams; mostly nothing. */
   public synchronized List<StatedCondition> toTell(
       List<UpstreamDefinition> upstreams, long nowMillis) {
-    boolean isAnyStated = beliefs.values().stream().anyMatch(Belief::isToTell);
-    List<StatedCondition> told = new ArrayList<>(0);
+    if (beliefs.values().stream().noneMatch(Belief::isToTell)) {
+      return List.of();
+    }
+    List<StatedCondition> told = new ArrayList<>();
     for (UpstreamDefinition upstream : upstreams) {
-      Belief belief = isAnyStated ? beliefs.get(upstream.incarnation()) : null;
-      if (upstream.drained() || (belief != null && belief.isToTell())) {
-        told.add(told(upstream, Optional.ofNullable(belief), nowMillis));
+      Belief belief = beliefs.get(upstream.incarnation());
+      if (belief != null && belief.isToTell()) {
+        told.add(belief.told(upstream.incarnation(), nowMillis));
       }
     }
     return told;
   }
 
-  private static StatedCondition told(
-      UpstreamDefinition upstream, Optional<Belief> belief, long nowMillis) {
-    Optional<Double> limit = belief.flatMap(one -> one.requestsPerSecond);
-    return new StatedCondition(
-        upstream.name(),
-        upstream.incarnation().startedAtMillis(),
-        limit,
-        upstream.drained() || belief.filter(one -> one.leaving).isPresent(),
-        limit.isPresent() ? nowMillis - belief.get().limitHeardAtMillis : 0);
-  }
-
   /**
    * Whether an upstream wants a request from this host now.
    *
    * <p>Asked just before a send, whoever granted it: an owner that had not heard of what was said
    * here would else have new work sent to an upstream that ends meanwhile.
    */
-  public synchronized boolean isWelcome(Incarnation upstream, long nowMillis) {
+  public synchronized boolean isAccepting(Incarnation upstream, long nowMillis) {
     Belief belief = beliefs.get(upstream);
     return belief == null || !(belief.leaving || nowMillis < belief.pausedUntilMillis);
   }
--- a/core/src/main/java/org/marjoramsail/core/outcome/UpstreamFailure.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/UpstreamFailure.java
@@ -14,7 +14,7 @@
   /** The upstream said that it is leaving and did not run the request. */
   LEAVING(true, RetryReason.UPSTREAM_LEAVING, AttemptResult.REFUSED),
   /** Nothing was sent: the upstream leaves, or wants nothing from this host for now. */
-  NOT_WELCOME(true, RetryReason.UPSTREAM_NOT_WELCOME, AttemptResult.CANCELLED),
+  NOT_ACCEPTING(true, RetryReason.UPSTREAM_NOT_ACCEPTING, AttemptResult.CANCELLED),
   /** The decode upstream said that the KV cache was gone before it could begin. */
   KV_EXPIRED(true, RetryReason.KV_EXPIRED, AttemptResult.KV_LOST),
   /** The decode upstream said that it could not fetch the KV cache and did not begin. */
@@ -43,7 +43,7 @@
 
   /** Whether the upstream never met the request, not even to turn it away. */
   public boolean isNeverSent() {
-    return this == CONNECT_FAILED || this == NOT_WELCOME;
+    return this == CONNECT_FAILED || this == NOT_ACCEPTING;
   }
 
   /** Why a retry after it happens. */
--- a/core/src/main/java/org/marjoramsail/core/placement/OwnerConditions.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OwnerConditions.java
@@ -54,6 +54,10 @@
   private void believe(UpstreamState upstream, DaemonId from, long ageMillis) {
     beliefs.add(
         new ConditionBelief(
-            upstream.name(), upstream.limit().perSecond(), upstream.isLeaving(), from, ageMillis));
+            upstream.name(),
+            upstream.limit().perSecond(),
+            upstream.isLeavingByItsWord(),
+            from,
+            ageMillis));
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -329,7 +329,7 @@
             .anyMatch(
                 upstream ->
                     upstream.isConfigured()
-                        && !upstream.isLeaving()
+                        && !upstream.isLeavingByItsWord()
                         && upstream.role() == role
                         && !request.avoid().contains(upstream.name()));
     if (!isAnyLeft) {
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -171,7 +171,7 @@
     if (definition.incarnation().isOtherThan(condition.startedAtMillis())) {
       return false;
     }
-    boolean isNew = condition.leaving() && !isLeaving();
+    boolean isNew = condition.leaving() && !statedLeaving;
     statedLeaving |= condition.leaving();
     long statedAt = nowMillis - condition.ageMillis();
     isNew |=
@@ -199,7 +199,12 @@
     refusedUntil = nowMillis + REFUSED_MILLIS;
   }
 
-  /** Whether this life of it takes no new work any more, however that was learned. */
+  /** Whether it said itself that it leaves, which ends with its life alone. */
+  boolean isLeavingByItsWord() {
+    return statedLeaving;
+  }
+
+  /** Whether it takes no new work, however that was learned. */
   boolean isLeaving() {
     return definition.drained() || reportedLeaving || statedLeaving;
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -199,17 +199,18 @@
 
   private Optional<UpstreamDefinition> target(
       UpstreamName upstream, int attempt, Consumer<LifecycleEvent> events) {
-    Optional<UpstreamDefinition> known = peers.upstreams().apply(upstream);
-    Optional<UpstreamDefinition> welcome = known.filter(peers.statements()::isWelcome);
-    if (welcome.isPresent()) {
-      used.put(upstream, welcome.get());
+    Optional<UpstreamDefinition> listed =
+        peers.upstreams().apply(upstream).filter(found -> !found.drained());
+    Optional<UpstreamDefinition> accepting = listed.filter(peers.statements()::isAccepting);
+    if (accepting.isPresent()) {
+      used.put(upstream, accepting.get());
     } else {
-      // The owner of the shard granted it before it knew what this host knows.
+      // The owner of the shard granted it before it knew what this host knows; nothing was sent.
       UpstreamFailure failure =
-          known.isPresent() ? UpstreamFailure.NOT_WELCOME : UpstreamFailure.CONNECT_FAILED;
+          listed.isPresent() ? UpstreamFailure.NOT_ACCEPTING : UpstreamFailure.CONNECT_FAILED;
       events.accept(new LifecycleEvent.UpstreamFailed(attempt, upstream, failure));
     }
-    return welcome;
+    return accepting;
   }
 
   private Optional<KvLocation> location(KvSource source) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamStatements.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamStatements.java
@@ -61,8 +61,8 @@
   }
 
   /** Whether an upstream wants a request from this host now. */
-  public boolean isWelcome(UpstreamDefinition upstream) {
-    return !upstream.drained() && conditions.isWelcome(upstream.incarnation(), clock.millis());
+  public boolean isAccepting(UpstreamDefinition upstream) {
+    return conditions.isAccepting(upstream.incarnation(), clock.millis());
   }
 
   private static void log(
