--- a/core/src/test/java/org/marjoramsail/core/placement/AskedPauseTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/AskedPauseTest.java
@@ -14,7 +14,7 @@
 
 /**
  * An upstream turned requests away and said to each host for how long it wants nothing of it. Hosts
- * left it alone for 60 ms and came again: what it had turned away was all that it got to do.
+ * left it alone for 60 ms and came again: a 503 was read as "full" whatever time it named.
  */
 class AskedPauseTest {
 
--- a/core/src/test/java/org/marjoramsail/core/placement/StatedLeavingTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/StatedLeavingTest.java
@@ -20,7 +20,9 @@
 /**
  * The store was away when an upstream began to leave, so that its entry did not say so; its answers
  * did. A host that had passed such an answer on sent it a ballot 2.9 seconds later. Had it ended by
- * then, the ballot would have been cut off.
+ * then, the ballot would have been cut off. Only the list told who leaves: all hosts had logged
+ * "list of upstreams cannot be read" half a second before, and none wrote of the upstream until the
+ * list could be read again, 13 seconds later.
  */
 class StatedLeavingTest {
 
--- a/core/src/test/java/org/marjoramsail/core/placement/StatedLimitTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/StatedLimitTest.java
@@ -22,7 +22,10 @@
 /**
  * Two of three upstreams of a desk were in need and said in each answer how many requests a second
  * they take from all hosts together: 4.1 and 3.5. All hosts had been told, and went on to send them
- * as much as before: 39 and 54 requests within four seconds, where 30 and 26 are allowed.
+ * as much as before: 39 and 54 requests within four seconds, where 30 and 26 are allowed. Nobody
+ * read it: no line of a host spoke of a limit, and the two got 8 and 15 requests in the second
+ * before they named it, 9 and 6 two seconds later. Owners granted places by slots, and an upstream
+ * in need answers quickly what it answers.
  */
 class StatedLimitTest {
 
