--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
@@ -117,8 +117,9 @@
    * Counts a retry.
    *
    * @param reason reason of the retry
+   * @param fromBudget whether it was taken from the retry budget
    */
-  record CountRetry(RetryReason reason) implements LifecycleAction {}
+  record CountRetry(RetryReason reason, boolean fromBudget) implements LifecycleAction {}
 
   /**
    * Counts a dropped event or cancel.
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -410,7 +410,7 @@
       return;
     }
     failedUpstreams.add(upstream);
-    actions.add(new LifecycleAction.CountRetry(RetryReason.UPSTREAM_ERROR));
+    actions.add(new LifecycleAction.CountRetry(RetryReason.UPSTREAM_ERROR, true));
     progress.stopExpectingProgress();
     tryToPlace();
   }
@@ -485,7 +485,7 @@
           "Attempt " + attempt + " failed (" + reason.code() + ") and no retry is left.");
       return;
     }
-    actions.add(new LifecycleAction.CountRetry(reason));
+    actions.add(new LifecycleAction.CountRetry(reason, !needsNoBudget));
     if (kv.usable(nowMillis).isPresent()) {
       tryToPlace();
       return;
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -34,6 +34,8 @@
   private final Map<RetryReason, Counter> retries;
   private final Map<DropReason, Counter> drops;
   private final Map<LatencyViolation, Counter> latencyViolations;
+  private final Counter budgetedRetries;
+  private final Counter freeRetries;
   private final Counter accepted;
   private final Counter completed;
   private final Counter withinTargets;
@@ -55,6 +57,8 @@
       refused.put(run, refusals(registry, run));
     }
     this.retries = perReason(registry, RetryReason.class, "retries", RetryReason::code);
+    this.budgetedRetries = registry.counter(PREFIX + "retries.by.budget", "budget", "drawn");
+    this.freeRetries = registry.counter(PREFIX + "retries.by.budget", "budget", "free");
     this.drops = perReason(registry, DropReason.class, "drops", DropReason::code);
     this.latencyViolations =
         perReason(registry, LatencyViolation.class, "requests.late", LatencyViolation::code);
@@ -159,9 +163,15 @@
     return counts;
   }
 
-  /** Counts a retry. */
-  public void retried(RetryReason reason) {
+  /**
+   * Counts a retry.
+   *
+   * @param fromBudget whether it was taken from the retry budget, as opposed to a retry of a
+   *     request that no upstream has received
+   */
+  public void retried(RetryReason reason, boolean fromBudget) {
     retries.get(reason).increment();
+    (fromBudget ? budgetedRetries : freeRetries).increment();
   }
 
   /** Counts a dropped event or cancel. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
@@ -58,7 +58,7 @@
       log.refused(profile, refuse.refusal());
       sink.refuse(refuse.refusal());
     } else if (action instanceof LifecycleAction.CountRetry retry) {
-      meter.retried(retry.reason());
+      meter.retried(retry.reason(), retry.fromBudget());
     } else if (action instanceof LifecycleAction.CountDrop drop) {
       meter.dropped(drop.reason());
     } else if (!runPlacement(action, events)) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
@@ -52,8 +52,8 @@
     metrics.refused(refusal);
   }
 
-  void retried(RetryReason reason) {
-    metrics.retried(reason);
+  void retried(RetryReason reason, boolean fromBudget) {
+    metrics.retried(reason, fromBudget);
   }
 
   void dropped(DropReason reason) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/TraceRecorder.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/TraceRecorder.java
@@ -71,7 +71,8 @@
     } else if (action instanceof LifecycleAction.SettleClaim) {
       add(trace, nowMillis, TraceKind.CLAIM_SETTLED, attempt, Optional.empty());
     } else if (action instanceof LifecycleAction.CountRetry retry) {
-      Optional<String> reason = Optional.of(retry.reason().code());
+      String budget = retry.fromBudget() ? "budget" : "free";
+      Optional<String> reason = Optional.of(retry.reason().code() + " " + budget);
       trace.add(nowMillis, TraceKind.RETRIED, attempt, Optional.empty(), reason);
     } else if (action instanceof LifecycleAction.Refuse refuse) {
       Optional<String> reason = Optional.of(refuse.refusal().reason().code());
