Grant retries by the owner of the pool, within one budget for the fleet

Operators of 77 hosts saw more retries at the upstreams of a service than allowed. Each daemon held a share of the retries of the fleet, computed from the members that it knew when the service got its first request, and never again; below six known members it counted six. Daemons that start together, or reach no other, took a share of 16 each where 194 are allowed in all. A retry was also charged as one where it repeats a prefill and a run, and not at all after an upstream that leaves.

Now the owner of the shard, which grants each attempt anyway, grants retries: a part in proportion to the requests that it granted in the last window, which adds up over any number of owners, and the slack only once it has ranked first for a whole window. An attempt says which calls it repeats and is charged for each. No message is added. Daemons keep nothing, and platform/ decides nothing.

The fuzzed world refuses placements beyond 20 retries, as its budget did.

--- a/core/src/main/java/org/marjoramsail/core/membership/MembershipView.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipView.java
@@ -22,6 +22,11 @@
         .toList();
   }
 
+  /** Returns whether no other daemon is known. */
+  public boolean isAlone() {
+    return members.size() == 1;
+  }
+
   /**
    * Returns the share of a common budget that this daemon may use: all of it while at least half of
    * the known daemons are reachable, else the share of the reachable ones.
--- a/core/src/main/java/org/marjoramsail/core/outcome/AttemptHistory.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptHistory.java
@@ -8,6 +8,7 @@
 import org.marjoramsail.core.placement.AttemptPhase;
 import org.marjoramsail.core.placement.AttemptReport;
 import org.marjoramsail.core.placement.AttemptResult;
+import org.marjoramsail.core.placement.PriorCalls;
 
 /** Records which attempts of one request were sent, may have run and were reported. */
 final class AttemptHistory {
@@ -17,7 +18,8 @@
   private final Set<Integer> possiblyRun = new HashSet<>(2);
   private final Set<Integer> endReported = new HashSet<>(2);
   private boolean claimRecorded;
-  private boolean upstreamReached;
+  private boolean prefillReached;
+  private boolean targetReached;
   private int sends;
 
   AttemptHistory(RequestProfile profile, Invariants invariants) {
@@ -58,14 +60,15 @@
     }
   }
 
-  /** Records that an attempt reached an upstream, so that the next one needs retry budget. */
-  void upstreamReached() {
-    upstreamReached = true;
+  /** Records that a call reached an upstream: a prefill upstream, or the target of its attempt. */
+  void upstreamReached(boolean prefill) {
+    prefillReached |= prefill;
+    targetReached |= !prefill;
   }
 
-  /** Returns whether any upstream has received the request, including one that refused it. */
-  boolean hasReachedUpstream() {
-    return upstreamReached;
+  /** Returns the calls that have reached an upstream, including those that it rejected. */
+  PriorCalls priorCalls() {
+    return new PriorCalls(prefillReached, targetReached);
   }
 
   void markNotRun(int attempt) {
--- a/core/src/main/java/org/marjoramsail/core/outcome/PlacementRequestBuilder.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/PlacementRequestBuilder.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.placement.PlacementRequest;
+import org.marjoramsail.core.placement.PriorCalls;
 
 /**
  * Builds the placement request of one attempt.
@@ -14,13 +15,15 @@
  *     again
  * @param usefulUntilMillis time until which a grant is useful, on the clock of this daemon
  * @param kv a KV cache that is still usable
+ * @param priorCalls the calls of earlier attempts
  */
 record PlacementRequestBuilder(
     RequestProfile profile,
     int attempt,
     int generatedTokens,
     long usefulUntilMillis,
-    Optional<KvSource> kv) {
+    Optional<KvSource> kv,
+    PriorCalls priorCalls) {
 
   /** Only this attempt counts towards the limit of the organisation; retries do not. */
   private static final int FIRST_ATTEMPT = 1;
@@ -46,6 +49,7 @@
         alone,
         profile.fingerprint(),
         profile.chunking(),
-        attempt == FIRST_ATTEMPT ? profile.countedTokens() : 0);
+        attempt == FIRST_ATTEMPT ? profile.countedTokens() : 0,
+        priorCalls);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -31,7 +31,6 @@
 
   private final RequestProfile profile;
   private final LifecyclePolicy policy;
-  private final RetryBudget budget;
   private final Invariants invariants;
   private final OutstandingAttempts outstanding;
   private final QuarantineGuard guard;
@@ -51,17 +50,15 @@
   private long waitUntilMillis;
   private Optional<Grant> grant = Optional.empty();
 
-  /** Creates the state machine of one request; the service's requests share the budget. */
+  /** Creates the state machine of one request. */
   public RequestLifecycle(
       RequestProfile profile,
       LifecyclePolicy policy,
-      RetryBudget budget,
       Quarantine quarantine,
       Invariants invariants,
       RandomGenerator random) {
     this.profile = profile;
     this.policy = policy;
-    this.budget = budget;
     this.invariants = invariants;
     this.outstanding =
         new OutstandingAttempts(
@@ -135,7 +132,6 @@
       countDrop(DropReason.LATE_EVENT);
       return;
     }
-    budget.earn();
     if (guard.isQuarantined(nowMillis)) {
       refuseQuarantined();
     } else if (profile.claimed()) {
@@ -192,7 +188,12 @@
             profile.deadlineAtMillis(),
             progress.callerWaitsUntilMillis(policy.callerPatienceMillis()));
     return new PlacementRequestBuilder(
-            profile, attempt, generatedTokens(), usefulUntilMillis, kv.usable(nowMillis))
+            profile,
+            attempt,
+            generatedTokens(),
+            usefulUntilMillis,
+            kv.usable(nowMillis),
+            history.priorCalls())
         .build(
             nowMillis,
             isolated ? guard.upstreamsToAvoid(failedUpstreams) : List.copyOf(failedUpstreams),
@@ -307,6 +308,7 @@
     UpstreamName prefillUpstream = current.prefill().orElseThrow();
     guard.stopRunning(attempt);
     guard.released(attempt, prefillUpstream);
+    history.upstreamReached(true);
     kv.store(
         new KvSource(
             prefillUpstream,
@@ -398,13 +400,13 @@
       return;
     }
     UpstreamName upstream = grant.orElseThrow().target();
-    history.upstreamReached();
+    history.upstreamReached(false);
     outstanding.release(attempt, upstream);
     guard.stopRunning(attempt);
     kv.release();
     finalResponse.keepFailureResponse(attempt);
     reportEnd(AttemptResult.FAILED, Optional.of(upstream));
-    if (!profile.repeatability().isResendable() || !mayTryAgain() || !budget.trySpend()) {
+    if (!profile.repeatability().isResendable() || !mayTryAgain()) {
       state = LifecycleState.BACKING_OFF;
       refuse(RefusalReason.UPSTREAM_FAILED, "The upstream responded with a failure.");
       return;
@@ -457,7 +459,7 @@
     if (failure.isNeverSent()) {
       history.undoSend(prefillFailed);
     } else {
-      history.upstreamReached();
+      history.upstreamReached(prefillFailed);
     }
     actions.add(new LifecycleAction.CloseAttempt(attempt));
     actions.addAll(outstanding.cancel(attempt, upstream, nowMillis));
@@ -478,14 +480,13 @@
   }
 
   private void retry(RetryReason reason) {
-    boolean needsNoBudget = reason == RetryReason.UPSTREAM_LEAVING || !history.hasReachedUpstream();
-    if (!mayTryAgain() || !(needsNoBudget || budget.trySpend())) {
+    if (!mayTryAgain()) {
       refuse(
           RefusalReason.RETRIES_EXHAUSTED,
           "Attempt " + attempt + " failed (" + reason.code() + ") and no retry is left.");
       return;
     }
-    actions.add(new LifecycleAction.CountRetry(reason, !needsNoBudget));
+    actions.add(new LifecycleAction.CountRetry(reason, history.priorCalls().isAny()));
     if (kv.usable(nowMillis).isPresent()) {
       tryToPlace();
       return;
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
@@ -39,6 +39,7 @@
  * @param chunking how its output is split into chunks
  * @param countedTokens the tokens counted against the token limit of its organisation; zero for a
  *     later attempt, whose tokens were counted before
+ * @param priorCalls the calls of earlier attempts
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record PlacementRequest(
@@ -60,7 +61,8 @@
     boolean alone,
     long contentHash,
     StreamChunking chunking,
-    int countedTokens) {
+    int countedTokens,
+    PriorCalls priorCalls) {
 
   private static final int FIRST_ATTEMPT = 1;
 
@@ -109,7 +111,8 @@
         alone,
         0,
         StreamChunking.SINGLE_TOKENS,
-        promptTokens + outputTokens);
+        promptTokens + outputTokens,
+        PriorCalls.NONE);
   }
 
   /**
@@ -169,6 +172,7 @@
         alone,
         contentHash,
         chunking,
-        countedTokens);
+        countedTokens,
+        priorCalls);
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/placement/RetryBudget.java
@@ -0,0 +1,123 @@
+package org.marjoramsail.core.placement;
+
+/**
+ * Limits the retries that the owner of a shard grants, by the requests and retries that it granted
+ * itself within the last window.
+ *
+ * <p>Guards against overload from retries: in an outage every request would be sent several times,
+ * and upstreams that recover would fail again. The limit holds for the whole fleet:
+ *
+ * <ul>
+ *   <li>A part of the retries is proportional to the granted requests. Several owners of a shard
+ *       never count the same request, so that their parts add up to that of all requests, however
+ *       many owners there are and however often they change or restart.
+ *   <li>The slack is fixed for the fleet. Only a daemon that has ranked first for the shard during
+ *       a whole window uses it, so that a predecessor's use is no longer in the same window.
+ * </ul>
+ *
+ * <p>Not thread-safe; the I/O layer calls it under the lock of the shard.
+ */
+public final class RetryBudget {
+
+  /** Used part of the ratio. Callers count their requests earlier than the owner grants them. */
+  private static final double USED_RATIO_PART = 0.8;
+
+  /** Used part of the slack. The two sides of a network partition may both use theirs. */
+  private static final double USED_SLACK_PART = 0.5;
+
+  private static final long NEVER = Long.MAX_VALUE;
+
+  private final RetryLimits limits;
+  private final WindowCount requests;
+  private final WindowCount retries;
+  private int reserved;
+  private int refused;
+  private double slackShare;
+  private long slackFromMillis = NEVER;
+
+  /** Creates the budget of an owner that has granted nothing and does not use the slack. */
+  public RetryBudget(RetryLimits limits) {
+    this.limits = limits;
+    this.requests = new WindowCount(limits.windowMillis());
+    this.retries = new WindowCount(limits.windowMillis());
+  }
+
+  /**
+   * Sets the share of the slack that is used once this daemon has ranked first for a whole window.
+   *
+   * @param share share of the fleet's slack; zero while this daemon does not rank first
+   */
+  public void slackShare(double share, long nowMillis) {
+    if (share <= 0) {
+      slackFromMillis = NEVER;
+    } else if (slackFromMillis == NEVER) {
+      slackFromMillis = nowMillis + limits.windowMillis();
+    }
+    slackShare = share;
+  }
+
+  /** Returns the share of the slack, whether it is used yet or not. */
+  public double slackShare() {
+    return slackShare;
+  }
+
+  /** Counts the first attempt of a request when it is granted. */
+  void requestGranted(long nowMillis) {
+    requests.add(1, nowMillis);
+  }
+
+  /**
+   * Reserves retries for an attempt that is about to be placed.
+   *
+   * @param count the most calls that it may repeat; zero always succeeds
+   * @return false if fewer are available
+   */
+  boolean tryReserve(int count, long nowMillis) {
+    if (count > 0 && available(nowMillis) < count) {
+      refused++;
+      return false;
+    }
+    reserved += count;
+    return true;
+  }
+
+  /** Returns reserved retries of an attempt that was not granted. */
+  void release(int count) {
+    reserved -= count;
+  }
+
+  /** Counts the retries that a granted attempt makes. */
+  void retriesGranted(int count, long nowMillis) {
+    retries.add(count, nowMillis);
+  }
+
+  /** Returns the number of retries that are available. */
+  public int available(long nowMillis) {
+    double allowed =
+        USED_RATIO_PART * limits.ratio() * requests.completeSum(nowMillis) + slack(nowMillis);
+    return (int) Math.floor(allowed) - (int) retries.sum(nowMillis) - reserved;
+  }
+
+  /** Returns the number of attempts that were refused since the last call. */
+  public int takeRefused() {
+    int taken = refused;
+    refused = 0;
+    return taken;
+  }
+
+  /** Describes the counts that decide. */
+  public String describe(long nowMillis) {
+    return "requests "
+        + requests.completeSum(nowMillis)
+        + ", retries "
+        + retries.sum(nowMillis)
+        + " in "
+        + limits.windowMillis()
+        + " ms, slack "
+        + Math.round(slack(nowMillis));
+  }
+
+  private double slack(long nowMillis) {
+    return nowMillis >= slackFromMillis ? USED_SLACK_PART * limits.slack() * slackShare : 0;
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardCoordinator.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardCoordinator.java
@@ -6,6 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.feedback.RelayedFeedback;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
@@ -30,16 +33,23 @@
 
   private static final class Registration {
     private final DaemonId entry;
+    private final PlacementRequest request;
     private final int attempt;
     private long lastMessageMillis;
     private Grant grant;
 
-    Registration(DaemonId entry, int attempt, long lastMessageMillis) {
+    Registration(DaemonId entry, PlacementRequest request, long lastMessageMillis) {
       this.entry = entry;
-      this.attempt = attempt;
+      this.request = request;
+      this.attempt = request.attempt();
       this.lastMessageMillis = lastMessageMillis;
     }
 
+    /** Returns the retries that are reserved for the attempt until it is granted. */
+    int reservedRetries() {
+      return grant == null ? mostRetries(request) : 0;
+    }
+
     boolean matches(Holding holding) {
       return attempt == holding.attempt() && (grant != null || !holding.granted());
     }
@@ -48,6 +58,7 @@
   private final ShardId shard;
   private final Placer placer;
   private final PlacementTimings timings;
+  private final RetryBudget retries;
   private final Map<RequestId, Registration> registrations = new LinkedHashMap<>();
   private long lastSweepMillis;
 
@@ -57,11 +68,14 @@
    * @param shard the shard
    * @param placer makes the decisions; called by this coordinator alone
    * @param timings the expiry of attempts that no entry daemon reports
+   * @param retries limits the granted retries
    */
-  public ShardCoordinator(ShardId shard, Placer placer, PlacementTimings timings) {
+  public ShardCoordinator(
+      ShardId shard, Placer placer, PlacementTimings timings, RetryBudget retries) {
     this.shard = shard;
     this.placer = placer;
     this.timings = timings;
+    this.retries = retries;
   }
 
   /** Handles a message of an entry daemon. */
@@ -71,7 +85,7 @@
     }
     List<Outgoing> result = new ArrayList<>();
     for (RelayedFeedback feedback : message.conditions()) {
-      result.addAll(outgoing(placer.acceptFeedback(feedback, from, nowMillis)));
+      result.addAll(outgoing(placer.acceptFeedback(feedback, from, nowMillis), nowMillis));
     }
     result.addAll(decide(from, message, nowMillis));
     return result;
@@ -98,8 +112,8 @@
 
   /** Releases the attempts of a daemon that has failed. */
   public List<Outgoing> daemonFailed(DaemonId daemon, long nowMillis) {
-    registrations.values().removeIf(registration -> registration.entry.equals(daemon));
-    return outgoing(placer.daemonFailed(daemon, nowMillis));
+    removeIf(registration -> registration.entry.equals(daemon));
+    return outgoing(placer.daemonFailed(daemon, nowMillis), nowMillis);
   }
 
   /**
@@ -114,15 +128,15 @@
    * without their registrations the ends of these requests would be ignored.
    */
   public void daemonRecovered(DaemonId daemon) {
-    registrations
-        .entrySet()
-        .removeIf(one -> one.getValue().entry.equals(daemon) && !placer.holds(one.getKey()));
+    removeIf(
+        registration ->
+            registration.entry.equals(daemon) && !placer.holds(registration.request.request()));
     placer.daemonRecovered(daemon);
   }
 
   /** Applies an event about upstreams or configuration to the placer. */
   public List<Outgoing> apply(PlacerEvent event, long nowMillis) {
-    return outgoing(event.applyTo(placer, nowMillis));
+    return outgoing(event.applyTo(placer, nowMillis), nowMillis);
   }
 
   /**
@@ -137,7 +151,7 @@
 
   /** Runs the time-dependent work of the placer and releases expired attempts. */
   public List<Outgoing> tick(long nowMillis) {
-    List<Outgoing> result = new ArrayList<>(outgoing(placer.tick(nowMillis)));
+    List<Outgoing> result = new ArrayList<>(outgoing(placer.tick(nowMillis), nowMillis));
     if (nowMillis - lastSweepMillis >= timings.holdingsMillis()) {
       lastSweepMillis = nowMillis;
       result.addAll(releaseExpired(nowMillis));
@@ -183,8 +197,12 @@
     if (existing != null) {
       result.addAll(withdraw(request.request(), existing.attempt, nowMillis));
     }
-    registrations.put(request.request(), new Registration(from, request.attempt(), nowMillis));
-    result.addAll(outgoing(placer.place(request, nowMillis)));
+    if (!retries.tryReserve(mostRetries(request), nowMillis)) {
+      result.add(new Outgoing(from, refusedRetry(request, nowMillis)));
+      return result;
+    }
+    registrations.put(request.request(), new Registration(from, request, nowMillis));
+    result.addAll(outgoing(placer.place(request, nowMillis), nowMillis));
     Registration after = registrations.get(request.request());
     if (after != null && after.grant == null) {
       result.add(new Outgoing(from, currentState(request, after)));
@@ -213,10 +231,14 @@
       if (existing != null) {
         result.addAll(withdraw(request.request(), existing.attempt, nowMillis));
       }
-      Registration registration = new Registration(from, request.attempt(), nowMillis);
+      Registration registration = new Registration(from, request, nowMillis);
       registration.grant = restore.grant();
       registrations.put(request.request(), registration);
-      result.addAll(outgoing(placer.restore(request, restore.grant(), restore.phase(), nowMillis)));
+      // Another owner granted it, perhaps within the same window.
+      retries.retriesGranted(retriesOf(request, restore.grant()), nowMillis);
+      result.addAll(
+          outgoing(
+              placer.restore(request, restore.grant(), restore.phase(), nowMillis), nowMillis));
     }
     result.add(new Outgoing(from, new PlacementMessage.Granted(shard, restore.grant())));
     return result;
@@ -239,7 +261,7 @@
     if (report.phase() == AttemptPhase.ENDED) {
       registrations.remove(report.request());
     }
-    return outgoing(placer.report(report, nowMillis));
+    return outgoing(placer.report(report, nowMillis), nowMillis);
   }
 
   private List<Outgoing> withdraw(RequestId request, int attempt, long nowMillis) {
@@ -247,8 +269,8 @@
     if (existing == null || existing.attempt != attempt) {
       return List.of();
     }
-    registrations.remove(request);
-    return outgoing(placer.withdraw(request, nowMillis));
+    remove(request);
+    return outgoing(placer.withdraw(request, nowMillis), nowMillis);
   }
 
   private List<Outgoing> holdings(DaemonId from, List<Holding> held, long nowMillis) {
@@ -290,7 +312,7 @@
     return result;
   }
 
-  private List<Outgoing> outgoing(List<PlacementResult> results) {
+  private List<Outgoing> outgoing(List<PlacementResult> results, long nowMillis) {
     List<Outgoing> messages = new ArrayList<>(results.size());
     for (PlacementResult result : results) {
       Registration registration = registrations.get(result.request());
@@ -298,11 +320,11 @@
         continue;
       }
       if (result instanceof PlacementResult.Granted granted) {
-        registration.grant = granted.grant();
+        recordGrant(registration, granted.grant(), nowMillis);
         messages.add(
             new Outgoing(registration.entry, new PlacementMessage.Granted(shard, granted.grant())));
       } else if (result instanceof PlacementResult.Refused refused) {
-        registrations.remove(refused.request());
+        remove(refused.request());
         messages.add(
             new Outgoing(
                 registration.entry,
@@ -312,4 +334,50 @@
     }
     return messages;
   }
+
+  private void recordGrant(Registration registration, Grant grant, long nowMillis) {
+    if (registration.grant == null) {
+      retries.release(registration.reservedRetries());
+      retries.retriesGranted(retriesOf(registration.request, grant), nowMillis);
+      if (!registration.request.isRepeat()) {
+        retries.requestGranted(nowMillis);
+      }
+    }
+    registration.grant = grant;
+  }
+
+  private void remove(RequestId request) {
+    Registration removed = registrations.remove(request);
+    if (removed != null) {
+      retries.release(removed.reservedRetries());
+    }
+  }
+
+  private void removeIf(Predicate<Registration> condition) {
+    List<RequestId> removed =
+        registrations.values().stream()
+            .filter(condition)
+            .map(registration -> registration.request.request())
+            .toList();
+    removed.forEach(this::remove);
+  }
+
+  /** Returns the most calls that an attempt may repeat, whichever upstreams it is granted. */
+  private static int mostRetries(PlacementRequest request) {
+    return request.priorCalls().repeatedBy(request.isGeneration());
+  }
+
+  private static int retriesOf(PlacementRequest request, Grant grant) {
+    boolean fetchesKv = grant.prefill().isPresent() && grant.prefill().equals(request.kvHeldBy());
+    return request.priorCalls().repeatedBy(grant.mode().isTransferring() && !fetchesKv);
+  }
+
+  private PlacementMessage refusedRetry(PlacementRequest request, long nowMillis) {
+    String detail = "The retry budget of " + shard + " is used up: " + retries.describe(nowMillis);
+    return new PlacementMessage.Refused(
+        shard,
+        request.request(),
+        request.attempt(),
+        Refusal.notRun(RefusalReason.RETRIES_EXHAUSTED, detail));
+  }
 }
--- a/core/src/test/java/org/marjoramsail/core/outcome/FuzzedWorld.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/FuzzedWorld.java
@@ -30,6 +30,7 @@
   static final int STEPS = 16;
   private static final int MAXIMUM_REQUESTS = 4;
   private static final int TOKENS = 4;
+  private static final int RETRIES = 20;
   private static final int KV_LIFETIME_MILLIS = 800;
   private static final long POISON = 666;
   private static final List<Repeatability> REPEATABILITIES = List.of(Repeatability.values());
@@ -45,10 +46,10 @@
   private final List<FuzzedRequest> requests = new ArrayList<>();
   private final List<Message> network = new ArrayList<>();
   private final Quarantine quarantine = new Quarantine(600_000, 2_000, 50);
-  private final RetryBudget budget = new RetryBudget(20);
   private final Invariants invariants = new Invariants(Invariants.Mode.THROW);
   private final boolean randomCrashes;
   private long nowMillis = 1_000;
+  private int retriesLeft = RETRIES;
   private int poisonCrashes;
 
   FuzzedWorld(boolean randomCrashes) {
@@ -139,7 +140,7 @@
     FuzzedRequest request =
         new FuzzedRequest(
             new RequestLifecycle(
-                profile, policy, budget, quarantine, invariants, new SplittableRandom(detail)),
+                profile, policy, quarantine, invariants, new SplittableRandom(detail)),
             poisonous);
     requests.add(request);
     handle(request, new LifecycleEvent.Started());
@@ -339,6 +340,11 @@
       refusePlacement(request, wanted, RefusalReason.QUEUE_FULL);
       return;
     }
+    retriesLeft -= wanted.priorCalls().repeatedBy(wanted.isGeneration());
+    if (retriesLeft < 0) {
+      refusePlacement(request, wanted, RefusalReason.RETRIES_EXHAUSTED);
+      return;
+    }
     GrantMode mode =
         !wanted.isGeneration()
             ? GrantMode.PLAIN
--- a/core/src/test/java/org/marjoramsail/core/outcome/KeyedRefusalTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/KeyedRefusalTest.java
@@ -77,7 +77,6 @@
     return new RequestLifecycle(
         profile,
         LifecyclePolicy.defaults(),
-        new RetryBudget(10),
         new Quarantine(600_000, 2_000, 100),
         new Invariants(Invariants.Mode.THROW),
         new Random(1));
--- a/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
@@ -141,7 +141,8 @@
               first.alone(),
               0,
               first.chunking(),
-              0);
+              0,
+              PriorCalls.NONE);
 
       assertThat(granted(placer.place(retry, 1_000 + number))).hasSize(1);
     }
--- a/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
@@ -169,7 +169,8 @@
         false,
         content,
         StreamChunking.SINGLE_TOKENS,
-        0);
+        0,
+        PriorCalls.NONE);
   }
 
   static RequestBuilder request(String name) {
@@ -234,6 +235,7 @@
     private List<UpstreamName> avoid = List.of();
     private Optional<UpstreamName> kvHeldBy = Optional.empty();
     private boolean alone;
+    private PriorCalls priorCalls = PriorCalls.NONE;
     private StreamChunking chunking = new StreamChunking(11, 450);
 
     RequestBuilder(String name) {
@@ -292,6 +294,11 @@
       return this;
     }
 
+    RequestBuilder after(PriorCalls value) {
+      priorCalls = value;
+      return this;
+    }
+
     RequestBuilder alone() {
       alone = true;
       return this;
@@ -317,7 +324,8 @@
           alone,
           0,
           chunking,
-          promptTokens + outputTokens);
+          promptTokens + outputTokens,
+          priorCalls);
     }
   }
 }
--- a/core/src/test/java/org/marjoramsail/core/placement/PlacementSimulation.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlacementSimulation.java
@@ -267,7 +267,8 @@
             false,
             0,
             StreamChunking.SINGLE_TOKENS,
-            0);
+            0,
+            PriorCalls.NONE);
     act(host, host.entry.place(request, SHARD, events.now()));
   }
 
@@ -325,7 +326,12 @@
       PlacerSetup setup = PlacementFixtures.setup(SHARD, configuration, events.now() > 0);
       ReservingPlacer placer = new ReservingPlacer(setup, events.now());
       host.coordinator =
-          Optional.of(new ShardCoordinator(SHARD, placer, PlacementTimings.standard()));
+          Optional.of(
+              new ShardCoordinator(
+                  SHARD,
+                  placer,
+                  PlacementTimings.standard(),
+                  new RetryBudget(RetryLimits.standard())));
     }
     send(host, updateFleetShare(host, host.coordinator.get()));
     return host.coordinator.get();
--- a/core/src/test/java/org/marjoramsail/core/placement/ShardCoordinatorTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ShardCoordinatorTest.java
@@ -17,7 +17,8 @@
 
   private final SlotCountingPlacer placer = new SlotCountingPlacer(1);
   private final ShardCoordinator coordinator =
-      new ShardCoordinator(SHARD, placer, PlacementTimings.standard());
+      new ShardCoordinator(
+          SHARD, placer, PlacementTimings.standard(), new RetryBudget(RetryLimits.standard()));
 
   // Guards against a slot that is held for good: an attempt waits here, is granted by another
   // owner, and its end arrives here before any restore. The placer must not grant it afterwards.
@@ -143,7 +144,8 @@
     return new ShardCoordinator(
         SHARD,
         PlacementFixtures.plainPlacer(PlacementFixtures.plainPool(1, 1)),
-        PlacementTimings.standard());
+        PlacementTimings.standard(),
+        new RetryBudget(RetryLimits.standard()));
   }
 
   private List<ShardCoordinator.Outgoing> place(String request) {
--- a/core/src/test/java/org/marjoramsail/core/placement/SoftOwnershipFuzzTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/SoftOwnershipFuzzTest.java
@@ -55,7 +55,13 @@
         alive.add(id);
         SlotCountingPlacer placer = new SlotCountingPlacer(SLOTS);
         placers.put(id, placer);
-        coordinators.put(id, new ShardCoordinator(SHARD, placer, PlacementTimings.standard()));
+        coordinators.put(
+            id,
+            new ShardCoordinator(
+                SHARD,
+                placer,
+                PlacementTimings.standard(),
+                new RetryBudget(RetryLimits.standard())));
         entries.put(
             id,
             new EntryPlacement(
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -36,6 +36,7 @@
 import org.marjoramsail.core.placement.PlacementPolicy;
 import org.marjoramsail.core.placement.PlacementSettings;
 import org.marjoramsail.core.placement.PlacementTimings;
+import org.marjoramsail.core.placement.RetryLimits;
 import org.marjoramsail.core.placement.ShardView;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.claim.PeerClaimService;
@@ -187,6 +188,7 @@
         shards,
         network,
         PlacementTimings.standard(),
+        RetryLimits.standard(),
         clock,
         meters,
         new UpstreamFeedbackTable());
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/RequestParts.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/RequestParts.java
@@ -12,7 +12,6 @@
 import org.marjoramsail.core.outcome.Invariants;
 import org.marjoramsail.core.outcome.LifecyclePolicy;
 import org.marjoramsail.core.outcome.Quarantine;
-import org.marjoramsail.core.outcome.RetryBudget;
 import org.marjoramsail.core.placement.PlacementService;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.caller.CallerBinding;
@@ -33,8 +32,6 @@
 /** The parts that take a request from its caller to its upstreams. */
 final class RequestParts {
 
-  private static final int RETRY_RESERVE = 40;
-
   final RequestRegistry registry;
   final CallerServer callers;
   final RequestMetrics metrics;
@@ -58,7 +55,7 @@
     this.registry =
         new RequestRegistry(
             new RequestDependencies(placement, claims),
-            new LifecycleDependencies(quarantine, invariants, () -> new RetryBudget(RETRY_RESERVE)),
+            new LifecycleDependencies(quarantine, invariants),
             metrics,
             new RequestLog(() -> "configuration " + configuration.get().revision()),
             clock,
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -17,7 +17,6 @@
 import org.marjoramsail.core.outcome.DropReason;
 import org.marjoramsail.core.outcome.Invariant;
 import org.marjoramsail.core.outcome.Invariants;
-import org.marjoramsail.core.outcome.RetryBudget;
 import org.marjoramsail.daemon.request.LatencyViolation;
 
 /**
@@ -106,12 +105,6 @@
     return Timer.builder(PREFIX + name).publishPercentileHistogram().register(registry);
   }
 
-  /** Registers a gauge of the retries that are available to a service. */
-  public void registerRetryBudget(String service, RetryBudget budget) {
-    registry.gauge(
-        PREFIX + "retry.budget.left", Tags.of("service", service), budget, RetryBudget::available);
-  }
-
   /** Registers a gauge of the running requests. */
   public void registerRunning(IntSupplier running) {
     registry.gauge(PREFIX + "requests.running", running, IntSupplier::getAsInt);
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/ConfiguredShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/ConfiguredShards.java
@@ -111,6 +111,14 @@
         .toList();
   }
 
+  @Override
+  public int shardCount(String service) {
+    return (int)
+        configurationIndex.map().shards().stream()
+            .filter(shard -> shard.service().equals(service))
+            .count();
+  }
+
   @Override
   public List<DaemonId> owners(ShardId shard) {
     if (!policy.isSharedOwner()) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.daemon.placement;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Tags;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -34,6 +35,7 @@
 import org.marjoramsail.core.placement.PlacementService;
 import org.marjoramsail.core.placement.PlacementTimings;
 import org.marjoramsail.core.placement.PlacerEvent;
+import org.marjoramsail.core.placement.RetryLimits;
 import org.marjoramsail.core.placement.RoleChange;
 import org.marjoramsail.core.placement.ShardCoordinator;
 import org.marjoramsail.core.placement.ShardId;
@@ -72,6 +74,7 @@
    * @param topology maps requests and upstreams to shards
    * @param transport sends messages to other daemons
    * @param timings timeouts between entries and owners
+   * @param retryLimits retries that all daemons together may make
    * @param clock provides the current time
    * @param meters counts messages and grants
    * @param feedback feedback that this daemon received from upstreams
@@ -81,6 +84,7 @@
       ShardTopology topology,
       PeerTransport transport,
       PlacementTimings timings,
+      RetryLimits retryLimits,
       Clock clock,
       MeterRegistry meters,
       UpstreamFeedbackTable feedback) {
@@ -92,7 +96,12 @@
     this.entry = new EntryPlacement(self, timings, topology, feedback);
     this.owned =
         new OwnedShards(
-            self, topology, timings, clock, outgoing -> send(outgoing.to(), outgoing.message()));
+            self,
+            topology,
+            timings,
+            retryLimits,
+            clock,
+            outgoing -> send(outgoing.to(), outgoing.message()));
   }
 
   @Override
@@ -180,6 +189,7 @@
     }
     double share = view.budgetShare();
     applyToUsageSharing((sharing, millis) -> sharing.fleetShare(share, millis));
+    owned.updateFleetShare(view.isAlone() ? 0 : share);
     failed.forEach(owned::daemonFailed);
     recovered.forEach(owned::daemonRecovered);
     tickEntry();
@@ -189,9 +199,19 @@
   public void configure(Configuration configuration) {
     topology.configure(configuration);
     owned.applyToAll((placer, now) -> placer.configure(configuration, now));
+    owned.updateRetrySlack();
+    topology.shards().forEach(shard -> registerRetryGauge(shard.service()));
     tickEntry();
   }
 
+  private void registerRetryGauge(String service) {
+    meters.gauge(
+        "marjoramsail.retry.budget.left",
+        Tags.of("service", service),
+        owned,
+        shards -> shards.availableRetries(service));
+  }
+
   /** Applies a load report of an upstream. */
   public void load(LoadReport report) {
     latestLoads.put(report.upstream(), report);
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
@@ -7,6 +7,7 @@
 import org.marjoramsail.core.placement.OrganisationUsageMessage;
 import org.marjoramsail.core.placement.PlacementMessage;
 import org.marjoramsail.core.placement.PlacerEvent;
+import org.marjoramsail.core.placement.RetryBudget;
 import org.marjoramsail.core.placement.RoleChange;
 import org.marjoramsail.core.placement.ShardCoordinator;
 import org.marjoramsail.core.placement.ShardId;
@@ -17,11 +18,13 @@
 
   private final ShardId shard;
   private final ShardCoordinator coordinator;
+  private final RetryBudget retries;
   private long lastUsedMillis;
 
-  OwnedShard(ShardId shard, ShardCoordinator coordinator, long nowMillis) {
+  OwnedShard(ShardId shard, ShardCoordinator coordinator, RetryBudget retries, long nowMillis) {
     this.shard = shard;
     this.coordinator = coordinator;
+    this.retries = retries;
     this.lastUsedMillis = nowMillis;
   }
 
@@ -35,6 +38,29 @@
     return coordinator.handle(from, message, nowMillis);
   }
 
+  /** Sets the share of the fleet's retry slack that this shard uses. */
+  synchronized void retrySlackShare(double share, long nowMillis) {
+    retries.slackShare(share, nowMillis);
+  }
+
+  /** Returns the share of the fleet's retry slack that this shard uses or will use. */
+  synchronized double retrySlackShare() {
+    return retries.slackShare();
+  }
+
+  /** Returns the retries that were refused since the last call. */
+  synchronized int takeRefusedRetries() {
+    return retries.takeRefused();
+  }
+
+  synchronized String describeRetries(long nowMillis) {
+    return retries.describe(nowMillis);
+  }
+
+  synchronized int availableRetries(long nowMillis) {
+    return retries.available(nowMillis);
+  }
+
   synchronized List<ShardCoordinator.Outgoing> apply(PlacerEvent event, long nowMillis) {
     return coordinator.apply(event, nowMillis);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -12,6 +12,8 @@
 import org.marjoramsail.core.placement.PlacementMessage;
 import org.marjoramsail.core.placement.PlacementTimings;
 import org.marjoramsail.core.placement.PlacerEvent;
+import org.marjoramsail.core.placement.RetryBudget;
+import org.marjoramsail.core.placement.RetryLimits;
 import org.marjoramsail.core.placement.RoleChange;
 import org.marjoramsail.core.placement.ShardCoordinator;
 import org.marjoramsail.core.placement.ShardId;
@@ -34,22 +36,29 @@
   /** Time after which a shard without requests is closed, in milliseconds. */
   private static final long IDLE_MILLIS = 10_000;
 
+  private static final long REFUSED_RETRIES_LOG_MILLIS = 1_000;
+
   private final DaemonId self;
   private final ShardTopology topology;
   private final PlacementTimings timings;
+  private final RetryLimits retryLimits;
   private final Clock clock;
   private final Consumer<ShardCoordinator.Outgoing> sender;
   private final Map<ShardId, OwnedShard> shards = new ConcurrentHashMap<>();
+  private volatile double fleetShare;
+  private long refusedRetriesLoggedMillis;
 
   OwnedShards(
       DaemonId self,
       ShardTopology topology,
       PlacementTimings timings,
+      RetryLimits retryLimits,
       Clock clock,
       Consumer<ShardCoordinator.Outgoing> sender) {
     this.self = self;
     this.topology = topology;
     this.timings = timings;
+    this.retryLimits = retryLimits;
     this.clock = clock;
     this.sender = sender;
   }
@@ -75,10 +84,46 @@
     shards.values().forEach(shard -> shard.daemonRecovered(daemon));
   }
 
+  /** Sets the share of the fleet's retry slack that the daemons visible to this one may use. */
+  void updateFleetShare(double share) {
+    fleetShare = share;
+    updateRetrySlack();
+  }
+
+  /** Applies a change of the configuration or of the ranking of daemons to the retry budgets. */
+  void updateRetrySlack() {
+    shards.values().forEach(this::updateRetrySlack);
+  }
+
+  private void updateRetrySlack(OwnedShard shard) {
+    int shardCount = Math.max(1, topology.shardCount(shard.shard().service()));
+    double share = isFirstOwner(shard) ? fleetShare / shardCount : 0;
+    if (share != shard.retrySlackShare()) {
+      LOG.atInfo()
+          .addKeyValue("shard", shard.shard())
+          .addKeyValue("before", shard.retrySlackShare())
+          .addKeyValue("share", share)
+          .addKeyValue("retries", shard.describeRetries(clock.millis()))
+          .log("share of the retry slack changed");
+      shard.retrySlackShare(share, clock.millis());
+    }
+  }
+
+  /**
+   * Returns the retries that are available in the shards of a service for which this ranks first.
+   */
+  int availableRetries(String service) {
+    return shards.values().stream()
+        .filter(shard -> shard.shard().service().equals(service) && isFirstOwner(shard))
+        .mapToInt(shard -> shard.availableRetries(clock.millis()))
+        .sum();
+  }
+
   void tick() {
     long now = clock.millis();
     shards.values().forEach(shard -> send(shard.tick(now)));
     shards.values().forEach(OwnedShards::log);
+    logRefusedRetries(now);
     shards
         .values()
         .removeIf(shard -> !isFirstOwner(shard) && shard.isUnusedSince(now - IDLE_MILLIS));
@@ -146,6 +191,24 @@
     return idleShard.view(clock.millis());
   }
 
+  /** Logs the refused retries of each shard, at most once in a period. */
+  private void logRefusedRetries(long nowMillis) {
+    if (nowMillis - refusedRetriesLoggedMillis < REFUSED_RETRIES_LOG_MILLIS) {
+      return;
+    }
+    refusedRetriesLoggedMillis = nowMillis;
+    for (OwnedShard shard : shards.values()) {
+      int refused = shard.takeRefusedRetries();
+      if (refused > 0) {
+        LOG.atInfo()
+            .addKeyValue("shard", shard.shard())
+            .addKeyValue("refused", refused)
+            .addKeyValue("retries", shard.describeRetries(nowMillis))
+            .log("retries refused");
+      }
+    }
+  }
+
   private static void log(OwnedShard shard) {
     for (AcceptedFeedback feedback : shard.takeAcceptedFeedback()) {
       LOG.atInfo()
@@ -164,8 +227,12 @@
   }
 
   private OwnedShard open(ShardId id) {
-    ShardCoordinator coordinator = new ShardCoordinator(id, topology.placerFor(id), timings);
-    return new OwnedShard(id, coordinator, clock.millis());
+    RetryBudget retries = new RetryBudget(retryLimits);
+    ShardCoordinator coordinator =
+        new ShardCoordinator(id, topology.placerFor(id), timings, retries);
+    OwnedShard shard = new OwnedShard(id, coordinator, retries, clock.millis());
+    updateRetrySlack(shard);
+    return shard;
   }
 
   private void send(List<ShardCoordinator.Outgoing> messages) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/ShardTopology.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/ShardTopology.java
@@ -23,6 +23,9 @@
   /** Returns the shards in the region of this daemon. */
   List<ShardId> shards();
 
+  /** Returns the number of shards of a service, over all regions. */
+  int shardCount(String service);
+
   /** Returns the upstreams of a shard; empty if the shard is not in the configuration. */
   @Override
   List<UpstreamDefinition> upstreamsOf(ShardId shard);
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
 import org.marjoramsail.core.failure.Refusal;
@@ -16,7 +15,6 @@
 import org.marjoramsail.core.outcome.LifecycleEvent;
 import org.marjoramsail.core.outcome.RequestLifecycle;
 import org.marjoramsail.core.outcome.RequestProfile;
-import org.marjoramsail.core.outcome.RetryBudget;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.metrics.RequestMetrics;
 
@@ -43,7 +41,6 @@
   private final TaskScheduler scheduler;
   private final RandomGenerator random;
   private final List<Shard> shards;
-  private final Map<String, RetryBudget> budgets = new ConcurrentHashMap<>();
 
   /**
    * Creates an empty registry.
@@ -94,7 +91,6 @@
         new RequestLifecycle(
             profile,
             request.policy(),
-            budgets.computeIfAbsent(profile.service(), this::newBudget),
             lifecycleDependencies.quarantine(),
             lifecycleDependencies.invariants(),
             random);
@@ -119,12 +115,6 @@
         () -> removeSettled(shard, request));
   }
 
-  private RetryBudget newBudget(String service) {
-    RetryBudget budget = lifecycleDependencies.budgets().get();
-    metrics.registerRetryBudget(service, budget);
-    return budget;
-  }
-
   private void removeSettled(Shard shard, NewRequest request) {
     RequestProfile profile = request.profile();
     RequestSnapshot snapshot;
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/ForwardingSettings.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/ForwardingSettings.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.daemon.settings;
 
 import java.util.Map;
+import org.marjoramsail.core.placement.RetryLimits;
 
 /**
  * How requests are forwarded as they are, before upstreams that register themselves.
@@ -49,6 +50,11 @@
     return (int) Math.min(Integer.MAX_VALUE, Math.max(1, cores * MILLI_CORES_PER_CORE));
   }
 
+  /** Returns the retries that all daemons together may make. */
+  public RetryLimits retryLimits() {
+    return new RetryLimits(retryRatio, retrySlack);
+  }
+
   /** How long this daemon may go on after it is told to stop, in milliseconds. */
   public long graceMillis() {
     return (long) (graceSeconds * MILLIS_PER_SECOND);
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -32,11 +32,11 @@
 import org.marjoramsail.core.outcome.LifecyclePolicy;
 import org.marjoramsail.core.outcome.Quarantine;
 import org.marjoramsail.core.outcome.RequestProfile;
-import org.marjoramsail.core.outcome.RetryBudget;
 import org.marjoramsail.core.placement.PlacementMessage;
 import org.marjoramsail.core.placement.PlacementPolicy;
 import org.marjoramsail.core.placement.PlacementSettings;
 import org.marjoramsail.core.placement.PlacementTimings;
+import org.marjoramsail.core.placement.RetryLimits;
 import org.marjoramsail.daemon.metrics.RequestMetrics;
 import org.marjoramsail.daemon.placement.ConfiguredShards;
 import org.marjoramsail.daemon.placement.DistributedPlacement;
@@ -298,6 +298,7 @@
             shards,
             (to, message) -> transmit(id, to, message),
             PlacementTimings.standard(),
+            new RetryLimits(RATIO, size.slack()),
             members::millis,
             meters,
             new UpstreamFeedbackTable());
@@ -306,8 +307,7 @@
     RequestRegistry registry =
         new RequestRegistry(
             new RequestDependencies(placement, new NoClaims()),
-            new LifecycleDependencies(
-                new Quarantine(600_000, 500, 10_000), invariants, () -> retryBudget(id)),
+            new LifecycleDependencies(new Quarantine(600_000, 500, 10_000), invariants),
             new RequestMetrics(meters, invariants),
             new RequestLog(() -> ""),
             members::millis,
@@ -316,11 +316,6 @@
     return new SimulatedHost(id, placement, registry);
   }
 
-  private RetryBudget retryBudget(DaemonId id) {
-    int daemons = members.view(id.host()).members().size();
-    return RetryBudget.shareOfFleet(RATIO, size.slack(), daemons);
-  }
-
   private void runIfCurrent(DaemonId id, Runnable task) {
     if (isCurrent(id)) {
       task.run();
--- a/daemon/src/test/java/org/marjoramsail/daemon/placement/IdleShardTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/placement/IdleShardTest.java
@@ -27,6 +27,7 @@
 import org.marjoramsail.core.placement.PlacementResult;
 import org.marjoramsail.core.placement.PlacementSettings;
 import org.marjoramsail.core.placement.PlacementTimings;
+import org.marjoramsail.core.placement.RetryLimits;
 import org.marjoramsail.core.time.ManualClock;
 
 final class IdleShardTest {
@@ -72,6 +73,7 @@
             shards,
             (to, message) -> {},
             PlacementTimings.standard(),
+            RetryLimits.standard(),
             clock,
             new SimpleMeterRegistry(),
             new UpstreamFeedbackTable());
