--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/ArrivalLog.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/ArrivalLog.java
@@ -40,6 +40,7 @@
   private final double slack;
   private final List<Long> requests = new ArrayList<>();
   private final List<Long> retries = new ArrayList<>();
+  private final List<Long> firstArrivals = new ArrayList<>();
   private final Map<String, Received> received = new HashMap<>();
 
   ArrivalLog(double ratio, double slack) {
@@ -68,9 +69,7 @@
   }
 
   private void arrived(Received before, long nowMillis) {
-    if (before.arrived) {
-      retries.add(nowMillis);
-    }
+    (before.arrived ? retries : firstArrivals).add(nowMillis);
     before.arrived = true;
   }
 
@@ -87,6 +86,11 @@
         .orElse(new Window(0, 0, slack));
   }
 
+  /** Returns the most requests that reached an upstream for the first time in any window. */
+  int mostFirstArrivals() {
+    return firstArrivals.stream().mapToInt(from -> countFrom(firstArrivals, from)).max().orElse(0);
+  }
+
   private Window windowFrom(long fromMillis) {
     int most = 0;
     for (long earlier : List.of(0L, WINDOW_MILLIS / 2, WINDOW_MILLIS)) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -13,6 +13,7 @@
 import java.util.random.RandomGenerator;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.configuration.ModelDefinition;
+import org.marjoramsail.core.configuration.OrganisationDefinition;
 import org.marjoramsail.core.configuration.ServiceDefinition;
 import org.marjoramsail.core.configuration.ServiceKind;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
@@ -32,6 +33,7 @@
 import org.marjoramsail.core.outcome.LifecyclePolicy;
 import org.marjoramsail.core.outcome.Quarantine;
 import org.marjoramsail.core.outcome.RequestProfile;
+import org.marjoramsail.core.placement.OrganisationUsageMessage;
 import org.marjoramsail.core.placement.PlacementMessage;
 import org.marjoramsail.core.placement.PlacementPolicy;
 import org.marjoramsail.core.placement.PlacementSettings;
@@ -59,6 +61,7 @@
 
   static final String PLAIN = "desk";
   static final String MODEL = "assistant";
+  static final String ORGANISATION = "callers";
 
   /** Retries that the fleet may make for each request. */
   static final double RATIO = 0.2;
@@ -68,6 +71,7 @@
   private static final long VIEW_MILLIS = 100;
   private static final long OWNER_TICK_MILLIS = 10;
   private static final long ENTRY_TICK_MILLIS = 100;
+  private static final long USAGE_MILLIS = 200;
   private static final long TARGET_MILLIS = 700;
   private static final long DEADLINE_MILLIS = 2_500;
   private static final long STREAM_DEADLINE_MILLIS = 14_000;
@@ -129,12 +133,17 @@
   private long sequence;
 
   FleetSimulation(Size size, long seed) {
+    this(size, seed, List.of());
+  }
+
+  /** Creates a fleet whose callers belong to an organisation named {@link #ORGANISATION}. */
+  FleetSimulation(Size size, long seed, List<OrganisationDefinition> organisations) {
     this.size = size;
     this.random = new SplittableRandom(seed);
     this.members =
         new VirtualFleet(MembershipSettings.defaults(), new Random(seed), (from, message) -> {});
     this.startMillis = members.millis();
-    this.configuration = configuration(size);
+    this.configuration = configuration(size, organisations);
     for (UpstreamDefinition upstream : configuration.upstreams()) {
       int waiting = upstream.role() == UpstreamRole.PLAIN ? 24 : 2;
       upstreams.put(
@@ -245,6 +254,7 @@
     every(VIEW_MILLIS, untilMillis, () -> running().forEach(this::updateView));
     every(OWNER_TICK_MILLIS, untilMillis, () -> running().forEach(this::tickOwner));
     every(ENTRY_TICK_MILLIS, untilMillis, () -> running().forEach(this::tickEntry));
+    every(USAGE_MILLIS, untilMillis, () -> running().forEach(FleetSimulation::shareUsage));
     while (now() < untilMillis) {
       events.runDue(now());
       members.run(1);
@@ -269,6 +279,10 @@
     }
   }
 
+  private static void shareUsage(SimulatedHost host) {
+    host.placement().shareUsage();
+  }
+
   private void updateView(SimulatedHost host) {
     MembershipView view = members.view(host.id().host());
     if (!view.equals(views.put(host.id().host(), view))) {
@@ -340,6 +354,8 @@
       after(1, () -> runIfCurrent(from, () -> connectionLost(from, to)));
     } else if (message instanceof PlacementMessage placementMessage) {
       hosts.get(to.host()).placement().receive(from, placementMessage);
+    } else if (message instanceof OrganisationUsageMessage usage) {
+      hosts.get(to.host()).placement().receiveUsage(usage);
     }
   }
 
@@ -381,7 +397,7 @@
         new RequestId(request),
         entry,
         kind.service,
-        "callers",
+        ORGANISATION,
         kind.name(),
         ServiceClass.TIMELY,
         kind.repeatability,
@@ -413,7 +429,8 @@
     return Integer.parseInt(host.substring("host-".length()));
   }
 
-  private static Configuration configuration(Size size) {
+  private static Configuration configuration(
+      Size size, List<OrganisationDefinition> organisations) {
     List<UpstreamDefinition> upstreams = new ArrayList<>();
     for (int number = 0; number < size.engines(); number++) {
       UpstreamRole role = number % 3 == 0 ? UpstreamRole.PREFILL : UpstreamRole.DECODE;
@@ -430,7 +447,7 @@
         List.of(new ModelDefinition("model", "1", List.of(), 18_432)),
         upstreams,
         List.of(),
-        List.of());
+        organisations);
   }
 
   private static UpstreamDefinition upstream(
