Put back reasons and numbers that the rewording of comments had dropped

Found by comparing each constant's comment before and after, core and daemon. Only facts of the old comments that still hold; no code changes.

--- a/core/src/main/java/org/marjoramsail/core/configuration/ChangeAcceptor.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/ChangeAcceptor.java
@@ -7,7 +7,10 @@
 /** Decides whether a change can be accepted on the root as it was just read. */
 public final class ChangeAcceptor {
 
-  /** Maximum number of accepted changes that the root records. */
+  /**
+   * Maximum number of accepted changes that the root records: those of about two hours at the
+   * highest expected rate.
+   */
   public static final int MAXIMUM_RECENT_ORDERS = 200;
 
   /** Maximum number of objects recorded for one change; beyond it, none are. */
--- a/core/src/main/java/org/marjoramsail/core/discovery/WatchSchedule.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/WatchSchedule.java
@@ -22,8 +22,9 @@
   private static final long LONGEST_RESPONSE_MILLIS = 1_800;
 
   /**
-   * Time for which changes are gathered after a response that had some, in milliseconds. Limits the
-   * requests of each daemon while many upstreams register one after another.
+   * Time for which changes are gathered after a response that had some, in milliseconds. Without it
+   * each upstream that registers would wake every daemon; with it a daemon sends at most three
+   * requests a second. It is about a tenth of the time in which a change has to be in force.
    */
   private static final long GATHER_MILLIS = 350;
 
--- a/core/src/main/java/org/marjoramsail/core/membership/MembershipSettings.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipSettings.java
@@ -42,7 +42,8 @@
    * Returns values for networks with a round-trip time of a few milliseconds.
    *
    * <p>The timeout of a suspicion is long enough for a daemon that was paused for one second to
-   * refute the suspicion when it resumes.
+   * refute the suspicion when it resumes. The suspicion begins 0.25 s after the start of the pause
+   * at the earliest, so that half a second is left for the refutation to reach all daemons.
    */
   public static MembershipSettings defaults() {
     return new MembershipSettings(
--- a/core/src/main/java/org/marjoramsail/core/placement/MemoryForecast.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/MemoryForecast.java
@@ -21,8 +21,8 @@
   /**
    * Safety margin above the expected peak, in standard deviations of the remaining lengths.
    *
-   * <p>A preempted stream is prefilled again and misses its deadline, which costs more than the
-   * delay of a waiting stream.
+   * <p>A preempted stream is prefilled again and misses its deadline, which costs about as much as
+   * two and a half streams that end in time; a waiting stream costs only itself.
    */
   private static final double SAFETY_MARGIN_DEVIATIONS = 0.3;
 
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationTable.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationTable.java
@@ -20,7 +20,10 @@
   /** Interval between messages while every organisation is well below its rates. */
   private static final long REGULAR_INTERVAL_MILLIS = 1_000;
 
-  /** Time without messages after which another owner's counts are removed. */
+  /**
+   * Time without messages after which another owner's counts are removed. An owner sends them every
+   * second.
+   */
   private static final long OWNER_EXPIRY_MILLIS = 60_000;
 
   private final ShardId shard;
--- a/core/src/main/java/org/marjoramsail/core/placement/RetryingCallers.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RetryingCallers.java
@@ -16,7 +16,7 @@
  */
 final class RetryingCallers {
 
-  /** Time after a refusal for which a retry is recognised. */
+  /** Time after a refusal for which a retry is recognised. Callers retry sooner or not at all. */
   private static final long RETENTION_MILLIS = 12_000;
 
   private static final int MAXIMUM_CALLERS = 4_096;
--- a/core/src/main/java/org/marjoramsail/core/placement/RoleAdvisor.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RoleAdvisor.java
@@ -11,7 +11,8 @@
 
   /**
    * The number of grants after which the estimates of request sizes are used. It is small, so that
-   * a badly divided pool is corrected before its first burst of load.
+   * a badly divided pool is corrected before its first burst of load; a change of role during the
+   * burst would refuse streams.
    */
   private static final int MINIMUM_GRANTS = 6;
 
--- a/core/src/main/java/org/marjoramsail/core/placement/RoleChangeLimiter.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RoleChangeLimiter.java
@@ -15,7 +15,7 @@
 
   /**
    * The minimum interval between two changes of one engine. It covers the delay after which an
-   * order without a response may still be carried out.
+   * order without a response may still be carried out, which is twelve seconds.
    */
   private static final long MINIMUM_INTERVAL_MILLIS = 14_000;
 
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
@@ -34,8 +34,9 @@
 
   /**
    * A pool of up to this many times the upstreams of a slice is not sliced. All requests of such a
-   * pool share its memory, and its single owner can change the role of any of its engines. In
-   * larger pools the cost of placement for one owner would be too high.
+   * pool share its memory, and its single owner can change the role of any of its engines: the
+   * owner of only one of two slices would hold the lease for orders. In larger pools the cost of
+   * placement for one owner would be too high.
    */
   private static final int UNSLICED_POOL_FACTOR = 2;
 
