--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
@@ -117,7 +117,7 @@
    * Counts a retry.
    *
    * @param reason reason of the retry
-   * @param fromBudget whether it was taken from the retry budget
+   * @param fromBudget whether it repeats a call, so that its placement needs retry budget
    */
   record CountRetry(RetryReason reason, boolean fromBudget) implements LifecycleAction {}
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -159,8 +159,7 @@
   /**
    * Counts a retry.
    *
-   * @param fromBudget whether it was taken from the retry budget, as opposed to a retry of a
-   *     request that no upstream has received
+   * @param fromBudget whether it repeats a call, so that its placement needs retry budget
    */
   public void retried(RetryReason reason, boolean fromBudget) {
     retries.get(reason).increment();
