Describe what the retry budget counts, and log its slack only for shards in use

A view of an idle shard opened one for a moment and would have logged a change of its slack. The comments on the used parts of ratio and slack say what the rest covers; the limits of a deployment without settings have names.

--- a/core/src/main/java/org/marjoramsail/core/placement/RetryBudget.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RetryBudget.java
@@ -8,9 +8,9 @@
  * and upstreams that recover would fail again. The limit holds for the whole fleet:
  *
  * <ul>
- *   <li>A part of the retries is proportional to the granted requests. Several owners of a shard
- *       never count the same request, so that their parts add up to that of all requests, however
- *       many owners there are and however often they change or restart.
+ *   <li>A part of the retries is proportional to the requests. Each request counts at the owner
+ *       that grants its first attempt, so that the parts of all owners of a shard add up, however
+ *       many there are and however often they change or restart.
  *   <li>The slack is fixed for the fleet. Only a daemon that has ranked first for the shard during
  *       a whole window uses it, so that a predecessor's use is no longer in the same window.
  * </ul>
@@ -19,7 +19,10 @@
  */
 public final class RetryBudget {
 
-  /** Used part of the ratio. Callers count their requests earlier than the owner grants them. */
+  /**
+   * Used part of the ratio. The rest covers requests that are granted in a later window than the
+   * one in which callers sent them, and those that two owners grant while the owner changes.
+   */
   private static final double USED_RATIO_PART = 0.8;
 
   /** Used part of the slack. The two sides of a network partition may both use theirs. */
--- a/core/src/main/java/org/marjoramsail/core/placement/RetryLimits.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RetryLimits.java
@@ -10,6 +10,10 @@
 public record RetryLimits(double ratio, double slack, long windowMillis) {
 
   private static final long WINDOW_MILLIS = 10_000;
+  private static final double STANDARD_RATIO = 0.2;
+
+  /** Half of it covers the requests that one upstream may lose at a quiet time. */
+  private static final double STANDARD_SLACK = 80;
 
   /** Creates limits for windows of the usual length. */
   public RetryLimits(double ratio, double slack) {
@@ -18,6 +22,6 @@
 
   /** Returns the limits of a deployment whose settings give none. */
   public static RetryLimits standard() {
-    return new RetryLimits(0.2, 80);
+    return new RetryLimits(STANDARD_RATIO, STANDARD_SLACK);
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -223,16 +223,20 @@
   }
 
   private OwnedShard shard(ShardId id) {
-    return shards.computeIfAbsent(id, this::open);
+    return shards.computeIfAbsent(id, this::openForUse);
+  }
+
+  private OwnedShard openForUse(ShardId id) {
+    OwnedShard shard = open(id);
+    updateRetrySlack(shard);
+    return shard;
   }
 
   private OwnedShard open(ShardId id) {
     RetryBudget retries = new RetryBudget(retryLimits);
     ShardCoordinator coordinator =
         new ShardCoordinator(id, topology.placerFor(id), timings, retries);
-    OwnedShard shard = new OwnedShard(id, coordinator, retries, clock.millis());
-    updateRetrySlack(shard);
-    return shard;
+    return new OwnedShard(id, coordinator, retries, clock.millis());
   }
 
   private void send(List<ShardCoordinator.Outgoing> messages) {
