Reword five comments of the retry budget and its simulation

One said 'returns' of a method that gives something back, one counted retries where attempts are counted, three were unclear to a reader.

--- a/core/src/main/java/org/marjoramsail/core/placement/RetryBudget.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RetryBudget.java
@@ -84,7 +84,7 @@
     return true;
   }
 
-  /** Returns reserved retries of an attempt that was not granted. */
+  /** Gives back the retries that were reserved for an attempt. */
   void release(int count) {
     reserved -= count;
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamRateLimit.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamRateLimit.java
@@ -18,7 +18,7 @@
    */
   private static final double MINIMUM_PER_SECOND = 0.25;
 
-  /** How many seconds of the rate may accumulate; all of it may arrive at once as a burst. */
+  /** Seconds of the rate that may accumulate; the upstream may receive them at once as a burst. */
   private static final double BURST_SECONDS = 0.5;
 
   private static final long NEVER = Long.MIN_VALUE / 2;
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
@@ -48,7 +48,7 @@
     return retries.slackShare();
   }
 
-  /** Returns the retries that were refused since the last call. */
+  /** Returns the number of attempts whose retry was refused since the last call. */
   synchronized int takeRefusedRetries() {
     return retries.takeRefused();
   }
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -109,7 +109,7 @@
   }
 
   /**
-   * The end of a request.
+   * Result of a request, as its caller sees it.
    *
    * @param kind its kind
    * @param sentAtMillis when the caller sent it
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/RandomFaultsTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/RandomFaultsTest.java
@@ -18,7 +18,7 @@
  * Retries of a fleet while hosts restart, networks are cut and upstreams fail, at random and
  * overlapping.
  *
- * <p>The property {@code fleet.seeds} sets how many seeds are run.
+ * <p>The system property {@code fleet.seeds} is the number of seeds to run.
  */
 final class RandomFaultsTest {
 
