--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -379,6 +379,10 @@
     return topology.owners(shard).get(0).equals(self);
   }
 
+  private OwnerRank rank(ShardId shard) {
+    return OwnerRank.of(self, topology.owners(shard));
+  }
+
   private void shareUsage(DaemonId owner, OrganisationUsageMessage usage) {
     if (owner.equals(self)) {
       receiveUsage(usage);
@@ -417,6 +421,11 @@
     meters
         .counter("marjoramsail.placement.messages", "kind", kind, "remote", "" + !to.equals(self))
         .increment();
+    if (message instanceof PlacementMessage.Granted granted) {
+      meters
+          .counter("marjoramsail.placement.grants", "owner", rank(granted.shard()).code())
+          .increment();
+    }
     if (to.equals(self)) {
       receive(self, message);
     } else {
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.daemon.fleet;
 
+import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -127,6 +128,7 @@
   private final Map<UpstreamName, SimulatedUpstream> upstreams = new LinkedHashMap<>();
   private final Map<String, ArrivalLog> arrivals = new HashMap<>();
   private final List<End> ends = new ArrayList<>();
+  private final List<SimpleMeterRegistry> registries = new ArrayList<>();
   private BiPredicate<String, String> cut = (from, to) -> false;
   private Configuration configuration;
   private int outputTokens = SHORT_OUTPUT_TOKENS;
@@ -178,6 +180,17 @@
     return ends;
   }
 
+  /** Returns the sum of a counter over all daemons that ever ran. */
+  double counted(String counter, String tag, String value) {
+    return registries.stream()
+        .mapToDouble(
+            meters ->
+                meters.find(counter).tag(tag, value).counters().stream()
+                    .mapToDouble(Counter::count)
+                    .sum())
+        .sum();
+  }
+
   long placementMessages() {
     return placementMessages;
   }
@@ -312,6 +325,7 @@
             hostRandom,
             members::millis);
     SimpleMeterRegistry meters = new SimpleMeterRegistry();
+    registries.add(meters);
     DistributedPlacement placement =
         new DistributedPlacement(
             id,
