Charge the grants of all owners of a shard to the rate of an organisation

What callers saw: with ten restarts a second in a fleet of 77 hosts, one organisation got 410 requests in ten seconds where 322 are allowed; others were crowded out.

Cause: an owner sent its counts only to the daemon that ranks first for each shard, and an owner dropped counts of its own shard. While daemons disagree on the owner of a shard, each of its owners granted the whole rate.

Change: an owner sends its counts to all daemons that may own a shard (the first three by rank), and charges the counts of every owner but itself.

--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationTable.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationTable.java
@@ -96,16 +96,16 @@
   }
 
   /**
-   * Handles the usage that the owner of another shard sent.
+   * Handles the usage that another owner sent, of another shard or of this one.
    *
    * <p>A shard may have two owners for a while, each of which sends its own counts. The first
    * message of an owner is charged with at most one burst, as most of its counts may be old.
    */
   void receive(OrganisationUsageMessage message, long nowMillis) {
-    if (message.shard().equals(shard)) {
+    OwnerKey owner = new OwnerKey(message.shard(), message.epoch());
+    if (owner.equals(new OwnerKey(shard, epoch))) {
       return;
     }
-    OwnerKey owner = new OwnerKey(message.shard(), message.epoch());
     ReceivedUsage earlier = otherOwners.get(owner);
     Map<String, Usage> usageByOrganisation =
         earlier == null ? new HashMap<>() : earlier.byOrganisation();
--- a/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
@@ -114,6 +114,27 @@
     assertThat(granted(place(other, "r", 20_000))).containsExactly("r");
   }
 
+  /** Guards against two owners of one shard that each grant the whole rate. */
+  @Test
+  void ownersOfOneShardKeepToARateLimitTogether() {
+    List<ReservingPlacer> owners = List.of(placer(0, 1, true, 0), placer(0, 1, true, 1));
+    Grants grants = new Grants();
+    for (long now = 0; now < 20_000; now += STEP_MILLIS) {
+      if (now % SHARING_MILLIS == 0) {
+        share(owners, now);
+      }
+      for (ReservingPlacer owner : owners) {
+        for (String name : granted(place(owner, owner.hashCode() + "-" + now, now))) {
+          grants.count(1, now);
+          owner.report(ended(name, 1, AttemptResult.COMPLETED), now);
+        }
+      }
+    }
+
+    assertThat(grants.tokensOfWindow(grants.seconds()))
+        .isLessThanOrEqualTo(1.1 * (PER_SECOND * WINDOW_SECONDS + BURST));
+  }
+
   /** Guards against charging a request again when it is placed again after a failure. */
   @Test
   void aRetryIsNotChargedToATokenLimitAgain() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -285,8 +285,8 @@
   }
 
   /**
-   * Sends the usage of each organisation in the owned shards to the owners of other shards, so that
-   * limits hold over all shards. Called several times a second; most calls send nothing.
+   * Sends the usage of each organisation in the owned shards to all daemons that may own a shard,
+   * so that limits hold over all owners. Called several times a second; most calls send nothing.
    */
   public void shareUsage() {
     List<OrganisationUsageMessage> usageMessages = owned.usageMessages();
@@ -295,7 +295,7 @@
     }
     Set<DaemonId> owners = new HashSet<>();
     for (ShardId shard : topology.shards()) {
-      owners.add(topology.owners(shard).get(0));
+      owners.addAll(topology.owners(shard));
     }
     for (OrganisationUsageMessage usage : usageMessages) {
       for (DaemonId owner : owners) {
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateScenario.java
@@ -0,0 +1,68 @@
+package org.marjoramsail.daemon.fleet;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.marjoramsail.core.configuration.OrganisationDefinition;
+import org.marjoramsail.daemon.fleet.FleetSimulation.RequestKind;
+import org.marjoramsail.daemon.fleet.FleetSimulation.Size;
+
+/**
+ * Run of a fleet that serves one organisation with a limit in requests, and what the limit allows.
+ *
+ * @param hosts number of hosts
+ * @param demandPerSecond requests that its callers send
+ * @param seed seed of the simulation
+ */
+record FleetRateScenario(int hosts, double demandPerSecond, long seed) {
+
+  static final double REQUESTS_PER_SECOND = 20;
+
+  /** When faults begin; the fleet has settled by then if it started at zero. */
+  static final long FAULT_MILLIS = 12_000;
+
+  private static final long END_MILLIS = 30_000;
+
+  /** Allowed part above the limit. */
+  private static final double OVERSHOOT = 0.1;
+
+  /** Allowed requests in addition, in seconds of the limit. */
+  private static final double SLACK_SECONDS = 4;
+
+  private static final double BURST_SECONDS = 1;
+
+  /**
+   * What upstreams and callers observed.
+   *
+   * @param mostInWindow most requests that arrived in any window
+   * @param sent requests that callers sent
+   * @param refused those that were not served
+   */
+  record Outcome(int mostInWindow, int sent, int refused) {
+
+    double refusedShare() {
+      return sent == 0 ? 0 : refused / (double) sent;
+    }
+  }
+
+  /** Returns the most requests that may arrive in a window. */
+  static int allowedInWindow() {
+    double windowSeconds = ArrivalLog.WINDOW_MILLIS / 1_000.0;
+    double seconds = (1 + OVERSHOOT) * (windowSeconds + BURST_SECONDS) + SLACK_SECONDS;
+    return (int) (REQUESTS_PER_SECOND * seconds);
+  }
+
+  /** Runs the scenario with faults that are set up before the hosts start. */
+  Outcome run(Consumer<FleetSimulation> faults) {
+    OrganisationDefinition limited =
+        new OrganisationDefinition(
+            FleetSimulation.ORGANISATION, List.of(), List.of(), 1, 0, REQUESTS_PER_SECOND, 0);
+    FleetSimulation fleet = new FleetSimulation(new Size(hosts, 10, 6, 0), seed, List.of(limited));
+    faults.accept(fleet);
+    fleet.load(RequestKind.LOOKUP, demandPerSecond, 0, END_MILLIS);
+    fleet.startAll();
+    fleet.run(END_MILLIS);
+    int refused = (int) fleet.ends().stream().filter(end -> !end.served()).count();
+    return new Outcome(
+        fleet.arrivals(FleetSimulation.PLAIN).mostFirstArrivals(), fleet.ends().size(), refused);
+  }
+}
