Grant the part of a rate that corresponds to the hosts that an owner serves

What callers saw (77 hosts, 150 requests a second of one organisation, limit 20 a second, 322 allowed in ten seconds): up to 1,594 requests where no host reaches another, 485 after a restart of all hosts on a slow network, 478 with two halves cut from each other. Others were crowded out.

Cause: an owner took the whole rate whatever part of the fleet it serves, and the size of the fleet was what its daemon had met since its start. Evidence: the counter of grants by rank showed 105 grants a second by daemons that are alone in their view of a fleet of 77, 64 to 67 by standbys behind a cut, and 31 after the cut was seen (the larger side took the whole rate).

Change: - A daemon counts the hosts of the platform's list, and before that the seeds, that it does not know as members of the fleet. The reachable hosts' part of these is the share of a limit, plus the allowed overshoot of 10%; it is logged when it changes. - An owner that has not ranked first for three seconds uses the part of the daemons that send it messages. Daemons send empty holdings to an owner that has changed. - While this share is provisional, requests wait for it until their targets, and a daemon without peers grants nothing for 300 ms, the time to join them. - A daemon that takes over a shard continues with the credit that its predecessor left, known from the usage that owners send. Between the regular messages of each second only organisations near a limit are sent.

The rate that an upstream announces follows the same share.

The new tests of FleetRateFaultsTest failed before for alone, killed, sides and for 7 hosts with rolling restarts.

--- a/core/src/main/java/org/marjoramsail/core/membership/MemberTable.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MemberTable.java
@@ -3,6 +3,7 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -143,12 +144,26 @@
     return addresses;
   }
 
-  MembershipView view(Predicate<String> regionReachable) {
+  /** Returns the addresses of all daemons in the table. */
+  private Set<PeerAddress> addresses() {
+    Set<PeerAddress> addresses = new HashSet<>();
+    entries.values().forEach(entry -> addresses.add(entry.update().listening()));
+    return addresses;
+  }
+
+  /** Returns the number of addresses in a list of which no daemon is in the table. */
+  int unknownAmong(List<PeerAddress> listed) {
+    Set<PeerAddress> unknown = new HashSet<>(listed);
+    unknown.removeAll(addresses());
+    return unknown.size();
+  }
+
+  MembershipView view(Predicate<String> regionReachable, int unknownHosts) {
     List<Member> members =
         entries.values().stream()
             .map(entry -> entry.member(regionReachable.test(entry.update().region())))
             .toList();
-    return new MembershipView(self().member(true), members);
+    return new MembershipView(self().member(true), members, unknownHosts);
   }
 
   private void refreshLists() {
--- a/core/src/main/java/org/marjoramsail/core/membership/MembershipProtocol.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipProtocol.java
@@ -82,12 +82,13 @@
     this.nextDigestMillis = nowMillis + random.nextLong(settings.digestPeriodMillis());
     this.nextRemovalMillis = nowMillis + REMOVAL_PERIOD_MILLIS;
     this.nextUnknownSenderDigestMillis = nowMillis;
+    this.changed = unknownHosts() > 0;
     dissemination.add(self);
   }
 
   /** Returns the current view. */
   public MembershipView view() {
-    return table.view(regions::isReachable);
+    return table.view(regions::isReachable, unknownHosts());
   }
 
   /** Returns the address of an incarnation, if it is the newest one known on its host. */
@@ -110,9 +111,19 @@
     return successor;
   }
 
-  /** Sets the addresses of the platform's host list, which may lag; they are used like seeds. */
+  /**
+   * Sets the addresses of the platform's host list, which may lag. They are used like seeds, and
+   * tell the size of the fleet.
+   */
   public void hostList(List<PeerAddress> addresses) {
+    int unknownBefore = unknownHosts();
     hostList = List.copyOf(addresses);
+    changed |= unknownHosts() != unknownBefore;
+  }
+
+  private int unknownHosts() {
+    // The host list replaces the seeds, which may be stale for good.
+    return table.unknownAmong(hostList.isEmpty() ? seeds : hostList);
   }
 
   /** Returns the actions that are due; to be called after each {@link #pauseMillis}. */
--- a/core/src/main/java/org/marjoramsail/core/membership/MembershipView.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipView.java
@@ -7,14 +7,23 @@
  *
  * @param self the observing daemon
  * @param members all known daemons including {@code self}, ordered by host
+ * @param unknownHosts hosts on the platform's host list of which no daemon is known
  */
-public record MembershipView(Member self, List<Member> members) {
+public record MembershipView(Member self, List<Member> members, int unknownHosts) {
+
+  /** Allowed excess of the shares of all sides of a network partition, as a factor. */
+  private static final double MAXIMUM_EXCESS_FACTOR = 1.1;
 
   /** Copies the list to make the record immutable. */
   public MembershipView {
     members = List.copyOf(members);
   }
 
+  /** Creates the view of a daemon that knows all listed hosts. */
+  public MembershipView(Member self, List<Member> members) {
+    this(self, members, 0);
+  }
+
   /** Returns the daemons of a region that may own shards. */
   public List<Member> eligibleInRegion(String region) {
     return members.stream()
@@ -27,16 +36,27 @@
     return members.size() == 1;
   }
 
+  /** Returns the number of hosts of the fleet, reachable or not, without those that have left. */
+  public int knownHosts() {
+    long staying = members.stream().filter(member -> member.state() != MemberState.LEFT).count();
+    return (int) staying + unknownHosts;
+  }
+
+  /** Returns the number of daemons that this one can reach, including itself. */
+  public int reachableHosts() {
+    return (int) members.stream().filter(member -> member.state().isReachable()).count();
+  }
+
   /**
-   * Returns the share of a common budget that this daemon may use: all of it while at least half of
-   * the known daemons are reachable, else the share of the reachable ones.
+   * Returns the share of a limit of the whole fleet that the reachable daemons may use: their part
+   * of the known hosts.
    *
-   * <p>During a network partition, both sides grant requests of the same organisations. The smaller
-   * side limits its grants so that upstreams are not overloaded.
+   * <p>A daemon cannot tell hosts that are cut off from hosts that have failed. Hosts that are cut
+   * off grant requests as well, so the shares of all sides of a partition must not exceed the
+   * limit. A daemon that has just started knows the size of the fleet from the host list.
    */
   public double budgetShare() {
-    long known = members.stream().filter(member -> member.state() != MemberState.LEFT).count();
-    long reachable = members.stream().filter(member -> member.state().isReachable()).count();
-    return known == 0 || 2 * reachable >= known ? 1 : reachable / (double) known;
+    int known = knownHosts();
+    return known == 0 ? 1 : Math.min(1, MAXIMUM_EXCESS_FACTOR * reachableHosts() / known);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/membership/VirtualFleet.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/VirtualFleet.java
@@ -25,6 +25,8 @@
   private static final long START_MILLIS = 1_000_000;
   private static final int PORT = 7400;
   private static final int HOSTS_PER_BLOCK = 250;
+  private static final long HOST_LIST_DELAY_MILLIS = 20;
+  private static final long HOST_LIST_PERIOD_MILLIS = 2_000;
 
   /** Listener for the messages that daemons send. */
   @FunctionalInterface
@@ -76,6 +78,7 @@
   private final List<PeerAddress> seeds = new ArrayList<>();
   private Network network = Network.RELIABLE;
   private BiPredicate<MemberUpdate, MemberUpdate> cut = (from, to) -> false;
+  private boolean hasHostList;
   private long order;
 
   private static final Comparator<PeerAddress> ADDRESS_ORDER =
@@ -88,6 +91,14 @@
     this.observer = observer;
   }
 
+  /**
+   * Gives each daemon that starts from now on a list of all hosts that ever started, shortly after
+   * its start and then repeatedly.
+   */
+  public void enableHostList() {
+    hasHostList = true;
+  }
+
   /** Starts a daemon on a new host; the first two hosts are the seeds of all daemons. */
   public DaemonId start(String host, String availabilityZone, String region) {
     int number = nodes.size();
@@ -218,9 +229,17 @@
     nodes.put(self.host(), node);
     byAddress.put(self.listening(), node);
     schedule(random.nextLong(MembershipSettings.TICK_MILLIS), node, () -> tick(node));
+    if (hasHostList) {
+      schedule(HOST_LIST_DELAY_MILLIS, node, () -> readHostList(node));
+    }
     return self.id();
   }
 
+  private void readHostList(Node node) {
+    node.protocol.hostList(List.copyOf(byAddress.keySet()));
+    schedule(HOST_LIST_PERIOD_MILLIS, node, () -> readHostList(node));
+  }
+
   private void tick(Node node) {
     perform(node, node.protocol.tick(clock.millis()));
     schedule(node.protocol.pauseMillis(clock.millis()), node, () -> tick(node));
--- a/core/src/main/java/org/marjoramsail/core/placement/EntryPlacement.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/EntryPlacement.java
@@ -56,6 +56,7 @@
   private final UpstreamFeedbackTable feedback;
   private final Map<RequestId, TrackedAttempt> attempts = new LinkedHashMap<>();
   private final Map<OwnedShard, Long> lastHoldingsMillis = new HashMap<>();
+  private final Map<ShardId, DaemonId> announcedOwners = new HashMap<>();
 
   /**
    * Creates the tracker of one entry daemon.
@@ -157,6 +158,23 @@
     return actions;
   }
 
+  /**
+   * Sends empty holdings to owners that have changed, so that an owner knows which daemons it
+   * serves before they have requests.
+   */
+  public List<EntryAction> announce(List<ShardId> shards, long nowMillis) {
+    announcedOwners.keySet().retainAll(shards);
+    List<EntryAction> actions = new ArrayList<>();
+    for (ShardId shard : shards) {
+      DaemonId owner = ownerOf(shard, nowMillis);
+      boolean isChanged = !owner.equals(announcedOwners.put(shard, owner));
+      if (isChanged && !owner.equals(self)) {
+        actions.add(sendRequest(owner, new PlacementMessage.Holdings(shard, List.of()), nowMillis));
+      }
+    }
+    return actions;
+  }
+
   /** Returns the number of attempts that wait or are granted. */
   public int size() {
     return attempts.size();
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.SortedSet;
 import java.util.TreeSet;
+import java.util.random.RandomGenerator;
 import org.marjoramsail.core.configuration.OrganisationDefinition;
 
 /**
@@ -15,6 +16,9 @@
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final double RATE_WINDOW_MILLIS = 10_000;
 
+  /** Part of a rate that owners may grant in advance if they know nothing of a predecessor. */
+  private static final double ADVANCE_SECONDS = 2;
+
   private final String name;
   private final OrganisationLane[] lanes = new OrganisationLane[WaitingQueue.LANES];
   private final TokenBucket requests;
@@ -26,6 +30,9 @@
   private double requestsPerSecond;
   private double tokensPerSecond;
   private double burst;
+  private double fleetShare = 1;
+  private boolean isShareProvisional;
+  private boolean isCreditUnknown;
   private int running;
   private double waitingTokens;
   private long startedRequests;
@@ -34,15 +41,29 @@
   private double recentTokens;
   private long recentAt;
 
+  /** Creates the state of an organisation without demand and with its whole credit. */
+  OrganisationState(String name) {
+    this(name, TokenBucket.full(), TokenBucket.full());
+  }
+
   /**
-   * Creates the state of an organisation without demand.
+   * Creates the state of an organisation in a shard that was taken over from another owner.
    *
-   * @param takenOverAt when the shard was taken over from another owner; see {@link TokenBucket}
+   * @param credit credit at that time
+   * @param takenOverAt when the shard was taken over
    */
-  OrganisationState(String name, Optional<Long> takenOverAt) {
+  OrganisationState(String name, OrganisationCredit credit, long takenOverAt) {
+    this(
+        name,
+        TokenBucket.startingWith(credit.requests(), takenOverAt),
+        TokenBucket.startingWith(credit.tokens(), takenOverAt));
+    isCreditUnknown = credit.equals(OrganisationCredit.UNKNOWN);
+  }
+
+  private OrganisationState(String name, TokenBucket requests, TokenBucket tokens) {
     this.name = name;
-    this.requests = takenOverAt.map(TokenBucket::emptyAt).orElseGet(TokenBucket::full);
-    this.tokens = takenOverAt.map(TokenBucket::emptyAt).orElseGet(TokenBucket::full);
+    this.requests = requests;
+    this.tokens = tokens;
     for (int lane = 0; lane < WaitingQueue.LANES; lane++) {
       lanes[lane] = new OrganisationLane(this);
     }
@@ -77,7 +98,11 @@
   }
 
   boolean isLimited() {
-    return maximumConcurrency > 0 || requestsPerSecond > 0 || tokensPerSecond > 0;
+    return maximumConcurrency > 0 || hasRate();
+  }
+
+  private boolean hasRate() {
+    return requestsPerSecond > 0 || tokensPerSecond > 0;
   }
 
   /** Applies the weight and limits of its definition; an organisation without one has no limits. */
@@ -102,14 +127,49 @@
    * rate and subtracts what {@linkplain #startedElsewhere others} start.
    *
    * @param elsewhere attempts that run or wait in other shards
-   * @param fleetShare share of a rate that the daemons visible to each other may spend
+   * @param newFleetShare share of the rates that this owner may use; zero for none yet
    */
-  void share(int elsewhere, int shardCount, double fleetShare) {
+  void share(int elsewhere, int shardCount, double newFleetShare) {
     double own = demand() + MINIMUM_DEMAND;
     double share = own / (own + elsewhere + (shardCount - 1) * MINIMUM_DEMAND);
     concurrencyShare = Math.max(1, (int) Math.floor(maximumConcurrency * share + 1e-9));
-    requests.limit(requestsPerSecond * fleetShare, burst * fleetShare);
-    tokens.limit(tokensPerSecond * fleetShare, burst * fleetShare);
+    fleetShare = newFleetShare;
+    if (fleetShare > 0) {
+      requests.limit(requestsPerSecond * fleetShare, burst * fleetShare);
+      tokens.limit(tokensPerSecond * fleetShare, burst * fleetShare);
+    }
+  }
+
+  /**
+   * Records that an attempt is placed; with the first one, an owner that knows nothing of its
+   * predecessor receives its share of an advance on the rates.
+   *
+   * <p>A request is granted whole once there is any credit. An owner that serves a small share of
+   * the fleet would grant the first request of each organisation at once, and many such owners
+   * together far more than the limit. So a random part of the first cost is charged in addition,
+   * with which the grants of many owners add up to their shares on average.
+   */
+  void placed(int attemptTokens, RandomGenerator random, long nowMillis) {
+    if (isCreditUnknown && isShareProvisional) {
+      isCreditUnknown = false;
+      double part = random.nextDouble();
+      requests.take(part - advance(requestsPerSecond), nowMillis);
+      tokens.take(part * attemptTokens - advance(tokensPerSecond), nowMillis);
+    }
+  }
+
+  private double advance(double perSecond) {
+    return ADVANCE_SECONDS * perSecond * fleetShare;
+  }
+
+  /** Sets whether the share of the fleet is about to change. */
+  void shareProvisional(boolean isProvisional) {
+    isShareProvisional = isProvisional;
+  }
+
+  /** Returns the credit of its rates. */
+  OrganisationCredit credit(long nowMillis) {
+    return new OrganisationCredit(requests.credit(nowMillis), tokens.credit(nowMillis));
   }
 
   /** Returns the number of attempts that run or wait here. */
@@ -119,14 +179,26 @@
 
   /** Charges what another shard started to the rates, which apply to all shards together. */
   void startedElsewhere(long requestCount, long tokenCount, long nowMillis) {
-    requests.take((double) requestCount, nowMillis);
-    tokens.take((double) tokenCount, nowMillis);
+    takeElsewhere(requests, (double) requestCount, nowMillis);
+    takeElsewhere(tokens, (double) tokenCount, nowMillis);
   }
 
   /** Charges what a newly seen owner has started, limited to one burst. */
   void startedByNewOwner(long requestCount, long tokenCount, long nowMillis) {
-    requests.take(Math.min((double) requestCount, requests.burst()), nowMillis);
-    tokens.take(Math.min((double) tokenCount, tokens.burst()), nowMillis);
+    takeElsewhere(requests, Math.min((double) requestCount, requests.burst()), nowMillis);
+    takeElsewhere(tokens, Math.min((double) tokenCount, tokens.burst()), nowMillis);
+  }
+
+  /**
+   * Charges what others have spent. While the share is provisional, this owner earns only a part of
+   * the rate but receives the counts of others in full, so their effect is limited.
+   */
+  private void takeElsewhere(TokenBucket bucket, double cost, long nowMillis) {
+    if (isShareProvisional) {
+      bucket.takeLeavingLimitedDebt(cost, nowMillis);
+    } else {
+      bucket.take(cost, nowMillis);
+    }
   }
 
   /** Returns the number of requests started here since this owner began. */
@@ -157,6 +229,9 @@
 
   /** Returns the limit that prevents the start of another attempt now. */
   Optional<MissingResource> missing(long nowMillis) {
+    if (fleetShare <= 0 && hasRate()) {
+      return Optional.of(MissingResource.ORGANISATION_RATE);
+    }
     if (maximumConcurrency > 0 && running >= concurrencyShare) {
       return Optional.of(MissingResource.ORGANISATION_CONCURRENCY);
     }
@@ -167,15 +242,19 @@
   }
 
   /**
-   * Returns how long the rates delay the start of an attempt, in milliseconds.
+   * Returns how long the rates delay the start of an attempt, in milliseconds. While the share of
+   * the fleet is provisional, the whole rate is assumed: a daemon that has just started would else
+   * refuse requests that the owner serves once it is known.
    *
    * @param attempts attempts that wait before it
    * @param attemptTokens tokens that are charged for it and are part of the waiting tokens
    */
   long rateWaitMillis(int attempts, int attemptTokens, long nowMillis) {
     double tokensAhead = Math.max(0, waitingTokens - attemptTokens);
-    return Math.max(
-        requests.waitMillis(attempts, nowMillis), tokens.waitMillis(tokensAhead, nowMillis));
+    long waitMillis =
+        Math.max(
+            requests.waitMillis(attempts, nowMillis), tokens.waitMillis(tokensAhead, nowMillis));
+    return isShareProvisional ? (long) (waitMillis * fleetShare) : waitMillis;
   }
 
   /** Describes the limits here and their unused part, for the message of a refusal. */
@@ -187,7 +266,12 @@
         + " of "
         + (long) tokensPerSecond
         + " a second; requests a second "
-        + (long) requestsPerSecond;
+        + (long) requestsPerSecond
+        + ", left "
+        + (long) requests.credit(nowMillis)
+        + "; share of the fleet "
+        + Math.round(100 * fleetShare)
+        + "%";
   }
 
   /**
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationTable.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationTable.java
@@ -27,13 +27,16 @@
   private static final long OWNER_EXPIRY_MILLIS = 60_000;
 
   private final ShardId shard;
-  private final Optional<Long> takenOverAt;
+  private final boolean isTakenOver;
+  private final long openedAt;
   private final long epoch;
   private final Map<String, OrganisationState> byName = new TreeMap<>();
   private final Map<OwnerKey, ReceivedUsage> otherOwners = new HashMap<>();
   private Map<String, OrganisationDefinition> definitions = Map.of();
+  private Map<String, OrganisationCredit> inheritedCredits = Map.of();
   private int shardCount = 1;
   private double fleetShare = 1;
+  private boolean isShareProvisional;
   private long sentAt;
 
   /**
@@ -44,7 +47,8 @@
    */
   OrganisationTable(ShardId shard, long epoch, boolean isTakenOver, long nowMillis) {
     this.shard = shard;
-    this.takenOverAt = isTakenOver ? Optional.of(nowMillis) : Optional.empty();
+    this.isTakenOver = isTakenOver;
+    this.openedAt = nowMillis;
     this.epoch = epoch;
     this.sentAt = nowMillis;
   }
@@ -57,9 +61,19 @@
     byName.values().forEach(organisation -> organisation.define(definitionOf(organisation)));
   }
 
-  /** Sets the share of the daemons that this owner sees. */
-  void fleetShare(double share) {
+  /** Sets the credits that a predecessor left, for organisations that have no state here yet. */
+  void inherit(Map<String, OrganisationCredit> credits) {
+    inheritedCredits = Map.copyOf(credits);
+  }
+
+  /**
+   * Sets the share of the daemons that this owner serves.
+   *
+   * @param isProvisional whether it is about to change
+   */
+  void fleetShare(double share, boolean isProvisional) {
     fleetShare = share;
+    isShareProvisional = isProvisional;
   }
 
   OrganisationState of(String name) {
@@ -71,27 +85,25 @@
   }
 
   /**
-   * Returns the usage of organisations with limits for the owners of other shards. It is empty
-   * until a second has passed since the last one, unless an organisation nears a rate limit.
+   * Returns the usage of organisations for the owners of other shards: of all that have limits once
+   * a second, and in between of those that near a rate limit.
    */
   OrganisationUsageMessage usage(long nowMillis) {
+    boolean isRegular = nowMillis - sentAt >= REGULAR_INTERVAL_MILLIS;
+    if (isRegular) {
+      sentAt = nowMillis;
+    }
     List<Usage> usages = new ArrayList<>();
-    boolean isDue = nowMillis - sentAt >= REGULAR_INTERVAL_MILLIS;
     for (OrganisationState organisation : byName.values()) {
-      if (organisation.isLimited()) {
+      if (organisation.isLimited() && (isRegular || organisation.isNearRateLimit(nowMillis))) {
         usages.add(
             new Usage(
                 organisation.name(),
                 organisation.demand(),
                 organisation.startedRequests(),
                 organisation.startedTokens()));
-        isDue |= organisation.isNearRateLimit(nowMillis);
       }
     }
-    if (!isDue) {
-      return new OrganisationUsageMessage(shard, epoch, List.of());
-    }
-    sentAt = nowMillis;
     return new OrganisationUsageMessage(shard, epoch, usages);
   }
 
@@ -128,9 +140,7 @@
    * Recalculates the shares, and removes expired owners and organisations without demand or limits.
    */
   void refresh(long nowMillis) {
-    otherOwners
-        .values()
-        .removeIf(received -> nowMillis - received.atMillis() > OWNER_EXPIRY_MILLIS);
+    removeExpired(nowMillis);
     Map<String, Integer> demand = new HashMap<>();
     for (ReceivedUsage received : otherOwners.values()) {
       if (nowMillis - received.atMillis() <= DEMAND_VALIDITY_MILLIS) {
@@ -143,13 +153,28 @@
     byName.values().removeIf(organisation -> organisation.isIdle() && !organisation.isLimited());
     for (OrganisationState organisation : byName.values()) {
       organisation.share(demand.getOrDefault(organisation.name(), 0), shardCount, fleetShare);
+      organisation.shareProvisional(isShareProvisional);
     }
   }
 
+  /** Removes the counts of owners that no longer send any. */
+  void removeExpired(long nowMillis) {
+    otherOwners
+        .values()
+        .removeIf(received -> nowMillis - received.atMillis() > OWNER_EXPIRY_MILLIS);
+  }
+
   private OrganisationState create(String name) {
-    OrganisationState organisation = new OrganisationState(name, takenOverAt);
+    // Owners that this one cannot reach may have granted the burst already.
+    boolean isFirstOwner = !isTakenOver && fleetShare >= 1;
+    OrganisationCredit inherited = inheritedCredits.getOrDefault(name, OrganisationCredit.UNKNOWN);
+    OrganisationState organisation =
+        isFirstOwner
+            ? new OrganisationState(name)
+            : new OrganisationState(name, inherited, openedAt);
     organisation.define(definitionOf(organisation));
     organisation.share(0, shardCount, fleetShare);
+    organisation.shareProvisional(isShareProvisional);
     return organisation;
   }
 
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.random.RandomGenerator;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
@@ -46,6 +47,7 @@
 
   private final ShardId shard;
   private final PlacementSettings settings;
+  private final RandomGenerator random;
   private final ShardUpstreams upstreams;
   private final OwnerFeedback ownerFeedback;
   private final OrganisationTable organisations;
@@ -67,6 +69,7 @@
   public ReservingPlacer(PlacerSetup setup, long nowMillis) {
     this.shard = setup.shard();
     this.settings = setup.settings();
+    this.random = setup.random();
     this.organisations =
         new OrganisationTable(shard, setup.random().nextLong(), setup.isTakenOver(), nowMillis);
     this.estimates = new PlacementEstimates(settings);
@@ -267,8 +270,13 @@
   }
 
   @Override
-  public void fleetShare(double share, long nowMillis) {
-    organisations.fleetShare(share);
+  public void inherit(Map<String, OrganisationCredit> credits) {
+    organisations.inherit(credits);
+  }
+
+  @Override
+  public void fleetShare(double share, boolean isProvisional, long nowMillis) {
+    organisations.fleetShare(share, isProvisional);
     upstreams.fleetShare(share);
     organisations.refresh(nowMillis);
   }
@@ -362,6 +370,7 @@
       selector.quickRequestArrived(nowMillis);
     }
     OrganisationState organisation = organisations.of(request.organisation());
+    organisation.placed(request.countedTokens(), random, nowMillis);
     WaitingAttempt attempt =
         new WaitingAttempt(
             request,
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardCoordinator.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardCoordinator.java
@@ -10,6 +10,7 @@
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.feedback.RelayedFeedback;
+import org.marjoramsail.core.membership.MembershipView;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.placement.PlacementMessage.Holding;
@@ -60,6 +61,9 @@
   private final PlacementTimings timings;
   private final RetryBudget retries;
   private final Map<RequestId, Registration> registrations = new LinkedHashMap<>();
+  private final OwnerShare share = new OwnerShare();
+  private double appliedShare = 1;
+  private boolean appliedProvisionally;
   private long lastSweepMillis;
 
   /**
@@ -80,6 +84,8 @@
 
   /** Handles a message of an entry daemon. */
   public List<Outgoing> handle(DaemonId from, PlacementMessage message, long nowMillis) {
+    share.contacted(from, nowMillis);
+    updateShare(nowMillis);
     if (message.conditions().isEmpty()) {
       return decide(from, message, nowMillis);
     }
@@ -110,6 +116,23 @@
     return List.of();
   }
 
+  /** Applies a membership view, and whether this daemon ranks first for the shard in it. */
+  public void fleetChanged(MembershipView view, boolean ranksFirst, long nowMillis) {
+    share.fleetChanged(view, ranksFirst, nowMillis);
+    updateShare(nowMillis);
+  }
+
+  private void updateShare(long nowMillis) {
+    double newShare = share.at(nowMillis);
+    boolean isProvisional = share.isProvisional(nowMillis);
+    boolean isChanged = newShare != appliedShare || isProvisional != appliedProvisionally;
+    if (isChanged && placer instanceof UsageSharing sharing) {
+      appliedShare = newShare;
+      appliedProvisionally = isProvisional;
+      sharing.fleetShare(newShare, isProvisional, nowMillis);
+    }
+  }
+
   /** Releases the attempts of a daemon that has failed. */
   public List<Outgoing> daemonFailed(DaemonId daemon, long nowMillis) {
     removeIf(registration -> registration.entry.equals(daemon));
@@ -151,6 +174,7 @@
 
   /** Runs the time-dependent work of the placer and releases expired attempts. */
   public List<Outgoing> tick(long nowMillis) {
+    updateShare(nowMillis);
     List<Outgoing> result = new ArrayList<>(outgoing(placer.tick(nowMillis), nowMillis));
     if (nowMillis - lastSweepMillis >= timings.holdingsMillis()) {
       lastSweepMillis = nowMillis;
--- a/core/src/main/java/org/marjoramsail/core/placement/TokenBucket.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/TokenBucket.java
@@ -36,6 +36,13 @@
     return new TokenBucket(false, millis);
   }
 
+  /** Creates a bucket without a limit that had a credit at the given time. */
+  static TokenBucket startingWith(double credit, long millis) {
+    TokenBucket bucket = new TokenBucket(false, millis);
+    bucket.credit = credit;
+    return bucket;
+  }
+
   /**
    * Sets the limit.
    *
@@ -58,6 +65,14 @@
     }
   }
 
+  /** Takes a cost, but as much at most as leaves a debt of one maximum credit. */
+  void takeLeavingLimitedDebt(double cost, long nowMillis) {
+    if (perSecond > 0) {
+      fill(nowMillis);
+      credit = Math.max(Math.min(credit, -burst), credit - cost);
+    }
+  }
+
   /**
    * Returns how long until one more cost is admitted after those that wait; zero if it is admitted
    * now.
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamRateLimit.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamRateLimit.java
@@ -42,8 +42,8 @@
   }
 
   /**
-   * Sets the share of the daemons that are connected to the owner: in a network partition, other
-   * owners grant on the same upstream.
+   * Sets the share of the daemons that the owner serves; zero if it may not grant yet. In a network
+   * partition, other owners grant on the same upstream.
    */
   void fleetShare(double share) {
     fleetShare = share;
@@ -86,7 +86,7 @@
 
   /** Returns whether a request may be sent now. */
   boolean isOpen(long nowMillis) {
-    return perSecond.isEmpty() || tokenBucket.isOpen(nowMillis);
+    return perSecond.isEmpty() || (fleetShare > 0 && tokenBucket.isOpen(nowMillis));
   }
 
   /** Counts a request that is granted. */
@@ -102,6 +102,9 @@
   }
 
   private void apply() {
+    if (fleetShare <= 0) {
+      return;
+    }
     perSecond.ifPresent(
         limit -> {
           double rate = effectiveRate(limit) * fleetShare;
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/ConfiguredShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/ConfiguredShards.java
@@ -21,7 +21,6 @@
 import org.marjoramsail.core.placement.PlacerSetup;
 import org.marjoramsail.core.placement.ShardId;
 import org.marjoramsail.core.placement.ShardMap;
-import org.marjoramsail.core.placement.UsageSharing;
 import org.marjoramsail.core.time.Clock;
 
 /** Shard topology derived from the newest configuration and the newest membership view. */
@@ -139,11 +138,7 @@
             daemon -> Optional.ofNullable(membershipIndex.zones().get(daemon)),
             random,
             policy.isSharedOwner() && current.view().members().size() > 1);
-    Placer placer = policy.create(setup, clock.millis());
-    if (placer instanceof UsageSharing sharing) {
-      sharing.fleetShare(current.view().budgetShare(), clock.millis());
-    }
-    return placer;
+    return policy.create(setup, clock.millis());
   }
 
   @Override
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
-import java.util.function.ObjLongConsumer;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.failure.Refusal;
@@ -40,8 +39,9 @@
 import org.marjoramsail.core.placement.ShardCoordinator;
 import org.marjoramsail.core.placement.ShardId;
 import org.marjoramsail.core.placement.ShardView;
-import org.marjoramsail.core.placement.UsageSharing;
 import org.marjoramsail.core.time.Clock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Takes part in the fleet-wide placement of requests on behalf of one daemon.
@@ -53,6 +53,11 @@
  */
 public final class DistributedPlacement implements PlacementService {
 
+  private static final Logger LOG = LoggerFactory.getLogger(DistributedPlacement.class);
+
+  /** Smallest change of the share that is logged; a start would else write a line for each host. */
+  private static final double LOGGED_SHARE_CHANGE = 0.05;
+
   private final DaemonId self;
   private final ShardTopology topology;
   private final PeerTransport transport;
@@ -66,6 +71,7 @@
   private final Set<UpstreamName> unavailable = ConcurrentHashMap.newKeySet();
   private volatile Runnable workListener = () -> {};
   private Set<DaemonId> reachable = Set.of();
+  private double loggedFleetShare = 1;
 
   /**
    * Creates the placement of one daemon.
@@ -166,6 +172,7 @@
       actions = entry.ownerDisconnected(daemon, clock.millis());
     }
     execute(actions);
+    announceToOwners();
   }
 
   /**
@@ -187,19 +194,41 @@
       recovered.removeAll(reachable);
       reachable = reachableNow;
     }
-    double share = view.budgetShare();
-    applyToUsageSharing((sharing, millis) -> sharing.fleetShare(share, millis));
-    owned.updateFleetShare(view.isAlone() ? 0 : share);
+    logFleetShare(view, view.budgetShare());
+    owned.updateMembership(view);
     failed.forEach(owned::daemonFailed);
     recovered.forEach(owned::daemonRecovered);
     tickEntry();
+    announceToOwners();
+  }
+
+  /** Tells owners that have changed that this daemon sends them its requests from now on. */
+  private void announceToOwners() {
+    List<EntryAction> actions;
+    synchronized (entryLock) {
+      actions = entry.announce(topology.shards(), clock.millis());
+    }
+    execute(actions);
+  }
+
+  private void logFleetShare(MembershipView view, double share) {
+    if (Math.abs(share - loggedFleetShare) < LOGGED_SHARE_CHANGE) {
+      return;
+    }
+    LOG.atInfo()
+        .addKeyValue("before", loggedFleetShare)
+        .addKeyValue("share", share)
+        .addKeyValue("knownHosts", view.knownHosts())
+        .addKeyValue("reachableHosts", view.reachableHosts())
+        .addKeyValue("unknownHosts", view.unknownHosts())
+        .log("share of the limits of the fleet changed");
+    loggedFleetShare = share;
   }
 
   /** Applies a newer configuration. */
   public void configure(Configuration configuration) {
     topology.configure(configuration);
-    owned.applyToAll((placer, now) -> placer.configure(configuration, now));
-    owned.updateRetrySlack();
+    owned.configure(configuration);
     topology.shards().forEach(shard -> registerRetryGauge(shard.service()));
     tickEntry();
   }
@@ -306,17 +335,7 @@
 
   /** Applies the usage that the owner of another shard has sent. */
   public void receiveUsage(OrganisationUsageMessage usage) {
-    applyToUsageSharing((sharing, now) -> sharing.receiveUsage(usage, now));
-  }
-
-  private void applyToUsageSharing(ObjLongConsumer<UsageSharing> action) {
-    owned.applyToAll(
-        (placer, now) -> {
-          if (placer instanceof UsageSharing sharing) {
-            action.accept(sharing, now);
-          }
-          return List.of();
-        });
+    owned.receiveUsage(usage);
   }
 
   /** Returns the recommended role changes for engines of the owned shards. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.marjoramsail.core.membership.MembershipView;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.placement.AcceptedFeedback;
 import org.marjoramsail.core.placement.OrganisationUsageMessage;
@@ -38,6 +39,10 @@
     return coordinator.handle(from, message, nowMillis);
   }
 
+  synchronized void fleetChanged(MembershipView view, boolean ranksFirst, long nowMillis) {
+    coordinator.fleetChanged(view, ranksFirst, nowMillis);
+  }
+
   /** Sets the share of the fleet's retry slack that this shard uses. */
   synchronized void retrySlackShare(double share, long nowMillis) {
     retries.slackShare(share, nowMillis);
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -6,11 +6,15 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import org.marjoramsail.core.configuration.Configuration;
+import org.marjoramsail.core.membership.MembershipView;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.placement.AcceptedFeedback;
 import org.marjoramsail.core.placement.OrganisationUsageMessage;
 import org.marjoramsail.core.placement.PlacementMessage;
+import org.marjoramsail.core.placement.PlacementResult;
 import org.marjoramsail.core.placement.PlacementTimings;
+import org.marjoramsail.core.placement.Placer;
 import org.marjoramsail.core.placement.PlacerEvent;
 import org.marjoramsail.core.placement.RetryBudget;
 import org.marjoramsail.core.placement.RetryLimits;
@@ -18,6 +22,8 @@
 import org.marjoramsail.core.placement.ShardCoordinator;
 import org.marjoramsail.core.placement.ShardId;
 import org.marjoramsail.core.placement.ShardView;
+import org.marjoramsail.core.placement.UsageHistory;
+import org.marjoramsail.core.placement.UsageSharing;
 import org.marjoramsail.core.time.Clock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -44,8 +50,9 @@
   private final RetryLimits retryLimits;
   private final Clock clock;
   private final Consumer<ShardCoordinator.Outgoing> sender;
+  private final UsageHistory usageHistory;
   private final Map<ShardId, OwnedShard> shards = new ConcurrentHashMap<>();
-  private volatile double fleetShare;
+  private volatile Optional<MembershipView> view = Optional.empty();
   private long refusedRetriesLoggedMillis;
 
   OwnedShards(
@@ -60,6 +67,7 @@
     this.timings = timings;
     this.retryLimits = retryLimits;
     this.clock = clock;
+    this.usageHistory = new UsageHistory(clock.millis());
     this.sender = sender;
   }
 
@@ -76,6 +84,25 @@
     shards.values().forEach(shard -> send(shard.apply(event, clock.millis())));
   }
 
+  /** Applies a newer configuration. */
+  void configure(Configuration configuration) {
+    usageHistory.configure(configuration);
+    applyToAll((placer, now) -> placer.configure(configuration, now));
+    updateRetrySlack();
+  }
+
+  /** Applies the usage of organisations that the owner of a shard sent. */
+  void receiveUsage(OrganisationUsageMessage usage) {
+    usageHistory.receive(usage, clock.millis());
+    applyToAll(
+        (placer, now) -> {
+          if (placer instanceof UsageSharing sharing) {
+            sharing.receiveUsage(usage, now);
+          }
+          return List.of();
+        });
+  }
+
   void daemonFailed(DaemonId daemon) {
     shards.values().forEach(shard -> send(shard.daemonFailed(daemon, clock.millis())));
   }
@@ -84,20 +111,25 @@
     shards.values().forEach(shard -> shard.daemonRecovered(daemon));
   }
 
-  /** Sets the share of the fleet's retry slack that the daemons visible to this one may use. */
-  void updateFleetShare(double share) {
-    fleetShare = share;
+  /** Applies a newer membership view to the shares of the limits of the fleet. */
+  void updateMembership(MembershipView newView) {
+    view = Optional.of(newView);
+    shards.values().forEach(this::updateFleetShare);
     updateRetrySlack();
   }
 
+  private void updateFleetShare(OwnedShard shard) {
+    view.ifPresent(known -> shard.fleetChanged(known, isFirstOwner(shard), clock.millis()));
+  }
+
   /** Applies a change of the configuration or of the ranking of daemons to the retry budgets. */
-  void updateRetrySlack() {
+  private void updateRetrySlack() {
     shards.values().forEach(this::updateRetrySlack);
   }
 
   private void updateRetrySlack(OwnedShard shard) {
     int shardCount = Math.max(1, topology.shardCount(shard.shard().service()));
-    double share = isFirstOwner(shard) ? fleetShare / shardCount : 0;
+    double share = isFirstOwner(shard) ? retrySlackShare() / shardCount : 0;
     if (share != shard.retrySlackShare()) {
       LOG.atInfo()
           .addKeyValue("shard", shard.shard())
@@ -109,6 +141,11 @@
     }
   }
 
+  /** Returns the part of the retry slack that the daemons visible to this one may use. */
+  private double retrySlackShare() {
+    return view.filter(known -> !known.isAlone()).map(MembershipView::budgetShare).orElse(0.0);
+  }
+
   /**
    * Returns the retries that are available in the shards of a service for which this ranks first.
    */
@@ -228,10 +265,19 @@
 
   private OwnedShard openForUse(ShardId id) {
     OwnedShard shard = open(id);
+    shard.apply((placer, now) -> inheritCredits(id, placer, now), clock.millis());
+    updateFleetShare(shard);
     updateRetrySlack(shard);
     return shard;
   }
 
+  private List<PlacementResult> inheritCredits(ShardId id, Placer placer, long nowMillis) {
+    if (placer instanceof UsageSharing sharing) {
+      sharing.inherit(usageHistory.creditsFor(id, nowMillis));
+    }
+    return List.of();
+  }
+
   private OwnedShard open(ShardId id) {
     RetryBudget retries = new RetryBudget(retryLimits);
     ShardCoordinator coordinator =
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateFaultsTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateFaultsTest.java
@@ -5,20 +5,84 @@
 import java.util.function.Consumer;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.marjoramsail.core.membership.VirtualFleet;
 import org.marjoramsail.daemon.fleet.FleetRateScenario.Outcome;
 
 /** The rate limit of an organisation while hosts fail, restart or are cut off from each other. */
 final class FleetRateFaultsTest {
 
   private static final double ABOVE_THE_LIMIT = 150;
+  private static final double BELOW_THE_LIMIT = 12;
+  private static final int HOSTS = 77;
+  private static final long CUT_MILLIS = 10_000;
+  private static final VirtualFleet.Network SLOW = new VirtualFleet.Network(0.1, 0, 200, 1_000);
 
   /** Guards against owners of one shard that do not charge each other's grants. */
   @ParameterizedTest
-  @CsvSource({"77, 11", "77, 12"})
+  @CsvSource({"7, 11", "7, 12", "77, 11", "77, 12"})
   void rollingRestartsKeepToTheRateOfAnOrganisation(int hosts, long seed) {
     assertLimitHolds(hosts, seed, fleet -> rollingRestarts(fleet, hosts));
   }
 
+  /** Guards against a whole rate for each daemon that has just restarted and knows no other. */
+  @ParameterizedTest
+  @CsvSource({"7, 11", "7, 12", "77, 11", "77, 12"})
+  void aRestartOfAllHostsOnASlowNetworkKeepsToTheRateOfAnOrganisation(int hosts, long seed) {
+    assertLimitHolds(
+        hosts,
+        seed,
+        fleet ->
+            fleet.at(
+                FleetRateScenario.FAULT_MILLIS,
+                () -> {
+                  fleet.membershipNetwork(SLOW);
+                  restartAll(fleet, hosts);
+                }));
+  }
+
+  /** Guards against a whole rate for each host that reaches no other. */
+  @ParameterizedTest
+  @CsvSource({"7, 11", "7, 12", "77, 11", "77, 12"})
+  void hostsThatReachNoOtherKeepToTheRateOfAnOrganisation(int hosts, long seed) {
+    assertLimitHolds(hosts, seed, fleet -> fleet.cut((from, to) -> !from.equals(to)));
+  }
+
+  /** Guards against standby owners and sides of a partition that each grant the whole rate. */
+  @ParameterizedTest
+  @CsvSource({"7, 2, 11", "7, 3, 12", "77, 2, 11", "77, 2, 12", "77, 3, 11", "77, 3, 12"})
+  void sidesOfAPartitionKeepToTheRateOfAnOrganisation(int hosts, int sides, long seed) {
+    assertLimitHolds(
+        hosts,
+        seed,
+        fleet -> fleet.at(CUT_MILLIS, () -> fleet.cut((from, to) -> from % sides != to % sides)));
+  }
+
+  /** Guards against refusals of an organisation below its limit while owners change. */
+  @ParameterizedTest
+  @ValueSource(longs = {11, 12})
+  void anOrganisationBelowItsLimitIsServedThroughRollingRestarts(long seed) {
+    assertServedBelowLimit(seed, fleet -> rollingRestarts(fleet, HOSTS));
+  }
+
+  /** Guards against refusals of an organisation below its limit while a fleet starts again. */
+  @ParameterizedTest
+  @ValueSource(longs = {11, 12})
+  void anOrganisationBelowItsLimitIsServedThroughARestartOfAllHosts(long seed) {
+    assertServedBelowLimit(
+        seed, fleet -> fleet.at(FleetRateScenario.FAULT_MILLIS, () -> restartAll(fleet, HOSTS)));
+  }
+
+  /** Guards against a host that holds a part of a limit back although it is the whole fleet. */
+  @ParameterizedTest
+  @ValueSource(longs = {11, 12})
+  void aFleetOfOneHostServesTheWholeLimit(long seed) {
+    Outcome outcome = new FleetRateScenario(1, ABOVE_THE_LIMIT, seed).run(fleet -> {});
+
+    assertThat(outcome.mostInWindow())
+        .isGreaterThanOrEqualTo((int) (FleetRateScenario.REQUESTS_PER_SECOND * 10));
+  }
+
   private static void assertLimitHolds(int hosts, long seed, Consumer<FleetSimulation> faults) {
     Outcome outcome = new FleetRateScenario(hosts, ABOVE_THE_LIMIT, seed).run(faults);
 
@@ -27,6 +91,18 @@
         .isLessThanOrEqualTo(FleetRateScenario.allowedInWindow());
   }
 
+  private static void assertServedBelowLimit(long seed, Consumer<FleetSimulation> faults) {
+    Outcome outcome = new FleetRateScenario(HOSTS, BELOW_THE_LIMIT, seed).run(faults);
+
+    assertThat(outcome.aboveRate()).as("refused although below the limit").isZero();
+  }
+
+  private static void restartAll(FleetSimulation fleet, int hosts) {
+    for (int host = 0; host < hosts; host++) {
+      fleet.restart(host, 300);
+    }
+  }
+
   /** Restarts ten hosts a second, one after the other. */
   private static void rollingRestarts(FleetSimulation fleet, int hosts) {
     for (int restart = 0; restart < 150; restart++) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateScenario.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateScenario.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import org.marjoramsail.core.configuration.OrganisationDefinition;
+import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.daemon.fleet.FleetSimulation.RequestKind;
 import org.marjoramsail.daemon.fleet.FleetSimulation.Size;
 
@@ -35,14 +36,10 @@
    *
    * @param mostInWindow most requests that arrived in any window
    * @param sent requests that callers sent
-   * @param refused those that were not served
+   * @param notServed those that were not served
+   * @param aboveRate those that were refused because of the rate limit
    */
-  record Outcome(int mostInWindow, int sent, int refused) {
-
-    double refusedShare() {
-      return sent == 0 ? 0 : refused / (double) sent;
-    }
-  }
+  record Outcome(int mostInWindow, int sent, int notServed, int aboveRate) {}
 
   /** Returns the most requests that may arrive in a window. */
   static int allowedInWindow() {
@@ -61,8 +58,11 @@
     fleet.load(RequestKind.LOOKUP, demandPerSecond, 0, END_MILLIS);
     fleet.startAll();
     fleet.run(END_MILLIS);
-    int refused = (int) fleet.ends().stream().filter(end -> !end.served()).count();
+    int notServed = (int) fleet.ends().stream().filter(end -> !end.served()).count();
     return new Outcome(
-        fleet.arrivals(FleetSimulation.PLAIN).mostFirstArrivals(), fleet.ends().size(), refused);
+        fleet.arrivals(FleetSimulation.PLAIN).mostFirstArrivals(),
+        fleet.ends().size(),
+        notServed,
+        fleet.refusals(RefusalReason.ORGANISATION_RATE));
   }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -3,6 +3,7 @@
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -18,6 +19,7 @@
 import org.marjoramsail.core.configuration.ServiceDefinition;
 import org.marjoramsail.core.configuration.ServiceKind;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.feedback.UpstreamFeedbackTable;
 import org.marjoramsail.core.membership.MembershipSettings;
 import org.marjoramsail.core.membership.MembershipView;
@@ -128,6 +130,7 @@
   private final Map<UpstreamName, SimulatedUpstream> upstreams = new LinkedHashMap<>();
   private final Map<String, ArrivalLog> arrivals = new HashMap<>();
   private final List<End> ends = new ArrayList<>();
+  private final Map<RefusalReason, Integer> refusals = new EnumMap<>(RefusalReason.class);
   private final List<SimpleMeterRegistry> registries = new ArrayList<>();
   private BiPredicate<String, String> cut = (from, to) -> false;
   private Configuration configuration;
@@ -146,6 +149,7 @@
     this.members =
         new VirtualFleet(MembershipSettings.defaults(), new Random(seed), (from, message) -> {});
     this.startMillis = members.millis();
+    members.enableHostList();
     this.configuration = configuration(size, organisations);
     for (UpstreamDefinition upstream : configuration.upstreams()) {
       int waiting = upstream.role() == UpstreamRole.PLAIN ? 24 : 2;
@@ -191,6 +195,15 @@
         .sum();
   }
 
+  /** Returns the number of requests that were refused for a reason. */
+  int refusals(RefusalReason reason) {
+    return refusals.getOrDefault(reason, 0);
+  }
+
+  void refused(RefusalReason reason) {
+    refusals.merge(reason, 1, Integer::sum);
+  }
+
   long placementMessages() {
     return placementMessages;
   }
@@ -337,6 +350,7 @@
             meters,
             new UpstreamFeedbackTable());
     placement.configure(configuration);
+    placement.updateMembership(view);
     Invariants invariants = new Invariants(Invariants.Mode.THROW);
     RequestRegistry registry =
         new RequestRegistry(
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/SimulatedHost.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/SimulatedHost.java
@@ -157,6 +157,7 @@
 
     @Override
     public void refuse(Refusal refusal) {
+      simulation.refused(refusal.reason());
       ended.accept(false);
     }
   }
