Let each owner keep to its part of a rate between two messages of the others

Cause: all owners see the same credit and each spends all of it between two messages, up to eight times what there is; then all are closed until the debt is earned back.

Change: while less than half of the credit is left, an owner also keeps to its part of the rate, by its part of what is asked for in all shards, granted or not, which the usage messages now tell. The parts are corrected by the credit of the fleet, so that a small debt slows all owners and closes none. An owner tells its usage early if all shards together may have used half of the burst since its last message.

--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
@@ -5,6 +5,7 @@
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.marjoramsail.core.configuration.OrganisationDefinition;
+import org.marjoramsail.core.placement.OrganisationUsageMessage.Usage;
 
 /**
  * State of one organisation in one shard: its lanes of waiting attempts, its fair queueing tags and
@@ -16,13 +17,17 @@
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final double RATE_WINDOW_MILLIS = 10_000;
 
+  /** Demand of an owner without requests, so that its first one finds a part of the rate. */
+  private static final double MINIMUM_ASKED_PER_SECOND = 0.01;
+
   /** Part of a rate that owners may grant in advance if they know nothing of a predecessor. */
   private static final double ADVANCE_SECONDS = 2;
 
   private final String name;
   private final OrganisationLane[] lanes = new OrganisationLane[WaitingQueue.LANES];
-  private final TokenBucket requests;
-  private final TokenBucket tokens;
+  private final SharedRate requests;
+  private final SharedRate tokens;
+  private final DecayingRate asked = new DecayingRate();
 
   private double weight = 1;
   private int maximumConcurrency;
@@ -33,10 +38,14 @@
   private double fleetShare = 1;
   private boolean isShareProvisional;
   private boolean isCreditUnknown;
+  private boolean isFirstCostCharged;
+  private double advancedShare;
   private int running;
   private double waitingTokens;
   private long startedRequests;
   private long startedTokens;
+  private long sentRequests;
+  private long sentTokens;
   private double recentRequests;
   private double recentTokens;
   private long recentAt;
@@ -62,8 +71,8 @@
 
   private OrganisationState(String name, TokenBucket requests, TokenBucket tokens) {
     this.name = name;
-    this.requests = requests;
-    this.tokens = tokens;
+    this.requests = new SharedRate(requests);
+    this.tokens = new SharedRate(tokens);
     for (int lane = 0; lane < WaitingQueue.LANES; lane++) {
       lanes[lane] = new OrganisationLane(this);
     }
@@ -129,7 +138,7 @@
    * @param elsewhere attempts that run or wait in other shards
    * @param newFleetShare share of the rates that this owner may use; zero for none yet
    */
-  void share(int elsewhere, int shardCount, double newFleetShare) {
+  void share(int elsewhere, int shardCount, double newFleetShare, long nowMillis) {
     double own = demand() + MINIMUM_DEMAND;
     double share = own / (own + elsewhere + (shardCount - 1) * MINIMUM_DEMAND);
     concurrencyShare = Math.max(1, (int) Math.floor(maximumConcurrency * share + 1e-9));
@@ -138,11 +147,11 @@
       requests.limit(requestsPerSecond * fleetShare, burst * fleetShare);
       tokens.limit(tokensPerSecond * fleetShare, burst * fleetShare);
     }
+    advance(nowMillis);
   }
 
   /**
-   * Records that an attempt is placed; with the first one, an owner that knows nothing of its
-   * predecessor receives its share of an advance on the rates.
+   * Records that an attempt is placed, whether it is granted or not.
    *
    * <p>A request is granted whole once there is any credit. An owner that serves a small share of
    * the fleet would grant the first request of each organisation at once, and many such owners
@@ -150,16 +159,26 @@
    * with which the grants of many owners add up to their shares on average.
    */
   void placed(int attemptTokens, RandomGenerator random, long nowMillis) {
-    if (isCreditUnknown && isShareProvisional) {
-      isCreditUnknown = false;
+    asked.add(Math.max(1, attemptTokens), nowMillis);
+    if (isCreditUnknown && isShareProvisional && !isFirstCostCharged) {
+      isFirstCostCharged = true;
       double part = random.nextDouble();
-      requests.take(part - advance(requestsPerSecond), nowMillis);
-      tokens.take(part * attemptTokens - advance(tokensPerSecond), nowMillis);
+      requests.take(part, nowMillis);
+      tokens.take(part * attemptTokens, nowMillis);
     }
   }
 
-  private double advance(double perSecond) {
-    return ADVANCE_SECONDS * perSecond * fleetShare;
+  /**
+   * Gives an owner that knows nothing of its predecessor an advance on the rates, in proportion to
+   * its share; otherwise an organisation below its limit would be refused while the share grows.
+   */
+  private void advance(long nowMillis) {
+    if (isCreditUnknown && isShareProvisional && fleetShare > advancedShare) {
+      double seconds = ADVANCE_SECONDS * (fleetShare - advancedShare);
+      advancedShare = fleetShare;
+      requests.take(-seconds * requestsPerSecond, nowMillis);
+      tokens.take(-seconds * tokensPerSecond, nowMillis);
+    }
   }
 
   /** Sets whether the share of the fleet is about to change. */
@@ -193,30 +212,48 @@
    * Charges what others have spent. While the share is provisional, this owner earns only a part of
    * the rate but receives the counts of others in full, so their effect is limited.
    */
-  private void takeElsewhere(TokenBucket bucket, double cost, long nowMillis) {
+  private void takeElsewhere(SharedRate rate, double cost, long nowMillis) {
     if (isShareProvisional) {
-      bucket.takeLeavingLimitedDebt(cost, nowMillis);
+      rate.takeElsewhereLeavingLimitedDebt(cost, nowMillis);
     } else {
-      bucket.take(cost, nowMillis);
+      rate.takeElsewhere(cost, nowMillis);
     }
   }
 
-  /** Returns the number of requests started here since this owner began. */
-  long startedRequests() {
-    return startedRequests;
+  /**
+   * Returns the rate at which its requests are placed here, granted or not, in tokens a second;
+   * requests without tokens count as one.
+   */
+  double askedPerSecond(long nowMillis) {
+    return asked.perMilli(nowMillis) * MILLIS_PER_SECOND;
   }
 
-  /** Returns the tokens charged for {@link #startedRequests}. */
-  long startedTokens() {
-    return startedTokens;
+  /** Sets the rate at which its requests are placed in other shards. */
+  void askedElsewhere(double perSecond, long nowMillis) {
+    double own = Math.max(MINIMUM_ASKED_PER_SECOND, askedPerSecond(nowMillis));
+    double part = own / (own + perSecond);
+    requests.part(part, nowMillis);
+    tokens.part(part, nowMillis);
   }
 
   /**
-   * Returns whether half of a rate is used, so that other shards must be informed of each start
-   * soon.
+   * Returns whether other shards must be informed of each start soon: half of a rate is used, as
+   * far as is known here or if all shards started as much as this one since the last message.
    */
-  boolean isNearRateLimit(long nowMillis) {
-    return requests.isHalfUsed(nowMillis) || tokens.isHalfUsed(nowMillis);
+  boolean isNearRateLimit(int shardCount, long nowMillis) {
+    return requests.isHalfUsed(nowMillis)
+        || tokens.isHalfUsed(nowMillis)
+        || (requestsPerSecond > 0
+            && 2.0 * shardCount * (startedRequests - sentRequests) >= requests.burst())
+        || (tokensPerSecond > 0
+            && 2.0 * shardCount * (startedTokens - sentTokens) >= tokens.burst());
+  }
+
+  /** Returns its usage for other shards, and records that these are informed of it. */
+  Usage takeUsage(long nowMillis) {
+    sentRequests = startedRequests;
+    sentTokens = startedTokens;
+    return new Usage(name, demand(), startedRequests, startedTokens, askedPerSecond(nowMillis));
   }
 
   /**
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationTable.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationTable.java
@@ -95,13 +95,9 @@
     }
     List<Usage> usages = new ArrayList<>();
     for (OrganisationState organisation : byName.values()) {
-      if (organisation.isLimited() && (isRegular || organisation.isNearRateLimit(nowMillis))) {
-        usages.add(
-            new Usage(
-                organisation.name(),
-                organisation.demand(),
-                organisation.startedRequests(),
-                organisation.startedTokens()));
+      boolean isDue = isRegular || organisation.isNearRateLimit(shardCount, nowMillis);
+      if (organisation.isLimited() && isDue) {
+        usages.add(organisation.takeUsage(nowMillis));
       }
     }
     return new OrganisationUsageMessage(shard, epoch, usages);
@@ -134,6 +130,27 @@
       }
     }
     otherOwners.put(owner, new ReceivedUsage(usageByOrganisation, nowMillis));
+    for (Usage usage : message.usages()) {
+      of(usage.organisation())
+          .askedElsewhere(askedElsewhere(usage.organisation(), nowMillis), nowMillis);
+    }
+  }
+
+  /**
+   * Returns the rate at which requests of an organisation are placed in other shards. A shard that
+   * has just changed its owner counts once.
+   */
+  private double askedElsewhere(String organisation, long nowMillis) {
+    Map<ShardId, Double> byShard = new HashMap<>();
+    otherOwners.forEach(
+        (owner, received) -> {
+          Usage usage = received.byOrganisation().get(organisation);
+          boolean isRecent = nowMillis - received.atMillis() <= DEMAND_VALIDITY_MILLIS;
+          if (usage != null && isRecent && !owner.shard().equals(shard)) {
+            byShard.merge(owner.shard(), usage.askedPerSecond(), Math::max);
+          }
+        });
+    return byShard.values().stream().mapToDouble(each -> each).sum();
   }
 
   /**
@@ -152,8 +169,10 @@
     }
     byName.values().removeIf(organisation -> organisation.isIdle() && !organisation.isLimited());
     for (OrganisationState organisation : byName.values()) {
-      organisation.share(demand.getOrDefault(organisation.name(), 0), shardCount, fleetShare);
       organisation.shareProvisional(isShareProvisional);
+      organisation.share(
+          demand.getOrDefault(organisation.name(), 0), shardCount, fleetShare, nowMillis);
+      organisation.askedElsewhere(askedElsewhere(organisation.name(), nowMillis), nowMillis);
     }
   }
 
@@ -173,8 +192,8 @@
             ? new OrganisationState(name)
             : new OrganisationState(name, inherited, openedAt);
     organisation.define(definitionOf(organisation));
-    organisation.share(0, shardCount, fleetShare);
     organisation.shareProvisional(isShareProvisional);
+    organisation.share(0, shardCount, fleetShare, openedAt);
     return organisation;
   }
 
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationUsageMessage.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationUsageMessage.java
@@ -28,6 +28,12 @@
    * @param demand attempts that run or wait
    * @param startedRequests requests that the owner has started, without retries
    * @param startedTokens tokens charged for those requests
+   * @param askedPerSecond rate at which requests are placed, granted or not, in tokens a second
    */
-  public record Usage(String organisation, int demand, long startedRequests, long startedTokens) {}
+  public record Usage(
+      String organisation,
+      int demand,
+      long startedRequests,
+      long startedTokens,
+      double askedPerSecond) {}
 }
--- a/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
@@ -15,6 +15,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.model.ServiceClass;
@@ -213,6 +215,17 @@
         .isGreaterThan(0.95 * PER_SECOND * WINDOW_SECONDS);
   }
 
+  /** Guards against owners that overspend together and then all refuse until the debt is paid. */
+  @ParameterizedTest
+  @CsvSource({"5610, 8", "226, 8", "1, 8", "1, 4"})
+  void anOrganisationAboveItsLimitIsServedInEverySecond(long seed, int shards) {
+    Grants grants = simulate(seed, shards, false);
+
+    for (int second = 1; second <= grants.seconds(); second++) {
+      assertThat(grants.tokensOfSecond(second)).as("second " + second).isPositive();
+    }
+  }
+
   private Grants simulate(long seed, int shards, boolean successors) {
     Random random = new Random(seed);
     List<ReservingPlacer> owners = new ArrayList<>();
@@ -300,6 +313,10 @@
       return tokens.size();
     }
 
+    int tokensOfSecond(int second) {
+      return tokens.get(second - 1);
+    }
+
     double tokensOfWindow(int end) {
       return tokens.subList(end - WINDOW_SECONDS, end).stream().mapToInt(each -> each).sum();
     }
--- a/core/src/test/java/org/marjoramsail/core/placement/ReservingPlacerTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ReservingPlacerTest.java
@@ -347,7 +347,8 @@
   @Test
   void ownersDivideALimitByTheirDemand() {
     ReservingPlacer placer = placer(pool(0, 2, 8, List.of(organisation("rosario", 4, 0))));
-    OrganisationUsageMessage.Usage usage = new OrganisationUsageMessage.Usage("rosario", 8, 0, 0);
+    OrganisationUsageMessage.Usage usage =
+        new OrganisationUsageMessage.Usage("rosario", 8, 0, 0, 0);
     placer.place(request("r1").tokens(50, 10).build(), 0);
     placer.receiveUsage(
         new OrganisationUsageMessage(new ShardId("lector", "litoral", 1), 0, List.of(usage)), 1);
--- a/core/src/test/java/org/marjoramsail/core/placement/UsageHistoryTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/UsageHistoryTest.java
@@ -42,6 +42,6 @@
   }
 
   private static OrganisationUsageMessage usage(long tokens) {
-    return new OrganisationUsageMessage(SHARD, 7, List.of(new Usage("rosario", 0, 1, tokens)));
+    return new OrganisationUsageMessage(SHARD, 7, List.of(new Usage("rosario", 0, 1, tokens, 0)));
   }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -135,6 +135,7 @@
   private BiPredicate<String, String> cut = (from, to) -> false;
   private Configuration configuration;
   private int outputTokens = SHORT_OUTPUT_TOKENS;
+  private boolean hasHostList = true;
   private long placementMessages;
   private long sequence;
 
@@ -149,7 +150,6 @@
     this.members =
         new VirtualFleet(MembershipSettings.defaults(), new Random(seed), (from, message) -> {});
     this.startMillis = members.millis();
-    members.enableHostList();
     this.configuration = configuration(size, organisations);
     for (UpstreamDefinition upstream : configuration.upstreams()) {
       int waiting = upstream.role() == UpstreamRole.PLAIN ? 24 : 2;
@@ -224,8 +224,16 @@
     outputTokens = tokens;
   }
 
+  /** Lets daemons know the other hosts only from seeds and from each other. */
+  void withoutHostList() {
+    hasHostList = false;
+  }
+
   /** Starts all hosts at the same moment. */
   void startAll() {
+    if (hasHostList) {
+      members.enableHostList();
+    }
     for (int number = 0; number < size.hosts(); number++) {
       start(number);
     }
