--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
@@ -21,7 +21,7 @@
   private static final double MINIMUM_ASKED_PER_SECOND = 0.01;
 
   /** Part of a rate that owners may grant in advance if they know nothing of a predecessor. */
-  private static final double ADVANCE_SECONDS = 2;
+  private static final double ADVANCE_SECONDS = 0.75;
 
   private final String name;
   private final OrganisationLane[] lanes = new OrganisationLane[WaitingQueue.LANES];
--- a/core/src/main/java/org/marjoramsail/core/placement/SharedRate.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SharedRate.java
@@ -61,7 +61,7 @@
     fleet.take(cost, nowMillis);
   }
 
-  /** Takes a cost that others have granted, with a debt of one maximum credit at most. */
+  /** Takes a cost that others have granted, and leaves a limited debt. */
   void takeElsewhereLeavingLimitedDebt(double cost, long nowMillis) {
     fillOwn(nowMillis);
     fleet.takeLeavingLimitedDebt(cost, nowMillis);
--- a/core/src/main/java/org/marjoramsail/core/placement/TokenBucket.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/TokenBucket.java
@@ -15,6 +15,9 @@
   /** How many seconds of the rate may accumulate if no burst is given. */
   private static final double BURST_SECONDS = 1;
 
+  /** Largest debt that limited charges may leave, in multiples of the maximum credit. */
+  private static final double MAXIMUM_DEBT_BURSTS = 2;
+
   private double perSecond;
   private double burst;
   private double credit;
@@ -65,11 +68,11 @@
     }
   }
 
-  /** Takes a cost, but as much at most as leaves a debt of one maximum credit. */
+  /** Takes a cost, but as much at most as leaves a debt of {@link #MAXIMUM_DEBT_BURSTS}. */
   void takeLeavingLimitedDebt(double cost, long nowMillis) {
     if (perSecond > 0) {
       fill(nowMillis);
-      credit = Math.max(Math.min(credit, -burst), credit - cost);
+      credit = Math.max(Math.min(credit, -MAXIMUM_DEBT_BURSTS * burst), credit - cost);
     }
   }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateFaultsTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateFaultsTest.java
@@ -41,6 +41,24 @@
                 }));
   }
 
+  /** Guards against daemons that know the size of the fleet only from what they have met. */
+  @ParameterizedTest
+  @CsvSource({"77, 11", "77, 12"})
+  void aRestartOfAllHostsWithoutAHostListKeepsToTheRateOfAnOrganisation(int hosts, long seed) {
+    assertLimitHolds(
+        hosts,
+        seed,
+        fleet -> {
+          fleet.withoutHostList();
+          fleet.at(
+              FleetRateScenario.FAULT_MILLIS,
+              () -> {
+                fleet.membershipNetwork(SLOW);
+                restartAll(fleet, hosts);
+              });
+        });
+  }
+
   /** Guards against a whole rate for each host that reaches no other. */
   @ParameterizedTest
   @CsvSource({"7, 11", "7, 12", "77, 11", "77, 12"})
