--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateFaultsTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateFaultsTest.java
@@ -66,6 +66,13 @@
     assertLimitHolds(hosts, seed, fleet -> fleet.cut((from, to) -> !from.equals(to)));
   }
 
+  /** Guards against a first request of each of many hosts, which together exceed a small limit. */
+  @ParameterizedTest
+  @ValueSource(longs = {11, 12})
+  void hostsOfALargeFleetThatReachNoOtherKeepToTheRateOfAnOrganisation(long seed) {
+    assertLimitHolds(390, seed, fleet -> fleet.cut((from, to) -> !from.equals(to)));
+  }
+
   /** Guards against standby owners and sides of a partition that each grant the whole rate. */
   @ParameterizedTest
   @CsvSource({"7, 2, 11", "7, 3, 12", "77, 2, 11", "77, 2, 12", "77, 3, 11", "77, 3, 12"})
