Describe when rates of organisations are divided

The description of an organisation's share in a shard said that rates are never divided, which the change to SharedRate ended. Comment only; formatter and linter pass.

--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
@@ -131,9 +131,10 @@
    * where all owners know the same demands. A share is at least one attempt, so that an
    * organisation with a low limit and many shards is still served.
    *
-   * <p>Rates are not divided: the requests of one organisation may reach a shard seconds apart, and
-   * a share by recent demand would refuse the first one after a pause. Each shard holds the whole
-   * rate and subtracts what {@linkplain #startedElsewhere others} start.
+   * <p>Rates are divided only while little credit is left (see {@link SharedRate}): the requests of
+   * one organisation may reach a shard seconds apart, and a share by recent demand would refuse the
+   * first one after a pause. Each shard holds the rate of all shards and subtracts what {@linkplain
+   * #startedElsewhere others} start.
    *
    * @param elsewhere attempts that run or wait in other shards
    * @param newFleetShare share of the rates that this owner may use; zero for none yet
