--- a/command/src/main/java/org/marjoramsail/command/capacity/PlacementMessages.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/PlacementMessages.java
@@ -98,7 +98,8 @@
         IntStream.range(0, organisations)
             .mapToObj(
                 number ->
-                    new OrganisationUsageMessage.Usage("organisation-" + number, 10, 100, 10_000))
+                    new OrganisationUsageMessage.Usage(
+                        "organisation-" + number, 10, 100, 10_000, 1_000))
             .toList();
     return new OrganisationUsageMessage(TargetShard.SHARD, 0, usages);
   }
