Simulate hosts that pause, KV caches that expire, calls that hang and callers that repeat

Hosts can be paused, placement messages delayed, KV caches discarded before they are fetched; calls can hang or violate the protocol; callers send again at once; daemons may lack a list of hosts, as on the users' platform. The log of arrivals moves to the stand-ins, so that a soak of processes can count the same way.

--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetOrganisationRateTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetOrganisationRateTest.java
@@ -9,6 +9,7 @@
 import org.marjoramsail.core.membership.VirtualFleet;
 import org.marjoramsail.daemon.fleet.FleetSimulation.RequestKind;
 import org.marjoramsail.daemon.fleet.FleetSimulation.Size;
+import org.marjoramsail.standin.load.ArrivalLog;
 
 /** The rate limit of an organisation over a whole fleet. */
 final class FleetOrganisationRateTest {
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateScenario.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateScenario.java
@@ -6,6 +6,7 @@
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.daemon.fleet.FleetSimulation.RequestKind;
 import org.marjoramsail.daemon.fleet.FleetSimulation.Size;
+import org.marjoramsail.standin.load.ArrivalLog;
 
 /**
  * Run of a fleet that serves one organisation with a limit in requests, and what the limit allows.
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRetryBudgetTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRetryBudgetTest.java
@@ -15,6 +15,7 @@
 import org.marjoramsail.daemon.fleet.FleetSimulation.Size;
 import org.marjoramsail.daemon.fleet.SimulatedUpstream.Condition;
 import org.marjoramsail.daemon.fleet.SimulatedUpstream.FailureKind;
+import org.marjoramsail.standin.load.ArrivalLog;
 
 /** Retries of a whole fleet against what is allowed in any window, and what callers get of them. */
 final class FleetRetryBudgetTest {
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -52,6 +52,7 @@
 import org.marjoramsail.daemon.request.RequestDependencies;
 import org.marjoramsail.daemon.request.RequestLog;
 import org.marjoramsail.daemon.request.RequestRegistry;
+import org.marjoramsail.standin.load.ArrivalLog;
 
 /**
  * Simulation of a fleet of daemons before a model service and a plain service, on a virtual clock.
@@ -136,6 +137,8 @@
   private Configuration configuration;
   private int outputTokens = SHORT_OUTPUT_TOKENS;
   private boolean hasHostList = true;
+  private long longestMessageMillis = 2;
+  private int callerRetries;
   private long placementMessages;
   private long sequence;
 
@@ -264,6 +267,23 @@
     after(1, () -> running().forEach(host -> host.placement().connectionLost(killed.id())));
   }
 
+  /** Lets the process of a host handle nothing for a time, as if it had no processor. */
+  void pause(int number, long millis) {
+    SimulatedHost paused = hosts.get(name(number));
+    paused.pauseUntil(now() + millis);
+    members.pause(paused.id().host(), millis);
+  }
+
+  /** Sets the longest time that a placement message takes, of which at least one millisecond. */
+  void longestMessageMillis(long millis) {
+    longestMessageMillis = millis;
+  }
+
+  /** Sets how often a caller sends a request anew, at once, that was not served. */
+  void callerRetries(int retries) {
+    callerRetries = retries;
+  }
+
   /** Sets the properties of the network between the failure detectors. */
   void membershipNetwork(VirtualFleet.Network network) {
     members.network(network);
@@ -291,10 +311,10 @@
 
   /** Runs until a time. */
   void run(long untilMillis) {
-    every(VIEW_MILLIS, untilMillis, () -> running().forEach(this::updateView));
-    every(OWNER_TICK_MILLIS, untilMillis, () -> running().forEach(this::tickOwner));
-    every(ENTRY_TICK_MILLIS, untilMillis, () -> running().forEach(this::tickEntry));
-    every(USAGE_MILLIS, untilMillis, () -> running().forEach(FleetSimulation::shareUsage));
+    every(VIEW_MILLIS, untilMillis, () -> awake().forEach(this::updateView));
+    every(OWNER_TICK_MILLIS, untilMillis, () -> awake().forEach(this::tickOwner));
+    every(ENTRY_TICK_MILLIS, untilMillis, () -> awake().forEach(this::tickEntry));
+    every(USAGE_MILLIS, untilMillis, () -> awake().forEach(FleetSimulation::shareUsage));
     while (now() < untilMillis) {
       events.runDue(now());
       members.run(1);
@@ -334,6 +354,10 @@
     return hosts.values().stream().filter(SimulatedHost::isRunning).toList();
   }
 
+  private List<SimulatedHost> awake() {
+    return running().stream().filter(host -> !host.isPaused(now())).toList();
+  }
+
   private SimulatedHost newHost(DaemonId id) {
     MembershipView view = members.view(id.host());
     views.put(id.host(), view);
@@ -374,7 +398,7 @@
 
   private void runIfCurrent(DaemonId id, Runnable task) {
     if (isCurrent(id)) {
-      task.run();
+      hosts.get(id.host()).whenAwake(this, task);
     }
   }
 
@@ -388,13 +412,19 @@
     if (cut.test(from.host(), to.host())) {
       return;
     }
-    after(1 + random.nextLong(2), () -> deliver(from, to, message));
+    after(1 + random.nextLong(longestMessageMillis), () -> deliver(from, to, message));
   }
 
   private void deliver(DaemonId from, DaemonId to, PeerMessage message) {
     if (!isCurrent(to)) {
       after(1, () -> runIfCurrent(from, () -> connectionLost(from, to)));
-    } else if (message instanceof PlacementMessage placementMessage) {
+      return;
+    }
+    hosts.get(to.host()).whenAwake(this, () -> handle(from, to, message));
+  }
+
+  private void handle(DaemonId from, DaemonId to, PeerMessage message) {
+    if (message instanceof PlacementMessage placementMessage) {
       hosts.get(to.host()).placement().receive(from, placementMessage);
     } else if (message instanceof OrganisationUsageMessage usage) {
       hosts.get(to.host()).placement().receiveUsage(usage);
@@ -406,6 +436,10 @@
   }
 
   private void send(RequestKind kind) {
+    send(kind, callerRetries);
+  }
+
+  private void send(RequestKind kind, int retriesLeft) {
     long sentAtMillis = now();
     arrivals(kind.service).requested(sentAtMillis);
     List<SimulatedHost> choices = running();
@@ -414,11 +448,22 @@
       return;
     }
     SimulatedHost host = choices.get(random.nextInt(choices.size()));
+    host.whenAwake(this, () -> receive(host, kind, sentAtMillis, retriesLeft));
+  }
+
+  private void ended(RequestKind kind, long sentAtMillis, boolean served, int retriesLeft) {
+    ends.add(new End(kind, sentAtMillis, served));
+    if (!served && retriesLeft > 0) {
+      after(1, () -> send(kind, retriesLeft - 1));
+    }
+  }
+
+  private void receive(SimulatedHost host, RequestKind kind, long sentAtMillis, int retriesLeft) {
     String request = "request-" + sequence++;
     RequestProfile profile = profile(kind, host.id(), request);
     SimulatedHost.Exchange exchange =
         new SimulatedHost.Exchange(
-            this, host, profile, request, served -> ends.add(new End(kind, sentAtMillis, served)));
+            this, host, profile, request, served -> ended(kind, sentAtMillis, served, retriesLeft));
     host.registry()
         .register(
             new NewRequest(
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/RandomFaultsTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/RandomFaultsTest.java
@@ -9,10 +9,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.marjoramsail.core.membership.VirtualFleet;
+import org.marjoramsail.core.model.UpstreamRole;
 import org.marjoramsail.daemon.fleet.FleetSimulation.RequestKind;
 import org.marjoramsail.daemon.fleet.FleetSimulation.Size;
 import org.marjoramsail.daemon.fleet.SimulatedUpstream.Condition;
 import org.marjoramsail.daemon.fleet.SimulatedUpstream.FailureKind;
+import org.marjoramsail.standin.load.ArrivalLog;
 
 /**
  * Retries of a fleet while hosts restart, networks are cut and upstreams fail, at random and
@@ -28,6 +30,8 @@
   private static final long END_MILLIS = 40_000;
   private static final int FAULTS = 14;
   private static final long LONGEST_CUT_MILLIS = 8_000;
+  private static final long LONGEST_PAUSE_MILLIS = 4_000;
+  private static final long LONGEST_MESSAGE_MILLIS = 1_500;
   private static final List<FailureKind> FAILURE_KINDS = List.of(FailureKind.values());
   private static final List<Condition> CONDITIONS = List.of(Condition.values());
 
@@ -40,6 +44,10 @@
     if (random.nextBoolean()) {
       fleet.membershipNetwork(new VirtualFleet.Network(0.05, 0, 50, 400));
     }
+    if (random.nextBoolean()) {
+      fleet.withoutHostList();
+    }
+    fleet.callerRetries(random.nextInt(3));
     load(fleet, 0.2 + random.nextDouble());
     fleet.startAll();
     for (int fault = 0; fault < FAULTS; fault++) {
@@ -70,11 +78,15 @@
   }
 
   private static void schedule(FleetSimulation fleet, Random random, long at) {
-    switch (random.nextInt(5)) {
+    switch (random.nextInt(9)) {
       case 0 -> restartSome(fleet, random, at);
       case 1 -> restartInSequence(fleet, random, at);
       case 2 -> cut(fleet, random, at);
       case 3 -> failSome(fleet, random, at);
+      case 4 -> pauseSome(fleet, random, at);
+      case 5 -> discardKvCaches(fleet, random, at);
+      case 6 -> delayMessages(fleet, random, at);
+      case 7 -> failPrefills(fleet, random, at);
       default -> changeCondition(fleet, random, at);
     }
   }
@@ -110,6 +122,41 @@
     fleet.at(at, () -> fleet.upstreams(service).forEach(upstream -> upstream.failing(share, kind)));
   }
 
+  private static void pauseSome(FleetSimulation fleet, Random random, long at) {
+    int pauses = 1 + random.nextInt(3 * HOSTS);
+    for (int pause = 0; pause < pauses; pause++) {
+      int host = random.nextInt(HOSTS);
+      long millis = 200 + random.nextLong(LONGEST_PAUSE_MILLIS);
+      fleet.at(at + random.nextLong(LONGEST_PAUSE_MILLIS), () -> fleet.pause(host, millis));
+    }
+  }
+
+  private static void discardKvCaches(FleetSimulation fleet, Random random, long at) {
+    double share = random.nextDouble();
+    for (SimulatedUpstream upstream : fleet.upstreams(FleetSimulation.MODEL)) {
+      if (random.nextDouble() < share) {
+        fleet.at(at, () -> upstream.discardsKvCaches(true));
+        fleet.at(at + 1_000 + random.nextLong(6_000), () -> upstream.discardsKvCaches(false));
+      }
+    }
+  }
+
+  private static void delayMessages(FleetSimulation fleet, Random random, long at) {
+    long millis = 1 + random.nextLong(LONGEST_MESSAGE_MILLIS);
+    fleet.at(at, () -> fleet.longestMessageMillis(millis));
+    fleet.at(at + 2_000 + random.nextLong(8_000), () -> fleet.longestMessageMillis(2));
+  }
+
+  private static void failPrefills(FleetSimulation fleet, Random random, long at) {
+    FailureKind kind = FAILURE_KINDS.get(random.nextInt(FAILURE_KINDS.size()));
+    double share = random.nextDouble();
+    for (SimulatedUpstream upstream : fleet.upstreams(FleetSimulation.MODEL)) {
+      if (upstream.definition().role() == UpstreamRole.PREFILL) {
+        fleet.at(at, () -> upstream.failing(share, kind));
+      }
+    }
+  }
+
   private static void changeCondition(FleetSimulation fleet, Random random, long at) {
     String service = random.nextBoolean() ? FleetSimulation.MODEL : FleetSimulation.PLAIN;
     List<SimulatedUpstream> upstreams = fleet.upstreams(service);
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/SimulatedHost.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/SimulatedHost.java
@@ -8,6 +8,7 @@
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.Completion;
+import org.marjoramsail.core.outcome.KvSource;
 import org.marjoramsail.core.outcome.LifecycleAction;
 import org.marjoramsail.core.outcome.LifecycleEvent;
 import org.marjoramsail.core.outcome.RequestProfile;
@@ -25,6 +26,7 @@
   private final DistributedPlacement placement;
   private final RequestRegistry registry;
   private boolean running = true;
+  private long pausedUntilMillis;
 
   SimulatedHost(DaemonId id, DistributedPlacement placement, RequestRegistry registry) {
     this.id = id;
@@ -52,6 +54,24 @@
     running = false;
   }
 
+  /** Lets the process handle nothing until a time. */
+  void pauseUntil(long millis) {
+    pausedUntilMillis = millis;
+  }
+
+  boolean isPaused(long nowMillis) {
+    return nowMillis < pausedUntilMillis;
+  }
+
+  /** Runs an action now, or once the process continues. */
+  void whenAwake(FleetSimulation simulation, Runnable action) {
+    if (isPaused(simulation.now())) {
+      simulation.at(pausedUntilMillis, () -> whenAwake(simulation, action));
+    } else if (running) {
+      action.run();
+    }
+  }
+
   /** The upstreams' and the caller's side of one request. */
   static final class Exchange implements AttemptSender, CallerSink {
 
@@ -84,7 +104,13 @@
     @Override
     public Optional<OpenCall> sendPrefill(
         LifecycleAction.SendPrefill send, Consumer<LifecycleEvent> events) {
-      return call(SimulatedUpstream.CallKind.PREFILL, send.upstream(), send.attempt(), 0, events);
+      return call(
+          SimulatedUpstream.CallKind.PREFILL,
+          send.upstream(),
+          send.attempt(),
+          Optional.empty(),
+          0,
+          events);
     }
 
     @Override
@@ -94,6 +120,7 @@
           SimulatedUpstream.CallKind.DECODE,
           send.upstream(),
           send.attempt(),
+          send.kv().map(KvSource::holder),
           send.startIndex(),
           events);
     }
@@ -101,13 +128,20 @@
     @Override
     public Optional<OpenCall> sendPlain(
         LifecycleAction.SendPlain send, Consumer<LifecycleEvent> events) {
-      return call(SimulatedUpstream.CallKind.PLAIN, send.upstream(), send.attempt(), 0, events);
+      return call(
+          SimulatedUpstream.CallKind.PLAIN,
+          send.upstream(),
+          send.attempt(),
+          Optional.empty(),
+          0,
+          events);
     }
 
     private Optional<OpenCall> call(
         SimulatedUpstream.CallKind kind,
         UpstreamName upstream,
         int attempt,
+        Optional<UpstreamName> kvHolder,
         int firstToken,
         Consumer<LifecycleEvent> events) {
       SimulatedUpstream.Parameters parameters =
@@ -117,9 +151,10 @@
               request,
               profile.id(),
               attempt,
+              kvHolder,
               firstToken,
               profile.outputTokens(),
-              event -> delivered(event, events));
+              event -> host.whenAwake(simulation, () -> delivered(event, events)));
       return Optional.of(simulation.upstream(upstream).call(parameters));
     }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/SimulatedUpstream.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/SimulatedUpstream.java
@@ -1,14 +1,19 @@
 package org.marjoramsail.daemon.fleet;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.LifecycleEvent;
 import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.daemon.request.OpenCall;
+import org.marjoramsail.standin.load.ArrivalLog;
 
 /** An upstream that serves, fails, rejects or is down, and records each arrival. */
 final class SimulatedUpstream {
@@ -43,7 +48,11 @@
     /** The connection is cut while the response is due; a stream is cut after its first tokens. */
     CUT,
     /** A response that the call was not run. */
-    REJECTION
+    REJECTION,
+    /** A response that violates the protocol. */
+    MALFORMED,
+    /** No response at all. */
+    HANG
   }
 
   /** What a call asks for. */
@@ -61,6 +70,7 @@
    * @param request the request, as its caller identifies it
    * @param id the request, as the host identifies it
    * @param attempt the number of the attempt
+   * @param kvHolder the prefill upstream whose KV cache a decode call fetches
    * @param firstToken the index of the first token that is asked for
    * @param tokens the length of the whole output
    * @param events receives the results
@@ -71,6 +81,7 @@
       String request,
       RequestId id,
       int attempt,
+      Optional<UpstreamName> kvHolder,
       int firstToken,
       int tokens,
       Consumer<LifecycleEvent> events) {}
@@ -102,6 +113,8 @@
   private Condition condition = Condition.SERVING;
   private FailureKind failureKind = FailureKind.RESPONSE;
   private double failingShare;
+  private boolean discardsKvCaches;
+  private final Map<RequestId, Long> kvExpiryMillis = new HashMap<>();
 
   /**
    * Creates an upstream that serves.
@@ -129,6 +142,11 @@
     failureKind = kind;
   }
 
+  /** Sets whether each KV cache is discarded before a decode upstream can fetch it. */
+  void discardsKvCaches(boolean discards) {
+    discardsKvCaches = discards;
+  }
+
   /** Changes the condition; an upstream that is no longer reachable cuts its calls. */
   void condition(Condition newCondition) {
     condition = newCondition;
@@ -163,7 +181,11 @@
     }
     boolean fails = random.nextDouble() < failingShare;
     boolean rejected = fails && failureKind == FailureKind.REJECTION;
-    boolean accepted = condition == Condition.SERVING && runningCalls() < capacity && !rejected;
+    boolean accepted =
+        condition == Condition.SERVING
+            && runningCalls() < capacity
+            && !rejected
+            && fetchesKvCache(call.parameters);
     record(call.parameters, accepted);
     if (!accepted) {
       fail(call, UpstreamFailure.FULL, LINK_MILLIS);
@@ -173,6 +195,19 @@
     }
   }
 
+  /** Returns whether a call can be served as far as its KV cache is concerned. */
+  private boolean fetchesKvCache(Parameters parameters) {
+    return parameters
+        .kvHolder()
+        .map(holder -> simulation.upstream(holder).takeKvCache(parameters.id()))
+        .orElse(true);
+  }
+
+  private boolean takeKvCache(RequestId request) {
+    Long expiryMillis = kvExpiryMillis.remove(request);
+    return condition.isReachable() && expiryMillis != null && simulation.now() < expiryMillis;
+  }
+
   private void record(Parameters parameters, boolean accepted) {
     ArrivalLog arrivals = simulation.arrivals(definition.service());
     if (parameters.kind() == CallKind.PREFILL) {
@@ -183,6 +218,9 @@
   }
 
   private void start(Call call, boolean fails) {
+    if (fails && failureKind == FailureKind.HANG) {
+      return;
+    }
     switch (call.parameters.kind()) {
       case PLAIN -> finishAfter(PLAIN_MILLIS, call, fails ? failure(call) : plainResponse(call));
       case PREFILL -> finishAfter(PREFILL_MILLIS, call, fails ? failure(call) : prefilled(call));
@@ -194,7 +232,9 @@
     return new LifecycleEvent.PlainResponseReceived(call.parameters.attempt());
   }
 
-  private static LifecycleEvent prefilled(Call call) {
+  private LifecycleEvent prefilled(Call call) {
+    long lifetimeMillis = discardsKvCaches ? 0 : KV_LIFETIME_MILLIS;
+    kvExpiryMillis.put(call.parameters.id(), simulation.now() + PREFILL_MILLIS + lifetimeMillis);
     return new LifecycleEvent.Prefilled(
         call.parameters.attempt(), "kv", 1, 0, PREFILL_MILLIS, KV_LIFETIME_MILLIS);
   }
@@ -203,13 +243,16 @@
     if (failureKind == FailureKind.CUT) {
       return failed(call, UpstreamFailure.CUT);
     }
+    if (failureKind == FailureKind.MALFORMED) {
+      return failed(call, UpstreamFailure.MALFORMED);
+    }
     return call.parameters.kind() == CallKind.PREFILL
         ? failed(call, UpstreamFailure.MALFORMED)
         : new LifecycleEvent.FailureResponseReceived(call.parameters.attempt());
   }
 
   private void startDecode(Call call, boolean fails) {
-    if (fails && failureKind == FailureKind.RESPONSE) {
+    if (fails && failureKind != FailureKind.CUT) {
       finishAfter(TOKEN_MILLIS, call, failure(call));
       return;
     }
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/ArrivalLog.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/ArrivalLog.java
@@ -1,4 +1,4 @@
-package org.marjoramsail.daemon.fleet;
+package org.marjoramsail.standin.load;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -11,12 +11,12 @@
  * retries of the whole fleet in each window follow.
  *
  * <p>Each arrival beyond the first of a request is a retry, also if the upstream rejects it. The
- * first prefill that an upstream accepts is none.
+ * first prefill that an upstream accepts is none. Not thread-safe.
  */
-final class ArrivalLog {
+public final class ArrivalLog {
 
   /** Length of the windows, in milliseconds. */
-  static final long WINDOW_MILLIS = 10_000;
+  public static final long WINDOW_MILLIS = 10_000;
 
   /**
    * The window with the most retries beyond what is allowed.
@@ -25,8 +25,9 @@
    * @param retries the retries in it
    * @param allowed the retries allowed in it
    */
-  record Window(long fromMillis, int retries, double allowed) {
-    double excess() {
+  public record Window(long fromMillis, int retries, double allowed) {
+    /** Returns the retries beyond what is allowed; negative if there are none. */
+    public double excess() {
       return retries - allowed;
     }
   }
@@ -43,18 +44,24 @@
   private final List<Long> firstArrivals = new ArrayList<>();
   private final Map<String, Received> received = new HashMap<>();
 
-  ArrivalLog(double ratio, double slack) {
+  /**
+   * Creates an empty log.
+   *
+   * @param ratio retries allowed for each request of a window
+   * @param slack retries allowed in addition, for each window
+   */
+  public ArrivalLog(double ratio, double slack) {
     this.ratio = ratio;
     this.slack = slack;
   }
 
   /** Records that a caller sent a request, whether it arrives or not. */
-  void requested(long nowMillis) {
+  public void requested(long nowMillis) {
     requests.add(nowMillis);
   }
 
   /** Records that a prefill arrived at an upstream. */
-  void prefillArrived(String request, boolean accepted, long nowMillis) {
+  public void prefillArrived(String request, boolean accepted, long nowMillis) {
     Received before = received.computeIfAbsent(request, id -> new Received());
     if (accepted && !before.prefilled) {
       before.prefilled = true;
@@ -64,7 +71,7 @@
   }
 
   /** Records that a request arrived at an upstream that is to run it. */
-  void runArrived(String request, long nowMillis) {
+  public void runArrived(String request, long nowMillis) {
     arrived(received.computeIfAbsent(request, id -> new Received()), nowMillis);
   }
 
@@ -73,12 +80,13 @@
     before.arrived = true;
   }
 
-  int retries() {
+  /** Returns the number of retries in all windows. */
+  public int retries() {
     return retries.size();
   }
 
   /** Returns the window in which the retries exceed what is allowed by most. */
-  Window worstWindow() {
+  public Window worstWindow() {
     // Retries are counted least favourably in a window that begins with one of them.
     return retries.stream()
         .map(this::windowFrom)
@@ -87,7 +95,7 @@
   }
 
   /** Returns the most requests that reached an upstream for the first time in any window. */
-  int mostFirstArrivals() {
+  public int mostFirstArrivals() {
     return firstArrivals.stream().mapToInt(from -> countFrom(firstArrivals, from)).max().orElse(0);
   }
 
