Count the retries that owners grant

Owners now count what they grant, by service; grants of an earlier owner that are restored count for the window, and not again.

--- a/core/src/main/java/org/marjoramsail/core/placement/RetryBudget.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RetryBudget.java
@@ -34,6 +34,7 @@
   private final WindowCount requests;
   private final WindowCount retries;
   private int reserved;
+  private int granted;
   private int refused;
   private double slackShare;
   private long slackFromMillis = NEVER;
@@ -91,6 +92,14 @@
 
   /** Counts the retries that a granted attempt makes. */
   void retriesGranted(int count, long nowMillis) {
+    granted += count;
+    retries.add(count, nowMillis);
+  }
+
+  /**
+   * Counts the retries of an attempt that another owner granted, perhaps within the same window.
+   */
+  void retriesRestored(int count, long nowMillis) {
     retries.add(count, nowMillis);
   }
 
@@ -101,6 +110,13 @@
     return (int) Math.floor(allowed) - (int) retries.sum(nowMillis) - reserved;
   }
 
+  /** Returns the number of retries that were granted since the last call. */
+  public int takeGranted() {
+    int taken = granted;
+    granted = 0;
+    return taken;
+  }
+
   /** Returns the number of attempts that were refused since the last call. */
   public int takeRefused() {
     int taken = refused;
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardCoordinator.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardCoordinator.java
@@ -258,8 +258,7 @@
       Registration registration = new Registration(from, request, nowMillis);
       registration.grant = restore.grant();
       registrations.put(request.request(), registration);
-      // Another owner granted it, perhaps within the same window.
-      retries.retriesGranted(retriesOf(request, restore.grant()), nowMillis);
+      retries.retriesRestored(retriesOf(request, restore.grant()), nowMillis);
       result.addAll(
           outgoing(
               placer.restore(request, restore.grant(), restore.phase(), nowMillis), nowMillis));
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -107,6 +107,7 @@
             timings,
             retryLimits,
             clock,
+            meters,
             outgoing -> send(outgoing.to(), outgoing.message()));
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShard.java
@@ -54,6 +54,10 @@
   }
 
   /** Returns the number of attempts whose retry was refused since the last call. */
+  synchronized int takeGrantedRetries() {
+    return retries.takeGranted();
+  }
+
   synchronized int takeRefusedRetries() {
     return retries.takeRefused();
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.daemon.placement;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -49,6 +50,7 @@
   private final PlacementTimings timings;
   private final RetryLimits retryLimits;
   private final Clock clock;
+  private final MeterRegistry meters;
   private final Consumer<ShardCoordinator.Outgoing> sender;
   private final UsageHistory usageHistory;
   private final Map<ShardId, OwnedShard> shards = new ConcurrentHashMap<>();
@@ -61,12 +63,14 @@
       PlacementTimings timings,
       RetryLimits retryLimits,
       Clock clock,
+      MeterRegistry meters,
       Consumer<ShardCoordinator.Outgoing> sender) {
     this.self = self;
     this.topology = topology;
     this.timings = timings;
     this.retryLimits = retryLimits;
     this.clock = clock;
+    this.meters = meters;
     this.usageHistory = new UsageHistory(clock.millis());
     this.sender = sender;
   }
@@ -160,6 +164,7 @@
     long now = clock.millis();
     shards.values().forEach(shard -> send(shard.tick(now)));
     shards.values().forEach(OwnedShards::log);
+    shards.values().forEach(this::countGrantedRetries);
     logRefusedRetries(now);
     shards
         .values()
@@ -228,6 +233,15 @@
     return idleShard.view(clock.millis());
   }
 
+  private void countGrantedRetries(OwnedShard shard) {
+    int granted = shard.takeGrantedRetries();
+    if (granted > 0) {
+      meters
+          .counter("marjoramsail.retries.granted", "service", shard.shard().service())
+          .increment(granted);
+    }
+  }
+
   /** Logs the refused retries of each shard, at most once in a period. */
   private void logRefusedRetries(long nowMillis) {
     if (nowMillis - refusedRetriesLoggedMillis < REFUSED_RETRIES_LOG_MILLIS) {
