--- a/core/src/test/java/org/marjoramsail/core/placement/GrantedRetriesTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/GrantedRetriesTest.java
@@ -23,12 +23,7 @@
   private static final long NOW = 10_000;
 
   private final RetryBudget budget = new RetryBudget(new RetryLimits(0, 2 * RETRIES, NOW));
-  private final ShardCoordinator coordinator =
-      new ShardCoordinator(
-          MODEL_SHARD,
-          PlacementFixtures.placer(PlacementFixtures.pool(3, 3, 10)),
-          PlacementTimings.standard(),
-          budget);
+  private final ShardCoordinator coordinator = owner(budget);
 
   GrantedRetriesTest() {
     budget.slackShare(1, 0);
@@ -131,6 +126,47 @@
     assertThat(budget.available(NOW)).isEqualTo(RETRIES - 2);
   }
 
+  /** Guards against requests that earn retries at each owner that grants them. */
+  @Test
+  void aRequestEarnsNoRetriesWhereItsGrantIsWithdrawnUnused() {
+    RetryBudget earning = new RetryBudget(new RetryLimits(1, 0, NOW));
+    ShardCoordinator owner = owner(earning);
+    for (int number = 0; number < 5; number++) {
+      PlacementRequest request = request("first-" + number).build();
+      owner.handle(ENTRY, new PlacementMessage.Place(MODEL_SHARD, request, List.of()), NOW);
+      owner.handle(ENTRY, new PlacementMessage.Withdraw(MODEL_SHARD, request.request(), 1), NOW);
+    }
+
+    assertThat(earning.available(NOW + 1_000)).isZero();
+  }
+
+  /** Guards against a budget that never grows because requests are not counted at all. */
+  @Test
+  void aRequestEarnsRetriesOnceWhenItsEntryDaemonReportsOnIt() {
+    RetryBudget earning = new RetryBudget(new RetryLimits(1, 0, NOW));
+    ShardCoordinator owner = owner(earning);
+    for (int number = 0; number < 5; number++) {
+      PlacementRequest request = request("first-" + number).build();
+      owner.handle(ENTRY, new PlacementMessage.Place(MODEL_SHARD, request, List.of()), NOW);
+      for (AttemptPhase phase : List.of(AttemptPhase.PREFILLED, AttemptPhase.GENERATING)) {
+        AttemptReport report =
+            new AttemptReport(
+                request.request(), 1, phase, Optional.empty(), Optional.empty(), 0, 0, 0);
+        owner.handle(ENTRY, new PlacementMessage.Report(MODEL_SHARD, report, List.of()), NOW);
+      }
+    }
+
+    assertThat(earning.available(NOW + 1_000)).isEqualTo(4);
+  }
+
+  private static ShardCoordinator owner(RetryBudget retries) {
+    return new ShardCoordinator(
+        MODEL_SHARD,
+        PlacementFixtures.placer(PlacementFixtures.pool(3, 3, 10)),
+        PlacementTimings.standard(),
+        retries);
+  }
+
   private static PlacementFixtures.RequestBuilder request(String name) {
     boolean isRetry = !name.startsWith("first");
     return PlacementFixtures.request(name).attempt(isRetry ? 2 : 1);
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRetryBudgetTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRetryBudgetTest.java
@@ -4,6 +4,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -136,6 +137,46 @@
     assertWithinBudget(fleet);
   }
 
+  /** Guards against requests that count at each owner that grants them while owners stand still. */
+  @ParameterizedTest
+  @ValueSource(longs = {31, 32})
+  void hostsThatStandStillInTurnKeepToTheRetriesOfTheFleet(long seed) {
+    FleetSimulation fleet = new FleetSimulation(size(63), seed);
+    fleet.withoutHostList();
+    Random random = new Random(3);
+    fleet.at(SETTLED_MILLIS - 1_000, () -> allFail(fleet, 0.9, FailureKind.REJECTION));
+    for (long at = SETTLED_MILLIS - 1_000; at < END_MILLIS; at += 100) {
+      int host = random.nextInt(63);
+      fleet.at(at, () -> fleet.pause(host, 3_000));
+    }
+    loadWithStreamsThatRunOnce(fleet);
+    fleet.startAll();
+    fleet.run(END_MILLIS + 2_000);
+    assertWithinBudget(fleet);
+  }
+
+  /** Guards against calls that repeat a rejected prefill without a grant. */
+  @ParameterizedTest
+  @ValueSource(longs = {31, 32})
+  void eachRetryThatArrivesWhilePrefillsAreRejectedWasGranted(long seed) {
+    FleetSimulation fleet = new FleetSimulation(size(63), seed);
+    for (SimulatedUpstream upstream : fleet.upstreams(FleetSimulation.MODEL)) {
+      if (upstream.definition().role() == UpstreamRole.PREFILL) {
+        rejectEveryOtherSecond(fleet, upstream);
+      }
+    }
+    loadWithStreamsThatRunOnce(fleet);
+    fleet.startAll();
+    fleet.run(END_MILLIS + 2_000);
+
+    double granted =
+        fleet.counted("marjoramsail.retries.granted", "service", FleetSimulation.MODEL);
+    assertThat(fleet.arrivals(FleetSimulation.MODEL).retries())
+        .as("retries that arrived")
+        .isPositive()
+        .isLessThanOrEqualTo((int) granted);
+  }
+
   /** Guards against a budget that refuses the callers of one failed engine in a calm fleet. */
   @ParameterizedTest
   @CsvSource({"77, 1", "77, 2", "77, 3"})
@@ -191,6 +232,7 @@
   private static Size size(int hosts) {
     return switch (hosts) {
       case 7 -> new Size(7, 10, 3, 54);
+      case 63 -> new Size(63, 42, 5, 166);
       case 77 -> new Size(77, 34, 3, 194);
       default -> new Size(390, 170, 15, 194);
     };
@@ -205,6 +247,21 @@
     fleet.load(RequestKind.BALLOT, 90 * factor, fromMillis, END_MILLIS);
   }
 
+  /** Loads a fleet of 63 hosts mostly with streams and plain requests that may run once only. */
+  private static void loadWithStreamsThatRunOnce(FleetSimulation fleet) {
+    fleet.load(RequestKind.RESUMABLE_STREAM, 2.1, 3_000, END_MILLIS);
+    fleet.load(RequestKind.STREAM, 42.2, 3_000, END_MILLIS);
+    fleet.load(RequestKind.LOOKUP, 51.3, 3_000, END_MILLIS);
+    fleet.load(RequestKind.BALLOT, 128, 3_000, END_MILLIS);
+  }
+
+  private static void rejectEveryOtherSecond(FleetSimulation fleet, SimulatedUpstream upstream) {
+    for (long at = SETTLED_MILLIS; at < END_MILLIS; at += 2_000) {
+      fleet.at(at, () -> upstream.condition(Condition.REJECTING));
+      fleet.at(at + 1_000, () -> upstream.condition(Condition.SERVING));
+    }
+  }
+
   private static void allFail(FleetSimulation fleet, double share, FailureKind kind) {
     for (String service : List.of(FleetSimulation.MODEL, FleetSimulation.PLAIN)) {
       fleet.upstreams(service).forEach(upstream -> upstream.failing(share, kind));
