Charge the call that follows a rejected prefill

What callers saw: a pool that is already failing gets more retries than the fleet is allowed, so that it recovers later.

Cause: the budget charged a call only if one of the same kind had arrived before. The rule takes only the first prefill that an upstream accepts for a part of the first run. A rejected prefill is an arrival, so the decode call after it is a retry; if the decode engine prefilled the prompt itself, that retry was neither granted nor counted.

Why it works: an attempt now says whether an upstream has accepted a prefill, and whether any other call has arrived, rejected prefills included. Whatever is sent after the latter is a retry. For each order of accepted and rejected calls the charge is what the rule counts, or one more.

--- a/core/src/main/java/org/marjoramsail/core/outcome/AttemptHistory.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptHistory.java
@@ -18,8 +18,8 @@
   private final Set<Integer> possiblyRun = new HashSet<>(2);
   private final Set<Integer> endReported = new HashSet<>(2);
   private boolean claimRecorded;
-  private boolean prefillReached;
-  private boolean targetReached;
+  private boolean prefillAccepted;
+  private boolean otherCallReached;
   private int sends;
 
   AttemptHistory(RequestProfile profile, Invariants invariants) {
@@ -60,15 +60,19 @@
     }
   }
 
-  /** Records that a call reached an upstream: a prefill upstream, or the target of its attempt. */
-  void upstreamReached(boolean prefill) {
-    prefillReached |= prefill;
-    targetReached |= !prefill;
+  /**
+   * Records that a call reached an upstream.
+   *
+   * @param acceptedPrefill whether it was a prefill that the upstream accepted
+   */
+  void upstreamReached(boolean acceptedPrefill) {
+    prefillAccepted |= acceptedPrefill;
+    otherCallReached |= !acceptedPrefill;
   }
 
   /** Returns the calls that have reached an upstream, including those that it rejected. */
   PriorCalls priorCalls() {
-    return new PriorCalls(prefillReached, targetReached);
+    return new PriorCalls(prefillAccepted, otherCallReached);
   }
 
   void markNotRun(int attempt) {
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -459,7 +459,7 @@
     if (failure.isNeverSent()) {
       history.undoSend(prefillFailed);
     } else {
-      history.upstreamReached(prefillFailed);
+      history.upstreamReached(false);
     }
     actions.add(new LifecycleAction.CloseAttempt(attempt));
     actions.addAll(outstanding.cancel(attempt, upstream, nowMillis));
--- a/core/src/test/java/org/marjoramsail/core/placement/GrantedRetriesTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/GrantedRetriesTest.java
@@ -16,7 +16,7 @@
 /** The retries that the owner of a shard counts and refuses. */
 final class GrantedRetriesTest {
 
-  private static final PriorCalls PREFILL_AND_TARGET = new PriorCalls(true, true);
+  private static final PriorCalls PREFILL_AND_DECODE = new PriorCalls(true, true);
   private static final int RETRIES = 4;
 
   /** The first moment at which the slack of four retries is used. */
@@ -32,14 +32,14 @@
   /** Guards against a resumed stream whose second prefill is not counted. */
   @Test
   void aRetryThatPrefillsAgainCountsTwice() {
-    place(request("a").after(PREFILL_AND_TARGET).build());
+    place(request("a").after(PREFILL_AND_DECODE).build());
 
     assertThat(budget.available(NOW)).isEqualTo(RETRIES - 2);
   }
 
   @Test
   void aRetryThatFetchesALiveKvCacheCountsOnce() {
-    place(request("a").after(PREFILL_AND_TARGET).kvHeldBy("prefill-0").build());
+    place(request("a").after(PREFILL_AND_DECODE).kvHeldBy("prefill-0").build());
 
     assertThat(budget.available(NOW)).isEqualTo(RETRIES - 1);
   }
@@ -54,6 +54,21 @@
     assertThat(budget.available(NOW)).isEqualTo(RETRIES - 1);
   }
 
+  /** Guards against a rejected prefill that is repeated on the decode upstream without a grant. */
+  @Test
+  void aDecodeUpstreamThatPrefillsAfterARejectedPrefillCountsOnce() {
+    coordinator.apply(
+        (placer, now) ->
+            List.of("prefill-0", "prefill-1", "prefill-2").stream()
+                .flatMap(name -> placer.availability(new UpstreamName(name), false, now).stream())
+                .toList(),
+        NOW);
+
+    place(request("a").after(new PriorCalls(false, true)).build());
+
+    assertThat(budget.available(NOW)).isEqualTo(RETRIES - 1);
+  }
+
   /** A connection that failed sent nothing, so the attempt after it repeats nothing. */
   @Test
   void anAttemptAfterFailedConnectionsCostsNothing() {
@@ -64,10 +79,10 @@
 
   @Test
   void aRetryBeyondTheBudgetIsRefusedAtOnceWithTheCountsThatDecided() {
-    place(request("a").after(PREFILL_AND_TARGET).build());
-    place(request("b").after(PREFILL_AND_TARGET).build());
+    place(request("a").after(PREFILL_AND_DECODE).build());
+    place(request("b").after(PREFILL_AND_DECODE).build());
 
-    List<PlacementMessage> answers = place(request("c").after(PREFILL_AND_TARGET).build());
+    List<PlacementMessage> answers = place(request("c").after(PREFILL_AND_DECODE).build());
 
     PlacementMessage.Refused refused = (PlacementMessage.Refused) answers.get(0);
     assertThat(refused.refusal().reason()).isEqualTo(RefusalReason.RETRIES_EXHAUSTED);
@@ -80,7 +95,7 @@
     for (int request = 0; request < 10; request++) {
       place(request("first-" + request).build());
     }
-    place(request("waiting").after(PREFILL_AND_TARGET).build());
+    place(request("waiting").after(PREFILL_AND_DECODE).build());
     assertThat(budget.available(NOW)).isEqualTo(RETRIES - 2);
 
     handle(new PlacementMessage.Withdraw(MODEL_SHARD, new RequestId("waiting"), 2));
@@ -97,7 +112,7 @@
       place(request("first-" + request).build());
     }
     PlacementRequest waiting =
-        request("waiting").entry(OTHER_ENTRY).after(PREFILL_AND_TARGET).build();
+        request("waiting").entry(OTHER_ENTRY).after(PREFILL_AND_DECODE).build();
     handle(OTHER_ENTRY, new PlacementMessage.Place(MODEL_SHARD, waiting, List.of()));
 
     coordinator.daemonFailed(OTHER_ENTRY, NOW);
@@ -108,7 +123,7 @@
   /** Guards against an owner that dies, and a successor that does not count what it granted. */
   @Test
   void aRetryThatAnEarlierOwnerGrantedCountsAtItsSuccessor() {
-    PlacementRequest request = request("a").after(PREFILL_AND_TARGET).build();
+    PlacementRequest request = request("a").after(PREFILL_AND_DECODE).build();
     Grant grant =
         new Grant(
             request.request(),
