Let each request earn retries at one owner

What callers saw: more retries than the fleet is allowed while hosts stand still for seconds, as processes do that are short of processor.

Cause: an owner counted a request when it granted the first attempt. While an owner stands still, its entry daemons move their attempts to the next in rank; both grant them, and the entry daemon uses one grant. The request earned retries at both.

Why it works: a request counts at the first report of its entry daemon on it.

--- a/core/src/main/java/org/marjoramsail/core/placement/RetryBudget.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RetryBudget.java
@@ -1,16 +1,17 @@
 package org.marjoramsail.core.placement;
 
 /**
- * Limits the retries that the owner of a shard grants, by the requests and retries that it granted
- * itself within the last window.
+ * Limits the retries that the owner of a shard grants, by the requests that started and the retries
+ * that it granted itself within the last window.
  *
  * <p>Guards against overload from retries: in an outage every request would be sent several times,
  * and upstreams that recover would fail again. The limit holds for the whole fleet:
  *
  * <ul>
- *   <li>A part of the retries is proportional to the requests. Each request counts at the owner
- *       that grants its first attempt, so that the parts of all owners of a shard add up, however
- *       many there are and however often they change or restart.
+ *   <li>A part of the retries is proportional to the requests. Each request counts at one owner:
+ *       the one to which its entry daemon first reports on it. So the parts of all owners of a
+ *       shard add up, however many there are and however often they change or restart. Several
+ *       owners may grant the same attempt while it moves, and the entry daemon uses one grant.
  *   <li>The slack is fixed for the fleet. Only a daemon that has ranked first for the shard during
  *       a whole window uses it, so that a predecessor's use is no longer in the same window.
  * </ul>
@@ -65,8 +66,8 @@
     return slackShare;
   }
 
-  /** Counts the first attempt of a request when it is granted. */
-  void requestGranted(long nowMillis) {
+  /** Counts a request whose first attempt was granted and used. */
+  void requestStarted(long nowMillis) {
     requests.add(1, nowMillis);
   }
 
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardCoordinator.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardCoordinator.java
@@ -38,6 +38,7 @@
     private final int attempt;
     private long lastMessageMillis;
     private Grant grant;
+    private boolean isCounted;
 
     Registration(DaemonId entry, PlacementRequest request, long lastMessageMillis) {
       this.entry = entry;
@@ -257,6 +258,8 @@
       }
       Registration registration = new Registration(from, request, nowMillis);
       registration.grant = restore.grant();
+      // A later phase was reported to an earlier owner, which counted the request then.
+      registration.isCounted = restore.phase() != AttemptPhase.PREFILLING;
       registrations.put(request.request(), registration);
       retries.retriesRestored(retriesOf(request, restore.grant()), nowMillis);
       result.addAll(
@@ -273,6 +276,7 @@
       return List.of();
     }
     existing.lastMessageMillis = nowMillis;
+    countRequest(existing, nowMillis);
     if (existing.grant == null) {
       // The entry daemon received its grant from another owner while the attempt still waited here.
       // The placer ignores the end of a waiting attempt; without this withdrawal it would later
@@ -362,13 +366,19 @@
     if (registration.grant == null) {
       retries.release(registration.reservedRetries());
       retries.retriesGranted(retriesOf(registration.request, grant), nowMillis);
-      if (!registration.request.isRepeat()) {
-        retries.requestGranted(nowMillis);
-      }
     }
     registration.grant = grant;
   }
 
+  /** Counts a request at the first report on its first attempt, which proves that it started. */
+  private void countRequest(Registration registration, long nowMillis) {
+    boolean isFirstReport = registration.grant != null && !registration.isCounted;
+    if (isFirstReport && !registration.request.isRepeat()) {
+      registration.isCounted = true;
+      retries.requestStarted(nowMillis);
+    }
+  }
+
   private void remove(RequestId request) {
     Registration removed = registrations.remove(request);
     if (removed != null) {
--- a/core/src/test/java/org/marjoramsail/core/placement/RetryBudgetTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/RetryBudgetTest.java
@@ -17,7 +17,7 @@
     int requests = 10_000;
     int retries = 0;
     for (int request = 0; request < requests; request++) {
-      budget.requestGranted(20_000 + request);
+      budget.requestStarted(20_000 + request);
       for (int attempt = 1; attempt < MAXIMUM_TRIES && tryRetry(budget, 20_000 + request); ) {
         attempt++;
         retries++;
@@ -70,7 +70,7 @@
     RetryBudget budget = settledBudget();
     int requestsInAWindow = 1_000;
     for (int request = 0; request < 100 * requestsInAWindow; request++) {
-      budget.requestGranted(20_000 + request * 10L);
+      budget.requestStarted(20_000 + request * 10L);
     }
 
     assertThat(retryAll(budget, 20_000 + 100 * 10_000))
@@ -87,7 +87,7 @@
       budget.slackShare(1, 20_000 + owner * 100L);
       for (int request = 0; request < 10; request++) {
         requests++;
-        budget.requestGranted(20_000 + owner * 100L);
+        budget.requestStarted(20_000 + owner * 100L);
         retries += retryAll(budget, 20_000 + owner * 100L);
       }
     }
@@ -100,7 +100,7 @@
   void anAttemptThatRepeatsNothingIsNeverRefused() {
     RetryBudget budget = new RetryBudget(LIMITS);
     for (int request = 0; request < 1_000; request++) {
-      budget.requestGranted(0);
+      budget.requestStarted(0);
     }
     retryAll(budget, 9_000);
 
