--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateFaultsTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateFaultsTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Random;
 import java.util.function.Consumer;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -59,6 +60,13 @@
         });
   }
 
+  /** Guards against owners whose shares include daemons that have moved to another owner. */
+  @ParameterizedTest
+  @CsvSource({"7, 11", "7, 12", "77, 11", "77, 12"})
+  void hostsThatStandStillInTurnKeepToTheRateOfAnOrganisation(int hosts, long seed) {
+    assertLimitHolds(hosts, seed, fleet -> pausesInTurn(fleet, hosts));
+  }
+
   /** Guards against a whole rate for each host that reaches no other. */
   @ParameterizedTest
   @CsvSource({"7, 11", "7, 12", "77, 11", "77, 12"})
@@ -128,6 +136,15 @@
     }
   }
 
+  /** Lets ten hosts a second stand still for three seconds, at random. */
+  private static void pausesInTurn(FleetSimulation fleet, int hosts) {
+    Random random = new Random(3);
+    for (int pause = 0; pause < 150; pause++) {
+      int host = random.nextInt(hosts);
+      fleet.at(FleetRateScenario.FAULT_MILLIS + pause * 100L, () -> fleet.pause(host, 3_000));
+    }
+  }
+
   /** Restarts ten hosts a second, one after the other. */
   private static void rollingRestarts(FleetSimulation fleet, int hosts) {
     for (int restart = 0; restart < 150; restart++) {
