Use the retry slack only where the size of the fleet is known

What callers saw: after a fleet restarted while it was divided, each part gave itself half of the slack, so that failing pools got more retries than the fleet is allowed.

Cause: an owner uses half of the slack times the part of the known hosts that it reaches. The users' platform has no list of hosts; a daemon that restarts knows those that it meets. Three or more parts use more than the whole slack. The simulation gave daemons a list of hosts, so that no test showed it.

Why it works: daemons share their seeds, and only one part of a divided fleet reaches most of them. A daemon that has reached most of them once knows the members, and counts those that it loses later. Cost: while more than half of the seeds are down, daemons that restart repeat within the ratio alone. Nothing is read or written for it.

--- a/core/src/main/java/org/marjoramsail/core/membership/MemberTable.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MemberTable.java
@@ -158,12 +158,20 @@
     return unknown.size();
   }
 
-  MembershipView view(Predicate<String> regionReachable, int unknownHosts) {
+  /** Returns whether more than half of some addresses belong to active members. */
+  boolean reachesMostOf(List<PeerAddress> listed) {
+    Set<PeerAddress> distinct = new HashSet<>(listed);
+    Set<PeerAddress> reached = activeAddresses();
+    reached.retainAll(distinct);
+    return distinct.isEmpty() || 2 * reached.size() > distinct.size();
+  }
+
+  MembershipView view(Predicate<String> regionReachable, int unknownHosts, boolean isFleetKnown) {
     List<Member> members =
         entries.values().stream()
             .map(entry -> entry.member(regionReachable.test(entry.update().region())))
             .toList();
-    return new MembershipView(self().member(true), members, unknownHosts);
+    return new MembershipView(self().member(true), members, unknownHosts, isFleetKnown);
   }
 
   private void refreshLists() {
--- a/core/src/main/java/org/marjoramsail/core/membership/MembershipProtocol.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipProtocol.java
@@ -45,6 +45,7 @@
   private final MembershipCounts counts = new MembershipCounts();
 
   private List<PeerAddress> hostList = List.of();
+  private boolean hasReachedMostSeeds;
   private List<MembershipAction> actions = new ArrayList<>();
   private boolean changed;
   private boolean hasNewSuspicions;
@@ -88,7 +89,19 @@
 
   /** Returns the current view. */
   public MembershipView view() {
-    return table.view(regions::isReachable, unknownHosts());
+    return table.view(regions::isReachable, unknownHosts(), isFleetKnown());
+  }
+
+  /**
+   * Returns whether the size of the fleet is known, from the host list or from members.
+   *
+   * <p>Daemons share their seeds, so that only one part of a divided fleet reaches most of them. A
+   * daemon that has reached most of them once has met the whole fleet; members that fail later stay
+   * in its table.
+   */
+  private boolean isFleetKnown() {
+    hasReachedMostSeeds |= table.reachesMostOf(seeds);
+    return hasReachedMostSeeds || !hostList.isEmpty();
   }
 
   /** Returns the address of an incarnation, if it is the newest one known on its host. */
--- a/core/src/main/java/org/marjoramsail/core/membership/MembershipView.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipView.java
@@ -8,8 +8,11 @@
  * @param self the observing daemon
  * @param members all known daemons including {@code self}, ordered by host
  * @param unknownHosts hosts on the platform's host list of which no daemon is known
+ * @param isFleetKnown whether the size of the fleet is known, so that the other parts of a divided
+ *     fleet are accounted for
  */
-public record MembershipView(Member self, List<Member> members, int unknownHosts) {
+public record MembershipView(
+    Member self, List<Member> members, int unknownHosts, boolean isFleetKnown) {
 
   /** Allowed excess of the shares of all sides of a network partition, as a factor. */
   private static final double MAXIMUM_EXCESS_FACTOR = 1.1;
@@ -21,7 +24,7 @@
 
   /** Creates the view of a daemon that knows all listed hosts. */
   public MembershipView(Member self, List<Member> members) {
-    this(self, members, 0);
+    this(self, members, 0, true);
   }
 
   /** Returns the daemons of a region that may own shards. */
@@ -53,7 +56,9 @@
    *
    * <p>A daemon cannot tell hosts that are cut off from hosts that have failed. Hosts that are cut
    * off grant requests as well, so the shares of all sides of a partition must not exceed the
-   * limit. A daemon that has just started knows the size of the fleet from the host list.
+   * limit. A daemon that has just started knows the size of the fleet from the host list. Without
+   * one, parts of a fleet that restarted while they were divided do not know of each other; {@link
+   * #isFleetKnown} tells whether that is excluded.
    */
   public double budgetShare() {
     int known = knownHosts();
--- a/core/src/main/java/org/marjoramsail/core/membership/VirtualFleet.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/VirtualFleet.java
@@ -79,6 +79,7 @@
   private Network network = Network.RELIABLE;
   private BiPredicate<MemberUpdate, MemberUpdate> cut = (from, to) -> false;
   private boolean hasHostList;
+  private int seedCount = 2;
   private long order;
 
   private static final Comparator<PeerAddress> ADDRESS_ORDER =
@@ -99,11 +100,16 @@
     hasHostList = true;
   }
 
-  /** Starts a daemon on a new host; the first two hosts are the seeds of all daemons. */
+  /** Sets how many of the first hosts are the seeds of all daemons, from the next start on. */
+  public void seedCount(int count) {
+    seedCount = count;
+  }
+
+  /** Starts a daemon on a new host; the first hosts are the seeds of all daemons. */
   public DaemonId start(String host, String availabilityZone, String region) {
     int number = nodes.size();
     String address = "10.0." + number / HOSTS_PER_BLOCK + "." + (1 + number % HOSTS_PER_BLOCK);
-    if (seeds.size() < 2) {
+    if (seeds.size() < seedCount) {
       seeds.add(new PeerAddress(address, PORT));
     }
     return start(
--- a/core/src/main/java/org/marjoramsail/core/placement/RetryBudget.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RetryBudget.java
@@ -13,7 +13,8 @@
  *       shard add up, however many there are and however often they change or restart. Several
  *       owners may grant the same attempt while it moves, and the entry daemon uses one grant.
  *   <li>The slack is fixed for the fleet. Only a daemon that has ranked first for the shard during
- *       a whole window uses it, so that a predecessor's use is no longer in the same window.
+ *       a whole window, and knows the size of the fleet, uses it. So a predecessor's use is no
+ *       longer in the same window, and parts of a divided fleet use no more than one slack.
  * </ul>
  *
  * <p>Not thread-safe; the I/O layer calls it under the lock of the shard.
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -147,7 +147,9 @@
 
   /** Returns the part of the retry slack that the daemons visible to this one may use. */
   private double retrySlackShare() {
-    return view.filter(known -> !known.isAlone()).map(MembershipView::budgetShare).orElse(0.0);
+    return view.filter(known -> !known.isAlone() && known.isFleetKnown())
+        .map(MembershipView::budgetShare)
+        .orElse(0.0);
   }
 
   /**
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRetryBudgetTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRetryBudgetTest.java
@@ -155,6 +155,24 @@
     assertWithinBudget(fleet);
   }
 
+  /** Guards against a whole slack for each part of a fleet that restarted while it was divided. */
+  @ParameterizedTest
+  @CsvSource({"3, 31", "4, 32"})
+  void partsOfAFleetThatRestartedWhileDividedKeepToTheRetriesOfTheFleet(int parts, long seed) {
+    FleetSimulation fleet = new FleetSimulation(size(63), seed);
+    fleet.withoutHostList();
+    fleet.seedCount(parts);
+    fleet.at(6_000, () -> fleet.cut((from, to) -> from % parts != to % parts));
+    fleet.at(
+        6_000,
+        () -> IntStream.range(0, 63).forEach(host -> fleet.restart(host, 300L + 10L * host)));
+    fleet.at(SETTLED_MILLIS + 5_000, () -> allFail(fleet, 0.9, FailureKind.REJECTION));
+    loadWithStreamsThatRunOnce(fleet);
+    fleet.startAll();
+    fleet.run(END_MILLIS + 2_000);
+    assertWithinBudget(fleet);
+  }
+
   /** Guards against calls that repeat a rejected prefill without a grant. */
   @ParameterizedTest
   @ValueSource(longs = {31, 32})
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -232,6 +232,11 @@
     hasHostList = false;
   }
 
+  /** Sets how many of the first hosts are the seeds of all daemons, before any host starts. */
+  void seedCount(int count) {
+    members.seedCount(count);
+  }
+
   /** Starts all hosts at the same moment. */
   void startAll() {
     if (hasHostList) {
