Hold what daemons know of the fleet while it is divided and when seeds fail

Tests of the condition behind the retry slack: parts that restarted while divided do not know the fleet and know it within a minute after the division ends; daemons that have met the fleet still know it once two of its seeds have failed.

--- a/core/src/test/java/org/marjoramsail/core/membership/MembershipScenarioTest.java
+++ b/core/src/test/java/org/marjoramsail/core/membership/MembershipScenarioTest.java
@@ -255,4 +255,39 @@
     fleet.run(30 * SECOND);
     assertAllAgree(fleet);
   }
+
+  /** Guards against parts of a fleet that each use limits of the whole fleet. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void partsThatRestartedWhileDividedDoNotKnowTheFleet(long seed) {
+    VirtualFleet fleet = empty(seed);
+    fleet.seedCount(3);
+    startRegion(fleet, "santiago", 9);
+    fleet.run(10 * SECOND);
+    fleet.cut((from, to) -> part(from.host()) != part(to.host()));
+    IntStream.range(0, 9).forEach(number -> fleet.restart("santiago-" + number));
+    fleet.run(20 * SECOND);
+
+    assertThat(fleet.running()).noneMatch(daemon -> fleet.view(daemon.host()).isFleetKnown());
+
+    fleet.healCuts();
+    fleet.run(MINUTE);
+    assertThat(fleet.running()).allMatch(daemon -> fleet.view(daemon.host()).isFleetKnown());
+  }
+
+  /** Guards against daemons that give up limits of the fleet because seeds have failed. */
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void daemonsKnowTheFleetAfterMostSeedsHaveFailed(long seed) {
+    VirtualFleet fleet = fleet(9, seed);
+    fleet.kill("santiago-0");
+    fleet.kill("santiago-1");
+    fleet.run(MINUTE);
+
+    assertThat(fleet.running()).allMatch(daemon -> fleet.view(daemon.host()).isFleetKnown());
+  }
+
+  private static int part(String host) {
+    return Integer.parseInt(host.substring(host.lastIndexOf('-') + 1)) % 3;
+  }
 }
