Soak of daemon processes on the platform's path that counts retries

platform-soak runs each daemon as a process on a loopback address of its own, before stand-ins of the users' platform, and lets daemons be killed, paused and stopped in turn, servers reject, fail, hang, lose, cut and cross responses, KV caches expire and the store not respond, from a seed and overlapping. Servers count arrivals as the rule does. It ends with 3 if retries exceed the budget, a request runs twice or runs although refused as not run, or nothing of a kind is served. Daemon processes now use the serial collector and one compiler, so that dozens fit on one machine.

--- a/command/src/main/java/org/marjoramsail/command/CommandList.java
+++ b/command/src/main/java/org/marjoramsail/command/CommandList.java
@@ -19,6 +19,7 @@
           ShellCommand.class,
           ExplainCommand.class,
           PlatformDemoCommand.class,
+          PlatformSoakCommand.class,
           WorkloadCommand.class,
           StandInCommand.class);
     }
@@ -28,6 +29,7 @@
         ExplainCommand.class,
         DemoCommand.class,
         PlatformDemoCommand.class,
+        PlatformSoakCommand.class,
         BenchCommand.class,
         BenchCompareCommand.class,
         ControlCommand.class,
--- a/command/src/main/java/org/marjoramsail/command/PlatformDemoCommand.java
+++ b/command/src/main/java/org/marjoramsail/command/PlatformDemoCommand.java
@@ -52,17 +52,7 @@
     boolean isClean = demo.doubled() == 0;
     for (KindCount kind : demo.kinds()) {
       isClean &= kind.brokenCount() == 0 && kind.lostCount() == 0;
-      surroundings
-          .output()
-          .printf(
-              "%-12s %5d sent  %5d served  %4d refused  %4d failed  %4d broken off  %4d lost%n",
-              kind.name(),
-              kind.sentCount(),
-              kind.servedCount(),
-              kind.refusedCount(),
-              kind.failedCount(),
-              kind.brokenCount(),
-              kind.lostCount());
+      surroundings.output().println(kind);
     }
     surroundings.output().printf("%d attempts ran twice.%n", demo.doubled());
     return isClean ? ExitCode.OK : ExitCode.BROKEN_INVARIANT;
--- /dev/null
+++ b/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
@@ -0,0 +1,167 @@
+package org.marjoramsail.command;
+
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.help.Discussion;
+import com.github.rvesse.airline.annotations.help.Examples;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.marjoramsail.command.fleet.FleetException;
+import org.marjoramsail.command.fleet.ProcessDaemons;
+import org.marjoramsail.command.platform.KindCount;
+import org.marjoramsail.command.platform.PlatformFault;
+import org.marjoramsail.command.platform.PlatformSoak;
+import org.marjoramsail.command.platform.PlatformSoakReport;
+import org.marjoramsail.command.platform.PlatformSoakSetup;
+import org.marjoramsail.core.failure.MarjoramsailException;
+
+/** Runs daemons as processes under faults before stand-ins of the users' platform. */
+@Command(
+    name = "platform-soak",
+    description =
+        "Runs daemons as processes before stand-ins of the users' platform while they fail.")
+@Discussion(
+    paragraphs = {
+      "Daemons are killed, paused and stopped, servers fail and the store does not respond, in random"
+          + " order and overlapping. The servers count what arrives: the retries of the whole fleet"
+          + " in any 10 seconds, requests that ran twice, and requests that ran although their"
+          + " callers were told that they had not.",
+      "Ends with 3 when a rule was broken, or when no request of a kind was served."
+    })
+@Examples(
+    examples = {
+      "marjoramsail platform-soak",
+      "marjoramsail platform-soak --daemons 63 --prefill 14 --decode 28 --plain 5 --slack 166"
+          + " --streams 44 --requests 179 --seconds 60"
+    },
+    descriptions = {"Twelve daemons for thirty seconds", "A fleet of 63 daemons for a minute"})
+public final class PlatformSoakCommand implements CommandAction {
+
+  private static final int MOST_DAEMONS = 100;
+  private static final int MOST_SERVERS = 500;
+  private static final int MOST_SECONDS = 3_600;
+  private static final int MOST_RATE = 2_000;
+  private static final int MOST_SLACK = 100_000;
+  private static final String FAULTS = "--faults";
+
+  @Option(name = "--daemons", title = "COUNT", description = "daemons, 1 to 100; default 12")
+  private int daemons = 12;
+
+  @Option(name = "--prefill", title = "COUNT", description = "prefill engines; default 4")
+  private int prefillServers = 4;
+
+  @Option(name = "--decode", title = "COUNT", description = "decode engines; default 8")
+  private int decodeServers = 8;
+
+  @Option(name = "--plain", title = "COUNT", description = "plain servers; default 3")
+  private int plainServers = 3;
+
+  @Option(
+      name = "--slack",
+      title = "RETRIES",
+      description = "retries in 10 seconds in addition to the ratio; default 60")
+  private int retrySlack = 60;
+
+  @Option(name = "--streams", title = "REQUESTS", description = "streams a second; default 12")
+  private int streams = 12;
+
+  @Option(
+      name = "--requests",
+      title = "REQUESTS",
+      description = "plain requests a second; default 30")
+  private int plainRequests = 30;
+
+  @Option(name = "--seconds", title = "SECONDS", description = "how long, 1 to 3600; default 30")
+  private int seconds = 30;
+
+  @Option(name = "--seed", title = "NUMBER", description = "seed of load and faults; default 1")
+  private long seed = 1;
+
+  @Option(
+      name = FAULTS,
+      title = "KINDS",
+      description = "which faults happen: all, none, or kinds joined by commas; default all")
+  private String faults = "all";
+
+  @Override
+  public ExitCode run(Surroundings surroundings) throws MarjoramsailException {
+    PlatformSoakSetup setup = setup();
+    Path directory;
+    try {
+      directory = ProcessDaemons.newDirectory();
+    } catch (IOException failure) {
+      throw new FleetException("make a directory for its processes", failure);
+    }
+    surroundings.errors().println("Settings and logs of the daemons are in " + directory);
+    try (ProcessDaemons processes = new ProcessDaemons(directory)) {
+      Runtime.getRuntime().addShutdownHook(new Thread(processes::close));
+      PlatformSoakReport report = new PlatformSoak(surroundings.clock(), processes).run(setup);
+      print(report, surroundings.output());
+      return report.isClean() ? ExitCode.OK : ExitCode.BROKEN_INVARIANT;
+    }
+  }
+
+  private PlatformSoakSetup setup() throws UsageException {
+    require("--daemons", daemons, 1, MOST_DAEMONS);
+    require("--prefill", prefillServers, 1, MOST_SERVERS);
+    require("--decode", decodeServers, 1, MOST_SERVERS);
+    require("--plain", plainServers, 1, MOST_SERVERS);
+    require("--slack", retrySlack, 0, MOST_SLACK);
+    require("--streams", streams, 0, MOST_RATE);
+    require("--requests", plainRequests, 1, MOST_RATE);
+    require("--seconds", seconds, 1, MOST_SECONDS);
+    return new PlatformSoakSetup(
+        daemons,
+        prefillServers,
+        decodeServers,
+        plainServers,
+        retrySlack,
+        streams,
+        plainRequests,
+        seconds,
+        seed,
+        chosenFaults());
+  }
+
+  private List<PlatformFault> chosenFaults() throws UsageException {
+    if (faults.equals("none")) {
+      return List.of();
+    }
+    if (faults.equals("all")) {
+      return List.of(PlatformFault.values());
+    }
+    List<PlatformFault> chosen = new ArrayList<>();
+    for (String code : faults.split(",", -1)) {
+      chosen.add(Choice.of(FAULTS, code, PlatformFault.values(), PlatformFault::code));
+    }
+    return chosen;
+  }
+
+  private static void print(PlatformSoakReport report, PrintStream output) {
+    for (KindCount kind : report.kinds()) {
+      output.println(kind);
+    }
+    report.faults().forEach((fault, count) -> output.printf("%-20s %3d%n", fault.code(), count));
+    report
+        .retries()
+        .forEach(
+            (service, worst) ->
+                output.printf(
+                    "retries to %s in the worst 10 s: %d, allowed %.0f%n",
+                    service, worst.retries(), worst.allowed()));
+    report.ranTwice().forEach(request -> output.println("ran twice: " + request));
+    report
+        .falselyNotRun()
+        .forEach(request -> output.println("ran although refused as not run: " + request));
+    output.println(report.isClean() ? "The soak is clean." : "The soak is BROKEN.");
+  }
+
+  private static void require(String option, int value, int least, int most) throws UsageException {
+    if (value < least || value > most) {
+      throw new UsageException(option, Integer.toString(value), least + " to " + most);
+    }
+  }
+}
--- a/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.CompletableFuture;
@@ -29,7 +30,10 @@
  */
 public final class ProcessDaemons implements FleetDaemonFactory, AutoCloseable {
 
-  private static final String HEAP = "-Xmx256m";
+  /** Dozens of processes share one machine: little memory, and few threads of the compiler. */
+  private static final List<String> VIRTUAL_MACHINE_OPTIONS =
+      List.of("-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+
   private static final long POLL_MILLIS = 100;
   private static final int MOST_POLLS = 600;
   private static final int CONNECT_MILLIS = 100;
@@ -77,15 +81,16 @@
   }
 
   private static Process launch(Path settings, Path log) throws IOException {
-    List<String> command =
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(VIRTUAL_MACHINE_OPTIONS);
+    command.addAll(
         List.of(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            HEAP,
             "-cp",
             System.getProperty("java.class.path"),
             MarjoramsailDaemon.class.getName(),
             "--settings",
-            settings.toString());
+            settings.toString()));
     return new ProcessBuilder(command)
         .redirectErrorStream(true)
         .redirectOutput(log.toFile())
--- a/command/src/main/java/org/marjoramsail/command/platform/KindCount.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/KindCount.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.command.platform;
 
+import java.util.Locale;
 import org.marjoramsail.platform.standin.CallerStandIn.Answer;
 
 /** What became of the requests of one kind. */
@@ -75,4 +76,18 @@
   public int lostCount() {
     return lost;
   }
+
+  @Override
+  public String toString() {
+    return String.format(
+        Locale.ROOT,
+        "%-12s %5d sent  %5d served  %4d refused  %4d failed  %4d broken off  %4d lost",
+        name,
+        sent,
+        served,
+        refused,
+        failed,
+        broken,
+        lost);
+  }
 }
--- /dev/null
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -0,0 +1,139 @@
+package org.marjoramsail.command.platform;
+
+import java.util.Locale;
+import java.util.Random;
+import org.marjoramsail.platform.standin.PlatformStandIn;
+import org.marjoramsail.platform.standin.ServerStandIn;
+import org.marjoramsail.platform.standin.StoreStandIn;
+
+/** Kinds of faults of a soak on the platform's path. */
+public enum PlatformFault {
+  /** Some daemons, or all, are killed and started again. */
+  DAEMON_KILL {
+    @Override
+    boolean isPossible(PlatformSoakStage stage) {
+      return stage.daemons().isWhole();
+    }
+
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      int count = stage.daemons().size();
+      int killed = random.nextInt(3) == 0 ? count : 1 + random.nextInt(count);
+      stage.daemons().killAtRandom(killed, 100 + random.nextInt(MOST_DOWN_MILLIS), random);
+    }
+  },
+  /** Some daemons stand still for a time. */
+  DAEMON_PAUSE {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      int paused = 1 + random.nextInt(Math.max(1, stage.daemons().size() / 2));
+      stage.daemons().pauseAtRandom(paused, 300 + random.nextInt(MOST_PAUSE_MILLIS), random);
+    }
+  },
+  /** Daemons are told to stop one after the other, and are started again. */
+  DAEMON_ROLL {
+    @Override
+    boolean isPossible(PlatformSoakStage stage) {
+      return stage.daemons().isWhole();
+    }
+
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      stage.daemons().stopInTurn(200 + random.nextInt(800), stage.remainingMillis());
+    }
+  },
+  /** Servers respond that they have no room. */
+  SERVERS_FULL {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      disturbServers(stage, random, ServerStandIn.Mood.FULL);
+    }
+  },
+  /** Servers run requests and respond with a failure. */
+  SERVERS_FAIL {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      disturbServers(stage, random, ServerStandIn.Mood.FAILING);
+    }
+  },
+  /** Servers run requests and never respond. */
+  SERVERS_HANG {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      disturbServers(stage, random, ServerStandIn.Mood.MUTE);
+    }
+  },
+  /** Servers run requests and close the connection without a response. */
+  RESPONSES_LOST {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      disturbServers(stage, random, ServerStandIn.Mood.LOSING_ANSWERS);
+    }
+  },
+  /** Servers close connections in the middle of a response. */
+  RESPONSES_CUT {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      disturbServers(stage, random, ServerStandIn.Mood.CUTTING);
+    }
+  },
+  /** Servers respond with the identifier of another request. */
+  RESPONSES_CROSSED {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      disturbServers(stage, random, ServerStandIn.Mood.CROSSING);
+    }
+  },
+  /** Engines discard KV caches before they are fetched. */
+  KV_EXPIRES {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      stage.disturb(
+          PlatformStandIn.ENGINES,
+          ServerStandIn.Mood.EXPIRING,
+          random.nextDouble(),
+          1,
+          millis(random),
+          random);
+    }
+  },
+  /** The platform's store does not respond. */
+  STORE_SILENT {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      stage.disturbStore(StoreStandIn.Mood.SILENT, millis(random));
+    }
+  };
+
+  private static final int MOST_DOWN_MILLIS = 2_000;
+  private static final int MOST_PAUSE_MILLIS = 3_700;
+  private static final int LEAST_MILLIS = 1_000;
+  private static final int MOST_MILLIS = 8_000;
+
+  /**
+   * Returns whether the fault may begin now. A fleet that is killed again before it has started
+   * would show nothing but lost connections.
+   */
+  boolean isPossible(PlatformSoakStage stage) {
+    return true;
+  }
+
+  /** Starts the fault, which ends by itself. */
+  abstract void begin(PlatformSoakStage stage, Random random);
+
+  /** Returns the name by which commands and reports call it. */
+  public String code() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
+  private static int millis(Random random) {
+    return LEAST_MILLIS + random.nextInt(MOST_MILLIS - LEAST_MILLIS);
+  }
+
+  private static void disturbServers(
+      PlatformSoakStage stage, Random random, ServerStandIn.Mood mood) {
+    String service = random.nextBoolean() ? PlatformStandIn.ENGINES : PlatformStandIn.DESK;
+    double servers = random.nextBoolean() ? 1 : random.nextDouble();
+    stage.disturb(service, mood, servers, random.nextDouble(), millis(random), random);
+  }
+}
--- /dev/null
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakSetup.java
@@ -0,0 +1,35 @@
+package org.marjoramsail.command.platform;
+
+import java.util.List;
+
+/**
+ * Size, load and faults of a soak on the platform's path.
+ *
+ * @param daemons number of daemons, each a process
+ * @param prefillServers number of engines that prefill
+ * @param decodeServers number of engines that generate
+ * @param plainServers number of plain servers
+ * @param retrySlack retries that all daemons may make in a window in addition to the ratio
+ * @param streamsPerSecond streams that callers send
+ * @param plainPerSecond plain requests that callers send
+ * @param seconds duration of the load
+ * @param seed seed of the load and of the faults
+ * @param faults kinds of faults that may happen
+ */
+public record PlatformSoakSetup(
+    int daemons,
+    int prefillServers,
+    int decodeServers,
+    int plainServers,
+    double retrySlack,
+    double streamsPerSecond,
+    double plainPerSecond,
+    int seconds,
+    long seed,
+    List<PlatformFault> faults) {
+
+  /** Copies the list, so that the value is immutable. */
+  public PlatformSoakSetup {
+    faults = List.copyOf(faults);
+  }
+}
--- /dev/null
+++ b/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
@@ -0,0 +1,30 @@
+package org.marjoramsail.command.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.marjoramsail.command.fleet.ProcessDaemons;
+import org.marjoramsail.daemon.assembly.SystemClock;
+
+/** A short soak of daemons that are processes. */
+@Timeout(240)
+final class PlatformSoakTest {
+
+  /** Guards against retries beyond the budget that only processes show, such as late grants. */
+  @Test
+  void daemonsThatAreProcessesBreakNoRuleWhileTheyAndTheirServersFail(@TempDir Path directory)
+      throws Exception {
+    PlatformSoakSetup setup =
+        new PlatformSoakSetup(4, 3, 5, 3, 20, 10, 20, 15, 4, List.of(PlatformFault.values()));
+    try (ProcessDaemons processes = new ProcessDaemons(directory)) {
+      PlatformSoakReport report = new PlatformSoak(new SystemClock(), processes).run(setup);
+
+      assertThat(report.isClean()).as(report.toString()).isTrue();
+      assertThat(report.faults()).isNotEmpty();
+    }
+  }
+}
