--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.command.platform;
 
 import java.util.Locale;
+import java.util.Optional;
 import java.util.Random;
 import org.marjoramsail.platform.standin.PlatformStandIn;
 import org.marjoramsail.platform.standin.ServerStandIn;
@@ -43,47 +44,17 @@
     }
   },
   /** Servers respond that they have no room. */
-  SERVERS_FULL {
-    @Override
-    void begin(PlatformSoakStage stage, Random random) {
-      disturbServers(stage, random, ServerStandIn.Mood.FULL);
-    }
-  },
+  SERVERS_FULL(ServerStandIn.Mood.FULL),
   /** Servers run requests and respond with a failure. */
-  SERVERS_FAIL {
-    @Override
-    void begin(PlatformSoakStage stage, Random random) {
-      disturbServers(stage, random, ServerStandIn.Mood.FAILING);
-    }
-  },
+  SERVERS_FAIL(ServerStandIn.Mood.FAILING),
   /** Servers run requests and never respond. */
-  SERVERS_HANG {
-    @Override
-    void begin(PlatformSoakStage stage, Random random) {
-      disturbServers(stage, random, ServerStandIn.Mood.MUTE);
-    }
-  },
+  SERVERS_HANG(ServerStandIn.Mood.MUTE),
   /** Servers run requests and close the connection without a response. */
-  RESPONSES_LOST {
-    @Override
-    void begin(PlatformSoakStage stage, Random random) {
-      disturbServers(stage, random, ServerStandIn.Mood.LOSING_ANSWERS);
-    }
-  },
+  RESPONSES_LOST(ServerStandIn.Mood.LOSING_ANSWERS),
   /** Servers close connections in the middle of a response. */
-  RESPONSES_CUT {
-    @Override
-    void begin(PlatformSoakStage stage, Random random) {
-      disturbServers(stage, random, ServerStandIn.Mood.CUTTING);
-    }
-  },
+  RESPONSES_CUT(ServerStandIn.Mood.CUTTING),
   /** Servers respond with the identifier of another request. */
-  RESPONSES_CROSSED {
-    @Override
-    void begin(PlatformSoakStage stage, Random random) {
-      disturbServers(stage, random, ServerStandIn.Mood.CROSSING);
-    }
-  },
+  RESPONSES_CROSSED(ServerStandIn.Mood.CROSSING),
   /** Engines discard KV caches before they are fetched. */
   KV_EXPIRES {
     @Override
@@ -110,6 +81,17 @@
   private static final int LEAST_MILLIS = 1_000;
   private static final int MOST_MILLIS = 8_000;
 
+  private final Optional<ServerStandIn.Mood> mood;
+
+  PlatformFault() {
+    this.mood = Optional.empty();
+  }
+
+  /** Creates a fault of the servers of one service. */
+  PlatformFault(ServerStandIn.Mood mood) {
+    this.mood = Optional.of(mood);
+  }
+
   /**
    * Returns whether the fault may begin now. A fleet that is killed again before it has started
    * would show nothing but lost connections.
@@ -119,7 +101,12 @@
   }
 
   /** Starts the fault, which ends by itself. */
-  abstract void begin(PlatformSoakStage stage, Random random);
+  void begin(PlatformSoakStage stage, Random random) {
+    String service = random.nextBoolean() ? PlatformStandIn.ENGINES : PlatformStandIn.DESK;
+    double servers = random.nextBoolean() ? 1 : random.nextDouble();
+    stage.disturb(
+        service, mood.orElseThrow(), servers, random.nextDouble(), millis(random), random);
+  }
 
   /** Returns the name by which commands and reports call it. */
   public String code() {
@@ -129,11 +116,4 @@
   private static int millis(Random random) {
     return LEAST_MILLIS + random.nextInt(MOST_MILLIS - LEAST_MILLIS);
   }
-
-  private static void disturbServers(
-      PlatformSoakStage stage, Random random, ServerStandIn.Mood mood) {
-    String service = random.nextBoolean() ? PlatformStandIn.ENGINES : PlatformStandIn.DESK;
-    double servers = random.nextBoolean() ? 1 : random.nextDouble();
-    stage.disturb(service, mood, servers, random.nextDouble(), millis(random), random);
-  }
 }
