--- a/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
@@ -32,7 +32,7 @@
 
   /** Dozens of processes share one machine: little memory, and few threads of the compiler. */
   private static final List<String> VIRTUAL_MACHINE_OPTIONS =
-      List.of("-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+      List.of("-Xms8m", "-Xmx112m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
 
   private static final long POLL_MILLIS = 100;
   private static final int MOST_POLLS = 600;
