--- a/core/src/main/java/org/marjoramsail/core/membership/VirtualFleet.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/VirtualFleet.java
@@ -100,7 +100,7 @@
     hasHostList = true;
   }
 
-  /** Sets how many of the first hosts are the seeds of all daemons, from the next start on. */
+  /** Sets the number of seeds, which are the first hosts, for daemons that start later. */
   public void seedCount(int count) {
     seedCount = count;
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnedShards.java
@@ -139,6 +139,7 @@
           .addKeyValue("shard", shard.shard())
           .addKeyValue("before", shard.retrySlackShare())
           .addKeyValue("share", share)
+          .addKeyValue("fleetKnown", view.map(MembershipView::isFleetKnown).orElse(false))
           .addKeyValue("retries", shard.describeRetries(clock.millis()))
           .log("share of the retry slack changed");
       shard.retrySlackShare(share, clock.millis());
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -232,7 +232,7 @@
     hasHostList = false;
   }
 
-  /** Sets how many of the first hosts are the seeds of all daemons, before any host starts. */
+  /** Sets the number of seeds, which are the first hosts, before any host starts. */
   void seedCount(int count) {
     members.seedCount(count);
   }
@@ -284,7 +284,7 @@
     longestMessageMillis = millis;
   }
 
-  /** Sets how often a caller sends a request anew, at once, that was not served. */
+  /** Sets the number of times that a caller repeats a request at once if it was not served. */
   void callerRetries(int retries) {
     callerRetries = retries;
   }
