--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
@@ -223,7 +223,7 @@
             HttpMethod.POST,
             PlatformStandIn.HOST,
             path + attempt,
-            Map.of("attempt-id", attempt));
+            Map.of(CallerStandIn.ATTEMPT, attempt));
     answer
         .timeout(CALLER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
         .onSuccess(received -> answered(kind, attempt, received))
