Reword four comments of the soak and the simulation

One comment stood before two constants and described neither alone; the others did not say what ends or changes. Comments only: compiled, format and lint clean.

--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
@@ -30,7 +30,7 @@
 
   private static final int HOSTS_PER_BLOCK = 250;
 
-  /** One host: its process is replaced when it restarts. */
+  /** Host with fixed addresses, whose process changes at each restart. */
   private static final class Host {
     private final String name;
     private final ListenSettings listen;
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
@@ -44,15 +44,17 @@
   private static final long SHORTEST_PAUSE_MILLIS = 300;
   private static final long LONGEST_PAUSE_MILLIS = 2_500;
 
-  /** Longer than any caller waits. */
+  /** Time after the last request in which responses are awaited; callers give up sooner. */
   private static final long LAST_RESPONSES_MILLIS = 5_000;
 
   private static final long CALLER_TIMEOUT_MILLIS = 4_000;
 
-  /** Shares of the kinds of requests, in hundredths, within streams and plain requests. */
+  /** Share of the streams that may be resumed, in hundredths. */
   private static final int RESUMABLE_SHARE = 50;
 
+  /** Share of the plain requests that may be repeated, in hundredths. */
   private static final int REPEATABLE_SHARE = 30;
+
   private static final int HUNDRED = 100;
   private static final int NO_ROOM = 429;
   private static final int NOT_NOW = 503;
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/SimulatedHost.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/SimulatedHost.java
@@ -63,7 +63,7 @@
     return nowMillis < pausedUntilMillis;
   }
 
-  /** Runs an action now, or once the process continues. */
+  /** Runs an action now, or when the pause of the process ends. */
   void whenAwake(FleetSimulation simulation, Runnable action) {
     if (isPaused(simulation.now())) {
       simulation.at(pausedUntilMillis, () -> whenAwake(simulation, action));
