Log calls that are given up before a response, and calls on upstreams that drain

Logs could not tell whether a request that reached a draining upstream was sent late or written in time and given up: the trace of a request has the time of the decision, and nothing was said of its connection. A call that was written and never answered is now logged and counted when it is given up, with the age of its bytes and the port of its connection; so are the calls in flight when a daemon applies that an upstream drains. No decision is changed.

--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
@@ -0,0 +1,93 @@
+package org.marjoramsail.daemon.forward;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.marjoramsail.core.model.Incarnation;
+import org.marjoramsail.core.time.Clock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Tracks the calls in flight by upstream, and logs those that may still reach an upstream although
+ * they were given up or although the upstream is draining. Runs on one event loop.
+ */
+final class CallLog {
+
+  private static final Logger LOG = LoggerFactory.getLogger(CallLog.class);
+
+  private final Clock clock;
+  private final Map<Incarnation, Set<ForwardCall>> open = new HashMap<>();
+  private Set<Incarnation> accepting = Set.of();
+  private long abandoned;
+
+  CallLog(Clock clock) {
+    this.clock = clock;
+  }
+
+  /** Returns the current time. */
+  long millis() {
+    return clock.millis();
+  }
+
+  /** Records a call that has started. */
+  void started(ForwardCall call) {
+    open.computeIfAbsent(call.upstream(), upstream -> new HashSet<>()).add(call);
+  }
+
+  /** Records a call that has ended or was given up. */
+  void ended(ForwardCall call) {
+    open.computeIfPresent(
+        call.upstream(),
+        (upstream, calls) -> {
+          calls.remove(call);
+          return calls.isEmpty() ? null : calls;
+        });
+  }
+
+  /** Records a call that was given up after it was written and before any response. */
+  void abandoned(ForwardCall call) {
+    abandoned++;
+    LOG.atInfo()
+        .addKeyValue("request", call.request())
+        .addKeyValue("upstream", call.upstream())
+        .addKeyValue("localPort", call.localPort())
+        .addKeyValue("writtenMillisAgo", clock.millis() - call.writtenAtMillis())
+        .log("call given up before a response");
+  }
+
+  /** Handles a change of the upstreams that accept requests; logs the calls on the others. */
+  void accepting(Set<Incarnation> upstreams) {
+    for (Incarnation upstream : accepting) {
+      if (!upstreams.contains(upstream) && open.containsKey(upstream)) {
+        logDraining(upstream);
+      }
+    }
+    accepting = Set.copyOf(upstreams);
+  }
+
+  /** Returns the number of calls that were given up after they were written. */
+  long abandonedCount() {
+    return abandoned;
+  }
+
+  private void logDraining(Incarnation upstream) {
+    int calls = 0;
+    int unanswered = 0;
+    long oldestAtMillis = clock.millis();
+    for (ForwardCall call : open.get(upstream)) {
+      calls++;
+      if (call.isWritten() && !call.isAnswered()) {
+        unanswered++;
+        oldestAtMillis = Math.min(oldestAtMillis, call.writtenAtMillis());
+      }
+    }
+    LOG.atInfo()
+        .addKeyValue("upstream", upstream)
+        .addKeyValue("calls", calls)
+        .addKeyValue("unanswered", unanswered)
+        .addKeyValue("longestUnansweredMillis", clock.millis() - oldestAtMillis)
+        .log("upstream drains with calls in flight");
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -8,6 +8,7 @@
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.daemon.request.OpenCall;
 
@@ -38,40 +39,93 @@
     void failed(UpstreamFailure failure);
   }
 
+  private static final long NOT_WRITTEN = Long.MIN_VALUE;
+
   private final UpstreamConnections connections;
+  private final CallLog calls;
   private final ForwardingProtocol protocol;
   private final UpstreamDefinition target;
+  private final ForwardedRequest request;
   private final Listener listener;
   private Optional<HttpClientConnection> connection = Optional.empty();
+  private long writtenAtMillis = NOT_WRITTEN;
+  private boolean answered;
   private boolean closed;
 
   ForwardCall(
       UpstreamConnections connections,
+      CallLog calls,
       ForwardingProtocol protocol,
       UpstreamDefinition target,
+      ForwardedRequest request,
       Listener listener) {
     this.connections = connections;
+    this.calls = calls;
     this.protocol = protocol;
     this.target = target;
+    this.request = request;
     this.listener = listener;
   }
 
-  /** Connects and sends the request. */
-  ForwardCall start(ForwardedRequest request, MultiMap headers) {
+  /** Connects and sends the request with these headers. */
+  ForwardCall start(MultiMap headers) {
+    calls.started(this);
     connections
         .acquire(target)
-        .onSuccess(acquired -> send(acquired, request, headers))
+        .onSuccess(acquired -> send(acquired, headers))
         .onFailure(cause -> fail(UpstreamFailure.CONNECT_FAILED));
     return this;
   }
 
+  /** Gives the call up, unless it has ended. */
   @Override
   public void close() {
-    closed = true;
+    if (!closed && isWritten() && !answered) {
+      calls.abandoned(this);
+    }
+    disconnect();
+  }
+
+  /** Returns the identifier of the caller's request. */
+  String request() {
+    return request.parameters().attempt();
+  }
+
+  Incarnation upstream() {
+    return target.incarnation();
+  }
+
+  /** Returns the local port of the connection, which identifies it in a packet capture. */
+  int localPort() {
+    return connection.map(open -> open.localAddress().port()).orElse(0);
+  }
+
+  /** Returns whether the request was written to a connection. */
+  boolean isWritten() {
+    return writtenAtMillis != NOT_WRITTEN;
+  }
+
+  /** Returns when the request was written to a connection. */
+  long writtenAtMillis() {
+    return writtenAtMillis;
+  }
+
+  /** Returns whether the head of a response was received. */
+  boolean isAnswered() {
+    return answered;
+  }
+
+  private void disconnect() {
+    markEnded();
     connection.ifPresent(HttpClientConnection::close);
   }
 
-  private void send(HttpClientConnection acquired, ForwardedRequest request, MultiMap headers) {
+  private void markEnded() {
+    closed = true;
+    calls.ended(this);
+  }
+
+  private void send(HttpClientConnection acquired, MultiMap headers) {
     if (closed) {
       acquired.close();
       return;
@@ -87,15 +141,16 @@
             .setHeaders(headers);
     acquired
         .request(options)
-        .onSuccess(clientRequest -> send(clientRequest, request))
+        .onSuccess(this::send)
         .onFailure(cause -> fail(UpstreamFailure.CONNECT_FAILED));
   }
 
-  private void send(HttpClientRequest clientRequest, ForwardedRequest request) {
+  private void send(HttpClientRequest clientRequest) {
     if (closed) {
       connection.ifPresent(HttpClientConnection::close);
       return;
     }
+    writtenAtMillis = calls.millis();
     clientRequest.exceptionHandler(cause -> fail(UpstreamFailure.CUT));
     (request.hasBody() ? clientRequest.send(request.body()) : clientRequest.send())
         .onSuccess(this::receive)
@@ -106,9 +161,10 @@
     if (closed) {
       return;
     }
+    answered = true;
     response.exceptionHandler(cause -> fail(UpstreamFailure.CUT));
     if (!listener.head(response.statusCode(), response.headers())) {
-      close();
+      disconnect();
       return;
     }
     response.handler(
@@ -124,7 +180,7 @@
     if (closed) {
       return;
     }
-    closed = true;
+    markEnded();
     HttpClientConnection finished = connection.orElseThrow();
     finished.closeHandler(null);
     String connectionHeader = response.headers().get("connection");
@@ -144,7 +200,7 @@
     if (closed) {
       return;
     }
-    close();
+    disconnect();
     listener.failed(failure);
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardDependencies.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardDependencies.java
@@ -12,6 +12,7 @@
  *
  * @param protocol names of headers and fields on the wire
  * @param connections pool of connections to upstreams
+ * @param calls tracks the calls in flight
  * @param upstreams finds upstreams by name
  * @param handleLifetimeMillis returns the lifetime of the KV caches of a service, in milliseconds
  * @param liveness receives reports about the liveness of upstreams
@@ -25,6 +26,7 @@
 record ForwardDependencies(
     ForwardingProtocol protocol,
     UpstreamConnections connections,
+    CallLog calls,
     Function<UpstreamName, Optional<UpstreamDefinition>> upstreams,
     Function<String, Long> handleLifetimeMillis,
     LivenessListener liveness,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -136,12 +136,8 @@
             request.parameters(),
             request.organisation());
     ForwardCall unused =
-        new ForwardCall(
-                dependencies.connections(),
-                dependencies.protocol(),
-                holder,
-                new DropListener(holder, () -> events.accept(confirmed)))
-            .start(dropRequest, headers);
+        call(holder, dropRequest, new DropListener(holder, () -> events.accept(confirmed)))
+            .start(headers);
   }
 
   @Override
@@ -242,8 +238,18 @@
             headers,
             new ForwardParameters(
                 target.name(), remainingMillis, prefill, kv, resumeAfter, request.organisation()));
-    return new ForwardCall(dependencies.connections(), dependencies.protocol(), target, listener)
-        .start(request, headers);
+    return call(target, request, listener).start(headers);
+  }
+
+  private ForwardCall call(
+      UpstreamDefinition target, ForwardedRequest sent, ForwardCall.Listener listener) {
+    return new ForwardCall(
+        dependencies.connections(),
+        dependencies.calls(),
+        dependencies.protocol(),
+        target,
+        sent,
+        listener);
   }
 
   private void upstreamResponded(UpstreamDefinition upstream, long sentAtMillis) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -16,7 +16,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.marjoramsail.core.configuration.OrganisationDefinition;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.model.Incarnation;
@@ -78,6 +80,7 @@
         new ForwardDependencies(
             dependencies.protocol(),
             new UpstreamConnections(vertx, dependencies.clock()),
+            new CallLog(dependencies.clock()),
             dependencies.upstreams(),
             dependencies.handleLifetimeMillis(),
             dependencies.liveness(),
@@ -144,6 +147,22 @@
     exchangeDependencies.connections().retainOnly(known);
   }
 
+  /** Returns the number of calls that were given up before a response. */
+  public long callsAbandoned() {
+    return exchangeDependencies.calls().abandonedCount();
+  }
+
+  /** Handles a change of the upstreams. */
+  public void upstreamsChanged(List<UpstreamDefinition> upstreams) {
+    exchangeDependencies
+        .calls()
+        .accepting(
+            upstreams.stream()
+                .filter(upstream -> !upstream.drained())
+                .map(UpstreamDefinition::incarnation)
+                .collect(Collectors.toSet()));
+  }
+
   private void opened(HttpConnection connection) {
     connections.add(connection);
     connection.closeHandler(
