Reset connections to upstreams instead of closing them in order

Callers saw nothing: their requests were answered elsewhere or refused, and reached an upstream up to 6 s later, also one that had announced since that it was draining. There they took a place in its queue, or work if their end had not arrived yet.

Cause: closing a connection in order leaves what was written to the operating system, which sends it again for as long as the path has no connectivity, at intervals that double.

With a linger time of zero a close resets the connection and discards what was not delivered. Every call has its connection to itself, so nothing else is on it.

What it costs: a reset is sent once. If the path has no connectivity then, an upstream that had received the request learns of the end with its next packet instead.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
@@ -37,6 +37,13 @@
    */
   private static final long IDLE_MARGIN_MILLIS = 500;
 
+  /**
+   * Linger time with which a closed connection is reset, in seconds. The operating system then
+   * discards what the upstream has not received; after an orderly close, a request that was given
+   * up on a path without connectivity would be delivered once the path is restored.
+   */
+  private static final int RESET_ON_CLOSE = 0;
+
   private record IdleConnection(HttpClientConnection connection, long usableUntilMillis) {}
 
   private final HttpClientAgent client;
@@ -52,6 +59,7 @@
                 .setKeepAlive(true)
                 .setTcpNoDelay(true)
                 .setTcpKeepAlive(true)
+                .setSoLinger(RESET_ON_CLOSE)
                 .setMaxHeaderSize(64 * 1024)
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
     this.clock = clock;
