Reset the connections of all clients that give up calls

Orders to engines, and writes to the store, leases among them, are given up by timeouts too and arrived up to seconds later, when another holder may have given newer ones: read in the code, not shown by a test.

AbortiveClose names the option and its reason once; every client of upstreams and of the store uses it. Connections between daemons stay as they are: their last frames have to arrive after a close.

--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -64,6 +64,7 @@
 import org.marjoramsail.daemon.request.CrashObserver;
 import org.marjoramsail.daemon.request.StoredClaims;
 import org.marjoramsail.daemon.settings.Settings;
+import org.marjoramsail.daemon.upstream.AbortiveClose;
 import org.marjoramsail.daemon.upstream.CacheEventPoller;
 import org.marjoramsail.daemon.upstream.OrphanCanceller;
 import org.marjoramsail.daemon.upstream.PollInterval;
@@ -172,7 +173,7 @@
     this.orders =
         new OrderService(
             store,
-            new HttpEngineOrders(vertx.createHttpClient()),
+            new HttpEngineOrders(vertx.createHttpClient(AbortiveClose.options())),
             configuration::current,
             membership::view,
             clock,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
@@ -4,7 +4,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientConnection;
-import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpConnectOptions;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -15,6 +14,7 @@
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.daemon.upstream.AbortiveClose;
 
 /**
  * Pool of idle connections to upstreams, by incarnation instead of address, since addresses are
@@ -37,13 +37,6 @@
    */
   private static final long IDLE_MARGIN_MILLIS = 500;
 
-  /**
-   * Linger time with which a closed connection is reset, in seconds. The operating system then
-   * discards what the upstream has not received; after an orderly close, a request that was given
-   * up on a path without connectivity would be delivered once the path is restored.
-   */
-  private static final int RESET_ON_CLOSE = 0;
-
   private record IdleConnection(HttpClientConnection connection, long usableUntilMillis) {}
 
   private final HttpClientAgent client;
@@ -54,12 +47,11 @@
   UpstreamConnections(Vertx vertx, Clock clock) {
     this.client =
         vertx.createHttpClient(
-            new HttpClientOptions()
+            AbortiveClose.options()
                 .setPipelining(false)
                 .setKeepAlive(true)
                 .setTcpNoDelay(true)
                 .setTcpKeepAlive(true)
-                .setSoLinger(RESET_ON_CLOSE)
                 .setMaxHeaderSize(64 * 1024)
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
     this.clock = clock;
--- a/daemon/src/main/java/org/marjoramsail/daemon/platform/HttpObjectApi.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/HttpObjectApi.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.marjoramsail.daemon.platform.ObjectApiException.Failure;
+import org.marjoramsail.daemon.upstream.AbortiveClose;
 
 /**
  * The object API over HTTP.
@@ -50,7 +51,7 @@
 
   private HttpClient client(int connections) {
     HttpClientOptions options =
-        new HttpClientOptions()
+        AbortiveClose.options()
             .setDefaultHost(settings.address())
             .setDefaultPort(settings.port())
             .setConnectTimeout(settings.connectTimeoutMillis())
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamHttp.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamHttp.java
@@ -37,7 +37,7 @@
   }
 
   private static HttpClientOptions options(UpstreamLimits limits) {
-    return new HttpClientOptions()
+    return AbortiveClose.options()
         .setPipelining(false)
         .setTcpNoDelay(true)
         .setConnectTimeout(limits.connectTimeoutMillis());
--- a/platform/src/main/java/org/marjoramsail/platform/standin/LinkStandIn.java
+++ b/standin/src/main/java/org/marjoramsail/standin/network/LinkStandIn.java
@@ -1,4 +1,4 @@
-package org.marjoramsail.platform.standin;
+package org.marjoramsail.standin.network;
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
@@ -30,7 +30,7 @@
   private final Set<Direction> directions = new HashSet<>();
   private NetServer server;
   private boolean cut;
-  private int connections;
+  private int closedByCallers;
 
   /**
    * Creates a path that is not cut.
@@ -76,13 +76,17 @@
     List.copyOf(directions).forEach(Direction::deliverLater);
   }
 
-  /** Returns how many connections were opened. */
-  public synchronized int connections() {
-    return connections;
+  /** Returns the number of connections that the side of the callers has closed or reset. */
+  public synchronized int closedByCallers() {
+    return closedByCallers;
+  }
+
+  /** Returns the number of bytes that are held. */
+  public synchronized int heldBytes() {
+    return directions.stream().mapToInt(direction -> direction.held.length()).sum();
   }
 
   private synchronized void opened(NetSocket near, String address, int targetPort) {
-    connections++;
     near.pause();
     client
         .connect(targetPort, address)
@@ -91,21 +95,23 @@
   }
 
   private synchronized void join(NetSocket near, NetSocket far) {
-    directions.add(new Direction(near, far));
-    directions.add(new Direction(far, near));
+    directions.add(new Direction(near, far, () -> closedByCallers++));
+    directions.add(new Direction(far, near, () -> {}));
     near.resume();
   }
 
   /** The bytes from one end of a connection to the other. */
   private final class Direction {
     private final NetSocket target;
+    private final Runnable onClose;
     private Buffer held = Buffer.buffer();
     private long heldSinceMillis;
     private boolean closed;
     private boolean delivering;
 
-    Direction(NetSocket source, NetSocket target) {
+    Direction(NetSocket source, NetSocket target, Runnable onClose) {
       this.target = target;
+      this.onClose = onClose;
       source.handler(this::received);
       source.exceptionHandler(reset -> discard());
       source.closeHandler(ignored -> ended());
@@ -133,6 +139,7 @@
     private void ended() {
       synchronized (LinkStandIn.this) {
         closed = true;
+        onClose.run();
         if (!cut && !delivering) {
           deliver();
         }
