Ask again whether an upstream accepts requests just before the write

A request was sent to an upstream that had begun to drain while the connection to it was opened: the upstream was asked for before, and a connection takes up to 400 ms, longer if the process gets no processor time in between. Callers are served, or cut off when the upstream ends.

The check now stands where the head is written, for the drained entry, the removed one, and feedback. Nothing was sent then, so the request is placed again, also one that may run once only. The new test failed before (the upstream was sent the request) and passes with the change.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -7,6 +7,8 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.outcome.UpstreamFailure;
@@ -43,27 +45,37 @@
 
   private final UpstreamConnections connections;
   private final CallLog calls;
-  private final ForwardingProtocol protocol;
+  private final Function<MultiMap, Optional<Long>> keepAliveMillis;
   private final UpstreamDefinition target;
   private final ForwardedRequest request;
+  private final Supplier<Optional<UpstreamFailure>> rejection;
   private final Listener listener;
   private Optional<HttpClientConnection> connection = Optional.empty();
   private long writtenAtMillis = NOT_WRITTEN;
   private boolean answered;
   private boolean closed;
 
+  /**
+   * Creates a call that is not started.
+   *
+   * @param keepAliveMillis returns how long an upstream keeps an idle connection, from the headers
+   *     of a response
+   * @param rejection returns why the upstream takes no request now; empty if it does
+   */
   ForwardCall(
       UpstreamConnections connections,
       CallLog calls,
-      ForwardingProtocol protocol,
+      Function<MultiMap, Optional<Long>> keepAliveMillis,
       UpstreamDefinition target,
       ForwardedRequest request,
+      Supplier<Optional<UpstreamFailure>> rejection,
       Listener listener) {
     this.connections = connections;
     this.calls = calls;
-    this.protocol = protocol;
+    this.keepAliveMillis = keepAliveMillis;
     this.target = target;
     this.request = request;
+    this.rejection = rejection;
     this.listener = listener;
   }
 
@@ -150,8 +162,14 @@
       connection.ifPresent(HttpClientConnection::close);
       return;
     }
-    writtenAtMillis = calls.millis();
     clientRequest.exceptionHandler(cause -> fail(UpstreamFailure.CUT));
+    // The upstream may have started to drain while the connection was opened.
+    Optional<UpstreamFailure> rejected = rejection.get();
+    if (rejected.isPresent()) {
+      fail(rejected.get());
+      return;
+    }
+    writtenAtMillis = calls.millis();
     (request.hasBody() ? clientRequest.send(request.body()) : clientRequest.send())
         .onSuccess(this::receive)
         .onFailure(cause -> fail(UpstreamFailure.CUT));
@@ -184,7 +202,7 @@
     HttpClientConnection finished = connection.orElseThrow();
     finished.closeHandler(null);
     String connectionHeader = response.headers().get("connection");
-    Optional<Long> idleMillis = protocol.keepAliveMillis(response.headers());
+    Optional<Long> idleMillis = keepAliveMillis.apply(response.headers());
     boolean framed =
         response.headers().contains("content-length")
             || response.headers().contains("transfer-encoding");
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.model.UpstreamName;
@@ -136,7 +137,11 @@
             request.parameters(),
             request.organisation());
     ForwardCall unused =
-        call(holder, dropRequest, new DropListener(holder, () -> events.accept(confirmed)))
+        call(
+                holder,
+                dropRequest,
+                Optional::empty,
+                new DropListener(holder, () -> events.accept(confirmed)))
             .start(headers);
   }
 
@@ -204,19 +209,29 @@
 
   private Optional<UpstreamDefinition> target(
       UpstreamName upstream, int attempt, Consumer<LifecycleEvent> events) {
+    Optional<UpstreamFailure> rejection = rejection(upstream);
+    if (rejection.isPresent()) {
+      events.accept(new LifecycleEvent.UpstreamFailed(attempt, upstream, rejection.get()));
+      return Optional.empty();
+    }
+    Optional<UpstreamDefinition> accepting = dependencies.upstreams().apply(upstream);
+    accepting.ifPresent(definition -> targets.put(upstream, definition));
+    return accepting;
+  }
+
+  /**
+   * Returns why an upstream takes no request from this host now; empty if it does. The owner of the
+   * shard may select an upstream before it receives the feedback that this host already has.
+   */
+  private Optional<UpstreamFailure> rejection(UpstreamName upstream) {
     Optional<UpstreamDefinition> listed =
         dependencies.upstreams().apply(upstream).filter(found -> !found.drained());
-    Optional<UpstreamDefinition> accepting = listed.filter(dependencies.feedback()::isAccepting);
-    if (accepting.isPresent()) {
-      targets.put(upstream, accepting.get());
-    } else {
-      // The owner of the shard may select an upstream before it receives the feedback that this
-      // host already has. Nothing was sent.
-      UpstreamFailure failure =
-          listed.isPresent() ? UpstreamFailure.NOT_ACCEPTING : UpstreamFailure.CONNECT_FAILED;
-      events.accept(new LifecycleEvent.UpstreamFailed(attempt, upstream, failure));
+    if (listed.isEmpty()) {
+      return Optional.of(UpstreamFailure.CONNECT_FAILED);
     }
-    return accepting;
+    return listed.filter(dependencies.feedback()::isAccepting).isPresent()
+        ? Optional.empty()
+        : Optional.of(UpstreamFailure.NOT_ACCEPTING);
   }
 
   private Optional<KvLocation> location(KvSource source) {
@@ -238,17 +253,21 @@
             headers,
             new ForwardParameters(
                 target.name(), remainingMillis, prefill, kv, resumeAfter, request.organisation()));
-    return call(target, request, listener).start(headers);
+    return call(target, request, () -> rejection(target.name()), listener).start(headers);
   }
 
   private ForwardCall call(
-      UpstreamDefinition target, ForwardedRequest sent, ForwardCall.Listener listener) {
+      UpstreamDefinition target,
+      ForwardedRequest sent,
+      Supplier<Optional<UpstreamFailure>> rejection,
+      ForwardCall.Listener listener) {
     return new ForwardCall(
         dependencies.connections(),
         dependencies.calls(),
-        dependencies.protocol(),
+        dependencies.protocol()::keepAliveMillis,
         target,
         sent,
+        rejection,
         listener);
   }
 
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -0,0 +1,101 @@
+package org.marjoramsail.daemon.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Context;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicReference;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.outcome.UpstreamFailure;
+import org.marjoramsail.daemon.assembly.SystemClock;
+import org.marjoramsail.daemon.fixture.FakePlainService;
+import org.marjoramsail.daemon.fixture.Waits;
+
+/** What a call sends to its upstream, and when. */
+final class ForwardCallTest {
+
+  private final Vertx vertx = Vertx.vertx();
+
+  @AfterEach
+  void close() {
+    Waits.get(vertx.close());
+  }
+
+  /** Guards against new work on an upstream that drains while a connection to it is opened. */
+  @Test
+  void nothingIsSentIfTheUpstreamDrainsWhileItsConnectionIsOpened() {
+    FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
+    AtomicReference<Optional<UpstreamFailure>> rejection = new AtomicReference<>(Optional.empty());
+    Promise<UpstreamFailure> failure = Promise.promise();
+    Context context = vertx.getOrCreateContext();
+
+    context.runOnContext(
+        started -> {
+          ForwardCall unused = call(upstream, rejection, failure).start(headers());
+          rejection.set(Optional.of(UpstreamFailure.NOT_ACCEPTING));
+        });
+
+    assertThat(Waits.get(failure.future())).isEqualTo(UpstreamFailure.NOT_ACCEPTING);
+    assertThat(upstream.runs()).isZero();
+  }
+
+  private ForwardCall call(
+      FakePlainService upstream,
+      AtomicReference<Optional<UpstreamFailure>> rejection,
+      Promise<UpstreamFailure> failure) {
+    return new ForwardCall(
+        new UpstreamConnections(vertx, new SystemClock()),
+        new CallLog(new SystemClock()),
+        responseHeaders -> Optional.empty(),
+        upstream.definition("desk"),
+        request(),
+        rejection::get,
+        new FailureListener(failure));
+  }
+
+  private static MultiMap headers() {
+    return MultiMap.caseInsensitiveMultiMap();
+  }
+
+  private static ForwardedRequest request() {
+    return new ForwardedRequest(
+        HttpMethod.POST,
+        "/status",
+        "desk.example",
+        headers(),
+        Buffer.buffer("content"),
+        true,
+        new CallerParameters(
+            "attempt-1", OptionalLong.empty(), 0, 0, OptionalInt.empty(), 0, Optional.empty()),
+        Optional.empty());
+  }
+
+  /** Completes with the failure of a call; a response counts as a malformed one. */
+  private record FailureListener(Promise<UpstreamFailure> failure) implements ForwardCall.Listener {
+
+    @Override
+    public boolean head(int status, MultiMap headers) {
+      failed(UpstreamFailure.MALFORMED);
+      return false;
+    }
+
+    @Override
+    public void bytes(Buffer bytes) {}
+
+    @Override
+    public void end() {}
+
+    @Override
+    public void failed(UpstreamFailure reason) {
+      failure.tryComplete(reason);
+    }
+  }
+}
