Remove upstreams that leave while a watch is cut for a moment

An upstream that leaves without draining is removed from the list. A host whose watch was cut at that moment read the list again at once, took the cut for an outage in which entries expire, and kept the removed entry for 2 s from its own recovery: longer than the 2 s that are allowed since the removal. Requests went there until then. A watch that waits may be cut at any time.

Entries can expire only if the store was away for a second or more. New tests in DiscoveredUpstreamsTest; with the earlier handling the first one kept the entry.

--- a/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
@@ -29,6 +29,9 @@
   /** Time after an outage for which a missing entry is kept, in milliseconds. */
   public static final long REAPPEARANCE_MILLIS = 2_000;
 
+  /** Shortest outage in which an entry can expire, in milliseconds. */
+  public static final long SHORTEST_EXPIRY_MILLIS = 1_000;
+
   private static final class Entry {
     private ListedUpstream listed;
     private Optional<Long> expiresAtMillis = Optional.empty();
@@ -40,6 +43,8 @@
 
   private final Map<UpstreamName, Entry> entries = new HashMap<>();
   private boolean reachable;
+  private boolean entriesMayHaveExpired;
+  private long interruptedAtMillis;
   private boolean known;
   private long recoveredAtMillis;
   private long lastReceivedAtMillis;
@@ -47,9 +52,21 @@
   /** Creates an instance without entries. */
   public DiscoveredUpstreams() {}
 
-  /** Records that the list could not be read. */
+  /** Records that the list did not respond, perhaps for some time. */
   public void readFailed() {
     reachable = false;
+    entriesMayHaveExpired = true;
+  }
+
+  /**
+   * Records that the list has become unreadable now, as when a connection is closed. Entries that
+   * are missing after a short interruption were removed.
+   */
+  public void readInterrupted(long nowMillis) {
+    if (reachable) {
+      reachable = false;
+      interruptedAtMillis = nowMillis;
+    }
   }
 
   /**
@@ -117,7 +134,10 @@
   public void received(long nowMillis) {
     if (!reachable) {
       reachable = true;
-      recoveredAtMillis = nowMillis;
+      if (entriesMayHaveExpired || nowMillis - interruptedAtMillis >= SHORTEST_EXPIRY_MILLIS) {
+        recoveredAtMillis = nowMillis;
+      }
+      entriesMayHaveExpired = false;
     }
     lastReceivedAtMillis = nowMillis;
   }
--- a/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
@@ -47,6 +47,37 @@
     assertThat(names()).isEmpty();
   }
 
+  /** Guards against work for an upstream that left while a watch was cut for a moment. */
+  @Test
+  void anEntryThatIsMissingAfterAShortInterruptionIsRemovedAtOnce() {
+    discovered.listed(List.of(listed("a", 1, false)), List.of(), 0);
+    discovered.readInterrupted(RECOVERED_AT_MILLIS - 200);
+
+    assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS)).isTrue();
+    assertThat(names()).isEmpty();
+  }
+
+  /** Guards against the refusal of all requests after an outage that began with a closed watch. */
+  @Test
+  void anEntryThatIsMissingAfterALongInterruptionIsKept() {
+    discovered.listed(List.of(listed("a", 1, false)), List.of(), 0);
+    discovered.readInterrupted(RECOVERED_AT_MILLIS - DiscoveredUpstreams.SHORTEST_EXPIRY_MILLIS);
+
+    assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS)).isFalse();
+    assertThat(names()).containsExactly("a");
+  }
+
+  /** Guards against the same refusal where an interruption turns into silence. */
+  @Test
+  void anEntryThatIsMissingAfterSilenceIsKept() {
+    discovered.listed(List.of(listed("a", 1, false)), List.of(), 0);
+    discovered.readInterrupted(RECOVERED_AT_MILLIS - 200);
+    discovered.readFailed();
+
+    assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS)).isFalse();
+    assertThat(names()).containsExactly("a");
+  }
+
   /** An upstream that is draining does not register again. */
   @Test
   void aDrainedEntryThatIsMissingAfterAnOutageIsRemoved() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -206,15 +206,18 @@
     discoveredUpstreams.received(clock.millis());
   }
 
-  /** Records that the list of upstreams could not be read. */
+  /** Records that the list of upstreams did not respond, perhaps for some time. */
   public void upstreamsUnavailable(String cause) {
-    if (upstreamListReachable) {
-      upstreamListReachable = false;
-      LOG.atWarn().addKeyValue("cause", cause).log("list of upstreams cannot be read");
-    }
+    logUnavailable(cause);
     discoveredUpstreams.readFailed();
   }
 
+  /** Records that the list of upstreams has become unreadable now. */
+  public void upstreamsInterrupted(String cause) {
+    logUnavailable(cause);
+    discoveredUpstreams.readInterrupted(clock.millis());
+  }
+
   /**
    * Removes upstreams whose time to reappear in the list has expired; called several times a
    * second.
@@ -267,6 +270,13 @@
     return incarnations;
   }
 
+  private void logUnavailable(String cause) {
+    if (upstreamListReachable) {
+      upstreamListReachable = false;
+      LOG.atWarn().addKeyValue("cause", cause).log("list of upstreams cannot be read");
+    }
+  }
+
   private void upstreamsAvailable() {
     if (!upstreamListReachable) {
       upstreamListReachable = true;
