Soak of processes whose servers leave and whose network paths are cut

No run of ours drained a server before real processes, or delayed what was written on a path. The soak on the platform's path now replaces servers (two of three announce that they drain, the others are only removed from the list), cuts paths to servers and from daemons to the store, and counts requests that arrive more than 2 s after the store knew that their server leaves. As in the users' rule, a request counts only if its host, its path and the store were undisturbed for 3 s. Bytes that a cut path holds arrive with the next retransmission, or never if their sender has reset the connection.

Two soaks that started in the same second chose the same ports (seen once, with requests of one at the other's servers); ports now begin at a random one.

--- a/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
+++ b/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
@@ -25,11 +25,14 @@
         "Runs daemons as processes before stand-ins of the users' platform while they fail.")
 @Discussion(
     paragraphs = {
-      "Daemons are killed, paused and stopped, servers fail and the store does not respond, in random"
-          + " order and overlapping. The servers count what arrives: the retries of the whole fleet"
-          + " in any 10 seconds, requests that ran twice, and requests that ran although their"
-          + " callers were told that they had not.",
-      "Ends with 3 when a rule was broken, or when no request of a kind was served."
+      "Daemons are killed, paused and stopped, servers fail and are replaced, network paths to"
+          + " servers and to the store are cut, and the store does not respond, in random order and"
+          + " overlapping. The servers count what arrives: the retries of the whole fleet in any 10"
+          + " seconds, requests that ran twice, requests that ran although their callers were told"
+          + " that they had not, and requests that arrive more than 2 seconds after the store knew"
+          + " that their server leaves.",
+      "Ends with 3 when a rule was broken, when no request of a kind was served, or when fewer than"
+          + " nine tenths of the requests were sent on time."
     })
 @Examples(
     examples = {
@@ -141,9 +144,15 @@
   }
 
   private static void print(PlatformSoakReport report, PrintStream output) {
+    output.printf(
+        "%d requests, %d of them sent late; the soak itself stood still %d times%n",
+        report.load().requests(), report.load().late(), report.load().stalls());
     for (KindCount kind : report.kinds()) {
       output.println(kind);
     }
+    report
+        .losses()
+        .forEach((reason, count) -> output.printf("lost, %-20s %3d%n", reason.code(), count));
     report.faults().forEach((fault, count) -> output.printf("%-20s %3d%n", fault.code(), count));
     report
         .retries()
@@ -152,6 +161,17 @@
                 output.printf(
                     "retries to %s in the worst 10 s: %d, allowed %.0f%n",
                     service, worst.retries(), worst.allowed()));
+    output.printf(
+        "%d servers left; %d requests arrived after that%n",
+        report.draining().servers(), report.draining().arrivals());
+    report
+        .draining()
+        .late()
+        .forEach(
+            late ->
+                output.printf(
+                    "arrived too late: %s from %s at %s after %d ms%n",
+                    late.request(), late.host(), late.upstream(), late.afterMillis()));
     report.ranTwice().forEach(request -> output.println("ran twice: " + request));
     report
         .falselyNotRun()
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -68,6 +68,30 @@
           random);
     }
   },
+  /** Servers are replaced one for one, and say that they leave, or are removed from the list. */
+  SERVERS_LEAVE {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      stage.replaceServers(
+          service(random), random.nextDouble() / 2, random.nextInt(3) > 0, millis(random), random);
+    }
+  },
+  /** The network paths to servers are cut for a time. */
+  SERVER_PATHS_CUT {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      int millis = LEAST_MILLIS + random.nextInt(MOST_CUT_MILLIS - LEAST_MILLIS);
+      stage.cutPaths(service(random), random.nextDouble(), millis, random);
+    }
+  },
+  /** The network paths of daemons to the store are cut for a time. */
+  STORE_PATHS_CUT {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      int cut = 1 + random.nextInt(Math.max(1, stage.daemons().size() / 2));
+      stage.daemons().cutStorePaths(cut, millis(random), random);
+    }
+  },
   /** The platform's store does not respond. */
   STORE_SILENT {
     @Override
@@ -81,6 +105,9 @@
   private static final int LEAST_MILLIS = 1_000;
   private static final int MOST_MILLIS = 8_000;
 
+  /** Long enough for retransmissions that arrive more than 3 s after the end of a cut. */
+  private static final int MOST_CUT_MILLIS = 10_000;
+
   private final Optional<ServerStandIn.Mood> mood;
 
   PlatformFault() {
@@ -102,7 +129,7 @@
 
   /** Starts the fault, which ends by itself. */
   void begin(PlatformSoakStage stage, Random random) {
-    String service = random.nextBoolean() ? PlatformStandIn.ENGINES : PlatformStandIn.DESK;
+    String service = service(random);
     double servers = random.nextBoolean() ? 1 : random.nextDouble();
     stage.disturb(
         service, mood.orElseThrow(), servers, random.nextDouble(), millis(random), random);
@@ -113,6 +140,10 @@
     return name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
 
+  private static String service(Random random) {
+    return random.nextBoolean() ? PlatformStandIn.ENGINES : PlatformStandIn.DESK;
+  }
+
   private static int millis(Random random) {
     return LEAST_MILLIS + random.nextInt(MOST_MILLIS - LEAST_MILLIS);
   }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.ArrayList;
@@ -12,12 +13,15 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import org.marjoramsail.command.fleet.FleetDaemon;
 import org.marjoramsail.command.fleet.ProcessDaemons;
+import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.settings.Endpoint;
 import org.marjoramsail.daemon.settings.ListenSettings;
 import org.marjoramsail.daemon.settings.Settings;
 import org.marjoramsail.platform.assembly.LoopbackPlatform;
+import org.marjoramsail.standin.network.LinkStandIn;
 
 /**
  * Daemons on the platform's path, each a process with a loopback address of its own. Runs on one
@@ -30,23 +34,44 @@
 
   private static final int HOSTS_PER_BLOCK = 250;
 
+  /**
+   * Ports of daemons begin here, below those that the operating system hands out: a connection
+   * might take one of these between the choice and the start.
+   */
+  private static final int FIRST_PORT = 20_000;
+
+  private static final int LAST_FIRST_PORT = 31_000;
+  private static final int LAST_PORT = 32_000;
+
+  /**
+   * A running daemon as callers see it.
+   *
+   * @param host name of its host
+   * @param caller where it takes callers
+   */
+  record Entry(String host, Endpoint caller) {}
+
   /** Host with fixed addresses, whose process changes at each restart. */
   private static final class Host {
     private final String name;
     private final ListenSettings listen;
+    private final LinkStandIn storePath;
+    private Optional<Endpoint> store = Optional.empty();
     private Optional<FleetDaemon> process = Optional.empty();
     private boolean isPaused;
 
-    Host(String name, ListenSettings listen) {
+    Host(String name, ListenSettings listen, LinkStandIn storePath) {
       this.name = name;
       this.listen = listen;
+      this.storePath = storePath;
     }
   }
 
   private final Vertx vertx;
   private final ProcessDaemons factory;
-  private final Endpoint store;
+  private final int storePort;
   private final double retrySlack;
+  private final SoakArrivals arrivals;
   private final List<Host> hosts = new ArrayList<>();
   private final Set<Host> starting = new HashSet<>();
   private boolean isEnded;
@@ -57,24 +82,41 @@
    * @throws IOException if a host finds no free port
    */
   PlatformProcesses(
-      Vertx vertx, ProcessDaemons factory, Endpoint store, int count, double retrySlack)
+      Vertx vertx,
+      ProcessDaemons factory,
+      int storePort,
+      PlatformSoakSetup setup,
+      Clock clock,
+      SoakArrivals arrivals)
       throws IOException {
     this.vertx = vertx;
     this.factory = factory;
-    this.store = store;
-    this.retrySlack = retrySlack;
+    this.storePort = storePort;
+    this.retrySlack = setup.retrySlack();
+    this.arrivals = arrivals;
+    int count = setup.daemons();
+    // Soaks that start at the same time choose different ports.
+    int firstPort = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_FIRST_PORT);
     for (int number = 0; number < count; number++) {
       String address = "127.1." + number / HOSTS_PER_BLOCK + "." + (1 + number % HOSTS_PER_BLOCK);
-      ListenSettings listen =
-          new ListenSettings(freePort(address), freePort(address), freePort(address));
-      hosts.add(new Host("host-" + (number + 1), listen));
+      Endpoint caller = freePort(address, firstPort);
+      Endpoint operator = freePort(address, caller.port() + 1);
+      Endpoint peer = freePort(address, operator.port() + 1);
+      LinkStandIn storePath = new LinkStandIn(vertx, clock, LinkStandIn::retransmissionDelayMillis);
+      ListenSettings listen = new ListenSettings(caller, operator, peer);
+      hosts.add(new Host("host-" + (number + 1), listen, storePath));
     }
   }
 
-  private static Endpoint freePort(String address) throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(address))) {
-      return new Endpoint(address, socket.getLocalPort());
+  private static Endpoint freePort(String address, int firstPort) throws IOException {
+    for (int port = firstPort; port < LAST_PORT; port++) {
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(address))) {
+        return new Endpoint(address, socket.getLocalPort());
+      } catch (BindException used) {
+        // Another program listens there; the next port is tried.
+      }
     }
+    throw new BindException("No port of " + address + " from " + firstPort + " is free.");
   }
 
   int size() {
@@ -83,14 +125,21 @@
 
   /** Starts all daemons at once, and completes when all listen. */
   Future<Void> startAll() {
-    return Future.all(hosts.stream().map(this::start).toList()).mapEmpty();
+    return Future.all(hosts.stream().map(this::startFirst).toList()).mapEmpty();
+  }
+
+  private Future<Void> startFirst(Host host) {
+    return host.storePath
+        .start(LoopbackPlatform.ADDRESS, storePort)
+        .onSuccess(port -> host.store = Optional.of(new Endpoint(LoopbackPlatform.ADDRESS, port)))
+        .compose(port -> start(host));
   }
 
-  /** Returns where the running daemons take callers. */
-  List<Endpoint> callerEndpoints() {
+  /** Returns the running daemons. */
+  List<Entry> entries() {
     return hosts.stream()
         .filter(host -> host.process.isPresent())
-        .map(host -> host.listen.caller())
+        .map(host -> new Entry(host.name, host.listen.caller()))
         .toList();
   }
 
@@ -104,6 +153,7 @@
     for (Host host : choose(count, random)) {
       FleetDaemon killed = host.process.orElseThrow();
       host.process = Optional.empty();
+      arrivals.disturbanceBegins(host.name);
       killed.kill().onComplete(ended -> startLater(host, downMillis));
     }
   }
@@ -112,8 +162,28 @@
   void pauseAtRandom(int count, long millis, Random random) {
     for (Host host : choose(count, random)) {
       host.isPaused = true;
+      arrivals.disturbanceBegins(host.name);
       host.process.orElseThrow().pause(millis);
-      vertx.setTimer(millis, fired -> host.isPaused = false);
+      vertx.setTimer(
+          millis,
+          fired -> {
+            host.isPaused = false;
+            arrivals.disturbanceEnds(host.name);
+          });
+    }
+  }
+
+  /** Cuts the network paths of some daemons to the store for a time. */
+  void cutStorePaths(int count, long millis, Random random) {
+    for (Host host : choose(count, random)) {
+      arrivals.disturbanceBegins(host.name);
+      host.storePath.cut();
+      vertx.setTimer(
+          millis,
+          fired -> {
+            host.storePath.restore();
+            arrivals.disturbanceEnds(host.name);
+          });
     }
   }
 
@@ -134,6 +204,7 @@
     }
     FleetDaemon stopped = host.process.orElseThrow();
     host.process = Optional.empty();
+    arrivals.disturbanceBegins(host.name);
     stopped.stop().onComplete(ended -> startLater(host, 1));
   }
 
@@ -159,14 +230,21 @@
         millis,
         fired -> {
           if (!isEnded && host.process.isEmpty() && starting.add(host)) {
-            start(host).onComplete(done -> starting.remove(host));
+            start(host)
+                .onComplete(
+                    done -> {
+                      starting.remove(host);
+                      arrivals.disturbanceEnds(host.name);
+                    });
           }
         });
   }
 
   private Future<Void> start(Host host) {
     List<Endpoint> seeds = hosts.stream().limit(SEEDS).map(seed -> seed.listen.peer()).toList();
-    Settings settings = LoopbackPlatform.settings(host.name, host.listen, store, seeds, retrySlack);
+    Settings settings =
+        LoopbackPlatform.settings(
+            host.name, host.listen, host.store.orElseThrow(), seeds, retrySlack);
     return factory
         .start(settings)
         .onSuccess(process -> host.process = Optional.of(process))
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
@@ -1,31 +1,27 @@
 package org.marjoramsail.command.platform;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.EnumMap;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.marjoramsail.command.fleet.FleetException;
 import org.marjoramsail.command.fleet.FleetRun;
 import org.marjoramsail.command.fleet.ProcessDaemons;
 import org.marjoramsail.core.time.Clock;
-import org.marjoramsail.daemon.settings.Endpoint;
 import org.marjoramsail.platform.assembly.LoopbackPlatform;
-import org.marjoramsail.platform.standin.CallerStandIn;
-import org.marjoramsail.platform.standin.CallerStandIn.Answer;
 import org.marjoramsail.platform.standin.PlatformStandIn;
 import org.marjoramsail.platform.standin.ServerStandIn;
-import org.marjoramsail.standin.load.ArrivalLog;
+import org.marjoramsail.standin.load.DrainLog;
+import org.marjoramsail.standin.network.LinkStandIn;
 
 /**
  * Soak of daemons that are processes, before stand-ins of the users' platform: faults come in
@@ -47,26 +43,16 @@
   /** Time after the last request in which responses are awaited; callers give up sooner. */
   private static final long LAST_RESPONSES_MILLIS = 5_000;
 
-  private static final long CALLER_TIMEOUT_MILLIS = 4_000;
+  private static final long PULSE_MILLIS = 20;
 
-  /** Share of the streams that may be resumed, in hundredths. */
-  private static final int RESUMABLE_SHARE = 50;
-
-  /** Share of the plain requests that may be repeated, in hundredths. */
-  private static final int REPEATABLE_SHARE = 30;
-
-  private static final int HUNDRED = 100;
-  private static final int NO_ROOM = 429;
-  private static final int NOT_NOW = 503;
+  /** Time without a pulse after which the soak itself has stood still, and judges nothing. */
+  private static final long STALL_MILLIS = 250;
 
   private final Clock clock;
   private final ProcessDaemons factory;
-  private final Map<String, KindCount> kinds = new TreeMap<>();
-  private final Map<String, ArrivalLog> arrivals = new HashMap<>();
   private final Map<PlatformFault, Integer> faults = new EnumMap<>(PlatformFault.class);
-  private final Set<String> once = new HashSet<>();
-  private final Set<String> toldNotRun = new HashSet<>();
-  private int sequence;
+  private final Map<String, LinkStandIn> links = new ConcurrentHashMap<>();
+  private int stalls;
 
   /** Creates a soak; it can be run once. */
   public PlatformSoak(Clock clock, ProcessDaemons factory) {
@@ -89,30 +75,26 @@
   }
 
   private PlatformSoakReport run(Vertx vertx, PlatformSoakSetup setup) throws FleetException {
-    PlatformStandIn platform =
-        new PlatformStandIn(
-            vertx,
-            new ObjectMapper(),
-            LoopbackPlatform.ADDRESS,
-            new PlatformStandIn.Size(
-                setup.prefillServers(),
-                setup.decodeServers(),
-                setup.plainServers(),
-                ENGINE_PACE,
-                PLAIN_PACE));
+    SoakArrivals arrivals = new SoakArrivals(clock, setup.retrySlack());
+    PlatformStandIn platform = platform(vertx, setup);
     FleetRun.await("start", platform.start(), START_SECONDS);
-    countArrivals(platform, setup);
-    PlatformProcesses daemons = processes(vertx, platform, setup);
+    for (String service : List.of(PlatformStandIn.ENGINES, PlatformStandIn.DESK)) {
+      platform.listed(service).forEach(server -> arrivals.observe(platform, service, server));
+    }
+    PlatformProcesses daemons = processes(vertx, platform, setup, arrivals);
+    Random random = new Random(setup.seed());
+    SoakLoad load =
+        new SoakLoad(vertx, clock, setup, daemons, arrivals, new Random(random.nextLong()));
     try {
       FleetRun.await("start", daemons.startAll(), START_SECONDS);
       long loadMillis = setup.seconds() * MILLIS_PER_SECOND;
       long endMillis = clock.millis() + loadMillis;
-      Random random = new Random(setup.seed());
-      PlatformSoakStage stage = new PlatformSoakStage(vertx, clock, platform, daemons, endMillis);
+      PlatformSoakStage stage =
+          new PlatformSoakStage(vertx, clock, platform, daemons, links, arrivals, endMillis);
       vertx.runOnContext(
           nothing -> {
-            CallerStandIn caller = new CallerStandIn(vertx, LoopbackPlatform.ADDRESS);
-            sendLater(vertx, caller, daemons, setup, new Random(random.nextLong()), endMillis);
+            load.start(endMillis);
+            watchPulse(vertx, arrivals);
             vertx.setTimer(
                 QUIET_MILLIS, fired -> nextFault(vertx, stage, setup, random, endMillis));
           });
@@ -123,39 +105,50 @@
     } finally {
       daemons.end();
     }
-    return report(platform);
+    return report(platform, load, arrivals);
+  }
+
+  private PlatformStandIn platform(Vertx vertx, PlatformSoakSetup setup) {
+    return new PlatformStandIn(
+        vertx,
+        new ObjectMapper(),
+        LoopbackPlatform.ADDRESS,
+        new PlatformStandIn.Size(
+            setup.prefillServers(),
+            setup.decodeServers(),
+            setup.plainServers(),
+            ENGINE_PACE,
+            PLAIN_PACE),
+        (server, port) -> {
+          LinkStandIn link = new LinkStandIn(vertx, clock, LinkStandIn::retransmissionDelayMillis);
+          links.put(server, link);
+          return link.start(LoopbackPlatform.ADDRESS, port);
+        });
   }
 
   private PlatformProcesses processes(
-      Vertx vertx, PlatformStandIn platform, PlatformSoakSetup setup) throws FleetException {
-    Endpoint store = new Endpoint(LoopbackPlatform.ADDRESS, platform.storePort());
+      Vertx vertx, PlatformStandIn platform, PlatformSoakSetup setup, SoakArrivals arrivals)
+      throws FleetException {
     try {
-      return new PlatformProcesses(vertx, factory, store, setup.daemons(), setup.retrySlack());
+      return new PlatformProcesses(vertx, factory, platform.storePort(), setup, clock, arrivals);
     } catch (IOException failure) {
       throw new FleetException("find free ports", failure);
     }
   }
 
-  private void countArrivals(PlatformStandIn platform, PlatformSoakSetup setup) {
-    for (String service : List.of(PlatformStandIn.ENGINES, PlatformStandIn.DESK)) {
-      ArrivalLog log = new ArrivalLog(LoopbackPlatform.RETRY_RATIO, setup.retrySlack());
-      arrivals.put(service, log);
-      platform
-          .servers(service)
-          .forEach(
-              server ->
-                  server.onArrival(
-                      (attempt, prefill, accepted) -> arrived(log, attempt, prefill, accepted)));
-    }
-  }
-
-  private synchronized void arrived(
-      ArrivalLog log, String attempt, boolean prefill, boolean accepted) {
-    if (prefill) {
-      log.prefillArrived(attempt, accepted, clock.millis());
-    } else {
-      log.runArrived(attempt, clock.millis());
-    }
+  /** Records pauses of this process, which delay what its stand-ins receive, as disturbances. */
+  private void watchPulse(Vertx vertx, SoakArrivals arrivals) {
+    AtomicLong lastMillis = new AtomicLong(clock.millis());
+    vertx.setPeriodic(
+        PULSE_MILLIS,
+        timer -> {
+          long nowMillis = clock.millis();
+          if (nowMillis - lastMillis.getAndSet(nowMillis) > STALL_MILLIS) {
+            stalls++;
+            arrivals.disturbanceBegins(DrainLog.STORE);
+            arrivals.disturbanceEnds(DrainLog.STORE);
+          }
+        });
   }
 
   private void nextFault(
@@ -176,84 +169,23 @@
     vertx.setTimer(pauseMillis, fired -> nextFault(vertx, stage, setup, random, endMillis));
   }
 
-  private void sendLater(
-      Vertx vertx,
-      CallerStandIn caller,
-      PlatformProcesses daemons,
-      PlatformSoakSetup setup,
-      Random random,
-      long endMillis) {
-    double perSecond = setup.streamsPerSecond() + setup.plainPerSecond();
-    double pauseMillis = -Math.log(1 - random.nextDouble()) * MILLIS_PER_SECOND / perSecond;
-    vertx.setTimer(
-        Math.max(1, Math.round(pauseMillis)),
-        fired -> {
-          if (clock.millis() < endMillis) {
-            boolean isStream = random.nextDouble() * perSecond < setup.streamsPerSecond();
-            send(caller, daemons.callerEndpoints(), isStream, random);
-            sendLater(vertx, caller, daemons, setup, random, endMillis);
-          }
-        });
-  }
-
-  private void send(
-      CallerStandIn caller, List<Endpoint> endpoints, boolean isStream, Random random) {
-    int draw = random.nextInt(HUNDRED);
-    String path =
-        isStream
-            ? draw < RESUMABLE_SHARE ? PlatformStandIn.RESUMABLE : PlatformStandIn.STREAM
-            : draw < REPEATABLE_SHARE ? PlatformStandIn.REPEATABLE : PlatformStandIn.ONCE;
-    String service = isStream ? PlatformStandIn.ENGINES : PlatformStandIn.DESK;
-    KindCount kind = kinds.computeIfAbsent(path, KindCount::new);
-    String attempt = "soak-" + sequence++;
-    kind.sent();
-    synchronized (this) {
-      arrivals.get(service).requested(clock.millis());
-    }
-    if (path.equals(PlatformStandIn.ONCE) || path.equals(PlatformStandIn.STREAM)) {
-      once.add(attempt);
-    }
-    if (endpoints.isEmpty()) {
-      kind.lost();
-      return;
-    }
-    Endpoint to = endpoints.get(random.nextInt(endpoints.size()));
-    Future<Answer> answer =
-        caller.call(
-            to.address(),
-            to.port(),
-            HttpMethod.POST,
-            PlatformStandIn.HOST,
-            path + attempt,
-            Map.of(CallerStandIn.ATTEMPT, attempt));
-    answer
-        .timeout(CALLER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-        .onSuccess(received -> answered(kind, attempt, received))
-        .onFailure(failure -> kind.lost());
-  }
-
-  private void answered(KindCount kind, String attempt, Answer answer) {
-    kind.answered(answer);
-    if (answer.status() == NO_ROOM || answer.status() == NOT_NOW) {
-      toldNotRun.add(attempt);
-    }
-  }
-
-  private synchronized PlatformSoakReport report(PlatformStandIn platform) {
+  private PlatformSoakReport report(
+      PlatformStandIn platform, SoakLoad load, SoakArrivals arrivals) {
     Set<String> ran = new HashSet<>();
     List<String> ranTwice = new ArrayList<>();
-    for (String attempt : platform.runs()) {
-      if (!ran.add(attempt) && once.contains(attempt)) {
-        ranTwice.add(attempt);
+    for (String request : platform.runs()) {
+      if (!ran.add(request) && load.isOnce(request)) {
+        ranTwice.add(request);
       }
     }
-    Map<String, ArrivalLog.Window> worst = new TreeMap<>();
-    arrivals.forEach((service, log) -> worst.put(service, log.worstWindow()));
     return new PlatformSoakReport(
-        List.copyOf(kinds.values()),
+        new PlatformSoakReport.Load(load.requests(), load.lateRequests(), stalls),
+        load.kinds(),
+        load.losses(),
         faults,
-        worst,
+        arrivals.worstWindows(),
+        arrivals.draining(),
         ranTwice,
-        once.stream().filter(toldNotRun::contains).filter(ran::contains).toList());
+        load.toldNotRun().stream().filter(ran::contains).toList());
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
@@ -3,35 +3,76 @@
 import java.util.List;
 import java.util.Map;
 import org.marjoramsail.standin.load.ArrivalLog;
+import org.marjoramsail.standin.load.DrainLog;
 
 /**
  * Result of a soak on the platform's path.
  *
+ * @param load what callers sent
  * @param kinds results of the requests, by kind
+ * @param losses how many requests had no response, by reason
  * @param faults how often each kind of fault happened
  * @param retries for each service, the window with the most retries beyond what is allowed
+ * @param draining what arrived at servers that were leaving
  * @param ranTwice requests that ran more than once although they may not
  * @param falselyNotRun requests that ran although their callers were told that they did not
  */
 public record PlatformSoakReport(
+    Load load,
     List<KindCount> kinds,
+    Map<LossReason, Integer> losses,
     Map<PlatformFault, Integer> faults,
     Map<String, ArrivalLog.Window> retries,
+    Draining draining,
     List<String> ranTwice,
     List<String> falselyNotRun) {
 
+  /** Share of the requests that have to be sent on time for a soak to prove something. */
+  private static final double MINIMUM_ON_TIME = 0.9;
+
+  /**
+   * What callers sent.
+   *
+   * @param requests number of requests
+   * @param late number of these that were sent after their time
+   * @param stalls how often the soak itself stood still
+   */
+  public record Load(int requests, int late, int stalls) {
+    /** Returns whether the fleet was offered the load that was asked for. */
+    public boolean isOffered() {
+      return requests - late >= MINIMUM_ON_TIME * requests;
+    }
+  }
+
+  /**
+   * What arrived at servers that were leaving.
+   *
+   * @param servers number of servers that left
+   * @param arrivals requests that arrived after the store had acknowledged it
+   * @param late those that arrived too late
+   */
+  public record Draining(int servers, int arrivals, List<DrainLog.LateArrival> late) {
+    /** Copies the list, so that the value is immutable. */
+    public Draining {
+      late = List.copyOf(late);
+    }
+  }
+
   /** Copies the collections, so that the value is immutable. */
   public PlatformSoakReport {
     kinds = List.copyOf(kinds);
+    losses = Map.copyOf(losses);
     faults = Map.copyOf(faults);
     retries = Map.copyOf(retries);
     ranTwice = List.copyOf(ranTwice);
     falselyNotRun = List.copyOf(falselyNotRun);
   }
 
-  /** Returns whether no rule was broken and requests of every kind were served. */
+  /** Returns whether no rule was broken and requests of every kind were offered and served. */
   public boolean isClean() {
-    return kinds.stream().allMatch(kind -> kind.servedCount() > 0)
+    return load.isOffered()
+        && kinds.stream().allMatch(kind -> kind.servedCount() > 0)
+        && draining.late().isEmpty()
         && ranTwice.isEmpty()
         && falselyNotRun.isEmpty()
         && retries.values().stream().noneMatch(window -> window.excess() > 0);
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
@@ -1,27 +1,38 @@
 package org.marjoramsail.command.platform;
 
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.platform.standin.PlatformStandIn;
 import org.marjoramsail.platform.standin.ServerStandIn;
 import org.marjoramsail.platform.standin.StoreStandIn;
+import org.marjoramsail.standin.load.DrainLog;
+import org.marjoramsail.standin.network.LinkStandIn;
 
-/** The daemons, servers and store that faults are done to. */
+/** The daemons, servers, store and network paths that faults are done to. */
 final class PlatformSoakStage {
 
   private final Vertx vertx;
   private final Clock clock;
   private final PlatformStandIn platform;
   private final PlatformProcesses daemons;
+  private final Map<String, LinkStandIn> links;
+  private final SoakArrivals arrivals;
   private final long endMillis;
+  private final Set<String> leaving = new HashSet<>();
+  private int started;
 
   /**
    * Creates a stage.
    *
+   * @param links network paths to the servers, by their names
    * @param endMillis time at which all faults end
    */
   PlatformSoakStage(
@@ -29,11 +40,15 @@
       Clock clock,
       PlatformStandIn platform,
       PlatformProcesses daemons,
+      Map<String, LinkStandIn> links,
+      SoakArrivals arrivals,
       long endMillis) {
     this.vertx = vertx;
     this.clock = clock;
     this.platform = platform;
     this.daemons = daemons;
+    this.links = links;
+    this.arrivals = arrivals;
     this.endMillis = endMillis;
   }
 
@@ -59,10 +74,8 @@
       double requests,
       long millis,
       Random random) {
-    List<ServerStandIn> chosen = new ArrayList<>(platform.servers(service));
-    Collections.shuffle(chosen, random);
-    int count = (int) Math.ceil(servers * chosen.size());
-    for (ServerStandIn server : chosen.subList(0, count)) {
+    for (String name : choose(platform.listed(service), servers, random)) {
+      ServerStandIn server = platform.server(name);
       server.mood(mood, requests);
       vertx.setTimer(millis, fired -> server.mood(ServerStandIn.Mood.WELL));
     }
@@ -70,7 +83,67 @@
 
   /** Lets the store misbehave for a time. */
   void disturbStore(StoreStandIn.Mood mood, long millis) {
+    arrivals.disturbanceBegins(DrainLog.STORE);
     platform.store().mood(mood);
-    vertx.setTimer(millis, fired -> platform.store().mood(StoreStandIn.Mood.WELL));
+    vertx.setTimer(
+        millis,
+        fired -> {
+          platform.store().mood(StoreStandIn.Mood.WELL);
+          arrivals.disturbanceEnds(DrainLog.STORE);
+        });
+  }
+
+  /** Cuts the network paths to a share of the servers of a service for a time. */
+  void cutPaths(String service, double servers, long millis, Random random) {
+    for (String name : choose(platform.listed(service), servers, random)) {
+      LinkStandIn link = links.get(name);
+      arrivals.disturbanceBegins(name);
+      link.cut();
+      vertx.setTimer(
+          millis,
+          fired -> {
+            link.restore();
+            arrivals.disturbanceEnds(name);
+          });
+    }
+  }
+
+  /**
+   * Replaces a share of the servers of a service: a new one is started for each, and the old one
+   * leaves.
+   *
+   * @param announced whether they are listed as draining before they are removed from the list
+   * @param millis time for which they are listed as draining
+   */
+  void replaceServers(
+      String service, double servers, boolean announced, long millis, Random random) {
+    List<String> staying = new ArrayList<>(platform.listed(service));
+    staying.removeAll(leaving);
+    for (String name : choose(staying, servers, random)) {
+      leaving.add(name);
+      String successor = name + "-successor-" + started++;
+      Future<Integer> listed = platform.addServer(successor, service, platform.stage(name));
+      listed.onSuccess(
+          port -> {
+            arrivals.observe(platform, service, successor);
+            leave(name, announced, millis);
+          });
+    }
+  }
+
+  private void leave(String server, boolean announced, long millis) {
+    if (announced) {
+      platform.drain(server);
+      vertx.setTimer(millis, fired -> platform.unlist(server));
+    } else {
+      platform.unlist(server);
+    }
+    arrivals.drained(server);
+  }
+
+  private static List<String> choose(List<String> all, double share, Random random) {
+    List<String> shuffled = new ArrayList<>(all);
+    Collections.shuffle(shuffled, random);
+    return shuffled.subList(0, (int) Math.ceil(share * shuffled.size()));
   }
 }
--- /dev/null
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
@@ -0,0 +1,189 @@
+package org.marjoramsail.command.platform;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import java.util.EnumMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.platform.assembly.LoopbackPlatform;
+import org.marjoramsail.platform.standin.CallerStandIn;
+import org.marjoramsail.platform.standin.CallerStandIn.Answer;
+import org.marjoramsail.platform.standin.PlatformStandIn;
+
+/**
+ * Callers of a soak. Each request has its time in advance, so that a busy machine delays requests
+ * and leaves none out. Runs on one event loop.
+ */
+final class SoakLoad {
+
+  private static final double MILLIS_PER_SECOND = 1_000;
+  private static final long TICK_MILLIS = 2;
+  private static final long CALLER_TIMEOUT_MILLIS = 4_000;
+
+  /** Delay up to which a request counts as sent on time. */
+  private static final long ON_TIME_MILLIS = 500;
+
+  /** Share of the streams that may be resumed, in hundredths. */
+  private static final int RESUMABLE_SHARE = 50;
+
+  /** Share of the plain requests that may be repeated, in hundredths. */
+  private static final int REPEATABLE_SHARE = 30;
+
+  private static final int HUNDRED = 100;
+  private static final int NO_ROOM = 429;
+  private static final int NOT_NOW = 503;
+
+  private final Vertx vertx;
+  private final Clock clock;
+  private final PlatformSoakSetup setup;
+  private final PlatformProcesses daemons;
+  private final SoakArrivals arrivals;
+  private final Random random;
+  private final CallerStandIn caller;
+  private final Map<String, KindCount> kinds = new TreeMap<>();
+  private final Map<LossReason, Integer> losses = new EnumMap<>(LossReason.class);
+  private final Set<String> once = new HashSet<>();
+  private final Set<String> toldNotRun = new HashSet<>();
+  private double nextAtMillis;
+  private long endMillis;
+  private int sequence;
+  private int late;
+
+  SoakLoad(
+      Vertx vertx,
+      Clock clock,
+      PlatformSoakSetup setup,
+      PlatformProcesses daemons,
+      SoakArrivals arrivals,
+      Random random) {
+    this.vertx = vertx;
+    this.clock = clock;
+    this.setup = setup;
+    this.daemons = daemons;
+    this.arrivals = arrivals;
+    this.random = random;
+    this.caller = new CallerStandIn(vertx, LoopbackPlatform.ADDRESS);
+  }
+
+  /** Sends requests from now on until a time. */
+  void start(long untilMillis) {
+    endMillis = untilMillis;
+    nextAtMillis = clock.millis() + pauseMillis();
+    vertx.setPeriodic(
+        TICK_MILLIS,
+        timer -> {
+          sendDue();
+          if (nextAtMillis >= endMillis) {
+            vertx.cancelTimer(timer);
+          }
+        });
+  }
+
+  /** Returns the results of the requests by kind. */
+  List<KindCount> kinds() {
+    return List.copyOf(kinds.values());
+  }
+
+  /** Returns how many requests had no response, by reason. */
+  Map<LossReason, Integer> losses() {
+    return Map.copyOf(losses);
+  }
+
+  /** Returns the number of requests that were sent, or had no daemon to be sent to. */
+  int requests() {
+    return sequence;
+  }
+
+  /** Returns the number of requests that were sent after their time. */
+  int lateRequests() {
+    return late;
+  }
+
+  /** Returns whether a request may run once only. */
+  boolean isOnce(String request) {
+    return once.contains(request);
+  }
+
+  /** Returns the requests that may run once only and whose callers were told that they did not. */
+  List<String> toldNotRun() {
+    return once.stream().filter(toldNotRun::contains).toList();
+  }
+
+  private double pauseMillis() {
+    double perSecond = setup.streamsPerSecond() + setup.plainPerSecond();
+    return -Math.log(1 - random.nextDouble()) * MILLIS_PER_SECOND / perSecond;
+  }
+
+  private void sendDue() {
+    long nowMillis = clock.millis();
+    while (nextAtMillis <= nowMillis && nextAtMillis < endMillis) {
+      late += nowMillis - nextAtMillis > ON_TIME_MILLIS ? 1 : 0;
+      send();
+      nextAtMillis += pauseMillis();
+    }
+  }
+
+  private void send() {
+    double perSecond = setup.streamsPerSecond() + setup.plainPerSecond();
+    boolean isStream = random.nextDouble() * perSecond < setup.streamsPerSecond();
+    int draw = random.nextInt(HUNDRED);
+    String path =
+        isStream
+            ? draw < RESUMABLE_SHARE ? PlatformStandIn.RESUMABLE : PlatformStandIn.STREAM
+            : draw < REPEATABLE_SHARE ? PlatformStandIn.REPEATABLE : PlatformStandIn.ONCE;
+    String service = isStream ? PlatformStandIn.ENGINES : PlatformStandIn.DESK;
+    KindCount kind = kinds.computeIfAbsent(path, KindCount::new);
+    String request = "soak-" + sequence++;
+    kind.sent();
+    if (path.equals(PlatformStandIn.ONCE) || path.equals(PlatformStandIn.STREAM)) {
+      once.add(request);
+    }
+    List<PlatformProcesses.Entry> entries = daemons.entries();
+    if (entries.isEmpty()) {
+      arrivals.requested(service, request, "");
+      lost(kind, LossReason.NO_DAEMON);
+      return;
+    }
+    PlatformProcesses.Entry entry = entries.get(random.nextInt(entries.size()));
+    arrivals.requested(service, request, entry.host());
+    call(entry, path, request, kind);
+  }
+
+  private void call(PlatformProcesses.Entry entry, String path, String request, KindCount kind) {
+    Future<Answer> answer =
+        caller.call(
+            entry.caller().address(),
+            entry.caller().port(),
+            HttpMethod.POST,
+            PlatformStandIn.HOST,
+            path + request,
+            Map.of(CallerStandIn.ATTEMPT, request));
+    answer
+        .timeout(CALLER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .onSuccess(received -> answered(kind, request, received))
+        .onFailure(failure -> lost(kind, reasonOf(entry)));
+  }
+
+  private LossReason reasonOf(PlatformProcesses.Entry entry) {
+    return arrivals.isCalm(entry.host()) ? LossReason.DAEMON_CALM : LossReason.DAEMON_DISTURBED;
+  }
+
+  private void lost(KindCount kind, LossReason reason) {
+    kind.lost();
+    losses.merge(reason, 1, Integer::sum);
+  }
+
+  private void answered(KindCount kind, String request, Answer answer) {
+    kind.answered(answer);
+    if (answer.status() == NO_ROOM || answer.status() == NOT_NOW) {
+      toldNotRun.add(request);
+    }
+  }
+}
