Charge the first cost of an organisation once there is a rate to charge it to

Organisations got 375 and 384 requests in 10 s where 322 are allowed, while 390 hosts reached no other: each host granted its first request at once.

Cause: a random part of the first cost is charged, so that the first grants of many hosts are spread over the time in which they earn them. It was charged when the first request was placed. A daemon that joins others has no share of the rates for 300 ms, a rate without a limit takes no charge, and the part was lost. A trace of all first grants shows the same credit for each of the 390 hosts, 0.054 of a request, without the part.

The part is now kept until the owner has a share.

--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
@@ -38,7 +38,9 @@
   private double fleetShare = 1;
   private boolean isShareProvisional;
   private boolean isCreditUnknown;
-  private boolean isFirstCostCharged;
+  private boolean isFirstCostDrawn;
+  private double firstCostRequests;
+  private double firstCostTokens;
   private double advancedShare;
   private int running;
   private double waitingTokens;
@@ -149,6 +151,7 @@
       tokens.limit(tokensPerSecond * fleetShare, burst * fleetShare);
     }
     advance(nowMillis);
+    chargeFirstCost(nowMillis);
   }
 
   /**
@@ -161,11 +164,21 @@
    */
   void placed(int attemptTokens, RandomGenerator random, long nowMillis) {
     asked.add(Math.max(1, attemptTokens), nowMillis);
-    if (isCreditUnknown && isShareProvisional && !isFirstCostCharged) {
-      isFirstCostCharged = true;
-      double part = random.nextDouble();
-      requests.take(part, nowMillis);
-      tokens.take(part * attemptTokens, nowMillis);
+    if (isCreditUnknown && isShareProvisional && !isFirstCostDrawn) {
+      isFirstCostDrawn = true;
+      firstCostRequests = random.nextDouble();
+      firstCostTokens = firstCostRequests * attemptTokens;
+      chargeFirstCost(nowMillis);
+    }
+  }
+
+  /** Charges the part of the first cost once there is a rate to charge it to. */
+  private void chargeFirstCost(long nowMillis) {
+    if (fleetShare > 0) {
+      requests.take(firstCostRequests, nowMillis);
+      tokens.take(firstCostTokens, nowMillis);
+      firstCostRequests = 0;
+      firstCostTokens = 0;
     }
   }
 
