Let hosts that were removed from the host list hold no part of a limit

After a fleet had shrunk, organisations got a fraction of their limits for an hour: with 70 of 77 hosts killed for good and taken off the platform's list, 18 of the 200 requests that a limit allows in 10 s.

Cause: a daemon that has failed holds its part of each limit, since it may be cut off and grant requests itself. Whether its host is still on the platform's list was not looked at. A dead daemon whose host the list no longer has is now taken off the known hosts. A daemon that is cut off while its host stays on the list holds its part as before.

The log line of the share tells the removed hosts. Without a host list, as on the users' platform, nothing changes.

--- a/core/src/main/java/org/marjoramsail/core/membership/MemberTable.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MemberTable.java
@@ -158,6 +158,16 @@
     return unknown.size();
   }
 
+  /** Returns the number of dead daemons whose addresses are not in a list. */
+  int deadNotAmong(List<PeerAddress> listed) {
+    Set<PeerAddress> known = Set.copyOf(listed);
+    return (int)
+        entries.values().stream()
+            .filter(entry -> entry.update().health() == Health.DEAD)
+            .filter(entry -> !known.contains(entry.update().listening()))
+            .count();
+  }
+
   /** Returns whether more than half of some addresses belong to active members. */
   boolean reachesMostOf(List<PeerAddress> listed) {
     Set<PeerAddress> distinct = new HashSet<>(listed);
@@ -166,12 +176,14 @@
     return distinct.isEmpty() || 2 * reached.size() > distinct.size();
   }
 
-  MembershipView view(Predicate<String> regionReachable, int unknownHosts, boolean isFleetKnown) {
+  MembershipView view(
+      Predicate<String> regionReachable, int unknownHosts, int removedHosts, boolean isFleetKnown) {
     List<Member> members =
         entries.values().stream()
             .map(entry -> entry.member(regionReachable.test(entry.update().region())))
             .toList();
-    return new MembershipView(self().member(true), members, unknownHosts, isFleetKnown);
+    return new MembershipView(
+        self().member(true), members, unknownHosts, removedHosts, isFleetKnown);
   }
 
   private void refreshLists() {
--- a/core/src/main/java/org/marjoramsail/core/membership/MembershipProtocol.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipProtocol.java
@@ -89,7 +89,7 @@
 
   /** Returns the current view. */
   public MembershipView view() {
-    return table.view(regions::isReachable, unknownHosts(), isFleetKnown());
+    return table.view(regions::isReachable, unknownHosts(), removedHosts(), isFleetKnown());
   }
 
   /**
@@ -130,8 +130,13 @@
    */
   public void hostList(List<PeerAddress> addresses) {
     int unknownBefore = unknownHosts();
+    int removedBefore = removedHosts();
     hostList = List.copyOf(addresses);
-    changed |= unknownHosts() != unknownBefore;
+    changed |= unknownHosts() != unknownBefore || removedHosts() != removedBefore;
+  }
+
+  private int removedHosts() {
+    return hostList.isEmpty() ? 0 : table.deadNotAmong(hostList);
   }
 
   private int unknownHosts() {
--- a/core/src/main/java/org/marjoramsail/core/membership/MembershipView.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipView.java
@@ -8,11 +8,12 @@
  * @param self the observing daemon
  * @param members all known daemons including {@code self}, ordered by host
  * @param unknownHosts hosts on the platform's host list of which no daemon is known
+ * @param removedHosts hosts of dead daemons that the platform's host list no longer has
  * @param isFleetKnown whether the size of the fleet is known, so that the other parts of a divided
  *     fleet are accounted for
  */
 public record MembershipView(
-    Member self, List<Member> members, int unknownHosts, boolean isFleetKnown) {
+    Member self, List<Member> members, int unknownHosts, int removedHosts, boolean isFleetKnown) {
 
   /** Allowed excess of the shares of all sides of a network partition, as a factor. */
   private static final double MAXIMUM_EXCESS_FACTOR = 1.1;
@@ -24,7 +25,7 @@
 
   /** Creates the view of a daemon that knows all listed hosts. */
   public MembershipView(Member self, List<Member> members) {
-    this(self, members, 0, true);
+    this(self, members, 0, 0, true);
   }
 
   /** Returns the daemons of a region that may own shards. */
@@ -39,10 +40,13 @@
     return members.size() == 1;
   }
 
-  /** Returns the number of hosts of the fleet, reachable or not, without those that have left. */
+  /**
+   * Returns the number of hosts of the fleet, reachable or not, without those that have left or
+   * were removed.
+   */
   public int knownHosts() {
     long staying = members.stream().filter(member -> member.state() != MemberState.LEFT).count();
-    return (int) staying + unknownHosts;
+    return (int) staying + unknownHosts - removedHosts;
   }
 
   /** Returns the number of daemons that this one can reach, including itself. */
--- a/core/src/main/java/org/marjoramsail/core/membership/VirtualFleet.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/VirtualFleet.java
@@ -75,6 +75,7 @@
       new PriorityQueue<>(
           Comparator.comparingLong(Event::dueMillis).thenComparingLong(Event::order));
   private final Set<DaemonId> paused = new HashSet<>();
+  private final Set<PeerAddress> unlisted = new HashSet<>();
   private final List<PeerAddress> seeds = new ArrayList<>();
   private Network network = Network.RELIABLE;
   private BiPredicate<MemberUpdate, MemberUpdate> cut = (from, to) -> false;
@@ -93,8 +94,8 @@
   }
 
   /**
-   * Gives each daemon that starts from now on a list of all hosts that ever started, shortly after
-   * its start and then repeatedly.
+   * Gives each daemon that starts from now on a list of all hosts that ever started and were not
+   * removed from it, shortly after its start and then repeatedly.
    */
   public void enableHostList() {
     hasHostList = true;
@@ -148,6 +149,11 @@
     nodes.get(host).running = false;
   }
 
+  /** Removes a host from the list of hosts. */
+  public void removeFromHostList(String host) {
+    unlisted.add(nodes.get(host).self.listening());
+  }
+
   /** Makes a daemon announce its departure, and announce that it has left and stop after a time. */
   public void leave(String host, long afterMillis) {
     Node node = nodes.get(host);
@@ -242,7 +248,9 @@
   }
 
   private void readHostList(Node node) {
-    node.protocol.hostList(List.copyOf(byAddress.keySet()));
+    List<PeerAddress> listed = new ArrayList<>(byAddress.keySet());
+    listed.removeAll(unlisted);
+    node.protocol.hostList(listed);
     schedule(HOST_LIST_PERIOD_MILLIS, node, () -> readHostList(node));
   }
 
--- a/core/src/test/java/org/marjoramsail/core/placement/OwnerShareTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/OwnerShareTest.java
@@ -69,7 +69,7 @@
       members.add(
           new Member(host(number), "10.0.0." + number, 1, "zone", "region", MemberState.ALIVE));
     }
-    return new MembershipView(members.get(0), members, unknownHosts, true);
+    return new MembershipView(members.get(0), members, unknownHosts, 0, true);
   }
 
   private static DaemonId host(int number) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -222,6 +222,7 @@
         .addKeyValue("knownHosts", view.knownHosts())
         .addKeyValue("reachableHosts", view.reachableHosts())
         .addKeyValue("unknownHosts", view.unknownHosts())
+        .addKeyValue("removedHosts", view.removedHosts())
         .log("share of the limits of the fleet changed");
     loggedFleetShare = share;
   }
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateFaultsTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateFaultsTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramsail.core.membership.VirtualFleet;
 import org.marjoramsail.daemon.fleet.FleetRateScenario.Outcome;
+import org.marjoramsail.standin.load.ArrivalLog;
 
 /** The rate limit of an organisation while hosts fail, restart or are cut off from each other. */
 final class FleetRateFaultsTest {
@@ -116,6 +117,22 @@
         .isGreaterThanOrEqualTo((int) (FleetRateScenario.REQUESTS_PER_SECOND * 10));
   }
 
+  /** Guards against hosts that were removed for good and still hold a part of a limit. */
+  @ParameterizedTest
+  @ValueSource(longs = {11, 12})
+  void aFleetThatShrinksServesTheWholeLimit(long seed) {
+    FleetRateScenario scenario = new FleetRateScenario(HOSTS, ABOVE_THE_LIMIT, seed);
+    long fromMillis = FleetRateScenario.END_MILLIS - ArrivalLog.WINDOW_MILLIS;
+
+    Outcome outcome =
+        scenario.run(
+            fleet -> fleet.at(FleetRateScenario.FAULT_MILLIS, () -> removeAllBut(fleet, 7)));
+
+    assertThat(outcome.servedSince(fromMillis))
+        .isGreaterThanOrEqualTo(
+            (int) (0.9 * FleetRateScenario.REQUESTS_PER_SECOND * ArrivalLog.WINDOW_MILLIS / 1_000));
+  }
+
   private static void assertLimitHolds(int hosts, long seed, Consumer<FleetSimulation> faults) {
     Outcome outcome = new FleetRateScenario(hosts, ABOVE_THE_LIMIT, seed).run(faults);
 
@@ -130,6 +147,12 @@
     assertThat(outcome.aboveRate()).as("refused although below the limit").isZero();
   }
 
+  private static void removeAllBut(FleetSimulation fleet, int remaining) {
+    for (int host = remaining; host < HOSTS; host++) {
+      fleet.remove(host);
+    }
+  }
+
   private static void restartAll(FleetSimulation fleet, int hosts) {
     for (int host = 0; host < hosts; host++) {
       fleet.restart(host, 300);
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateScenario.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateScenario.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.marjoramsail.core.configuration.OrganisationDefinition;
 import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.daemon.fleet.FleetSimulation.End;
 import org.marjoramsail.daemon.fleet.FleetSimulation.RequestKind;
 import org.marjoramsail.daemon.fleet.FleetSimulation.Size;
 import org.marjoramsail.standin.load.ArrivalLog;
@@ -22,7 +23,7 @@
   /** When faults begin; the fleet has settled by then if it started at zero. */
   static final long FAULT_MILLIS = 12_000;
 
-  private static final long END_MILLIS = 30_000;
+  static final long END_MILLIS = 30_000;
 
   /** Allowed part above the limit. */
   private static final double OVERSHOOT = 0.1;
@@ -39,8 +40,16 @@
    * @param sent requests that callers sent
    * @param notServed those that were not served
    * @param aboveRate those that were refused because of the rate limit
+   * @param servedAtMillis when the requests that were served were sent
    */
-  record Outcome(int mostInWindow, int sent, int notServed, int aboveRate) {}
+  record Outcome(
+      int mostInWindow, int sent, int notServed, int aboveRate, List<Long> servedAtMillis) {
+
+    /** Returns the number of requests that were sent since a time and served. */
+    int servedSince(long fromMillis) {
+      return (int) servedAtMillis.stream().filter(millis -> millis >= fromMillis).count();
+    }
+  }
 
   /** Returns the most requests that may arrive in a window. */
   static int allowedInWindow() {
@@ -64,6 +73,7 @@
         fleet.arrivals(FleetSimulation.PLAIN).mostFirstArrivals(),
         fleet.ends().size(),
         notServed,
-        fleet.refusals(RefusalReason.ORGANISATION_RATE));
+        fleet.refusals(RefusalReason.ORGANISATION_RATE),
+        fleet.ends().stream().filter(End::served).map(End::sentAtMillis).toList());
   }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -272,6 +272,12 @@
     after(1, () -> running().forEach(host -> host.placement().connectionLost(killed.id())));
   }
 
+  /** Kills the process of a host for good, and removes the host from the list of hosts. */
+  void remove(int number) {
+    kill(number);
+    members.removeFromHostList(name(number));
+  }
+
   /** Lets the process of a host handle nothing for a time, as if it had no processor. */
   void pause(int number, long millis) {
     SimulatedHost paused = hosts.get(name(number));
