Count an upstream that leaves during a connect as not accepting, not as refusing

The check before the write failed a call to an upstream that had been removed from the list with the failure of a refused connection, and the call told the quarantine so: requests that ran there became suspects of a crash that did not happen. A call that is stopped there now ends as not accepting, whatever stopped it.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -7,8 +7,8 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
-import java.util.function.Supplier;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.outcome.UpstreamFailure;
@@ -48,7 +48,7 @@
   private final Function<MultiMap, Optional<Long>> keepAliveMillis;
   private final UpstreamDefinition target;
   private final ForwardedRequest request;
-  private final Supplier<Optional<UpstreamFailure>> rejection;
+  private final BooleanSupplier accepting;
   private final Listener listener;
   private Optional<HttpClientConnection> connection = Optional.empty();
   private long writtenAtMillis = NOT_WRITTEN;
@@ -60,7 +60,7 @@
    *
    * @param keepAliveMillis returns how long an upstream keeps an idle connection, from the headers
    *     of a response
-   * @param rejection returns why the upstream takes no request now; empty if it does
+   * @param accepting returns whether the upstream accepts the request now
    */
   ForwardCall(
       UpstreamConnections connections,
@@ -68,14 +68,14 @@
       Function<MultiMap, Optional<Long>> keepAliveMillis,
       UpstreamDefinition target,
       ForwardedRequest request,
-      Supplier<Optional<UpstreamFailure>> rejection,
+      BooleanSupplier accepting,
       Listener listener) {
     this.connections = connections;
     this.calls = calls;
     this.keepAliveMillis = keepAliveMillis;
     this.target = target;
     this.request = request;
-    this.rejection = rejection;
+    this.accepting = accepting;
     this.listener = listener;
   }
 
@@ -164,9 +164,8 @@
     }
     clientRequest.exceptionHandler(cause -> fail(UpstreamFailure.CUT));
     // The upstream may have started to drain while the connection was opened.
-    Optional<UpstreamFailure> rejected = rejection.get();
-    if (rejected.isPresent()) {
-      fail(rejected.get());
+    if (!accepting.getAsBoolean()) {
+      fail(UpstreamFailure.NOT_ACCEPTING);
       return;
     }
     writtenAtMillis = calls.millis();
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -9,8 +9,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.model.UpstreamName;
@@ -140,7 +140,7 @@
         call(
                 holder,
                 dropRequest,
-                Optional::empty,
+                () -> true,
                 new DropListener(holder, () -> events.accept(confirmed)))
             .start(headers);
   }
@@ -253,13 +253,13 @@
             headers,
             new ForwardParameters(
                 target.name(), remainingMillis, prefill, kv, resumeAfter, request.organisation()));
-    return call(target, request, () -> rejection(target.name()), listener).start(headers);
+    return call(target, request, () -> rejection(target.name()).isEmpty(), listener).start(headers);
   }
 
   private ForwardCall call(
       UpstreamDefinition target,
       ForwardedRequest sent,
-      Supplier<Optional<UpstreamFailure>> rejection,
+      BooleanSupplier accepting,
       ForwardCall.Listener listener) {
     return new ForwardCall(
         dependencies.connections(),
@@ -267,7 +267,7 @@
         dependencies.protocol()::keepAliveMillis,
         target,
         sent,
-        rejection,
+        accepting,
         listener);
   }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -11,7 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.outcome.UpstreamFailure;
@@ -33,14 +33,14 @@
   @Test
   void nothingIsSentIfTheUpstreamDrainsWhileItsConnectionIsOpened() {
     FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
-    AtomicReference<Optional<UpstreamFailure>> rejection = new AtomicReference<>(Optional.empty());
+    AtomicBoolean accepting = new AtomicBoolean(true);
     Promise<UpstreamFailure> failure = Promise.promise();
     Context context = vertx.getOrCreateContext();
 
     context.runOnContext(
         started -> {
-          ForwardCall unused = call(upstream, rejection, failure).start(headers());
-          rejection.set(Optional.of(UpstreamFailure.NOT_ACCEPTING));
+          ForwardCall unused = call(upstream, accepting, failure).start(headers());
+          accepting.set(false);
         });
 
     assertThat(Waits.get(failure.future())).isEqualTo(UpstreamFailure.NOT_ACCEPTING);
@@ -48,16 +48,14 @@
   }
 
   private ForwardCall call(
-      FakePlainService upstream,
-      AtomicReference<Optional<UpstreamFailure>> rejection,
-      Promise<UpstreamFailure> failure) {
+      FakePlainService upstream, AtomicBoolean accepting, Promise<UpstreamFailure> failure) {
     return new ForwardCall(
         new UpstreamConnections(vertx, new SystemClock()),
         new CallLog(new SystemClock()),
         responseHeaders -> Optional.empty(),
         upstream.definition("desk"),
         request(),
-        rejection::get,
+        accepting::get,
         new FailureListener(failure));
   }
 
