Reword comments of the soak

Why a pause of the soak counts as a disturbance of the store was not said; three comments used other words than the rest. No logic is changed.

--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
@@ -136,7 +136,10 @@
     }
   }
 
-  /** Records pauses of this process, which delay what its stand-ins receive, as disturbances. */
+  /**
+   * Records pauses of this process as disturbances of the store, without which no arrival is
+   * judged: its stand-ins receive late what daemons have sent in time.
+   */
   private void watchPulse(Vertx vertx, SoakArrivals arrivals) {
     AtomicLong lastMillis = new AtomicLong(clock.millis());
     vertx.setPeriodic(
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.command.platform;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import org.marjoramsail.core.time.Clock;
@@ -26,7 +27,7 @@
 
   SoakArrivals(Clock clock, double retrySlack) {
     this.clock = clock;
-    for (String service : new String[] {PlatformStandIn.ENGINES, PlatformStandIn.DESK}) {
+    for (String service : List.of(PlatformStandIn.ENGINES, PlatformStandIn.DESK)) {
       retries.put(service, new ArrivalLog(LoopbackPlatform.RETRY_RATIO, retrySlack));
     }
   }
@@ -60,7 +61,7 @@
     disturbances.end(part, clock.millis());
   }
 
-  /** Returns whether a part was not disturbed lately. */
+  /** Returns whether a part was not disturbed recently. */
   synchronized boolean isCalm(String part) {
     return disturbances.isCalm(part, clock.millis());
   }
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
@@ -96,7 +96,7 @@
     return Map.copyOf(losses);
   }
 
-  /** Returns the number of requests that were sent, or had no daemon to be sent to. */
+  /** Returns the number of requests, with those that had no daemon to be sent to. */
   int requests() {
     return sequence;
   }
--- a/standin/src/main/java/org/marjoramsail/standin/load/Disturbances.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/Disturbances.java
@@ -3,7 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** Which parts of a run were disturbed lately, by name. Not thread-safe. */
+/** Which parts of a run were recently disturbed, by name. Not thread-safe. */
 public final class Disturbances {
 
   private final long settleMillis;
--- a/standin/src/main/java/org/marjoramsail/standin/load/DrainLog.java
+++ b/standin/src/main/java/org/marjoramsail/standin/load/DrainLog.java
@@ -37,7 +37,7 @@
    * Creates an empty log.
    *
    * @param boundMillis time after an acknowledgement in which requests may still arrive
-   * @param disturbances which hosts and upstreams were disturbed lately, by their names
+   * @param disturbances which hosts and upstreams were recently disturbed, by their names
    */
   public DrainLog(long boundMillis, Disturbances disturbances) {
     this.boundMillis = boundMillis;
