Log and count what makes a content suspect, refused or cleared

Each change of the quarantine is now a line 'quarantine changed' and a count: cut, undecided, disproved, crashed (with its proof), reported (by which host), quarantined, cleared (by what). No decision changes. Core tests of the quarantine and of lifecycles pass.

--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -2,11 +2,16 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.UpstreamName;
 
@@ -46,6 +51,12 @@
   /** Longest delay, in milliseconds, with which the list of upstreams shows a restart. */
   private static final long LATE_RESTART_MILLIS = 15_000;
 
+  /** Proof of a crash: a later incarnation of the upstream. */
+  private static final String RESTARTED = "restarted";
+
+  /** Proof of a crash: the upstream refuses connections. */
+  private static final String REFUSED = "refuses connections";
+
   private record AttemptKey(RequestId request, int attempt) {}
 
   /** An attempt on an upstream. */
@@ -121,6 +132,7 @@
   private final long settleMillis;
   private final Map<UpstreamName, Upstream> upstreams = new HashMap<>();
   private final CrashRecords records;
+  private final QuarantineListener listener;
   private final ArrayDeque<CrashReportMessage> outgoing = new ArrayDeque<>();
   private long sequence;
 
@@ -130,11 +142,14 @@
    * @param lifetimeMillis time for which a crash is stored
    * @param settleMillis time for which a cut waits for a proof of a crash
    * @param maximumEntries maximum number of contents; the oldest is removed first
+   * @param listener receives each change
    */
-  public Quarantine(long lifetimeMillis, long settleMillis, int maximumEntries) {
+  public Quarantine(
+      long lifetimeMillis, long settleMillis, int maximumEntries, QuarantineListener listener) {
     this.lifetimeMillis = lifetimeMillis;
     this.settleMillis = settleMillis;
     this.records = new CrashRecords(maximumEntries);
+    this.listener = listener;
   }
 
   /** Records that an attempt was sent to an upstream. */
@@ -172,6 +187,7 @@
     }
     state.lastCutAtMillis = nowMillis;
     state.cut.put(key, run);
+    changed(QuarantineChange.Kind.CUT, upstream, List.of(run.fingerprint), request.value());
   }
 
   /**
@@ -180,7 +196,7 @@
   public synchronized void completed(long fingerprint, long nowMillis) {
     if (records.suspicion(fingerprint) != Suspicion.QUARANTINED) {
       upstreams.values().forEach(one -> one.forget(fingerprint));
-      clear(fingerprint, nowMillis);
+      clear(fingerprint, "completed", nowMillis);
     }
   }
 
@@ -200,8 +216,11 @@
     Upstream state = upstream(name);
     boolean restarted = state.incarnation != 0 && state.incarnation < incarnation;
     if (restarted) {
-      crashed(name, state, nowMillis);
+      crashed(name, state, RESTARTED, nowMillis);
     } else if (state.incarnation == incarnation && asOfMillis > state.lastCutAtMillis) {
+      if (state.isUnsettled()) {
+        changed(QuarantineChange.Kind.DISPROVED, name, fingerprints(state.cut), "response");
+      }
       state.dismissCuts();
     }
     state.incarnation = Math.max(state.incarnation, incarnation);
@@ -212,7 +231,7 @@
   public synchronized void connectionsRefused(UpstreamName name, long nowMillis) {
     Upstream state = upstream(name);
     if (state.isUnsettled()) {
-      crashed(name, state, nowMillis);
+      crashed(name, state, REFUSED, nowMillis);
     }
   }
 
@@ -257,10 +276,32 @@
   }
 
   /** Handles the report of a crash from another daemon. */
-  public synchronized void handle(CrashReportMessage message, long nowMillis) {
+  public synchronized void handle(DaemonId from, CrashReportMessage message, long nowMillis) {
+    changed(
+        message.lifted() ? QuarantineChange.Kind.CLEARED_BY_REPORT : QuarantineChange.Kind.REPORTED,
+        message.upstream(),
+        message.fingerprints(),
+        from.host());
+    record(message, nowMillis);
+  }
+
+  private void record(CrashReportMessage message, long nowMillis) {
     CrashId crash = new CrashId(message.upstream(), message.incarnation());
     long expiresAtMillis = nowMillis + Math.min(lifetimeMillis, message.lifetimeMillis());
+    Set<Long> refusedBefore = refused(message.fingerprints());
     records.add(crash, message.fingerprints(), message.lifted(), expiresAtMillis);
+    Set<Long> refusedNow = refused(message.fingerprints());
+    refusedNow.removeAll(refusedBefore);
+    for (long fingerprint : refusedNow) {
+      String crashes = records.crashCount(fingerprint) + " crashes";
+      changed(QuarantineChange.Kind.QUARANTINED, message.upstream(), List.of(fingerprint), crashes);
+    }
+  }
+
+  private Set<Long> refused(Collection<Long> fingerprints) {
+    return fingerprints.stream()
+        .filter(fingerprint -> records.suspicion(fingerprint) == Suspicion.QUARANTINED)
+        .collect(Collectors.toCollection(LinkedHashSet::new));
   }
 
   /** Removes and returns the messages for the other daemons; each is returned once. */
@@ -294,12 +335,13 @@
    * @return whether there was anything to clear
    */
   public synchronized boolean lift(long fingerprint, long nowMillis) {
-    return clear(fingerprint, nowMillis);
+    return clear(fingerprint, "operator", nowMillis);
   }
 
-  private boolean clear(long fingerprint, long nowMillis) {
+  private boolean clear(long fingerprint, String source, long nowMillis) {
     List<CrashId> counted = records.clear(fingerprint);
     for (CrashId crash : counted) {
+      changed(QuarantineChange.Kind.CLEARED, crash.upstream(), List.of(fingerprint), source);
       outgoing.add(
           new CrashReportMessage(
               crash.upstream(),
@@ -311,7 +353,7 @@
     return !counted.isEmpty();
   }
 
-  private void crashed(UpstreamName name, Upstream state, long nowMillis) {
+  private void crashed(UpstreamName name, Upstream state, String proof, long nowMillis) {
     List<RunningAttempt> runs = state.removeSuspects(nowMillis);
     if (state.crashedIncarnation != state.incarnation) {
       runs.addAll(state.running.values());
@@ -325,16 +367,17 @@
     List<Long> suspects = runs.stream().map(run -> run.fingerprint).distinct().toList();
     CrashReportMessage message =
         new CrashReportMessage(name, state.incarnation, suspects, lifetimeMillis, false);
-    handle(message, nowMillis);
+    changed(QuarantineChange.Kind.CRASHED, name, suspects, proof);
+    record(message, nowMillis);
     outgoing.add(message);
   }
 
   private void settleAndExpire(long nowMillis) {
-    upstreams.values().forEach(state -> settle(state, nowMillis));
+    upstreams.forEach((name, state) -> settle(name, state, nowMillis));
     records.expire(nowMillis);
   }
 
-  private void settle(Upstream state, long nowMillis) {
+  private void settle(UpstreamName name, Upstream state, long nowMillis) {
     if (!state.isUnsettled() || nowMillis < state.decideAtMillis) {
       return;
     }
@@ -343,10 +386,20 @@
         distinct >= CUT_REQUESTS_OF_PRESUMED_CRASH
             && nowMillis < state.lastCutAtMillis + lifetimeMillis;
     if (!state.presumed) {
+      changed(QuarantineChange.Kind.UNDECIDED, name, fingerprints(state.cut), "no proof");
       state.cut.clear();
     }
   }
 
+  private static List<Long> fingerprints(Map<AttemptKey, RunningAttempt> attempts) {
+    return attempts.values().stream().map(run -> run.fingerprint).distinct().toList();
+  }
+
+  private void changed(
+      QuarantineChange.Kind kind, UpstreamName upstream, List<Long> fingerprints, String source) {
+    listener.changed(new QuarantineChange(kind, upstream, fingerprints, source));
+  }
+
   private Upstream upstream(UpstreamName name) {
     return upstreams.computeIfAbsent(name, unused -> new Upstream());
   }
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/outcome/QuarantineChange.java
@@ -0,0 +1,47 @@
+package org.marjoramsail.core.outcome;
+
+import java.util.List;
+import java.util.Locale;
+import org.marjoramsail.core.model.UpstreamName;
+
+/**
+ * A change of what a quarantine has recorded about some contents.
+ *
+ * @param kind what has changed
+ * @param upstream the upstream on which the contents ran
+ * @param fingerprints the contents
+ * @param source the daemon that reported the change, or what proves it
+ */
+public record QuarantineChange(
+    Kind kind, UpstreamName upstream, List<Long> fingerprints, String source) {
+
+  /** Kind of a change. */
+  public enum Kind {
+    /** The connection of an attempt was cut; a proof of a crash is awaited. */
+    CUT,
+    /** Neither a proof nor a disproof of a crash came in time. */
+    UNDECIDED,
+    /** A response of the upstream disproved a crash. */
+    DISPROVED,
+    /** A crash of the upstream is proven. */
+    CRASHED,
+    /** Another daemon reported a crash. */
+    REPORTED,
+    /** The contents are refused from now on. */
+    QUARANTINED,
+    /** The contents are cleared of the crash, since a request completed or an operator said so. */
+    CLEARED,
+    /** Another daemon reported that the contents are cleared of the crash. */
+    CLEARED_BY_REPORT;
+
+    /** Returns the kind in lower case with hyphens, as logs and counters show it. */
+    public String code() {
+      return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+  }
+
+  /** Copies the list, so that the record is immutable. */
+  public QuarantineChange {
+    fingerprints = List.copyOf(fingerprints);
+  }
+}
--- a/core/src/test/java/org/marjoramsail/core/outcome/FuzzedWorld.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/FuzzedWorld.java
@@ -45,7 +45,7 @@
   private final List<FuzzedUpstream> plains = List.of(up("s0"), up("s1"), up("s2"), up("s3"));
   private final List<FuzzedRequest> requests = new ArrayList<>();
   private final List<Message> network = new ArrayList<>();
-  private final Quarantine quarantine = new Quarantine(600_000, 2_000, 50);
+  private final Quarantine quarantine = new Quarantine(600_000, 2_000, 50, QuarantineListener.NONE);
   private final Invariants invariants = new Invariants(Invariants.Mode.THROW);
   private final boolean randomCrashes;
   private long nowMillis = 1_000;
--- a/core/src/test/java/org/marjoramsail/core/outcome/KeyedRefusalTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/KeyedRefusalTest.java
@@ -77,7 +77,7 @@
     return new RequestLifecycle(
         profile,
         LifecyclePolicy.defaults(),
-        new Quarantine(600_000, 2_000, 100),
+        new Quarantine(600_000, 2_000, 100, QuarantineListener.NONE),
         new Invariants(Invariants.Mode.THROW),
         new Random(1));
   }
--- a/core/src/test/java/org/marjoramsail/core/outcome/QuarantineTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/QuarantineTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.UpstreamName;
 
@@ -14,11 +15,13 @@
   private static final long SETTLE_MILLIS = 100;
   private static final long POISON = 666;
   private static final long INNOCENT = 1;
+  private static final DaemonId OTHER_DAEMON = new DaemonId("other", 1);
   private static final UpstreamName FIRST = new UpstreamName("decode-1");
   private static final UpstreamName SECOND = new UpstreamName("decode-2");
   private static final UpstreamName THIRD = new UpstreamName("decode-3");
 
-  private final Quarantine quarantine = new Quarantine(LIFETIME_MILLIS, SETTLE_MILLIS, 2);
+  private final Quarantine quarantine =
+      new Quarantine(LIFETIME_MILLIS, SETTLE_MILLIS, 2, QuarantineListener.NONE);
   private int requests;
 
   @BeforeEach
@@ -119,9 +122,9 @@
    */
   @Test
   void aListedContentCanBeLiftedHereAndByMessageOnOtherDaemons() {
-    Quarantine other = new Quarantine(LIFETIME_MILLIS, SETTLE_MILLIS, 2);
+    Quarantine other = new Quarantine(LIFETIME_MILLIS, SETTLE_MILLIS, 2, QuarantineListener.NONE);
     crashTwoUpstreamsWithPoison();
-    quarantine.takeMessages().forEach(message -> other.handle(message, 5));
+    quarantine.takeMessages().forEach(message -> other.handle(OTHER_DAEMON, message, 5));
     assertThat(other.suspicion(POISON, 5)).isEqualTo(Suspicion.QUARANTINED);
 
     assertThat(quarantine.list(10))
@@ -129,7 +132,7 @@
     assertThat(quarantine.lift(POISON, 10)).isTrue();
     assertThat(quarantine.lift(POISON, 10)).isFalse();
     assertThat(quarantine.list(10)).isEmpty();
-    quarantine.takeMessages().forEach(message -> other.handle(message, 11));
+    quarantine.takeMessages().forEach(message -> other.handle(OTHER_DAEMON, message, 11));
     assertThat(other.suspicion(POISON, 11)).isEqualTo(Suspicion.CLEAR);
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -62,6 +62,7 @@
 import org.marjoramsail.daemon.platform.HttpObjectApi;
 import org.marjoramsail.daemon.platform.HttpObjectApiSettings;
 import org.marjoramsail.daemon.request.CrashObserver;
+import org.marjoramsail.daemon.request.QuarantineLog;
 import org.marjoramsail.daemon.request.StoredClaims;
 import org.marjoramsail.daemon.settings.Settings;
 import org.marjoramsail.daemon.upstream.AbortiveClose;
@@ -87,7 +88,8 @@
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Invariants invariants;
   private final Quarantine quarantine =
-      new Quarantine(CRASH_LIFETIME_MILLIS, CRASH_SETTLE_MILLIS, MAXIMUM_SUSPECTS);
+      new Quarantine(
+          CRASH_LIFETIME_MILLIS, CRASH_SETTLE_MILLIS, MAXIMUM_SUSPECTS, new QuarantineLog(meters));
   private final PeerNetwork network;
   private final MembershipService membership;
   private final ConfigurationService configuration;
@@ -203,7 +205,7 @@
         .forEach(type -> network.register(type, placements));
     network.register(
         CrashReportMessage.class,
-        (from, message) -> quarantine.handle((CrashReportMessage) message, clock.millis()));
+        (from, message) -> quarantine.handle(from, (CrashReportMessage) message, clock.millis()));
     network.register(
         OrganisationUsageMessage.class,
         (from, message) -> placement.receiveUsage((OrganisationUsageMessage) message));
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -35,6 +35,7 @@
 import org.marjoramsail.core.outcome.Invariants;
 import org.marjoramsail.core.outcome.LifecyclePolicy;
 import org.marjoramsail.core.outcome.Quarantine;
+import org.marjoramsail.core.outcome.QuarantineListener;
 import org.marjoramsail.core.outcome.RequestProfile;
 import org.marjoramsail.core.placement.OrganisationUsageMessage;
 import org.marjoramsail.core.placement.PlacementMessage;
@@ -398,7 +399,8 @@
     RequestRegistry registry =
         new RequestRegistry(
             new RequestDependencies(placement, new NoClaims()),
-            new LifecycleDependencies(new Quarantine(600_000, 500, 10_000), invariants),
+            new LifecycleDependencies(
+                new Quarantine(600_000, 500, 10_000, QuarantineListener.NONE), invariants),
             new RequestMetrics(meters, invariants),
             new RequestLog(() -> ""),
             members::millis,
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/UpstreamLivenessTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/UpstreamLivenessTest.java
@@ -9,6 +9,7 @@
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.Quarantine;
+import org.marjoramsail.core.outcome.QuarantineListener;
 import org.marjoramsail.core.outcome.Suspicion;
 import org.marjoramsail.core.time.ManualClock;
 
@@ -18,7 +19,7 @@
   private static final long FINGERPRINT = 7;
 
   private final ManualClock clock = new ManualClock(10_000);
-  private final Quarantine quarantine = new Quarantine(60_000, 500, 100);
+  private final Quarantine quarantine = new Quarantine(60_000, 500, 100, QuarantineListener.NONE);
   private final List<UpstreamName> restarted = new ArrayList<>();
   private final UpstreamLiveness liveness = new UpstreamLiveness(quarantine, clock, restarted::add);
 
