Ask whether an upstream still runs after the connection of a request was cut

Cause: a cut counts as a crash only once it is proven, and on the platform nothing looked for the proof. A restarted engine has another name, so that no later incarnation of the crashed one is ever seen; a refused connection was seen only if the same host happened to send a request there within 500 ms; after that the cut was forgotten.

Change: after a cut the host opens connections to the upstream, up to five in 1.5 s, until the crash is proven or disproved; one that is accepted goes into the pool. A cut without a proof is kept for 15 s, and proven also by another upstream at its address. A time-out of a connection is no refusal any more. A refusal proves nothing while no other upstream has responded to a request sent after the cut: a host that has lost all its paths is refused, too.

--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -34,9 +34,10 @@
  * </ol>
  *
  * <p>So a content is never refused because of another one on the same upstream. A cut, a connection
- * that broke, alone does not prove a crash: it counts only once the upstream has a new incarnation
- * or refuses connections. Contents that lost their connections at the same time are kept apart
- * until the next report of the upstream's incarnation proves or disproves the crash.
+ * that broke, alone does not prove a crash: it counts only once the upstream has a new incarnation,
+ * refuses connections or has lost its address to another. Contents that lost their connections at
+ * the same time are kept apart until the next report of the upstream's incarnation proves or
+ * disproves the crash.
  *
  * <p>Safe for several threads.
  */
@@ -48,8 +49,10 @@
   /** Number of requests that are cut at once for which a crash is presumed without a proof. */
   private static final int CUT_REQUESTS_OF_PRESUMED_CRASH = 2;
 
-  /** Longest delay, in milliseconds, with which the list of upstreams shows a restart. */
-  private static final long LATE_RESTART_MILLIS = 15_000;
+  /** Longest delay, in milliseconds, with which a proof of a crash may follow a cut. */
+  private static final long LATE_PROOF_MILLIS = 15_000;
+
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** Proof of a crash: a later incarnation of the upstream. */
   private static final String RESTARTED = "restarted";
@@ -57,6 +60,9 @@
   /** Proof of a crash: the upstream refuses connections. */
   private static final String REFUSED = "refuses connections";
 
+  /** Proof of a crash: another upstream listens at the address. */
+  private static final String REPLACED = "address taken over";
+
   private record AttemptKey(RequestId request, int attempt) {}
 
   /** An attempt on an upstream. */
@@ -83,43 +89,68 @@
     private long incarnation;
     private final Map<AttemptKey, RunningAttempt> running = new HashMap<>();
     private final Map<AttemptKey, RunningAttempt> cut = new HashMap<>();
+    private final Map<AttemptKey, RunningAttempt> undecided = new HashMap<>();
     private final Map<AttemptKey, RunningAttempt> dismissed = new HashMap<>();
     private long decideAtMillis;
     private boolean presumed;
     private long lastCutAtMillis;
+    private long respondedAtMillis = NEVER;
     private long crashedIncarnation = -1;
 
     private boolean isUnsettled() {
       return !cut.isEmpty();
     }
 
+    /** Returns whether a proof would still show a crash after a cut. */
+    private boolean mayHaveCrashed(long nowMillis) {
+      return isUnsettled() || (!undecided.isEmpty() && isProofInTime(nowMillis));
+    }
+
+    private boolean isProofInTime(long nowMillis) {
+      return nowMillis - lastCutAtMillis <= LATE_PROOF_MILLIS;
+    }
+
+    /** Stops the wait for a proof; one that follows still counts. */
+    private void leaveUndecided() {
+      undecided.putAll(cut);
+      cut.clear();
+    }
+
     /**
      * Records that a response disproved a crash after the cuts.
      *
      * <p>Guards against an upstream that crashed and restarted under its name before the list
      * showed it: its first responses seem to come from the earlier incarnation. When the new
      * incarnation shows, the attempts that were cut last become suspect again.
+     *
+     * @return the contents whose cuts are dismissed
      */
-    private void dismissCuts() {
-      if (!cut.isEmpty()) {
+    private List<Long> dismissCuts() {
+      leaveUndecided();
+      List<Long> fingerprints = fingerprints(undecided);
+      if (!undecided.isEmpty()) {
         dismissed.clear();
-        dismissed.putAll(cut);
-        cut.clear();
+        dismissed.putAll(undecided);
+        undecided.clear();
       }
+      return fingerprints;
     }
 
     private List<RunningAttempt> removeSuspects(long nowMillis) {
       List<RunningAttempt> suspects = new ArrayList<>(cut.values());
       cut.clear();
-      if (nowMillis - lastCutAtMillis <= LATE_RESTART_MILLIS) {
+      if (isProofInTime(nowMillis)) {
+        suspects.addAll(undecided.values());
         suspects.addAll(dismissed.values());
       }
+      undecided.clear();
       dismissed.clear();
       return suspects;
     }
 
     private void forget(long fingerprint) {
       cut.values().removeIf(run -> run.hasFingerprint(fingerprint));
+      undecided.values().removeIf(run -> run.hasFingerprint(fingerprint));
       dismissed.values().removeIf(run -> run.hasFingerprint(fingerprint));
     }
 
@@ -218,23 +249,58 @@
     if (restarted) {
       crashed(name, state, RESTARTED, nowMillis);
     } else if (state.incarnation == incarnation && asOfMillis > state.lastCutAtMillis) {
-      if (state.isUnsettled()) {
-        changed(QuarantineChange.Kind.DISPROVED, name, fingerprints(state.cut), "response");
+      List<Long> dismissed = state.dismissCuts();
+      if (!dismissed.isEmpty()) {
+        changed(QuarantineChange.Kind.DISPROVED, name, dismissed, "response");
       }
-      state.dismissCuts();
     }
+    state.respondedAtMillis = Math.max(state.respondedAtMillis, asOfMillis);
     state.incarnation = Math.max(state.incarnation, incarnation);
     return restarted;
   }
 
-  /** Records that an upstream refuses connections, which proves a crash after a cut. */
+  /**
+   * Records that an upstream refuses connections, which proves a crash after a cut.
+   *
+   * <p>Guards against a daemon that has lost its network paths, whose connections to all upstreams
+   * are cut and refused: a refusal proves nothing until another upstream has responded to a request
+   * that was sent after the cut, unless no other is in use.
+   */
   public synchronized void connectionsRefused(UpstreamName name, long nowMillis) {
     Upstream state = upstream(name);
-    if (state.isUnsettled()) {
+    if (state.mayHaveCrashed(nowMillis) && isReachingOthers(state)) {
       crashed(name, state, REFUSED, nowMillis);
     }
   }
 
+  private boolean isReachingOthers(Upstream state) {
+    boolean isAnotherInUse = false;
+    for (Upstream other : upstreams.values()) {
+      if (other != state) {
+        if (other.respondedAtMillis > state.lastCutAtMillis) {
+          return true;
+        }
+        isAnotherInUse |= other.respondedAtMillis > state.lastCutAtMillis - LATE_PROOF_MILLIS;
+      }
+    }
+    return !isAnotherInUse;
+  }
+
+  /**
+   * Records that another upstream listens at the address of one, which proves a crash after a cut.
+   */
+  public synchronized void addressTakenOver(UpstreamName name, long nowMillis) {
+    Upstream state = upstream(name);
+    if (state.mayHaveCrashed(nowMillis)) {
+      crashed(name, state, REPLACED, nowMillis);
+    }
+  }
+
+  /** Returns whether a proof would show that an upstream crashed after a cut. */
+  public synchronized boolean mayHaveCrashed(UpstreamName name, long nowMillis) {
+    return upstream(name).mayHaveCrashed(nowMillis);
+  }
+
   /** Returns the upstreams with cut attempts whose crash is neither proven nor disproved. */
   public synchronized List<UpstreamName> unsettledUpstreams() {
     return upstreams.entrySet().stream()
@@ -387,7 +453,7 @@
             && nowMillis < state.lastCutAtMillis + lifetimeMillis;
     if (!state.presumed) {
       changed(QuarantineChange.Kind.UNDECIDED, name, fingerprints(state.cut), "no proof");
-      state.cut.clear();
+      state.leaveUndecided();
     }
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardDependencies.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardDependencies.java
@@ -16,6 +16,7 @@
  * @param upstreams finds upstreams by name
  * @param handleLifetimeMillis returns the lifetime of the KV caches of a service, in milliseconds
  * @param liveness receives reports about the liveness of upstreams
+ * @param probes finds out whether an upstream still runs after a cut
  * @param feedback records what upstreams report of themselves
  * @param completionListener receives the output length of completed streams
  * @param plainResponseTimes receives the duration of buffered responses by service, in milliseconds
@@ -30,6 +31,7 @@
     Function<UpstreamName, Optional<UpstreamDefinition>> upstreams,
     Function<String, Long> handleLifetimeMillis,
     LivenessListener liveness,
+    UpstreamProbes probes,
     UpstreamFeedbackRecorder feedback,
     CompletionListener completionListener,
     ObjLongConsumer<String> plainResponseTimes,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -338,10 +338,10 @@
 
     @Override
     public void failed(UpstreamFailure failure) {
-      if (failure == UpstreamFailure.CONNECT_FAILED) {
-        dependencies.liveness().connectionFailed(upstream.name());
-      }
       emit(new LifecycleEvent.UpstreamFailed(attempt, upstream.name(), failure));
+      if (failure.mayBeCrash()) {
+        dependencies.probes().connectionCut(upstream);
+      }
     }
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -76,14 +76,20 @@
     this.refusals =
         new RefusalWriter(
             dependencies.protocol(), json, dependencies.random(), connectionCloseHeader);
+    UpstreamConnections upstreamConnections =
+        new UpstreamConnections(
+            vertx,
+            dependencies.clock(),
+            upstream -> dependencies.liveness().connectionRefused(upstream.name()));
     this.exchangeDependencies =
         new ForwardDependencies(
             dependencies.protocol(),
-            new UpstreamConnections(vertx, dependencies.clock()),
+            upstreamConnections,
             new CallLog(dependencies.clock()),
             dependencies.upstreams(),
             dependencies.handleLifetimeMillis(),
             dependencies.liveness(),
+            new UpstreamProbes(vertx, upstreamConnections, dependencies.liveness()),
             dependencies.feedback(),
             this::recordOutputLength,
             plainResponseTimes::update,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -32,7 +32,7 @@
   private final DiscoveredUpstreams discoveredUpstreams = new DiscoveredUpstreams();
   private final Clock clock;
   private final Consumer<Configuration> poolListener;
-  private final Consumer<Incarnation> incarnationListener;
+  private final Consumer<UpstreamDefinition> incarnationListener;
   private Optional<RoutingConfiguration> routing = Optional.empty();
   private volatile Configuration configuration = Configuration.empty();
   private Set<Incarnation> incarnations = Set.of();
@@ -46,12 +46,12 @@
    *
    * @param clock returns the current time
    * @param poolListener receives each change of the pools
-   * @param incarnationListener receives each new incarnation of an upstream
+   * @param incarnationListener receives each upstream that is new or has a new incarnation
    */
   public ForwardingState(
       Clock clock,
       Consumer<Configuration> poolListener,
-      Consumer<Incarnation> incarnationListener) {
+      Consumer<UpstreamDefinition> incarnationListener) {
     this.clock = clock;
     this.poolListener = poolListener;
     this.incarnationListener = incarnationListener;
@@ -302,8 +302,8 @@
             .map(UpstreamDefinition::incarnation)
             .collect(Collectors.toUnmodifiableSet());
     poolListener.accept(configuration);
-    incarnations.stream()
-        .filter(incarnation -> !before.contains(incarnation))
+    configuration.upstreams().stream()
+        .filter(upstream -> !before.contains(upstream.incarnation()))
         .forEach(incarnationListener);
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/LivenessListener.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/LivenessListener.java
@@ -16,6 +16,9 @@
    */
   void responded(Incarnation upstream, long sentAtMillis);
 
-  /** Records that a connection to an upstream could not be opened. */
-  void connectionFailed(UpstreamName upstream);
+  /** Records that an upstream refused a connection, which no process of it accepts. */
+  void connectionRefused(UpstreamName upstream);
+
+  /** Returns whether an upstream may have crashed, since a connection to it was cut. */
+  boolean mayHaveCrashed(UpstreamName upstream);
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
@@ -1,16 +1,19 @@
 package org.marjoramsail.daemon.forward;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClientAgent;
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpConnectOptions;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.time.Clock;
@@ -37,14 +40,23 @@
    */
   private static final long IDLE_MARGIN_MILLIS = 500;
 
+  /** Time for which a connection without a request so far may stay open, in milliseconds. */
+  private static final long UNUSED_MILLIS = 1_000;
+
   private record IdleConnection(HttpClientConnection connection, long usableUntilMillis) {}
 
   private final HttpClientAgent client;
   private final Clock clock;
   private final Map<Incarnation, Deque<IdleConnection>> idle = new HashMap<>();
+  private final Consumer<UpstreamDefinition> refused;
   private long opened;
 
-  UpstreamConnections(Vertx vertx, Clock clock) {
+  /**
+   * Creates an empty pool.
+   *
+   * @param refused receives upstreams that refuse a connection; a timeout is no refusal
+   */
+  UpstreamConnections(Vertx vertx, Clock clock, Consumer<UpstreamDefinition> refused) {
     this.client =
         vertx.createHttpClient(
             AbortiveClose.options()
@@ -55,6 +67,7 @@
                 .setMaxHeaderSize(64 * 1024)
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
     this.clock = clock;
+    this.refused = refused;
   }
 
   /** Returns a connection that nothing else uses. A failure proves that nothing was sent. */
@@ -67,12 +80,35 @@
       }
       newest.connection().close();
     }
+    return connect(target);
+  }
+
+  /** Opens a connection that the next request to the upstream uses. */
+  Future<Void> open(UpstreamDefinition target) {
+    return connect(target)
+        .onSuccess(connection -> release(target.incarnation(), connection, UNUSED_MILLIS))
+        .mapEmpty();
+  }
+
+  private Future<HttpClientConnection> connect(UpstreamDefinition target) {
     opened++;
-    return client.connect(
+    HttpConnectOptions options =
         new HttpConnectOptions()
             .setHost(target.address())
             .setPort(target.port())
-            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
+            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+    return client
+        .connect(options)
+        .onFailure(
+            cause -> {
+              if (isRefusal(cause)) {
+                refused.accept(target);
+              }
+            });
+  }
+
+  private static boolean isRefusal(Throwable cause) {
+    return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
   }
 
   /** Returns a connection to the pool after a complete response. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
@@ -1,6 +1,9 @@
 package org.marjoramsail.daemon.forward;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.function.Consumer;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.Quarantine;
@@ -8,7 +11,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Reports responses, failed connections and restarts of upstreams to the quarantine. */
+/** Reports responses, refused connections and restarts of upstreams to the quarantine. */
 public final class UpstreamLiveness implements LivenessListener {
 
   private static final Logger LOG = LoggerFactory.getLogger(UpstreamLiveness.class);
@@ -25,6 +28,7 @@
   private final Quarantine quarantine;
   private final Clock clock;
   private final Consumer<UpstreamName> restarted;
+  private final Map<String, UpstreamName> namesByAddress = new HashMap<>();
 
   /**
    * Creates an instance.
@@ -40,11 +44,17 @@
     this.restarted = restarted;
   }
 
-  /** Handles an incarnation in the list of upstreams. */
-  public void listed(Incarnation upstream) {
-    if (recordIncarnation(upstream, NO_RESPONSE_MILLIS)) {
-      LOG.atInfo().addKeyValue("upstream", upstream).log("upstream has started again");
-      restarted.accept(upstream.upstream());
+  /** Handles an upstream that the list has for the first time, or in a new incarnation. */
+  public void listed(UpstreamDefinition upstream) {
+    Incarnation incarnation = upstream.incarnation();
+    if (recordIncarnation(incarnation, NO_RESPONSE_MILLIS)) {
+      LOG.atInfo().addKeyValue("upstream", incarnation).log("upstream has started again");
+      restarted.accept(upstream.name());
+    }
+    UpstreamName before =
+        namesByAddress.put(upstream.address() + ":" + upstream.port(), upstream.name());
+    if (before != null && !before.equals(upstream.name())) {
+      quarantine.addressTakenOver(before, clock.millis());
     }
   }
 
@@ -54,10 +64,15 @@
   }
 
   @Override
-  public void connectionFailed(UpstreamName upstream) {
+  public void connectionRefused(UpstreamName upstream) {
     quarantine.connectionsRefused(upstream, clock.millis());
   }
 
+  @Override
+  public boolean mayHaveCrashed(UpstreamName upstream) {
+    return quarantine.mayHaveCrashed(upstream, clock.millis());
+  }
+
   private boolean recordIncarnation(Incarnation upstream, long asOfMillis) {
     long start = Math.max(DEFAULT_START_MILLIS, upstream.startedAtMillis());
     return quarantine.incarnation(upstream.upstream(), start, asOfMillis, clock.millis());
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamProbes.java
@@ -0,0 +1,64 @@
+package org.marjoramsail.daemon.forward;
+
+import io.vertx.core.Vertx;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.model.Incarnation;
+
+/**
+ * Opens connections to an upstream after the connection of a request to it was cut.
+ *
+ * <p>Guards against a crash that nobody notices: a restarted upstream has another name, and the
+ * next request to the crashed one may come from another daemon. A refused connection is reported
+ * where it is opened. Runs on one event loop.
+ */
+final class UpstreamProbes {
+
+  /**
+   * Delays before the connections, in milliseconds. The first may be accepted by a process that is
+   * about to end, or be refused before this daemon has received a response of another upstream.
+   */
+  private static final List<Long> DELAYS_MILLIS = List.of(1L, 100L, 200L, 400L, 800L);
+
+  private final Vertx vertx;
+  private final UpstreamConnections connections;
+  private final LivenessListener liveness;
+  private final Set<Incarnation> probed = new HashSet<>();
+
+  UpstreamProbes(Vertx vertx, UpstreamConnections connections, LivenessListener liveness) {
+    this.vertx = vertx;
+    this.connections = connections;
+    this.liveness = liveness;
+  }
+
+  /** Starts to probe an upstream, unless it is being probed. */
+  void connectionCut(UpstreamDefinition upstream) {
+    if (probed.add(upstream.incarnation())) {
+      probeLater(upstream, 0);
+    }
+  }
+
+  private void probeLater(UpstreamDefinition upstream, int probe) {
+    if (probe == DELAYS_MILLIS.size()) {
+      probed.remove(upstream.incarnation());
+    } else {
+      vertx.setTimer(DELAYS_MILLIS.get(probe), fired -> probe(upstream, probe));
+    }
+  }
+
+  private void probe(UpstreamDefinition upstream, int probe) {
+    if (!liveness.mayHaveCrashed(upstream.name())) {
+      probed.remove(upstream.incarnation());
+      return;
+    }
+    connections
+        .open(upstream)
+        .onComplete(
+            opened -> {
+              boolean isLast = opened.succeeded() && probe > 0;
+              probeLater(upstream, isLast ? DELAYS_MILLIS.size() : probe + 1);
+            });
+  }
+}
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -50,7 +50,7 @@
   private ForwardCall call(
       FakePlainService upstream, AtomicBoolean accepting, Promise<UpstreamFailure> failure) {
     return new ForwardCall(
-        new UpstreamConnections(vertx, new SystemClock()),
+        new UpstreamConnections(vertx, new SystemClock(), refused -> {}),
         new CallLog(new SystemClock()),
         responseHeaders -> Optional.empty(),
         upstream.definition("desk"),
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardingStateTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardingStateTest.java
@@ -28,7 +28,8 @@
   private final List<Configuration> published = new ArrayList<>();
   private final List<Incarnation> newIncarnations = new ArrayList<>();
   private final ForwardingState state =
-      new ForwardingState(() -> now, published::add, newIncarnations::add);
+      new ForwardingState(
+          () -> now, published::add, listed -> newIncarnations.add(listed.incarnation()));
 
   @BeforeEach
   void publishInitialState() {
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/UpstreamLivenessTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/UpstreamLivenessTest.java
@@ -5,9 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
 import org.marjoramsail.core.outcome.Quarantine;
 import org.marjoramsail.core.outcome.QuarantineListener;
 import org.marjoramsail.core.outcome.Suspicion;
@@ -18,6 +20,9 @@
   private static final UpstreamName ENGINE = new UpstreamName("i-1");
   private static final long FINGERPRINT = 7;
 
+  /** Time after which a cut without a proof is no longer awaited. */
+  private static final long UNDECIDED_MILLIS = 3_000;
+
   private final ManualClock clock = new ManualClock(10_000);
   private final Quarantine quarantine = new Quarantine(60_000, 500, 100, QuarantineListener.NONE);
   private final List<UpstreamName> restarted = new ArrayList<>();
@@ -25,11 +30,11 @@
 
   @Test
   void aLaterStartIsReportedAsARestart() {
-    liveness.listed(new Incarnation(ENGINE, 1_000));
-    liveness.listed(new Incarnation(ENGINE, 1_000));
+    liveness.listed(engine(1_000));
+    liveness.listed(engine(1_000));
     assertThat(restarted).isEmpty();
 
-    liveness.listed(new Incarnation(ENGINE, 2_000));
+    liveness.listed(engine(2_000));
 
     assertThat(restarted).containsExactly(ENGINE);
   }
@@ -37,17 +42,17 @@
   /** Guards against a late entry of an earlier incarnation, written after that of the later one. */
   @Test
   void anEarlierStartIsNotReportedAsARestart() {
-    liveness.listed(new Incarnation(ENGINE, 2_000));
+    liveness.listed(engine(2_000));
 
-    liveness.listed(new Incarnation(ENGINE, 1_000));
+    liveness.listed(engine(1_000));
 
     assertThat(restarted).isEmpty();
   }
 
   @Test
   void anUpstreamWithoutAStartTimeIsNeverReportedAsRestarted() {
-    liveness.listed(new Incarnation(ENGINE, Incarnation.UNKNOWN_START));
-    liveness.listed(new Incarnation(ENGINE, Incarnation.UNKNOWN_START));
+    liveness.listed(definition(ENGINE, 8_000));
+    liveness.listed(definition(ENGINE, 8_000));
 
     assertThat(restarted).isEmpty();
   }
@@ -58,14 +63,56 @@
    */
   @Test
   void anEntryInTheListDoesNotClearTheSuspicionOfACrash() {
-    RequestId request = new RequestId("q1");
-    liveness.listed(new Incarnation(ENGINE, 1_000));
-    quarantine.started(ENGINE, request, 1, FINGERPRINT);
-    quarantine.connectionLost(ENGINE, request, 1, clock.millis());
+    liveness.listed(engine(1_000));
+    cut(ENGINE);
 
-    liveness.listed(new Incarnation(ENGINE, 1_000));
-    liveness.connectionFailed(ENGINE);
+    liveness.listed(engine(1_000));
+    liveness.connectionRefused(ENGINE);
 
     assertThat(quarantine.suspicion(FINGERPRINT, clock.millis())).isEqualTo(Suspicion.SUSPECT);
   }
+
+  /** Guards against a crash that is hidden by a restart under another name. */
+  @Test
+  void anotherUpstreamAtTheAddressProvesACrashSecondsAfterTheCut() {
+    liveness.listed(definition(ENGINE, 8_000));
+    cut(ENGINE);
+    clock.advance(UNDECIDED_MILLIS);
+    assertThat(quarantine.suspicion(FINGERPRINT, clock.millis())).isEqualTo(Suspicion.CLEAR);
+
+    liveness.listed(definition(new UpstreamName("i-2"), 8_000));
+
+    assertThat(quarantine.suspicion(FINGERPRINT, clock.millis())).isEqualTo(Suspicion.SUSPECT);
+  }
+
+  /** Guards against innocent contents that become suspect when a daemon loses its network paths. */
+  @Test
+  void aRefusalProvesNoCrashUntilAnotherUpstreamResponds() {
+    Incarnation other = new Incarnation(new UpstreamName("i-2"), 1_000);
+    liveness.responded(other, clock.millis());
+    cut(ENGINE);
+    liveness.connectionRefused(ENGINE);
+    clock.advance(UNDECIDED_MILLIS);
+    assertThat(quarantine.suspicion(FINGERPRINT, clock.millis())).isEqualTo(Suspicion.CLEAR);
+
+    liveness.responded(other, clock.millis());
+    liveness.connectionRefused(ENGINE);
+
+    assertThat(quarantine.suspicion(FINGERPRINT, clock.millis())).isEqualTo(Suspicion.SUSPECT);
+  }
+
+  private void cut(UpstreamName upstream) {
+    RequestId request = new RequestId("q1");
+    quarantine.started(upstream, request, 1, FINGERPRINT);
+    quarantine.connectionLost(upstream, request, 1, clock.millis());
+  }
+
+  private static UpstreamDefinition engine(long startedAtMillis) {
+    return definition(ENGINE, 8_000).withStartTime(startedAtMillis);
+  }
+
+  private static UpstreamDefinition definition(UpstreamName name, int port) {
+    return new UpstreamDefinition(
+        name, "service", UpstreamRole.DECODE, "10.0.0.1", port, "zone", "region", 1, true, false);
+  }
 }
