A 421 no longer disproves the crash of an upstream

Cause: each response counted as a sign of life of the upstream that was called, a 421 too. A 421 says that another upstream has the address, or that the role has changed: it says nothing of the called one.

Change: a 421 is not recorded as a response, as its feedback never was. Responses with the identifier of another request are not recorded either.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -271,10 +271,6 @@
         listener);
   }
 
-  private void upstreamResponded(UpstreamDefinition upstream, long sentAtMillis) {
-    dependencies.liveness().responded(upstream.incarnation(), sentAtMillis);
-  }
-
   /** Returns the failure that a response reports if it does not serve the request. */
   private static UpstreamFailure failureOf(ResponseDisposition disposition) {
     return switch (disposition) {
@@ -314,13 +310,13 @@
       events.accept(event);
     }
 
-    void reportResponse() {
-      upstreamResponded(upstream, sentAtMillis);
-    }
-
-    /** Records the feedback in a response, unless a different upstream now uses the address. */
-    void recordFeedback(ResponseDisposition disposition, int status, MultiMap headers) {
+    /**
+     * Records that the upstream responded, and its feedback, unless a different upstream may have
+     * responded at its address.
+     */
+    void recordResponse(ResponseDisposition disposition, int status, MultiMap headers) {
       if (disposition != ResponseDisposition.MISDIRECTED) {
+        dependencies.liveness().responded(upstream.incarnation(), sentAtMillis);
         dependencies
             .feedback()
             .recordFeedback(upstream, dependencies.protocol().feedbackOf(status, headers));
@@ -357,7 +353,6 @@
 
     @Override
     public boolean head(int status, MultiMap headers) {
-      reportResponse();
       disposition =
           dependencies
               .protocol()
@@ -366,7 +361,7 @@
         failed(UpstreamFailure.MALFORMED);
         return false;
       }
-      recordFeedback(disposition, status, headers);
+      recordResponse(disposition, status, headers);
       return true;
     }
 
@@ -406,7 +401,6 @@
 
     @Override
     public boolean head(int status, MultiMap headers) {
-      reportResponse();
       disposition =
           dependencies
               .protocol()
@@ -415,7 +409,7 @@
         failed(UpstreamFailure.MALFORMED);
         return false;
       }
-      recordFeedback(disposition, status, headers);
+      recordResponse(disposition, status, headers);
       head = new ResponseHead(status, dependencies.protocol().returnedHeaders(headers));
       return true;
     }
