Reach another upstream where one refuses connections after a cut

A refusal proves a crash only while other upstreams are reached. Until now their responses to other requests were awaited, so that on a quiet host the proof came late or, after the last probe, not at all. A refused probe now opens a connection to an upstream that responded before, and the next one, 20 ms later, counts. CrashingContentPathTest passes with it; a host that has no network paths still proves nothing (UpstreamLivenessTest).

--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -94,7 +94,7 @@
     private long decideAtMillis;
     private boolean presumed;
     private long lastCutAtMillis;
-    private long respondedAtMillis = NEVER;
+    private long reachedAtMillis = NEVER;
     private long crashedIncarnation = -1;
 
     private boolean isUnsettled() {
@@ -254,7 +254,7 @@
         changed(QuarantineChange.Kind.DISPROVED, name, dismissed, "response");
       }
     }
-    state.respondedAtMillis = Math.max(state.respondedAtMillis, asOfMillis);
+    state.reachedAtMillis = Math.max(state.reachedAtMillis, asOfMillis);
     state.incarnation = Math.max(state.incarnation, incarnation);
     return restarted;
   }
@@ -263,8 +263,8 @@
    * Records that an upstream refuses connections, which proves a crash after a cut.
    *
    * <p>Guards against a daemon that has lost its network paths, whose connections to all upstreams
-   * are cut and refused: a refusal proves nothing until another upstream has responded to a request
-   * that was sent after the cut, unless no other is in use.
+   * are cut and refused: a refusal proves nothing until another upstream was reached after the cut,
+   * unless no other is in use.
    */
   public synchronized void connectionsRefused(UpstreamName name, long nowMillis) {
     Upstream state = upstream(name);
@@ -273,14 +273,24 @@
     }
   }
 
+  /**
+   * Records that an upstream was reached.
+   *
+   * @param asOfMillis when the request or the connection that reached it was started
+   */
+  public synchronized void reached(UpstreamName name, long asOfMillis) {
+    Upstream state = upstream(name);
+    state.reachedAtMillis = Math.max(state.reachedAtMillis, asOfMillis);
+  }
+
   private boolean isReachingOthers(Upstream state) {
     boolean isAnotherInUse = false;
     for (Upstream other : upstreams.values()) {
       if (other != state) {
-        if (other.respondedAtMillis > state.lastCutAtMillis) {
+        if (other.reachedAtMillis > state.lastCutAtMillis) {
           return true;
         }
-        isAnotherInUse |= other.respondedAtMillis > state.lastCutAtMillis - LATE_PROOF_MILLIS;
+        isAnotherInUse |= other.reachedAtMillis > state.lastCutAtMillis - LATE_PROOF_MILLIS;
       }
     }
     return !isAnotherInUse;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -317,6 +317,7 @@
     void recordResponse(ResponseDisposition disposition, int status, MultiMap headers) {
       if (disposition != ResponseDisposition.MISDIRECTED) {
         dependencies.liveness().responded(upstream.incarnation(), sentAtMillis);
+        dependencies.probes().responded(upstream);
         dependencies
             .feedback()
             .recordFeedback(upstream, dependencies.protocol().feedbackOf(status, headers));
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -89,7 +89,8 @@
             dependencies.upstreams(),
             dependencies.handleLifetimeMillis(),
             dependencies.liveness(),
-            new UpstreamProbes(vertx, upstreamConnections, dependencies.liveness()),
+            new UpstreamProbes(
+                vertx, upstreamConnections, dependencies.liveness(), dependencies.clock()),
             dependencies.feedback(),
             this::recordOutputLength,
             plainResponseTimes::update,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/LivenessListener.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/LivenessListener.java
@@ -19,6 +19,13 @@
   /** Records that an upstream refused a connection, which no process of it accepts. */
   void connectionRefused(UpstreamName upstream);
 
+  /**
+   * Records that an upstream accepted a connection.
+   *
+   * @param startedAtMillis when the connection was requested
+   */
+  void reached(UpstreamName upstream, long startedAtMillis);
+
   /** Returns whether an upstream may have crashed, since a connection to it was cut. */
   boolean mayHaveCrashed(UpstreamName upstream);
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
@@ -38,7 +38,8 @@
    * @param restarted receives upstreams that have restarted, on which no earlier request runs any
    *     more
    */
-  public UpstreamLiveness(Quarantine quarantine, Clock clock, Consumer<UpstreamName> restarted) {
+  public UpstreamLiveness(
+      Quarantine quarantine, Clock clock, Consumer<UpstreamName> restarted, Runnable sendReports) {
     this.quarantine = quarantine;
     this.clock = clock;
     this.restarted = restarted;
@@ -68,6 +69,11 @@
     quarantine.connectionsRefused(upstream, clock.millis());
   }
 
+  @Override
+  public void reached(UpstreamName upstream, long startedAtMillis) {
+    quarantine.reached(upstream, startedAtMillis);
+  }
+
   @Override
   public boolean mayHaveCrashed(UpstreamName upstream) {
     return quarantine.mayHaveCrashed(upstream, clock.millis());
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamProbes.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamProbes.java
@@ -3,9 +3,11 @@
 import io.vertx.core.Vertx;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
+import org.marjoramsail.core.time.Clock;
 
 /**
  * Opens connections to an upstream after the connection of a request to it was cut.
@@ -18,19 +20,32 @@
 
   /**
    * Delays before the connections, in milliseconds. The first may be accepted by a process that is
-   * about to end, or be refused before this daemon has received a response of another upstream.
+   * about to end, or be refused before this daemon has reached another upstream.
    */
-  private static final List<Long> DELAYS_MILLIS = List.of(1L, 100L, 200L, 400L, 800L);
+  private static final List<Long> DELAYS_MILLIS = List.of(1L, 20L, 100L, 200L, 400L, 800L);
 
   private final Vertx vertx;
   private final UpstreamConnections connections;
   private final LivenessListener liveness;
+  private final Clock clock;
   private final Set<Incarnation> probed = new HashSet<>();
+  private Optional<UpstreamDefinition> lastResponding = Optional.empty();
+  private Optional<UpstreamDefinition> previousResponding = Optional.empty();
 
-  UpstreamProbes(Vertx vertx, UpstreamConnections connections, LivenessListener liveness) {
+  UpstreamProbes(
+      Vertx vertx, UpstreamConnections connections, LivenessListener liveness, Clock clock) {
     this.vertx = vertx;
     this.connections = connections;
     this.liveness = liveness;
+    this.clock = clock;
+  }
+
+  /** Records that an upstream responded. */
+  void responded(UpstreamDefinition upstream) {
+    if (!isSame(lastResponding, upstream)) {
+      previousResponding = lastResponding;
+      lastResponding = Optional.of(upstream);
+    }
   }
 
   /** Starts to probe an upstream, unless it is being probed. */
@@ -57,8 +72,30 @@
         .open(upstream)
         .onComplete(
             opened -> {
+              if (opened.failed() && liveness.mayHaveCrashed(upstream.name())) {
+                reachAnother(upstream);
+              }
               boolean isLast = opened.succeeded() && probe > 0;
               probeLater(upstream, isLast ? DELAYS_MILLIS.size() : probe + 1);
             });
   }
+
+  /**
+   * Opens a connection to another upstream, without which a refusal proves nothing: this daemon may
+   * have lost its network paths.
+   */
+  private void reachAnother(UpstreamDefinition refusing) {
+    Optional<UpstreamDefinition> another =
+        isSame(lastResponding, refusing) ? previousResponding : lastResponding;
+    long startedAtMillis = clock.millis();
+    another.ifPresent(
+        upstream ->
+            connections
+                .open(upstream)
+                .onSuccess(opened -> liveness.reached(upstream.name(), startedAtMillis)));
+  }
+
+  private static boolean isSame(Optional<UpstreamDefinition> one, UpstreamDefinition other) {
+    return one.filter(found -> found.incarnation().equals(other.incarnation())).isPresent();
+  }
 }
