Send crash reports at once, and to daemons that start or are reached again

What callers saw: a content that all running hosts refuse crashes further engines from a host that has just started.

Cause: reports went to the daemons that were reachable at the next tick of 200 ms, once. A daemon that starts later, or was cut off from the others, never got them.

Change: reports are sent as soon as a crash is proven. The first three daemons that follow a new or returned one in the order of hosts send it all reports that they store; so the cost for it does not grow with the fleet.

--- a/core/src/main/java/org/marjoramsail/core/outcome/CrashRecords.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CrashRecords.java
@@ -63,6 +63,16 @@
     return entries.get(fingerprint).expiresAtMillis;
   }
 
+  /** Returns all crashes that are stored. */
+  List<CrashId> crashes() {
+    return List.copyOf(suspects.keySet());
+  }
+
+  /** Returns the contents that are not cleared of a crash, the least likely cause first. */
+  List<Long> suspects(CrashId crash) {
+    return suspects.get(crash).stream().filter(content -> isActive(content, crash)).toList();
+  }
+
   /** Returns all contents that are stored, the oldest first. */
   List<Long> fingerprints() {
     return List.copyOf(entries.keySet());
--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -387,6 +387,23 @@
     return messages;
   }
 
+  /** Returns a report of each stored crash, with the contents that are not cleared of it. */
+  public synchronized List<CrashReportMessage> reports(long nowMillis) {
+    records.expire(nowMillis);
+    return records.crashes().stream()
+        .map(crash -> report(crash, nowMillis))
+        .filter(report -> !report.fingerprints().isEmpty())
+        .toList();
+  }
+
+  private CrashReportMessage report(CrashId crash, long nowMillis) {
+    List<Long> suspects = records.suspects(crash);
+    long expiresAtMillis =
+        suspects.stream().mapToLong(records::expiresAtMillis).max().orElse(nowMillis);
+    return new CrashReportMessage(
+        crash.upstream(), crash.incarnation(), suspects, expiresAtMillis - nowMillis, false);
+  }
+
   /** Returns the contents that are suspect or refused. */
   public synchronized List<QuarantineEntry> list(long nowMillis) {
     settleAndExpire(nowMillis);
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -62,6 +62,7 @@
 import org.marjoramsail.daemon.platform.HttpObjectApi;
 import org.marjoramsail.daemon.platform.HttpObjectApiSettings;
 import org.marjoramsail.daemon.request.CrashObserver;
+import org.marjoramsail.daemon.request.CrashReportSender;
 import org.marjoramsail.daemon.request.QuarantineLog;
 import org.marjoramsail.daemon.request.StoredClaims;
 import org.marjoramsail.daemon.settings.Settings;
@@ -98,6 +99,7 @@
   private final PlacementParts placementParts;
   private final UpstreamStatusPoller poller;
   private final RequestParts requests;
+  private final CrashReportSender crashReports;
   private final CrashObserver outcomes;
   private final OrphanCanceller orphans;
   private final HostListParts hosts;
@@ -168,8 +170,10 @@
             clock,
             random);
     this.requests = requestParts(upstreams, invariants, random, json);
+    this.crashReports = new CrashReportSender(self, quarantine, network);
     this.outcomes =
-        new CrashObserver(quarantine, requests.registry, this::tellAll, placementParts, clock);
+        new CrashObserver(
+            quarantine, requests.registry, crashReports::sendNew, placementParts, clock);
     this.orphans = new OrphanCanceller(upstreams.engines, placementParts::watched, clock, meters);
     this.hosts = new HostListParts(vertx, platform, membership, placementParts, random, meters);
     this.orders =
@@ -311,7 +315,7 @@
   @Override
   public boolean lift(long fingerprint) {
     boolean isLifted = quarantine.lift(fingerprint, clock.millis());
-    outcomes.broadcastMessages();
+    crashReports.sendNew();
     return isLifted;
   }
 
@@ -323,7 +327,7 @@
     hosts.start();
     orders.start();
     poller.start(outcomes);
-    vertx.setPeriodic(CRASH_SPREAD_MILLIS, timer -> outcomes.broadcastMessages());
+    vertx.setPeriodic(CRASH_SPREAD_MILLIS, timer -> crashReports.sendNew());
     vertx.setPeriodic(ORPHAN_TICK_MILLIS, timer -> orphans.tick());
     return requests.callers.start();
   }
@@ -398,6 +402,7 @@
 
   private void membersChanged(MembershipView view) {
     placement.updateMembership(view);
+    crashReports.membersChanged(view, clock.millis());
     Set<DaemonId> now = new HashSet<>();
     Set<DaemonId> dead = new HashSet<>();
     for (Member member : view.members()) {
@@ -432,14 +437,6 @@
     placement.configure(newer);
   }
 
-  private void tellAll(CrashReportMessage message) {
-    for (Member member : membership.view().members()) {
-      if (member.state().isReachable() && !member.id().equals(self)) {
-        network.send(member.id(), message);
-      }
-    }
-  }
-
   private List<PeerAddress> seeds() {
     return settings.peers().stream()
         .map(peer -> new PeerAddress(peer.address(), peer.port()))
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
@@ -28,6 +28,7 @@
   private final Quarantine quarantine;
   private final Clock clock;
   private final Consumer<UpstreamName> restarted;
+  private final Runnable sendReports;
   private final Map<String, UpstreamName> namesByAddress = new HashMap<>();
 
   /**
@@ -37,12 +38,14 @@
    * @param clock returns the current time
    * @param restarted receives upstreams that have restarted, on which no earlier request runs any
    *     more
+   * @param sendReports sends the new reports of the quarantine to the other daemons
    */
   public UpstreamLiveness(
       Quarantine quarantine, Clock clock, Consumer<UpstreamName> restarted, Runnable sendReports) {
     this.quarantine = quarantine;
     this.clock = clock;
     this.restarted = restarted;
+    this.sendReports = sendReports;
   }
 
   /** Handles an upstream that the list has for the first time, or in a new incarnation. */
@@ -57,6 +60,7 @@
     if (before != null && !before.equals(upstream.name())) {
       quarantine.addressTakenOver(before, clock.millis());
     }
+    sendReports.run();
   }
 
   @Override
@@ -67,6 +71,7 @@
   @Override
   public void connectionRefused(UpstreamName upstream) {
     quarantine.connectionsRefused(upstream, clock.millis());
+    sendReports.run();
   }
 
   @Override
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/CrashObserver.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/CrashObserver.java
@@ -1,9 +1,7 @@
 package org.marjoramsail.daemon.request;
 
-import java.util.function.Consumer;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.UpstreamName;
-import org.marjoramsail.core.outcome.CrashReportMessage;
 import org.marjoramsail.core.outcome.Quarantine;
 import org.marjoramsail.core.placement.LoadReport;
 import org.marjoramsail.core.time.Clock;
@@ -22,7 +20,7 @@
 
   private final Quarantine quarantine;
   private final RequestRegistry registry;
-  private final Consumer<CrashReportMessage> broadcast;
+  private final Runnable sendReports;
   private final UpstreamObserver next;
   private final Clock clock;
 
@@ -31,19 +29,19 @@
    *
    * @param quarantine detects requests whose content crashes upstreams
    * @param registry the requests that may have run on a crashed upstream
-   * @param broadcast sends a message to all other daemons
+   * @param sendReports sends the new reports of the quarantine to the other daemons
    * @param next receives each result after this observer
    * @param clock the clock
    */
   public CrashObserver(
       Quarantine quarantine,
       RequestRegistry registry,
-      Consumer<CrashReportMessage> broadcast,
+      Runnable sendReports,
       UpstreamObserver next,
       Clock clock) {
     this.quarantine = quarantine;
     this.registry = registry;
-    this.broadcast = broadcast;
+    this.sendReports = sendReports;
     this.next = next;
     this.clock = clock;
   }
@@ -60,7 +58,7 @@
           .log("upstream restarted");
       registry.upstreamRestarted(report.upstream());
     }
-    broadcastMessages();
+    sendReports.run();
     next.load(report, requestedAtMillis);
   }
 
@@ -73,13 +71,8 @@
   public void unreachable(UpstreamName upstream, boolean connectionRefused) {
     if (connectionRefused) {
       quarantine.connectionsRefused(upstream, clock.millis());
-      broadcastMessages();
+      sendReports.run();
     }
     next.unreachable(upstream, connectionRefused);
   }
-
-  /** Broadcasts the pending messages of the quarantine, if any. */
-  public void broadcastMessages() {
-    quarantine.takeMessages().forEach(broadcast);
-  }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/UpstreamLivenessTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/UpstreamLivenessTest.java
@@ -26,7 +26,8 @@
   private final ManualClock clock = new ManualClock(10_000);
   private final Quarantine quarantine = new Quarantine(60_000, 500, 100, QuarantineListener.NONE);
   private final List<UpstreamName> restarted = new ArrayList<>();
-  private final UpstreamLiveness liveness = new UpstreamLiveness(quarantine, clock, restarted::add);
+  private final UpstreamLiveness liveness =
+      new UpstreamLiveness(quarantine, clock, restarted::add, () -> {});
 
   @Test
   void aLaterStartIsReportedAsARestart() {
