Find out whether a host reaches any upstream; a test of its callers that fails

What callers saw: 1 of 32 first tries served at hosts that reached no upstream (second1), and no line of these hosts said so.

A host now counts the connections that it opens: once three upstreams in a row have failed it logs 'no upstream is reached', and 'upstreams are reached again' after the first that succeeds; marjoramsail_upstreams_reached shows it. Where one fails, or calls have had no answer for 0.5 s while no upstream sent anything, it opens connections to up to three others, twice a second at most. Nothing is decided by it yet.

The test cuts one of two daemons off by a fault at the connection, as PeerFaults does between daemons: time-outs and refusals.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
@@ -17,13 +17,18 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(CallLog.class);
 
+  /** Time without a response after which all upstreams may be out of reach, in milliseconds. */
+  private static final long SILENCE_MILLIS = 500;
+
   private final Clock clock;
   private final Map<Incarnation, Set<ForwardCall>> open = new HashMap<>();
   private Set<Incarnation> accepting = Set.of();
   private long abandoned;
+  private long receivedAtMillis;
 
   CallLog(Clock clock) {
     this.clock = clock;
+    this.receivedAtMillis = clock.millis();
   }
 
   /** Returns the current time. */
@@ -57,6 +62,23 @@
         .log("call given up before a response");
   }
 
+  /** Records that an upstream sent something. */
+  void received() {
+    receivedAtMillis = clock.millis();
+  }
+
+  /**
+   * Returns whether some calls have been unanswered for some time in which no upstream sent
+   * anything.
+   */
+  boolean isSilent() {
+    long sinceMillis = clock.millis() - SILENCE_MILLIS;
+    return receivedAtMillis < sinceMillis
+        && open.values().stream()
+            .flatMap(Set::stream)
+            .anyMatch(call -> call.isUnansweredSince(sinceMillis));
+  }
+
   /** Handles a change of the upstreams that accept requests; logs the calls on the others. */
   void accepting(Set<Incarnation> upstreams) {
     for (Incarnation upstream : accepting) {
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ConnectListener.java
@@ -0,0 +1,23 @@
+package org.marjoramsail.daemon.forward;
+
+import org.marjoramsail.core.configuration.UpstreamDefinition;
+
+/** Receives the results of connections that are opened to upstreams. */
+interface ConnectListener {
+
+  /**
+   * Records that a connection was opened.
+   *
+   * @param startedAtMillis when it was requested
+   */
+  void connected(long startedAtMillis);
+
+  /**
+   * Records that a connection could not be opened.
+   *
+   * @param startedAtMillis when it was requested
+   * @param refused whether it was refused; a timeout is no refusal
+   * @param cause description for logs
+   */
+  void failed(UpstreamDefinition target, long startedAtMillis, boolean refused, String cause);
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -127,6 +127,11 @@
     return answered;
   }
 
+  /** Returns whether the request was written before some time and no response has begun. */
+  boolean isUnansweredSince(long millis) {
+    return isWritten() && !answered && writtenAtMillis < millis;
+  }
+
   private void disconnect() {
     markEnded();
     connection.ifPresent(HttpClientConnection::close);
@@ -179,6 +184,7 @@
       return;
     }
     answered = true;
+    calls.received();
     response.exceptionHandler(cause -> fail(UpstreamFailure.CUT));
     if (!listener.head(response.statusCode(), response.headers())) {
       disconnect();
@@ -186,6 +192,7 @@
     }
     response.handler(
         bytes -> {
+          calls.received();
           if (!closed) {
             listener.bytes(bytes);
           }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -55,6 +55,7 @@
   private final ForwardDependencies exchangeDependencies;
   private final RefusalWriter refusals;
   private final PlainResponseTimes plainResponseTimes = new PlainResponseTimes();
+  private final PathMonitor paths;
   private final Set<HttpConnection> connections = new HashSet<>();
   private final Set<HttpConnection> busy = new HashSet<>();
   private HttpServer server;
@@ -78,9 +79,10 @@
             dependencies.protocol(), json, dependencies.random(), connectionCloseHeader);
     UpstreamConnections upstreamConnections =
         new UpstreamConnections(
-            vertx,
-            dependencies.clock(),
-            upstream -> dependencies.liveness().connectionRefused(upstream.name()));
+            vertx, dependencies.clock(), new ConnectResults(), dependencies.connectFaults());
+    this.paths =
+        new PathMonitor(
+            dependencies.clock(), dependencies.random(), upstreamConnections::open, () -> {});
     this.exchangeDependencies =
         new ForwardDependencies(
             dependencies.protocol(),
@@ -159,8 +161,19 @@
     return exchangeDependencies.calls().abandonedCount();
   }
 
+  /** Checks whether upstreams are reached; called several times a second. */
+  public void tick() {
+    paths.tick(exchangeDependencies.calls().isSilent());
+  }
+
+  /** Returns whether no upstream is reached. */
+  public boolean isCutOff() {
+    return paths.isCutOff();
+  }
+
   /** Handles a change of the upstreams. */
   public void upstreamsChanged(List<UpstreamDefinition> upstreams) {
+    paths.upstreamsChanged(upstreams);
     exchangeDependencies
         .calls()
         .accepting(
@@ -364,6 +377,24 @@
             .orElse(0));
   }
 
+  /** Reports the connections to upstreams that are opened. */
+  private final class ConnectResults implements ConnectListener {
+
+    @Override
+    public void connected(long startedAtMillis) {
+      paths.connected(startedAtMillis);
+    }
+
+    @Override
+    public void failed(
+        UpstreamDefinition target, long startedAtMillis, boolean refused, String cause) {
+      paths.failed(target, startedAtMillis, cause);
+      if (refused) {
+        dependencies.liveness().connectionRefused(target.name());
+      }
+    }
+  }
+
   /** A request whose head was accepted. */
   private record AcceptedRequest(
       HttpServerRequest request,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerDependencies.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerDependencies.java
@@ -28,6 +28,7 @@
  * @param feedback records what upstreams report of themselves
  * @param forecast predicts output lengths
  * @param refused receives requests that are refused before they are registered
+ * @param connectFaults {@link ConnectFaults#NONE} outside of tests
  * @param clock returns the current time
  * @param random adds jitter to the retry times of callers
  */
@@ -43,5 +44,6 @@
     UpstreamFeedbackRecorder feedback,
     OutputForecast forecast,
     Consumer<Refusal> refused,
+    ConnectFaults connectFaults,
     Clock clock,
     RandomGenerator random) {}
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
@@ -13,7 +13,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.time.Clock;
@@ -48,15 +47,19 @@
   private final HttpClientAgent client;
   private final Clock clock;
   private final Map<Incarnation, Deque<IdleConnection>> idle = new HashMap<>();
-  private final Consumer<UpstreamDefinition> refused;
+  private final Vertx vertx;
+  private final ConnectListener listener;
+  private final ConnectFaults faults;
   private long opened;
 
   /**
    * Creates an empty pool.
    *
-   * @param refused receives upstreams that refuse a connection; a timeout is no refusal
+   * @param listener receives the result of each connection that is opened
+   * @param faults {@link ConnectFaults#NONE} outside of tests
    */
-  UpstreamConnections(Vertx vertx, Clock clock, Consumer<UpstreamDefinition> refused) {
+  UpstreamConnections(Vertx vertx, Clock clock, ConnectListener listener, ConnectFaults faults) {
+    this.vertx = vertx;
     this.client =
         vertx.createHttpClient(
             AbortiveClose.options()
@@ -67,7 +70,8 @@
                 .setMaxHeaderSize(64 * 1024)
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
     this.clock = clock;
-    this.refused = refused;
+    this.listener = listener;
+    this.faults = faults;
   }
 
   /** Returns a connection that nothing else uses. A failure proves that nothing was sent. */
@@ -97,14 +101,23 @@
             .setHost(target.address())
             .setPort(target.port())
             .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
-    return client
-        .connect(options)
+    long startedAtMillis = clock.millis();
+    return faultOf(target)
+        .compose(reachable -> client.connect(options))
+        .onSuccess(connection -> listener.connected(startedAtMillis))
         .onFailure(
-            cause -> {
-              if (isRefusal(cause)) {
-                refused.accept(target);
-              }
-            });
+            cause -> listener.failed(target, startedAtMillis, isRefusal(cause), cause.toString()));
+  }
+
+  private Future<Void> faultOf(UpstreamDefinition target) {
+    return switch (faults.faultOf(target)) {
+      case NONE -> Future.succeededFuture();
+      case REFUSED -> Future.failedFuture(new ConnectException("refused by a test"));
+      case TIMEOUT ->
+          vertx
+              .timer(CONNECT_TIMEOUT_MILLIS)
+              .compose(fired -> Future.failedFuture(new ConnectTimeoutException("cut by a test")));
+    };
   }
 
   private static boolean isRefusal(Throwable cause) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.daemon.assembly.SystemClock;
 import org.marjoramsail.daemon.fixture.FakePlainService;
@@ -50,7 +51,7 @@
   private ForwardCall call(
       FakePlainService upstream, AtomicBoolean accepting, Promise<UpstreamFailure> failure) {
     return new ForwardCall(
-        new UpstreamConnections(vertx, new SystemClock(), refused -> {}),
+        new UpstreamConnections(vertx, new SystemClock(), new IgnoredResults(), ConnectFaults.NONE),
         new CallLog(new SystemClock()),
         responseHeaders -> Optional.empty(),
         upstream.definition("desk"),
@@ -76,6 +77,16 @@
         Optional.empty());
   }
 
+  private static final class IgnoredResults implements ConnectListener {
+
+    @Override
+    public void connected(long startedAtMillis) {}
+
+    @Override
+    public void failed(
+        UpstreamDefinition target, long startedAtMillis, boolean refused, String cause) {}
+  }
+
   /** Completes with the failure of a call; a response counts as a malformed one. */
   private record FailureListener(Promise<UpstreamFailure> failure) implements ForwardCall.Listener {
 
