Relay calls to each upstream that the host does not reach, not only if it reaches none

It logged 'no upstream is reached' and 'reached again' some milliseconds later, over and over (20 times in 14.0 to 14.15 s), closed its kept connections each time, and tried the service it did not reach directly, 0.4 s for each connection.

Cause: one state for all upstreams, cleared by any connection that succeeds.

Change: each upstream is not reached from a connection to it that fails to one that succeeds; calls to it go by a relay meanwhile, and a call whose own connection has just failed goes by one at once. After a time-out the kept connections to that upstream alone are closed; after a refusal they stay in use.

Evidence: UpstreamReachabilityTest, rewritten for a state of each upstream: its four tests hold the former three statements and one more.

--- a/core/src/test/java/org/marjoramsail/core/discovery/UpstreamReachabilityTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/UpstreamReachabilityTest.java
@@ -2,54 +2,72 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.model.UpstreamName;
 
 final class UpstreamReachabilityTest {
 
-  private static final int UPSTREAMS = 5;
+  private static final UpstreamName A = new UpstreamName("a");
+  private static final UpstreamName B = new UpstreamName("b");
+  private static final UpstreamName C = new UpstreamName("c");
+  private static final UpstreamName D = new UpstreamName("d");
+  private static final long SILENT_MILLIS = 1_000;
 
   private final UpstreamReachability reachability = new UpstreamReachability();
 
+  @BeforeEach
+  void defineUpstreams() {
+    reachability.retainOnly(List.of(A, B, C, D));
+  }
+
   @Test
-  void aDaemonIsCutOffOnceThreeUpstreamsHaveFailedInARow() {
-    fail("a", 1);
-    fail("a", 2);
-    fail("b", 3);
-    assertThat(reachability.isCutOff()).isFalse();
-    assertThat(reachability.isInDoubt()).isTrue();
-
-    fail("c", 4);
-
-    assertThat(reachability.isCutOff()).isTrue();
-    reachability.connected(5);
-    assertThat(reachability.isCutOff()).isFalse();
+  void anUpstreamIsNotReachedFromAFailedConnectionToOneThatSucceeds() {
+    assertThat(reachability.failed(A, 1)).isTrue();
+    assertThat(reachability.failed(A, 2)).isFalse();
+    assertThat(reachability.isReached(A)).isFalse();
+    assertThat(reachability.isReached(B)).isTrue();
+
+    assertThat(reachability.connected(A, 3, 4)).isTrue();
+
+    assertThat(reachability.isReached(A)).isTrue();
+  }
+
+  @Test
+  void aDaemonIsCutOffOnceThreeUpstreamsHaveFailedInARowAndNoneSendsAnything() {
+    reachability.received(1);
+    reachability.failed(A, 2);
+    reachability.failed(A, 3);
+    reachability.failed(B, 4);
+    assertThat(reachability.isCutOff(SILENT_MILLIS)).isFalse();
+
+    reachability.failed(C, 5);
+
+    assertThat(reachability.isCutOff(6)).isFalse();
+    assertThat(reachability.isCutOff(SILENT_MILLIS)).isTrue();
+    reachability.connected(D, 7, 8);
+    assertThat(reachability.isCutOff(2 * SILENT_MILLIS)).isFalse();
   }
 
   /** Guards against time-outs that were requested before the paths were restored. */
   @Test
   void aFailureOfAConnectionThatWasRequestedBeforeASuccessfulOneSaysNothing() {
-    reachability.connected(10);
+    reachability.connected(A, 10, 11);
 
-    fail("a", 9);
-    fail("b", 9);
-    fail("c", 9);
+    assertThat(reachability.failed(A, 9)).isFalse();
 
-    assertThat(reachability.isInDoubt()).isFalse();
-    assertThat(reachability.isCutOff()).isFalse();
+    assertThat(reachability.isReached(A)).isTrue();
   }
 
   @Test
   void allUpstreamsHaveToFailWhereThereAreFewerThanThree() {
-    reachability.failed(new UpstreamName("a"), 1, 2);
-    assertThat(reachability.isCutOff()).isFalse();
+    reachability.retainOnly(List.of(A, B));
+    reachability.failed(A, 1);
+    assertThat(reachability.isCutOff(SILENT_MILLIS)).isFalse();
 
-    reachability.failed(new UpstreamName("b"), 1, 2);
-
-    assertThat(reachability.isCutOff()).isTrue();
-  }
+    reachability.failed(B, 2);
 
-  private void fail(String upstream, long startedAtMillis) {
-    reachability.failed(new UpstreamName(upstream), startedAtMillis, UPSTREAMS);
+    assertThat(reachability.isCutOff(SILENT_MILLIS)).isTrue();
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
@@ -2,9 +2,11 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.marjoramsail.core.model.Incarnation;
+import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.time.Clock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -17,18 +19,24 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(CallLog.class);
 
-  /** Time without a response after which all upstreams may be out of reach, in milliseconds. */
+  /** Time without a response after which an upstream may be out of reach, in milliseconds. */
   private static final long SILENCE_MILLIS = 500;
 
   private final Clock clock;
+  private final Runnable receivedListener;
   private final Map<Incarnation, Set<ForwardCall>> open = new HashMap<>();
   private Set<Incarnation> accepting = Set.of();
   private long abandoned;
-  private long receivedAtMillis;
+  private final Map<Incarnation, Long> receivedAtMillis = new HashMap<>();
 
-  CallLog(Clock clock) {
+  /**
+   * Creates an empty log.
+   *
+   * @param receivedListener called whenever an upstream has sent something
+   */
+  CallLog(Clock clock, Runnable receivedListener) {
     this.clock = clock;
-    this.receivedAtMillis = clock.millis();
+    this.receivedListener = receivedListener;
   }
 
   /** Returns the current time. */
@@ -62,21 +70,26 @@
         .log("call given up before a response");
   }
 
-  /** Records that an upstream sent something. */
-  void received() {
-    receivedAtMillis = clock.millis();
+  /** Records that the upstream of a call sent something. */
+  void received(ForwardCall call) {
+    receivedAtMillis.put(call.upstream(), clock.millis());
+    receivedListener.run();
   }
 
   /**
-   * Returns whether some calls have been unanswered for some time in which no upstream sent
-   * anything.
+   * Returns the upstreams with calls on direct connections that have been unanswered for some time
+   * in which they sent nothing.
    */
-  boolean isSilent() {
+  List<UpstreamName> silentUpstreams() {
     long sinceMillis = clock.millis() - SILENCE_MILLIS;
-    return receivedAtMillis < sinceMillis
-        && open.values().stream()
-            .flatMap(Set::stream)
-            .anyMatch(call -> call.isUnansweredSince(sinceMillis));
+    receivedAtMillis.keySet().retainAll(open.keySet());
+    return open.entrySet().stream()
+        .filter(entry -> receivedAtMillis.getOrDefault(entry.getKey(), 0L) < sinceMillis)
+        .filter(
+            entry ->
+                entry.getValue().stream().anyMatch(call -> call.isUnansweredSince(sinceMillis)))
+        .map(entry -> entry.getKey().upstream())
+        .toList();
   }
 
   /** Handles a change of the upstreams that accept requests; logs the calls on the others. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ConnectListener.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ConnectListener.java
@@ -10,7 +10,7 @@
    *
    * @param startedAtMillis when it was requested
    */
-  void connected(long startedAtMillis);
+  void connected(UpstreamDefinition target, long startedAtMillis);
 
   /**
    * Records that a connection could not be opened.
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -127,9 +127,12 @@
     return answered;
   }
 
-  /** Returns whether the request was written before some time and no response has begun. */
+  /**
+   * Returns whether the request was written to a direct connection before some time and no response
+   * has begun.
+   */
   boolean isUnansweredSince(long millis) {
-    return isWritten() && !answered && writtenAtMillis < millis;
+    return isDirect() && isWritten() && !answered && writtenAtMillis < millis;
   }
 
   private void disconnect() {
@@ -216,7 +219,7 @@
 
   private void received() {
     if (isDirect()) {
-      calls.received();
+      calls.received(this);
     }
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -25,6 +25,7 @@
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.ServiceClass;
 import org.marjoramsail.core.model.StreamChunking;
+import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.Fingerprint;
 import org.marjoramsail.core.outcome.RequestProfile;
 import org.marjoramsail.core.routing.CallerAccess;
@@ -87,11 +88,7 @@
             this::relay,
             dependencies.relays()::failed);
     this.paths =
-        new PathMonitor(
-            dependencies.clock(),
-            dependencies.random(),
-            upstreamConnections::open,
-            this::reachabilityChanged);
+        new PathMonitor(dependencies.clock(), dependencies.random(), upstreamConnections::open);
     this.relayServer =
         new RelayServer(
             vertx,
@@ -103,7 +100,7 @@
                 dependencies.clock(),
                 new ConnectResults(),
                 dependencies.connectFaults(),
-                Optional::empty,
+                upstream -> Optional.empty(),
                 unused -> {}),
             dependencies.clock(),
             () -> !paths.isCutOff() && !refusing);
@@ -111,7 +108,7 @@
         new ForwardDependencies(
             dependencies.protocol(),
             upstreamConnections,
-            new CallLog(dependencies.clock()),
+            new CallLog(dependencies.clock(), paths::received),
             dependencies.upstreams(),
             dependencies.handleLifetimeMillis(),
             dependencies.liveness(),
@@ -211,22 +208,14 @@
 
   /** Checks whether upstreams are reached; called several times a second. */
   public void tick() {
-    paths.tick(exchangeDependencies.calls().isSilent());
-    if (paths.isCutOff()) {
-      dependencies.relays().ask();
-    }
-  }
-
-  /** Kept connections may be without connectivity, and would hold the next requests. */
-  private void reachabilityChanged() {
-    if (paths.isCutOff()) {
-      exchangeDependencies.connections().closeIdle();
+    paths.tick(exchangeDependencies.calls().silentUpstreams());
+    if (!paths.isReachingAll()) {
       dependencies.relays().ask();
     }
   }
 
-  private Optional<Relay> relay() {
-    return paths.isCutOff() ? dependencies.relays().choose() : Optional.empty();
+  private Optional<Relay> relay(UpstreamName upstream) {
+    return paths.isReached(upstream) ? Optional.empty() : dependencies.relays().choose();
   }
 
   /** Returns whether no upstream is reached. */
@@ -444,16 +433,20 @@
   private final class ConnectResults implements ConnectListener {
 
     @Override
-    public void connected(long startedAtMillis) {
-      paths.connected(startedAtMillis);
+    public void connected(UpstreamDefinition target, long startedAtMillis) {
+      paths.connected(target, startedAtMillis);
     }
 
     @Override
     public void failed(
         UpstreamDefinition target, long startedAtMillis, boolean refused, String cause) {
       paths.failed(target, startedAtMillis, cause);
+      dependencies.relays().ask();
       if (refused) {
         dependencies.liveness().connectionRefused(target.name());
+      } else {
+        // Kept connections may be without connectivity, and would hold the next requests.
+        exchangeDependencies.connections().closeIdle(target.incarnation());
       }
     }
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerDependencies.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerDependencies.java
@@ -29,7 +29,7 @@
  * @param forecast predicts output lengths
  * @param refused receives requests that are refused before they are registered
  * @param connectFaults {@link ConnectFaults#NONE} outside of tests
- * @param relays daemons that relay calls while this one is cut off from all upstreams
+ * @param relays daemons that relay calls to upstreams that this one does not reach
  * @param relayToken authorizes other daemons to send calls to be relayed
  * @param clock returns the current time
  * @param random adds jitter to the retry times of callers
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -68,7 +68,7 @@
     this.protocol = protocol;
     this.upstreams = upstreams;
     this.connections = connections;
-    this.calls = new CallLog(clock);
+    this.calls = new CallLog(clock, () -> {});
     this.available = available;
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/Relays.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/Relays.java
@@ -17,7 +17,7 @@
 import org.marjoramsail.core.time.Clock;
 
 /**
- * Daemons that relay the calls of this one while it is cut off from all upstreams. Asks a few at a
+ * Daemons that relay the calls of this one to upstreams that it does not reach. Asks a few at a
  * time, so that the cost does not grow with the fleet. Runs on one event loop.
  */
 public final class Relays {
@@ -31,6 +31,9 @@
   /** Age at which offers are renewed, in milliseconds. */
   private static final long RENEWAL_MILLIS = 1_000;
 
+  /** Shortest time between two requests for offers, in milliseconds. */
+  private static final long REQUEST_INTERVAL_MILLIS = 100;
+
   private record Offer(Relay relay, long receivedAtMillis) {}
 
   private final DaemonId self;
@@ -39,6 +42,7 @@
   private final RandomGenerator random;
   private final Map<DaemonId, Offer> offers = new HashMap<>();
   private List<Member> members = List.of();
+  private long askedAtMillis = Long.MIN_VALUE / 2;
 
   /**
    * Creates an instance that knows no other daemon.
@@ -68,16 +72,20 @@
         .ifPresent(relay -> offers.put(from, new Offer(relay, clock.millis())));
   }
 
-  /** Asks for offers if none is recent; called several times a second while cut off. */
+  /**
+   * Asks for offers if none is recent; called several times a second while upstreams are not
+   * reached.
+   */
   public void ask() {
     long nowMillis = clock.millis();
     offers.values().removeIf(offer -> nowMillis - offer.receivedAtMillis() > OFFER_MILLIS);
     boolean isAnyRecent =
         offers.values().stream()
             .anyMatch(offer -> nowMillis - offer.receivedAtMillis() < RENEWAL_MILLIS);
-    if (isAnyRecent) {
+    if (isAnyRecent || nowMillis - askedAtMillis < REQUEST_INTERVAL_MILLIS) {
       return;
     }
+    askedAtMillis = nowMillis;
     List<Member> asked = new ArrayList<>(members);
     Collections.shuffle(asked, new Random(random.nextLong()));
     asked.stream()
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
@@ -15,9 +15,10 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
-import java.util.function.Supplier;
+import java.util.function.Function;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
+import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.upstream.AbortiveClose;
 
@@ -53,7 +54,7 @@
   private final Vertx vertx;
   private final ConnectListener listener;
   private final ConnectFaults faults;
-  private final Supplier<Optional<Relay>> relay;
+  private final Function<UpstreamName, Optional<Relay>> relay;
   private final Consumer<Relay> relayFailed;
   private long opened;
   private long relayed;
@@ -63,7 +64,8 @@
    *
    * @param listener receives the result of each connection that is opened
    * @param faults {@link ConnectFaults#NONE} outside of tests
-   * @param relay returns the relay to use now; empty while upstreams are to be reached directly
+   * @param relay returns the relay by which to reach an upstream; empty if it is to be reached
+   *     directly
    * @param relayFailed receives relays that cannot be reached
    */
   UpstreamConnections(
@@ -71,7 +73,7 @@
       Clock clock,
       ConnectListener listener,
       ConnectFaults faults,
-      Supplier<Optional<Relay>> relay,
+      Function<UpstreamName, Optional<Relay>> relay,
       Consumer<Relay> relayFailed) {
     this.vertx = vertx;
     this.client =
@@ -92,11 +94,6 @@
 
   /** Returns a connection that nothing else uses. A failure proves that nothing was sent. */
   Future<UpstreamConnection> acquire(UpstreamDefinition target) {
-    Optional<Relay> used = relay.get();
-    if (used.isPresent()) {
-      relayed++;
-      return connect(used.get());
-    }
     Deque<IdleConnection> idleConnections = idle.get(target.incarnation());
     while (idleConnections != null && !idleConnections.isEmpty()) {
       IdleConnection newest = idleConnections.pollLast();
@@ -105,10 +102,22 @@
       }
       newest.connection().close();
     }
-    return connect(target).map(UpstreamConnection::direct);
+    Optional<Relay> used = relay.apply(target.name());
+    if (used.isPresent()) {
+      return connect(used.get());
+    }
+    return connect(target)
+        .map(UpstreamConnection::direct)
+        .recover(cause -> connectByRelay(target, cause));
+  }
+
+  /** Connects to a relay after the direct connection has failed, if there is one by now. */
+  private Future<UpstreamConnection> connectByRelay(UpstreamDefinition target, Throwable cause) {
+    return relay.apply(target.name()).map(this::connect).orElse(Future.failedFuture(cause));
   }
 
   private Future<UpstreamConnection> connect(Relay used) {
+    relayed++;
     HttpConnectOptions options =
         new HttpConnectOptions()
             .setHost(used.address())
@@ -137,7 +146,7 @@
     long startedAtMillis = clock.millis();
     return faultOf(target)
         .compose(reachable -> client.connect(options))
-        .onSuccess(connection -> listener.connected(startedAtMillis))
+        .onSuccess(connection -> listener.connected(target, startedAtMillis))
         .onFailure(
             cause -> listener.failed(target, startedAtMillis, isRefusal(cause), cause.toString()));
   }
@@ -188,9 +197,12 @@
             });
   }
 
-  /** Closes all idle connections. */
-  void closeIdle() {
-    retainOnly(Set.of());
+  /** Closes the idle connections to an upstream. */
+  void closeIdle(Incarnation target) {
+    Deque<IdleConnection> closed = idle.remove(target);
+    if (closed != null) {
+      List.copyOf(closed).forEach(idleConnection -> idleConnection.connection().close());
+    }
   }
 
   /** Returns the number of connections to relays that were requested. */
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -56,9 +56,9 @@
             new SystemClock(),
             new IgnoredResults(),
             ConnectFaults.NONE,
-            Optional::empty,
+            target -> Optional.empty(),
             unused -> {}),
-        new CallLog(new SystemClock()),
+        new CallLog(new SystemClock(), () -> {}),
         responseHeaders -> Optional.empty(),
         upstream.definition("desk"),
         request(),
@@ -86,7 +86,7 @@
   private static final class IgnoredResults implements ConnectListener {
 
     @Override
-    public void connected(long startedAtMillis) {}
+    public void connected(UpstreamDefinition target, long startedAtMillis) {}
 
     @Override
     public void failed(
