Send no call to a relay that has started again, and no 403 of it to callers

A relay that was killed and started again has another token. Until the membership shows it, its earlier offers are used for up to 2 s, and its 403 would have gone to callers as the response of an upstream. It now says, as in its other refusals, that the call was not sent, and the offer is dropped.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -193,6 +193,7 @@
       return;
     }
     if (!isDirect() && response.headers().contains(Relay.NOT_SENT)) {
+      connections.notSent(connection.orElseThrow(), response.statusCode());
       fail(UpstreamFailure.CONNECT_FAILED);
       return;
     }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/Relay.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/Relay.java
@@ -23,6 +23,9 @@
   /** Header of a response which states that the call was not sent to the upstream. */
   static final String NOT_SENT = "marjoramsail-relay-not-sent";
 
+  /** Status of a response to a call without the token of this incarnation of the relay. */
+  static final int FORBIDDEN_STATUS = 403;
+
   /** Headers that concern the relay, or one connection, and are not passed on. */
   private static final Set<String> OWN =
       Set.of(
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -31,7 +31,6 @@
   /** Maximum number of calls that are relayed at the same time. */
   private static final int MAXIMUM_CALLS = 500;
 
-  private static final int FORBIDDEN_STATUS = 403;
   private static final int NOT_SENT_STATUS = 503;
   private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
 
@@ -104,7 +103,7 @@
     String presented = request.getHeader(Relay.TOKEN);
     if (presented == null
         || !MessageDigest.isEqual(token, presented.getBytes(StandardCharsets.UTF_8))) {
-      request.response().setStatusCode(FORBIDDEN_STATUS).end();
+      refuse(request, Relay.FORBIDDEN_STATUS);
       return;
     }
     Optional<UpstreamDefinition> target =
@@ -113,7 +112,7 @@
             .flatMap(name -> upstreams.apply(new UpstreamName(name)))
             .filter(found -> available.getAsBoolean() && running < MAXIMUM_CALLS);
     if (target.isEmpty()) {
-      refuse(request);
+      refuse(request, NOT_SENT_STATUS);
       return;
     }
     running++;
@@ -158,10 +157,10 @@
     ForwardCall unused = call.start(headers);
   }
 
-  private static void refuse(HttpServerRequest request) {
+  private static void refuse(HttpServerRequest request, int status) {
     request
         .response()
-        .setStatusCode(NOT_SENT_STATUS)
+        .setStatusCode(status)
         .putHeader(Relay.NOT_SENT, "1")
         .putHeader("connection", "close")
         .end();
@@ -222,7 +221,7 @@
         return;
       }
       if (failure.isNeverSent()) {
-        refuse(request);
+        refuse(request, NOT_SENT_STATUS);
       } else {
         request.connection().close();
       }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
@@ -129,6 +129,13 @@
         .onFailure(cause -> relayFailed.accept(used));
   }
 
+  /** Records that a relay did not send a call; one that does not accept its token is given up. */
+  void notSent(UpstreamConnection connection, int status) {
+    if (status == Relay.FORBIDDEN_STATUS) {
+      connection.relay().ifPresent(relayFailed);
+    }
+  }
+
   /** Opens a connection that the next request to the upstream uses. */
   Future<Void> open(UpstreamDefinition target) {
     return connect(target)
