Count an upstream as reached only by the host's own paths

A refusal proves a crash only while another upstream is reached. Responses by a relay counted, too, so that a host without paths whose calls are relayed would have taken its own refusals for crashes, and contents that were cut with its paths for suspects.

Responses and connections now count if they are direct. aRefusalProvesNoCrashUntilAnotherUpstreamIsReachedDirectly has a response by a relay before the refusal, which proved a crash without the change.

--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -254,7 +254,6 @@
         changed(QuarantineChange.Kind.DISPROVED, name, dismissed, "response");
       }
     }
-    state.reachedAtMillis = Math.max(state.reachedAtMillis, asOfMillis);
     state.incarnation = Math.max(state.incarnation, incarnation);
     return restarted;
   }
@@ -274,7 +273,7 @@
   }
 
   /**
-   * Records that an upstream was reached.
+   * Records that this daemon reached an upstream by its own network paths.
    *
    * @param asOfMillis when the request or the connection that reached it was started
    */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
@@ -24,6 +24,7 @@
 
   private final Clock clock;
   private final Runnable receivedListener;
+  private final LivenessListener liveness;
   private final Map<Incarnation, Set<ForwardCall>> open = new HashMap<>();
   private Set<Incarnation> accepting = Set.of();
   private long abandoned;
@@ -32,11 +33,13 @@
   /**
    * Creates an empty log.
    *
-   * @param receivedListener called whenever an upstream has sent something
+   * @param receivedListener called whenever an upstream has sent something on a direct connection
+   * @param liveness receives the upstreams that are reached
    */
-  CallLog(Clock clock, Runnable receivedListener) {
+  CallLog(Clock clock, Runnable receivedListener, LivenessListener liveness) {
     this.clock = clock;
     this.receivedListener = receivedListener;
+    this.liveness = liveness;
   }
 
   /** Returns the current time. */
@@ -70,7 +73,13 @@
         .log("call given up before a response");
   }
 
-  /** Records that the upstream of a call sent something. */
+  /** Records that the upstream of a call has begun to respond on a direct connection. */
+  void answered(ForwardCall call) {
+    liveness.reached(call.upstream().upstream(), call.writtenAtMillis());
+    received(call);
+  }
+
+  /** Records that the upstream of a call sent something on a direct connection. */
   void received(ForwardCall call) {
     receivedAtMillis.put(call.upstream(), clock.millis());
     receivedListener.run();
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -198,7 +198,9 @@
       return;
     }
     answered = true;
-    received();
+    if (isDirect()) {
+      calls.answered(this);
+    }
     response.exceptionHandler(cause -> fail(UpstreamFailure.CUT));
     if (!listener.head(response.statusCode(), response.headers())) {
       disconnect();
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -102,13 +102,14 @@
                 dependencies.connectFaults(),
                 upstream -> Optional.empty(),
                 unused -> {}),
+            dependencies.liveness(),
             dependencies.clock(),
             () -> !paths.isCutOff() && !refusing);
     this.exchangeDependencies =
         new ForwardDependencies(
             dependencies.protocol(),
             upstreamConnections,
-            new CallLog(dependencies.clock(), paths::received),
+            new CallLog(dependencies.clock(), paths::received, dependencies.liveness()),
             dependencies.upstreams(),
             dependencies.handleLifetimeMillis(),
             dependencies.liveness(),
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/LivenessListener.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/LivenessListener.java
@@ -9,7 +9,7 @@
 public interface LivenessListener {
 
   /**
-   * Records a response of an upstream.
+   * Records a response of an upstream, which may have come by a relay.
    *
    * @param upstream the incarnation that was known when the request was sent
    * @param sentAtMillis when the request was sent
@@ -20,9 +20,10 @@
   void connectionRefused(UpstreamName upstream);
 
   /**
-   * Records that an upstream accepted a connection.
+   * Records that this daemon reached an upstream by its own network paths: it accepted a connection
+   * or responded on one.
    *
-   * @param startedAtMillis when the connection was requested
+   * @param startedAtMillis when the connection or the response was requested
    */
   void reached(UpstreamName upstream, long startedAtMillis);
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -52,6 +52,7 @@
    *
    * @param token what senders have to present
    * @param connections pool of direct connections
+   * @param liveness receives the upstreams that are reached
    * @param available returns whether this daemon reaches upstreams and accepts calls
    */
   RelayServer(
@@ -60,6 +61,7 @@
       ForwardingProtocol protocol,
       Function<UpstreamName, Optional<UpstreamDefinition>> upstreams,
       UpstreamConnections connections,
+      LivenessListener liveness,
       Clock clock,
       BooleanSupplier available) {
     this.vertx = vertx;
@@ -67,7 +69,7 @@
     this.protocol = protocol;
     this.upstreams = upstreams;
     this.connections = connections;
-    this.calls = new CallLog(clock, () -> {});
+    this.calls = new CallLog(clock, () -> {}, liveness);
     this.available = available;
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/CrashObserver.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/CrashObserver.java
@@ -51,6 +51,7 @@
     long asOfMillis = requestedAtMillis - report.ageMillis();
     boolean restarted =
         quarantine.incarnation(report.upstream(), report.incarnation(), asOfMillis, clock.millis());
+    quarantine.reached(report.upstream(), asOfMillis);
     if (restarted) {
       LOG.atWarn()
           .addKeyValue("upstream", report.upstream())
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.model.Incarnation;
+import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.daemon.assembly.SystemClock;
 import org.marjoramsail.daemon.fixture.FakePlainService;
@@ -58,7 +60,7 @@
             ConnectFaults.NONE,
             target -> Optional.empty(),
             unused -> {}),
-        new CallLog(new SystemClock(), () -> {}),
+        new CallLog(new SystemClock(), () -> {}, new IgnoredLiveness()),
         responseHeaders -> Optional.empty(),
         upstream.definition("desk"),
         request(),
@@ -83,6 +85,23 @@
         Optional.empty());
   }
 
+  private static final class IgnoredLiveness implements LivenessListener {
+
+    @Override
+    public void responded(Incarnation upstream, long sentAtMillis) {}
+
+    @Override
+    public void reached(UpstreamName upstream, long startedAtMillis) {}
+
+    @Override
+    public void connectionRefused(UpstreamName upstream) {}
+
+    @Override
+    public boolean mayHaveCrashed(UpstreamName upstream) {
+      return false;
+    }
+  }
+
   private static final class IgnoredResults implements ConnectListener {
 
     @Override
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/UpstreamLivenessTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/UpstreamLivenessTest.java
@@ -88,15 +88,17 @@
 
   /** Guards against innocent contents that become suspect when a daemon loses its network paths. */
   @Test
-  void aRefusalProvesNoCrashUntilAnotherUpstreamResponds() {
+  void aRefusalProvesNoCrashUntilAnotherUpstreamIsReachedDirectly() {
     Incarnation other = new Incarnation(new UpstreamName("i-2"), 1_000);
-    liveness.responded(other, clock.millis());
+    liveness.reached(other.upstream(), clock.millis());
     cut(ENGINE);
     liveness.connectionRefused(ENGINE);
+    liveness.responded(other, clock.millis() + 1);
+    liveness.connectionRefused(ENGINE);
     clock.advance(UNDECIDED_MILLIS);
     assertThat(quarantine.suspicion(FINGERPRINT, clock.millis())).isEqualTo(Suspicion.CLEAR);
 
-    liveness.responded(other, clock.millis());
+    liveness.reached(other.upstream(), clock.millis());
     liveness.connectionRefused(ENGINE);
 
     assertThat(quarantine.suspicion(FINGERPRINT, clock.millis())).isEqualTo(Suspicion.SUSPECT);
