One place for the options of connections to upstreams and relays

Both are opened with the same time-out; the options stood twice. No change of behaviour: CutOffDaemonPathTest and CrashingContentPathTest pass.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
@@ -118,13 +118,8 @@
 
   private Future<UpstreamConnection> connect(Relay used) {
     relayed++;
-    HttpConnectOptions options =
-        new HttpConnectOptions()
-            .setHost(used.address())
-            .setPort(used.port())
-            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
     return client
-        .connect(options)
+        .connect(options(used.address(), used.port()))
         .map(connection -> new UpstreamConnection(connection, Optional.of(used)))
         .onFailure(cause -> relayFailed.accept(used));
   }
@@ -145,19 +140,21 @@
 
   private Future<HttpClientConnection> connect(UpstreamDefinition target) {
     opened++;
-    HttpConnectOptions options =
-        new HttpConnectOptions()
-            .setHost(target.address())
-            .setPort(target.port())
-            .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
     long startedAtMillis = clock.millis();
     return faultOf(target)
-        .compose(reachable -> client.connect(options))
+        .compose(reachable -> client.connect(options(target.address(), target.port())))
         .onSuccess(connection -> listener.connected(target, startedAtMillis))
         .onFailure(
             cause -> listener.failed(target, startedAtMillis, isRefusal(cause), cause.toString()));
   }
 
+  private static HttpConnectOptions options(String address, int port) {
+    return new HttpConnectOptions()
+        .setHost(address)
+        .setPort(port)
+        .setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+  }
+
   private Future<Void> faultOf(UpstreamDefinition target) {
     return switch (faults.faultOf(target)) {
       case NONE -> Future.succeededFuture();
