--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/LivenessListener.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/LivenessListener.java
@@ -16,7 +16,7 @@
    */
   void responded(Incarnation upstream, long sentAtMillis);
 
-  /** Records that an upstream refused a connection, which no process of it accepts. */
+  /** Records that an upstream refused a connection, as after its process has ended. */
   void connectionRefused(UpstreamName upstream);
 
   /**
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -21,10 +21,10 @@
 /**
  * HTTP server that relays calls of other daemons, which reach no upstream, to upstreams.
  *
- * <p>The daemon that sends a call stays in charge of it: it has chosen the upstream, counts the
- * attempt and decides about retries. A relay sends a call to that upstream once, or responds that
- * it did not; it never passes a call to a further relay. If the call fails after it was sent, the
- * connection of the sender is reset, as that to the upstream was. Runs on one event loop.
+ * <p>The daemon that sends a call remains responsible for it: it has selected the upstream, counts
+ * the attempt and decides about retries. A relay sends a call to that upstream once, or responds
+ * that it did not; it never passes a call to a further relay. If the call fails after it was sent,
+ * the connection of the sender is reset, as that to the upstream was. Runs on one event loop.
  */
 final class RelayServer {
 
