Software version of upstreams and of streams in traces, logs and counters

Logs could not tell whether streams changed the software version within one answer or over a caller's tries: the version of an upstream was read from its entry and dropped, and Resumes was read nowhere.

The definition of an upstream has the version now. The first event of each response is a step of the trace (output-started, upstream, version), a request that resumes a stream is logged with the attempt that began it, and the counter invariant.violations{invariant=one-software-version} counts tokens that were sent after tokens of another version. No decision changes.

--- a/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.marjoramsail.core.model.Incarnation;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.model.UpstreamRole;
 
@@ -20,6 +21,7 @@
  * @param drained whether an operator has drained it
  * @param memoryTokens capacity of its KV cache in tokens, if known
  * @param startedAtMillis start time of the incarnation, if known; see {@link Incarnation}
+ * @param softwareVersion version of its software, if known
  */
 public record UpstreamDefinition(
     UpstreamName name,
@@ -33,10 +35,14 @@
     boolean fenced,
     boolean drained,
     Optional<Integer> memoryTokens,
-    Optional<Long> startedAtMillis)
+    Optional<Long> startedAtMillis,
+    Optional<SoftwareVersion> softwareVersion)
     implements ConfigurationObject {
 
-  /** Creates an upstream with unknown memory and start time, limited by its slots alone. */
+  /**
+   * Creates an upstream with unknown memory, start time and software version, limited by its slots
+   * alone.
+   */
   public UpstreamDefinition(
       UpstreamName name,
       String service,
@@ -60,21 +66,30 @@
         fenced,
         drained,
         Optional.empty(),
+        Optional.empty(),
         Optional.empty());
   }
 
   /** Returns a copy with this capacity. */
   public UpstreamDefinition withCapacity(int newSlots, Optional<Integer> newMemoryTokens) {
-    return copy(newSlots, newMemoryTokens, startedAtMillis);
+    return copy(newSlots, newMemoryTokens, startedAtMillis, softwareVersion);
   }
 
   /** Returns a copy with this start time. */
   public UpstreamDefinition withStartTime(long newStartedAtMillis) {
-    return copy(slots, memoryTokens, Optional.of(newStartedAtMillis));
+    return copy(slots, memoryTokens, Optional.of(newStartedAtMillis), softwareVersion);
+  }
+
+  /** Returns a copy with this software version. */
+  public UpstreamDefinition withSoftwareVersion(SoftwareVersion newVersion) {
+    return copy(slots, memoryTokens, startedAtMillis, Optional.of(newVersion));
   }
 
   private UpstreamDefinition copy(
-      int newSlots, Optional<Integer> newMemoryTokens, Optional<Long> newStartedAtMillis) {
+      int newSlots,
+      Optional<Integer> newMemoryTokens,
+      Optional<Long> newStartedAtMillis,
+      Optional<SoftwareVersion> newVersion) {
     return new UpstreamDefinition(
         name,
         service,
@@ -87,7 +102,8 @@
         fenced,
         drained,
         newMemoryTokens,
-        newStartedAtMillis);
+        newStartedAtMillis,
+        newVersion);
   }
 
   /** Returns the incarnation of this upstream. */
--- a/core/src/main/java/org/marjoramsail/core/outcome/Invariant.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Invariant.java
@@ -15,7 +15,9 @@
   /** A keyed request that may run at most once is sent only after its claim was recorded. */
   CLAIM_BEFORE_SEND,
   /** A request is reported as not run only when that is proven. */
-  NOT_RUN_IS_PROVEN;
+  NOT_RUN_IS_PROVEN,
+  /** All tokens of a stream come from upstreams of one software version. */
+  ONE_SOFTWARE_VERSION;
 
   /** Returns the invariant in lower case with hyphens, as counters show it. */
   public String code() {
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleDispatch.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleDispatch.java
@@ -14,6 +14,8 @@
   private static boolean dispatchUpstream(RequestLifecycle lifecycle, LifecycleEvent event) {
     if (event instanceof LifecycleEvent.TokenArrived token) {
       lifecycle.tokenArrived(token);
+    } else if (event instanceof LifecycleEvent.OutputStarted started) {
+      lifecycle.outputStarted(started);
     } else if (event instanceof LifecycleEvent.StreamFinished finished) {
       lifecycle.streamFinished(finished);
     } else if (event instanceof LifecycleEvent.Prefilled prefilled) {
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleEvent.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleEvent.java
@@ -1,7 +1,9 @@
 package org.marjoramsail.core.outcome;
 
+import java.util.Optional;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.placement.Grant;
 
@@ -55,6 +57,16 @@
       long lifetimeMillis)
       implements LifecycleEvent {}
 
+  /**
+   * A decode upstream begins to send tokens; precedes its first one.
+   *
+   * @param attempt number of the attempt
+   * @param upstream the upstream
+   * @param version version of its software, if known
+   */
+  record OutputStarted(int attempt, UpstreamName upstream, Optional<SoftwareVersion> version)
+      implements LifecycleEvent {}
+
   /**
    * A token arrived from a decode upstream.
    *
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -39,13 +39,13 @@
   private final BackOff backOff;
   private final FinalResponse finalResponse = new FinalResponse();
   private final RequestProgress progress;
+  private final StreamOutput output;
   private final Set<UpstreamName> failedUpstreams = new LinkedHashSet<>();
   private List<LifecycleAction> actions = new ArrayList<>();
 
   private LifecycleState state = LifecycleState.RECEIVED;
   private long nowMillis;
   private int attempt;
-  private int nextTokenIndex;
   private boolean firstFrameSeen;
   private long waitUntilMillis;
   private Optional<Grant> grant = Optional.empty();
@@ -67,8 +67,10 @@
     this.kv = new KvTransferState(policy, outstanding);
     this.history = new AttemptHistory(profile, invariants);
     this.backOff = new BackOff(policy, random);
+    this.output = new StreamOutput(profile.chunking());
     this.nowMillis = profile.receivedAtMillis();
-    this.progress = new RequestProgress(profile.receivedAtMillis());
+    this.progress =
+        new RequestProgress(profile.receivedAtMillis(), profile.repeatability().isResendable());
   }
 
   /** Returns the request. */
@@ -88,7 +90,7 @@
 
   /** Returns the number of tokens that the caller has been sent. */
   public int emittedTokens() {
-    return nextTokenIndex;
+    return output.tokens();
   }
 
   /** Returns the upstreams of the current attempt. */
@@ -190,7 +192,7 @@
     return new PlacementRequestBuilder(
             profile,
             attempt,
-            generatedTokens(),
+            output.generatedTokens(),
             usefulUntilMillis,
             kv.usable(nowMillis),
             history.priorCalls())
@@ -258,14 +260,16 @@
       return;
     }
     state = LifecycleState.GENERATING;
+    output.attemptStarted();
     progress.attemptStarted();
     long estimateMillis = newGrant.expectedPrefillMillis() + newGrant.expectedTransferMillis();
-    expectProgressWithin(STALL_ESTIMATE_FACTOR * estimateMillis + policy.tokenStallMillis());
+    progress.expectWithin(
+        STALL_ESTIMATE_FACTOR * estimateMillis + policy.tokenStallMillis(), nowMillis);
     history.recordSend(attempt);
     outstanding.add(attempt, newGrant.target());
     guard.started(attempt, newGrant.target());
     actions.add(
-        new LifecycleAction.SendDecode(attempt, newGrant.target(), nextTokenIndex, kv.source()));
+        new LifecycleAction.SendDecode(attempt, newGrant.target(), output.tokens(), kv.source()));
   }
 
   private void sendPlain(Grant newGrant) {
@@ -274,7 +278,7 @@
       return;
     }
     state = LifecycleState.PLAIN_RUNNING;
-    expectProgressWithin(policy.responseStallMillis());
+    progress.expectWithin(policy.responseStallMillis(), nowMillis);
     progress.requestSent(nowMillis);
     history.recordSend(attempt);
     guard.started(attempt, newGrant.target());
@@ -320,14 +324,22 @@
     sendDecode(current);
   }
 
+  void outputStarted(LifecycleEvent.OutputStarted started) {
+    if (state != LifecycleState.GENERATING || started.attempt() != attempt) {
+      countDrop(DropReason.LATE_EVENT);
+      return;
+    }
+    output.started(started.version());
+  }
+
   void tokenArrived(LifecycleEvent.TokenArrived token) {
     if (!token.request().equals(profile.id())) {
       countDrop(DropReason.CROSSED_FRAME);
     } else if (state != LifecycleState.GENERATING || token.attempt() != attempt) {
       countDrop(DropReason.LATE_FRAME);
-    } else if (token.index() < nextTokenIndex) {
+    } else if (token.index() < output.tokens()) {
       countDrop(DropReason.REPEATED_FRAME);
-    } else if (token.index() > nextTokenIndex) {
+    } else if (token.index() > output.tokens()) {
       failCurrent(UpstreamFailure.MALFORMED);
     } else {
       firstFrameReceived();
@@ -336,11 +348,12 @@
   }
 
   private void emit(LifecycleEvent.TokenArrived token) {
-    invariants.check(token.index() == nextTokenIndex, Invariant.TOKENS_IN_ORDER, profile.id());
+    invariants.check(token.index() == output.tokens(), Invariant.TOKENS_IN_ORDER, profile.id());
     invariants.check(!finalResponse.isSent(), Invariant.SILENT_AFTER_END, profile.id());
-    nextTokenIndex++;
+    invariants.check(output.isOfOneVersion(), Invariant.ONE_SOFTWARE_VERSION, profile.id());
+    output.tokenSent();
     progress.chunkSent(nowMillis);
-    expectProgressWithin(policy.tokenStallMillis());
+    progress.expectWithin(policy.tokenStallMillis(), nowMillis);
     actions.add(new LifecycleAction.EmitToken(token.index(), token.text()));
   }
 
@@ -360,18 +373,12 @@
       countDrop(DropReason.CROSSED_FRAME);
     } else if (state != LifecycleState.GENERATING || finished.attempt() != attempt) {
       countDrop(DropReason.LATE_FRAME);
-    } else if (finished.index() != nextTokenIndex) {
+    } else if (finished.index() != output.tokens()) {
       failCurrent(UpstreamFailure.MALFORMED);
     } else {
       firstFrameReceived();
       outstanding.release(attempt, grant.orElseThrow().target());
-      sendFinalResponse(
-          new LifecycleAction.Complete(
-              new Completion(
-                  finished.finishReason(),
-                  finished.promptTokens(),
-                  finished.cachedTokens(),
-                  nextTokenIndex)));
+      sendFinalResponse(new LifecycleAction.Complete(output.completion(finished)));
       guard.completed(nowMillis);
       end(AttemptResult.COMPLETED, ClaimOutcome.COMPLETED);
     }
@@ -569,30 +576,18 @@
 
   private void report(AttemptPhase phase, int cachedTokens, long tookMillis) {
     actions.add(
-        history.progressReport(attempt, phase, cachedTokens, tookMillis, generatedTokens()));
+        history.progressReport(attempt, phase, cachedTokens, tookMillis, output.generatedTokens()));
   }
 
   private void reportEnd(AttemptResult result, Optional<UpstreamName> failedUpstream) {
     if (grant.isPresent()) {
       grant = Optional.empty();
       history
-          .endReport(attempt, result, failedUpstream, generatedTokens(), progress)
+          .endReport(attempt, result, failedUpstream, output.generatedTokens(), progress)
           .ifPresent(actions::add);
     }
   }
 
-  /** Limits the wait for progress, but only where another attempt may follow. */
-  private void expectProgressWithin(long millis) {
-    progress.stopExpectingProgress();
-    if (profile.repeatability().isResendable()) {
-      progress.expectProgressUntil(nowMillis + millis);
-    }
-  }
-
-  private int generatedTokens() {
-    return nextTokenIndex * profile.chunking().tokens();
-  }
-
   private void countDrop(DropReason reason) {
     actions.add(new LifecycleAction.CountDrop(reason));
   }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestProgress.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestProgress.java
@@ -8,6 +8,7 @@
   private static final long NONE = Long.MIN_VALUE;
   private static final long NEVER = Long.MAX_VALUE;
 
+  private final boolean resendable;
   private long lastProgressMillis;
   private long lastChunkMillis = NONE;
   private long longestGapMillis;
@@ -19,9 +20,11 @@
    * Starts with the arrival of the request.
    *
    * @param receivedAtMillis time of the arrival
+   * @param resendable whether another attempt may follow a stalled one
    */
-  RequestProgress(long receivedAtMillis) {
+  RequestProgress(long receivedAtMillis, boolean resendable) {
     this.lastProgressMillis = receivedAtMillis;
+    this.resendable = resendable;
   }
 
   /** Records that another attempt starts to send output. */
@@ -54,6 +57,11 @@
     stallAtMillis = atMillis;
   }
 
+  /** Limits the wait for progress from now on, but only where another attempt may follow. */
+  void expectWithin(long millis, long nowMillis) {
+    stallAtMillis = resendable ? nowMillis + millis : NEVER;
+  }
+
   /** Lets the attempt wait without a limit. */
   void stopExpectingProgress() {
     stallAtMillis = NEVER;
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/outcome/StreamOutput.java
@@ -0,0 +1,64 @@
+package org.marjoramsail.core.outcome;
+
+import java.util.Optional;
+import org.marjoramsail.core.model.SoftwareVersion;
+import org.marjoramsail.core.model.StreamChunking;
+
+/**
+ * Output of one request: the tokens that its caller was sent, and the version that produced them.
+ */
+final class StreamOutput {
+
+  private final StreamChunking chunking;
+  private int tokens;
+  private Optional<SoftwareVersion> version = Optional.empty();
+  private Optional<SoftwareVersion> attemptVersion = Optional.empty();
+
+  /**
+   * Starts without output.
+   *
+   * @param chunking how many generated tokens are sent as one
+   */
+  StreamOutput(StreamChunking chunking) {
+    this.chunking = chunking;
+  }
+
+  /** Returns the number of tokens that the caller was sent, which is the index of the next one. */
+  int tokens() {
+    return tokens;
+  }
+
+  /** Returns the number of generated tokens in what the caller was sent. */
+  int generatedTokens() {
+    return tokens * chunking.tokens();
+  }
+
+  /** Returns the end of the output after the last frame of its upstream. */
+  Completion completion(LifecycleEvent.StreamFinished finished) {
+    return new Completion(
+        finished.finishReason(), finished.promptTokens(), finished.cachedTokens(), tokens);
+  }
+
+  /** Records that another attempt generates. */
+  void attemptStarted() {
+    attemptVersion = Optional.empty();
+  }
+
+  /** Records the software version of the upstream whose tokens are received next. */
+  void started(Optional<SoftwareVersion> startedVersion) {
+    attemptVersion = startedVersion;
+  }
+
+  /** Returns whether the next token comes from the version that produced the earlier ones. */
+  boolean isOfOneVersion() {
+    return tokens == 0 || version.equals(attemptVersion);
+  }
+
+  /** Records that the next token was sent to the caller. */
+  void tokenSent() {
+    if (tokens == 0) {
+      version = attemptVersion;
+    }
+    tokens++;
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerParameters.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerParameters.java
@@ -15,6 +15,8 @@
  * @param expectedTokens number of tokens that the caller expects to be generated
  * @param resumeAfter id of the last event that the caller received from a broken stream; zero for
  *     none
+ * @param resumes identifier of the attempt that brought the first event of the broken stream; empty
+ *     if the caller names none
  * @param key API key that identifies the organisation of the caller; empty if the caller sends none
  */
 public record CallerParameters(
@@ -24,6 +26,7 @@
     int outputTokens,
     OptionalInt expectedTokens,
     int resumeAfter,
+    Optional<String> resumes,
     Optional<String> key) {
 
   /** Returns a text without the key, which must not appear in logs. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -448,6 +448,11 @@
       if (streamHead.isEmpty()) {
         streamHead = Optional.of(head);
       }
+      if (lastIndex < 0) {
+        emit(
+            new LifecycleEvent.OutputStarted(
+                attempt(), upstream().name(), upstream().softwareVersion()));
+      }
       lastIndex = event.id() - request.parameters().resumeAfter() - 1;
       emit(new LifecycleEvent.TokenArrived(profile.id(), attempt(), lastIndex, event.text()));
     }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -37,10 +37,14 @@
 import org.marjoramsail.daemon.request.LatencyTargets;
 import org.marjoramsail.daemon.request.NewRequest;
 import org.marjoramsail.daemon.request.RequestHandle;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** HTTP server for callers whose requests are forwarded unchanged. Runs on one event loop. */
 public final class ForwardServer {
 
+  private static final Logger LOG = LoggerFactory.getLogger(ForwardServer.class);
+
   /** Exceeds the idle timeout of callers, so that the caller closes an idle connection first. */
   private static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
@@ -370,6 +374,9 @@
             accepted.parameters(),
             accepted.organisation().map(OrganisationDefinition::name));
     RequestProfile profile = profileOf(forwarded, accepted);
+    if (accepted.parameters().resumeAfter() > 0) {
+      logResumed(accepted.parameters(), profile);
+    }
     boolean streaming = route.streaming();
     ForwardExchange exchange =
         new ForwardExchange(exchangeDependencies, forwarded, profile, request, streaming);
@@ -391,6 +398,15 @@
     request.response().closeHandler(closed -> handle.callerDisconnected());
   }
 
+  private static void logResumed(CallerParameters parameters, RequestProfile profile) {
+    LOG.atInfo()
+        .addKeyValue("request", profile.id().value())
+        .addKeyValue("service", profile.service())
+        .addKeyValue("resumes", parameters.resumes().orElse(""))
+        .addKeyValue("lastEvent", parameters.resumeAfter())
+        .log("caller resumes a stream");
+  }
+
   private RequestProfile profileOf(ForwardedRequest request, AcceptedRequest accepted) {
     CallerParameters parameters = accepted.parameters();
     Route route = accepted.route();
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/TraceRecorder.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/TraceRecorder.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.LifecycleAction;
 import org.marjoramsail.core.outcome.LifecycleEvent;
@@ -27,6 +28,13 @@
           failed.attempt(),
           Optional.of(failed.upstream()),
           Optional.of(reason));
+    } else if (event instanceof LifecycleEvent.OutputStarted started) {
+      trace.add(
+          nowMillis,
+          TraceKind.OUTPUT_STARTED,
+          started.attempt(),
+          Optional.of(started.upstream()),
+          started.version().map(SoftwareVersion::value));
     } else if (event instanceof LifecycleEvent.Prefilled prefilled) {
       add(trace, nowMillis, TraceKind.PREFILLED, prefilled.attempt(), Optional.empty());
     } else if (event instanceof LifecycleEvent.CallerDisconnected) {
