Continue a stream only at the software version that began it, within one answer

Callers got streams whose second half came from another software version than the first, within one answer: after a cut, or 1.2 s without an event, the host requested another place as if the request were new.

A placement request names the version that produced the output so far. The owner grants it upstreams of that version only, and the entry checks the version again, against its own list, when the call is written. What can go on only there has lanes of its own that are served first, does not hold up others, and is refused at once, without a time to retry, when no upstream of its version is left; a pool of several shards sends it to one that has the version, and the last decode upstream of a version keeps its role. Refusals whose reason is not worth retrying have no Retry-After.

StreamVersionPathTest#aStreamThatIsCutGoesOnAtTheVersionThatBeganIt and #aStreamThatIsCutEndsWhereNoOtherEngineOfItsVersionIsLeft failed before and pass. In ContinuationPlacementTest the role check fails without its filter (tried); the core module's tests pass.

--- a/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
@@ -106,6 +106,15 @@
         newVersion);
   }
 
+  /**
+   * Returns whether this upstream may continue the output of a software version.
+   *
+   * @param version the version; empty if there is no output yet, or its version is unknown
+   */
+  public boolean mayContinue(Optional<SoftwareVersion> version) {
+    return version.isEmpty() || version.equals(softwareVersion);
+  }
+
   /** Returns the incarnation of this upstream. */
   public Incarnation incarnation() {
     return new Incarnation(name, startedAtMillis.orElse(Incarnation.UNKNOWN_START));
--- a/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
+++ b/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
@@ -28,6 +28,7 @@
   DEADLINE_PASSED(504, true),
   NO_UPSTREAM(503, true),
   NO_OWNER(503, true),
+  VERSION_UNAVAILABLE(503, false),
   NO_CONFIGURATION(503, true),
   STORE_UNAVAILABLE(503, true),
   STOPPING(503, true),
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
@@ -4,6 +4,7 @@
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RetryReason;
 import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.placement.AttemptReport;
 import org.marjoramsail.core.placement.PlacementRequest;
@@ -56,9 +57,15 @@
    * @param attempt number of the attempt
    * @param upstream the decode upstream
    * @param startIndex index of the first token that is required
+   * @param requiredVersion the only software version that may continue the output; empty for any
    * @param kv the KV cache; where it is absent the upstream prefills the prompt itself
    */
-  record SendDecode(int attempt, UpstreamName upstream, int startIndex, Optional<KvSource> kv)
+  record SendDecode(
+      int attempt,
+      UpstreamName upstream,
+      int startIndex,
+      Optional<SoftwareVersion> requiredVersion,
+      Optional<KvSource> kv)
       implements LifecycleAction {}
 
   /**
--- a/core/src/main/java/org/marjoramsail/core/outcome/PlacementRequestBuilder.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/PlacementRequestBuilder.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.placement.PlacementRequest;
 import org.marjoramsail.core.placement.PriorCalls;
@@ -16,6 +17,7 @@
  * @param usefulUntilMillis time until which a grant is useful, on the clock of this daemon
  * @param kv a KV cache that is still usable
  * @param priorCalls the calls of earlier attempts
+ * @param requiredVersion the only software version that may continue the output; empty for any
  */
 record PlacementRequestBuilder(
     RequestProfile profile,
@@ -23,7 +25,8 @@
     int generatedTokens,
     long usefulUntilMillis,
     Optional<KvSource> kv,
-    PriorCalls priorCalls) {
+    PriorCalls priorCalls,
+    Optional<SoftwareVersion> requiredVersion) {
 
   /** Only this attempt counts towards the limit of the organisation; retries do not. */
   private static final int FIRST_ATTEMPT = 1;
@@ -50,6 +53,7 @@
         profile.fingerprint(),
         profile.chunking(),
         attempt == FIRST_ATTEMPT ? profile.countedTokens() : 0,
-        priorCalls);
+        priorCalls,
+        requiredVersion);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -195,7 +195,8 @@
             output.generatedTokens(),
             usefulUntilMillis,
             kv.usable(nowMillis),
-            history.priorCalls())
+            history.priorCalls(),
+            output.requiredVersion())
         .build(
             nowMillis,
             isolated ? guard.upstreamsToAvoid(failedUpstreams) : List.copyOf(failedUpstreams),
@@ -269,7 +270,8 @@
     outstanding.add(attempt, newGrant.target());
     guard.started(attempt, newGrant.target());
     actions.add(
-        new LifecycleAction.SendDecode(attempt, newGrant.target(), output.tokens(), kv.source()));
+        new LifecycleAction.SendDecode(
+            attempt, newGrant.target(), output.tokens(), output.requiredVersion(), kv.source()));
   }
 
   private void sendPlain(Grant newGrant) {
--- a/core/src/main/java/org/marjoramsail/core/outcome/StreamOutput.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/StreamOutput.java
@@ -39,6 +39,11 @@
         finished.finishReason(), finished.promptTokens(), finished.cachedTokens(), tokens);
   }
 
+  /** Returns the only software version that may produce the next token; empty if any may. */
+  Optional<SoftwareVersion> requiredVersion() {
+    return version;
+  }
+
   /** Records that another attempt generates. */
   void attemptStarted() {
     attemptVersion = Optional.empty();
--- a/core/src/main/java/org/marjoramsail/core/placement/DirectPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/DirectPlacer.java
@@ -12,6 +12,7 @@
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.model.UpstreamRole;
 
@@ -53,7 +54,10 @@
           : List.of();
     }
     UpstreamRole role = request.isGeneration() ? UpstreamRole.DECODE : UpstreamRole.PLAIN;
-    List<Candidate> targets = usable(role, request);
+    List<Candidate> targets =
+        usable(role, request).stream()
+            .filter(it -> it.mayContinue(request.requiredVersion()))
+            .toList();
     if (targets.isEmpty()) {
       Refusal refusal =
           Refusal.notRun(
@@ -155,7 +159,8 @@
                       definition.availabilityZone(),
                       definition.slots(),
                       !definition.drained(),
-                      Optional.empty());
+                      Optional.empty(),
+                      definition.softwareVersion());
               Candidate current = previous.getOrDefault(definition.name(), created);
               candidates.put(
                   definition.name(), current.listed(current.isListed() && !definition.drained()));
@@ -197,15 +202,20 @@
       String availabilityZone,
       int slots,
       boolean isListed,
-      Optional<LoadReport> report) {
+      Optional<LoadReport> report,
+      Optional<SoftwareVersion> version) {
 
     Candidate reporting(LoadReport newer) {
       return new Candidate(
-          name, newer.role(), availabilityZone, slots, isListed, Optional.of(newer));
+          name, newer.role(), availabilityZone, slots, isListed, Optional.of(newer), version);
     }
 
     Candidate listed(boolean available) {
-      return new Candidate(name, role, availabilityZone, slots, available, report);
+      return new Candidate(name, role, availabilityZone, slots, available, report, version);
+    }
+
+    boolean mayContinue(Optional<SoftwareVersion> required) {
+      return required.isEmpty() || required.equals(version);
     }
 
     boolean isUsable() {
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
@@ -5,9 +5,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.StreamChunking;
 import org.marjoramsail.core.model.UpstreamName;
 
@@ -40,6 +43,8 @@
  * @param countedTokens the tokens counted against the token limit of its organisation; zero for a
  *     later attempt, whose tokens were counted before
  * @param priorCalls the calls of earlier attempts
+ * @param requiredVersion the only software version that may continue the output; empty for a
+ *     request without output
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record PlacementRequest(
@@ -62,9 +67,11 @@
     long contentHash,
     StreamChunking chunking,
     int countedTokens,
-    PriorCalls priorCalls) {
+    PriorCalls priorCalls,
+    Optional<SoftwareVersion> requiredVersion) {
 
   private static final int FIRST_ATTEMPT = 1;
+  private static final long RETRY_MILLIS = 1_000;
 
   /** Copies the lists, so that the value is immutable. */
   public PlacementRequest {
@@ -72,8 +79,55 @@
     avoid = List.copyOf(avoid);
   }
 
+  /** Creates a request without output, which any software version may serve. */
+  public PlacementRequest(
+      RequestId request,
+      int attempt,
+      DaemonId entry,
+      String service,
+      String organisation,
+      String rule,
+      ServiceClass serviceClass,
+      int promptTokens,
+      int outputTokens,
+      List<Long> prefixHashes,
+      long waitedMillis,
+      long firstTokenWithinMillis,
+      long deadlineWithinMillis,
+      List<UpstreamName> avoid,
+      Optional<UpstreamName> kvHeldBy,
+      boolean alone,
+      long contentHash,
+      StreamChunking chunking,
+      int countedTokens,
+      PriorCalls priorCalls) {
+    this(
+        request,
+        attempt,
+        entry,
+        service,
+        organisation,
+        rule,
+        serviceClass,
+        promptTokens,
+        outputTokens,
+        prefixHashes,
+        waitedMillis,
+        firstTokenWithinMillis,
+        deadlineWithinMillis,
+        avoid,
+        kvHeldBy,
+        alone,
+        contentHash,
+        chunking,
+        countedTokens,
+        priorCalls,
+        Optional.empty());
+  }
+
   /**
-   * Creates a request whose retries are not recognised and whose output is streamed token by token.
+   * Creates a request without output whose retries are not recognised and whose output is streamed
+   * token by token.
    */
   public PlacementRequest(
       RequestId request,
@@ -133,6 +187,22 @@
     return promptTokens + outputTokens;
   }
 
+  /**
+   * Returns the refusal if no upstream is left that may serve the request. An output that cannot be
+   * continued has to be begun anew, so that its refusal has no time to retry.
+   *
+   * @param pool the upstreams that were considered
+   */
+  public Refusal refusalWithoutUpstream(String pool) {
+    if (requiredVersion.isPresent()) {
+      String detail =
+          "No upstream of " + pool + " is left that runs version " + requiredVersion.get() + ".";
+      return Refusal.notRun(RefusalReason.VERSION_UNAVAILABLE, detail);
+    }
+    String detail = "No upstream of " + pool + " is left for attempt " + attempt + ".";
+    return Refusal.notRun(RefusalReason.NO_UPSTREAM, detail, RETRY_MILLIS);
+  }
+
   /** Returns a copy that also avoids the given upstreams. */
   public PlacementRequest alsoAvoiding(Set<UpstreamName> more) {
     if (avoid.containsAll(more)) {
@@ -173,6 +243,7 @@
         contentHash,
         chunking,
         countedTokens,
-        priorCalls);
+        priorCalls,
+        requiredVersion);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -5,13 +5,14 @@
 import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.failure.Refusal;
-import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.feedback.RelayedFeedback;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
@@ -29,8 +30,8 @@
  */
 public final class ReservingPlacer implements Placer, CacheObserver, UsageSharing {
 
-  /** Maximum of attempts with excluded upstreams that are tried in one lane. */
-  private static final int MAXIMUM_RESTRICTED_TRIED = 8;
+  /** Maximum number of different sets of excluded upstreams that are tried in one lane. */
+  private static final int MAXIMUM_RESTRICTIONS_TRIED = 8;
 
   /** Limits the waiting attempts whose missing resource is determined again for a view. */
   private static final int MAXIMUM_DIAGNOSED = 100;
@@ -56,6 +57,7 @@
   private final SlotReservations reservations;
   private final WaitEstimator waitEstimator;
   private final RoleAdvisor roles;
+  private final ArrivalCheck arrivals;
   private final WaitingQueue queue = new WaitingQueue();
   private final Map<RequestId, WaitingAttempt> waiting = new HashMap<>();
   private final AttemptTombstones tombstones = new AttemptTombstones();
@@ -79,6 +81,7 @@
     this.reservations = new SlotReservations(upstreams, estimates);
     this.waitEstimator = new WaitEstimator(upstreams, queue, estimates, selector);
     this.roles = new RoleAdvisor(upstreams, estimates, settings);
+    this.arrivals = new ArrivalCheck(shard, upstreams, settings);
     applyConfiguration(setup.configuration(), nowMillis);
   }
 
@@ -86,7 +89,9 @@
   public List<PlacementResult> configure(Configuration configuration, long nowMillis) {
     applyConfiguration(configuration, nowMillis);
     organisations.refresh(nowMillis);
-    return dispatch(nowMillis);
+    List<PlacementResult> results = refuseContinuationsWithoutUpstream();
+    dispatch(results, nowMillis);
+    return results;
   }
 
   @Override
@@ -106,7 +111,8 @@
     }
     discard(request.request(), nowMillis);
     double leastMillis = selector.minimumMillis(request, nowMillis);
-    Optional<Refusal> refusal = refusalAtArrival(request, leastMillis);
+    boolean isIdle = waiting.isEmpty() && reservations.size() == 0;
+    Optional<Refusal> refusal = arrivals.refusal(request, waiting.size(), leastMillis, isIdle);
     if (refusal.isPresent()) {
       return List.of(refused(request, refusal.get()));
     }
@@ -329,40 +335,17 @@
     selector.kvBytesPerToken(kvBytesPerToken);
   }
 
-  private Optional<Refusal> refusalAtArrival(PlacementRequest request, double leastMillis) {
-    int limit = settings.maximumWaiting();
-    int allowed =
-        limit - limit * request.serviceClass().rank() / (2 * ServiceClass.values().length);
-    if (waiting.size() >= allowed) {
-      String detail = "The queue of " + shard + " holds " + waiting.size() + " of " + allowed + ".";
-      return Optional.of(Refusal.notRun(RefusalReason.QUEUE_FULL, detail, MINIMUM_RETRY_MILLIS));
-    }
-    UpstreamRole role = request.isGeneration() ? UpstreamRole.DECODE : UpstreamRole.PLAIN;
-    boolean isAnyCandidate =
-        upstreams.all().stream()
-            .anyMatch(
-                upstream ->
-                    upstream.isConfigured()
-                        && !upstream.isAnnouncedLeaving()
-                        && upstream.role() == role
-                        && !request.avoid().contains(upstream.name()));
-    if (!isAnyCandidate) {
-      String detail = "No upstream of " + shard + " is left for attempt " + request.attempt() + ".";
-      return Optional.of(Refusal.notRun(RefusalReason.NO_UPSTREAM, detail, MINIMUM_RETRY_MILLIS));
-    }
-    // An idle shard tries a request even if it expects it to be late: otherwise wrong estimates
-    // would refuse every request and never be corrected.
-    boolean isIdle = waiting.isEmpty() && reservations.size() == 0;
-    if (WaitingAttempt.usefulWithinMillis(request) < leastMillis && !isIdle) {
-      String detail =
-          "The request needs "
-              + Math.round(leastMillis)
-              + " ms to meet its latency target and has "
-              + WaitingAttempt.usefulWithinMillis(request)
-              + " ms left.";
-      return Optional.of(Refusal.notRun(RefusalReason.DEADLINE_UNREACHABLE, detail));
+  /** Refuses continuations that wait for a software version of which no upstream is left. */
+  private List<PlacementResult> refuseContinuationsWithoutUpstream() {
+    List<PlacementResult> results = new ArrayList<>();
+    for (WaitingAttempt attempt : List.copyOf(waiting.values())) {
+      if (attempt.isContinuation()) {
+        arrivals
+            .withoutUpstream(attempt.request())
+            .ifPresent(refusal -> results.add(refuse(attempt, refusal)));
+      }
     }
-    return Optional.empty();
+    return results;
   }
 
   private WaitingAttempt enqueue(PlacementRequest request, double leastMillis, long nowMillis) {
@@ -479,19 +462,26 @@
     return Optional.empty();
   }
 
-  /** Finds the first attempt that fits; after one without excluded upstreams, none can fit. */
+  /**
+   * Finds the first attempt that fits; after one without excluded upstreams, none can fit, and
+   * after one with some, none that excludes the same.
+   */
   private Optional<PendingGrant> findInLane(Collection<OrganisationLane> lane, long nowMillis) {
-    int tried = 0;
+    Set<WaitingAttempt.Restriction> tried = new HashSet<>();
     for (OrganisationLane organisationLane : lane) {
       if (organisationLane.organisation().missing(nowMillis).isPresent()) {
         continue;
       }
       for (WaitingAttempt attempt : organisationLane.attempts()) {
+        if (tried.contains(attempt.restriction())) {
+          continue;
+        }
         Optional<PlacementCandidate> choice = selector.select(attempt, nowMillis);
         if (choice.isPresent()) {
           return Optional.of(new PendingGrant(attempt, choice.get()));
         }
-        if (!attempt.isRestricted() || ++tried >= MAXIMUM_RESTRICTED_TRIED) {
+        tried.add(attempt.restriction());
+        if (!attempt.isRestricted() || tried.size() >= MAXIMUM_RESTRICTIONS_TRIED) {
           return Optional.empty();
         }
       }
--- a/core/src/main/java/org/marjoramsail/core/placement/RoleAdvisor.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RoleAdvisor.java
@@ -3,7 +3,10 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamRole;
 
 /** Recommends changes of the roles of a shard's engines from the estimates of its requests. */
@@ -48,7 +51,7 @@
     }
     return bestPrefillCount < prefillUpstreams.size()
         ? leastBusy(prefillUpstreams, UpstreamRole.DECODE)
-        : leastBusy(decodeUpstreams, UpstreamRole.PREFILL);
+        : leastBusy(withoutLastOfVersion(decodeUpstreams), UpstreamRole.PREFILL);
   }
 
   private List<UpstreamState> usable(UpstreamRole role, long nowMillis) {
@@ -78,6 +81,16 @@
     return new RoleBalance.Rates(prefillRate, localPrefillRate, decodeRate);
   }
 
+  /** Leaves out the last upstream of each software version, which alone can continue its output. */
+  private static List<UpstreamState> withoutLastOfVersion(List<UpstreamState> decodeUpstreams) {
+    Map<Optional<SoftwareVersion>, Long> countByVersion =
+        decodeUpstreams.stream()
+            .collect(Collectors.groupingBy(UpstreamState::softwareVersion, Collectors.counting()));
+    return decodeUpstreams.stream()
+        .filter(upstream -> countByVersion.get(upstream.softwareVersion()) > 1)
+        .toList();
+  }
+
   private static Optional<RoleChange> leastBusy(List<UpstreamState> among, UpstreamRole role) {
     return among.stream()
         .min(Comparator.comparingInt(UpstreamState::reserved))
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
@@ -130,11 +130,11 @@
    *
    * @param region where the request is to be served
    * @param load the last known load of a shard: waiting and running requests, divided by slots
-   * @return empty when the service has no upstreams in that region
+   * @return empty when the service has no upstreams in that region that may serve the request
    */
   public Optional<ShardId> shardFor(
       PlacementRequest request, String region, ToDoubleFunction<ShardId> load) {
-    List<ShardId> choices = shardsOf(request.service(), region);
+    List<ShardId> choices = shardsFor(request, region);
     if (choices.size() < 2) {
       return choices.stream().findFirst();
     }
@@ -153,6 +153,26 @@
         first > second + LOAD_DIFFERENCE_FOR_SECOND_CHOICE ? ranked.get(1) : ranked.get(0));
   }
 
+  /**
+   * Returns the shards of a region that may serve a request; for one that continues an output,
+   * those with an upstream of its software version.
+   */
+  private List<ShardId> shardsFor(PlacementRequest request, String region) {
+    List<ShardId> ofService = shardsOf(request.service(), region);
+    return request.requiredVersion().isEmpty()
+        ? ofService
+        : ofService.stream()
+            .filter(
+                shard ->
+                    shards.get(shard).stream()
+                        .anyMatch(
+                            upstream ->
+                                upstream.role() == UpstreamRole.DECODE
+                                    && !upstream.drained()
+                                    && upstream.mayContinue(request.requiredVersion())))
+            .toList();
+  }
+
   /** Returns the number of slices of a pool with that many configured upstreams. */
   private int sliceCount(int upstreams) {
     if (upstreams <= UNSLICED_POOL_FACTOR * maximumUpstreams) {
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
@@ -161,7 +161,9 @@
   private MissingResource missingSlot(PlacementRequest request, long nowMillis) {
     UpstreamRole role = request.isGeneration() ? UpstreamRole.DECODE : UpstreamRole.PLAIN;
     for (UpstreamState upstream : upstreams.all()) {
-      if (upstream.role() == role && upstream.isUsable(nowMillis)) {
+      if (upstream.role() == role
+          && upstream.isUsable(nowMillis)
+          && upstream.mayContinue(request.requiredVersion())) {
         return request.isGeneration() ? MissingResource.DECODE_SLOT : MissingResource.PLAIN_SLOT;
       }
     }
@@ -387,6 +389,7 @@
         && upstream.isUsable(nowMillis)
         && freeSlotsOf(upstream, nowMillis) > 0
         && isAllowed(upstream, request)
+        && upstream.mayContinue(request.requiredVersion())
         && !upstreams.isUnresponsive(upstream, nowMillis)
         && (role != UpstreamRole.DECODE || hasMemory(upstream, request, nowMillis));
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Optional;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.feedback.RelayedFeedback;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.model.UpstreamRole;
 
@@ -92,6 +94,15 @@
     return role;
   }
 
+  Optional<SoftwareVersion> softwareVersion() {
+    return definition.softwareVersion();
+  }
+
+  /** Returns whether it may continue the output of a software version; any, if empty. */
+  boolean mayContinue(Optional<SoftwareVersion> version) {
+    return definition.mayContinue(version);
+  }
+
   String availabilityZone() {
     return definition.availabilityZone();
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitingAttempt.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitingAttempt.java
@@ -1,7 +1,9 @@
 package org.marjoramsail.core.placement;
 
+import java.util.List;
 import java.util.Optional;
 import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 
 /** Attempt that waits in the queue of a shard. */
@@ -14,6 +16,16 @@
    */
   private static final long RETRY_ADVANTAGE_MILLIS = 60_000;
 
+  /**
+   * Upstreams that an attempt excludes.
+   *
+   * @param requiredVersion the only software version that it may use; empty for any
+   * @param avoid the upstreams that it avoids
+   * @param alone whether it must not share an upstream with another suspect
+   */
+  record Restriction(
+      Optional<SoftwareVersion> requiredVersion, List<UpstreamName> avoid, boolean alone) {}
+
   private final PlacementRequest request;
   private final OrganisationState organisation;
   private final long sequence;
@@ -139,7 +151,9 @@
 
   /** Returns the lane in which it waits now; promotion and demotion change it. */
   int lane() {
-    int first = late ? WaitingQueue.LATE_LANE : 2 * effectiveClass.rank();
+    int ofClass = WaitingQueue.FIRST_CLASS_LANE + 2 * effectiveClass.rank();
+    int ofNewOutput = late ? WaitingQueue.LATE_LANE : ofClass;
+    int first = isContinuation() ? WaitingQueue.CONTINUATION_LANE : ofNewOutput;
     return first + (needsPrefillUpstream ? 1 : 0);
   }
 
@@ -177,7 +191,17 @@
 
   /** Returns whether it excludes some upstreams that are open to others. */
   boolean isRestricted() {
-    return request.alone() || !request.avoid().isEmpty();
+    return request.alone() || !request.avoid().isEmpty() || isContinuation();
+  }
+
+  /** Returns the upstreams that it excludes. */
+  Restriction restriction() {
+    return new Restriction(request.requiredVersion(), request.avoid(), request.alone());
+  }
+
+  /** Returns whether it continues an output that a caller has received in part. */
+  boolean isContinuation() {
+    return request.requiredVersion().isPresent();
   }
 
   MissingResource missing() {
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
@@ -11,17 +11,25 @@
 
 /**
  * Queue of one shard with two lanes for each class: one for attempts that need a prefill upstream
- * and one for the others. Each lane uses start-time fair queueing between organisations; the
- * attempts of one organisation are ordered by arrival or deadline.
+ * and one for the others. Two more lanes, which are served first, are for attempts that continue an
+ * output and can only be served by upstreams of its software version. Each lane uses start-time
+ * fair queueing between organisations; the attempts of one organisation are ordered by arrival or
+ * deadline.
  *
  * <p>Each change takes logarithmic time; no operation iterates over all waiting attempts.
  */
 final class WaitingQueue {
 
+  /** Index of the first of the two lanes for attempts that continue an output. */
+  static final int CONTINUATION_LANE = 0;
+
+  /** Index of the first of the two lanes of the most urgent class. */
+  static final int FIRST_CLASS_LANE = CONTINUATION_LANE + 2;
+
   /** Index of the first of the two lanes for attempts that have missed their target. */
-  static final int LATE_LANE = 2 * ServiceClass.values().length;
+  static final int LATE_LANE = FIRST_CLASS_LANE + 2 * ServiceClass.values().length;
 
-  /** Number of lanes: two for each class and two for attempts that have missed their target. */
+  /** Number of lanes: two for each class, for continuations and for missed targets. */
   static final int LANES = LATE_LANE + 2;
 
   /** Order of service within one lane of one organisation. */
@@ -38,7 +46,18 @@
 
   /** Number of grants to other lanes after which a non-empty lane goes first, by lane. */
   private static final int[] MAXIMUM_SKIPPED = {
-    Integer.MAX_VALUE, 6, 6, 6, 12, 12, 12, 12, Integer.MAX_VALUE, Integer.MAX_VALUE
+    Integer.MAX_VALUE,
+    Integer.MAX_VALUE,
+    Integer.MAX_VALUE,
+    6,
+    6,
+    6,
+    12,
+    12,
+    12,
+    12,
+    Integer.MAX_VALUE,
+    Integer.MAX_VALUE
   };
 
   /** The same limit for a lane with deferrable attempts whose deadline is near. */
--- a/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/PlacementFixtures.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Function;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.configuration.ModelDefinition;
 import org.marjoramsail.core.configuration.OrganisationDefinition;
@@ -13,6 +14,7 @@
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.StreamChunking;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.model.UpstreamRole;
@@ -73,6 +75,23 @@
   static Configuration startedAt(Configuration pool, long startedAtMillis) {
     List<UpstreamDefinition> upstreams =
         pool.upstreams().stream().map(one -> one.withStartTime(startedAtMillis)).toList();
+    return withUpstreams(pool, upstreams);
+  }
+
+  /** Returns the same pool with the software version of each upstream, by its name. */
+  static Configuration withVersions(Configuration pool, Function<String, String> versionOf) {
+    List<UpstreamDefinition> upstreams =
+        pool.upstreams().stream()
+            .map(
+                one ->
+                    one.withSoftwareVersion(
+                        new SoftwareVersion(versionOf.apply(one.name().value()))))
+            .toList();
+    return withUpstreams(pool, upstreams);
+  }
+
+  /** Returns the next revision of a pool, with other upstreams. */
+  static Configuration withUpstreams(Configuration pool, List<UpstreamDefinition> upstreams) {
     return new Configuration(
         pool.revision() + 1,
         pool.services(),
@@ -237,6 +256,7 @@
     private boolean alone;
     private PriorCalls priorCalls = PriorCalls.NONE;
     private StreamChunking chunking = new StreamChunking(11, 450);
+    private Optional<SoftwareVersion> requiredVersion = Optional.empty();
 
     RequestBuilder(String name) {
       this.name = name;
@@ -299,6 +319,11 @@
       return this;
     }
 
+    RequestBuilder continuing(String version) {
+      requiredVersion = Optional.of(new SoftwareVersion(version));
+      return this;
+    }
+
     RequestBuilder alone() {
       alone = true;
       return this;
@@ -325,7 +350,8 @@
           0,
           chunking,
           promptTokens + outputTokens,
-          priorCalls);
+          priorCalls,
+          requiredVersion);
     }
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -13,6 +13,7 @@
 import java.util.function.Consumer;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.Completion;
 import org.marjoramsail.core.outcome.KvSource;
@@ -63,11 +64,13 @@
   @Override
   public Optional<OpenCall> sendPrefill(
       LifecycleAction.SendPrefill send, Consumer<LifecycleEvent> events) {
-    Optional<UpstreamDefinition> target = target(send.upstream(), send.attempt(), events);
+    Optional<UpstreamDefinition> target =
+        target(send.upstream(), Optional.empty(), send.attempt(), events);
     return target.map(
         definition ->
             open(
                 definition,
+                Optional.empty(),
                 true,
                 Optional.empty(),
                 0,
@@ -77,7 +80,8 @@
   @Override
   public Optional<OpenCall> sendDecode(
       LifecycleAction.SendDecode send, Consumer<LifecycleEvent> events) {
-    Optional<UpstreamDefinition> target = target(send.upstream(), send.attempt(), events);
+    Optional<UpstreamDefinition> target =
+        target(send.upstream(), send.requiredVersion(), send.attempt(), events);
     int resumeAfter =
         send.startIndex() > 0 || request.parameters().resumeAfter() > 0
             ? request.parameters().resumeAfter() + send.startIndex()
@@ -86,6 +90,7 @@
         definition ->
             open(
                 definition,
+                send.requiredVersion(),
                 false,
                 send.kv().flatMap(this::location),
                 resumeAfter,
@@ -95,11 +100,13 @@
   @Override
   public Optional<OpenCall> sendPlain(
       LifecycleAction.SendPlain send, Consumer<LifecycleEvent> events) {
-    Optional<UpstreamDefinition> target = target(send.upstream(), send.attempt(), events);
+    Optional<UpstreamDefinition> target =
+        target(send.upstream(), Optional.empty(), send.attempt(), events);
     return target.map(
         definition ->
             open(
                 definition,
+                Optional.empty(),
                 false,
                 Optional.empty(),
                 0,
@@ -208,8 +215,11 @@
   }
 
   private Optional<UpstreamDefinition> target(
-      UpstreamName upstream, int attempt, Consumer<LifecycleEvent> events) {
-    Optional<UpstreamFailure> rejection = rejection(upstream);
+      UpstreamName upstream,
+      Optional<SoftwareVersion> requiredVersion,
+      int attempt,
+      Consumer<LifecycleEvent> events) {
+    Optional<UpstreamFailure> rejection = rejection(upstream, requiredVersion);
     if (rejection.isPresent()) {
       events.accept(new LifecycleEvent.UpstreamFailed(attempt, upstream, rejection.get()));
       return Optional.empty();
@@ -221,15 +231,20 @@
 
   /**
    * Returns why an upstream takes no request from this host now; empty if it does. The owner of the
-   * shard may select an upstream before it receives the feedback that this host already has.
+   * shard may select an upstream before it receives the feedback that this host already has, or
+   * while its list still has an earlier incarnation of another software version.
    */
-  private Optional<UpstreamFailure> rejection(UpstreamName upstream) {
+  private Optional<UpstreamFailure> rejection(
+      UpstreamName upstream, Optional<SoftwareVersion> requiredVersion) {
     Optional<UpstreamDefinition> listed =
         dependencies.upstreams().apply(upstream).filter(found -> !found.drained());
     if (listed.isEmpty()) {
       return Optional.of(UpstreamFailure.CONNECT_FAILED);
     }
-    return listed.filter(dependencies.feedback()::isAccepting).isPresent()
+    return listed
+            .filter(dependencies.feedback()::isAccepting)
+            .filter(found -> found.mayContinue(requiredVersion))
+            .isPresent()
         ? Optional.empty()
         : Optional.of(UpstreamFailure.NOT_ACCEPTING);
   }
@@ -240,6 +255,7 @@
 
   private OpenCall open(
       UpstreamDefinition target,
+      Optional<SoftwareVersion> requiredVersion,
       boolean prefill,
       Optional<KvLocation> kv,
       int resumeAfter,
@@ -253,7 +269,9 @@
             headers,
             new ForwardParameters(
                 target.name(), remainingMillis, prefill, kv, resumeAfter, request.organisation()));
-    return call(target, request, () -> rejection(target.name()).isEmpty(), listener).start(headers);
+    return call(
+            target, request, () -> rejection(target.name(), requiredVersion).isEmpty(), listener)
+        .start(headers);
   }
 
   private ForwardCall call(
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RefusalWriter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RefusalWriter.java
@@ -62,7 +62,8 @@
     }
     int status = statusOf(refusal);
     response.setStatusCode(status);
-    if (status == NOT_RUN_STATUS || status == TOO_MANY_STATUS) {
+    boolean isNotRun = status == NOT_RUN_STATUS || status == TOO_MANY_STATUS;
+    if (isNotRun && refusal.reason().isWorthRetrying()) {
       response.putHeader("retry-after", retryAfter(refusal));
     }
     protocol.addAttempt(response.headers(), attempt);
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/ConfiguredShards.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/ConfiguredShards.java
@@ -161,8 +161,8 @@
         .filter(shard -> shard.service().equals(request.service()))
         .map(ShardId::region)
         .distinct()
-        .findFirst()
-        .flatMap(region -> map.shardFor(request, region, shard -> 0));
+        .flatMap(region -> map.shardFor(request, region, shard -> 0).stream())
+        .findFirst();
   }
 
   private List<DaemonId> rankOwners(ShardId shard, MembershipView view) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -13,7 +13,6 @@
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.failure.Refusal;
-import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.feedback.UpstreamFeedbackTable;
 import org.marjoramsail.core.membership.Member;
 import org.marjoramsail.core.membership.MembershipView;
@@ -115,11 +114,7 @@
   public void place(PlacementRequest request, Consumer<PlacementResult> result) {
     Optional<ShardId> shard = topology.shardFor(request);
     if (shard.isEmpty()) {
-      Refusal refusal =
-          Refusal.notRun(
-              RefusalReason.NO_UPSTREAM,
-              "Service '" + request.service() + "' has no upstream in service.",
-              1_000);
+      Refusal refusal = request.refusalWithoutUpstream("service '" + request.service() + "'");
       result.accept(
           new PlacementResult.Refused(self, request.request(), request.attempt(), refusal));
       return;
