Continue a stream only at the software version that began it, over a caller's tries

Callers that took up a stream after the host that passed it on had failed got its second half from another software version. Cause: the take-up was placed like a new request; Resumes was read nowhere, and only the failed host could tell the version.

Where nobody knows it, a stream goes on only if the list had no other version, and the route no other service, for as long as a stream can last; else it is refused as not run (stream-unknown). The service is that of the first attempt, too, where a route is split.

--- a/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 
 /**
@@ -42,6 +43,7 @@
   }
 
   private final Map<UpstreamName, Entry> entries = new HashMap<>();
+  private final VersionHistory versions = new VersionHistory();
   private boolean reachable;
   private boolean entriesMayHaveExpired;
   private long interruptedAtMillis;
@@ -80,6 +82,7 @@
   public boolean listed(
       List<ListedUpstream> whole, Collection<UpstreamName> unusable, long nowMillis) {
     received(nowMillis);
+    versions.restart(nowMillis);
     boolean changed = entries.keySet().removeAll(unusable);
     Set<UpstreamName> names = new HashSet<>();
     for (ListedUpstream one : whole) {
@@ -91,6 +94,7 @@
         changed |= remove(name, nowMillis);
       }
     }
+    entries.values().forEach(entry -> versions.listed(entry.listed.definition(), nowMillis));
     known = true;
     return changed;
   }
@@ -112,12 +116,15 @@
   /** Handles an entry that is new or has changed; returns whether the upstreams have changed. */
   public boolean changed(ListedUpstream one, long nowMillis) {
     received(nowMillis);
+    recordVersion(one.definition().name(), nowMillis);
+    versions.listed(one.definition(), nowMillis);
     return put(one);
   }
 
   /** Handles the removal of an entry; returns whether the upstreams have changed. */
   public boolean removed(UpstreamName name, long nowMillis) {
     received(nowMillis);
+    recordVersion(name, nowMillis);
     return entries.containsKey(name) && remove(name, nowMillis);
   }
 
@@ -127,6 +134,7 @@
    */
   public boolean unusable(UpstreamName name, long nowMillis) {
     received(nowMillis);
+    recordVersion(name, nowMillis);
     return entries.remove(name) != null;
   }
 
@@ -144,9 +152,44 @@
 
   /** Removes entries that were missing for too long; returns whether there were any. */
   public boolean tick(long nowMillis) {
-    return entries
-        .values()
-        .removeIf(entry -> entry.expiresAtMillis.filter(at -> nowMillis >= at).isPresent());
+    return entries.values().removeIf(entry -> isExpired(entry, nowMillis));
+  }
+
+  private boolean isExpired(Entry entry, long nowMillis) {
+    boolean expired = entry.expiresAtMillis.filter(at -> nowMillis >= at).isPresent();
+    if (expired) {
+      versions.listed(entry.listed.definition(), nowMillis);
+    }
+    return expired;
+  }
+
+  /**
+   * Returns the only software version of a service that was listed since a time.
+   *
+   * @return empty if there were several or none, if changes since that time may have been missed,
+   *     or if the list cannot be read now
+   */
+  public Optional<SoftwareVersion> onlyVersionSince(String service, long sinceMillis) {
+    return reachable
+        ? versions.onlyVersionSince(service, sinceMillis, version -> isListed(service, version))
+        : Optional.empty();
+  }
+
+  private boolean isListed(String service, SoftwareVersion version) {
+    return entries.values().stream()
+        .map(entry -> entry.listed.definition())
+        .anyMatch(
+            one ->
+                one.service().equals(service)
+                    && one.softwareVersion().filter(version::equals).isPresent());
+  }
+
+  /** Records the version of an entry before it changes. */
+  private void recordVersion(UpstreamName name, long nowMillis) {
+    Entry entry = entries.get(name);
+    if (entry != null) {
+      versions.listed(entry.listed.definition(), nowMillis);
+    }
   }
 
   /** Returns whether a list was ever read, here or by a peer. */
--- a/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
+++ b/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
@@ -29,6 +29,7 @@
   NO_UPSTREAM(503, true),
   NO_OWNER(503, true),
   VERSION_UNAVAILABLE(503, false),
+  STREAM_UNKNOWN(503, true),
   NO_CONFIGURATION(503, true),
   STORE_UNAVAILABLE(503, true),
   STOPPING(503, true),
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
@@ -91,6 +91,13 @@
    */
   record Cancel(int attempt, UpstreamName upstream) implements LifecycleAction {}
 
+  /**
+   * Records the software version of the output, before its first token is sent to the caller.
+   *
+   * @param version the version
+   */
+  record RecordVersion(SoftwareVersion version) implements LifecycleAction {}
+
   /**
    * Sends the next token to the caller.
    *
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -67,7 +67,7 @@
     this.kv = new KvTransferState(policy, outstanding);
     this.history = new AttemptHistory(profile, invariants);
     this.backOff = new BackOff(policy, random);
-    this.output = new StreamOutput(profile.chunking());
+    this.output = new StreamOutput(profile.chunking(), profile.requiredVersion());
     this.nowMillis = profile.receivedAtMillis();
     this.progress =
         new RequestProgress(profile.receivedAtMillis(), profile.repeatability().isResendable());
@@ -353,7 +353,9 @@
     invariants.check(token.index() == output.tokens(), Invariant.TOKENS_IN_ORDER, profile.id());
     invariants.check(!finalResponse.isSent(), Invariant.SILENT_AFTER_END, profile.id());
     invariants.check(output.isOfOneVersion(), Invariant.ONE_SOFTWARE_VERSION, profile.id());
-    output.tokenSent();
+    output
+        .sendToken()
+        .ifPresent(version -> actions.add(new LifecycleAction.RecordVersion(version)));
     progress.chunkSent(nowMillis);
     progress.expectWithin(policy.tokenStallMillis(), nowMillis);
     actions.add(new LifecycleAction.EmitToken(token.index(), token.text()));
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestProfile.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestProfile.java
@@ -1,10 +1,12 @@
 package org.marjoramsail.core.outcome;
 
 import java.util.List;
+import java.util.Optional;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.Repeatability;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.StreamChunking;
 
 /**
@@ -28,6 +30,8 @@
  * @param deadlineAtMillis deadline of the request, on the clock of this daemon
  * @param chunking how its output is split into chunks
  * @param countedTokens tokens that count towards the limit of its organisation
+ * @param requiredVersion software version that began the output that it continues; empty for a new
+ *     output
  */
 public record RequestProfile(
     RequestId id,
@@ -47,14 +51,15 @@
     long firstTokenAtMillis,
     long deadlineAtMillis,
     StreamChunking chunking,
-    int countedTokens) {
+    int countedTokens,
+    Optional<SoftwareVersion> requiredVersion) {
 
   /** Copies the list, so that the record is immutable. */
   public RequestProfile {
     prefixHashes = List.copyOf(prefixHashes);
   }
 
-  /** Creates the profile of a request whose output is sent token by token. */
+  /** Creates the profile of a request for a new output that is sent token by token. */
   public RequestProfile(
       RequestId id,
       DaemonId entry,
@@ -90,6 +95,7 @@
         firstTokenAtMillis,
         deadlineAtMillis,
         StreamChunking.SINGLE_TOKENS,
-        promptTokens + outputTokens);
+        promptTokens + outputTokens,
+        Optional.empty());
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/StreamOutput.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/StreamOutput.java
@@ -11,16 +11,18 @@
 
   private final StreamChunking chunking;
   private int tokens;
-  private Optional<SoftwareVersion> version = Optional.empty();
+  private Optional<SoftwareVersion> version;
   private Optional<SoftwareVersion> attemptVersion = Optional.empty();
 
   /**
    * Starts without output.
    *
    * @param chunking how many generated tokens are sent as one
+   * @param requiredVersion the version that began the output that it continues; empty for a new one
    */
-  StreamOutput(StreamChunking chunking) {
+  StreamOutput(StreamChunking chunking, Optional<SoftwareVersion> requiredVersion) {
     this.chunking = chunking;
+    this.version = requiredVersion;
   }
 
   /** Returns the number of tokens that the caller was sent, which is the index of the next one. */
@@ -56,14 +58,17 @@
 
   /** Returns whether the next token comes from the version that produced the earlier ones. */
   boolean isOfOneVersion() {
-    return tokens == 0 || version.equals(attemptVersion);
+    return version.isEmpty() || version.equals(attemptVersion);
   }
 
-  /** Records that the next token was sent to the caller. */
-  void tokenSent() {
-    if (tokens == 0) {
-      version = attemptVersion;
-    }
-    tokens++;
+  /**
+   * Records that the next token is sent to the caller.
+   *
+   * @return the version of the output, with its first token and if it is known
+   */
+  Optional<SoftwareVersion> sendToken() {
+    boolean isFirst = tokens++ == 0;
+    version = version.or(() -> attemptVersion);
+    return isFirst ? version : Optional.empty();
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/routing/ForwardingRules.java
+++ b/core/src/main/java/org/marjoramsail/core/routing/ForwardingRules.java
@@ -51,6 +51,10 @@
   private static final long STREAM_MARGIN_MILLIS = 130;
 
   private static final double PLAIN_MARGIN_SHARE = 0.3;
+
+  /** Number of timeouts of a route within which a stream begins and its callers last resume it. */
+  private static final int STREAM_LIFETIME_TIMEOUTS = 2;
+
   private static final long NEVER_MILLIS = Long.MAX_VALUE / 4;
 
   private ForwardingRules() {}
@@ -93,6 +97,11 @@
     return receivedAtMillis + Math.max(1, route.targetMillis() - marginMillis);
   }
 
+  /** Returns the time after the first event of a stream in which its caller may resume it. */
+  public static long streamLifetimeMillis(Route route) {
+    return STREAM_LIFETIME_TIMEOUTS * route.timeoutMillis();
+  }
+
   private static long callerTimeoutMillis(Route route) {
     if (!route.streaming()) {
       return NEVER_MILLIS;
--- a/core/src/main/java/org/marjoramsail/core/routing/RouteTable.java
+++ b/core/src/main/java/org/marjoramsail/core/routing/RouteTable.java
@@ -11,13 +11,21 @@
 
   private final Map<String, HostRoutes> byHost = new HashMap<>();
 
+  private final List<Route> all;
+
   /** Indexes routes; of two with the same host and prefix, the first in the list wins. */
   public RouteTable(List<Route> routes) {
+    all = List.copyOf(routes);
     for (Route route : routes) {
       byHost.computeIfAbsent(route.host(), host -> new HostRoutes()).add(route);
     }
   }
 
+  /** Returns all routes, in their order. */
+  public List<Route> all() {
+    return all;
+  }
+
   /**
    * Returns the route of a request.
    *
--- a/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.model.UpstreamRole;
 
@@ -156,6 +157,46 @@
     assertThat(names()).containsExactlyInAnyOrder("a", "b", "c");
   }
 
+  @Test
+  void aVersionIsTheOnlyOneOnceNoOtherWasListedSinceAGivenTime() {
+    discovered.listed(List.of(ofVersion("a", 1, "v1"), ofVersion("b", 2, "v2")), List.of(), 0);
+    discovered.removed(name("b"), RECOVERED_AT_MILLIS);
+
+    assertThat(discovered.onlyVersionSince("service", RECOVERED_AT_MILLIS)).isEmpty();
+    assertThat(discovered.onlyVersionSince("service", RECOVERED_AT_MILLIS + 1))
+        .contains(new SoftwareVersion("v1"));
+  }
+
+  /** Guards against a version that began streams and whose upstream was back with another one. */
+  @Test
+  void aVersionThatWasReplacedUnderTheSameNameCountsUntilItsReplacement() {
+    discovered.listed(List.of(ofVersion("a", 1, "v1")), List.of(), 0);
+    discovered.changed(ofVersion("a", 2, "v2"), 1_000);
+
+    assertThat(discovered.onlyVersionSince("service", 1_000)).isEmpty();
+    assertThat(discovered.onlyVersionSince("service", 1_001)).contains(new SoftwareVersion("v2"));
+  }
+
+  /** Guards against a version that was listed while this daemon could not read the list. */
+  @Test
+  void noVersionIsTheOnlyOneIfChangesOfTheListMayHaveBeenMissed() {
+    discovered.listed(List.of(ofVersion("a", 1, "v1")), List.of(), 0);
+    assertThat(discovered.onlyVersionSince("service", 0)).isPresent();
+
+    discovered.readFailed();
+    assertThat(discovered.onlyVersionSince("service", 0)).isEmpty();
+
+    discovered.listed(List.of(ofVersion("a", 1, "v1")), List.of(), RECOVERED_AT_MILLIS);
+    assertThat(discovered.onlyVersionSince("service", RECOVERED_AT_MILLIS - 1)).isEmpty();
+    assertThat(discovered.onlyVersionSince("service", RECOVERED_AT_MILLIS)).isPresent();
+  }
+
+  private static ListedUpstream ofVersion(String name, long revision, String version) {
+    ListedUpstream listed = listed(name, revision, false);
+    return new ListedUpstream(
+        listed.definition().withSoftwareVersion(new SoftwareVersion(version)), listed.revision());
+  }
+
   private static UpstreamName name(String value) {
     return new UpstreamName(value);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardDependencies.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardDependencies.java
@@ -18,6 +18,7 @@
  * @param liveness receives reports about the liveness of upstreams
  * @param probes finds out whether an upstream still runs after a cut
  * @param feedback records what upstreams report of themselves
+ * @param streams origins of streams that callers may resume
  * @param completionListener receives the output length of completed streams
  * @param plainResponseTimes receives the duration of buffered responses by service, in milliseconds
  * @param connectionCloseHeader closes connections while this daemon stops
@@ -33,6 +34,7 @@
     LivenessListener liveness,
     UpstreamProbes probes,
     UpstreamFeedbackRecorder feedback,
+    StreamDirectory streams,
     CompletionListener completionListener,
     ObjLongConsumer<String> plainResponseTimes,
     ConnectionCloseHeader connectionCloseHeader,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -21,6 +21,11 @@
 import org.marjoramsail.core.outcome.LifecycleEvent;
 import org.marjoramsail.core.outcome.RequestProfile;
 import org.marjoramsail.core.outcome.UpstreamFailure;
+import org.marjoramsail.core.routing.ForwardingRules;
+import org.marjoramsail.core.routing.Route;
+import org.marjoramsail.core.stream.StreamKey;
+import org.marjoramsail.core.stream.StreamOrigin;
+import org.marjoramsail.core.stream.StreamRecord;
 import org.marjoramsail.daemon.request.AttemptSender;
 import org.marjoramsail.daemon.request.CallerSink;
 import org.marjoramsail.daemon.request.OpenCall;
@@ -43,6 +48,7 @@
   private final RequestProfile profile;
   private final HttpServerRequest caller;
   private final boolean streaming;
+  private final long streamLifetimeMillis;
   private final Map<Integer, PlainResponse> responses = new HashMap<>(2);
   private final Map<Integer, KvLocation> handles = new HashMap<>(2);
   private final Map<UpstreamName, UpstreamDefinition> targets = new HashMap<>(2);
@@ -53,12 +59,13 @@
       ForwardedRequest request,
       RequestProfile profile,
       HttpServerRequest caller,
-      boolean streaming) {
+      Route route) {
     this.dependencies = dependencies;
     this.request = request;
     this.profile = profile;
     this.caller = caller;
-    this.streaming = streaming;
+    this.streaming = route.streaming();
+    this.streamLifetimeMillis = ForwardingRules.streamLifetimeMillis(route);
   }
 
   @Override
@@ -152,6 +159,22 @@
             .start(headers);
   }
 
+  /** Records the origin of a stream that its caller may resume, by the attempt that began it. */
+  @Override
+  public void recordVersion(LifecycleAction.RecordVersion recorded) {
+    String attempt = request.parameters().resumes().orElse(request.parameters().attempt());
+    if (!profile.repeatability().isResendable() || attempt.isEmpty()) {
+      return;
+    }
+    dependencies
+        .streams()
+        .add(
+            new StreamRecord(
+                StreamKey.of(profile.organisation(), attempt),
+                new StreamOrigin(profile.service(), recorded.version()),
+                streamLifetimeMillis));
+  }
+
   @Override
   public void deliver(int attempt) {
     Optional.ofNullable(responses.get(attempt)).ifPresent(this::respond);
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -34,17 +34,14 @@
 import org.marjoramsail.core.routing.PlainResponseTimes;
 import org.marjoramsail.core.routing.Route;
 import org.marjoramsail.core.routing.RoutingConfiguration;
+import org.marjoramsail.core.stream.StreamOrigin;
 import org.marjoramsail.daemon.request.LatencyTargets;
 import org.marjoramsail.daemon.request.NewRequest;
 import org.marjoramsail.daemon.request.RequestHandle;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** HTTP server for callers whose requests are forwarded unchanged. Runs on one event loop. */
 public final class ForwardServer {
 
-  private static final Logger LOG = LoggerFactory.getLogger(ForwardServer.class);
-
   /** Exceeds the idle timeout of callers, so that the caller closes an idle connection first. */
   private static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
@@ -62,6 +59,7 @@
   private final PlainResponseTimes plainResponseTimes = new PlainResponseTimes();
   private final PathMonitor paths;
   private final RelayServer relayServer;
+  private final ResumedStreams resumedStreams;
   private final Set<HttpConnection> connections = new HashSet<>();
   private final Set<HttpConnection> busy = new HashSet<>();
   private HttpServer server;
@@ -109,6 +107,8 @@
             dependencies.liveness(),
             dependencies.clock(),
             () -> !paths.isCutOff() && !refusing);
+    this.resumedStreams =
+        new ResumedStreams(dependencies.streams(), dependencies.versions(), dependencies.meters());
     this.exchangeDependencies =
         new ForwardDependencies(
             dependencies.protocol(),
@@ -120,6 +120,7 @@
             new UpstreamProbes(
                 vertx, upstreamConnections, dependencies.liveness(), dependencies.clock()),
             dependencies.feedback(),
+            dependencies.streams(),
             this::recordOutputLength,
             plainResponseTimes::update,
             connectionCloseHeader,
@@ -350,10 +351,33 @@
             reject(request, accepted.parameters(), tooLarge(body.length(), maximum));
           }
         });
-    request.endHandler(ended -> register(accepted, body));
+    request.endHandler(ended -> received(accepted, body));
+  }
+
+  private void received(AcceptedRequest accepted, Buffer body) {
+    boolean resumes = accepted.route().streaming() && accepted.parameters().resumeAfter() > 0;
+    if (!resumes) {
+      register(accepted, body, Optional.empty());
+      return;
+    }
+    Context context = vertx.getOrCreateContext();
+    resumedStreams.find(
+        accepted.parameters(),
+        accepted.route(),
+        accepted.organisationName(),
+        origin -> context.runOnContext(ignored -> resume(accepted, body, origin)));
+  }
+
+  private void resume(AcceptedRequest accepted, Buffer body, Optional<StreamOrigin> origin) {
+    if (origin.isEmpty()) {
+      reject(
+          accepted.request(), accepted.parameters(), ResumedStreams.refusal(accepted.parameters()));
+      return;
+    }
+    register(accepted, body, origin);
   }
 
-  private void register(AcceptedRequest accepted, Buffer body) {
+  private void register(AcceptedRequest accepted, Buffer body, Optional<StreamOrigin> origin) {
     HttpServerRequest request = accepted.request();
     Route route = accepted.route();
     if (request.response().closed()) {
@@ -373,13 +397,9 @@
             hasBody,
             accepted.parameters(),
             accepted.organisation().map(OrganisationDefinition::name));
-    RequestProfile profile = profileOf(forwarded, accepted);
-    if (accepted.parameters().resumeAfter() > 0) {
-      logResumed(accepted.parameters(), profile);
-    }
-    boolean streaming = route.streaming();
+    RequestProfile profile = profileOf(forwarded, accepted, origin);
     ForwardExchange exchange =
-        new ForwardExchange(exchangeDependencies, forwarded, profile, request, streaming);
+        new ForwardExchange(exchangeDependencies, forwarded, profile, request, route);
     Context context = vertx.getOrCreateContext();
     RequestHandle handle =
         dependencies
@@ -398,21 +418,16 @@
     request.response().closeHandler(closed -> handle.callerDisconnected());
   }
 
-  private static void logResumed(CallerParameters parameters, RequestProfile profile) {
-    LOG.atInfo()
-        .addKeyValue("request", profile.id().value())
-        .addKeyValue("service", profile.service())
-        .addKeyValue("resumes", parameters.resumes().orElse(""))
-        .addKeyValue("lastEvent", parameters.resumeAfter())
-        .log("caller resumes a stream");
-  }
-
-  private RequestProfile profileOf(ForwardedRequest request, AcceptedRequest accepted) {
+  private RequestProfile profileOf(
+      ForwardedRequest request, AcceptedRequest accepted, Optional<StreamOrigin> origin) {
     CallerParameters parameters = accepted.parameters();
     Route route = accepted.route();
     long receivedAtMillis = accepted.receivedAtMillis();
     boolean generation = route.streaming() && parameters.promptTokens() > 0;
-    String service = route.serviceFor(Fingerprint.of(parameters.attempt(), new byte[0]));
+    String service =
+        origin
+            .map(StreamOrigin::service)
+            .orElseGet(() -> route.serviceFor(Fingerprint.of(parameters.attempt(), new byte[0])));
     int outputTokens =
         generation
             ? dependencies
@@ -424,7 +439,7 @@
         new RequestId(parameters.attempt() + "." + dependencies.daemon().host() + "." + sequence++),
         dependencies.daemon(),
         service,
-        request.organisation().orElse(route.host()),
+        accepted.organisationName(),
         route.name(),
         ServiceClass.TIMELY,
         route.repeatability(),
@@ -443,7 +458,8 @@
             .map(
                 holder ->
                     holder.countedTokens(parameters.promptTokens(), parameters.outputTokens()))
-            .orElse(0));
+            .orElse(0),
+        origin.map(StreamOrigin::version));
   }
 
   /** Reports the connections to upstreams that are opened. */
@@ -474,7 +490,13 @@
       CallerParameters parameters,
       Route route,
       Optional<OrganisationDefinition> organisation,
-      long receivedAtMillis) {}
+      long receivedAtMillis) {
+
+    /** Returns the organisation of the caller, or the host if callers need no key. */
+    String organisationName() {
+      return organisation.map(OrganisationDefinition::name).orElse(route.host());
+    }
+  }
 
   private static long fingerprint(String service, ForwardedRequest request) {
     String line = request.method() + " " + request.uri() + "\n";
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerDependencies.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerDependencies.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.daemon.forward;
 
+import io.micrometer.core.instrument.MeterRegistry;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -26,6 +27,9 @@
  * @param tokensPerEvent returns the number of tokens in an event of a service's streams
  * @param liveness receives reports about the liveness of upstreams
  * @param feedback records what upstreams report of themselves
+ * @param streams origins of streams that callers may resume
+ * @param versions software versions in the list of upstreams
+ * @param meters counts resumed streams
  * @param forecast predicts output lengths
  * @param refused receives requests that are refused before they are registered
  * @param connectFaults {@link ConnectFaults#NONE} outside of tests
@@ -44,6 +48,9 @@
     Function<String, Integer> tokensPerEvent,
     LivenessListener liveness,
     UpstreamFeedbackRecorder feedback,
+    StreamDirectory streams,
+    ListedVersions versions,
+    MeterRegistry meters,
     OutputForecast forecast,
     Consumer<Refusal> refused,
     ConnectFaults connectFaults,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -1,9 +1,12 @@
 package org.marjoramsail.daemon.forward;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import org.marjoramsail.core.configuration.Configuration;
@@ -11,12 +14,16 @@
 import org.marjoramsail.core.discovery.DiscoveredUpstreams;
 import org.marjoramsail.core.discovery.ListedUpstream;
 import org.marjoramsail.core.model.Incarnation;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.model.UpstreamRole;
 import org.marjoramsail.core.routing.EngineProfile;
 import org.marjoramsail.core.routing.PoolConfiguration;
+import org.marjoramsail.core.routing.Route;
 import org.marjoramsail.core.routing.RoutedService;
 import org.marjoramsail.core.routing.RoutingConfiguration;
+import org.marjoramsail.core.routing.WeightedService;
+import org.marjoramsail.core.stream.StreamOrigin;
 import org.marjoramsail.core.time.Clock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,7 +32,7 @@
  * Routes and upstreams that this daemon uses, and the pools that result from both. Older versions
  * of the routes never replace newer ones. Runs on one event loop.
  */
-public final class ForwardingState {
+public final class ForwardingState implements ListedVersions {
 
   private static final Logger LOG = LoggerFactory.getLogger(ForwardingState.class);
 
@@ -36,6 +43,7 @@
   private Optional<RoutingConfiguration> routing = Optional.empty();
   private volatile Configuration configuration = Configuration.empty();
   private Set<Incarnation> incarnations = Set.of();
+  private Map<String, Long> servicesSinceMillis = Map.of();
   private boolean batching;
   private boolean publishPending;
   private boolean upstreamListReachable = true;
@@ -78,6 +86,7 @@
     if (routing.filter(current -> current.version() >= newer.version()).isPresent()) {
       return;
     }
+    recordServices(newer);
     routing = Optional.of(newer);
     LOG.atInfo().addKeyValue("version", newer.version()).log("routes in force");
     for (String organisation : newer.keys().organisationsWithDuplicateKeys()) {
@@ -129,6 +138,7 @@
                     routing.filter(current -> current.version() >= received.version()).isEmpty())
             .isPresent();
     if (newer) {
+      routes.ifPresent(this::recordServices);
       routing = routes;
     }
     if (discoveredUpstreams.listedByPeer(upstreams) || newer) {
@@ -175,6 +185,9 @@
           .addKeyValue("upstream", listed.definition().name())
           .addKeyValue("service", listed.definition().service())
           .addKeyValue("role", listed.definition().role())
+          .addKeyValue(
+              "version",
+              listed.definition().softwareVersion().map(SoftwareVersion::value).orElse(""))
           .addKeyValue("leaving", listed.definition().drained())
           .addKeyValue("revision", listed.revision())
           .log("upstream listed");
@@ -257,6 +270,47 @@
     return routing.flatMap(known -> known.service(service)).flatMap(RoutedService::engines);
   }
 
+  @Override
+  public Optional<StreamOrigin> onlyOrigin(Route route, long withinMillis) {
+    long sinceMillis = clock.millis() - withinMillis;
+    boolean hadOneService =
+        route.services().size() == 1
+            && servicesSinceMillis.getOrDefault(route.name(), Long.MAX_VALUE) <= sinceMillis;
+    if (!hadOneService) {
+      return Optional.empty();
+    }
+    String service = route.services().get(0).service();
+    return discoveredUpstreams
+        .onlyVersionSince(service, sinceMillis)
+        .map(version -> new StreamOrigin(service, version));
+  }
+
+  @Override
+  public String describe(String service) {
+    Map<SoftwareVersion, Long> countByVersion =
+        configuration.upstreams().stream()
+            .filter(upstream -> upstream.service().equals(service))
+            .flatMap(upstream -> upstream.softwareVersion().stream())
+            .collect(
+                Collectors.groupingBy(version -> version, TreeMap::new, Collectors.counting()));
+    return countByVersion.toString();
+  }
+
+  /** Records since when each route has its services. */
+  private void recordServices(RoutingConfiguration newer) {
+    Map<String, List<WeightedService>> before =
+        routing.stream()
+            .flatMap(known -> known.routes().all().stream())
+            .collect(Collectors.toMap(Route::name, Route::services, (first, second) -> first));
+    Map<String, Long> since = new HashMap<>();
+    for (Route route : newer.routes().all()) {
+      boolean isSame = route.services().equals(before.get(route.name()));
+      since.put(
+          route.name(), isSame ? servicesSinceMillis.get(route.name()) : (Long) clock.millis());
+    }
+    servicesSinceMillis = since;
+  }
+
   /** Returns the number of engines in the pools. */
   public int engineCount() {
     return (int)
--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
@@ -28,6 +28,9 @@
 import org.marjoramsail.core.outcome.CrashReportMessage;
 import org.marjoramsail.core.placement.OrganisationUsageMessage;
 import org.marjoramsail.core.placement.PlacementMessage;
+import org.marjoramsail.core.stream.StreamQueryMessage;
+import org.marjoramsail.core.stream.StreamRecordsMessage;
+import org.marjoramsail.core.stream.StreamResultMessage;
 import org.marjoramsail.daemon.operator.DrainHostMessage;
 import org.marjoramsail.daemon.operator.LiftQuarantineMessage;
 import org.marjoramsail.daemon.operator.OperatorQueryMessage;
@@ -72,6 +75,9 @@
   CLAIM(71, ClaimMessage.class),
   CLAIM_RESULT(72, ClaimResultMessage.class),
   SETTLE(73, SettleMessage.class),
+  STREAM_RECORDS(74, StreamRecordsMessage.class),
+  STREAM_QUERY(75, StreamQueryMessage.class),
+  STREAM_RESULT(76, StreamResultMessage.class),
   OPERATOR_QUESTION(90, OperatorQueryMessage.class),
   OPERATOR_ANSWER(91, OperatorResultMessage.class),
   DRAIN_HOST(92, DrainHostMessage.class),
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
@@ -48,6 +48,8 @@
     if (action instanceof LifecycleAction.EmitToken token) {
       meter.token();
       sink.token(token.index(), token.text());
+    } else if (action instanceof LifecycleAction.RecordVersion version) {
+      sender.recordVersion(version);
     } else if (action instanceof LifecycleAction.Complete complete) {
       meter.completed();
       sink.complete(complete.completion());
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/AttemptSender.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/AttemptSender.java
@@ -25,6 +25,9 @@
   /** Makes an upstream release the resources of an attempt; an event confirms it. */
   void cancel(LifecycleAction.Cancel cancel, Consumer<LifecycleEvent> events);
 
+  /** Records the software version of an output whose first token is sent to the caller next. */
+  default void recordVersion(LifecycleAction.RecordVersion version) {}
+
   /** Sends the whole response that an attempt received to the caller. */
   void deliver(int attempt);
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -511,7 +511,8 @@
         nowMillis + TARGET_MILLIS,
         nowMillis + deadlineMillis,
         StreamChunking.SINGLE_TOKENS,
-        0);
+        0,
+        Optional.empty());
   }
 
   private static LifecyclePolicy policy(RequestKind kind) {
