--- a/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
+++ b/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
@@ -172,6 +172,13 @@
                 output.printf(
                     "arrived too late: %s from %s at %s after %d ms%n",
                     late.request(), late.host(), late.upstream(), late.afterMillis()));
+    output.printf(
+        "%d of %d new streams began, %d of %d resumed streams went on%n",
+        report.streams().begun(),
+        report.streams().sent(),
+        report.streams().continued(),
+        report.streams().resumed());
+    report.streams().mixed().forEach(mixed -> output.println("several versions in " + mixed));
     report.ranTwice().forEach(request -> output.println("ran twice: " + request));
     report
         .falselyNotRun()
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -76,6 +76,17 @@
           service(random), random.nextDouble() / 2, random.nextInt(3) > 0, millis(random), random);
     }
   },
+  /** Engines are replaced one after the other by engines of another software version. */
+  ENGINES_RELEASED {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      stage.releaseEngines(
+          random.nextDouble(),
+          100 + random.nextInt(MOST_RELEASE_GAP_MILLIS),
+          millis(random),
+          random);
+    }
+  },
   /** The network paths to servers are cut for a time. */
   SERVER_PATHS_CUT {
     @Override
@@ -102,6 +113,7 @@
 
   private static final int MOST_DOWN_MILLIS = 2_000;
   private static final int MOST_PAUSE_MILLIS = 3_700;
+  private static final int MOST_RELEASE_GAP_MILLIS = 500;
   private static final int LEAST_MILLIS = 1_000;
   private static final int MOST_MILLIS = 8_000;
 
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
@@ -29,7 +29,7 @@
  */
 public final class PlatformSoak {
 
-  private static final ServerStandIn.Pace ENGINE_PACE = new ServerStandIn.Pace(2, 30, 90, 14);
+  private static final ServerStandIn.Pace ENGINE_PACE = new ServerStandIn.Pace(30, 30, 90, 16);
   private static final ServerStandIn.Pace PLAIN_PACE = new ServerStandIn.Pace(1, 43, 0, 30);
   private static final long MILLIS_PER_SECOND = 1_000;
   private static final long START_SECONDS = 180;
@@ -84,7 +84,8 @@
     PlatformProcesses daemons = processes(vertx, platform, setup, arrivals);
     Random random = new Random(setup.seed());
     SoakLoad load =
-        new SoakLoad(vertx, clock, setup, daemons, arrivals, new Random(random.nextLong()));
+        new SoakLoad(
+            vertx, clock, setup, platform, daemons, arrivals, new Random(random.nextLong()));
     try {
       FleetRun.await("start", daemons.startAll(), START_SECONDS);
       long loadMillis = setup.seconds() * MILLIS_PER_SECOND;
@@ -188,6 +189,7 @@
         faults,
         arrivals.worstWindows(),
         arrivals.draining(),
+        load.streams(),
         ranTwice,
         load.toldNotRun().stream().filter(ran::contains).toList());
   }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
@@ -14,6 +14,7 @@
  * @param faults how often each kind of fault happened
  * @param retries for each service, the window with the most retries beyond what is allowed
  * @param draining what arrived at servers that were leaving
+ * @param streams which streams changed their software version, and which went on
  * @param ranTwice requests that ran more than once although they may not
  * @param falselyNotRun requests that ran although their callers were told that they did not
  */
@@ -24,6 +25,7 @@
     Map<PlatformFault, Integer> faults,
     Map<String, ArrivalLog.Window> retries,
     Draining draining,
+    Streams streams,
     List<String> ranTwice,
     List<String> falselyNotRun) {
 
@@ -58,6 +60,32 @@
     }
   }
 
+  /**
+   * Streams of callers that resume what is broken off. Counted are those at daemons that nothing
+   * disturbed; of the resumed ones, those of a version that two engines serve.
+   *
+   * @param sent new streams
+   * @param begun new streams with an event
+   * @param resumed resumed streams
+   * @param continued resumed streams with a further event
+   * @param mixed all streams with events of several software versions, at any daemon
+   */
+  public record Streams(int sent, int begun, int resumed, int continued, List<String> mixed) {
+
+    /** Number of resumed streams from which on their share is judged. */
+    private static final int JUDGED = 12;
+
+    /** Copies the list, so that the value is immutable. */
+    public Streams {
+      mixed = List.copyOf(mixed);
+    }
+
+    /** Returns whether resumed streams go on at least half as often as new ones begin. */
+    boolean isContinuing() {
+      return resumed < JUDGED || 2.0 * continued * sent >= (double) begun * resumed;
+    }
+  }
+
   /** Copies the collections, so that the value is immutable. */
   public PlatformSoakReport {
     kinds = List.copyOf(kinds);
@@ -73,6 +101,8 @@
     return load.isOffered()
         && kinds.stream().allMatch(kind -> kind.servedCount() > 0)
         && draining.late().isEmpty()
+        && streams.mixed().isEmpty()
+        && streams.isContinuing()
         && ranTwice.isEmpty()
         && falselyNotRun.isEmpty()
         && retries.values().stream().noneMatch(window -> window.excess() > 0);
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
@@ -28,6 +28,7 @@
   private final long endMillis;
   private final Set<String> leaving = new HashSet<>();
   private int started;
+  private int releases;
 
   /**
    * Creates a stage.
@@ -121,16 +122,40 @@
     staying.removeAll(leaving);
     for (String name : choose(staying, servers, random)) {
       leaving.add(name);
-      String successor = name + "-successor-" + started++;
-      Future<Integer> listed = platform.addServer(successor, service, platform.stage(name));
-      listed.onSuccess(
-          port -> {
-            arrivals.observe(platform, service, successor);
-            leave(name, announced, millis);
-          });
+      replace(service, name, platform.version(name), announced, millis);
+    }
+  }
+
+  /**
+   * Replaces a share of the engines by engines of a new software version, one after the other.
+   *
+   * @param gapMillis time between two of them
+   * @param millis time for which those that leave are listed as draining
+   */
+  void releaseEngines(double servers, long gapMillis, long millis, Random random) {
+    List<String> staying = new ArrayList<>(platform.listed(PlatformStandIn.ENGINES));
+    staying.removeAll(leaving);
+    String version = "v" + (++releases + 1);
+    long delayMillis = 1;
+    for (String name : choose(staying, servers, random)) {
+      leaving.add(name);
+      vertx.setTimer(
+          delayMillis, fired -> replace(PlatformStandIn.ENGINES, name, version, true, millis));
+      delayMillis += gapMillis;
     }
   }
 
+  private void replace(
+      String service, String name, String version, boolean announced, long millis) {
+    String successor = name + "-successor-" + started++;
+    Future<Integer> listed = platform.addServer(successor, service, platform.stage(name), version);
+    listed.onSuccess(
+        port -> {
+          arrivals.observe(platform, service, successor);
+          leave(name, announced, millis);
+        });
+  }
+
   private void leave(String server, boolean announced, long millis) {
     if (announced) {
       platform.drain(server);
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpMethod;
+import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashSet;
 import java.util.List;
@@ -16,6 +17,7 @@
 import org.marjoramsail.platform.standin.CallerStandIn;
 import org.marjoramsail.platform.standin.CallerStandIn.Answer;
 import org.marjoramsail.platform.standin.PlatformStandIn;
+import org.marjoramsail.platform.standin.StreamEvent;
 
 /**
  * Callers of a soak. Each request has its time in advance, so that a busy machine delays requests
@@ -30,6 +32,14 @@
   /** Delay up to which a request counts as sent on time. */
   private static final long ON_TIME_MILLIS = 500;
 
+  /** How often a caller resumes one stream. */
+  private static final int MOST_RESUMPTIONS = 3;
+
+  /** Bounds of the time after which a caller resumes a stream. */
+  private static final int LEAST_RESUME_MILLIS = 50;
+
+  private static final int MOST_RESUME_MILLIS = 600;
+
   /** Share of the streams that may be resumed, in hundredths. */
   private static final int RESUMABLE_SHARE = 50;
 
@@ -43,6 +53,7 @@
   private final Vertx vertx;
   private final Clock clock;
   private final PlatformSoakSetup setup;
+  private final PlatformStandIn platform;
   private final PlatformProcesses daemons;
   private final SoakArrivals arrivals;
   private final Random random;
@@ -51,6 +62,7 @@
   private final Map<LossReason, Integer> losses = new EnumMap<>(LossReason.class);
   private final Set<String> once = new HashSet<>();
   private final Set<String> toldNotRun = new HashSet<>();
+  private final StreamCount streams = new StreamCount();
   private double nextAtMillis;
   private long endMillis;
   private int sequence;
@@ -60,12 +72,14 @@
       Vertx vertx,
       Clock clock,
       PlatformSoakSetup setup,
+      PlatformStandIn platform,
       PlatformProcesses daemons,
       SoakArrivals arrivals,
       Random random) {
     this.vertx = vertx;
     this.clock = clock;
     this.setup = setup;
+    this.platform = platform;
     this.daemons = daemons;
     this.arrivals = arrivals;
     this.random = random;
@@ -96,6 +110,11 @@
     return Map.copyOf(losses);
   }
 
+  /** Returns which streams changed their software version, and which went on. */
+  PlatformSoakReport.Streams streams() {
+    return streams.result();
+  }
+
   /** Returns the number of requests, with those that had no daemon to be sent to. */
   int requests() {
     return sequence;
@@ -153,22 +172,79 @@
     }
     PlatformProcesses.Entry entry = entries.get(random.nextInt(entries.size()));
     arrivals.requested(service, request, entry.host());
-    call(entry, path, request, kind);
+    Future<Answer> answer = call(entry, path, request, Map.of(CallerStandIn.ATTEMPT, request));
+    answer
+        .onSuccess(received -> answered(kind, request, received))
+        .onFailure(failure -> lost(kind, reasonOf(entry)));
+    if (path.equals(PlatformStandIn.RESUMABLE)) {
+      answer.onSuccess(received -> followStream(entry, request, received));
+    }
+  }
+
+  /** Resumes a stream that was broken off, as callers do, until it is whole or refused. */
+  private void followStream(PlatformProcesses.Entry entry, String request, Answer answer) {
+    List<StreamEvent> events = StreamEvent.in(answer.body());
+    if (arrivals.isCalm(entry.host())) {
+      streams.newStream(!events.isEmpty());
+    }
+    afterTry(request, events, answer, MOST_RESUMPTIONS);
   }
 
-  private void call(PlatformProcesses.Entry entry, String path, String request, KindCount kind) {
-    Future<Answer> answer =
-        caller.call(
+  private void afterTry(String request, List<StreamEvent> events, Answer answer, int left) {
+    boolean isBroken = !answer.whole() && !events.isEmpty();
+    if (isBroken && left > 0) {
+      vertx.setTimer(
+          LEAST_RESUME_MILLIS + random.nextInt(MOST_RESUME_MILLIS - LEAST_RESUME_MILLIS),
+          fired -> resume(request, events, left));
+    } else {
+      streams.ended(request, events);
+    }
+  }
+
+  private void resume(String request, List<StreamEvent> events, int left) {
+    List<PlatformProcesses.Entry> entries = daemons.entries();
+    if (entries.isEmpty()) {
+      streams.ended(request, events);
+      return;
+    }
+    PlatformProcesses.Entry entry = entries.get(random.nextInt(entries.size()));
+    StreamEvent last = events.get(events.size() - 1);
+    boolean isServed = platform.serving(last.version()) > 1;
+    String attempt = request + "-resumed-" + left;
+    arrivals.requested(PlatformStandIn.ENGINES, attempt, entry.host());
+    Map<String, String> headers =
+        Map.of(
+            CallerStandIn.ATTEMPT,
+            attempt,
+            CallerStandIn.RESUMES,
+            request,
+            CallerStandIn.LAST_EVENT,
+            Integer.toString(last.id()));
+    call(entry, PlatformStandIn.RESUMABLE, request, headers)
+        .onSuccess(
+            answer -> {
+              List<StreamEvent> further = StreamEvent.in(answer.body());
+              if (isServed && arrivals.isCalm(entry.host())) {
+                streams.resumedStream(!further.isEmpty());
+              }
+              List<StreamEvent> all = new ArrayList<>(events);
+              all.addAll(further);
+              afterTry(request, all, answer, left - 1);
+            })
+        .onFailure(lost -> streams.ended(request, events));
+  }
+
+  private Future<Answer> call(
+      PlatformProcesses.Entry entry, String path, String request, Map<String, String> headers) {
+    return caller
+        .call(
             entry.caller().address(),
             entry.caller().port(),
             HttpMethod.POST,
             PlatformStandIn.HOST,
             path + request,
-            Map.of(CallerStandIn.ATTEMPT, request));
-    answer
-        .timeout(CALLER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-        .onSuccess(received -> answered(kind, request, received))
-        .onFailure(failure -> lost(kind, reasonOf(entry)));
+            headers)
+        .timeout(CALLER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private LossReason reasonOf(PlatformProcesses.Entry entry) {
