Leave the upstreams of a version to continuations that wait for it

In a release few upstreams of the old version are left. New requests, which any version may serve, took each freed part of their memory while a larger continuation waited for it, so that callers who had taken up a stream were refused in the end. Upstreams of a version that a continuation waits for are now left to continuations, as long as another version can serve the request.

ContinuationPlacementTest#memoryThatIsFreedIsLeftToAContinuationThatDoesNotFitYet fails without the rule (tried); the core module's tests pass.

--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -77,7 +77,8 @@
     this.estimates = new PlacementEstimates(settings);
     this.upstreams = new ShardUpstreams(settings, estimates.outputLengths());
     this.ownerFeedback = new OwnerFeedback(upstreams);
-    this.selector = new UpstreamSelector(upstreams, estimates, setup, nowMillis);
+    this.selector =
+        new UpstreamSelector(upstreams, estimates, setup, queue::awaitedVersions, nowMillis);
     this.reservations = new SlotReservations(upstreams, estimates);
     this.waitEstimator = new WaitEstimator(upstreams, queue, estimates, selector);
     this.roles = new RoleAdvisor(upstreams, estimates, settings);
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
@@ -1,9 +1,12 @@
 package org.marjoramsail.core.placement;
 
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamRole;
 
 /**
@@ -32,18 +35,29 @@
   private final PlacementSettings settings;
   private final PlacementEstimates estimates;
   private final Function<DaemonId, Optional<String>> zoneOf;
+  private final Supplier<Set<SoftwareVersion>> awaitedVersions;
   private final long takenOverAt;
   private final long settledAt;
 
   private long kvBytesPerToken;
   private long quickUntil = Long.MIN_VALUE;
 
+  /**
+   * Creates a selector.
+   *
+   * @param awaitedVersions returns the software versions that continuations wait for
+   */
   UpstreamSelector(
-      ShardUpstreams upstreams, PlacementEstimates estimates, PlacerSetup setup, long nowMillis) {
+      ShardUpstreams upstreams,
+      PlacementEstimates estimates,
+      PlacerSetup setup,
+      Supplier<Set<SoftwareVersion>> awaitedVersions,
+      long nowMillis) {
     this.upstreams = upstreams;
     this.settings = setup.settings();
     this.estimates = estimates;
     this.zoneOf = setup.zoneOf();
+    this.awaitedVersions = awaitedVersions;
     this.takenOverAt = nowMillis;
     this.settledAt = setup.isTakenOver() ? nowMillis + settings.settlingMillis() : nowMillis;
   }
@@ -390,10 +404,37 @@
         && freeSlotsOf(upstream, nowMillis) > 0
         && isAllowed(upstream, request)
         && upstream.mayContinue(request.requiredVersion())
+        && !isLeftToContinuations(upstream, request, nowMillis)
         && !upstreams.isUnresponsive(upstream, nowMillis)
         && (role != UpstreamRole.DECODE || hasMemory(upstream, request, nowMillis));
   }
 
+  /**
+   * Returns whether an upstream is left to continuations that wait for its software version, while
+   * the request can be served by another version.
+   *
+   * <p>Guards against new requests that take each freed part of the memory of the few upstreams of
+   * a version while a larger continuation waits for it.
+   */
+  private boolean isLeftToContinuations(
+      UpstreamState upstream, PlacementRequest request, long nowMillis) {
+    Set<SoftwareVersion> awaited = awaitedVersions.get();
+    if (awaited.isEmpty() || request.requiredVersion().isPresent()) {
+      return false;
+    }
+    return isAwaited(upstream, awaited)
+        && upstreams.all().stream()
+            .anyMatch(
+                other ->
+                    other.role() == upstream.role()
+                        && other.isUsable(nowMillis)
+                        && !isAwaited(other, awaited));
+  }
+
+  private static boolean isAwaited(UpstreamState upstream, Set<SoftwareVersion> awaited) {
+    return upstream.softwareVersion().filter(awaited::contains).isPresent();
+  }
+
   private boolean hasMemory(UpstreamState upstream, PlacementRequest request, long nowMillis) {
     return upstream.hasMemoryFor(request, nowMillis, estimates.decodeMillisPerToken());
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
@@ -3,10 +3,14 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.placement.OrganisationState.OrganisationLane;
 
 /**
@@ -72,6 +76,7 @@
   private final double[] waitingPromptTokens = new double[LANES];
   private final DecayingRate[] grantRates = new DecayingRate[LANES];
   private final DecayingRate[] prefillRates = new DecayingRate[LANES];
+  private final Map<SoftwareVersion, Integer> continuations = new HashMap<>();
   private double activeWeight;
 
   WaitingQueue() {
@@ -107,6 +112,11 @@
         urgentPrefillTokens);
   }
 
+  /** Returns the software versions that continuations wait for. */
+  Set<SoftwareVersion> awaitedVersions() {
+    return continuations.keySet();
+  }
+
   /** Returns the sum of the weights of the waiting organisations, counted once for each lane. */
   double activeWeight() {
     return activeWeight;
@@ -202,11 +212,21 @@
     return count[lane] > 0 && skipped[lane] >= maximum;
   }
 
+  /** Returns a sum, or null for zero, which removes the entry of a map. */
+  private static Integer sumOrNone(Integer first, Integer second) {
+    int sum = first + second;
+    return sum == 0 ? null : sum;
+  }
+
   private void updateTotals(WaitingAttempt attempt, int sign) {
     int lane = attempt.lane();
     count[lane] += sign;
     nearDeadline[lane] += attempt.isNearDeadline() ? sign : 0;
     waitingPromptTokens[lane] += sign * (double) attempt.request().promptTokens();
+    attempt
+        .request()
+        .requiredVersion()
+        .ifPresent(version -> continuations.merge(version, sign, WaitingQueue::sumOrNone));
     attempt.organisation().waitingTokens(sign * attempt.request().countedTokens());
   }
 
--- a/core/src/test/java/org/marjoramsail/core/placement/ContinuationPlacementTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ContinuationPlacementTest.java
@@ -6,6 +6,7 @@
 import static org.marjoramsail.core.placement.PlacementFixtures.onlyGrant;
 import static org.marjoramsail.core.placement.PlacementFixtures.placer;
 import static org.marjoramsail.core.placement.PlacementFixtures.pool;
+import static org.marjoramsail.core.placement.PlacementFixtures.poolWithMemory;
 import static org.marjoramsail.core.placement.PlacementFixtures.progress;
 import static org.marjoramsail.core.placement.PlacementFixtures.refused;
 import static org.marjoramsail.core.placement.PlacementFixtures.request;
@@ -59,6 +60,34 @@
     assertThat(granted(results)).containsExactly("continuation");
   }
 
+  /** Guards against small requests that take the memory of a version from a larger continuation. */
+  @Test
+  void memoryThatIsFreedIsLeftToAContinuationThatDoesNotFitYet() {
+    ReservingPlacer bounded =
+        placer(
+            withVersions(
+                poolWithMemory(1, 2, 48, 2_000), name -> name.equals("decode-0") ? OLD : NEW));
+    bounded.place(request("old-1").tokens(10, 900).continuing(OLD).build(), 0);
+    bounded.place(request("old-2").tokens(10, 700).continuing(OLD).build(), 0);
+    bounded.place(request("waiting").tokens(10, 1_500).continuing(OLD).build(), 10);
+
+    List<PlacementResult> results =
+        new ArrayList<>(bounded.report(ended("old-2", 1, AttemptResult.COMPLETED), 20));
+    for (int number = 0; number < 4; number++) {
+      results.addAll(bounded.place(request("new-" + number).tokens(10, 200).build(), 20));
+    }
+
+    assertThat(results)
+        .filteredOn(PlacementResult.Granted.class::isInstance)
+        .hasSize(4)
+        .allSatisfy(
+            granted ->
+                assertThat(((PlacementResult.Granted) granted).grant().target().value())
+                    .isEqualTo("decode-1"));
+    assertThat(granted(bounded.report(ended("old-1", 1, AttemptResult.COMPLETED), 30)))
+        .containsExactly("waiting");
+  }
+
   /** Guards against continuations of one version that hold up the requests behind them. */
   @Test
   void continuationsThatWaitForTheirVersionHoldUpNothingElse() {
