Send the required version of a continuation beside its placement request

PlacementMessageFormatTest#theMessagesOfARequestAreSmallHoweverLongItsPromptIs failed (800 bytes, less than 800 asked): the component added to the placement request was encoded as a null in each request, most of which continue nothing. The test passes unchanged, and continuations are among the messages whose encoding is checked.

--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementMessage.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementMessage.java
@@ -3,10 +3,12 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.List;
+import java.util.Optional;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.feedback.RelayedFeedback;
 import org.marjoramsail.core.message.PeerMessage;
 import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.SoftwareVersion;
 
 /**
  * Message between an entry daemon and the owner of a shard.
@@ -32,34 +34,59 @@
     return List.of();
   }
 
-  /** Entry daemon to owner: places an attempt; repeats have no effect. */
+  /**
+   * Entry daemon to owner: places an attempt; repeats have no effect.
+   *
+   * @param requiredVersion that of the request, which is encoded here since most requests have none
+   */
   record Place(
       ShardId shard,
       PlacementRequest request,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<RelayedFeedback> conditions)
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<RelayedFeedback> conditions,
+      Optional<SoftwareVersion> requiredVersion)
       implements PlacementMessage {
 
     /** Copies the list, which is null where the encoded message has none. */
     public Place {
       conditions = orNone(conditions);
+      request = withVersion(request, requiredVersion);
+    }
+
+    /** Creates the message for a request. */
+    public Place(ShardId shard, PlacementRequest request, List<RelayedFeedback> conditions) {
+      this(shard, request, conditions, request.requiredVersion());
     }
   }
 
   /**
    * Entry daemon to owner: registers an attempt that another owner granted and that still holds its
    * upstreams.
+   *
+   * @param requiredVersion that of the request, which is encoded here since most requests have none
    */
   record Restore(
       ShardId shard,
       PlacementRequest request,
       Grant grant,
       AttemptPhase phase,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<RelayedFeedback> conditions)
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) List<RelayedFeedback> conditions,
+      Optional<SoftwareVersion> requiredVersion)
       implements PlacementMessage {
 
     /** Copies the list, which is null where the encoded message has none. */
     public Restore {
       conditions = orNone(conditions);
+      request = withVersion(request, requiredVersion);
+    }
+
+    /** Creates the message for a request. */
+    public Restore(
+        ShardId shard,
+        PlacementRequest request,
+        Grant grant,
+        AttemptPhase phase,
+        List<RelayedFeedback> conditions) {
+      this(shard, request, grant, phase, conditions, request.requiredVersion());
     }
   }
 
@@ -111,6 +138,11 @@
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   record Holding(RequestId request, int attempt, boolean granted) {}
 
+  private static PlacementRequest withVersion(
+      PlacementRequest request, Optional<SoftwareVersion> version) {
+    return version.map(request::continuing).orElse(request);
+  }
+
   private static List<RelayedFeedback> orNone(List<RelayedFeedback> conditions) {
     return conditions == null ? List.of() : List.copyOf(conditions);
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.core.placement;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonIgnore;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
@@ -44,7 +45,7 @@
  *     later attempt, whose tokens were counted before
  * @param priorCalls the calls of earlier attempts
  * @param requiredVersion the only software version that may continue the output; empty for a
- *     request without output
+ *     request without output; encoded by the messages that carry the request
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record PlacementRequest(
@@ -68,7 +69,7 @@
     StreamChunking chunking,
     int countedTokens,
     PriorCalls priorCalls,
-    Optional<SoftwareVersion> requiredVersion) {
+    @JsonIgnore Optional<SoftwareVersion> requiredVersion) {
 
   private static final int FIRST_ATTEMPT = 1;
   private static final long RETRY_MILLIS = 1_000;
@@ -77,6 +78,7 @@
   public PlacementRequest {
     prefixHashes = List.copyOf(prefixHashes);
     avoid = List.copyOf(avoid);
+    requiredVersion = requiredVersion == null ? Optional.empty() : requiredVersion;
   }
 
   /** Creates a request without output, which any software version may serve. */
@@ -203,6 +205,11 @@
     return Refusal.notRun(RefusalReason.NO_UPSTREAM, detail, RETRY_MILLIS);
   }
 
+  /** Returns a copy that only this software version may serve. */
+  PlacementRequest continuing(SoftwareVersion version) {
+    return copy(0, avoid, Optional.of(version));
+  }
+
   /** Returns a copy that also avoids the given upstreams. */
   public PlacementRequest alsoAvoiding(Set<UpstreamName> more) {
     if (avoid.containsAll(more)) {
@@ -210,7 +217,7 @@
     }
     Set<UpstreamName> all = new LinkedHashSet<>(avoid);
     all.addAll(more);
-    return copy(0, List.copyOf(all));
+    return copy(0, List.copyOf(all), requiredVersion);
   }
 
   /**
@@ -219,10 +226,11 @@
    * @param millis the elapsed time, in milliseconds
    */
   public PlacementRequest afterElapsed(long millis) {
-    return copy(millis, avoid);
+    return copy(millis, avoid, requiredVersion);
   }
 
-  private PlacementRequest copy(long millis, List<UpstreamName> avoided) {
+  private PlacementRequest copy(
+      long millis, List<UpstreamName> avoided, Optional<SoftwareVersion> version) {
     return new PlacementRequest(
         request,
         attempt,
@@ -244,6 +252,6 @@
         chunking,
         countedTokens,
         priorCalls,
-        requiredVersion);
+        version);
   }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/placement/PlacementMessageFormatTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/placement/PlacementMessageFormatTest.java
@@ -15,6 +15,8 @@
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.SoftwareVersion;
+import org.marjoramsail.core.model.StreamChunking;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.placement.AttemptPhase;
 import org.marjoramsail.core.placement.AttemptReport;
@@ -23,6 +25,7 @@
 import org.marjoramsail.core.placement.GrantMode;
 import org.marjoramsail.core.placement.PlacementMessage;
 import org.marjoramsail.core.placement.PlacementRequest;
+import org.marjoramsail.core.placement.PriorCalls;
 import org.marjoramsail.core.placement.SampledPrefixHashes;
 import org.marjoramsail.core.placement.ShardId;
 import org.marjoramsail.daemon.peer.PeerCodec;
@@ -66,6 +69,31 @@
         false);
   }
 
+  private static PlacementRequest continuation() {
+    return new PlacementRequest(
+        REQUEST,
+        2,
+        new DaemonId("entry-1", 1_764_700_000_000L),
+        "asistente-concejo",
+        "puente-alto",
+        "proposal-summary",
+        ServiceClass.TIMELY,
+        900,
+        113,
+        List.of(),
+        12,
+        1_988,
+        29_988,
+        List.of(),
+        Optional.empty(),
+        false,
+        0,
+        StreamChunking.SINGLE_TOKENS,
+        0,
+        PriorCalls.NONE,
+        Optional.of(new SoftwareVersion("v1.1")));
+  }
+
   private static Grant grant() {
     return new Grant(
         REQUEST,
@@ -94,6 +122,9 @@
         new PlacementMessage.Place(SHARD, request(1_000), List.of(RATE_LIMITED)),
         new PlacementMessage.Restore(
             SHARD, request(0), grant(), AttemptPhase.GENERATING, List.of(RATE_LIMITED)),
+        new PlacementMessage.Place(SHARD, continuation(), List.of()),
+        new PlacementMessage.Restore(
+            SHARD, continuation(), grant(), AttemptPhase.GENERATING, List.of()),
         new PlacementMessage.Report(SHARD, ended(), List.of(RATE_LIMITED)),
         new PlacementMessage.Withdraw(SHARD, REQUEST, 2),
         new PlacementMessage.Holdings(
