Infer the origin of a stream on the event loop that owns the lists

The result of a search arrives on the thread of the peers, and the inference from the list of upstreams, which is not thread-safe, ran there. Found by reading; no test showed it, as the paths under test share a loop or find a record.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -365,7 +365,8 @@
         accepted.parameters(),
         accepted.route(),
         accepted.organisationName(),
-        origin -> context.runOnContext(ignored -> resume(accepted, body, origin)));
+        task -> context.runOnContext(ignored -> task.run()),
+        origin -> resume(accepted, body, origin));
   }
 
   private void resume(AcceptedRequest accepted, Buffer body, Optional<StreamOrigin> origin) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ResumedStreams.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ResumedStreams.java
@@ -5,6 +5,7 @@
 import java.util.EnumMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
@@ -19,7 +20,7 @@
 
 /**
  * Finds where the streams began that callers resume. A stream whose origin is not known is refused,
- * never continued on a guess.
+ * never continued on a guess. Runs on one event loop.
  */
 final class ResumedStreams {
 
@@ -45,19 +46,22 @@
    * Finds the origin of a stream.
    *
    * @param organisation the organisation of the caller
-   * @param listener receives the origin, or empty if it is not known; called once, on any thread
+   * @param eventLoop runs tasks on the event loop
+   * @param listener receives the origin, or empty if it is not known; called once
    */
   void find(
       CallerParameters parameters,
       Route route,
       String organisation,
+      Executor eventLoop,
       Consumer<Optional<StreamOrigin>> listener) {
     if (parameters.resumes().isEmpty()) {
       listener.accept(inferred(parameters, route, ResumeOutcome.UNNAMED));
       return;
     }
     StreamKey key = StreamKey.of(organisation, parameters.resumes().get());
-    directory.find(key, result -> listener.accept(found(parameters, route, result)));
+    directory.find(
+        key, result -> eventLoop.execute(() -> listener.accept(found(parameters, route, result))));
   }
 
   /** Returns the refusal of a stream whose origin is not known. */
