An owner that knows no upstreams asks callers of continuations back

Four were refused as version-unavailable, without a time to retry, while engines of v2 served: six daemons had started again 1.3 s before, the store did not answer, and the owner of the pool had no list yet. It may not say that no upstream of the version is left. Where no upstream of the pool is known, the refusal is no-upstream, with a time to retry, as for new requests.

ContinuationPlacementTest#anOwnerThatKnowsNoUpstreamAsksTheCallerOfAContinuationBack failed before.

--- a/core/src/main/java/org/marjoramsail/core/placement/ArrivalCheck.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ArrivalCheck.java
@@ -69,7 +69,8 @@
                         && !request.avoid().contains(upstream.name()));
     return isAnyCandidate
         ? Optional.empty()
-        : Optional.of(request.refusalWithoutUpstream(shard.toString()));
+        : Optional.of(
+            request.refusalWithoutUpstream(shard.toString(), upstreams.hasConfigured(role)));
   }
 
   /** Returns whether an upstream of the required version, if there is one, takes new work. */
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementRequest.java
@@ -194,9 +194,10 @@
    * continued has to be begun anew, so that its refusal has no time to retry.
    *
    * @param pool the upstreams that were considered
+   * @param isPoolKnown whether any are known; a daemon that has just started may know none
    */
-  public Refusal refusalWithoutUpstream(String pool) {
-    if (requiredVersion.isPresent()) {
+  public Refusal refusalWithoutUpstream(String pool, boolean isPoolKnown) {
+    if (requiredVersion.isPresent() && isPoolKnown) {
       String detail =
           "No upstream of " + pool + " is left that runs version " + requiredVersion.get() + ".";
       return Refusal.notRun(RefusalReason.VERSION_UNAVAILABLE, detail);
--- a/core/src/test/java/org/marjoramsail/core/placement/ContinuationPlacementTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/ContinuationPlacementTest.java
@@ -130,6 +130,21 @@
     assertThat(refused(results)).singleElement().satisfies(this::isRefusedForItsVersion);
   }
 
+  /** Guards against an owner without a list that sends callers away for good. */
+  @Test
+  void anOwnerThatKnowsNoUpstreamAsksTheCallerOfAContinuationBack() {
+    List<PlacementResult> results =
+        placer(pool(0, 0, SLOTS)).place(request("old").tokens(10, 10).continuing(OLD).build(), 0);
+
+    assertThat(refused(results))
+        .singleElement()
+        .satisfies(
+            refused -> {
+              assertThat(refused.refusal().reason()).isEqualTo(RefusalReason.NO_UPSTREAM);
+              assertThat(refused.refusal().retryAfterMillis()).isPresent();
+            });
+  }
+
   /** Guards against a change of role that takes a version its last decode upstream. */
   @Test
   void theLastDecodeUpstreamOfAVersionKeepsItsRole() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -114,7 +114,9 @@
   public void place(PlacementRequest request, Consumer<PlacementResult> result) {
     Optional<ShardId> shard = topology.shardFor(request);
     if (shard.isEmpty()) {
-      Refusal refusal = request.refusalWithoutUpstream("service '" + request.service() + "'");
+      boolean isPoolKnown = topology.shardCount(request.service()) > 0;
+      Refusal refusal =
+          request.refusalWithoutUpstream("service '" + request.service() + "'", isPoolKnown);
       result.accept(
           new PlacementResult.Refused(self, request.request(), request.attempt(), refusal));
       return;
