--- a/command/src/main/java/org/marjoramsail/command/platform/StreamCount.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/StreamCount.java
@@ -13,13 +13,13 @@
   private int resumed;
   private int continued;
 
-  /** Records the result of a stream that was sent to a calm daemon. */
+  /** Counts a new stream that was sent to a daemon without a recent fault. */
   void newStream(boolean hasBegun) {
     sent++;
     begun += hasBegun ? 1 : 0;
   }
 
-  /** Records the result of a stream that was resumed at a calm daemon and could have gone on. */
+  /** Counts a stream that was resumed at such a daemon while engines of its version served. */
   void resumedStream(boolean hasContinued) {
     resumed++;
     continued += hasContinued ? 1 : 0;
