Placement requests of a request in a class of their own

What a placement request says, and the upstreams that it avoids, move to AttemptPlacement. No change of behaviour.

--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptPlacement.java
@@ -0,0 +1,65 @@
+package org.marjoramsail.core.outcome;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.placement.PlacementRequest;
+import org.marjoramsail.core.placement.PriorCalls;
+
+/** Creates the placement requests of one request, which avoid the upstreams that failed it. */
+final class AttemptPlacement {
+
+  private final RequestProfile profile;
+  private final LifecyclePolicy policy;
+  private final QuarantineGuard guard;
+  private final Set<UpstreamName> failedUpstreams = new LinkedHashSet<>();
+
+  AttemptPlacement(RequestProfile profile, LifecyclePolicy policy, QuarantineGuard guard) {
+    this.profile = profile;
+    this.policy = policy;
+    this.guard = guard;
+  }
+
+  /** Records that an attempt failed on an upstream, which later attempts avoid. */
+  void failedOn(UpstreamName upstream) {
+    failedUpstreams.add(upstream);
+  }
+
+  /** Returns whether some upstreams are avoided only because they hold other suspects now. */
+  boolean isAvoidingSuspects(long nowMillis) {
+    return guard.isAvoidingSuspects(failedUpstreams, nowMillis);
+  }
+
+  /**
+   * Returns the placement request of an attempt.
+   *
+   * @param isolated whether the attempt may not share an upstream with a suspect
+   */
+  PlacementRequest request(
+      int attempt,
+      StreamOutput output,
+      RequestProgress progress,
+      Optional<KvSource> usableKv,
+      PriorCalls priorCalls,
+      boolean isolated,
+      long nowMillis) {
+    // A grant is useless after the deadline, or once the caller has given up waiting.
+    long usefulUntilMillis =
+        Math.min(
+            profile.deadlineAtMillis(),
+            progress.callerWaitsUntilMillis(policy.callerPatienceMillis()));
+    List<UpstreamName> avoided =
+        isolated ? guard.upstreamsToAvoid(failedUpstreams) : List.copyOf(failedUpstreams);
+    return new PlacementRequestBuilder(
+            profile,
+            attempt,
+            output.generatedTokens(),
+            usefulUntilMillis,
+            usableKv,
+            priorCalls,
+            output.requiredVersion())
+        .build(nowMillis, avoided, isolated);
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -1,10 +1,8 @@
 package org.marjoramsail.core.outcome;
 
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Stream;
 import org.marjoramsail.core.failure.Refusal;
@@ -15,7 +13,6 @@
 import org.marjoramsail.core.placement.AttemptResult;
 import org.marjoramsail.core.placement.Grant;
 import org.marjoramsail.core.placement.GrantMode;
-import org.marjoramsail.core.placement.PlacementRequest;
 
 /**
  * State machine of one request, from its arrival to its single final response.
@@ -34,13 +31,13 @@
   private final Invariants invariants;
   private final OutstandingAttempts outstanding;
   private final QuarantineGuard guard;
+  private final AttemptPlacement placement;
   private final KvTransferState kv;
   private final AttemptHistory history;
   private final BackOff backOff;
   private final FinalResponse finalResponse = new FinalResponse();
   private final RequestProgress progress;
   private final StreamOutput output;
-  private final Set<UpstreamName> failedUpstreams = new LinkedHashSet<>();
   private List<LifecycleAction> actions = new ArrayList<>();
 
   private LifecycleState state = LifecycleState.RECEIVED;
@@ -64,6 +61,7 @@
         new OutstandingAttempts(
             policy, (ended, upstream) -> quarantine.released(upstream, profile.id(), ended));
     this.guard = new QuarantineGuard(profile, policy, quarantine, outstanding);
+    this.placement = new AttemptPlacement(profile, policy, guard);
     this.kv = new KvTransferState(policy, outstanding);
     this.history = new AttemptHistory(profile, invariants);
     this.backOff = new BackOff(policy, random);
@@ -180,27 +178,16 @@
     attempt++;
     firstFrameSeen = false;
     state = LifecycleState.PLACING;
-    actions.add(new LifecycleAction.Place(placementRequest(suspicion == Suspicion.SUSPECT)));
-  }
-
-  private PlacementRequest placementRequest(boolean isolated) {
-    // A grant is useless after the deadline, or once the caller has given up waiting.
-    long usefulUntilMillis =
-        Math.min(
-            profile.deadlineAtMillis(),
-            progress.callerWaitsUntilMillis(policy.callerPatienceMillis()));
-    return new PlacementRequestBuilder(
-            profile,
-            attempt,
-            output.generatedTokens(),
-            usefulUntilMillis,
-            kv.usable(nowMillis),
-            history.priorCalls(),
-            output.requiredVersion())
-        .build(
-            nowMillis,
-            isolated ? guard.upstreamsToAvoid(failedUpstreams) : List.copyOf(failedUpstreams),
-            isolated);
+    actions.add(
+        new LifecycleAction.Place(
+            placement.request(
+                attempt,
+                output,
+                progress,
+                kv.usable(nowMillis),
+                history.priorCalls(),
+                suspicion == Suspicion.SUSPECT,
+                nowMillis)));
   }
 
   void granted(Grant newGrant) {
@@ -298,7 +285,7 @@
     }
     state = LifecycleState.BACKING_OFF;
     if (refused.refusal().reason() == RefusalReason.NO_UPSTREAM
-        && guard.isAvoidingSuspects(failedUpstreams, nowMillis)) {
+        && placement.isAvoidingSuspects(nowMillis)) {
       waitUntilMillis = nowMillis + UNSETTLED_RECHECK_MILLIS;
     } else {
       refuse(refused.refusal());
@@ -422,7 +409,7 @@
       refuse(RefusalReason.UPSTREAM_FAILED, "The upstream responded with a failure.");
       return;
     }
-    failedUpstreams.add(upstream);
+    placement.failedOn(upstream);
     actions.add(new LifecycleAction.CountRetry(RetryReason.UPSTREAM_ERROR, true));
     progress.stopExpectingProgress();
     tryToPlace();
@@ -478,7 +465,7 @@
     if (failure == UpstreamFailure.KV_EXPIRED) {
       kv.release();
     } else {
-      failedUpstreams.add(upstream);
+      placement.failedOn(upstream);
     }
     if (history.mayHaveRun() && !profile.repeatability().isResendable()) {
       refuse(
