--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
@@ -135,6 +135,17 @@
    */
   record CountRetry(RetryReason reason, boolean fromBudget) implements LifecycleAction {}
 
+  /**
+   * Records that an attempt has made no progress for too long.
+   *
+   * @param attempt number of the attempt
+   * @param upstream the upstream that works on it
+   * @param phase what the upstream is doing
+   * @param emittedTokens number of tokens that the caller was sent
+   */
+  record RecordSilence(int attempt, UpstreamName upstream, LifecycleState phase, int emittedTokens)
+      implements LifecycleAction {}
+
   /**
    * Counts a dropped event or cancel.
    *
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -521,10 +521,16 @@
     } else if (state == LifecycleState.BACKING_OFF && nowMillis >= waitUntilMillis) {
       tryToPlace();
     } else if (state.isRunning() && nowMillis >= progress.stallAtMillis()) {
+      recordSilence();
       failCurrent(UpstreamFailure.TIMED_OUT);
     }
   }
 
+  private void recordSilence() {
+    UpstreamName upstream = guard.runningOn().orElseThrow();
+    actions.add(new LifecycleAction.RecordSilence(attempt, upstream, state, output.tokens()));
+  }
+
   private void refuseQuarantined() {
     refuse(RefusalReason.QUARANTINED, guard.refusalDetail());
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -17,6 +17,7 @@
 import org.marjoramsail.core.outcome.DropReason;
 import org.marjoramsail.core.outcome.Invariant;
 import org.marjoramsail.core.outcome.Invariants;
+import org.marjoramsail.core.outcome.LifecycleState;
 import org.marjoramsail.daemon.request.LatencyViolation;
 
 /**
@@ -30,6 +31,8 @@
   private static final String PREFIX = "marjoramsail.";
 
   private final Map<RunState, Map<RefusalReason, Counter>> refused = new EnumMap<>(RunState.class);
+  private final Map<RefusalReason, Counter> brokenOff;
+  private final Map<LifecycleState, Counter> silentAttempts;
   private final Map<RetryReason, Counter> retries;
   private final Map<DropReason, Counter> drops;
   private final Map<LatencyViolation, Counter> latencyViolations;
@@ -55,6 +58,9 @@
     for (RunState run : RunState.values()) {
       refused.put(run, refusals(registry, run));
     }
+    this.brokenOff =
+        perReason(registry, RefusalReason.class, "requests.broken.off", RefusalReason::code);
+    this.silentAttempts = silentAttempts(registry);
     this.retries = perReason(registry, RetryReason.class, "retries", RetryReason::code);
     this.budgetedRetries = registry.counter(PREFIX + "retries.by.budget", "budget", "drawn");
     this.freeRetries = registry.counter(PREFIX + "retries.by.budget", "budget", "free");
@@ -90,6 +96,17 @@
     return counters;
   }
 
+  private static Map<LifecycleState, Counter> silentAttempts(MeterRegistry registry) {
+    Map<LifecycleState, Counter> counters = new EnumMap<>(LifecycleState.class);
+    Arrays.stream(LifecycleState.values())
+        .filter(LifecycleState::isRunning)
+        .forEach(
+            phase ->
+                counters.put(
+                    phase, registry.counter(PREFIX + "attempts.silent", "phase", phase.code())));
+    return counters;
+  }
+
   private static <R extends Enum<R>> Map<R, Counter> perReason(
       MeterRegistry registry, Class<R> type, String name, Function<R, String> code) {
     Map<R, Counter> counters = new EnumMap<>(type);
@@ -137,6 +154,16 @@
     refused.get(refusal.runState()).get(refusal.reason()).increment();
   }
 
+  /** Counts a request whose output was broken off after its caller was sent a part of it. */
+  public void brokenOff(Refusal refusal) {
+    brokenOff.get(refusal.reason()).increment();
+  }
+
+  /** Counts an attempt that has made no progress for too long. */
+  public void silent(LifecycleState phase) {
+    silentAttempts.get(phase).increment();
+  }
+
   /** Returns the number of refused requests by reason, over all run states. */
   public Map<RefusalReason, Long> refusals() {
     Map<RefusalReason, Long> counts = new EnumMap<>(RefusalReason.class);
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
@@ -57,12 +57,15 @@
       deliver(deliver.attempt());
     } else if (action instanceof LifecycleAction.Refuse refuse) {
       meter.refused(refuse.refusal());
-      log.refused(profile, refuse.refusal());
+      log.refused(profile, refuse.refusal(), meter.hasBegun());
       sink.refuse(refuse.refusal());
     } else if (action instanceof LifecycleAction.CountRetry retry) {
       meter.retried(retry.reason(), retry.fromBudget());
     } else if (action instanceof LifecycleAction.CountDrop drop) {
       meter.dropped(drop.reason());
+    } else if (action instanceof LifecycleAction.RecordSilence silence) {
+      meter.silent(silence.phase());
+      log.silent(profile, silence);
     } else if (!runPlacement(action, events)) {
       runUpstream(action, events);
     }
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
 import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.outcome.LifecycleAction;
 import org.marjoramsail.core.outcome.RequestProfile;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -44,20 +45,36 @@
     this.configurationSummary = configurationSummary;
   }
 
-  /** Logs a refusal and its reason. */
-  void refused(RequestProfile profile, Refusal refusal) {
+  /**
+   * Logs a refusal and its reason.
+   *
+   * @param hasBegun whether the caller was sent a part of its output, which is then broken off
+   */
+  void refused(RequestProfile profile, Refusal refusal, boolean hasBegun) {
     LOG.atInfo()
         .addKeyValue("request", profile.id().value())
         .addKeyValue("service", profile.service())
         .addKeyValue("rule", profile.rule())
         .addKeyValue("reason", refusal.reason().code())
         .addKeyValue("run", refusal.runState().code())
+        .addKeyValue("brokenOff", hasBegun)
         .addKeyValue("retryAfterMillis", refusal.retryAfterMillis().orElse(-1L))
         .addKeyValue("detail", refusal.detail())
         .addKeyValue("beliefs", configurationSummary.get())
         .log("request refused");
   }
 
+  /** Logs that an attempt has made no progress for too long. */
+  void silent(RequestProfile profile, LifecycleAction.RecordSilence silence) {
+    LOG.atInfo()
+        .addKeyValue("request", profile.id().value())
+        .addKeyValue("attempt", silence.attempt())
+        .addKeyValue("upstream", silence.upstream())
+        .addKeyValue("phase", silence.phase().code())
+        .addKeyValue("pieces", silence.emittedTokens())
+        .log("attempt silent");
+  }
+
   /** Logs the trace of an ended request. */
   void ended(RequestSnapshot snapshot, Optional<LatencyViolation> violation) {
     boolean alwaysLogged =
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
@@ -3,6 +3,7 @@
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RetryReason;
 import org.marjoramsail.core.outcome.DropReason;
+import org.marjoramsail.core.outcome.LifecycleState;
 import org.marjoramsail.core.outcome.RequestProfile;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.metrics.RequestMetrics;
@@ -50,6 +51,18 @@
 
   void refused(Refusal refusal) {
     metrics.refused(refusal);
+    if (hasBegun()) {
+      metrics.brokenOff(refusal);
+    }
+  }
+
+  /** Returns whether the caller was sent a part of its output. */
+  boolean hasBegun() {
+    return tokens > 0;
+  }
+
+  void silent(LifecycleState phase) {
+    metrics.silent(phase);
   }
 
   void retried(RetryReason reason, boolean fromBudget) {
