Failing tests of upstreams that fall silent and go on

An engine stops sending on its open connections, a changed timeout is in force meanwhile, no other engine is free: after 1.2 s the daemon closes the call, which ends the run at the engine, and the caller's connection is reset though the engine goes on.

--- /dev/null
+++ b/core/src/test/java/org/marjoramsail/core/outcome/SilentAttemptTest.java
@@ -0,0 +1,341 @@
+package org.marjoramsail.core.outcome;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.Repeatability;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.ServiceClass;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.placement.Grant;
+import org.marjoramsail.core.placement.GrantMode;
+import org.marjoramsail.core.placement.PlacementRequest;
+
+/** Guards against an output that is ended because its upstream is silent for a moment. */
+final class SilentAttemptTest {
+
+  private static final long STALL_MILLIS = 1_200;
+  private static final long RESPONSE_STALL_MILLIS = 300;
+  private static final long PREFILL_STALL_MILLIS = 600;
+  private static final long DEADLINE_MILLIS = 14_000;
+  private static final int SENDS = 2;
+  private static final int TOKENS = 3;
+
+  private static final UpstreamName SILENT = new UpstreamName("engine-silent");
+  private static final UpstreamName OTHER = new UpstreamName("engine-other");
+  private static final UpstreamName PREFILL = new UpstreamName("engine-prefill");
+
+  private static final LifecyclePolicy POLICY =
+      new LifecyclePolicy(
+          SENDS + 4,
+          5,
+          100,
+          100,
+          400,
+          1_500,
+          80,
+          PREFILL_STALL_MILLIS,
+          STALL_MILLIS,
+          SENDS,
+          RESPONSE_STALL_MILLIS,
+          3_100);
+
+  private final Quarantine quarantine = new Quarantine(600_000, 500, 100, QuarantineListener.NONE);
+  private final List<LifecycleAction> actions = new ArrayList<>();
+  private RequestLifecycle request = lifecycle(Repeatability.IDEMPOTENT, true);
+  private long nowMillis;
+
+  @Test
+  void aStreamWhoseUpstreamGoesOnIsWholeThoughNoOtherWasGranted() {
+    startStream();
+    fallSilent();
+    refusePlacement();
+
+    handle(token(1, 1));
+    handle(token(1, 2));
+    handle(finished(1));
+
+    assertThat(actions).noneMatch(LifecycleAction.Refuse.class::isInstance);
+    assertThat(actions).noneMatch(action -> action.equals(new LifecycleAction.CloseAttempt(1)));
+    assertThat(tokens()).containsExactly(0, 1, 2);
+    assertThat(actions).hasAtLeastOneElementOfType(LifecycleAction.Complete.class);
+  }
+
+  @Test
+  void aPlainResponseThatComesLateIsDeliveredThoughNoOtherUpstreamWasGranted() {
+    request = lifecycle(Repeatability.IDEMPOTENT, false);
+    startPlain();
+    advance(RESPONSE_STALL_MILLIS);
+    request();
+    refusePlacement();
+
+    handle(new LifecycleEvent.PlainResponseReceived(1));
+
+    assertThat(actions).contains(new LifecycleAction.DeliverResponse(1));
+    assertThat(actions).noneMatch(LifecycleAction.Refuse.class::isInstance);
+  }
+
+  @Test
+  void aSilentAttemptGoesOnUntilAnotherGivesOutput() {
+    startStream();
+    fallSilent();
+    grantOther();
+
+    assertThat(actions).doesNotContain(new LifecycleAction.CloseAttempt(1));
+
+    handle(token(2, 1));
+
+    assertThat(actions).contains(new LifecycleAction.CloseAttempt(1));
+    assertThat(actions).contains(new LifecycleAction.Cancel(1, SILENT));
+    handle(token(2, 2));
+    handle(finished(2));
+    assertThat(tokens()).containsExactly(0, 1, 2);
+  }
+
+  @Test
+  void anAttemptThatIsStillWaitingIsWithdrawnWhenTheSilentOneGoesOn() {
+    startStream();
+    fallSilent();
+    PlacementRequest second = placed();
+
+    handle(token(1, 1));
+
+    assertThat(actions).contains(new LifecycleAction.Withdraw(second.request()));
+    assertThat(tokens()).containsExactly(0, 1);
+  }
+
+  @Test
+  void theAttemptBesideIsEndedWhenTheSilentOneGoesOn() {
+    startStream();
+    fallSilent();
+    grantOther();
+
+    handle(token(1, 1));
+    handle(token(2, 1));
+
+    assertThat(actions).contains(new LifecycleAction.CloseAttempt(2));
+    assertThat(actions).contains(new LifecycleAction.Cancel(2, OTHER));
+    assertThat(tokens()).containsExactly(0, 1);
+  }
+
+  @Test
+  void theAttemptBesideServesTheRequestWhenTheSilentOneIsCut() {
+    startStream();
+    fallSilent();
+    grantOther();
+
+    handle(new LifecycleEvent.UpstreamFailed(1, SILENT, UpstreamFailure.CUT));
+    handle(token(2, 1));
+    handle(token(2, 2));
+    handle(finished(2));
+
+    assertThat(tokens()).containsExactly(0, 1, 2);
+    assertThat(actions).hasAtLeastOneElementOfType(LifecycleAction.Complete.class);
+  }
+
+  @Test
+  void theSilentAttemptGoesOnWhenTheOneBesideItFails() {
+    startStream();
+    fallSilent();
+    grantOther();
+
+    handle(new LifecycleEvent.UpstreamFailed(2, OTHER, UpstreamFailure.MALFORMED));
+    handle(token(1, 1));
+    handle(token(1, 2));
+    handle(finished(1));
+
+    assertThat(tokens()).containsExactly(0, 1, 2);
+    assertThat(actions).noneMatch(LifecycleAction.Refuse.class::isInstance);
+  }
+
+  @Test
+  void aPrefillThatIsSilentIsUsedWhenItEndsAndNoOtherWasGranted() {
+    place();
+    handle(
+        new LifecycleEvent.Granted(
+            new Grant(
+                request.profile().id(),
+                1,
+                GrantMode.DISAGGREGATED,
+                Optional.of(PREFILL),
+                SILENT,
+                0,
+                0)));
+    advance(PREFILL_STALL_MILLIS);
+    request();
+    refusePlacement();
+
+    handle(new LifecycleEvent.Prefilled(1, "kv", 8, 0, 700, 500));
+
+    assertThat(actions).noneMatch(LifecycleAction.Refuse.class::isInstance);
+    assertThat(actions).hasAtLeastOneElementOfType(LifecycleAction.SendDecode.class);
+  }
+
+  /** The attempts of one request must hold the slots of both grants at the owner. */
+  @Test
+  void theAttemptBesideIsPlacedUnderAnIdentifierOfItsOwn() {
+    startStream();
+    fallSilent();
+
+    assertThat(placed().request()).isNotEqualTo(request.profile().id());
+    assertThat(placed().avoid()).contains(SILENT);
+    assertThat(placed().priorCalls().isAny()).isTrue();
+  }
+
+  @Test
+  void aRequestIsSentToNoMoreUpstreamsThanItsRouteAllows() {
+    startStream();
+    fallSilent();
+    grantOther();
+
+    advance(STALL_MILLIS);
+    request();
+
+    assertThat(actions.stream().filter(LifecycleAction.Place.class::isInstance)).hasSize(2);
+    assertThat(actions).noneMatch(LifecycleAction.Refuse.class::isInstance);
+  }
+
+  @Test
+  void bothAttemptsAreEndedAtTheDeadline() {
+    startStream();
+    fallSilent();
+    grantOther();
+
+    advance(DEADLINE_MILLIS);
+
+    assertThat(actions)
+        .contains(new LifecycleAction.CloseAttempt(1), new LifecycleAction.CloseAttempt(2))
+        .contains(new LifecycleAction.Cancel(1, SILENT), new LifecycleAction.Cancel(2, OTHER));
+  }
+
+  /** A content that may have crashed an upstream must not run on two of them at once. */
+  @Test
+  void aSuspectContentIsNotSentBesideItsSilentAttempt() {
+    startStream();
+    quarantine.started(OTHER, new RequestId("same-content"), 1, request.profile().fingerprint());
+    quarantine.connectionLost(OTHER, new RequestId("same-content"), 1, nowMillis);
+
+    fallSilentWithoutPlacement();
+
+    assertThat(actions.stream().filter(LifecycleAction.Place.class::isInstance)).hasSize(1);
+    handle(token(1, 1));
+    assertThat(tokens()).containsExactly(0, 1);
+  }
+
+  private void startStream() {
+    place();
+    handle(granted(1, SILENT));
+    handle(new LifecycleEvent.OutputStarted(1, SILENT, Optional.empty()));
+    handle(token(1, 0));
+  }
+
+  private void startPlain() {
+    place();
+    handle(
+        new LifecycleEvent.Granted(
+            new Grant(request.profile().id(), 1, GrantMode.PLAIN, Optional.empty(), SILENT, 0, 0)));
+  }
+
+  private void place() {
+    handle(new LifecycleEvent.Started());
+  }
+
+  private void fallSilent() {
+    fallSilentWithoutPlacement();
+    assertThat(placed().attempt()).isEqualTo(2);
+  }
+
+  private void fallSilentWithoutPlacement() {
+    advance(STALL_MILLIS);
+    request();
+  }
+
+  /** Lets the wait before a placement pass. */
+  private void request() {
+    advance(POLICY.backOffMillis());
+  }
+
+  private void advance(long millis) {
+    nowMillis += millis;
+    handle(new LifecycleEvent.TimePassed());
+  }
+
+  private void refusePlacement() {
+    Refusal refusal = Refusal.notRun(RefusalReason.RETRIES_EXHAUSTED, "no budget");
+    handle(new LifecycleEvent.PlacementRefused(placed().attempt(), refusal));
+  }
+
+  private void grantOther() {
+    handle(granted(2, OTHER));
+    handle(new LifecycleEvent.OutputStarted(2, OTHER, Optional.empty()));
+  }
+
+  private LifecycleEvent granted(int attempt, UpstreamName upstream) {
+    return new LifecycleEvent.Granted(
+        new Grant(
+            request.profile().id(),
+            attempt,
+            GrantMode.LOCAL_PREFILL,
+            Optional.empty(),
+            upstream,
+            0,
+            0));
+  }
+
+  private PlacementRequest placed() {
+    return actions.stream()
+        .filter(LifecycleAction.Place.class::isInstance)
+        .map(action -> ((LifecycleAction.Place) action).request())
+        .reduce((first, last) -> last)
+        .orElseThrow();
+  }
+
+  private List<Integer> tokens() {
+    return actions.stream()
+        .filter(LifecycleAction.EmitToken.class::isInstance)
+        .map(action -> ((LifecycleAction.EmitToken) action).index())
+        .toList();
+  }
+
+  private void handle(LifecycleEvent event) {
+    actions.addAll(request.handle(event, nowMillis));
+  }
+
+  private LifecycleEvent token(int attempt, int index) {
+    return new LifecycleEvent.TokenArrived(request.profile().id(), attempt, index, "t");
+  }
+
+  private LifecycleEvent finished(int attempt) {
+    return new LifecycleEvent.StreamFinished(request.profile().id(), attempt, TOKENS, "stop", 8, 0);
+  }
+
+  private RequestLifecycle lifecycle(Repeatability repeatability, boolean generation) {
+    RequestProfile profile =
+        new RequestProfile(
+            new RequestId("summary-1"),
+            new DaemonId("entry-1", 1),
+            "assistant",
+            "council",
+            "summaries",
+            ServiceClass.STANDARD,
+            repeatability,
+            generation,
+            false,
+            generation ? 8 : 0,
+            generation ? TOKENS : 0,
+            List.of(),
+            7,
+            0,
+            900,
+            DEADLINE_MILLIS);
+    return new RequestLifecycle(
+        profile, POLICY, quarantine, new Invariants(Invariants.Mode.THROW), new Random(1));
+  }
+}
