An attempt without progress goes on until another has given output

Callers saw: beside a change of the configuration a request that was read whole got neither an answer nor a refusal; plain requests got 502 with most of their time left.

Where none was granted (no retry budget, no room before the deadline, no upstream of the version, no attempt left) a stream that had begun was reset, although its upstream would have gone on.

Change: a silent attempt is held and another is requested beside it, under an identifier of its own, so that owners keep both grants. Whichever makes progress first serves the caller; the other is then closed and cancelled. Where no other is granted or the other fails, the silent one goes on alone, and another is requested again after twice the time. At most two run at once, at most as many as the route sends, and a request that may run once, or whose content may have crashed an upstream, never runs twice at once. Owners still learn of the silence at once, and a silent prefill is treated likewise. Why it works: nothing that runs is ended before its replacement has given output. The unused Repeatability.isHedgeable is gone.

--- a/core/src/main/java/org/marjoramsail/core/model/Repeatability.java
+++ b/core/src/main/java/org/marjoramsail/core/model/Repeatability.java
@@ -3,18 +3,16 @@
 /** Classification of requests by whether they may run more than once. */
 public enum Repeatability {
   /** Repeated runs have no further effect, such as a lookup or a generation. */
-  IDEMPOTENT(true, true),
+  IDEMPOTENT(true),
   /** May run again, but each run has a cost, such as a summary. */
-  REPEATABLE(true, false),
+  REPEATABLE(true),
   /** Must run at most once, such as a ballot or a filing receipt. */
-  AT_MOST_ONCE(false, false);
+  AT_MOST_ONCE(false);
 
   private final boolean resendable;
-  private final boolean hedgeable;
 
-  Repeatability(boolean resendable, boolean hedgeable) {
+  Repeatability(boolean resendable) {
     this.resendable = resendable;
-    this.hedgeable = hedgeable;
   }
 
   /**
@@ -23,9 +21,4 @@
   public boolean isResendable() {
     return resendable;
   }
-
-  /** Returns whether the request may be sent to two upstreams concurrently. */
-  public boolean isHedgeable() {
-    return hedgeable;
-  }
 }
--- a/core/src/main/java/org/marjoramsail/core/model/RequestId.java
+++ b/core/src/main/java/org/marjoramsail/core/model/RequestId.java
@@ -14,6 +14,14 @@
     }
   }
 
+  /**
+   * Returns the identifier under which another attempt is placed while an earlier one still holds
+   * the grant of this identifier.
+   */
+  public RequestId forAttempt(int attempt) {
+    return new RequestId(value + "#" + attempt);
+  }
+
   @Override
   public int compareTo(RequestId other) {
     return value.compareTo(other.value);
--- a/core/src/main/java/org/marjoramsail/core/outcome/AttemptHistory.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptHistory.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.marjoramsail.core.failure.RunState;
+import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.placement.AttemptPhase;
 import org.marjoramsail.core.placement.AttemptReport;
@@ -53,9 +54,18 @@
     return sends;
   }
 
-  /** Uncounts a send for which no connection was established. Prefills are not counted at all. */
-  void undoSend(boolean prefill) {
-    if (!prefill) {
+  /**
+   * Records that an attempt failed. A send for which no connection was established is not counted.
+   *
+   * @param prefill whether its prefill failed; prefills are not counted as sends
+   */
+  void recordFailure(int attempt, UpstreamFailure failure, boolean prefill) {
+    if (failure.isNotRun()) {
+      possiblyRun.remove(attempt);
+    }
+    if (!failure.isNeverSent()) {
+      upstreamReached(false);
+    } else if (!prefill) {
       sends--;
     }
   }
@@ -75,10 +85,6 @@
     return new PriorCalls(prefillAccepted, otherCallReached);
   }
 
-  void markNotRun(int attempt) {
-    possiblyRun.remove(attempt);
-  }
-
   boolean mayHaveRun() {
     return !possiblyRun.isEmpty();
   }
@@ -99,10 +105,15 @@
   }
 
   LifecycleAction progressReport(
-      int attempt, AttemptPhase phase, int cachedTokens, long tookMillis, int outputTokens) {
+      RequestId placementId,
+      int attempt,
+      AttemptPhase phase,
+      int cachedTokens,
+      long tookMillis,
+      int outputTokens) {
     return new LifecycleAction.Report(
         new AttemptReport(
-            profile.id(),
+            placementId,
             attempt,
             phase,
             Optional.empty(),
@@ -112,8 +123,23 @@
             outputTokens));
   }
 
+  /** Returns the report that an upstream makes no progress on an attempt, which still runs. */
+  static LifecycleAction silenceReport(SilentAttempt silent, int outputTokens) {
+    return new LifecycleAction.Report(
+        new AttemptReport(
+            silent.placementId(),
+            silent.number(),
+            silent.phase(),
+            Optional.of(AttemptResult.TIMED_OUT),
+            Optional.of(silent.upstream()),
+            0,
+            0,
+            outputTokens));
+  }
+
   /** Returns the report of the end of an attempt; empty when it was already reported. */
   Optional<LifecycleAction> endReport(
+      RequestId placementId,
       int attempt,
       AttemptResult result,
       Optional<UpstreamName> failedUpstream,
@@ -126,7 +152,7 @@
     return Optional.of(
         new LifecycleAction.Report(
             new AttemptReport(
-                profile.id(),
+                placementId,
                 attempt,
                 AttemptPhase.ENDED,
                 Optional.of(result),
--- a/core/src/main/java/org/marjoramsail/core/outcome/AttemptPlacement.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptPlacement.java
@@ -8,13 +8,16 @@
 import org.marjoramsail.core.placement.PlacementRequest;
 import org.marjoramsail.core.placement.PriorCalls;
 
-/** Creates the placement requests of one request, which avoid the upstreams that failed it. */
+/**
+ * Creates the placement requests of one request, which avoid the upstreams that failed it or are
+ * silent.
+ */
 final class AttemptPlacement {
 
   private final RequestProfile profile;
   private final LifecyclePolicy policy;
   private final QuarantineGuard guard;
-  private final Set<UpstreamName> failedUpstreams = new LinkedHashSet<>();
+  private final Set<UpstreamName> avoided = new LinkedHashSet<>();
 
   AttemptPlacement(RequestProfile profile, LifecyclePolicy policy, QuarantineGuard guard) {
     this.profile = profile;
@@ -22,14 +25,14 @@
     this.guard = guard;
   }
 
-  /** Records that an attempt failed on an upstream, which later attempts avoid. */
-  void failedOn(UpstreamName upstream) {
-    failedUpstreams.add(upstream);
+  /** Records that an attempt failed or is silent on an upstream, which later attempts avoid. */
+  void avoid(UpstreamName upstream) {
+    avoided.add(upstream);
   }
 
   /** Returns whether some upstreams are avoided only because they hold other suspects now. */
   boolean isAvoidingSuspects(long nowMillis) {
-    return guard.isAvoidingSuspects(failedUpstreams, nowMillis);
+    return guard.isAvoidingSuspects(avoided, nowMillis);
   }
 
   /**
@@ -38,7 +41,7 @@
    * @param isolated whether the attempt may not share an upstream with a suspect
    */
   PlacementRequest request(
-      int attempt,
+      CurrentAttempt attempt,
       StreamOutput output,
       RequestProgress progress,
       Optional<KvSource> usableKv,
@@ -50,16 +53,17 @@
         Math.min(
             profile.deadlineAtMillis(),
             progress.callerWaitsUntilMillis(policy.callerPatienceMillis()));
-    List<UpstreamName> avoided =
-        isolated ? guard.upstreamsToAvoid(failedUpstreams) : List.copyOf(failedUpstreams);
+    List<UpstreamName> allAvoided =
+        isolated ? guard.upstreamsToAvoid(avoided) : List.copyOf(avoided);
     return new PlacementRequestBuilder(
             profile,
-            attempt,
+            attempt.placementId(),
+            attempt.number(),
             output.generatedTokens(),
             usefulUntilMillis,
             usableKv,
             priorCalls,
             output.requiredVersion())
-        .build(nowMillis, avoided, isolated);
+        .build(nowMillis, allAvoided, isolated);
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CurrentAttempt.java
@@ -0,0 +1,181 @@
+package org.marjoramsail.core.outcome;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.placement.AttemptPhase;
+import org.marjoramsail.core.placement.AttemptResult;
+import org.marjoramsail.core.placement.Grant;
+
+/** The attempt of a request that its next events are about: its number, its grant, its output. */
+final class CurrentAttempt {
+
+  private final RequestId request;
+  private final QuarantineGuard guard;
+  private final OutstandingAttempts outstanding;
+  private final AttemptHistory history;
+  private final RequestProgress progress;
+  private final StreamOutput output;
+  private final KvTransferState kv;
+  private int number;
+  private int highestNumber;
+  private int abandonedBeside;
+  private RequestId placementId;
+  private Optional<Grant> grant = Optional.empty();
+  private boolean outputReceived;
+
+  CurrentAttempt(
+      RequestId request,
+      QuarantineGuard guard,
+      OutstandingAttempts outstanding,
+      AttemptHistory history,
+      RequestProgress progress,
+      StreamOutput output,
+      KvTransferState kv) {
+    this.request = request;
+    this.placementId = request;
+    this.guard = guard;
+    this.outstanding = outstanding;
+    this.history = history;
+    this.progress = progress;
+    this.output = output;
+    this.kv = kv;
+  }
+
+  /** Starts the next attempt, beside the one that is held, if any. */
+  void next(SilentAttempts silent) {
+    highestNumber++;
+    number = highestNumber;
+    placementId = silent.isPlacedAs(request) ? request.forAttempt(number) : request;
+    outputReceived = false;
+  }
+
+  /** Returns its number, from one; zero before the first attempt. */
+  int number() {
+    return number;
+  }
+
+  /** Returns whether the limits of the request allow another attempt. */
+  boolean mayBeFollowed(LifecyclePolicy policy) {
+    return highestNumber - abandonedBeside < policy.maximumAttempts()
+        && history.sends() < policy.maximumSends();
+  }
+
+  /** Records that an attempt beside a silent one came to nothing, which costs no attempt. */
+  void abandonedBeside() {
+    abandonedBeside++;
+  }
+
+  /** Returns the time until another attempt is requested again; it doubles each time. */
+  long nextStallMillis(long stallMillis) {
+    return stallMillis << abandonedBeside;
+  }
+
+  /** Returns the identifier under which it is placed. */
+  RequestId placementId() {
+    return placementId;
+  }
+
+  Optional<Grant> grant() {
+    return grant;
+  }
+
+  void granted(Grant newGrant) {
+    grant = Optional.of(newGrant);
+  }
+
+  boolean isOutputReceived() {
+    return outputReceived;
+  }
+
+  void outputReceived() {
+    outputReceived = true;
+  }
+
+  /** Returns the report of its progress to its owner. */
+  LifecycleAction report(AttemptPhase phase, int cachedTokens, long tookMillis) {
+    return history.progressReport(
+        placementId, number, phase, cachedTokens, tookMillis, output.generatedTokens());
+  }
+
+  /** Returns the report of its end to its owner; empty if it holds no grant. */
+  Optional<LifecycleAction> reportEnd(AttemptResult result, Optional<UpstreamName> failedUpstream) {
+    if (grant.isEmpty()) {
+      return Optional.empty();
+    }
+    grant = Optional.empty();
+    return history.endReport(
+        placementId, number, result, failedUpstream, output.generatedTokens(), progress);
+  }
+
+  /** Records its failure; returns the actions that end it. */
+  List<LifecycleAction> fail(UpstreamFailure failure, boolean prefill, long nowMillis) {
+    UpstreamName upstream = guard.runningOn().orElseThrow();
+    if (failure.mayBeCrash()) {
+      guard.connectionLost(number, upstream, nowMillis);
+    }
+    guard.stopRunning(number);
+    history.recordFailure(number, failure, prefill);
+    List<LifecycleAction> actions = new ArrayList<>();
+    actions.add(new LifecycleAction.CloseAttempt(number));
+    actions.addAll(outstanding.cancel(number, upstream, nowMillis));
+    reportEnd(failure.attemptResult(), Optional.of(upstream)).ifPresent(actions::add);
+    return actions;
+  }
+
+  /** Records that the upstream responded with a failure; returns the report of its end. */
+  Optional<LifecycleAction> failureResponseReceived() {
+    UpstreamName upstream = grant.orElseThrow().target();
+    history.upstreamReached(false);
+    outstanding.release(number, upstream);
+    guard.stopRunning(number);
+    kv.release();
+    return reportEnd(AttemptResult.FAILED, Optional.of(upstream));
+  }
+
+  /** Leaves the attempt to its upstream, which goes on, while another is made. */
+  SilentAttempt setAside(LifecycleState state) {
+    SilentAttempt silent =
+        new SilentAttempt(
+            number,
+            placementId,
+            state,
+            grant.orElseThrow(),
+            guard.setAside(),
+            outputReceived,
+            output.attemptVersion(),
+            kv.detach(),
+            progress.sentAtMillis());
+    grant = Optional.empty();
+    return silent;
+  }
+
+  /** Abandons this attempt; returns the actions that end it. */
+  List<LifecycleAction> abandon(LifecycleState state, long nowMillis) {
+    List<LifecycleAction> actions = new ArrayList<>();
+    if (state == LifecycleState.PLACING) {
+      actions.add(new LifecycleAction.Withdraw(placementId));
+    } else if (state.isRunning()) {
+      actions.add(new LifecycleAction.CloseAttempt(number));
+    }
+    actions.addAll(kv.cancel(nowMillis));
+    actions.addAll(outstanding.cancel(number, nowMillis));
+    guard.stopRunning(number);
+    reportEnd(AttemptResult.CANCELLED, Optional.empty()).ifPresent(actions::add);
+    return actions;
+  }
+
+  /** Replaces this attempt by one that was set aside. */
+  void resume(SilentAttempt silent) {
+    number = silent.number();
+    placementId = silent.placementId();
+    grant = Optional.of(silent.grant());
+    outputReceived = silent.outputReceived();
+    guard.resume(silent.upstream());
+    output.started(silent.version());
+    kv.attach(silent.kv());
+    progress.requestSent(silent.sentAtMillis());
+  }
+}
--- a/core/src/main/java/org/marjoramsail/core/outcome/KvTransferState.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/KvTransferState.java
@@ -47,6 +47,18 @@
     source = Optional.empty();
   }
 
+  /** Leaves the KV cache to an attempt that may still fetch it, while another is made. */
+  Optional<KvSource> detach() {
+    Optional<KvSource> detached = source;
+    source = Optional.empty();
+    return detached;
+  }
+
+  /** Takes the KV cache of an attempt that is the current one again. */
+  void attach(Optional<KvSource> detached) {
+    source = detached;
+  }
+
   void releaseExpired(long nowMillis) {
     if (source.filter(current -> nowMillis >= current.expiresAtMillis()).isPresent()) {
       release();
@@ -62,11 +74,13 @@
    * it.
    */
   List<LifecycleAction> cancel(long nowMillis) {
-    List<LifecycleAction> cancels =
-        source
-            .map(current -> outstanding.cancel(current.attempt(), current.holder(), nowMillis))
-            .orElseGet(List::of);
-    source = Optional.empty();
-    return cancels;
+    return cancel(detach(), nowMillis);
+  }
+
+  /** Returns the cancels that make the holder of a detached KV cache discard it. */
+  List<LifecycleAction> cancel(Optional<KvSource> detached, long nowMillis) {
+    return detached
+        .map(held -> outstanding.cancel(held.attempt(), held.holder(), nowMillis))
+        .orElseGet(List::of);
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
@@ -146,6 +146,16 @@
   record RecordSilence(int attempt, UpstreamName upstream, LifecycleState phase, int emittedTokens)
       implements LifecycleAction {}
 
+  /**
+   * Records what became of an attempt that had made no progress for too long.
+   *
+   * @param attempt number of the attempt
+   * @param upstream the upstream that worked on it
+   * @param outcome what became of it
+   */
+  record RecordSilenceOutcome(int attempt, UpstreamName upstream, SilenceOutcome outcome)
+      implements LifecycleAction {}
+
   /**
    * Counts a dropped event or cancel.
    *
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecyclePolicy.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecyclePolicy.java
@@ -61,6 +61,15 @@
         UNLIMITED_MILLIS);
   }
 
+  /** Returns the time without progress after which an attempt in this state counts as stalled. */
+  long stallMillis(LifecycleState state) {
+    return switch (state) {
+      case PREFILLING -> prefillStallMillis;
+      case PLAIN_RUNNING -> responseStallMillis;
+      default -> tokenStallMillis;
+    };
+  }
+
   /** Returns the limits that daemons use unless their settings differ. */
   public static LifecyclePolicy defaults() {
     return new LifecyclePolicy(6, 40, 1_000, 100, 2_000, 600_000, 150, 5_000, 5_000);
--- a/core/src/main/java/org/marjoramsail/core/outcome/OutstandingAttempts.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/OutstandingAttempts.java
@@ -76,20 +76,24 @@
 
   /** Starts to cancel one attempt, unless the upstream holds no resources for it. */
   List<LifecycleAction> cancel(int attempt, UpstreamName upstream, long nowMillis) {
-    List<LifecycleAction> actions = new ArrayList<>(1);
-    outstanding.stream()
-        .filter(each -> each.matches(attempt, upstream) && !each.cancelling)
-        .forEach(each -> actions.add(startCancel(each, nowMillis)));
-    return actions;
+    return cancelIf(each -> each.matches(attempt, upstream), nowMillis);
+  }
+
+  /** Starts to cancel one attempt on all its upstreams. */
+  List<LifecycleAction> cancel(int attempt, long nowMillis) {
+    return cancelIf(each -> each.attempt == attempt, nowMillis);
   }
 
   /** Starts to cancel all outstanding attempts. */
   List<LifecycleAction> cancelAll(long nowMillis) {
-    List<LifecycleAction> actions = new ArrayList<>(outstanding.size());
-    outstanding.stream()
-        .filter(each -> !each.cancelling)
-        .forEach(each -> actions.add(startCancel(each, nowMillis)));
-    return actions;
+    return cancelIf(each -> true, nowMillis);
+  }
+
+  private List<LifecycleAction> cancelIf(Predicate<OutstandingAttempt> condition, long nowMillis) {
+    return outstanding.stream()
+        .filter(each -> !each.cancelling && condition.test(each))
+        .map(each -> startCancel(each, nowMillis))
+        .toList();
   }
 
   /** Repeats the cancels that are due, and abandons those that are too old. */
--- a/core/src/main/java/org/marjoramsail/core/outcome/PlacementRequestBuilder.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/PlacementRequestBuilder.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.placement.PlacementRequest;
@@ -11,6 +12,7 @@
  * Builds the placement request of one attempt.
  *
  * @param profile the request
+ * @param placementId identifier under which the attempt is placed
  * @param attempt number of the attempt
  * @param generatedTokens number of tokens that the caller was already sent; they are prefilled
  *     again
@@ -21,6 +23,7 @@
  */
 record PlacementRequestBuilder(
     RequestProfile profile,
+    RequestId placementId,
     int attempt,
     int generatedTokens,
     long usefulUntilMillis,
@@ -34,7 +37,7 @@
   /** Returns the request with times relative to now, so that they hold on any clock. */
   PlacementRequest build(long nowMillis, List<UpstreamName> avoid, boolean alone) {
     return new PlacementRequest(
-        profile.id(),
+        placementId,
         attempt,
         profile.entry(),
         profile.service(),
--- a/core/src/main/java/org/marjoramsail/core/outcome/QuarantineGuard.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/QuarantineGuard.java
@@ -115,12 +115,29 @@
    * no resources for it: until its cancel arrives it may still crash the upstream.
    */
   void stopRunning(int attempt) {
-    runningOn
-        .filter(upstream -> !outstanding.isOutstanding(attempt, upstream))
-        .ifPresent(upstream -> released(attempt, upstream));
+    runningOn.ifPresent(upstream -> stopAside(attempt, upstream));
     runningOn = Optional.empty();
   }
 
+  /** Leaves the current attempt to its upstream, which goes on, while another is made. */
+  UpstreamName setAside() {
+    UpstreamName upstream = runningOn.orElseThrow();
+    runningOn = Optional.empty();
+    return upstream;
+  }
+
+  /** Makes an attempt that was set aside the current one again. */
+  void resume(UpstreamName upstream) {
+    runningOn = Optional.of(upstream);
+  }
+
+  /** Ends the work on an attempt that was set aside; see {@link #stopRunning}. */
+  void stopAside(int attempt, UpstreamName upstream) {
+    if (!outstanding.isOutstanding(attempt, upstream)) {
+      released(attempt, upstream);
+    }
+  }
+
   void released(int attempt, UpstreamName upstream) {
     quarantine.released(upstream, profile.id(), attempt);
   }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -23,7 +23,6 @@
  */
 public final class RequestLifecycle {
 
-  private static final int STALL_ESTIMATE_FACTOR = 4;
   private static final long UNSETTLED_RECHECK_MILLIS = 100;
 
   private final RequestProfile profile;
@@ -38,14 +37,14 @@
   private final FinalResponse finalResponse = new FinalResponse();
   private final RequestProgress progress;
   private final StreamOutput output;
+  private final AttemptLauncher launcher;
+  private final CurrentAttempt attempt;
+  private final SilentAttempts silent;
   private List<LifecycleAction> actions = new ArrayList<>();
 
   private LifecycleState state = LifecycleState.RECEIVED;
   private long nowMillis;
-  private int attempt;
-  private boolean firstFrameSeen;
   private long waitUntilMillis;
-  private Optional<Grant> grant = Optional.empty();
 
   /** Creates the state machine of one request. */
   public RequestLifecycle(
@@ -69,6 +68,10 @@
     this.nowMillis = profile.receivedAtMillis();
     this.progress =
         new RequestProgress(profile.receivedAtMillis(), profile.repeatability().isResendable());
+    this.launcher = new AttemptLauncher(policy, guard, outstanding, history, progress, output, kv);
+    this.attempt =
+        new CurrentAttempt(profile.id(), guard, outstanding, history, progress, output, kv);
+    this.silent = new SilentAttempts(guard, outstanding, history, kv);
   }
 
   /** Returns the request. */
@@ -83,7 +86,7 @@
 
   /** Returns the number of the current attempt, from one; zero before the first. */
   public int attempt() {
-    return attempt;
+    return attempt.number();
   }
 
   /** Returns the number of tokens that the caller has been sent. */
@@ -93,7 +96,7 @@
 
   /** Returns the upstreams of the current attempt. */
   public Optional<Grant> grant() {
-    return grant;
+    return attempt.grant();
   }
 
   /** Returns whether the request has ended and no upstream can hold resources for it. */
@@ -123,6 +126,9 @@
   public List<LifecycleAction> handle(LifecycleEvent event, long atMillis) {
     nowMillis = Math.max(nowMillis, atMillis);
     actions = new ArrayList<>();
+    if (silent.isProgress(event, profile.id())) {
+      resumeSilent(SilenceOutcome.RESUMED);
+    }
     LifecycleDispatch.dispatch(this, event);
     return actions;
   }
@@ -166,7 +172,9 @@
 
   private void tryToPlace() {
     Suspicion suspicion = guard.suspicion(nowMillis);
-    if (suspicion == Suspicion.QUARANTINED) {
+    // A content that may crash upstreams runs on one at a time.
+    if (suspicion == Suspicion.QUARANTINED
+        || (suspicion != Suspicion.CLEAR && silent.isPresent())) {
       refuseQuarantined();
       return;
     }
@@ -175,8 +183,7 @@
       waitUntilMillis = nowMillis + UNSETTLED_RECHECK_MILLIS;
       return;
     }
-    attempt++;
-    firstFrameSeen = false;
+    attempt.next(silent);
     state = LifecycleState.PLACING;
     actions.add(
         new LifecycleAction.Place(
@@ -191,11 +198,11 @@
   }
 
   void granted(Grant newGrant) {
-    if (state != LifecycleState.PLACING || newGrant.attempt() != attempt) {
+    if (state != LifecycleState.PLACING || newGrant.attempt() != attempt.number()) {
       countDrop(DropReason.LATE_GRANT);
       return;
     }
-    grant = Optional.of(newGrant);
+    attempt.granted(newGrant);
     if (guard.isQuarantined(nowMillis)) {
       state = LifecycleState.BACKING_OFF;
       refuseQuarantined();
@@ -216,22 +223,15 @@
 
   /** Ends an attempt that was granted and not run, and requests another placement soon. */
   private void postponePlacement() {
-    reportEnd(AttemptResult.CANCELLED, Optional.empty());
+    attempt.reportEnd(AttemptResult.CANCELLED, Optional.empty()).ifPresent(actions::add);
     state = LifecycleState.BACKING_OFF;
     progress.stopExpectingProgress();
     waitUntilMillis = nowMillis + UNSETTLED_RECHECK_MILLIS;
   }
 
   private void sendPrefill(Grant newGrant) {
-    UpstreamName upstream = newGrant.prefill().orElseThrow();
     state = LifecycleState.PREFILLING;
-    progress.expectProgressUntil(
-        nowMillis
-            + STALL_ESTIMATE_FACTOR * newGrant.expectedPrefillMillis()
-            + policy.prefillStallMillis());
-    outstanding.add(attempt, upstream);
-    guard.started(attempt, upstream);
-    actions.add(new LifecycleAction.SendPrefill(attempt, upstream));
+    actions.add(launcher.sendPrefill(newGrant, nowMillis));
   }
 
   private void sendDecode(Grant newGrant) {
@@ -247,18 +247,11 @@
       refuseInvariantViolation();
       return;
     }
+    if (silent.isPrefilling()) {
+      endSilent(SilenceOutcome.REPLACED, AttemptResult.CANCELLED);
+    }
     state = LifecycleState.GENERATING;
-    output.attemptStarted();
-    progress.attemptStarted();
-    long estimateMillis = newGrant.expectedPrefillMillis() + newGrant.expectedTransferMillis();
-    progress.expectWithin(
-        STALL_ESTIMATE_FACTOR * estimateMillis + policy.tokenStallMillis(), nowMillis);
-    history.recordSend(attempt);
-    outstanding.add(attempt, newGrant.target());
-    guard.started(attempt, newGrant.target());
-    actions.add(
-        new LifecycleAction.SendDecode(
-            attempt, newGrant.target(), output.tokens(), output.requiredVersion(), kv.source()));
+    actions.add(launcher.sendDecode(newGrant, nowMillis));
   }
 
   private void sendPlain(Grant newGrant) {
@@ -267,11 +260,7 @@
       return;
     }
     state = LifecycleState.PLAIN_RUNNING;
-    progress.expectWithin(policy.responseStallMillis(), nowMillis);
-    progress.requestSent(nowMillis);
-    history.recordSend(attempt);
-    guard.started(attempt, newGrant.target());
-    actions.add(new LifecycleAction.SendPlain(attempt, newGrant.target()));
+    actions.add(launcher.sendPlain(newGrant, nowMillis));
   }
 
   private void refuseInvariantViolation() {
@@ -279,7 +268,7 @@
   }
 
   void placementRefused(LifecycleEvent.PlacementRefused refused) {
-    if (state != LifecycleState.PLACING || refused.attempt() != attempt) {
+    if (state != LifecycleState.PLACING || refused.attempt() != attempt.number()) {
       countDrop(DropReason.LATE_EVENT);
       return;
     }
@@ -288,33 +277,33 @@
         && placement.isAvoidingSuspects(nowMillis)) {
       waitUntilMillis = nowMillis + UNSETTLED_RECHECK_MILLIS;
     } else {
-      refuse(refused.refusal());
+      giveUpAttempt(refused.refusal());
     }
   }
 
   void prefilled(LifecycleEvent.Prefilled event) {
-    if (state != LifecycleState.PREFILLING || event.attempt() != attempt) {
+    if (state != LifecycleState.PREFILLING || event.attempt() != attempt.number()) {
       countDrop(DropReason.LATE_EVENT);
       return;
     }
-    Grant current = grant.orElseThrow();
+    Grant current = attempt.grant().orElseThrow();
     UpstreamName prefillUpstream = current.prefill().orElseThrow();
-    guard.stopRunning(attempt);
-    guard.released(attempt, prefillUpstream);
+    guard.stopRunning(attempt.number());
+    guard.released(attempt.number(), prefillUpstream);
     history.upstreamReached(true);
     kv.store(
         new KvSource(
             prefillUpstream,
-            attempt,
+            attempt.number(),
             event.handle(),
             event.promptTokens(),
             nowMillis + event.lifetimeMillis()));
-    report(AttemptPhase.PREFILLED, event.cachedTokens(), event.tookMillis());
+    actions.add(attempt.report(AttemptPhase.PREFILLED, event.cachedTokens(), event.tookMillis()));
     sendDecode(current);
   }
 
   void outputStarted(LifecycleEvent.OutputStarted started) {
-    if (state != LifecycleState.GENERATING || started.attempt() != attempt) {
+    if (state != LifecycleState.GENERATING || started.attempt() != attempt.number()) {
       countDrop(DropReason.LATE_EVENT);
       return;
     }
@@ -324,7 +313,7 @@
   void tokenArrived(LifecycleEvent.TokenArrived token) {
     if (!token.request().equals(profile.id())) {
       countDrop(DropReason.CROSSED_FRAME);
-    } else if (state != LifecycleState.GENERATING || token.attempt() != attempt) {
+    } else if (state != LifecycleState.GENERATING || token.attempt() != attempt.number()) {
       countDrop(DropReason.LATE_FRAME);
     } else if (token.index() < output.tokens()) {
       countDrop(DropReason.REPEATED_FRAME);
@@ -350,25 +339,26 @@
 
   /** Releases the KV cache: the first frame proves that the decode upstream has imported it. */
   private void firstFrameReceived() {
-    if (firstFrameSeen) {
+    if (attempt.isOutputReceived()) {
       return;
     }
-    firstFrameSeen = true;
-    guard.outputReceived(attempt);
+    attempt.outputReceived();
+    endSilent(SilenceOutcome.REPLACED, AttemptResult.CANCELLED);
+    guard.outputReceived(attempt.number());
     kv.release();
-    report(AttemptPhase.GENERATING, 0, 0);
+    actions.add(attempt.report(AttemptPhase.GENERATING, 0, 0));
   }
 
   void streamFinished(LifecycleEvent.StreamFinished finished) {
     if (!finished.request().equals(profile.id())) {
       countDrop(DropReason.CROSSED_FRAME);
-    } else if (state != LifecycleState.GENERATING || finished.attempt() != attempt) {
+    } else if (state != LifecycleState.GENERATING || finished.attempt() != attempt.number()) {
       countDrop(DropReason.LATE_FRAME);
     } else if (finished.index() != output.tokens()) {
       failCurrent(UpstreamFailure.MALFORMED);
     } else {
       firstFrameReceived();
-      outstanding.release(attempt, grant.orElseThrow().target());
+      outstanding.release(attempt.number(), attempt.grant().orElseThrow().target());
       sendFinalResponse(new LifecycleAction.Complete(output.completion(finished)));
       guard.completed(nowMillis);
       end(AttemptResult.COMPLETED, ClaimOutcome.COMPLETED);
@@ -376,13 +366,13 @@
   }
 
   void plainResponseReceived(LifecycleEvent.PlainResponseReceived response) {
-    if (state != LifecycleState.PLAIN_RUNNING || response.attempt() != attempt) {
+    if (state != LifecycleState.PLAIN_RUNNING || response.attempt() != attempt.number()) {
       countDrop(DropReason.LATE_EVENT);
       return;
     }
     progress.responseReceived(nowMillis);
     if (!finalResponse.isCallerDisconnected()) {
-      sendFinalResponse(new LifecycleAction.DeliverResponse(attempt));
+      sendFinalResponse(new LifecycleAction.DeliverResponse(attempt.number()));
     }
     guard.completed(nowMillis);
     end(AttemptResult.COMPLETED, ClaimOutcome.COMPLETED);
@@ -390,41 +380,41 @@
 
   /** Retries a request that may run again; keeps the failure response in case no retry succeeds. */
   void failureResponseReceived(LifecycleEvent.FailureResponseReceived failed) {
+    if (silent.isAwaitingResponse(failed.attempt())) {
+      finalResponse.keepFailureResponse(failed.attempt());
+      endSilent(SilenceOutcome.FAILED, AttemptResult.FAILED);
+      return;
+    }
     boolean isAwaited =
         state == LifecycleState.PLAIN_RUNNING
-            || (state == LifecycleState.GENERATING && !firstFrameSeen);
-    if (!isAwaited || failed.attempt() != attempt) {
+            || (state == LifecycleState.GENERATING && !attempt.isOutputReceived());
+    if (!isAwaited || failed.attempt() != attempt.number()) {
       countDrop(DropReason.LATE_EVENT);
       return;
     }
-    UpstreamName upstream = grant.orElseThrow().target();
-    history.upstreamReached(false);
-    outstanding.release(attempt, upstream);
-    guard.stopRunning(attempt);
-    kv.release();
-    finalResponse.keepFailureResponse(attempt);
-    reportEnd(AttemptResult.FAILED, Optional.of(upstream));
-    if (!profile.repeatability().isResendable() || !mayTryAgain()) {
+    UpstreamName upstream = attempt.grant().orElseThrow().target();
+    finalResponse.keepFailureResponse(attempt.number());
+    attempt.failureResponseReceived().ifPresent(actions::add);
+    if (!profile.repeatability().isResendable() || !attempt.mayBeFollowed(policy)) {
       state = LifecycleState.BACKING_OFF;
-      refuse(RefusalReason.UPSTREAM_FAILED, "The upstream responded with a failure.");
+      giveUpAttempt(
+          Refusal.notRun(RefusalReason.UPSTREAM_FAILED, "The upstream responded with a failure."));
       return;
     }
-    placement.failedOn(upstream);
+    placement.avoid(upstream);
     actions.add(new LifecycleAction.CountRetry(RetryReason.UPSTREAM_ERROR, true));
     progress.stopExpectingProgress();
     tryToPlace();
   }
 
-  private boolean mayTryAgain() {
-    return attempt < policy.maximumAttempts() && history.sends() < policy.maximumSends();
-  }
-
   void upstreamFailed(LifecycleEvent.UpstreamFailed failed) {
     if (failed.failure().isNotRun()) {
       outstanding.release(failed.attempt(), failed.upstream());
     }
-    boolean isCurrent = state.isRunning() && failed.attempt() == attempt;
-    if (isCurrent && guard.isRunningOn(failed.upstream())) {
+    boolean isCurrent = state.isRunning() && failed.attempt() == attempt.number();
+    if (silent.isAttempt(failed.attempt()) && silent.isOn(failed.upstream())) {
+      silentFailed(failed.failure());
+    } else if (isCurrent && guard.isRunningOn(failed.upstream())) {
       failCurrent(failed.failure());
     } else {
       countDrop(DropReason.LATE_EVENT);
@@ -438,6 +428,9 @@
   void upstreamRestarted(UpstreamName upstream) {
     outstanding.releaseAll(upstream);
     kv.holderRestarted(upstream);
+    if (silent.isOn(upstream)) {
+      silentFailed(UpstreamFailure.CUT);
+    }
     if (state.isRunning() && guard.isRunningOn(upstream)) {
       failCurrent(UpstreamFailure.CUT);
     }
@@ -447,25 +440,11 @@
   private void failCurrent(UpstreamFailure failure) {
     UpstreamName upstream = guard.runningOn().orElseThrow();
     boolean prefillFailed = state == LifecycleState.PREFILLING;
-    if (failure.mayBeCrash()) {
-      guard.connectionLost(attempt, upstream, nowMillis);
-    }
-    guard.stopRunning(attempt);
-    if (failure.isNotRun()) {
-      history.markNotRun(attempt);
-    }
-    if (failure.isNeverSent()) {
-      history.undoSend(prefillFailed);
-    } else {
-      history.upstreamReached(false);
-    }
-    actions.add(new LifecycleAction.CloseAttempt(attempt));
-    actions.addAll(outstanding.cancel(attempt, upstream, nowMillis));
-    reportEnd(failure.attemptResult(), Optional.of(upstream));
+    actions.addAll(attempt.fail(failure, prefillFailed, nowMillis));
     if (failure == UpstreamFailure.KV_EXPIRED) {
       kv.release();
     } else {
-      placement.failedOn(upstream);
+      placement.avoid(upstream);
     }
     if (history.mayHaveRun() && !profile.repeatability().isResendable()) {
       refuse(
@@ -478,10 +457,10 @@
   }
 
   private void retry(RetryReason reason) {
-    if (!mayTryAgain()) {
-      refuse(
-          RefusalReason.RETRIES_EXHAUSTED,
-          "Attempt " + attempt + " failed (" + reason.code() + ") and no retry is left.");
+    if (!attempt.mayBeFollowed(policy)) {
+      String detail =
+          "Attempt " + attempt.number() + " failed (" + reason.code() + ") and no retry is left.";
+      giveUpAttempt(Refusal.notRun(RefusalReason.RETRIES_EXHAUSTED, detail));
       return;
     }
     actions.add(new LifecycleAction.CountRetry(reason, history.priorCalls().isAny()));
@@ -521,18 +500,57 @@
     } else if (state == LifecycleState.BACKING_OFF && nowMillis >= waitUntilMillis) {
       tryToPlace();
     } else if (state.isRunning() && nowMillis >= progress.stallAtMillis()) {
-      recordSilence();
-      failCurrent(UpstreamFailure.TIMED_OUT);
+      attemptSilent();
     }
   }
 
-  private void recordSilence() {
+  /** Requests another attempt beside one that makes no progress, which still runs. */
+  private void attemptSilent() {
     UpstreamName upstream = guard.runningOn().orElseThrow();
-    actions.add(new LifecycleAction.RecordSilence(attempt, upstream, state, output.tokens()));
+    actions.add(
+        new LifecycleAction.RecordSilence(attempt.number(), upstream, state, output.tokens()));
+    progress.stopExpectingProgress();
+    if (silent.isPresent() || !attempt.mayBeFollowed(policy)) {
+      return;
+    }
+    actions.add(silent.hold(attempt.setAside(state), output.generatedTokens()));
+    placement.avoid(upstream);
+    actions.add(new LifecycleAction.CountRetry(RetryReason.HEDGE, true));
+    state = LifecycleState.BACKING_OFF;
+    waitUntilMillis = nowMillis + backOff.nextMillis();
+  }
+
+  /** Makes the silent attempt the current one again, and abandons the one beside it. */
+  private void resumeSilent(SilenceOutcome outcome) {
+    SilentAttempt resumed = silent.release();
+    actions.addAll(attempt.abandon(state, nowMillis));
+    attempt.resume(resumed);
+    state = resumed.state();
+    actions.add(
+        new LifecycleAction.RecordSilenceOutcome(resumed.number(), resumed.upstream(), outcome));
+  }
+
+  private void silentFailed(UpstreamFailure failure) {
+    actions.addAll(silent.failed(failure, output.generatedTokens(), progress, nowMillis));
+  }
+
+  private void endSilent(SilenceOutcome outcome, AttemptResult result) {
+    actions.addAll(silent.end(outcome, result, output.generatedTokens(), progress, nowMillis));
+  }
+
+  /** Refuses the request, unless an earlier attempt of it still runs, which then goes on alone. */
+  private void giveUpAttempt(Refusal refusal) {
+    if (!silent.isPresent()) {
+      refuse(refusal);
+      return;
+    }
+    attempt.abandonedBeside();
+    resumeSilent(SilenceOutcome.NOT_REPLACED);
+    progress.expectWithin(attempt.nextStallMillis(policy.stallMillis(state)), nowMillis);
   }
 
   private void refuseQuarantined() {
-    refuse(RefusalReason.QUARANTINED, guard.refusalDetail());
+    giveUpAttempt(Refusal.notRun(RefusalReason.QUARANTINED, guard.refusalDetail()));
   }
 
   private void refuse(RefusalReason reason, String detail) {
@@ -552,18 +570,21 @@
   }
 
   private void end(AttemptResult result, ClaimOutcome outcome) {
+    boolean isCompleted = outcome == ClaimOutcome.COMPLETED;
+    endSilent(
+        isCompleted ? SilenceOutcome.REPLACED : SilenceOutcome.ENDED, AttemptResult.CANCELLED);
     boolean wasPlacing = state == LifecycleState.PLACING;
-    boolean wasRunning = state.isRunning() && outcome != ClaimOutcome.COMPLETED;
+    boolean wasRunning = state.isRunning() && !isCompleted;
     state = LifecycleState.ENDED;
     progress.stopExpectingProgress();
     if (wasRunning) {
-      actions.add(new LifecycleAction.CloseAttempt(attempt));
+      actions.add(new LifecycleAction.CloseAttempt(attempt.number()));
     }
-    guard.stopRunning(attempt);
+    guard.stopRunning(attempt.number());
     if (wasPlacing) {
-      actions.add(new LifecycleAction.Withdraw(profile.id()));
+      actions.add(new LifecycleAction.Withdraw(attempt.placementId()));
     }
-    reportEnd(result, Optional.empty());
+    attempt.reportEnd(result, Optional.empty()).ifPresent(actions::add);
     if (history.isClaimRecorded()) {
       actions.add(new LifecycleAction.SettleClaim(outcome));
     }
@@ -571,20 +592,6 @@
     actions.addAll(outstanding.cancelAll(nowMillis));
   }
 
-  private void report(AttemptPhase phase, int cachedTokens, long tookMillis) {
-    actions.add(
-        history.progressReport(attempt, phase, cachedTokens, tookMillis, output.generatedTokens()));
-  }
-
-  private void reportEnd(AttemptResult result, Optional<UpstreamName> failedUpstream) {
-    if (grant.isPresent()) {
-      grant = Optional.empty();
-      history
-          .endReport(attempt, result, failedUpstream, output.generatedTokens(), progress)
-          .ifPresent(actions::add);
-    }
-  }
-
   private void countDrop(DropReason reason) {
     actions.add(new LifecycleAction.CountDrop(reason));
   }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestProgress.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestProgress.java
@@ -78,6 +78,11 @@
     responseMillis = 0;
   }
 
+  /** Returns when the plain request was sent. */
+  long sentAtMillis() {
+    return sentAtMillis;
+  }
+
   /** Records that the response to a plain request was received. */
   void responseReceived(long nowMillis) {
     responseMillis = nowMillis - sentAtMillis;
--- a/core/src/main/java/org/marjoramsail/core/outcome/StreamOutput.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/StreamOutput.java
@@ -56,6 +56,11 @@
     attemptVersion = startedVersion;
   }
 
+  /** Returns the software version of the upstream whose tokens are received next, if known. */
+  Optional<SoftwareVersion> attemptVersion() {
+    return attemptVersion;
+  }
+
   /** Returns whether the next token comes from the version that produced the earlier ones. */
   boolean isOfOneVersion() {
     return version.isEmpty() || version.equals(attemptVersion);
--- a/core/src/main/java/org/marjoramsail/core/placement/AttemptReport.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/AttemptReport.java
@@ -11,7 +11,8 @@
  * @param request the request
  * @param attempt the attempt
  * @param phase the phase that the attempt has reached
- * @param result present when {@code phase} is {@code ENDED}
+ * @param result present when {@code phase} is {@code ENDED}, and when an upstream makes no progress
+ *     on an attempt that still runs
  * @param failedUpstream the upstream to which a failure is attributed
  * @param cachedPromptTokens the number of prompt tokens found in the upstream's cache, once known
  * @param tookMillis the duration of the phase that just ended; zero when it is not known
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -164,6 +164,7 @@
     if (report.phase() == AttemptPhase.ENDED) {
       end(attempt, report, nowMillis);
     } else {
+      report.result().ifPresent(result -> countFault(attempt, report, result, nowMillis));
       reservations.progress(attempt, report, nowMillis);
     }
     return dispatch(nowMillis);
@@ -531,14 +532,7 @@
       attempt.target().ifPresent(target -> target.ejection().succeeded(nowMillis));
       attempt.prefill().ifPresent(prefill -> prefill.ejection().succeeded(nowMillis));
     }
-    if (result.isUpstreamFault()) {
-      Optional<UpstreamState> failed =
-          report
-              .failedUpstream()
-              .or(() -> Optional.of(attempt.grant().target()))
-              .flatMap(upstreams::find);
-      failed.ifPresent(upstream -> fault(upstream, result, nowMillis));
-    }
+    countFault(attempt, report, result, nowMillis);
     if (result == AttemptResult.FULL) {
       report
           .failedUpstream()
@@ -549,6 +543,18 @@
     tombstones.ended(report.request(), report.attempt(), nowMillis);
   }
 
+  private void countFault(
+      RunningAttempt attempt, AttemptReport report, AttemptResult result, long nowMillis) {
+    if (!result.isUpstreamFault()) {
+      return;
+    }
+    report
+        .failedUpstream()
+        .or(() -> Optional.of(attempt.grant().target()))
+        .flatMap(upstreams::find)
+        .ifPresent(upstream -> fault(upstream, result, nowMillis));
+  }
+
   private void fault(UpstreamState upstream, AttemptResult result, long nowMillis) {
     if (result == AttemptResult.REFUSED) {
       upstream.refused(nowMillis);
--- a/core/src/test/java/org/marjoramsail/core/outcome/SilentAttemptTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/SilentAttemptTest.java
@@ -219,8 +219,11 @@
   @Test
   void aSuspectContentIsNotSentBesideItsSilentAttempt() {
     startStream();
-    quarantine.started(OTHER, new RequestId("same-content"), 1, request.profile().fingerprint());
-    quarantine.connectionLost(OTHER, new RequestId("same-content"), 1, nowMillis);
+    RequestId sameContent = new RequestId("same-content");
+    quarantine.incarnation(OTHER, 1, nowMillis, nowMillis);
+    quarantine.started(OTHER, sameContent, 1, request.profile().fingerprint());
+    quarantine.connectionLost(OTHER, sameContent, 1, nowMillis);
+    quarantine.incarnation(OTHER, 2, nowMillis, nowMillis);
 
     fallSilentWithoutPlacement();
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -18,6 +18,7 @@
 import org.marjoramsail.core.outcome.Invariant;
 import org.marjoramsail.core.outcome.Invariants;
 import org.marjoramsail.core.outcome.LifecycleState;
+import org.marjoramsail.core.outcome.SilenceOutcome;
 import org.marjoramsail.daemon.request.LatencyViolation;
 
 /**
@@ -33,6 +34,7 @@
   private final Map<RunState, Map<RefusalReason, Counter>> refused = new EnumMap<>(RunState.class);
   private final Map<RefusalReason, Counter> brokenOff;
   private final Map<LifecycleState, Counter> silentAttempts;
+  private final Map<SilenceOutcome, Counter> silenceOutcomes;
   private final Map<RetryReason, Counter> retries;
   private final Map<DropReason, Counter> drops;
   private final Map<LatencyViolation, Counter> latencyViolations;
@@ -61,6 +63,8 @@
     this.brokenOff =
         perReason(registry, RefusalReason.class, "requests.broken.off", RefusalReason::code);
     this.silentAttempts = silentAttempts(registry);
+    this.silenceOutcomes =
+        perReason(registry, SilenceOutcome.class, "attempts.silent.outcomes", SilenceOutcome::code);
     this.retries = perReason(registry, RetryReason.class, "retries", RetryReason::code);
     this.budgetedRetries = registry.counter(PREFIX + "retries.by.budget", "budget", "drawn");
     this.freeRetries = registry.counter(PREFIX + "retries.by.budget", "budget", "free");
@@ -164,6 +168,11 @@
     silentAttempts.get(phase).increment();
   }
 
+  /** Counts what became of an attempt that had made no progress for too long. */
+  public void silenceEnded(SilenceOutcome outcome) {
+    silenceOutcomes.get(outcome).increment();
+  }
+
   /** Returns the number of refused requests by reason, over all run states. */
   public Map<RefusalReason, Long> refusals() {
     Map<RefusalReason, Long> counts = new EnumMap<>(RefusalReason.class);
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
@@ -1,5 +1,7 @@
 package org.marjoramsail.daemon.request;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.marjoramsail.core.failure.Refusal;
@@ -14,8 +16,6 @@
 /** Executes the actions of one request's lifecycle and returns their results as events. */
 final class ActionRunner {
 
-  private record Call(int attempt, OpenCall call) {}
-
   private final AttemptSender sender;
   private final Optional<ClaimRequest> claim;
   private final CallerSink sink;
@@ -23,7 +23,7 @@
   private final RequestMeter meter;
   private final RequestProfile profile;
   private final RequestLog log;
-  private Optional<Call> call = Optional.empty();
+  private final Map<Integer, OpenCall> calls = new HashMap<>(2);
 
   ActionRunner(
       RequestProfile profile,
@@ -66,6 +66,9 @@
     } else if (action instanceof LifecycleAction.RecordSilence silence) {
       meter.silent(silence.phase());
       log.silent(profile, silence);
+    } else if (action instanceof LifecycleAction.RecordSilenceOutcome silence) {
+      meter.silenceEnded(silence.outcome());
+      log.silenceEnded(profile, silence);
     } else if (!runPlacement(action, events)) {
       runUpstream(action, events);
     }
@@ -96,7 +99,7 @@
     } else if (action instanceof LifecycleAction.SendPlain send) {
       storeCall(send.attempt(), sender.sendPlain(send, events));
     } else if (action instanceof LifecycleAction.CloseAttempt close) {
-      call.filter(open -> open.attempt() == close.attempt()).ifPresent(open -> open.call().close());
+      Optional.ofNullable(calls.remove(close.attempt())).ifPresent(OpenCall::close);
     } else if (action instanceof LifecycleAction.Cancel cancel) {
       sender.cancel(cancel, events);
     }
@@ -138,6 +141,6 @@
   }
 
   private void storeCall(int attempt, Optional<OpenCall> opened) {
-    opened.ifPresent(inFlight -> call = Optional.of(new Call(attempt, inFlight)));
+    opened.ifPresent(call -> calls.put(attempt, call));
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
@@ -29,6 +29,7 @@
       Set.of(
           TraceKind.UPSTREAM_FAILED,
           TraceKind.RETRIED,
+          TraceKind.SILENT,
           TraceKind.REFUSED,
           TraceKind.CALLER_GONE,
           TraceKind.CANCEL_SENT);
@@ -75,6 +76,16 @@
         .log("attempt silent");
   }
 
+  /** Logs what became of an attempt that had made no progress for too long. */
+  void silenceEnded(RequestProfile profile, LifecycleAction.RecordSilenceOutcome silence) {
+    LOG.atInfo()
+        .addKeyValue("request", profile.id().value())
+        .addKeyValue("attempt", silence.attempt())
+        .addKeyValue("upstream", silence.upstream())
+        .addKeyValue("outcome", silence.outcome().code())
+        .log("silent attempt decided");
+  }
+
   /** Logs the trace of an ended request. */
   void ended(RequestSnapshot snapshot, Optional<LatencyViolation> violation) {
     boolean alwaysLogged =
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
@@ -5,6 +5,7 @@
 import org.marjoramsail.core.outcome.DropReason;
 import org.marjoramsail.core.outcome.LifecycleState;
 import org.marjoramsail.core.outcome.RequestProfile;
+import org.marjoramsail.core.outcome.SilenceOutcome;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.metrics.RequestMetrics;
 
@@ -65,6 +66,10 @@
     metrics.silent(phase);
   }
 
+  void silenceEnded(SilenceOutcome outcome) {
+    metrics.silenceEnded(outcome);
+  }
+
   void retried(RetryReason reason, boolean fromBudget) {
     metrics.retried(reason, fromBudget);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/TraceRecorder.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/TraceRecorder.java
@@ -78,6 +78,16 @@
       add(trace, nowMillis, TraceKind.CLAIM_ASKED, attempt, Optional.empty());
     } else if (action instanceof LifecycleAction.SettleClaim) {
       add(trace, nowMillis, TraceKind.CLAIM_SETTLED, attempt, Optional.empty());
+    } else if (action instanceof LifecycleAction.RecordSilence silence) {
+      Optional<UpstreamName> upstream = Optional.of(silence.upstream());
+      add(trace, nowMillis, TraceKind.SILENT, silence.attempt(), upstream);
+    } else if (action instanceof LifecycleAction.RecordSilenceOutcome silence) {
+      trace.add(
+          nowMillis,
+          TraceKind.SILENCE_DECIDED,
+          silence.attempt(),
+          Optional.of(silence.upstream()),
+          Optional.of(silence.outcome().code()));
     } else if (action instanceof LifecycleAction.CountRetry retry) {
       String budget = retry.fromBudget() ? "budget" : "free";
       Optional<String> reason = Optional.of(retry.reason().code() + " " + budget);
