A silent attempt that goes on before another is requested is not cancelled

Callers would see: an output that is cut off, or a KV cache that is deleted while the silent upstream still fetches it, although the attempt had just been kept.

Cause: between the silence of an attempt and the request for another there is a back-off, in which the current attempt still has the number of the silent one. When the silent one went on in that time, or no other was made since its content is suspect, abandoning the current attempt cancelled all upstreams of that number, those of the silent attempt.

Change: abandoning ends nothing while no other attempt was begun.

Measured: two new tests and a new assertion of a third failed before (3 of 14 in SilentAttemptTest); 14 of 14 pass, and OutcomeFuzzTest passes with 100,000 tries.

--- a/core/src/main/java/org/marjoramsail/core/outcome/CurrentAttempt.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CurrentAttempt.java
@@ -152,8 +152,12 @@
     return silent;
   }
 
-  /** Abandons this attempt; returns the actions that end it. */
-  List<LifecycleAction> abandon(LifecycleState state, long nowMillis) {
+  /** Abandons this attempt for one that was set aside; returns the actions that end it. */
+  List<LifecycleAction> abandonFor(SilentAttempt resumed, LifecycleState state, long nowMillis) {
+    if (number == resumed.number()) {
+      // No other attempt was begun yet.
+      return List.of();
+    }
     List<LifecycleAction> actions = new ArrayList<>();
     if (state == LifecycleState.PLACING) {
       actions.add(new LifecycleAction.Withdraw(placementId));
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -523,7 +523,7 @@
   /** Makes the silent attempt the current one again, and abandons the one beside it. */
   private void resumeSilent(SilenceOutcome outcome) {
     SilentAttempt resumed = silent.release();
-    actions.addAll(attempt.abandon(state, nowMillis));
+    actions.addAll(attempt.abandonFor(resumed, state, nowMillis));
     attempt.resume(resumed);
     state = resumed.state();
     actions.add(
--- a/core/src/test/java/org/marjoramsail/core/outcome/SilentAttemptTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/SilentAttemptTest.java
@@ -99,6 +99,39 @@
     assertThat(tokens()).containsExactly(0, 1, 2);
   }
 
+  /** Guards against a silent attempt that is cancelled in place of one that was not made yet. */
+  @Test
+  void anAttemptThatGoesOnBeforeAnotherIsRequestedIsNotCancelled() {
+    startStream();
+    advance(STALL_MILLIS);
+
+    handle(token(1, 1));
+
+    assertThat(actions).noneMatch(LifecycleAction.Cancel.class::isInstance);
+  }
+
+  /** Guards against a KV cache that is deleted while a silent upstream may still fetch it. */
+  @Test
+  void theKvCacheOfAnAttemptThatGoesOnBeforeAnotherIsRequestedIsKept() {
+    place();
+    handle(
+        new LifecycleEvent.Granted(
+            new Grant(
+                request.profile().id(),
+                1,
+                GrantMode.DISAGGREGATED,
+                Optional.of(PREFILL),
+                SILENT,
+                0,
+                0)));
+    handle(new LifecycleEvent.Prefilled(1, "kv", 8, 0, 7, 60_000));
+    suspectContent();
+
+    fallSilentWithoutPlacement();
+
+    assertThat(actions).noneMatch(LifecycleAction.Cancel.class::isInstance);
+  }
+
   @Test
   void anAttemptThatIsStillWaitingIsWithdrawnWhenTheSilentOneGoesOn() {
     startStream();
@@ -219,19 +252,25 @@
   @Test
   void aSuspectContentIsNotSentBesideItsSilentAttempt() {
     startStream();
-    RequestId sameContent = new RequestId("same-content");
-    quarantine.incarnation(OTHER, 1, nowMillis, nowMillis);
-    quarantine.started(OTHER, sameContent, 1, request.profile().fingerprint());
-    quarantine.connectionLost(OTHER, sameContent, 1, nowMillis);
-    quarantine.incarnation(OTHER, 2, nowMillis, nowMillis);
+    suspectContent();
 
     fallSilentWithoutPlacement();
 
     assertThat(actions.stream().filter(LifecycleAction.Place.class::isInstance)).hasSize(1);
+    assertThat(actions).noneMatch(LifecycleAction.Cancel.class::isInstance);
     handle(token(1, 1));
     assertThat(tokens()).containsExactly(0, 1);
   }
 
+  /** Lets another request with the same content crash an upstream. */
+  private void suspectContent() {
+    RequestId sameContent = new RequestId("same-content");
+    quarantine.incarnation(OTHER, 1, nowMillis, nowMillis);
+    quarantine.started(OTHER, sameContent, 1, request.profile().fingerprint());
+    quarantine.connectionLost(OTHER, sameContent, 1, nowMillis);
+    quarantine.incarnation(OTHER, 2, nowMillis, nowMillis);
+  }
+
   private void startStream() {
     place();
     handle(granted(1, SILENT));
