Request another upstream beside a silent one as late as its caller allows

Callers of streams that pause saw nothing of it, but each pause spent retries: an engine with sixteen streams that is silent for 1.6 s and goes on used all of the budget, which then lacks for upstreams that fail.

--- a/core/src/main/java/org/marjoramsail/core/routing/ForwardingRules.java
+++ b/core/src/main/java/org/marjoramsail/core/routing/ForwardingRules.java
@@ -26,11 +26,13 @@
   private static final long PREFILL_STALL_MILLIS = 600;
 
   /**
-   * Time without an event after which a stream is continued on another upstream, if that is
-   * allowed. The time exceeds the pause of a preempted stream, which resumes by itself, and is
-   * shorter than the time after which callers disconnect.
+   * Minimum time without an event after which a stream is also requested from another upstream, if
+   * that is allowed. It exceeds the pause of a preempted stream, which resumes by itself.
    */
-  private static final long EVENT_STALL_MILLIS = 1_200;
+  private static final long MINIMUM_EVENT_STALL_MILLIS = 1_200;
+
+  /** Time in which another upstream can be granted, prefill the prompt and give output. */
+  private static final long CONTINUATION_MILLIS = 1_300;
 
   /** Share of its target after which a plain response is requested from another upstream. */
   private static final double RESPONSE_STALL_SHARE = 0.7;
@@ -75,7 +77,7 @@
         CANCEL_GIVE_UP_MILLIS,
         KV_MARGIN_MILLIS,
         PREFILL_STALL_MILLIS,
-        EVENT_STALL_MILLIS,
+        eventStallMillis(route),
         Math.max(1, route.maximumSends()),
         Math.max(
             Math.max(1, overdueMillis), Math.round(route.targetMillis() * RESPONSE_STALL_SHARE)),
@@ -102,6 +104,18 @@
     return STREAM_LIFETIME_TIMEOUTS * route.timeoutMillis();
   }
 
+  /**
+   * Returns the time without an event after which a stream is also requested from another upstream.
+   *
+   * <p>An upstream that pauses goes on by itself, and each request to another one spends retry
+   * budget. So the time is as long as leaves the other one time before the caller disconnects.
+   */
+  private static long eventStallMillis(Route route) {
+    return route.streaming()
+        ? Math.max(MINIMUM_EVENT_STALL_MILLIS, callerTimeoutMillis(route) - CONTINUATION_MILLIS)
+        : MINIMUM_EVENT_STALL_MILLIS;
+  }
+
   private static long callerTimeoutMillis(Route route) {
     if (!route.streaming()) {
       return NEVER_MILLIS;
