--- a/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
+++ b/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
@@ -20,6 +20,7 @@
   RAN_BEFORE(409, false),
   BODY_TOO_LARGE(413, false),
   QUARANTINED(422, false),
+  PROMPT_PART_QUARANTINED(422, false),
   HEADERS_TOO_LARGE(431, false),
   ORGANISATION_RATE(429, true),
   ORGANISATION_CONCURRENCY(429, true),
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestProfile.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestProfile.java
@@ -32,6 +32,7 @@
  * @param countedTokens tokens that count towards the limit of its organisation
  * @param requiredVersion software version that began the output that it continues; empty for a new
  *     output
+ * @param sharedParts the parts of its prompt that other requests may share, in order
  */
 public record RequestProfile(
     RequestId id,
@@ -52,11 +53,13 @@
     long deadlineAtMillis,
     StreamChunking chunking,
     int countedTokens,
-    Optional<SoftwareVersion> requiredVersion) {
+    Optional<SoftwareVersion> requiredVersion,
+    List<SharedPromptPart> sharedParts) {
 
-  /** Copies the list, so that the record is immutable. */
+  /** Copies the lists, so that the record is immutable. */
   public RequestProfile {
     prefixHashes = List.copyOf(prefixHashes);
+    sharedParts = List.copyOf(sharedParts);
   }
 
   /** Creates the profile of a request for a new output that is sent token by token. */
@@ -96,6 +99,7 @@
         deadlineAtMillis,
         StreamChunking.SINGLE_TOKENS,
         promptTokens + outputTokens,
-        Optional.empty());
+        Optional.empty(),
+        List.of());
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -460,7 +460,8 @@
                 holder ->
                     holder.countedTokens(parameters.promptTokens(), parameters.outputTokens()))
             .orElse(0),
-        origin.map(StreamOrigin::version));
+        origin.map(StreamOrigin::version),
+        List.of());
   }
 
   /** Reports the connections to upstreams that are opened. */
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -512,7 +512,8 @@
         nowMillis + deadlineMillis,
         StreamChunking.SINGLE_TOKENS,
         0,
-        Optional.empty());
+        Optional.empty(),
+        List.of());
   }
 
   private static LifecyclePolicy policy(RequestKind kind) {
