--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerParameters.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerParameters.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.daemon.forward;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -17,6 +18,8 @@
  *     none
  * @param resumes identifier of the attempt that brought the first event of the broken stream; empty
  *     if the caller names none
+ * @param sharedPromptParts identifiers of the parts of its prompt that other requests may share, in
+ *     order, each once
  * @param key API key that identifies the organisation of the caller; empty if the caller sends none
  */
 public record CallerParameters(
@@ -27,8 +30,14 @@
     OptionalInt expectedTokens,
     int resumeAfter,
     Optional<String> resumes,
+    List<String> sharedPromptParts,
     Optional<String> key) {
 
+  /** Copies the list, so that the record is immutable. */
+  public CallerParameters {
+    sharedPromptParts = List.copyOf(sharedPromptParts);
+  }
+
   /** Returns a text without the key, which must not appear in logs. */
   @Override
   public String toString() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -28,6 +28,7 @@
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.Fingerprint;
 import org.marjoramsail.core.outcome.RequestProfile;
+import org.marjoramsail.core.outcome.SharedPromptPart;
 import org.marjoramsail.core.routing.CallerAccess;
 import org.marjoramsail.core.routing.CallerLimits;
 import org.marjoramsail.core.routing.ForwardingRules;
@@ -461,7 +462,9 @@
                     holder.countedTokens(parameters.promptTokens(), parameters.outputTokens()))
             .orElse(0),
         origin.map(StreamOrigin::version),
-        List.of());
+        parameters.sharedPromptParts().stream()
+            .map(id -> SharedPromptPart.of(service, accepted.organisationName(), id))
+            .toList());
   }
 
   /** Reports the connections to upstreams that are opened. */
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -88,6 +89,7 @@
             OptionalInt.empty(),
             0,
             Optional.empty(),
+            List.of(),
             Optional.empty()),
         Optional.empty());
   }
