Name the prompt parts that crash servers, from what had given no output on them

Callers of one kind got 502 while server after server crashed: requests that share one deadly part of their prompts are no two alike, so that a quarantine of whole requests meets each only once.

Each proven crash now makes suspects of the shared parts of the attempts that had given no output; output of any request with a part clears it on that software version, on all hosts. A part that was in two contents on two crashed upstreams, and whose crashes no other part explains, is refused; parts that cannot be told apart are refused only together. Requests with a suspected part run one at a time on a host, and a request that was cut waits until its crash is proven or disproved.

--- a/core/src/main/java/org/marjoramsail/core/outcome/AttemptLauncher.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptLauncher.java
@@ -40,7 +40,7 @@
             + STALL_ESTIMATE_FACTOR * grant.expectedPrefillMillis()
             + policy.prefillStallMillis());
     outstanding.add(grant.attempt(), upstream);
-    guard.started(grant.attempt(), upstream);
+    guard.prefillStarted(grant.attempt(), upstream);
     return new LifecycleAction.SendPrefill(grant.attempt(), upstream);
   }
 
--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -8,11 +8,15 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.marjoramsail.core.message.PeerMessage;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
 
 /**
@@ -49,11 +53,6 @@
   /** Number of requests that are cut at once for which a crash is presumed without a proof. */
   private static final int CUT_REQUESTS_OF_PRESUMED_CRASH = 2;
 
-  /** Longest delay, in milliseconds, with which a proof of a crash may follow a cut. */
-  private static final long LATE_PROOF_MILLIS = 15_000;
-
-  private static final long NEVER = Long.MIN_VALUE / 2;
-
   /** Proof of a crash: a later incarnation of the upstream. */
   private static final String RESTARTED = "restarted";
 
@@ -63,110 +62,26 @@
   /** Proof of a crash: another upstream listens at the address. */
   private static final String REPLACED = "address taken over";
 
-  private record AttemptKey(RequestId request, int attempt) {}
-
-  /** An attempt on an upstream. */
-  private static final class RunningAttempt {
-    private final long fingerprint;
-    private final long sequence;
-    private boolean outputReceived;
-
-    private RunningAttempt(long fingerprint, long sequence) {
-      this.fingerprint = fingerprint;
-      this.sequence = sequence;
-    }
-
-    private boolean hasFingerprint(long other) {
-      return fingerprint == other;
-    }
-  }
-
   private static final Comparator<RunningAttempt> LEAST_LIKELY_FIRST =
       Comparator.<RunningAttempt, Boolean>comparing(run -> !run.outputReceived)
           .thenComparing(run -> run.sequence);
 
-  private static final class Upstream {
-    private long incarnation;
-    private final Map<AttemptKey, RunningAttempt> running = new HashMap<>();
-    private final Map<AttemptKey, RunningAttempt> cut = new HashMap<>();
-    private final Map<AttemptKey, RunningAttempt> undecided = new HashMap<>();
-    private final Map<AttemptKey, RunningAttempt> dismissed = new HashMap<>();
-    private long decideAtMillis;
-    private boolean presumed;
-    private long lastCutAtMillis;
-    private long reachedAtMillis = NEVER;
-    private long crashedIncarnation = -1;
-
-    private boolean isUnsettled() {
-      return !cut.isEmpty();
-    }
-
-    /** Returns whether a proof would still show a crash after a cut. */
-    private boolean mayHaveCrashed(long nowMillis) {
-      return isUnsettled() || (!undecided.isEmpty() && isProofInTime(nowMillis));
-    }
-
-    private boolean isProofInTime(long nowMillis) {
-      return nowMillis - lastCutAtMillis <= LATE_PROOF_MILLIS;
-    }
-
-    /** Stops the wait for a proof; one that follows still counts. */
-    private void leaveUndecided() {
-      undecided.putAll(cut);
-      cut.clear();
-    }
-
-    /**
-     * Records that a response disproved a crash after the cuts.
-     *
-     * <p>Guards against an upstream that crashed and restarted under its name before the list
-     * showed it: its first responses seem to come from the earlier incarnation. When the new
-     * incarnation shows, the attempts that were cut last become suspect again.
-     *
-     * @return the contents whose cuts are dismissed
-     */
-    private List<Long> dismissCuts() {
-      leaveUndecided();
-      List<Long> fingerprints = fingerprints(undecided);
-      if (!undecided.isEmpty()) {
-        dismissed.clear();
-        dismissed.putAll(undecided);
-        undecided.clear();
-      }
-      return fingerprints;
-    }
-
-    private List<RunningAttempt> removeSuspects(long nowMillis) {
-      List<RunningAttempt> suspects = new ArrayList<>(cut.values());
-      cut.clear();
-      if (isProofInTime(nowMillis)) {
-        suspects.addAll(undecided.values());
-        suspects.addAll(dismissed.values());
-      }
-      undecided.clear();
-      dismissed.clear();
-      return suspects;
-    }
-
-    private void forget(long fingerprint) {
-      cut.values().removeIf(run -> run.hasFingerprint(fingerprint));
-      undecided.values().removeIf(run -> run.hasFingerprint(fingerprint));
-      dismissed.values().removeIf(run -> run.hasFingerprint(fingerprint));
-    }
-
-    private boolean hasCut(long fingerprint) {
-      return cut.values().stream().anyMatch(run -> run.hasFingerprint(fingerprint));
-    }
-  }
-
   private final long lifetimeMillis;
   private final long settleMillis;
-  private final Map<UpstreamName, Upstream> upstreams = new HashMap<>();
+  private final Map<UpstreamName, CrashableUpstream> upstreams = new HashMap<>();
   private final CrashRecords records;
+  private final PromptPartQuarantine promptParts;
+  private final Function<UpstreamName, Optional<SoftwareVersion>> versions;
   private final QuarantineListener listener;
   private final ArrayDeque<CrashReportMessage> outgoing = new ArrayDeque<>();
   private long sequence;
 
+  /** Creates a quarantine without suspects that knows no software versions. */
+  public Quarantine(
+      long lifetimeMillis, long settleMillis, int maximumEntries, QuarantineListener listener) {
+    this(lifetimeMillis, settleMillis, maximumEntries, listener, unused -> Optional.empty());
+  }
+
   /**
    * Creates a quarantine without suspects.
    *
@@ -174,27 +89,55 @@
    * @param settleMillis time for which a cut waits for a proof of a crash
    * @param maximumEntries maximum number of contents; the oldest is removed first
    * @param listener receives each change
+   * @param versions returns the software version of an upstream, if known
    */
   public Quarantine(
-      long lifetimeMillis, long settleMillis, int maximumEntries, QuarantineListener listener) {
+      long lifetimeMillis,
+      long settleMillis,
+      int maximumEntries,
+      QuarantineListener listener,
+      Function<UpstreamName, Optional<SoftwareVersion>> versions) {
     this.lifetimeMillis = lifetimeMillis;
     this.settleMillis = settleMillis;
     this.records = new CrashRecords(maximumEntries);
+    this.promptParts =
+        new PromptPartQuarantine(lifetimeMillis, PromptPartQuarantine.CRASH_LIMIT, listener);
+    this.versions = versions;
     this.listener = listener;
   }
 
-  /** Records that an attempt was sent to an upstream. */
+  /** Records that an attempt that generates no output was sent to an upstream. */
+  public void started(UpstreamName upstream, RequestId request, int attempt, long fingerprint) {
+    started(upstream, request, attempt, fingerprint, List.of());
+  }
+
+  /** Records that an attempt whose prompt has shared parts was sent to an upstream. */
   public synchronized void started(
-      UpstreamName upstream, RequestId request, int attempt, long fingerprint) {
-    RunningAttempt run = new RunningAttempt(fingerprint, ++sequence);
+      UpstreamName upstream,
+      RequestId request,
+      int attempt,
+      long fingerprint,
+      List<SharedPromptPart> parts) {
+    Optional<SoftwareVersion> version =
+        parts.isEmpty() ? Optional.empty() : versions.apply(upstream);
+    RunningAttempt run = new RunningAttempt(fingerprint, parts, version, ++sequence);
     upstream(upstream).running.put(new AttemptKey(request, attempt), run);
   }
 
   /** Records that an attempt gave output, so that its start did not crash the upstream. */
-  public synchronized void outputReceived(UpstreamName upstream, RequestId request, int attempt) {
+  public void outputReceived(UpstreamName upstream, RequestId request, int attempt) {
+    outputReceived(upstream, request, attempt, 0);
+  }
+
+  /**
+   * Records that an attempt gave output, so that neither its start nor its parts crash upstreams.
+   */
+  public synchronized void outputReceived(
+      UpstreamName upstream, RequestId request, int attempt, long nowMillis) {
     RunningAttempt run = upstream(upstream).running.get(new AttemptKey(request, attempt));
-    if (run != null) {
+    if (run != null && !run.outputReceived) {
       run.outputReceived = true;
+      promptParts.outputReceived(run.parts, run.version, upstream, nowMillis);
     }
   }
 
@@ -206,7 +149,7 @@
   /** Records that the connection of an attempt was cut. */
   public synchronized void connectionLost(
       UpstreamName upstream, RequestId request, int attempt, long nowMillis) {
-    Upstream state = upstream(upstream);
+    CrashableUpstream state = upstream(upstream);
     AttemptKey key = new AttemptKey(request, attempt);
     RunningAttempt run = state.running.remove(key);
     if (run == null) {
@@ -244,7 +187,7 @@
    */
   public synchronized boolean incarnation(
       UpstreamName name, long incarnation, long asOfMillis, long nowMillis) {
-    Upstream state = upstream(name);
+    CrashableUpstream state = upstream(name);
     boolean restarted = state.incarnation != 0 && state.incarnation < incarnation;
     if (restarted) {
       crashed(name, state, RESTARTED, nowMillis);
@@ -266,7 +209,7 @@
    * unless no other is in use.
    */
   public synchronized void connectionsRefused(UpstreamName name, long nowMillis) {
-    Upstream state = upstream(name);
+    CrashableUpstream state = upstream(name);
     if (state.mayHaveCrashed(nowMillis) && isReachingOthers(state)) {
       crashed(name, state, REFUSED, nowMillis);
     }
@@ -278,18 +221,19 @@
    * @param asOfMillis when the request or the connection that reached it was started
    */
   public synchronized void reached(UpstreamName name, long asOfMillis) {
-    Upstream state = upstream(name);
+    CrashableUpstream state = upstream(name);
     state.reachedAtMillis = Math.max(state.reachedAtMillis, asOfMillis);
   }
 
-  private boolean isReachingOthers(Upstream state) {
+  private boolean isReachingOthers(CrashableUpstream state) {
     boolean isAnotherInUse = false;
-    for (Upstream other : upstreams.values()) {
+    for (CrashableUpstream other : upstreams.values()) {
       if (other != state) {
         if (other.reachedAtMillis > state.lastCutAtMillis) {
           return true;
         }
-        isAnotherInUse |= other.reachedAtMillis > state.lastCutAtMillis - LATE_PROOF_MILLIS;
+        isAnotherInUse |=
+            other.reachedAtMillis > state.lastCutAtMillis - CrashableUpstream.LATE_PROOF_MILLIS;
       }
     }
     return !isAnotherInUse;
@@ -299,7 +243,7 @@
    * Records that another upstream listens at the address of one, which proves a crash after a cut.
    */
   public synchronized void addressTakenOver(UpstreamName name, long nowMillis) {
-    Upstream state = upstream(name);
+    CrashableUpstream state = upstream(name);
     if (state.mayHaveCrashed(nowMillis)) {
       crashed(name, state, REPLACED, nowMillis);
     }
@@ -322,7 +266,7 @@
   public synchronized Suspicion suspicion(long fingerprint, long nowMillis) {
     settleAndExpire(nowMillis);
     Suspicion proven = records.suspicion(fingerprint);
-    List<Upstream> cut =
+    List<CrashableUpstream> cut =
         upstreams.values().stream().filter(one -> one.hasCut(fingerprint)).toList();
     if (proven == Suspicion.QUARANTINED || cut.isEmpty()) {
       return proven;
@@ -334,6 +278,83 @@
     return mustWait ? Suspicion.UNSETTLED : Suspicion.SUSPECT;
   }
 
+  /** Returns the parts of a request that refuse it, since they have crashed upstreams. */
+  public synchronized List<SharedPromptPart> refusingParts(
+      List<SharedPromptPart> parts, long nowMillis) {
+    return promptParts.refusing(parts, nowMillis);
+  }
+
+  /**
+   * Returns whether a request has to wait, since another with the same suspected part runs here, or
+   * was cut and its crash is neither proven nor disproved.
+   */
+  public synchronized boolean isPartOnTrial(List<SharedPromptPart> parts, long nowMillis) {
+    if (parts.isEmpty()) {
+      return false;
+    }
+    settleAndExpire(nowMillis);
+    Set<Long> suspects = promptParts.suspects(parts, nowMillis);
+    for (CrashableUpstream one : upstreams.values()) {
+      if (!suspects.isEmpty()
+          && one.running.values().stream().anyMatch(run -> run.mayCrashWith(suspects))) {
+        return true;
+      }
+      if (!one.presumed && one.isUnsettled() && hasCutWith(one, parts, nowMillis)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean hasCutWith(CrashableUpstream one, List<SharedPromptPart> parts, long nowMillis) {
+    for (RunningAttempt run : one.cut.values()) {
+      Set<Long> uncleared =
+          parts.stream()
+              .filter(part -> !promptParts.isCleared(part, run.version, nowMillis))
+              .map(SharedPromptPart::fingerprint)
+              .collect(Collectors.toSet());
+      if (run.mayCrashWith(uncleared)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Handles a crash with suspected prompt parts that another daemon reported; returns a reply. */
+  public synchronized Optional<PeerMessage> handle(
+      DaemonId from, PartCrashMessage message, long nowMillis) {
+    return promptParts.handle(from, message, nowMillis);
+  }
+
+  /** Handles the clearance of prompt parts by another daemon. */
+  public synchronized void handle(DaemonId from, PartClearanceMessage message, long nowMillis) {
+    promptParts.handle(from, message, nowMillis);
+  }
+
+  /** Removes and returns the messages on prompt parts for the other daemons. */
+  public synchronized List<PeerMessage> takePartMessages() {
+    return promptParts.takeMessages();
+  }
+
+  /** Returns a report of each stored crash that has suspected prompt parts. */
+  public synchronized List<PartCrashMessage> partReports(long nowMillis) {
+    return promptParts.reports(nowMillis);
+  }
+
+  /** Returns the prompt parts that are suspected or refused. */
+  public synchronized List<PartEntry> parts(long nowMillis) {
+    return promptParts.list(nowMillis);
+  }
+
+  /**
+   * Lifts a prompt part here and, by message, on all other daemons.
+   *
+   * @return whether there was anything to lift
+   */
+  public synchronized boolean liftPart(long fingerprint, long nowMillis) {
+    return promptParts.lift(fingerprint, nowMillis);
+  }
+
   /** Returns the upstreams that may hold a suspect other than this content. */
   public synchronized List<UpstreamName> upstreamsWithOtherSuspects(long fingerprint) {
     return upstreams.entrySet().stream()
@@ -445,7 +466,7 @@
     return !counted.isEmpty();
   }
 
-  private void crashed(UpstreamName name, Upstream state, String proof, long nowMillis) {
+  private void crashed(UpstreamName name, CrashableUpstream state, String proof, long nowMillis) {
     List<RunningAttempt> runs = state.removeSuspects(nowMillis);
     if (state.crashedIncarnation != state.incarnation) {
       runs.addAll(state.running.values());
@@ -462,6 +483,20 @@
     changed(QuarantineChange.Kind.CRASHED, name, suspects, proof);
     record(message, nowMillis);
     outgoing.add(message);
+    promptPartsCrashed(new CrashId(name, state.incarnation), runs, nowMillis);
+  }
+
+  /** Records the parts of the attempts without output; an attempt with output is innocent. */
+  private void promptPartsCrashed(CrashId crash, List<RunningAttempt> runs, long nowMillis) {
+    Map<Optional<SoftwareVersion>, List<PartSuspects>> suspects = new HashMap<>();
+    for (RunningAttempt run : runs) {
+      if (!run.outputReceived && !run.parts.isEmpty()) {
+        suspects
+            .computeIfAbsent(run.version, unused -> new ArrayList<>())
+            .add(new PartSuspects(run.fingerprint, run.parts));
+      }
+    }
+    suspects.forEach((version, of) -> promptParts.crashed(crash, version, of, nowMillis));
   }
 
   private void settleAndExpire(long nowMillis) {
@@ -469,7 +504,7 @@
     records.expire(nowMillis);
   }
 
-  private void settle(UpstreamName name, Upstream state, long nowMillis) {
+  private void settle(UpstreamName name, CrashableUpstream state, long nowMillis) {
     if (!state.isUnsettled() || nowMillis < state.decideAtMillis) {
       return;
     }
@@ -478,21 +513,21 @@
         distinct >= CUT_REQUESTS_OF_PRESUMED_CRASH
             && nowMillis < state.lastCutAtMillis + lifetimeMillis;
     if (!state.presumed) {
-      changed(QuarantineChange.Kind.UNDECIDED, name, fingerprints(state.cut), "no proof");
+      changed(
+          QuarantineChange.Kind.UNDECIDED,
+          name,
+          CrashableUpstream.fingerprints(state.cut),
+          "no proof");
       state.leaveUndecided();
     }
   }
 
-  private static List<Long> fingerprints(Map<AttemptKey, RunningAttempt> attempts) {
-    return attempts.values().stream().map(run -> run.fingerprint).distinct().toList();
-  }
-
   private void changed(
       QuarantineChange.Kind kind, UpstreamName upstream, List<Long> fingerprints, String source) {
     listener.changed(new QuarantineChange(kind, upstream, fingerprints, source));
   }
 
-  private Upstream upstream(UpstreamName name) {
-    return upstreams.computeIfAbsent(name, unused -> new Upstream());
+  private CrashableUpstream upstream(UpstreamName name) {
+    return upstreams.computeIfAbsent(name, unused -> new CrashableUpstream());
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/QuarantineChange.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/QuarantineChange.java
@@ -5,11 +5,11 @@
 import org.marjoramsail.core.model.UpstreamName;
 
 /**
- * A change of what a quarantine has recorded about some contents.
+ * A change of what a quarantine has recorded about some contents or prompt parts.
  *
  * @param kind what has changed
- * @param upstream the upstream on which the contents ran
- * @param fingerprints the contents
+ * @param upstream the upstream on which they ran
+ * @param fingerprints the contents or the prompt parts
  * @param source the daemon that reported the change, or what proves it
  */
 public record QuarantineChange(
@@ -32,7 +32,17 @@
     /** The contents are cleared of the crash, since a request completed or an operator said so. */
     CLEARED,
     /** Another daemon reported that the contents are cleared of the crash. */
-    CLEARED_BY_REPORT;
+    CLEARED_BY_REPORT,
+    /** A crash of the upstream is proven; these prompt parts may have caused it. */
+    PART_SUSPECTED,
+    /** Another daemon reported a crash that these prompt parts may have caused. */
+    PART_REPORTED,
+    /** Requests with these prompt parts are refused from now on. */
+    PART_QUARANTINED,
+    /** The prompt parts are cleared, since they gave output or an operator said so. */
+    PART_CLEARED,
+    /** Another daemon reported that the prompt parts are cleared. */
+    PART_CLEARED_BY_REPORT;
 
     /** Returns the kind in lower case with hyphens, as logs and counters show it. */
     public String code() {
--- a/core/src/main/java/org/marjoramsail/core/outcome/QuarantineGuard.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/QuarantineGuard.java
@@ -5,6 +5,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.placement.Grant;
 
@@ -38,8 +41,21 @@
     return runningOn.equals(Optional.of(upstream));
   }
 
+  /** Returns how the request is handled now: the stricter of its content and its prompt parts. */
   Suspicion suspicion(long nowMillis) {
-    return quarantine.suspicion(profile.fingerprint(), nowMillis);
+    Suspicion ofContent = quarantine.suspicion(profile.fingerprint(), nowMillis);
+    if (ofContent == Suspicion.QUARANTINED || !refusingParts(nowMillis).isEmpty()) {
+      return Suspicion.QUARANTINED;
+    }
+    return isPartOnTrial(nowMillis) ? Suspicion.UNSETTLED : ofContent;
+  }
+
+  private List<SharedPromptPart> refusingParts(long nowMillis) {
+    return quarantine.refusingParts(profile.sharedParts(), nowMillis);
+  }
+
+  private boolean isPartOnTrial(long nowMillis) {
+    return quarantine.isPartOnTrial(profile.sharedParts(), nowMillis);
   }
 
   boolean isQuarantined(long nowMillis) {
@@ -59,11 +75,22 @@
     return nowMillis < cancelWaitUntilMillis;
   }
 
-  /** Returns the refusal text for a caller whose content is quarantined. */
-  String refusalDetail() {
-    return "Content "
-        + Long.toHexString(profile.fingerprint())
-        + " has crashed upstreams and is not run until an operator lifts it or it expires.";
+  /** Returns the refusal of a request whose content or prompt part is quarantined. */
+  Refusal refusal(long nowMillis) {
+    List<SharedPromptPart> parts = refusingParts(nowMillis);
+    if (parts.isEmpty()) {
+      return Refusal.notRun(
+          RefusalReason.QUARANTINED,
+          "Content "
+              + Long.toHexString(profile.fingerprint())
+              + " has crashed upstreams and is not run until an operator lifts it or it expires.");
+    }
+    String names = parts.stream().map(SharedPromptPart::id).collect(Collectors.joining(", "));
+    return Refusal.notRun(
+        RefusalReason.PROMPT_PART_QUARANTINED,
+        "Prompt part "
+            + names
+            + " has crashed upstreams and is not run until an operator lifts it or it expires.");
   }
 
   /**
@@ -83,9 +110,13 @@
 
   /**
    * Returns whether a grant has an upstream that may hold another suspect. Guards against two
-   * requests that were placed on one upstream before both became suspect.
+   * requests that were placed on one upstream before both became suspect, and against two with the
+   * same suspected part that were placed before one of them started.
    */
   boolean wouldShareUpstreamWithSuspect(Grant grant, long nowMillis) {
+    if (isPartOnTrial(nowMillis)) {
+      return true;
+    }
     if (suspicion(nowMillis) != Suspicion.SUSPECT) {
       return false;
     }
@@ -94,19 +125,28 @@
   }
 
   void started(int attempt, UpstreamName upstream) {
+    runningOn = Optional.of(upstream);
+    quarantine.started(
+        upstream, profile.id(), attempt, profile.fingerprint(), profile.sharedParts());
+  }
+
+  /** Records the start of a prefill; its parts crash upstreams only when output begins. */
+  void prefillStarted(int attempt, UpstreamName upstream) {
     runningOn = Optional.of(upstream);
     quarantine.started(upstream, profile.id(), attempt, profile.fingerprint());
   }
 
-  void outputReceived(int attempt) {
-    runningOn.ifPresent(upstream -> quarantine.outputReceived(upstream, profile.id(), attempt));
+  void outputReceived(int attempt, long nowMillis) {
+    runningOn.ifPresent(
+        upstream -> quarantine.outputReceived(upstream, profile.id(), attempt, nowMillis));
   }
 
   void connectionLost(int attempt, UpstreamName upstream, long nowMillis) {
     quarantine.connectionLost(upstream, profile.id(), attempt, nowMillis);
   }
 
-  void completed(long nowMillis) {
+  void completed(int attempt, long nowMillis) {
+    outputReceived(attempt, nowMillis);
     quarantine.completed(profile.fingerprint(), nowMillis);
   }
 
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -344,7 +344,7 @@
     }
     attempt.outputReceived();
     endSilent(SilenceOutcome.REPLACED, AttemptResult.CANCELLED);
-    guard.outputReceived(attempt.number());
+    guard.outputReceived(attempt.number(), nowMillis);
     kv.release();
     actions.add(attempt.report(AttemptPhase.GENERATING, 0, 0));
   }
@@ -360,7 +360,7 @@
       firstFrameReceived();
       outstanding.release(attempt.number(), attempt.grant().orElseThrow().target());
       sendFinalResponse(new LifecycleAction.Complete(output.completion(finished)));
-      guard.completed(nowMillis);
+      guard.completed(attempt.number(), nowMillis);
       end(AttemptResult.COMPLETED, ClaimOutcome.COMPLETED);
     }
   }
@@ -374,7 +374,7 @@
     if (!finalResponse.isCallerDisconnected()) {
       sendFinalResponse(new LifecycleAction.DeliverResponse(attempt.number()));
     }
-    guard.completed(nowMillis);
+    guard.completed(attempt.number(), nowMillis);
     end(AttemptResult.COMPLETED, ClaimOutcome.COMPLETED);
   }
 
@@ -550,7 +550,7 @@
   }
 
   private void refuseQuarantined() {
-    giveUpAttempt(Refusal.notRun(RefusalReason.QUARANTINED, guard.refusalDetail()));
+    giveUpAttempt(guard.refusal(nowMillis));
   }
 
   private void refuse(RefusalReason reason, String detail) {
