Report suspected and cleared prompt parts to the other daemons

A host learned only from crashes of its own servers which prompt parts are deadly. New messages carry the suspects of a crash and the clearance of parts; they are sent like crash reports, also to a daemon that has become reachable. A daemon replies to a report with the parts that gave output there, and the reporter sends that on once.

--- a/core/src/main/java/org/marjoramsail/core/outcome/PartSuspects.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/PartSuspects.java
@@ -10,8 +10,17 @@
  */
 public record PartSuspects(long content, List<SharedPromptPart> parts) {
 
-  /** Copies the list, so that the record is immutable. */
+  /** Identifiers come from callers; longer ones would make messages too large to be sent. */
+  private static final int MAXIMUM_ID_CHARACTERS = 64;
+
+  /** Copies the list, so that the record is immutable, and shortens long identifiers. */
   public PartSuspects {
-    parts = List.copyOf(parts);
+    parts = parts.stream().map(PartSuspects::shortened).toList();
+  }
+
+  private static SharedPromptPart shortened(SharedPromptPart part) {
+    return part.id().length() <= MAXIMUM_ID_CHARACTERS
+        ? part
+        : new SharedPromptPart(part.fingerprint(), part.id().substring(0, MAXIMUM_ID_CHARACTERS));
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/QuarantineChange.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/QuarantineChange.java
@@ -48,6 +48,11 @@
     public String code() {
       return name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
+
+    /** Returns whether the change is about prompt parts, not about contents. */
+    public boolean isOfParts() {
+      return name().startsWith("PART_");
+    }
   }
 
   /** Copies the list, so that the record is immutable. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -30,6 +30,8 @@
 import org.marjoramsail.core.outcome.CrashReportMessage;
 import org.marjoramsail.core.outcome.Invariant;
 import org.marjoramsail.core.outcome.Invariants;
+import org.marjoramsail.core.outcome.PartClearanceMessage;
+import org.marjoramsail.core.outcome.PartCrashMessage;
 import org.marjoramsail.core.outcome.Quarantine;
 import org.marjoramsail.core.placement.OrganisationUsageMessage;
 import org.marjoramsail.core.placement.PlacementMessage;
@@ -210,6 +212,13 @@
     network.register(
         CrashReportMessage.class,
         (from, message) -> quarantine.handle(from, (CrashReportMessage) message, clock.millis()));
+    network.register(
+        PartCrashMessage.class,
+        (from, message) -> crashReports.handle(from, (PartCrashMessage) message, clock.millis()));
+    network.register(
+        PartClearanceMessage.class,
+        (from, message) ->
+            crashReports.handle(from, (PartClearanceMessage) message, clock.millis()));
     network.register(
         OrganisationUsageMessage.class,
         (from, message) -> placement.receiveUsage((OrganisationUsageMessage) message));
--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
@@ -26,6 +26,8 @@
 import org.marjoramsail.core.membership.StateMessage;
 import org.marjoramsail.core.message.PeerMessage;
 import org.marjoramsail.core.outcome.CrashReportMessage;
+import org.marjoramsail.core.outcome.PartClearanceMessage;
+import org.marjoramsail.core.outcome.PartCrashMessage;
 import org.marjoramsail.core.placement.OrganisationUsageMessage;
 import org.marjoramsail.core.placement.PlacementMessage;
 import org.marjoramsail.core.stream.StreamQueryMessage;
@@ -78,6 +80,8 @@
   STREAM_RECORDS(74, StreamRecordsMessage.class),
   STREAM_QUERY(75, StreamQueryMessage.class),
   STREAM_RESULT(76, StreamResultMessage.class),
+  PART_CRASH(77, PartCrashMessage.class),
+  PART_CLEARANCE(78, PartClearanceMessage.class),
   OPERATOR_QUESTION(90, OperatorQueryMessage.class),
   OPERATOR_ANSWER(91, OperatorResultMessage.class),
   DRAIN_HOST(92, DrainHostMessage.class),
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/CrashReportSender.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/CrashReportSender.java
@@ -6,9 +6,11 @@
 import java.util.stream.Collectors;
 import org.marjoramsail.core.membership.Member;
 import org.marjoramsail.core.membership.MembershipView;
+import org.marjoramsail.core.message.PeerMessage;
 import org.marjoramsail.core.message.PeerTransport;
 import org.marjoramsail.core.model.DaemonId;
-import org.marjoramsail.core.outcome.CrashReportMessage;
+import org.marjoramsail.core.outcome.PartClearanceMessage;
+import org.marjoramsail.core.outcome.PartCrashMessage;
 import org.marjoramsail.core.outcome.Quarantine;
 
 /**
@@ -16,7 +18,7 @@
  * and all that are stored to a daemon that has become reachable.
  *
  * <p>Guards against a daemon that has started, or was cut off from the others, and lets a content
- * that they refuse crash further upstreams.
+ * or prompt part that they refuse crash further upstreams.
  */
 public final class CrashReportSender {
 
@@ -38,11 +40,27 @@
 
   /** Sends the reports that were added since the last call. */
   public synchronized void sendNew() {
-    for (CrashReportMessage message : quarantine.takeMessages()) {
-      reachable.stream()
-          .filter(daemon -> !daemon.equals(self))
-          .forEach(daemon -> transport.send(daemon, message));
-    }
+    quarantine.takeMessages().forEach(this::sendToAll);
+    quarantine.takePartMessages().forEach(this::sendToAll);
+  }
+
+  private void sendToAll(PeerMessage message) {
+    reachable.stream()
+        .filter(daemon -> !daemon.equals(self))
+        .forEach(daemon -> transport.send(daemon, message));
+  }
+
+  /** Handles a crash that another daemon reported; replies with the parts that are cleared here. */
+  public void handle(DaemonId from, PartCrashMessage message, long nowMillis) {
+    quarantine
+        .handle(from, message, nowMillis)
+        .ifPresent(clearance -> transport.send(from, clearance));
+  }
+
+  /** Handles the clearance of prompt parts by another daemon. */
+  public void handle(DaemonId from, PartClearanceMessage message, long nowMillis) {
+    quarantine.handle(from, message, nowMillis);
+    sendNew();
   }
 
   /** Handles a change of the membership. */
@@ -58,7 +76,8 @@
     if (added.isEmpty()) {
       return;
     }
-    List<CrashReportMessage> stored = quarantine.reports(nowMillis);
+    List<PeerMessage> stored = new ArrayList<>(quarantine.reports(nowMillis));
+    stored.addAll(quarantine.partReports(nowMillis));
     added.stream()
         .filter(daemon -> isSender(daemon, before))
         .forEach(daemon -> stored.forEach(message -> transport.send(daemon, message)));
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/QuarantineLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/QuarantineLog.java
@@ -32,7 +32,7 @@
         .addKeyValue("change", change.kind().code())
         .addKeyValue("upstream", change.upstream())
         .addKeyValue(
-            "contents",
+            change.kind().isOfParts() ? "parts" : "contents",
             change.fingerprints().stream().map(Long::toHexString).collect(Collectors.joining(" ")))
         .addKeyValue("source", change.source())
         .log("quarantine changed");
