Show and lift parts of prompts in the quarantine

Operators could list and lift contents only. `show parts` lists parts of prompts that crashed upstreams, with the identifier that callers use; `lift quarantine` looks for a part where no content has the fingerprint. A subject of its own rather than a column more: a row of a daemon that lacks a column fails the whole answer while versions are mixed.

--- a/command/src/main/java/org/marjoramsail/command/operator/ServerNames.java
+++ b/command/src/main/java/org/marjoramsail/command/operator/ServerNames.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.language.NameKind;
 import org.marjoramsail.language.NameSource;
@@ -48,7 +49,10 @@
           column("show configuration where kind = " + kind.name().toLowerCase(Locale.ROOT), "name");
       case HOST -> column("show members", "member");
       case REQUEST -> column("show requests", "request");
-      case FINGERPRINT -> column("show quarantine", "fingerprint");
+      case FINGERPRINT ->
+          Stream.of("show quarantine", "show parts")
+              .flatMap(question -> column(question, "fingerprint").stream())
+              .toList();
       case VERSION, NEW -> List.of();
     };
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -323,9 +323,10 @@
 
   @Override
   public boolean lift(long fingerprint) {
-    boolean isLifted = quarantine.lift(fingerprint, clock.millis());
+    boolean isContentLifted = quarantine.lift(fingerprint, clock.millis());
+    boolean isPartLifted = quarantine.liftPart(fingerprint, clock.millis());
     crashReports.sendNew();
-    return isLifted;
+    return isContentLifted || isPartLifted;
   }
 
   private Future<Integer> startServing() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/RuntimeState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/RuntimeState.java
@@ -13,6 +13,7 @@
 import org.marjoramsail.core.membership.MembershipView;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.outcome.LifecycleState;
+import org.marjoramsail.core.outcome.PartEntry;
 import org.marjoramsail.core.outcome.Quarantine;
 import org.marjoramsail.core.outcome.QuarantineEntry;
 import org.marjoramsail.core.placement.ShardView;
@@ -21,6 +22,7 @@
 import org.marjoramsail.daemon.membership.MembershipService;
 import org.marjoramsail.daemon.operator.EngineOrderView;
 import org.marjoramsail.daemon.operator.LocalState;
+import org.marjoramsail.daemon.operator.PartView;
 import org.marjoramsail.daemon.operator.QuarantineView;
 import org.marjoramsail.daemon.operator.RequestView;
 import org.marjoramsail.daemon.operator.RevisionView;
@@ -112,6 +114,11 @@
     return quarantine.list(clock.millis()).stream().map(RuntimeState::view).toList();
   }
 
+  @Override
+  public List<PartView> parts() {
+    return quarantine.parts(clock.millis()).stream().map(RuntimeState::view).toList();
+  }
+
   @Override
   public List<EngineOrderView> engineOrders() {
     return stored.engineOrders();
@@ -130,6 +137,15 @@
         DaemonRuntime.CRASH_LIFETIME_MILLIS - entry.expiresInMillis());
   }
 
+  private static PartView view(PartEntry entry) {
+    return new PartView(
+        HexFormat.of().toHexDigits(entry.fingerprint()),
+        entry.id(),
+        entry.suspicion().name().toLowerCase(Locale.ROOT),
+        entry.crashes(),
+        DaemonRuntime.CRASH_LIFETIME_MILLIS - entry.expiresInMillis());
+  }
+
   private static RequestView view(org.marjoramsail.daemon.request.RequestSnapshot view) {
     return new RequestView(
         view.request(),
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/LocalQueries.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/LocalQueries.java
@@ -36,6 +36,7 @@
     sources.put(Subject.REFUSALS, question -> refusals());
     sources.put(Subject.RETRIES, question -> retries());
     sources.put(Subject.QUARANTINE, question -> quarantine());
+    sources.put(Subject.PARTS, question -> parts());
     sources.put(Subject.ORDERS, question -> orders());
     sources.put(Subject.CONFIGURATION, question -> configuration());
     sources.put(Subject.HISTORY, question -> history());
@@ -262,6 +263,19 @@
                 row(view.fingerprint(), view.state(), host(), view.crashes(), view.ageMillis()));
   }
 
+  private Stream<List<String>> parts() {
+    return state.parts().stream()
+        .map(
+            view ->
+                row(
+                    view.fingerprint(),
+                    view.part(),
+                    view.state(),
+                    host(),
+                    view.crashes(),
+                    view.ageMillis()));
+  }
+
   private Stream<List<String>> orders() {
     return state.engineOrders().stream()
         .map(
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/LocalState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/LocalState.java
@@ -44,6 +44,9 @@
   /** The contents that are refused because they crashed upstreams. */
   List<QuarantineView> quarantine();
 
+  /** The parts of prompts that are suspect or refused because they crashed upstreams. */
+  List<PartView> parts();
+
   /** The orders to engines. */
   List<EngineOrderView> engineOrders();
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/QuarantineOrderExecutor.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/QuarantineOrderExecutor.java
@@ -12,10 +12,12 @@
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.language.Condition;
 import org.marjoramsail.language.Order;
-import org.marjoramsail.language.ResultTable;
 import org.marjoramsail.language.Subject;
 
-/** Clears contents on all daemons; one that this daemon does not remember by asking another. */
+/**
+ * Clears contents and parts of prompts on all daemons; one that this daemon does not remember by
+ * asking another.
+ */
 public final class QuarantineOrderExecutor implements OrderExecutor {
 
   private final LongPredicate lift;
@@ -26,7 +28,8 @@
   /**
    * Creates an instance with all that it needs.
    *
-   * @param lift clears a content here and tells the others; false when there is nothing to clear
+   * @param lift clears a content or a part here and tells the others; false when there is nothing
+   *     to clear
    * @param queries finds the daemons that remember it
    * @param membership the daemons as they are known now
    * @param transport sends to one of them
@@ -45,27 +48,37 @@
   @Override
   public Future<OrderOutcome> carryOut(OrderContext context, List<Order> orders) {
     String fingerprint = ((Order.LiftQuarantine) orders.get(0)).fingerprint();
+    return hostsWith(Subject.QUARANTINE, fingerprint)
+        .compose(
+            hosts ->
+                hosts.isEmpty()
+                    ? hostsWith(Subject.PARTS, fingerprint)
+                    : Future.succeededFuture(hosts))
+        .compose(hosts -> carryOut(context, fingerprint, hosts));
+  }
+
+  /** Returns the hosts of the daemons that list a fingerprint. */
+  private Future<List<String>> hostsWith(Subject subject, String fingerprint) {
     OperatorQueryMessage question =
         new OperatorQueryMessage(
             0,
-            Subject.QUARANTINE,
+            subject,
             Optional.empty(),
             List.of(new Condition("fingerprint", Condition.Comparison.EQUAL, fingerprint)),
             Optional.empty(),
             Administration.MOST_ROWS);
-    return queries.ask(question).compose(table -> carryOut(context, fingerprint, table));
+    return queries.ask(question).map(table -> table.cellsOf("host"));
   }
 
   private Future<OrderOutcome> carryOut(
-      OrderContext context, String fingerprint, ResultTable table) {
-    List<String> hosts = table.cellsOf("host");
+      OrderContext context, String fingerprint, List<String> hosts) {
     if (hosts.isEmpty()) {
       return Future.failedFuture(
           OperatorProblems.of(
               AdministrationFailure.NOT_FOUND,
               "fingerprint",
               fingerprint,
-              "one that show quarantine lists",
+              "one that show quarantine or show parts lists",
               Optional.empty()));
     }
     if (context.isDryRun()) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/operator/AdministrationTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/operator/AdministrationTest.java
@@ -45,6 +45,7 @@
         "viewer | comuna-maipu | show configuration | FORBIDDEN",
         "viewer | comuna-maipu | show history | FORBIDDEN",
         "viewer | comuna-maipu | show quarantine | FORBIDDEN",
+        "viewer | comuna-maipu | show parts | FORBIDDEN",
         "operator | comuna-maipu | drain upstream plataforma-votacion-1 | FORBIDDEN",
         "administrator | comuna-maipu | delete rule ballots | FORBIDDEN",
         "administrator | comuna-maipu | change organisation comuna-maipu with weight = 9 | FORBIDDEN",
--- a/daemon/src/test/java/org/marjoramsail/daemon/operator/FakeLocalState.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/operator/FakeLocalState.java
@@ -120,6 +120,11 @@
     return List.of(new QuarantineView("9c2f1a", "quarantined", 2, 10));
   }
 
+  @Override
+  public List<PartView> parts() {
+    return List.of(new PartView("00000000000059aa", "91bd3f06", "quarantined", 2, 10));
+  }
+
   @Override
   public List<EngineOrderView> engineOrders() {
     return List.of();
--- a/daemon/src/test/java/org/marjoramsail/daemon/operator/OrderExecutorsTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/operator/OrderExecutorsTest.java
@@ -114,6 +114,32 @@
     assertThat(lifted).containsExactly(255L);
   }
 
+  /** Guards against a part that stays refused since only contents are looked for. */
+  @Test
+  void aPartOfPromptsIsLiftedWhereNoContentHasTheFingerprint() {
+    Set<Long> lifted = new HashSet<>();
+    QuarantineOrderExecutor executor =
+        new QuarantineOrderExecutor(
+            lifted::add,
+            question -> Future.succeededFuture(tableOfOnePart(question.subject())),
+            fixture.state::membership,
+            (to, message) -> {});
+
+    Future<OrderOutcome> outcome =
+        executor.carryOut(context(), List.of(new Order.LiftQuarantine("00000000000000ff")));
+
+    assertThat(outcome.succeeded()).isTrue();
+    assertThat(lifted).containsExactly(255L);
+  }
+
+  private static ResultTable tableOfOnePart(Subject subject) {
+    List<List<String>> rows =
+        subject == Subject.PARTS
+            ? List.of(List.of("00000000000000ff", "91bd3f06", "quarantined", "entry-1", "2", "5"))
+            : List.of();
+    return new ResultTable(subject.columns(), rows, List.of(), false);
+  }
+
   private EngineOrderExecutor engines() {
     return new EngineOrderExecutor(fixture.store, () -> configuration, this::change);
   }
--- a/language/src/main/java/org/marjoramsail/language/Order.java
+++ b/language/src/main/java/org/marjoramsail/language/Order.java
@@ -147,9 +147,9 @@
   }
 
   /**
-   * Lets a content run again that was refused because it crashed upstreams.
+   * Lets a content or a part of prompts run again that was refused because it crashed upstreams.
    *
-   * @param fingerprint the fingerprint of the content
+   * @param fingerprint the fingerprint of the content or the part
    */
   record LiftQuarantine(String fingerprint) implements Order {
 
--- a/language/src/main/java/org/marjoramsail/language/Subject.java
+++ b/language/src/main/java/org/marjoramsail/language/Subject.java
@@ -65,6 +65,12 @@
       Scope.FLEET,
       texts("fingerprint", "state", "host"),
       numbers("crashes", "age-millis")),
+  /** Parts of prompts that crashed upstreams, as each daemon remembers them. */
+  PARTS(
+      Visibility.PLATFORM,
+      Scope.FLEET,
+      texts("fingerprint", "part", "state", "host"),
+      numbers("crashes", "age-millis")),
   /** Orders to engines. */
   ORDERS(
       Visibility.PLATFORM,
