--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -97,11 +97,26 @@
       int maximumEntries,
       QuarantineListener listener,
       Function<UpstreamName, Optional<SoftwareVersion>> versions) {
+    this(
+        lifetimeMillis,
+        settleMillis,
+        maximumEntries,
+        listener,
+        versions,
+        PromptPartQuarantine.CRASH_LIMIT);
+  }
+
+  Quarantine(
+      long lifetimeMillis,
+      long settleMillis,
+      int maximumEntries,
+      QuarantineListener listener,
+      Function<UpstreamName, Optional<SoftwareVersion>> versions,
+      int partCrashLimit) {
     this.lifetimeMillis = lifetimeMillis;
     this.settleMillis = settleMillis;
     this.records = new CrashRecords(maximumEntries);
-    this.promptParts =
-        new PromptPartQuarantine(lifetimeMillis, PromptPartQuarantine.CRASH_LIMIT, listener);
+    this.promptParts = new PromptPartQuarantine(lifetimeMillis, partCrashLimit, listener);
     this.versions = versions;
     this.listener = listener;
   }
