Ask for a third crash before a part that others follow is refused

In the first seconds of a fleet no part has given output yet, so two crashes in requests with the same first part named that part, which sound requests share, until output cleared it.

A part that is followed by another suspect in the same request now needs one more crash than the last suspect. A group that was found stays one as long as one of its parts is a cause.

--- a/core/src/main/java/org/marjoramsail/core/outcome/PartEvidence.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/PartEvidence.java
@@ -26,6 +26,7 @@
   private final int crashLimit;
   private final Map<PartKey, Map<CrashId, Set<Long>>> contents = new LinkedHashMap<>();
   private final Map<CrashId, Set<PartKey>> parts = new HashMap<>();
+  private final Set<PartKey> leading = new HashSet<>();
 
   PartEvidence(int crashLimit, Map<CrashId, PartCrash> crashes) {
     this.crashLimit = crashLimit;
@@ -34,6 +35,9 @@
 
   private void add(CrashId id, PartCrash crash) {
     for (PartSuspects one : crash.suspects()) {
+      if (one.parts().size() > 1) {
+        leading.add(new PartKey(one.parts().get(0).fingerprint(), crash.version()));
+      }
       for (SharedPromptPart part : one.parts()) {
         PartKey key = new PartKey(part.fingerprint(), crash.version());
         contents
@@ -80,8 +84,9 @@
   private Optional<Set<PartKey>> strongest(Set<PartKey> group) {
     int most = group.stream().mapToInt(part -> crashes(part).size()).max().orElse(0);
     Set<PartKey> found = new HashSet<>(group);
-    found.removeIf(part -> crashes(part).size() < most || !isCause(part, Set.of()));
-    return Optional.of(found).filter(parts -> !parts.isEmpty());
+    found.removeIf(part -> crashes(part).size() < most);
+    return Optional.of(found)
+        .filter(remaining -> remaining.stream().anyMatch(part -> isCause(part, Set.of())));
   }
 
   /** Returns the parts that explain the most of the other crashes; none if these are too few. */
@@ -105,7 +110,15 @@
     Set<CrashId> crashes = unexplained(part, explained);
     long contentCount =
         crashes.stream().flatMap(id -> contents.get(part).get(id).stream()).distinct().count();
-    return crashes.size() >= crashLimit && contentCount >= CONTENT_LIMIT;
+    return crashes.size() >= crashLimit(part) && contentCount >= CONTENT_LIMIT;
+  }
+
+  /**
+   * Returns the number of crashes that a cause needs: one more for a part that others follow, since
+   * the earlier a part is in a prompt, the more sound requests share it.
+   */
+  private int crashLimit(PartKey part) {
+    return leading.contains(part) ? crashLimit + 1 : crashLimit;
   }
 
   private Set<CrashId> unexplained(PartKey part, Set<CrashId> explained) {
