A request in which an exception is thrown ends with a refusal

Callers would see: neither an answer nor a refusal, until they gave up or the connection was idle for 60 s.

Cause: LiveRequest handles the events of a request one after another, and marks that it does. When the lifecycle or one of its actions threw, the mark stayed, so that no later event was handled, not even the deadline; the actions after the one that threw, such as cancels, were lost as well. No input that throws is known; whether the reported requests ended so is not known either.

Change: all actions run; the request is then refused as 'internal', with its run state as the lifecycle knows it, its attempts are cancelled and later events are handled. Where the final response itself failed, a refusal is sent in its place. A line and the counter requests.failed.internally report it. A lifecycle that throws again on that refusal stays registered.

--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -40,6 +40,7 @@
   private final Map<LatencyViolation, Counter> latencyViolations;
   private final Counter budgetedRetries;
   private final Counter freeRetries;
+  private final Counter failedInternally;
   private final Counter accepted;
   private final Counter completed;
   private final Counter withinTargets;
@@ -71,6 +72,7 @@
     this.drops = perReason(registry, DropReason.class, "drops", DropReason::code);
     this.latencyViolations =
         perReason(registry, LatencyViolation.class, "requests.late", LatencyViolation::code);
+    this.failedInternally = registry.counter(PREFIX + "requests.failed.internally");
     this.accepted = registry.counter(PREFIX + "requests.accepted");
     this.completed = registry.counter(PREFIX + "requests.completed");
     this.withinTargets = registry.counter(PREFIX + "requests.within.targets");
@@ -163,6 +165,11 @@
     brokenOff.get(refusal.reason()).increment();
   }
 
+  /** Counts an exception that was thrown while a request was handled. */
+  public void failedInternally() {
+    failedInternally.increment();
+  }
+
   /** Counts an attempt that has made no progress for too long. */
   public void silent(LifecycleState phase) {
     silentAttempts.get(phase).increment();
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
@@ -16,6 +16,9 @@
 /** Executes the actions of one request's lifecycle and returns their results as events. */
 final class ActionRunner {
 
+  static final Refusal INTERNAL_FAILURE =
+      Refusal.unknown(RefusalReason.INTERNAL, "The request ended after an internal failure.");
+
   private final AttemptSender sender;
   private final Optional<ClaimRequest> claim;
   private final CallerSink sink;
@@ -24,6 +27,8 @@
   private final RequestProfile profile;
   private final RequestLog log;
   private final Map<Integer, OpenCall> calls = new HashMap<>(2);
+  private Optional<Refusal> lastRefusal = Optional.empty();
+  private boolean responded;
 
   ActionRunner(
       RequestProfile profile,
@@ -44,6 +49,20 @@
     this.meter = new RequestMeter(metrics, clock, profile, perTokenTargetMillis);
   }
 
+  /** Logs and counts an exception that was thrown while the request was handled. */
+  void failedInternally(RuntimeException exception) {
+    meter.failedInternally();
+    log.failedInternally(profile, exception);
+  }
+
+  /** Refuses a request whose final response could not be sent. */
+  void refuseUnlessResponded() {
+    if (!responded) {
+      responded = true;
+      sink.refuse(lastRefusal.orElse(INTERNAL_FAILURE));
+    }
+  }
+
   void run(LifecycleAction action, Consumer<LifecycleEvent> events) {
     if (action instanceof LifecycleAction.EmitToken token) {
       meter.token();
@@ -53,12 +72,15 @@
     } else if (action instanceof LifecycleAction.Complete complete) {
       meter.completed();
       sink.complete(complete.completion());
+      responded = true;
     } else if (action instanceof LifecycleAction.DeliverResponse deliver) {
       deliver(deliver.attempt());
     } else if (action instanceof LifecycleAction.Refuse refuse) {
+      lastRefusal = Optional.of(refuse.refusal());
       meter.refused(refuse.refusal());
       log.refused(profile, refuse.refusal(), meter.hasBegun());
       sink.refuse(refuse.refusal());
+      responded = true;
     } else if (action instanceof LifecycleAction.CountRetry retry) {
       meter.retried(retry.reason(), retry.fromBudget());
     } else if (action instanceof LifecycleAction.CountDrop drop) {
@@ -108,6 +130,7 @@
   private void deliver(int attempt) {
     meter.plainResponseReceived();
     sender.deliver(attempt);
+    responded = true;
   }
 
   private static void onPlaced(PlacementResult result, Consumer<LifecycleEvent> events) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -3,9 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import org.marjoramsail.core.outcome.LifecycleAction;
 import org.marjoramsail.core.outcome.LifecycleEvent;
+import org.marjoramsail.core.outcome.LifecycleState;
 import org.marjoramsail.core.outcome.RequestLifecycle;
 import org.marjoramsail.core.time.Clock;
 
@@ -13,6 +15,9 @@
  * A registered request and the queue of its events. Events arrive on any thread and are handled one
  * after another on the executor of the request. The lifecycle decides under the lock of the shard;
  * its actions run outside the lock.
+ *
+ * <p>An exception ends the request with a refusal, and its further events are still handled. This
+ * guards against a caller that gets neither a response nor a refusal.
  */
 final class LiveRequest {
 
@@ -27,6 +32,7 @@
   private final Deque<LifecycleEvent> mailbox = new ArrayDeque<>(2);
   private boolean draining;
   private boolean removed;
+  private boolean failed;
   private long timerAtMillis = Long.MAX_VALUE;
 
   LiveRequest(
@@ -97,20 +103,61 @@
 
   private boolean handleNext() {
     LifecycleEvent event;
-    List<LifecycleAction> actions;
     synchronized (shardLock) {
       event = mailbox.poll();
       if (event == null) {
         draining = false;
         return false;
       }
+    }
+    try {
+      handle(event);
+    } catch (RuntimeException exception) {
+      endAfter(exception);
+    }
+    return true;
+  }
+
+  private void handle(LifecycleEvent event) {
+    runAll(decide(event));
+    updateAfterEvent();
+  }
+
+  private List<LifecycleAction> decide(LifecycleEvent event) {
+    synchronized (shardLock) {
       long nowMillis = clock.millis();
-      actions = lifecycle.handle(event, nowMillis);
+      List<LifecycleAction> actions = lifecycle.handle(event, nowMillis);
       TraceRecorder.recordEvent(trace, nowMillis, lifecycle, event, actions);
+      return actions;
+    }
+  }
+
+  /** Runs all actions, those after a failed one too: they may release resources of upstreams. */
+  private void runAll(List<LifecycleAction> actions) {
+    Optional<RuntimeException> failure = Optional.empty();
+    for (LifecycleAction action : actions) {
+      try {
+        runner.run(action, this::deliver);
+      } catch (RuntimeException exception) {
+        failure = Optional.of(exception);
+      }
+    }
+    failure.ifPresent(this::endAfter);
+  }
+
+  /** Refuses the request, unless its final response was sent, and cancels its attempts. */
+  private void endAfter(RuntimeException exception) {
+    runner.failedInternally(exception);
+    boolean mayRefuse;
+    synchronized (shardLock) {
+      mayRefuse = lifecycle.state() != LifecycleState.ENDED && !failed;
+      failed = true;
+    }
+    if (mayRefuse) {
+      deliver(new LifecycleEvent.CallerEnded(ActionRunner.INTERNAL_FAILURE));
+    } else {
+      runner.refuseUnlessResponded();
     }
-    actions.forEach(action -> runner.run(action, this::deliver));
-    updateAfterEvent();
-    return true;
   }
 
   private void updateAfterEvent() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
@@ -86,6 +86,15 @@
         .log("silent attempt decided");
   }
 
+  /** Logs an exception that was thrown while a request was handled. */
+  void failedInternally(RequestProfile profile, RuntimeException exception) {
+    LOG.atError()
+        .addKeyValue("request", profile.id().value())
+        .addKeyValue("service", profile.service())
+        .setCause(exception)
+        .log("request failed internally");
+  }
+
   /** Logs the trace of an ended request. */
   void ended(RequestSnapshot snapshot, Optional<LatencyViolation> violation) {
     boolean alwaysLogged =
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
@@ -57,6 +57,10 @@
     }
   }
 
+  void failedInternally() {
+    metrics.failedInternally();
+  }
+
   /** Returns whether the caller was sent a part of its output. */
   boolean hasBegun() {
     return tokens > 0;
