Callers of the soak use daemons that stop until their processes have ended

The soak took a daemon from its callers' list when it was told to stop, so that no caller used an open connection to a daemon that drains. Callers now choose such a daemon until its process has ended; its host counts as disturbed as before.

--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
@@ -59,6 +59,7 @@
     private Optional<Endpoint> store = Optional.empty();
     private Optional<FleetDaemon> process = Optional.empty();
     private boolean isPaused;
+    private boolean isStopping;
 
     Host(String name, ListenSettings listen, LinkStandIn storePath) {
       this.name = name;
@@ -135,10 +136,10 @@
         .compose(port -> start(host));
   }
 
-  /** Returns the running daemons. */
+  /** Returns the running daemons, with those that were told to stop and have not ended. */
   List<Entry> entries() {
     return hosts.stream()
-        .filter(host -> host.process.isPresent())
+        .filter(host -> host.process.isPresent() || host.isStopping)
         .map(host -> new Entry(host.name, host.listen.caller()))
         .toList();
   }
@@ -205,7 +206,14 @@
     FleetDaemon stopped = host.process.orElseThrow();
     host.process = Optional.empty();
     arrivals.disturbanceBegins(host.name);
-    stopped.stop().onComplete(ended -> startLater(host, 1));
+    host.isStopping = true;
+    stopped
+        .stop()
+        .onComplete(
+            ended -> {
+              host.isStopping = false;
+              startLater(host, 1);
+            });
   }
 
   /** Kills all daemons for good. */
