Soak with servers that pause and with changes of timeouts

Cause: no fault of platform-soak let a server fall silent on open connections, which is the reported loss. New kinds of faults: servers-pause (0.8 to 1.6 s on all responses), servers-silent (2.5 to 8 s) and timeouts-changed. A response that a daemon without a fault broke off before the deadline of its caller, although the servers of the request did nothing but pause for less than 2 s, is lost by silence and breaks the soak. The report also counts responses broken off at their deadline, repeats after a pause and gaps longer than 2 s.

--- a/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
+++ b/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
@@ -31,6 +31,8 @@
           + " seconds, requests that ran twice, requests that ran although their callers were told"
           + " that they had not, and requests that arrive more than 2 seconds after the store knew"
           + " that their server leaves.",
+      "Servers also pause, beside changes of timeouts: a response that a daemon broke off although"
+          + " its server did nothing but pause for less than 2 seconds is lost by silence.",
       "Ends with 3 when a rule was broken, when no request of a kind was served, or when fewer than"
           + " nine tenths of the requests were sent on time."
     })
@@ -183,9 +185,18 @@
     report
         .falselyNotRun()
         .forEach(request -> output.println("ran although refused as not run: " + request));
+    printSilence(report.silence(), output);
     output.println(report.isClean() ? "The soak is clean." : "The soak is BROKEN.");
   }
 
+  private static void printSilence(PlatformSoakReport.Silence silence, PrintStream output) {
+    output.printf(
+        "silent servers: %d responses broken off, %d more at their deadline, %d repeats,"
+            + " %d gaps longer than 2 s%n",
+        silence.brokenOff(), silence.atDeadline(), silence.repeats(), silence.longGaps());
+    silence.lost().forEach(lost -> output.println("lost by silence: " + lost));
+  }
+
   private static void require(String option, int value, int least, int most) throws UsageException {
     if (value < least || value > most) {
       throw new UsageException(option, Integer.toString(value), least + " to " + most);
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -109,6 +109,32 @@
     void begin(PlatformSoakStage stage, Random random) {
       stage.disturbStore(StoreStandIn.Mood.SILENT, millis(random));
     }
+  },
+  /** Servers send nothing for a moment on connections that stay open, and go on. */
+  SERVERS_PAUSE {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      int millis =
+          LEAST_SERVER_PAUSE_MILLIS
+              + random.nextInt(MOST_SERVER_PAUSE_MILLIS - LEAST_SERVER_PAUSE_MILLIS);
+      stage.pauseServers(service(random), share(random), millis, random);
+    }
+  },
+  /** Servers send nothing for several seconds on connections that stay open, and go on. */
+  SERVERS_SILENT {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      int millis = LEAST_SILENCE_MILLIS + random.nextInt(MOST_MILLIS - LEAST_SILENCE_MILLIS);
+      stage.pauseServers(service(random), share(random), millis, random);
+    }
+  },
+  /** A configuration with another timeout of the routes comes into force. */
+  TIMEOUTS_CHANGED {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      stage.changeTimeouts(
+          LEAST_TIMEOUT_MILLIS + random.nextInt(MOST_TIMEOUT_MILLIS - LEAST_TIMEOUT_MILLIS));
+    }
   };
 
   private static final int MOST_DOWN_MILLIS = 2_000;
@@ -120,6 +146,17 @@
   /** Long enough for retransmissions that arrive more than 3 s after the end of a cut. */
   private static final int MOST_CUT_MILLIS = 10_000;
 
+  /** Bounds of the pause of a server that its callers are to wait for. */
+  private static final int LEAST_SERVER_PAUSE_MILLIS = 800;
+
+  private static final int MOST_SERVER_PAUSE_MILLIS = 1_600;
+  private static final int LEAST_SILENCE_MILLIS = 2_500;
+
+  /** Above the deadline of callers, so that no response is ended by the timeout of its route. */
+  private static final int LEAST_TIMEOUT_MILLIS = 3_200;
+
+  private static final int MOST_TIMEOUT_MILLIS = 8_000;
+
   private final Optional<ServerStandIn.Mood> mood;
 
   PlatformFault() {
@@ -142,7 +179,7 @@
   /** Starts the fault, which ends by itself. */
   void begin(PlatformSoakStage stage, Random random) {
     String service = service(random);
-    double servers = random.nextBoolean() ? 1 : random.nextDouble();
+    double servers = share(random);
     stage.disturb(
         service, mood.orElseThrow(), servers, random.nextDouble(), millis(random), random);
   }
@@ -156,6 +193,10 @@
     return random.nextBoolean() ? PlatformStandIn.ENGINES : PlatformStandIn.DESK;
   }
 
+  private static double share(Random random) {
+    return random.nextBoolean() ? 1 : random.nextDouble();
+  }
+
   private static int millis(Random random) {
     return LEAST_MILLIS + random.nextInt(MOST_MILLIS - LEAST_MILLIS);
   }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
@@ -20,7 +20,6 @@
 import org.marjoramsail.platform.assembly.LoopbackPlatform;
 import org.marjoramsail.platform.standin.PlatformStandIn;
 import org.marjoramsail.platform.standin.ServerStandIn;
-import org.marjoramsail.standin.load.DrainLog;
 import org.marjoramsail.standin.network.LinkStandIn;
 
 /**
@@ -149,8 +148,7 @@
           long nowMillis = clock.millis();
           if (nowMillis - lastMillis.getAndSet(nowMillis) > STALL_MILLIS) {
             stalls++;
-            arrivals.disturbanceBegins(DrainLog.STORE);
-            arrivals.disturbanceEnds(DrainLog.STORE);
+            arrivals.stalled();
           }
         });
   }
@@ -191,6 +189,7 @@
         arrivals.draining(),
         load.streams(),
         ranTwice,
-        load.toldNotRun().stream().filter(ran::contains).toList());
+        load.toldNotRun().stream().filter(ran::contains).toList(),
+        arrivals.silence());
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
@@ -17,6 +17,7 @@
  * @param streams which streams changed their software version, and which went on
  * @param ranTwice requests that ran more than once although they may not
  * @param falselyNotRun requests that ran although their callers were told that they did not
+ * @param silence what became of responses whose servers paused
  */
 public record PlatformSoakReport(
     Load load,
@@ -27,7 +28,8 @@
     Draining draining,
     Streams streams,
     List<String> ranTwice,
-    List<String> falselyNotRun) {
+    List<String> falselyNotRun,
+    Silence silence) {
 
   /** Share of the requests that have to be sent on time for a soak to prove something. */
   private static final double MINIMUM_ON_TIME = 0.9;
@@ -86,6 +88,24 @@
     }
   }
 
+  /**
+   * Responses of servers that sent nothing for a time and went on. Broken off counts what daemons
+   * without a fault broke off, where the servers of the request did nothing but pause.
+   *
+   * @param brokenOff responses that were broken off before the deadline of their caller
+   * @param atDeadline responses that were broken off later
+   * @param repeats requests that daemons sent to a server after another one had paused
+   * @param longGaps responses with a gap of more than 2 s, at any daemon
+   * @param lost responses that were broken off before the deadline although no pause lasted for 2 s
+   */
+  public record Silence(
+      int brokenOff, int atDeadline, int repeats, int longGaps, List<String> lost) {
+    /** Copies the list, so that the value is immutable. */
+    public Silence {
+      lost = List.copyOf(lost);
+    }
+  }
+
   /** Copies the collections, so that the value is immutable. */
   public PlatformSoakReport {
     kinds = List.copyOf(kinds);
@@ -105,6 +125,7 @@
         && streams.isContinuing()
         && ranTwice.isEmpty()
         && falselyNotRun.isEmpty()
+        && silence.lost().isEmpty()
         && retries.values().stream().noneMatch(window -> window.excess() > 0);
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
@@ -19,6 +19,9 @@
 /** The daemons, servers, store and network paths that faults are done to. */
 final class PlatformSoakStage {
 
+  /** Pause of a server from which on daemons may break off its responses. */
+  private static final long LONG_PAUSE_MILLIS = 2_000;
+
   private final Vertx vertx;
   private final Clock clock;
   private final PlatformStandIn platform;
@@ -77,11 +80,38 @@
       Random random) {
     for (String name : choose(platform.listed(service), servers, random)) {
       ServerStandIn server = platform.server(name);
+      arrivals.troubleBegins(name);
       server.mood(mood, requests);
-      vertx.setTimer(millis, fired -> server.mood(ServerStandIn.Mood.WELL));
+      vertx.setTimer(
+          millis,
+          fired -> {
+            server.mood(ServerStandIn.Mood.WELL);
+            arrivals.troubleEnds(name);
+          });
+    }
+  }
+
+  /** Lets a share of the servers of a service send nothing for a time, and then go on. */
+  void pauseServers(String service, double servers, long millis, Random random) {
+    boolean isLong = millis >= LONG_PAUSE_MILLIS;
+    for (String name : choose(platform.listed(service), servers, random)) {
+      ServerStandIn server = platform.server(name);
+      arrivals.pauseBegins(name, isLong);
+      server.mood(ServerStandIn.Mood.PAUSING);
+      vertx.setTimer(
+          millis,
+          fired -> {
+            server.mood(ServerStandIn.Mood.WELL);
+            arrivals.pauseEnds(name, isLong);
+          });
     }
   }
 
+  /** Puts a configuration in force whose routes have another timeout. */
+  void changeTimeouts(long timeoutMillis) {
+    platform.configure(PlatformStandIn.FIRST_ROUTE, timeoutMillis);
+  }
+
   /** Lets the store misbehave for a time. */
   void disturbStore(StoreStandIn.Mood mood, long millis) {
     arrivals.disturbanceBegins(DrainLog.STORE);
@@ -99,12 +129,14 @@
     for (String name : choose(platform.listed(service), servers, random)) {
       LinkStandIn link = links.get(name);
       arrivals.disturbanceBegins(name);
+      arrivals.troubleBegins(name);
       link.cut();
       vertx.setTimer(
           millis,
           fired -> {
             link.restore();
             arrivals.disturbanceEnds(name);
+            arrivals.troubleEnds(name);
           });
     }
   }
@@ -157,6 +189,7 @@
   }
 
   private void leave(String server, boolean announced, long millis) {
+    arrivals.troubleBegins(server);
     if (announced) {
       platform.drain(server);
       vertx.setTimer(millis, fired -> platform.unlist(server));
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
@@ -23,6 +23,7 @@
   private final Clock clock;
   private final Disturbances disturbances = new Disturbances(SETTLE_MILLIS);
   private final DrainLog drains = new DrainLog(LoopbackPlatform.DRAIN_MILLIS, disturbances);
+  private final SilenceLog silence = new SilenceLog();
   private final Map<String, ArrivalLog> retries = new HashMap<>();
 
   SoakArrivals(Clock clock, double retrySlack) {
@@ -61,6 +62,50 @@
     disturbances.end(part, clock.millis());
   }
 
+  /** Records that the soak itself stood still: daemons are not judged by what it saw late. */
+  synchronized void stalled() {
+    disturbances.begin(DrainLog.STORE);
+    disturbances.end(DrainLog.STORE, clock.millis());
+    silence.stalled(clock.millis());
+  }
+
+  /** Records that a server has trouble other than a pause. */
+  synchronized void troubleBegins(String server) {
+    silence.troubleBegins(server);
+  }
+
+  /** Records that such trouble of a server ends. */
+  synchronized void troubleEnds(String server) {
+    silence.troubleEnds(server, clock.millis());
+  }
+
+  /** Records that a server pauses, for 2 s or more if {@code isLong}. */
+  synchronized void pauseBegins(String server, boolean isLong) {
+    silence.pauseBegins(server, isLong);
+  }
+
+  /** Records that a server goes on after a pause. */
+  synchronized void pauseEnds(String server, boolean isLong) {
+    silence.pauseEnds(server, isLong, clock.millis());
+  }
+
+  /** Records the longest gap in a response. */
+  synchronized void gap(long millis) {
+    silence.gap(millis);
+  }
+
+  /** Records that a host broke off the response to a request, or sent none. */
+  synchronized void brokenOff(String request, String host, long afterMillis) {
+    if (isCalm(host)) {
+      silence.brokenOff(request, host, afterMillis, clock.millis());
+    }
+  }
+
+  /** Returns what became of responses whose servers paused. */
+  synchronized PlatformSoakReport.Silence silence() {
+    return silence.result();
+  }
+
   /** Returns whether a part was not disturbed recently. */
   synchronized boolean isCalm(String part) {
     return disturbances.isCalm(part, clock.millis());
@@ -86,6 +131,7 @@
       retries.get(service).prefillArrived(attempt, accepted, nowMillis);
     } else {
       retries.get(service).runArrived(attempt, nowMillis);
+      silence.runArrived(attempt, server, nowMillis);
     }
     drains.arrived(attempt, server, nowMillis);
   }
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpMethod;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -83,7 +84,7 @@
     this.daemons = daemons;
     this.arrivals = arrivals;
     this.random = random;
-    this.caller = new CallerStandIn(vertx, LoopbackPlatform.ADDRESS);
+    this.caller = new CallerStandIn(vertx, LoopbackPlatform.ADDRESS, clock);
   }
 
   /** Sends requests from now on until a time. */
@@ -172,7 +173,7 @@
     }
     PlatformProcesses.Entry entry = entries.get(random.nextInt(entries.size()));
     arrivals.requested(service, request, entry.host());
-    Future<Answer> answer = call(entry, path, request, Map.of(CallerStandIn.ATTEMPT, request));
+    Future<Answer> answer = call(entry, path, request, request, Map.of());
     answer
         .onSuccess(received -> answered(kind, request, received))
         .onFailure(failure -> lost(kind, reasonOf(entry)));
@@ -214,13 +215,8 @@
     arrivals.requested(PlatformStandIn.ENGINES, attempt, entry.host());
     Map<String, String> headers =
         Map.of(
-            CallerStandIn.ATTEMPT,
-            attempt,
-            CallerStandIn.RESUMES,
-            request,
-            CallerStandIn.LAST_EVENT,
-            Integer.toString(last.id()));
-    call(entry, PlatformStandIn.RESUMABLE, request, headers)
+            CallerStandIn.RESUMES, request, CallerStandIn.LAST_EVENT, Integer.toString(last.id()));
+    call(entry, PlatformStandIn.RESUMABLE, request, attempt, headers)
         .onSuccess(
             answer -> {
               List<StreamEvent> further = StreamEvent.in(answer.body());
@@ -235,7 +231,14 @@
   }
 
   private Future<Answer> call(
-      PlatformProcesses.Entry entry, String path, String request, Map<String, String> headers) {
+      PlatformProcesses.Entry entry,
+      String path,
+      String request,
+      String attempt,
+      Map<String, String> headers) {
+    long sentMillis = clock.millis();
+    Map<String, String> all = new HashMap<>(headers);
+    all.put(CallerStandIn.ATTEMPT, attempt);
     return caller
         .call(
             entry.caller().address(),
@@ -243,8 +246,15 @@
             HttpMethod.POST,
             PlatformStandIn.HOST,
             path + request,
-            headers)
-        .timeout(CALLER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            all)
+        .timeout(CALLER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        .onSuccess(answer -> arrivals.gap(answer.longestGapMillis()))
+        .onComplete(
+            result -> {
+              if (result.failed() || !result.result().whole()) {
+                arrivals.brokenOff(attempt, entry.host(), clock.millis() - sentMillis);
+              }
+            });
   }
 
   private LossReason reasonOf(PlatformProcesses.Entry entry) {
