Soak with contents that crash servers

Cause: no request of platform-soak crashed the server that runs it. New kind of fault: crashing-content sends the same path and body again and again, for 6 to 14 s, to all daemons; each server that begins to run it ends, and one with another name takes its place after 2 to 5 s. A content that reaches servers more than three times, sent by daemons without a fault more than 3 s after its third crash, breaks the soak (CrashLog; its bound is a value, so that parts of prompts can have one of their own). A server that has crashed no longer counts among those that serve a version, and its network path refuses connections.

--- a/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
+++ b/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
@@ -33,6 +33,8 @@
           + " that their server leaves.",
       "Servers also pause, beside changes of timeouts: a response that a daemon broke off although"
           + " its server did nothing but pause for less than 2 seconds is lost by silence.",
+      "Contents that crash each server that runs them come again and again. More than 3 seconds"
+          + " after its third crash, a content may reach servers three times more.",
       "Ends with 3 when a rule was broken, when no request of a kind was served, or when fewer than"
           + " nine tenths of the requests were sent on time."
     })
@@ -186,6 +188,7 @@
         .falselyNotRun()
         .forEach(request -> output.println("ran although refused as not run: " + request));
     printSilence(report.silence(), output);
+    printCrashes(report.crashes(), output);
     output.println(report.isClean() ? "The soak is clean." : "The soak is BROKEN.");
   }
 
@@ -197,6 +200,14 @@
     silence.lost().forEach(lost -> output.println("lost by silence: " + lost));
   }
 
+  private static void printCrashes(PlatformSoakReport.Crashes crashes, PrintStream output) {
+    output.printf(
+        "crashing contents: %d with %d requests; %d servers crashed, at most %d by one; %d sent"
+            + " too late%n",
+        crashes.contents(), crashes.requests(), crashes.crashes(), crashes.most(), crashes.late());
+    crashes.excess().forEach(excess -> output.println("crashing content sent on: " + excess));
+  }
+
   private static void require(String option, int value, int least, int most) throws UsageException {
     if (value < least || value > most) {
       throw new UsageException(option, Integer.toString(value), least + " to " + most);
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.command.platform;
 
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Random;
@@ -135,6 +136,16 @@
       stage.changeTimeouts(
           LEAST_TIMEOUT_MILLIS + random.nextInt(MOST_TIMEOUT_MILLIS - LEAST_TIMEOUT_MILLIS));
     }
+  },
+  /** A request that crashes each server that runs it comes again and again at all daemons. */
+  CRASHING_CONTENT {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      String path = CRASHING_PATHS.get(random.nextInt(CRASHING_PATHS.size()));
+      int gapMillis = LEAST_CRASHING_GAP_MILLIS + random.nextInt(MOST_CRASHING_GAP_MILLIS);
+      int millis = LEAST_CRASHING_MILLIS + random.nextInt(MOST_MILLIS);
+      stage.sendCrashingContent(path, gapMillis, millis);
+    }
   };
 
   private static final int MOST_DOWN_MILLIS = 2_000;
@@ -157,6 +168,19 @@
 
   private static final int MOST_TIMEOUT_MILLIS = 8_000;
 
+  private static final List<String> CRASHING_PATHS =
+      List.of(
+          PlatformStandIn.RESUMABLE,
+          PlatformStandIn.STREAM,
+          PlatformStandIn.ONCE,
+          PlatformStandIn.REPEATABLE);
+
+  private static final int LEAST_CRASHING_GAP_MILLIS = 50;
+  private static final int MOST_CRASHING_GAP_MILLIS = 300;
+
+  /** Long enough for requests after the time in which daemons tell each other of crashes. */
+  private static final int LEAST_CRASHING_MILLIS = 6_000;
+
   private final Optional<ServerStandIn.Mood> mood;
 
   PlatformFault() {
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
@@ -90,10 +90,11 @@
       long loadMillis = setup.seconds() * MILLIS_PER_SECOND;
       long endMillis = clock.millis() + loadMillis;
       PlatformSoakStage stage =
-          new PlatformSoakStage(vertx, clock, platform, daemons, links, arrivals, endMillis);
+          new PlatformSoakStage(vertx, clock, platform, daemons, links, arrivals, load, endMillis);
       vertx.runOnContext(
           nothing -> {
             load.start(endMillis);
+            stage.restartCrashedServers(new Random(random.nextLong()));
             watchPulse(vertx, arrivals);
             vertx.setTimer(
                 QUIET_MILLIS, fired -> nextFault(vertx, stage, setup, random, endMillis));
@@ -190,6 +191,7 @@
         load.streams(),
         ranTwice,
         load.toldNotRun().stream().filter(ran::contains).toList(),
-        arrivals.silence());
+        arrivals.silence(),
+        arrivals.crashes());
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
@@ -18,6 +18,7 @@
  * @param ranTwice requests that ran more than once although they may not
  * @param falselyNotRun requests that ran although their callers were told that they did not
  * @param silence what became of responses whose servers paused
+ * @param crashes what became of requests whose content crashes servers
  */
 public record PlatformSoakReport(
     Load load,
@@ -29,7 +30,8 @@
     Streams streams,
     List<String> ranTwice,
     List<String> falselyNotRun,
-    Silence silence) {
+    Silence silence,
+    Crashes crashes) {
 
   /** Share of the requests that have to be sent on time for a soak to prove something. */
   private static final double MINIMUM_ON_TIME = 0.9;
@@ -106,6 +108,25 @@
     }
   }
 
+  /**
+   * Requests whose content crashes each server that runs them.
+   *
+   * @param contents number of contents
+   * @param requests number of requests with one of these
+   * @param crashes number of servers that they crashed
+   * @param most the most servers that one content crashed
+   * @param late requests that reached servers, from daemons without a fault, after a content had to
+   *     be refused
+   * @param excess contents with more of these than are allowed
+   */
+  public record Crashes(
+      int contents, int requests, int crashes, int most, int late, List<String> excess) {
+    /** Copies the list, so that the value is immutable. */
+    public Crashes {
+      excess = List.copyOf(excess);
+    }
+  }
+
   /** Copies the collections, so that the value is immutable. */
   public PlatformSoakReport {
     kinds = List.copyOf(kinds);
@@ -126,6 +147,7 @@
         && ranTwice.isEmpty()
         && falselyNotRun.isEmpty()
         && silence.lost().isEmpty()
+        && crashes.excess().isEmpty()
         && retries.values().stream().noneMatch(window -> window.excess() > 0);
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.command.platform;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
@@ -22,16 +23,23 @@
   /** Pause of a server from which on daemons may break off its responses. */
   private static final long LONG_PAUSE_MILLIS = 2_000;
 
+  /** Bounds of the time after which a crashed server is back. */
+  private static final long LEAST_CRASHED_MILLIS = 2_000;
+
+  private static final long MOST_CRASHED_MILLIS = 5_000;
+
   private final Vertx vertx;
   private final Clock clock;
   private final PlatformStandIn platform;
   private final PlatformProcesses daemons;
   private final Map<String, LinkStandIn> links;
   private final SoakArrivals arrivals;
+  private final SoakLoad load;
   private final long endMillis;
   private final Set<String> leaving = new HashSet<>();
   private int started;
   private int releases;
+  private int contents;
 
   /**
    * Creates a stage.
@@ -46,6 +54,7 @@
       PlatformProcesses daemons,
       Map<String, LinkStandIn> links,
       SoakArrivals arrivals,
+      SoakLoad load,
       long endMillis) {
     this.vertx = vertx;
     this.clock = clock;
@@ -53,6 +62,7 @@
     this.daemons = daemons;
     this.links = links;
     this.arrivals = arrivals;
+    this.load = load;
     this.endMillis = endMillis;
   }
 
@@ -154,7 +164,7 @@
     staying.removeAll(leaving);
     for (String name : choose(staying, servers, random)) {
       leaving.add(name);
-      replace(service, name, platform.version(name), announced, millis);
+      replace(service, name, platform.version(name), () -> leave(name, announced, millis));
     }
   }
 
@@ -172,19 +182,21 @@
     for (String name : choose(staying, servers, random)) {
       leaving.add(name);
       vertx.setTimer(
-          delayMillis, fired -> replace(PlatformStandIn.ENGINES, name, version, true, millis));
+          delayMillis,
+          fired ->
+              replace(PlatformStandIn.ENGINES, name, version, () -> leave(name, true, millis)));
       delayMillis += gapMillis;
     }
   }
 
-  private void replace(
-      String service, String name, String version, boolean announced, long millis) {
+  /** Starts a server in the place of another one, which leaves once its successor is listed. */
+  private void replace(String service, String name, String version, Runnable leave) {
     String successor = name + "-successor-" + started++;
     Future<Integer> listed = platform.addServer(successor, service, platform.stage(name), version);
     listed.onSuccess(
         port -> {
           arrivals.observe(platform, service, successor);
-          leave(name, announced, millis);
+          leave.run();
         });
   }
 
@@ -199,6 +211,58 @@
     arrivals.drained(server);
   }
 
+  /**
+   * Sends the same request again and again to all daemons, which crashes each server that runs it.
+   *
+   * @param gapMillis time between two of them
+   */
+  void sendCrashingContent(String path, long gapMillis, long millis) {
+    String content = SoakLoad.CRASHING + ++contents;
+    long untilMillis = clock.millis() + Math.min(millis, remainingMillis());
+    vertx.setPeriodic(
+        gapMillis,
+        timer -> {
+          if (clock.millis() < untilMillis) {
+            load.sendCrashing(path, content);
+          } else {
+            vertx.cancelTimer(timer);
+          }
+        });
+  }
+
+  /** Lets crashing contents crash servers from now on; each is back after some seconds. */
+  void restartCrashedServers(Random random) {
+    Context context = vertx.getOrCreateContext();
+    Set<String> crashed = new HashSet<>();
+    platform.crashOn(SoakLoad.CRASHING, false);
+    platform.onCrash(
+        server ->
+            context.runOnContext(
+                nothing -> {
+                  if (crashed.add(server)) {
+                    crashed(server, random);
+                  }
+                }));
+  }
+
+  private void crashed(String server, Random random) {
+    arrivals.crashed(server, platform.server(server).runs());
+    Future<Void> unused = links.get(server).close();
+    long downMillis = random.nextLong(LEAST_CRASHED_MILLIS, MOST_CRASHED_MILLIS);
+    vertx.setTimer(
+        downMillis,
+        fired -> {
+          if (leaving.add(server)) {
+            replace(
+                service(server), server, platform.version(server), () -> platform.unlist(server));
+          }
+        });
+  }
+
+  private String service(String server) {
+    return platform.stage(server).isEmpty() ? PlatformStandIn.DESK : PlatformStandIn.ENGINES;
+  }
+
   private static List<String> choose(List<String> all, double share, Random random) {
     List<String> shuffled = new ArrayList<>(all);
     Collections.shuffle(shuffled, random);
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
@@ -24,6 +24,8 @@
   private final Disturbances disturbances = new Disturbances(SETTLE_MILLIS);
   private final DrainLog drains = new DrainLog(LoopbackPlatform.DRAIN_MILLIS, disturbances);
   private final SilenceLog silence = new SilenceLog();
+  private final CrashLog crashes = new CrashLog(CrashLog.CONTENT);
+  private final Map<String, String> hosts = new HashMap<>();
   private final Map<String, ArrivalLog> retries = new HashMap<>();
 
   SoakArrivals(Clock clock, double retrySlack) {
@@ -45,6 +47,32 @@
   synchronized void requested(String service, String request, String host) {
     retries.get(service).requested(clock.millis());
     drains.requested(request, host);
+    hosts.put(request, host);
+  }
+
+  /** Records that a caller sends a request whose content crashes servers. */
+  synchronized void crashingRequested(String request, String content) {
+    crashes.requested(request, content);
+  }
+
+  /**
+   * Records that a server has crashed.
+   *
+   * @param runs the requests that it has run, in order
+   */
+  synchronized void crashed(String server, List<String> runs) {
+    silence.troubleBegins(server);
+    for (int last = runs.size() - 1; last >= 0; last--) {
+      if (crashes.isCrashing(runs.get(last))) {
+        crashes.crashed(runs.get(last), clock.millis());
+        return;
+      }
+    }
+  }
+
+  /** Returns what became of requests whose content crashes servers. */
+  synchronized PlatformSoakReport.Crashes crashes() {
+    return crashes.result();
   }
 
   /** Records that the store has acknowledged that a server leaves. */
@@ -134,5 +162,6 @@
       silence.runArrived(attempt, server, nowMillis);
     }
     drains.arrived(attempt, server, nowMillis);
+    crashes.arrived(attempt, prefill, isCalm(hosts.getOrDefault(attempt, "")), nowMillis);
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
@@ -26,6 +26,9 @@
  */
 final class SoakLoad {
 
+  /** Begins the last part of the paths of requests that crash servers. */
+  static final String CRASHING = "crash-";
+
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final long TICK_MILLIS = 2;
   private static final long CALLER_TIMEOUT_MILLIS = 4_000;
@@ -158,7 +161,7 @@
         isStream
             ? draw < RESUMABLE_SHARE ? PlatformStandIn.RESUMABLE : PlatformStandIn.STREAM
             : draw < REPEATABLE_SHARE ? PlatformStandIn.REPEATABLE : PlatformStandIn.ONCE;
-    String service = isStream ? PlatformStandIn.ENGINES : PlatformStandIn.DESK;
+    String service = service(path);
     KindCount kind = kinds.computeIfAbsent(path, KindCount::new);
     String request = "soak-" + sequence++;
     kind.sent();
@@ -182,6 +185,27 @@
     }
   }
 
+  /** Sends a request whose content crashes servers to any daemon. */
+  void sendCrashing(String path, String content) {
+    List<PlatformProcesses.Entry> entries = daemons.entries();
+    if (entries.isEmpty()) {
+      return;
+    }
+    String request = content + "-" + sequence++;
+    if (path.equals(PlatformStandIn.ONCE) || path.equals(PlatformStandIn.STREAM)) {
+      once.add(request);
+    }
+    PlatformProcesses.Entry entry = entries.get(random.nextInt(entries.size()));
+    arrivals.requested(service(path), request, entry.host());
+    arrivals.crashingRequested(request, content);
+    call(entry, path, content, request, Map.of())
+        .onSuccess(answer -> recordRefusal(request, answer));
+  }
+
+  private static String service(String path) {
+    return PlatformStandIn.isStream(path) ? PlatformStandIn.ENGINES : PlatformStandIn.DESK;
+  }
+
   /** Resumes a stream that was broken off, as callers do, until it is whole or refused. */
   private void followStream(PlatformProcesses.Entry entry, String request, Answer answer) {
     List<StreamEvent> events = StreamEvent.in(answer.body());
@@ -268,6 +292,10 @@
 
   private void answered(KindCount kind, String request, Answer answer) {
     kind.answered(answer);
+    recordRefusal(request, answer);
+  }
+
+  private void recordRefusal(String request, Answer answer) {
     if (answer.status() == NO_ROOM || answer.status() == NOT_NOW) {
       toldNotRun.add(request);
     }
--- a/standin/src/main/java/org/marjoramsail/standin/network/LinkStandIn.java
+++ b/standin/src/main/java/org/marjoramsail/standin/network/LinkStandIn.java
@@ -65,6 +65,11 @@
     return server.listen(0, address).map(NetServer::actualPort);
   }
 
+  /** Refuses new connections and closes the open ones, as the host of a process that has ended. */
+  public Future<Void> close() {
+    return server.close();
+  }
+
   /** Holds all bytes from now on. */
   public synchronized void cut() {
     cut = true;
