--- a/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
@@ -14,6 +14,8 @@
 @Timeout(240)
 final class PlatformSoakTest {
 
+  private static final long SEED = 2;
+
   /** Guards against retries beyond the budget that only processes show, such as late grants. */
   @Test
   void daemonsThatAreProcessesBreakNoRuleWhileTheyAndTheirServersFail(@TempDir Path directory)
@@ -27,4 +29,23 @@
       assertThat(report.faults()).isNotEmpty();
     }
   }
+
+  /** Guards against responses lost by silence and against contents that crash server by server. */
+  @Test
+  void daemonsWaitForServersThatPauseAndRefuseContentsThatCrashServers(@TempDir Path directory)
+      throws Exception {
+    List<PlatformFault> faults =
+        List.of(
+            PlatformFault.SERVERS_PAUSE,
+            PlatformFault.TIMEOUTS_CHANGED,
+            PlatformFault.CRASHING_CONTENT);
+    PlatformSoakSetup setup = new PlatformSoakSetup(3, 3, 5, 5, 20, 10, 20, 10, SEED, faults);
+    try (ProcessDaemons processes = new ProcessDaemons(directory)) {
+      PlatformSoakReport report = new PlatformSoak(new SystemClock(), processes).run(setup);
+
+      assertThat(report.isClean()).as(report.toString()).isTrue();
+      assertThat(report.faults()).hasSize(faults.size());
+      assertThat(report.crashes().crashes()).isPositive();
+    }
+  }
 }
