Deliver streams whose last block has no id

Callers saw a stream broken off although its upstream had ended it: a stream whose last event is followed by a comment or by an event without an id was taken for one that ends inside an event, and failed as cut.

Cause: EventSplitter keeps blocks without an id for the next event, and any kept byte counted as an incomplete event at the end of the stream.

Now only the beginning of a block counts as incomplete. What follows the last event travels with the end of the stream, StreamFinished and Completion, so that the caller receives every byte of the response.

--- a/core/src/main/java/org/marjoramsail/core/outcome/Completion.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Completion.java
@@ -7,6 +7,11 @@
  * @param promptTokens length of the prompt
  * @param cachedTokens number of prompt tokens that an engine had in its cache
  * @param outputTokens length of the output
+ * @param trailingText text after the last token
  */
 public record Completion(
-    String finishReason, int promptTokens, int cachedTokens, int outputTokens) {}
+    String finishReason,
+    int promptTokens,
+    int cachedTokens,
+    int outputTokens,
+    String trailingText) {}
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleEvent.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleEvent.java
@@ -87,6 +87,7 @@
    * @param finishReason reason for which the engine stopped
    * @param promptTokens length of the prompt
    * @param cachedTokens number of prompt tokens that were cached
+   * @param trailingText text after the last token
    */
   record StreamFinished(
       RequestId request,
@@ -94,8 +95,21 @@
       int index,
       String finishReason,
       int promptTokens,
-      int cachedTokens)
-      implements LifecycleEvent {}
+      int cachedTokens,
+      String trailingText)
+      implements LifecycleEvent {
+
+    /** Creates the end of a stream without text after its last token. */
+    public StreamFinished(
+        RequestId request,
+        int attempt,
+        int index,
+        String finishReason,
+        int promptTokens,
+        int cachedTokens) {
+      this(request, attempt, index, finishReason, promptTokens, cachedTokens, "");
+    }
+  }
 
   /**
    * A plain service responded completely; the I/O layer keeps the response.
--- a/core/src/main/java/org/marjoramsail/core/outcome/StreamOutput.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/StreamOutput.java
@@ -38,7 +38,11 @@
   /** Returns the end of the output after the last frame of its upstream. */
   Completion completion(LifecycleEvent.StreamFinished finished) {
     return new Completion(
-        finished.finishReason(), finished.promptTokens(), finished.cachedTokens(), tokens);
+        finished.finishReason(),
+        finished.promptTokens(),
+        finished.cachedTokens(),
+        tokens,
+        finished.trailingText());
   }
 
   /** Returns the only software version that may produce the next token; empty if any may. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/EventSplitter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/EventSplitter.java
@@ -54,9 +54,14 @@
     return events;
   }
 
-  /** Returns whether the stream holds bytes that are not yet a complete event. */
+  /** Returns whether the last bytes of the stream are the beginning of a block. */
   boolean hasIncompleteEvent() {
-    return pending.length() > 0;
+    return pending.chars().skip(blockStart).anyMatch(next -> next != '\n' && next != '\r');
+  }
+
+  /** Returns the bytes after the last event: blocks without an id, and further blank lines. */
+  String trailingText() {
+    return pending.toString();
   }
 
   /** Returns the end of the next blank line, or -1. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -196,7 +196,12 @@
     if (response.writeQueueFull()) {
       response.setWriteQueueMaxSize(MAXIMUM_WRITE_QUEUE_BYTES);
     }
-    response.write(Buffer.buffer(text.getBytes(StandardCharsets.ISO_8859_1)));
+    response.write(bytesOf(text));
+  }
+
+  /** Returns the bytes of text that holds one character per byte. */
+  private static Buffer bytesOf(String text) {
+    return Buffer.buffer(text.getBytes(StandardCharsets.ISO_8859_1));
   }
 
   @Override
@@ -214,7 +219,7 @@
       response.setChunked(true);
       dependencies.connectionCloseHeader().addIfStopping(response);
     }
-    response.end();
+    response.end(bytesOf(completion.trailingText()));
     dependencies
         .completionListener()
         .completed(profile, request.parameters().outputTokens(), completion.outputTokens());
@@ -505,7 +510,13 @@
       }
       emit(
           new LifecycleEvent.StreamFinished(
-              profile.id(), attempt(), lastIndex + 1, "stop", profile.promptTokens(), 0));
+              profile.id(),
+              attempt(),
+              lastIndex + 1,
+              "stop",
+              profile.promptTokens(),
+              0,
+              splitter.trailingText()));
     }
 
     private void endBuffered() {
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/EventSplitterTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/EventSplitterTest.java
@@ -52,6 +52,36 @@
     assertThat(split(splitter, text)).containsExactly(new EventSplitter.Event(1, text));
   }
 
+  /** Guards against a stream that is taken for broken off since its last block has no id. */
+  @Test
+  void completeBlocksAfterTheLastEventAreKeptForTheEndOfTheStream() {
+    EventSplitter splitter = new EventSplitter();
+
+    assertThat(split(splitter, "id: 1\ndata: a\n\n: b\n\ndata: c\n\n")).hasSize(1);
+
+    assertThat(splitter.hasIncompleteEvent()).isFalse();
+    assertThat(splitter.trailingText()).isEqualTo(": b\n\ndata: c\n\n");
+  }
+
+  @Test
+  void aFurtherBlankLineAfterTheLastEventIsNoIncompleteEvent() {
+    EventSplitter splitter = new EventSplitter();
+
+    assertThat(split(splitter, "id: 1\ndata: a\n\n\r\n")).hasSize(1);
+
+    assertThat(splitter.hasIncompleteEvent()).isFalse();
+    assertThat(splitter.trailingText()).isEqualTo("\r\n");
+  }
+
+  @Test
+  void anIncompleteBlockAfterACompleteOneWithoutAnIdIsAnIncompleteEvent() {
+    EventSplitter splitter = new EventSplitter();
+
+    assertThat(split(splitter, "id: 1\ndata: a\n\n: b\n\ndata: c")).hasSize(1);
+
+    assertThat(splitter.hasIncompleteEvent()).isTrue();
+  }
+
   @Test
   void linesMayEndWithCarriageReturnAndLineFeed() {
     EventSplitter splitter = new EventSplitter();
