Deliver placement messages of a daemon to itself one after another

An overloaded daemon logged a StackOverflowError as an uncaught exception, after which the placement messages that remained in its loops were lost.

Cause: a daemon that is both entry and owner handled each message to itself inside the handler that sent it. A grant that the entry no longer expects is withdrawn, the withdrawal grants the next attempt, and so on: the stack grew with the length of the queue.

Messages to the own daemon are now delivered by a loop, in the order in which they were sent by their thread. The outermost call still returns after all of them.

--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -2,7 +2,9 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Tags;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -68,6 +70,11 @@
   private final Map<RequestId, Consumer<PlacementResult>> callbacks = new ConcurrentHashMap<>();
   private final Map<UpstreamName, LoadReport> latestLoads = new ConcurrentHashMap<>();
   private final Set<UpstreamName> unavailable = ConcurrentHashMap.newKeySet();
+
+  /** Messages to this daemon by the thread that sends them; the first is being delivered. */
+  private final ThreadLocal<Deque<PlacementMessage>> undelivered =
+      ThreadLocal.withInitial(ArrayDeque::new);
+
   private volatile Runnable workListener = () -> {};
   private Set<DaemonId> reachable = Set.of();
   private double loggedFleetShare = 1;
@@ -445,9 +452,31 @@
           .increment();
     }
     if (to.equals(self)) {
-      receive(self, message);
+      deliver(message);
     } else {
       transport.send(to, message);
     }
   }
+
+  /**
+   * Delivers a message to this daemon after those that are being delivered.
+   *
+   * <p>Guards against a stack overflow, which loses the messages that remain: a grant that is no
+   * longer expected is withdrawn, which grants the next attempt, for each attempt of a queue.
+   */
+  private void deliver(PlacementMessage message) {
+    Deque<PlacementMessage> messages = undelivered.get();
+    messages.add(message);
+    if (messages.size() > 1) {
+      return;
+    }
+    try {
+      while (!messages.isEmpty()) {
+        receive(self, messages.peek());
+        messages.remove();
+      }
+    } finally {
+      messages.clear();
+    }
+  }
 }
