A silent attempt ends soon after its output is continued elsewhere

Change: once the other attempt is sent to an upstream that continues a begun output, the silent one is closed after 0.3 s at most, unless the other has been rejected by then; until then it still serves the caller if it makes progress first. Nothing is ended before another upstream works on the output. Attempts without output are held as before.

Two new tests, for an output that has begun and one that has not.

--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -106,12 +106,12 @@
 
   /** Returns when the next {@link LifecycleEvent.TimePassed} is due. */
   public Optional<Long> nextWakeMillis() {
-    long backOffEndsAtMillis =
-        state == LifecycleState.BACKING_OFF ? waitUntilMillis : Long.MAX_VALUE;
+    long waitEndsAtMillis =
+        state == LifecycleState.BACKING_OFF ? waitUntilMillis : silent.overlapUntilMillis(state);
     Stream<Long> ownWakeTimes =
         state == LifecycleState.ENDED
             ? Stream.empty()
-            : Stream.of(profile.deadlineAtMillis(), progress.stallAtMillis(), backOffEndsAtMillis);
+            : Stream.of(profile.deadlineAtMillis(), progress.stallAtMillis(), waitEndsAtMillis);
     return Stream.concat(ownWakeTimes, outstanding.nextRepeatAtMillis().stream())
         .min(Long::compare);
   }
@@ -250,6 +250,7 @@
     if (silent.isPrefilling()) {
       endSilent(SilenceOutcome.REPLACED, AttemptResult.CANCELLED);
     }
+    silent.sentElsewhere(output.tokens() > 0, nowMillis);
     state = LifecycleState.GENERATING;
     actions.add(launcher.sendDecode(newGrant, nowMillis));
   }
@@ -413,7 +414,8 @@
     }
     boolean isCurrent = state.isRunning() && failed.attempt() == attempt.number();
     if (silent.isAttempt(failed.attempt()) && silent.isOn(failed.upstream())) {
-      silentFailed(failed.failure());
+      actions.addAll(
+          silent.failed(failed.failure(), output.generatedTokens(), progress, nowMillis));
     } else if (isCurrent && guard.isRunningOn(failed.upstream())) {
       failCurrent(failed.failure());
     } else {
@@ -429,7 +431,8 @@
     outstanding.releaseAll(upstream);
     kv.holderRestarted(upstream);
     if (silent.isOn(upstream)) {
-      silentFailed(UpstreamFailure.CUT);
+      actions.addAll(
+          silent.failed(UpstreamFailure.CUT, output.generatedTokens(), progress, nowMillis));
     }
     if (state.isRunning() && guard.isRunningOn(upstream)) {
       failCurrent(UpstreamFailure.CUT);
@@ -499,6 +502,8 @@
       refuse(RefusalReason.DEADLINE_PASSED, "The deadline of the request has passed.");
     } else if (state == LifecycleState.BACKING_OFF && nowMillis >= waitUntilMillis) {
       tryToPlace();
+    } else if (nowMillis >= silent.overlapUntilMillis(state)) {
+      endSilent(SilenceOutcome.REPLACED, AttemptResult.CANCELLED);
     } else if (state.isRunning() && nowMillis >= progress.stallAtMillis()) {
       attemptSilent();
     }
@@ -530,10 +535,6 @@
         new LifecycleAction.RecordSilenceOutcome(resumed.number(), resumed.upstream(), outcome));
   }
 
-  private void silentFailed(UpstreamFailure failure) {
-    actions.addAll(silent.failed(failure, output.generatedTokens(), progress, nowMillis));
-  }
-
   private void endSilent(SilenceOutcome outcome, AttemptResult result) {
     actions.addAll(silent.end(outcome, result, output.generatedTokens(), progress, nowMillis));
   }
--- a/core/src/main/java/org/marjoramsail/core/outcome/SilentAttempts.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/SilentAttempts.java
@@ -15,11 +15,21 @@
  */
 final class SilentAttempts {
 
+  /**
+   * Maximum time for which an output that has begun is continued on one upstream while another
+   * still works on it, in milliseconds. Within it the second one shows whether it rejects the
+   * request; after it, memory would be held twice for one output.
+   */
+  private static final long OVERLAP_MILLIS = 300;
+
+  private static final long NEVER = Long.MAX_VALUE;
+
   private final QuarantineGuard guard;
   private final OutstandingAttempts outstanding;
   private final AttemptHistory history;
   private final KvTransferState kv;
   private Optional<SilentAttempt> held = Optional.empty();
+  private long overlapUntilMillis = NEVER;
 
   SilentAttempts(
       QuarantineGuard guard,
@@ -35,10 +45,25 @@
   /** Holds an attempt; returns the report of its silence to its owner. */
   LifecycleAction hold(SilentAttempt silent, int outputTokens) {
     held = Optional.of(silent);
+    overlapUntilMillis = NEVER;
     history.upstreamReached(false);
     return AttemptHistory.silenceReport(silent, outputTokens);
   }
 
+  /**
+   * Records that the request is sent to another upstream now.
+   *
+   * @param isContinued whether that one continues an output that has begun
+   */
+  void sentElsewhere(boolean isContinued, long nowMillis) {
+    overlapUntilMillis = isContinued ? nowMillis + OVERLAP_MILLIS : NEVER;
+  }
+
+  /** Returns until when the held attempt may run beside one in a state. */
+  long overlapUntilMillis(LifecycleState current) {
+    return isPresent() && current == LifecycleState.GENERATING ? overlapUntilMillis : NEVER;
+  }
+
   boolean isPresent() {
     return held.isPresent();
   }
--- a/core/src/test/java/org/marjoramsail/core/outcome/SilentAttemptTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/SilentAttemptTest.java
@@ -25,6 +25,7 @@
   private static final long RESPONSE_STALL_MILLIS = 300;
   private static final long PREFILL_STALL_MILLIS = 600;
   private static final long DEADLINE_MILLIS = 14_000;
+  private static final long OVERLAP_MILLIS = 300;
   private static final int SENDS = 2;
   private static final int TOKENS = 3;
 
@@ -132,6 +133,36 @@
     assertThat(actions).noneMatch(LifecycleAction.Cancel.class::isInstance);
   }
 
+  /** Guards against an output that two upstreams go on working on. */
+  @Test
+  void aSilentAttemptIsEndedSoonAfterItsOutputIsContinuedElsewhere() {
+    startStream();
+    fallSilent();
+    grantOther();
+
+    advance(OVERLAP_MILLIS - 1);
+    assertThat(actions).doesNotContain(new LifecycleAction.CloseAttempt(1));
+    advance(1);
+
+    assertThat(actions).contains(new LifecycleAction.CloseAttempt(1));
+    handle(token(2, 1));
+    handle(token(2, 2));
+    handle(finished(2));
+    assertThat(tokens()).containsExactly(0, 1, 2);
+  }
+
+  @Test
+  void aSilentAttemptWithoutOutputGoesOnUntilAnotherGivesOutput() {
+    place();
+    handle(granted(1, SILENT));
+    fallSilent();
+    grantOther();
+
+    advance(2 * OVERLAP_MILLIS);
+
+    assertThat(actions).doesNotContain(new LifecycleAction.CloseAttempt(1));
+  }
+
   @Test
   void anAttemptThatIsStillWaitingIsWithdrawnWhenTheSilentOneGoesOn() {
     startStream();
