--- a/command/src/main/java/org/marjoramsail/command/platform/CrashLog.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/CrashLog.java
@@ -6,13 +6,13 @@
 import java.util.Map;
 
 /**
- * Counts requests that reach servers although what they share has crashed several servers. Not
- * thread-safe.
+ * Counts requests that reach servers although a cause that they share, such as their content, has
+ * crashed several servers. Not thread-safe.
  */
 final class CrashLog {
 
   /**
-   * What is allowed of requests that share a cause of crashes.
+   * Limits for requests that share a cause of crashes.
    *
    * @param crashes crashes after which such requests have to be refused
    * @param sends requests that may still reach servers
@@ -28,12 +28,15 @@
     private int prefills;
     private int runs;
 
-    /** The first prefill of a request that also runs is no further send. */
+    /** Returns the number of sends; a prefill and the run that follows it are one. */
     int count() {
       return Math.max(prefills, runs);
     }
   }
 
+  /**
+   * Crashes by one cause, and the requests with it that arrived although they had to be refused.
+   */
   private static final class Cause {
     private final List<Long> crashes = new ArrayList<>();
     private final Map<String, Sends> late = new HashMap<>();
@@ -70,7 +73,8 @@
   /**
    * Records that a request arrives at a server.
    *
-   * @param isInTouch whether its daemon had no fault for a time
+   * @param isInTouch whether its daemon had no fault recently, so that it had received the crash
+   *     reports of others
    */
   void arrived(String request, boolean isPrefill, boolean isInTouch, long nowMillis) {
     if (!isCrashing(request) || !isInTouch) {
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -157,10 +157,12 @@
   /** Long enough for retransmissions that arrive more than 3 s after the end of a cut. */
   private static final int MOST_CUT_MILLIS = 10_000;
 
-  /** Bounds of the pause of a server that its callers are to wait for. */
+  /** Bounds, in milliseconds, of a pause of a server for which daemons have to wait. */
   private static final int LEAST_SERVER_PAUSE_MILLIS = 800;
 
   private static final int MOST_SERVER_PAUSE_MILLIS = 1_600;
+
+  /** Longer than a pause after which daemons may break off a response. */
   private static final int LEAST_SILENCE_MILLIS = 2_500;
 
   /** Above the deadline of callers, so that no response is ended by the timeout of its route. */
@@ -178,7 +180,7 @@
   private static final int LEAST_CRASHING_GAP_MILLIS = 50;
   private static final int MOST_CRASHING_GAP_MILLIS = 300;
 
-  /** Long enough for requests after the time in which daemons tell each other of crashes. */
+  /** Long enough for requests after the time in which daemons report crashes to each other. */
   private static final int LEAST_CRASHING_MILLIS = 6_000;
 
   private final Optional<ServerStandIn.Mood> mood;
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
@@ -136,7 +136,7 @@
         .compose(port -> start(host));
   }
 
-  /** Returns the running daemons, with those that were told to stop and have not ended. */
+  /** Returns the running daemons, including those that are stopping and still serve. */
   List<Entry> entries() {
     return hosts.stream()
         .filter(host -> host.process.isPresent() || host.isStopping)
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
@@ -20,10 +20,10 @@
 /** The daemons, servers, store and network paths that faults are done to. */
 final class PlatformSoakStage {
 
-  /** Pause of a server from which on daemons may break off its responses. */
+  /** Shortest pause of a server after which daemons may break off its responses. */
   private static final long LONG_PAUSE_MILLIS = 2_000;
 
-  /** Bounds of the time after which a crashed server is back. */
+  /** Bounds of the time after which a crashed server is replaced. */
   private static final long LEAST_CRASHED_MILLIS = 2_000;
 
   private static final long MOST_CRASHED_MILLIS = 5_000;
@@ -189,7 +189,7 @@
     }
   }
 
-  /** Starts a server in the place of another one, which leaves once its successor is listed. */
+  /** Starts a successor of a server; {@code leave} ends the server once the successor is listed. */
   private void replace(String service, String name, String version, Runnable leave) {
     String successor = name + "-successor-" + started++;
     Future<Integer> listed = platform.addServer(successor, service, platform.stage(name), version);
@@ -212,9 +212,11 @@
   }
 
   /**
-   * Sends the same request again and again to all daemons, which crashes each server that runs it.
+   * Sends a request that crashes each server that runs it to all daemons, again and again.
    *
-   * @param gapMillis time between two of them
+   * @param path the route of the request
+   * @param gapMillis time between two sends
+   * @param millis time until the last send
    */
   void sendCrashingContent(String path, long gapMillis, long millis) {
     String content = SoakLoad.CRASHING + ++contents;
@@ -230,7 +232,9 @@
         });
   }
 
-  /** Lets crashing contents crash servers from now on; each is back after some seconds. */
+  /**
+   * Lets crashing contents crash servers from now on, and replaces each server some seconds later.
+   */
   void restartCrashedServers(Random random) {
     Context context = vertx.getOrCreateContext();
     Set<String> crashed = new HashSet<>();
--- a/command/src/main/java/org/marjoramsail/command/platform/SilenceLog.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SilenceLog.java
@@ -10,12 +10,12 @@
 import org.marjoramsail.standin.load.Disturbances;
 
 /**
- * Detects responses that daemons broke off although the servers of the request did nothing but
- * pause for a moment. Not thread-safe.
+ * Detects responses that daemons broke off although the servers of the request only paused for a
+ * moment. Not thread-safe.
  */
 final class SilenceLog {
 
-  /** Gap in a response from which on it is reported. */
+  /** Shortest gap in a response that is counted as long. */
   private static final long LONG_GAP_MILLIS = 2_000;
 
   /** Covers the whole life of a request that ends before its deadline. */
@@ -44,7 +44,7 @@
     troubles.end(server, nowMillis);
   }
 
-  /** Records that the soak itself stood still, so that pauses were longer than planned. */
+  /** Records that the process of the soak was delayed, so that pauses were longer than planned. */
   void stalled(long nowMillis) {
     troubles.begin(SOAK);
     troubles.end(SOAK, nowMillis);
@@ -84,7 +84,11 @@
     longGaps += millis > LONG_GAP_MILLIS ? 1 : 0;
   }
 
-  /** Records that a daemon without a fault broke off a response, or sent none. */
+  /**
+   * Records that a daemon without a fault broke off a response, or sent none.
+   *
+   * @param afterMillis time since the request was sent
+   */
   void brokenOff(String request, String host, long afterMillis, long nowMillis) {
     Set<String> ran = servers.getOrDefault(request, Set.of());
     boolean isPaused = ran.stream().anyMatch(server -> !pauses.isCalm(server, nowMillis));
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
@@ -90,7 +90,7 @@
     disturbances.end(part, clock.millis());
   }
 
-  /** Records that the soak itself stood still: daemons are not judged by what it saw late. */
+  /** Records that the process of the soak was delayed, so that daemons are not blamed for it. */
   synchronized void stalled() {
     disturbances.begin(DrainLog.STORE);
     disturbances.end(DrainLog.STORE, clock.millis());
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
@@ -26,7 +26,7 @@
  */
 final class SoakLoad {
 
-  /** Begins the last part of the paths of requests that crash servers. */
+  /** Start of the last path segment of requests that crash servers. */
   static final String CRASHING = "crash-";
 
   private static final double MILLIS_PER_SECOND = 1_000;
--- a/core/src/main/java/org/marjoramsail/core/outcome/AttemptHistory.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptHistory.java
@@ -123,7 +123,7 @@
             outputTokens));
   }
 
-  /** Returns the report that an upstream makes no progress on an attempt, which still runs. */
+  /** Returns the report of an attempt on which its upstream makes no progress and which runs on. */
   static LifecycleAction silenceReport(SilentAttempt silent, int outputTokens) {
     return new LifecycleAction.Report(
         new AttemptReport(
--- a/core/src/main/java/org/marjoramsail/core/outcome/AttemptLauncher.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptLauncher.java
@@ -6,6 +6,10 @@
 /** Sends the attempts of one request, and sets how long each may take to make progress. */
 final class AttemptLauncher {
 
+  /**
+   * Multiple of the estimated time of a prefill or transfer that may pass, in addition to the stall
+   * time, before the attempt makes no progress for too long.
+   */
   private static final int STALL_ESTIMATE_FACTOR = 4;
 
   private final LifecyclePolicy policy;
@@ -33,6 +37,7 @@
     this.kv = kv;
   }
 
+  /** Records the start of a prefill; returns the action that sends it. */
   LifecycleAction sendPrefill(Grant grant, long nowMillis) {
     UpstreamName upstream = grant.prefill().orElseThrow();
     progress.expectProgressUntil(
@@ -44,6 +49,7 @@
     return new LifecycleAction.SendPrefill(grant.attempt(), upstream);
   }
 
+  /** Records the start of the generation of output; returns the action that sends it. */
   LifecycleAction sendDecode(Grant grant, long nowMillis) {
     output.attemptStarted();
     progress.attemptStarted();
@@ -57,6 +63,7 @@
         grant.attempt(), grant.target(), output.tokens(), output.requiredVersion(), kv.source());
   }
 
+  /** Records the start of a request to a plain service; returns the action that sends it. */
   LifecycleAction sendPlain(Grant grant, long nowMillis) {
     progress.expectWithin(policy.responseStallMillis(), nowMillis);
     progress.requestSent(nowMillis);
--- a/core/src/main/java/org/marjoramsail/core/outcome/AttemptPlacement.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptPlacement.java
@@ -9,8 +9,8 @@
 import org.marjoramsail.core.placement.PriorCalls;
 
 /**
- * Creates the placement requests of one request, which avoid the upstreams that failed it or are
- * silent.
+ * Creates the placement requests for the attempts of one request. They avoid the upstreams on which
+ * an earlier attempt failed or makes no progress.
  */
 final class AttemptPlacement {
 
@@ -25,7 +25,9 @@
     this.guard = guard;
   }
 
-  /** Records that an attempt failed or is silent on an upstream, which later attempts avoid. */
+  /**
+   * Records an upstream on which an attempt failed or makes no progress; later attempts avoid it.
+   */
   void avoid(UpstreamName upstream) {
     avoided.add(upstream);
   }
@@ -38,6 +40,11 @@
   /**
    * Returns the placement request of an attempt.
    *
+   * @param attempt the attempt that is to be placed
+   * @param output output that the caller was already sent, which the attempt continues
+   * @param progress how long the caller waits
+   * @param usableKv KV cache of an earlier prefill, if it can still be used
+   * @param priorCalls which upstreams earlier attempts reached
    * @param isolated whether the attempt may not share an upstream with a suspect
    */
   PlacementRequest request(
--- a/core/src/main/java/org/marjoramsail/core/outcome/ClearedParts.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/ClearedParts.java
@@ -4,13 +4,21 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** Records which prompt parts have given output lately; the least recent are removed first. */
+/**
+ * Stores the prompt parts with which a request gave output recently; the oldest is removed first.
+ */
 final class ClearedParts {
 
   private final long lifetimeMillis;
   private final int maximumEntries;
   private final Map<PartKey, Long> clearedAtMillis = new LinkedHashMap<>();
 
+  /**
+   * Creates an empty store.
+   *
+   * @param lifetimeMillis time for which a part stays cleared after an output
+   * @param maximumEntries maximum number of parts, which bounds the memory
+   */
   ClearedParts(long lifetimeMillis, int maximumEntries) {
     this.lifetimeMillis = lifetimeMillis;
     this.maximumEntries = maximumEntries;
--- a/core/src/main/java/org/marjoramsail/core/outcome/Completion.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Completion.java
@@ -7,7 +7,8 @@
  * @param promptTokens length of the prompt
  * @param cachedTokens number of prompt tokens that an engine had in its cache
  * @param outputTokens length of the output
- * @param trailingText text after the last token
+ * @param trailingText rest of the stream after its last token, such as an event without an
+ *     identifier; sent to the caller unchanged
  */
 public record Completion(
     String finishReason,
--- a/core/src/main/java/org/marjoramsail/core/outcome/CrashableUpstream.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CrashableUpstream.java
@@ -5,25 +5,50 @@
 import java.util.List;
 import java.util.Map;
 
-/** The attempts on an upstream, and what is known of a crash of it. */
+/**
+ * Tracks the attempts on an upstream that may have caused a crash of it.
+ *
+ * <p>An attempt whose connection is cut waits for a proof of a crash. If none arrives in time, it
+ * is undecided; if a response disproves the crash, it is dismissed. A later proof still applies to
+ * both for a while.
+ */
 final class CrashableUpstream {
 
   /** Longest delay, in milliseconds, with which a proof of a crash may follow a cut. */
   static final long LATE_PROOF_MILLIS = 15_000;
 
+  /** Time before all others; half of the minimum, so that differences to it do not overflow. */
   private static final long NEVER = Long.MIN_VALUE / 2;
 
+  /** Latest incarnation that was reported; zero if there was no report. */
   long incarnation;
+
   final Map<AttemptKey, RunningAttempt> running = new HashMap<>();
+
+  /** Attempts whose connections were cut and that wait for a proof of a crash. */
   final Map<AttemptKey, RunningAttempt> cut = new HashMap<>();
+
+  /** Cut attempts for which no proof arrived in time. */
   final Map<AttemptKey, RunningAttempt> undecided = new HashMap<>();
+
+  /** Cut attempts after which a response disproved a crash; see {@link #dismissCuts}. */
   final Map<AttemptKey, RunningAttempt> dismissed = new HashMap<>();
+
+  /** Time until which the cut attempts wait for a proof. */
   long decideAtMillis;
+
+  /** Whether a crash is presumed without a proof, since several requests were cut together. */
   boolean presumed;
+
   long lastCutAtMillis;
+
+  /** Start of the latest request or connection that reached the upstream. */
   long reachedAtMillis = NEVER;
+
+  /** Incarnation whose running attempts became suspects last; negative if there is none. */
   long crashedIncarnation = -1;
 
+  /** Returns whether cut attempts wait for a proof of a crash. */
   boolean isUnsettled() {
     return !cut.isEmpty();
   }
@@ -33,6 +58,7 @@
     return isUnsettled() || (!undecided.isEmpty() && isProofInTime(nowMillis));
   }
 
+  /** Returns whether a proof that arrives now still applies to the attempts that were cut last. */
   boolean isProofInTime(long nowMillis) {
     return nowMillis - lastCutAtMillis <= LATE_PROOF_MILLIS;
   }
@@ -63,6 +89,7 @@
     return fingerprints;
   }
 
+  /** Removes and returns the cut attempts that a crash which is proven now makes suspects. */
   List<RunningAttempt> removeSuspects(long nowMillis) {
     List<RunningAttempt> suspects = new ArrayList<>(cut.values());
     cut.clear();
@@ -75,7 +102,8 @@
     return suspects;
   }
 
-  void forget(long fingerprint) {
+  /** Removes the cut attempts with a content, which is cleared. */
+  void removeCuts(long fingerprint) {
     cut.values().removeIf(run -> run.hasFingerprint(fingerprint));
     undecided.values().removeIf(run -> run.hasFingerprint(fingerprint));
     dismissed.values().removeIf(run -> run.hasFingerprint(fingerprint));
--- a/core/src/main/java/org/marjoramsail/core/outcome/CurrentAttempt.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CurrentAttempt.java
@@ -9,7 +9,12 @@
 import org.marjoramsail.core.placement.AttemptResult;
 import org.marjoramsail.core.placement.Grant;
 
-/** The attempt of a request that its next events are about: its number, its grant, its output. */
+/**
+ * Tracks the attempt of a request that is placed or sent now: its number, its placement, its grant.
+ *
+ * <p>When it makes no progress it can be set aside as a {@link SilentAttempt}, and become the
+ * current one again.
+ */
 final class CurrentAttempt {
 
   private final RequestId request;
@@ -21,7 +26,7 @@
   private final KvTransferState kv;
   private int number;
   private int highestNumber;
-  private int abandonedBeside;
+  private int abandonedCount;
   private RequestId placementId;
   private Optional<Grant> grant = Optional.empty();
   private boolean outputReceived;
@@ -44,8 +49,13 @@
     this.kv = kv;
   }
 
-  /** Starts the next attempt, beside the one that is held, if any. */
-  void next(SilentAttempts silent) {
+  /**
+   * Starts the next attempt.
+   *
+   * @param silent the attempt that was set aside, if any; while it holds the identifier of the
+   *     request at the owner, the next one is placed under an identifier of its own
+   */
+  void startNext(SilentAttempts silent) {
     highestNumber++;
     number = highestNumber;
     placementId = silent.isPlacedAs(request) ? request.forAttempt(number) : request;
@@ -58,19 +68,25 @@
   }
 
   /** Returns whether the limits of the request allow another attempt. */
-  boolean mayBeFollowed(LifecyclePolicy policy) {
-    return highestNumber - abandonedBeside < policy.maximumAttempts()
+  boolean isAnotherAllowed(LifecyclePolicy policy) {
+    return highestNumber - abandonedCount < policy.maximumAttempts()
         && history.sends() < policy.maximumSends();
   }
 
-  /** Records that an attempt beside a silent one came to nothing, which costs no attempt. */
-  void abandonedBeside() {
-    abandonedBeside++;
+  /**
+   * Records that an attempt was abandoned for a silent one; it does not count towards the limit.
+   */
+  void countAbandoned() {
+    abandonedCount++;
   }
 
-  /** Returns the time until another attempt is requested again; it doubles each time. */
+  /**
+   * Returns the time without progress after which another attempt is requested. It doubles with
+   * each abandoned one, so that a request whose alternatives are refused does not request them at a
+   * constant rate.
+   */
   long nextStallMillis(long stallMillis) {
-    return stallMillis << abandonedBeside;
+    return stallMillis << abandonedCount;
   }
 
   /** Returns the identifier under which it is placed. */
@@ -135,7 +151,7 @@
     return reportEnd(AttemptResult.FAILED, Optional.of(upstream));
   }
 
-  /** Leaves the attempt to its upstream, which goes on, while another is made. */
+  /** Detaches the attempt, which continues on its upstream, so that another one can start. */
   SilentAttempt setAside(LifecycleState state) {
     SilentAttempt silent =
         new SilentAttempt(
@@ -152,10 +168,10 @@
     return silent;
   }
 
-  /** Abandons this attempt for one that was set aside; returns the actions that end it. */
+  /** Abandons the attempt in favour of one that was set aside; returns the actions that end it. */
   List<LifecycleAction> abandonFor(SilentAttempt resumed, LifecycleState state, long nowMillis) {
     if (number == resumed.number()) {
-      // No other attempt was begun yet.
+      // No other attempt has started since it was set aside.
       return List.of();
     }
     List<LifecycleAction> actions = new ArrayList<>();
@@ -171,7 +187,7 @@
     return actions;
   }
 
-  /** Replaces this attempt by one that was set aside. */
+  /** Makes an attempt that was set aside the current one again. */
   void resume(SilentAttempt silent) {
     number = silent.number();
     placementId = silent.placementId();
--- a/core/src/main/java/org/marjoramsail/core/outcome/KvTransferState.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/KvTransferState.java
@@ -47,14 +47,14 @@
     source = Optional.empty();
   }
 
-  /** Leaves the KV cache to an attempt that may still fetch it, while another is made. */
+  /** Removes and returns the KV cache without a release, since an attempt may still fetch it. */
   Optional<KvSource> detach() {
     Optional<KvSource> detached = source;
     source = Optional.empty();
     return detached;
   }
 
-  /** Takes the KV cache of an attempt that is the current one again. */
+  /** Stores the KV cache of an attempt that becomes the current one again. */
   void attach(Optional<KvSource> detached) {
     source = detached;
   }
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleEvent.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleEvent.java
@@ -87,7 +87,8 @@
    * @param finishReason reason for which the engine stopped
    * @param promptTokens length of the prompt
    * @param cachedTokens number of prompt tokens that were cached
-   * @param trailingText text after the last token
+   * @param trailingText rest of the stream after its last token, such as an event without an
+   *     identifier; sent to the caller unchanged
    */
   record StreamFinished(
       RequestId request,
--- a/core/src/main/java/org/marjoramsail/core/outcome/PartCrash.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/PartCrash.java
@@ -23,7 +23,11 @@
     this.version = version;
   }
 
-  /** Adds the suspects that another daemon, or this one, saw on the upstream. */
+  /**
+   * Adds suspects that a daemon reported, except parts that are cleared or lifted.
+   *
+   * @param maximumParts maximum number of suspects of a crash; further ones are ignored
+   */
   void add(Collection<PartSuspects> added, Predicate<PartKey> isCleared, int maximumParts) {
     int room = maximumParts - suspects.values().stream().mapToInt(Map::size).sum();
     for (PartSuspects one : added) {
@@ -49,7 +53,7 @@
     clear(part);
   }
 
-  /** Records that this daemon reported the crash to the others. */
+  /** Records that this daemon reported the crash, so that it forwards clearances. */
   void reportedHere() {
     reportedHere = true;
   }
@@ -59,6 +63,7 @@
     return reportedHere && suspects.values().stream().anyMatch(parts -> parts.containsKey(part));
   }
 
+  /** Stores the crash at least until a time. */
   void extendUntil(long atMillis) {
     expiresAtMillis = Math.max(expiresAtMillis, atMillis);
   }
--- a/core/src/main/java/org/marjoramsail/core/outcome/PartEvidence.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/PartEvidence.java
@@ -12,22 +12,34 @@
 import java.util.Set;
 
 /**
- * Derives from the crashes of upstreams which prompt parts are their cause.
+ * Determines which prompt parts caused the stored crashes of upstreams.
  *
- * <p>A part is a cause when it was on enough crashed upstreams, in requests of at least two
- * contents, that no other cause explains. Parts that were on the same of these upstreams cannot be
- * told apart; they form a group, and only a request that holds all of them is refused.
+ * <p>A part is a cause when enough crashes that no other cause explains have it as a suspect, in
+ * requests of at least two contents. Parts that are suspects of exactly the same of these crashes
+ * cannot be distinguished; they form a group, and only a request that holds all of them is refused.
  */
 final class PartEvidence {
 
-  /** A part is not the cause if only one content with it has crashed upstreams. */
-  private static final int CONTENT_LIMIT = 2;
+  /** Minimum number of contents with a cause: a single content may crash upstreams by itself. */
+  private static final int MINIMUM_CONTENTS = 2;
 
   private final int crashLimit;
+
+  /** Contents of the requests with each part, for each crash of which the part is a suspect. */
   private final Map<PartKey, Map<CrashId, Set<Long>>> contents = new LinkedHashMap<>();
+
+  /** Suspects of each crash. */
   private final Map<CrashId, Set<PartKey>> parts = new HashMap<>();
+
+  /** Parts that others follow in a prompt, so that many sound requests share them. */
   private final Set<PartKey> leading = new HashSet<>();
 
+  /**
+   * Creates the evidence of crashes.
+   *
+   * @param crashLimit number of crashes that a cause needs
+   * @param crashes the stored crashes
+   */
   PartEvidence(int crashLimit, Map<CrashId, PartCrash> crashes) {
     this.crashLimit = crashLimit;
     crashes.forEach(this::add);
@@ -58,18 +70,22 @@
   }
 
   /**
-   * Returns the groups of parts that are causes, given those that were found before.
+   * Returns the groups of parts that are causes.
+   *
+   * <p>Earlier causes are considered first. Their requests are refused and add no further crashes,
+   * whereas a sound part that other requests share may become a suspect of more crashes.
    *
-   * <p>Earlier causes come first, since the refusal of their requests ends their evidence while
-   * that of innocent parts still grows.
+   * @param before the groups that were found before the latest change
    */
   List<Set<PartKey>> causes(Collection<Set<PartKey>> before) {
     List<Set<PartKey>> causes = new ArrayList<>();
     Set<CrashId> explained = new HashSet<>();
     for (Set<PartKey> group : before) {
-      strongest(group).ifPresent(found -> addCause(found, causes, explained));
+      withMostCrashes(group).ifPresent(found -> addCause(found, causes, explained));
     }
-    for (Set<PartKey> found = next(explained); !found.isEmpty(); found = next(explained)) {
+    for (Set<PartKey> found = nextCause(explained);
+        !found.isEmpty();
+        found = nextCause(explained)) {
       addCause(found, causes, explained);
     }
     return causes;
@@ -81,7 +97,7 @@
   }
 
   /** Returns the parts of a group with the most crashes, if these are still enough. */
-  private Optional<Set<PartKey>> strongest(Set<PartKey> group) {
+  private Optional<Set<PartKey>> withMostCrashes(Set<PartKey> group) {
     int most = group.stream().mapToInt(part -> crashes(part).size()).max().orElse(0);
     Set<PartKey> found = new HashSet<>(group);
     found.removeIf(part -> crashes(part).size() < most);
@@ -90,13 +106,13 @@
   }
 
   /** Returns the parts that explain the most of the other crashes; none if these are too few. */
-  private Set<PartKey> next(Set<CrashId> explained) {
+  private Set<PartKey> nextCause(Set<CrashId> explained) {
     Optional<PartKey> best =
         contents.keySet().stream()
             .filter(part -> isCause(part, explained))
             .max(
                 Comparator.comparingInt((PartKey part) -> unexplained(part, explained).size())
-                    .thenComparing(this::soleCount));
+                    .thenComparing(this::soleSuspectCount));
     if (best.isEmpty()) {
       return Set.of();
     }
@@ -110,7 +126,7 @@
     Set<CrashId> crashes = unexplained(part, explained);
     long contentCount =
         crashes.stream().flatMap(id -> contents.get(part).get(id).stream()).distinct().count();
-    return crashes.size() >= crashLimit(part) && contentCount >= CONTENT_LIMIT;
+    return crashes.size() >= crashLimit(part) && contentCount >= MINIMUM_CONTENTS;
   }
 
   /**
@@ -128,7 +144,7 @@
   }
 
   /** Returns the number of crashes of which the part is the only suspect. */
-  private long soleCount(PartKey part) {
+  private long soleSuspectCount(PartKey part) {
     return crashes(part).stream().filter(id -> parts.get(id).size() == 1).count();
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/PartSuspects.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/PartSuspects.java
@@ -10,7 +10,10 @@
  */
 public record PartSuspects(long content, List<SharedPromptPart> parts) {
 
-  /** Identifiers come from callers; longer ones would make messages too large to be sent. */
+  /**
+   * Maximum length of an identifier. Identifiers come from callers; longer ones would make messages
+   * too large to be sent.
+   */
   private static final int MAXIMUM_ID_CHARACTERS = 64;
 
   /** Copies the list, so that the record is immutable, and shortens long identifiers. */
--- a/core/src/main/java/org/marjoramsail/core/outcome/PromptPartQuarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/PromptPartQuarantine.java
@@ -28,11 +28,16 @@
  */
 final class PromptPartQuarantine {
 
-  /** Number of crashes after which a part is refused. */
+  /** Number of crashes after which a part is refused; one more for a part that others follow. */
   static final int CRASH_LIMIT = 2;
 
+  /** Maximum number of stored crashes, which bounds the memory; the oldest is removed first. */
   private static final int MAXIMUM_CRASHES = 256;
+
+  /** Maximum number of suspects of a crash, which bounds the memory. */
   private static final int MAXIMUM_PARTS_OF_CRASH = 256;
+
+  /** Maximum number of parts that are stored as cleared, which bounds the memory. */
   private static final int MAXIMUM_CLEARED_PARTS = 10_000;
 
   private final long lifetimeMillis;
@@ -42,6 +47,8 @@
   private final Map<CrashId, PartCrash> crashes = new LinkedHashMap<>();
   private final ArrayDeque<PeerMessage> outgoing = new ArrayDeque<>();
   private PartEvidence evidence;
+
+  /** Groups of parts that are refused; a request is refused if it holds a whole group. */
   private List<Set<PartKey>> causes = List.of();
 
   PromptPartQuarantine(long lifetimeMillis, int crashLimit, QuarantineListener listener) {
@@ -114,7 +121,8 @@
   /**
    * Handles the clearance of parts by another daemon.
    *
-   * <p>It is sent on by the daemon that reported the crash, as replies go to that one alone.
+   * <p>A reply to the report of a crash reaches only the daemon that sent the report, so that
+   * daemon forwards the clearance to all others.
    */
   void handle(DaemonId from, PartClearanceMessage message, long nowMillis) {
     Set<PartKey> keys = new LinkedHashSet<>();
@@ -126,7 +134,7 @@
     if (message.lifted()) {
       lift(suspects, nowMillis);
     } else {
-      sendOn(message.version(), suspects);
+      forwardClearance(message.version(), suspects);
       keys.forEach(key -> cleared.add(key, nowMillis));
       clear(suspects, nowMillis);
     }
@@ -135,7 +143,7 @@
     }
   }
 
-  private void sendOn(Optional<SoftwareVersion> version, Set<PartKey> suspects) {
+  private void forwardClearance(Optional<SoftwareVersion> version, Set<PartKey> suspects) {
     List<Long> reported =
         suspects.stream()
             .filter(key -> crashes.values().stream().anyMatch(one -> one.isReportedHereWith(key)))
@@ -159,7 +167,7 @@
     evaluate(message.upstream());
   }
 
-  /** Returns the parts that refuse a request with these parts; none if it may run. */
+  /** Returns the parts for which a request with these parts is refused; none if it may run. */
   List<SharedPromptPart> refusing(Collection<SharedPromptPart> parts, long nowMillis) {
     if (parts.isEmpty() || crashes.isEmpty()) {
       return List.of();
@@ -255,6 +263,7 @@
     return true;
   }
 
+  /** Returns the keys of a part for the software versions of all stored crashes. */
   private Set<PartKey> versions(long fingerprint) {
     return crashes.values().stream()
         .map(crash -> new PartKey(fingerprint, crash.version()))
@@ -287,6 +296,7 @@
     }
   }
 
+  /** Determines the causes from the stored crashes, and reports those that are new. */
   private void evaluate(UpstreamName upstream) {
     Set<PartKey> before = causes.stream().flatMap(Set::stream).collect(Collectors.toSet());
     evidence = new PartEvidence(crashLimit, crashes);
--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -76,7 +76,7 @@
   private final ArrayDeque<CrashReportMessage> outgoing = new ArrayDeque<>();
   private long sequence;
 
-  /** Creates a quarantine without suspects that knows no software versions. */
+  /** Creates a quarantine without suspects for upstreams whose software versions are not known. */
   public Quarantine(
       long lifetimeMillis, long settleMillis, int maximumEntries, QuarantineListener listener) {
     this(lifetimeMillis, settleMillis, maximumEntries, listener, unused -> Optional.empty());
@@ -106,6 +106,7 @@
         PromptPartQuarantine.CRASH_LIMIT);
   }
 
+  /** Creates a quarantine without suspects that refuses prompt parts after a number of crashes. */
   Quarantine(
       long lifetimeMillis,
       long settleMillis,
@@ -184,7 +185,7 @@
    */
   public synchronized void completed(long fingerprint, long nowMillis) {
     if (records.suspicion(fingerprint) != Suspicion.QUARANTINED) {
-      upstreams.values().forEach(one -> one.forget(fingerprint));
+      upstreams.values().forEach(one -> one.removeCuts(fingerprint));
       clear(fingerprint, "completed", nowMillis);
     }
   }
@@ -300,8 +301,9 @@
   }
 
   /**
-   * Returns whether a request has to wait, since another with the same suspected part runs here, or
-   * was cut and its crash is neither proven nor disproved.
+   * Returns whether a request has to wait for another one that this daemon sent with the same
+   * suspected part. The other one still runs and has given no output, or it was cut and a crash of
+   * its upstream is neither proven nor disproved.
    */
   public synchronized boolean isPartOnTrial(List<SharedPromptPart> parts, long nowMillis) {
     if (parts.isEmpty()) {
@@ -321,6 +323,7 @@
     return false;
   }
 
+  /** Returns whether a request with one of the parts was cut on an upstream. */
   private boolean hasCutWith(CrashableUpstream one, List<SharedPromptPart> parts, long nowMillis) {
     for (RunningAttempt run : one.cut.values()) {
       Set<Long> uncleared =
@@ -498,11 +501,11 @@
     changed(QuarantineChange.Kind.CRASHED, name, suspects, proof);
     record(message, nowMillis);
     outgoing.add(message);
-    promptPartsCrashed(new CrashId(name, state.incarnation), runs, nowMillis);
+    recordPartSuspects(new CrashId(name, state.incarnation), runs, nowMillis);
   }
 
-  /** Records the parts of the attempts without output; an attempt with output is innocent. */
-  private void promptPartsCrashed(CrashId crash, List<RunningAttempt> runs, long nowMillis) {
+  /** Records the parts of the attempts without output; no other attempt can be the cause. */
+  private void recordPartSuspects(CrashId crash, List<RunningAttempt> runs, long nowMillis) {
     Map<Optional<SoftwareVersion>, List<PartSuspects>> suspects = new HashMap<>();
     for (RunningAttempt run : runs) {
       if (!run.outputReceived && !run.parts.isEmpty()) {
@@ -511,7 +514,7 @@
             .add(new PartSuspects(run.fingerprint, run.parts));
       }
     }
-    suspects.forEach((version, of) -> promptParts.crashed(crash, version, of, nowMillis));
+    suspects.forEach((version, parts) -> promptParts.crashed(crash, version, parts, nowMillis));
   }
 
   private void settleAndExpire(long nowMillis) {
--- a/core/src/main/java/org/marjoramsail/core/outcome/QuarantineGuard.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/QuarantineGuard.java
@@ -47,14 +47,14 @@
     if (ofContent == Suspicion.QUARANTINED || !refusingParts(nowMillis).isEmpty()) {
       return Suspicion.QUARANTINED;
     }
-    return isPartOnTrial(nowMillis) ? Suspicion.UNSETTLED : ofContent;
+    return mustWaitForSuspectedPart(nowMillis) ? Suspicion.UNSETTLED : ofContent;
   }
 
   private List<SharedPromptPart> refusingParts(long nowMillis) {
     return quarantine.refusingParts(profile.sharedParts(), nowMillis);
   }
 
-  private boolean isPartOnTrial(long nowMillis) {
+  private boolean mustWaitForSuspectedPart(long nowMillis) {
     return quarantine.isPartOnTrial(profile.sharedParts(), nowMillis);
   }
 
@@ -114,7 +114,7 @@
    * same suspected part that were placed before one of them started.
    */
   boolean wouldShareUpstreamWithSuspect(Grant grant, long nowMillis) {
-    if (isPartOnTrial(nowMillis)) {
+    if (mustWaitForSuspectedPart(nowMillis)) {
       return true;
     }
     if (suspicion(nowMillis) != Suspicion.SUSPECT) {
@@ -130,7 +130,10 @@
         upstream, profile.id(), attempt, profile.fingerprint(), profile.sharedParts());
   }
 
-  /** Records the start of a prefill; its parts crash upstreams only when output begins. */
+  /**
+   * Records the start of a prefill, without the prompt parts: these crash upstreams only when
+   * output begins.
+   */
   void prefillStarted(int attempt, UpstreamName upstream) {
     runningOn = Optional.of(upstream);
     quarantine.started(upstream, profile.id(), attempt, profile.fingerprint());
@@ -155,11 +158,11 @@
    * no resources for it: until its cancel arrives it may still crash the upstream.
    */
   void stopRunning(int attempt) {
-    runningOn.ifPresent(upstream -> stopAside(attempt, upstream));
+    runningOn.ifPresent(upstream -> stopSetAside(attempt, upstream));
     runningOn = Optional.empty();
   }
 
-  /** Leaves the current attempt to its upstream, which goes on, while another is made. */
+  /** Detaches the current attempt, which continues; returns its upstream. */
   UpstreamName setAside() {
     UpstreamName upstream = runningOn.orElseThrow();
     runningOn = Optional.empty();
@@ -172,7 +175,7 @@
   }
 
   /** Ends the work on an attempt that was set aside; see {@link #stopRunning}. */
-  void stopAside(int attempt, UpstreamName upstream) {
+  void stopSetAside(int attempt, UpstreamName upstream) {
     if (!outstanding.isOutstanding(attempt, upstream)) {
       released(attempt, upstream);
     }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -126,7 +126,7 @@
   public List<LifecycleAction> handle(LifecycleEvent event, long atMillis) {
     nowMillis = Math.max(nowMillis, atMillis);
     actions = new ArrayList<>();
-    if (silent.isProgress(event, profile.id())) {
+    if (silent.recordProgress(event, profile.id())) {
       resumeSilent(SilenceOutcome.RESUMED);
     }
     LifecycleDispatch.dispatch(this, event);
@@ -183,7 +183,7 @@
       waitUntilMillis = nowMillis + UNSETTLED_RECHECK_MILLIS;
       return;
     }
-    attempt.next(silent);
+    attempt.startNext(silent);
     state = LifecycleState.PLACING;
     actions.add(
         new LifecycleAction.Place(
@@ -396,7 +396,7 @@
     UpstreamName upstream = attempt.grant().orElseThrow().target();
     finalResponse.keepFailureResponse(attempt.number());
     attempt.failureResponseReceived().ifPresent(actions::add);
-    if (!profile.repeatability().isResendable() || !attempt.mayBeFollowed(policy)) {
+    if (!profile.repeatability().isResendable() || !attempt.isAnotherAllowed(policy)) {
       state = LifecycleState.BACKING_OFF;
       giveUpAttempt(
           Refusal.notRun(RefusalReason.UPSTREAM_FAILED, "The upstream responded with a failure."));
@@ -460,7 +460,7 @@
   }
 
   private void retry(RetryReason reason) {
-    if (!attempt.mayBeFollowed(policy)) {
+    if (!attempt.isAnotherAllowed(policy)) {
       String detail =
           "Attempt " + attempt.number() + " failed (" + reason.code() + ") and no retry is left.";
       giveUpAttempt(Refusal.notRun(RefusalReason.RETRIES_EXHAUSTED, detail));
@@ -505,17 +505,17 @@
     } else if (nowMillis >= silent.overlapUntilMillis(state)) {
       endSilent(SilenceOutcome.REPLACED, AttemptResult.CANCELLED);
     } else if (state.isRunning() && nowMillis >= progress.stallAtMillis()) {
-      attemptSilent();
+      handleStall();
     }
   }
 
   /** Requests another attempt beside one that makes no progress, which still runs. */
-  private void attemptSilent() {
+  private void handleStall() {
     UpstreamName upstream = guard.runningOn().orElseThrow();
     actions.add(
         new LifecycleAction.RecordSilence(attempt.number(), upstream, state, output.tokens()));
     progress.stopExpectingProgress();
-    if (silent.isPresent() || !attempt.mayBeFollowed(policy)) {
+    if (silent.isPresent() || !attempt.isAnotherAllowed(policy)) {
       return;
     }
     actions.add(silent.hold(attempt.setAside(state), output.generatedTokens()));
@@ -539,13 +539,13 @@
     actions.addAll(silent.end(outcome, result, output.generatedTokens(), progress, nowMillis));
   }
 
-  /** Refuses the request, unless an earlier attempt of it still runs, which then goes on alone. */
+  /** Refuses the request, unless a silent attempt still runs, which becomes the only one again. */
   private void giveUpAttempt(Refusal refusal) {
     if (!silent.isPresent()) {
       refuse(refusal);
       return;
     }
-    attempt.abandonedBeside();
+    attempt.countAbandoned();
     resumeSilent(SilenceOutcome.NOT_REPLACED);
     progress.expectWithin(attempt.nextStallMillis(policy.stallMillis(state)), nowMillis);
   }
--- a/core/src/main/java/org/marjoramsail/core/outcome/RunningAttempt.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RunningAttempt.java
@@ -5,13 +5,16 @@
 import java.util.Set;
 import org.marjoramsail.core.model.SoftwareVersion;
 
-/** An attempt on an upstream. */
+/** An attempt on an upstream, with what may be the cause if the upstream crashes. */
 final class RunningAttempt {
 
   final long fingerprint;
   final List<SharedPromptPart> parts;
   final Optional<SoftwareVersion> version;
+
+  /** Rises with each attempt that starts, on any upstream. */
   final long sequence;
+
   boolean outputReceived;
 
   RunningAttempt(
@@ -25,7 +28,7 @@
     this.sequence = sequence;
   }
 
-  /** Returns whether it would be the cause of a crash that one of these parts causes. */
+  /** Returns whether it may crash its upstream if one of these parts crashes upstreams. */
   boolean mayCrashWith(Set<Long> fingerprints) {
     return !outputReceived
         && parts.stream().anyMatch(part -> fingerprints.contains(part.fingerprint()));
--- a/core/src/main/java/org/marjoramsail/core/outcome/SharedPromptPart.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/SharedPromptPart.java
@@ -9,7 +9,10 @@
  */
 public record SharedPromptPart(long fingerprint, String id) {
 
-  /** Returns the part that callers of an organisation name so in requests to a service. */
+  /**
+   * Creates the part for an identifier that callers of an organisation use in requests to a
+   * service.
+   */
   public static SharedPromptPart of(String service, String organisation, String id) {
     return new SharedPromptPart(Fingerprint.of(service + "\n" + organisation, id), id);
   }
--- a/core/src/main/java/org/marjoramsail/core/outcome/SilenceOutcome.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/SilenceOutcome.java
@@ -2,7 +2,7 @@
 
 import java.util.Locale;
 
-/** What became of an attempt that had made no progress for too long. */
+/** How the wait for an attempt that had made no progress for too long ended. */
 public enum SilenceOutcome {
   /** It made progress again before another attempt gave output. */
   RESUMED,
--- a/core/src/main/java/org/marjoramsail/core/outcome/SilentAttempt.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/SilentAttempt.java
@@ -9,8 +9,7 @@
 import org.marjoramsail.core.placement.GrantMode;
 
 /**
- * An attempt that has made no progress for too long and still runs, while another is made beside
- * it.
+ * An attempt that has made no progress for too long and still runs, while another one is made.
  *
  * @param number number of the attempt
  * @param placementId identifier under which it was placed
@@ -42,7 +41,7 @@
     return state == LifecycleState.PLAIN_RUNNING || (isGenerating() && !outputReceived);
   }
 
-  /** Returns the phase that it has reached, as its owner counts. */
+  /** Returns the phase that it has reached, for reports to its owner. */
   AttemptPhase phase() {
     if (isGenerating() && outputReceived) {
       return AttemptPhase.GENERATING;
--- a/core/src/main/java/org/marjoramsail/core/outcome/SilentAttempts.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/SilentAttempts.java
@@ -8,17 +8,17 @@
 import org.marjoramsail.core.placement.AttemptResult;
 
 /**
- * Holds the attempt of one request that makes no progress, while another is made beside it.
+ * Holds the attempt of one request that makes no progress, while another one is made.
  *
- * <p>Guards against an output that is ended although its upstream was only silent for a moment: the
- * silent attempt runs until another has given output. At most one is held at a time.
+ * <p>Guards against an output that is ended although its upstream only paused: the attempt runs
+ * until another one has given output. At most one is held at a time.
  */
 final class SilentAttempts {
 
   /**
-   * Maximum time for which an output that has begun is continued on one upstream while another
-   * still works on it, in milliseconds. Within it the second one shows whether it rejects the
-   * request; after it, memory would be held twice for one output.
+   * Maximum time, in milliseconds, for which two upstreams work on an output that has begun. Within
+   * this time the second one responds if it rejects the request; a longer time would only hold
+   * memory on both.
    */
   private static final long OVERLAP_MILLIS = 300;
 
@@ -59,7 +59,7 @@
     overlapUntilMillis = isContinued ? nowMillis + OVERLAP_MILLIS : NEVER;
   }
 
-  /** Returns until when the held attempt may run beside one in a state. */
+  /** Returns until when the held attempt may run while the current one is in a state. */
   long overlapUntilMillis(LifecycleState current) {
     return isPresent() && current == LifecycleState.GENERATING ? overlapUntilMillis : NEVER;
   }
@@ -90,8 +90,8 @@
     return held.filter(silent -> silent.state() == LifecycleState.PREFILLING).isPresent();
   }
 
-  /** Returns whether an event is progress of the held attempt; stores the version of its output. */
-  boolean isProgress(LifecycleEvent event, RequestId request) {
+  /** Stores the version of output of the held attempt; returns whether an event is its progress. */
+  boolean recordProgress(LifecycleEvent event, RequestId request) {
     if (event instanceof LifecycleEvent.OutputStarted started && isAttempt(started.attempt())) {
       held = held.map(silent -> silent.withVersion(started.version()));
       return false;
@@ -113,7 +113,7 @@
     return isAttempt(number) && held.filter(silent -> silent.state() == state).isPresent();
   }
 
-  /** Returns the held attempt, which is the current one again, and holds none. */
+  /** Removes and returns the held attempt. */
   SilentAttempt release() {
     SilentAttempt released = held.orElseThrow();
     held = Optional.empty();
@@ -146,7 +146,7 @@
     actions.add(new LifecycleAction.CloseAttempt(ended.number()));
     actions.addAll(kv.cancel(ended.kv(), nowMillis));
     actions.addAll(outstanding.cancel(ended.number(), nowMillis));
-    guard.stopAside(ended.number(), ended.upstream());
+    guard.stopSetAside(ended.number(), ended.upstream());
     history
         .endReport(
             ended.placementId(),
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -543,6 +543,9 @@
     tombstones.ended(report.request(), report.attempt(), nowMillis);
   }
 
+  /**
+   * Counts a fault of the failed upstream, also for an attempt without progress that still runs.
+   */
   private void countFault(
       RunningAttempt attempt, AttemptReport report, AttemptResult result, long nowMillis) {
     if (!result.isUpstreamFault()) {
--- a/core/src/main/java/org/marjoramsail/core/routing/ForwardingRules.java
+++ b/core/src/main/java/org/marjoramsail/core/routing/ForwardingRules.java
@@ -26,12 +26,13 @@
   private static final long PREFILL_STALL_MILLIS = 600;
 
   /**
-   * Minimum time without an event after which a stream is also requested from another upstream, if
-   * that is allowed. It exceeds the pause of a preempted stream, which resumes by itself.
+   * Minimum time, in milliseconds, without an event after which a stream is also requested from
+   * another upstream, if that is allowed. It exceeds the pause of a preempted stream, which resumes
+   * by itself.
    */
   private static final long MINIMUM_EVENT_STALL_MILLIS = 1_200;
 
-  /** Time in which another upstream can be granted, prefill the prompt and give output. */
+  /** Time, in milliseconds, in which a stream can be placed again, prefilled and give output. */
   private static final long CONTINUATION_MILLIS = 1_300;
 
   /** Share of its target after which a plain response is requested from another upstream. */
@@ -107,8 +108,9 @@
   /**
    * Returns the time without an event after which a stream is also requested from another upstream.
    *
-   * <p>An upstream that pauses goes on by itself, and each request to another one spends retry
-   * budget. So the time is as long as leaves the other one time before the caller disconnects.
+   * <p>An upstream that pauses resumes by itself, and each request to another one spends retry
+   * budget. The time is therefore the longest that lets another upstream give output before the
+   * caller disconnects.
    */
   private static long eventStallMillis(Route route) {
     return route.streaming()
--- a/core/src/test/java/org/marjoramsail/core/outcome/PausingUpstreamSimulationTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/PausingUpstreamSimulationTest.java
@@ -23,8 +23,9 @@
 import org.marjoramsail.core.placement.PlacementRequest;
 
 /**
- * Runs the streams of one engine that falls silent, with the retry budget of a fleet, and compares
- * how long each stream waits before another attempt is made beside it.
+ * Guards against streams that are lost, and retry budget that is spent, when an engine pauses. Runs
+ * the streams of one pausing engine with the retry budget of a fleet, for several times that each
+ * stream waits before another attempt is made.
  */
 final class PausingUpstreamSimulationTest {
 
--- a/core/src/test/java/org/marjoramsail/core/outcome/PromptPartFleet.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/PromptPartFleet.java
@@ -108,7 +108,7 @@
     }
   }
 
-  /** What happened with one deadly part. */
+  /** Crashes by one deadly part, and the sends of requests with it. */
   static final class DeadlyPart {
     private final List<Long> crashesAtMillis = new ArrayList<>();
     private final List<Long> sendsAtMillis = new ArrayList<>();
@@ -116,18 +116,19 @@
     private int crashesBeforeNamed = -1;
 
     /**
-     * Returns the number of engines that it ended, those of runs underway when it was named too.
+     * Returns the number of engines that it crashed, including those that ran a request with it
+     * when it was first refused.
      */
     int crashes() {
       return crashesAtMillis.size();
     }
 
-    /** Returns the number of engines that it ended before the first host refused it. */
+    /** Returns the number of engines that it crashed before the first host refused it. */
     int crashesBeforeNamed() {
       return crashesBeforeNamed < 0 ? crashes() : crashesBeforeNamed;
     }
 
-    private void named() {
+    private void firstRefused() {
       crashesBeforeNamed = crashesBeforeNamed < 0 ? crashes() : crashesBeforeNamed;
     }
 
@@ -198,7 +199,7 @@
       deadlyParts.forEach(
           (number, deadly) -> {
             if (change.fingerprints().contains(part("deadly-" + number).fingerprint())) {
-              deadly.named();
+              deadly.firstRefused();
             }
           });
     }
--- a/core/src/test/java/org/marjoramsail/core/outcome/PromptPartFleetTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/PromptPartFleetTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.marjoramsail.core.outcome.PromptPartFleet.Setting;
 
-/** Guards against a prompt part under which more than five servers end before it is refused. */
+/** Guards against a prompt part that crashes more than five servers before it is refused. */
 final class PromptPartFleetTest {
 
   private static final int LIMIT = PromptPartQuarantine.CRASH_LIMIT;
--- a/core/src/test/java/org/marjoramsail/core/outcome/SilentAttemptTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/SilentAttemptTest.java
@@ -18,7 +18,7 @@
 import org.marjoramsail.core.placement.GrantMode;
 import org.marjoramsail.core.placement.PlacementRequest;
 
-/** Guards against an output that is ended because its upstream is silent for a moment. */
+/** Guards against an output that is ended although its upstream only pauses. */
 final class SilentAttemptTest {
 
   private static final long STALL_MILLIS = 1_200;
@@ -56,7 +56,7 @@
   @Test
   void aStreamWhoseUpstreamGoesOnIsWholeThoughNoOtherWasGranted() {
     startStream();
-    fallSilent();
+    stallUntilPlacement();
     refusePlacement();
 
     handle(token(1, 1));
@@ -74,7 +74,7 @@
     request = lifecycle(Repeatability.IDEMPOTENT, false);
     startPlain();
     advance(RESPONSE_STALL_MILLIS);
-    request();
+    passBackOff();
     refusePlacement();
 
     handle(new LifecycleEvent.PlainResponseReceived(1));
@@ -86,7 +86,7 @@
   @Test
   void aSilentAttemptGoesOnUntilAnotherGivesOutput() {
     startStream();
-    fallSilent();
+    stallUntilPlacement();
     grantOther();
 
     assertThat(actions).doesNotContain(new LifecycleAction.CloseAttempt(1));
@@ -128,7 +128,7 @@
     handle(new LifecycleEvent.Prefilled(1, "kv", 8, 0, 7, 60_000));
     suspectContent();
 
-    fallSilentWithoutPlacement();
+    passStallAndBackOff();
 
     assertThat(actions).noneMatch(LifecycleAction.Cancel.class::isInstance);
   }
@@ -137,7 +137,7 @@
   @Test
   void aSilentAttemptIsEndedSoonAfterItsOutputIsContinuedElsewhere() {
     startStream();
-    fallSilent();
+    stallUntilPlacement();
     grantOther();
 
     advance(OVERLAP_MILLIS - 1);
@@ -155,7 +155,7 @@
   void aSilentAttemptWithoutOutputGoesOnUntilAnotherGivesOutput() {
     place();
     handle(granted(1, SILENT));
-    fallSilent();
+    stallUntilPlacement();
     grantOther();
 
     advance(2 * OVERLAP_MILLIS);
@@ -166,7 +166,7 @@
   @Test
   void anAttemptThatIsStillWaitingIsWithdrawnWhenTheSilentOneGoesOn() {
     startStream();
-    fallSilent();
+    stallUntilPlacement();
     PlacementRequest second = placed();
 
     handle(token(1, 1));
@@ -178,7 +178,7 @@
   @Test
   void theAttemptBesideIsEndedWhenTheSilentOneGoesOn() {
     startStream();
-    fallSilent();
+    stallUntilPlacement();
     grantOther();
 
     handle(token(1, 1));
@@ -192,7 +192,7 @@
   @Test
   void theAttemptBesideServesTheRequestWhenTheSilentOneIsCut() {
     startStream();
-    fallSilent();
+    stallUntilPlacement();
     grantOther();
 
     handle(new LifecycleEvent.UpstreamFailed(1, SILENT, UpstreamFailure.CUT));
@@ -207,7 +207,7 @@
   @Test
   void theSilentAttemptGoesOnWhenTheOneBesideItFails() {
     startStream();
-    fallSilent();
+    stallUntilPlacement();
     grantOther();
 
     handle(new LifecycleEvent.UpstreamFailed(2, OTHER, UpstreamFailure.MALFORMED));
@@ -233,7 +233,7 @@
                 0,
                 0)));
     advance(PREFILL_STALL_MILLIS);
-    request();
+    passBackOff();
     refusePlacement();
 
     handle(new LifecycleEvent.Prefilled(1, "kv", 8, 0, 700, 500));
@@ -242,11 +242,11 @@
     assertThat(actions).hasAtLeastOneElementOfType(LifecycleAction.SendDecode.class);
   }
 
-  /** The attempts of one request must hold the slots of both grants at the owner. */
+  /** Guards against a second grant that releases the slot of the first one at the owner. */
   @Test
   void theAttemptBesideIsPlacedUnderAnIdentifierOfItsOwn() {
     startStream();
-    fallSilent();
+    stallUntilPlacement();
 
     assertThat(placed().request()).isNotEqualTo(request.profile().id());
     assertThat(placed().avoid()).contains(SILENT);
@@ -256,11 +256,11 @@
   @Test
   void aRequestIsSentToNoMoreUpstreamsThanItsRouteAllows() {
     startStream();
-    fallSilent();
+    stallUntilPlacement();
     grantOther();
 
     advance(STALL_MILLIS);
-    request();
+    passBackOff();
 
     assertThat(actions.stream().filter(LifecycleAction.Place.class::isInstance)).hasSize(2);
     assertThat(actions).noneMatch(LifecycleAction.Refuse.class::isInstance);
@@ -269,7 +269,7 @@
   @Test
   void bothAttemptsAreEndedAtTheDeadline() {
     startStream();
-    fallSilent();
+    stallUntilPlacement();
     grantOther();
 
     advance(DEADLINE_MILLIS);
@@ -279,13 +279,13 @@
         .contains(new LifecycleAction.Cancel(1, SILENT), new LifecycleAction.Cancel(2, OTHER));
   }
 
-  /** A content that may have crashed an upstream must not run on two of them at once. */
+  /** Guards against a content that may crash upstreams and runs on two of them at once. */
   @Test
   void aSuspectContentIsNotSentBesideItsSilentAttempt() {
     startStream();
     suspectContent();
 
-    fallSilentWithoutPlacement();
+    passStallAndBackOff();
 
     assertThat(actions.stream().filter(LifecycleAction.Place.class::isInstance)).hasSize(1);
     assertThat(actions).noneMatch(LifecycleAction.Cancel.class::isInstance);
@@ -320,18 +320,19 @@
     handle(new LifecycleEvent.Started());
   }
 
-  private void fallSilent() {
-    fallSilentWithoutPlacement();
+  private void stallUntilPlacement() {
+    passStallAndBackOff();
     assertThat(placed().attempt()).isEqualTo(2);
   }
 
-  private void fallSilentWithoutPlacement() {
+  /** Advances the clock past the stall time and the wait before a placement. */
+  private void passStallAndBackOff() {
     advance(STALL_MILLIS);
-    request();
+    passBackOff();
   }
 
-  /** Lets the wait before a placement pass. */
-  private void request() {
+  /** Advances the clock until the next placement is due. */
+  private void passBackOff() {
     advance(POLICY.backOffMillis());
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/EventSplitter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/EventSplitter.java
@@ -54,7 +54,7 @@
     return events;
   }
 
-  /** Returns whether the last bytes of the stream are the beginning of a block. */
+  /** Returns whether the stream ends inside a block, which shows that it was broken off. */
   boolean hasIncompleteEvent() {
     return pending.chars().skip(blockStart).anyMatch(next -> next != '\n' && next != '\r');
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/UncaughtExceptions.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/UncaughtExceptions.java
@@ -7,8 +7,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Logs and counts the exceptions that no handler of an event loop caught. What the handler was
- * about to do, such as the response to a caller, may be missing.
+ * Logs and counts the exceptions that no handler of an event loop caught. The rest of that handler,
+ * such as the response to a caller, may not have run.
  */
 public final class UncaughtExceptions implements Handler<Throwable> {
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/LiftQuarantineMessage.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/LiftQuarantineMessage.java
@@ -3,9 +3,9 @@
 import org.marjoramsail.core.message.PeerMessage;
 
 /**
- * Tells a daemon that remembers a content or a part of prompts to clear it, there and on all
- * others.
+ * Message that requests a daemon that stores a content or a prompt part as a suspect to clear it,
+ * on itself and on all others.
  *
- * @param fingerprint names the content or the part
+ * @param fingerprint fingerprint of the content or the part
  */
 public record LiftQuarantineMessage(long fingerprint) implements PeerMessage {}
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/LocalState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/LocalState.java
@@ -44,7 +44,7 @@
   /** The contents that are refused because they crashed upstreams. */
   List<QuarantineView> quarantine();
 
-  /** The parts of prompts that are suspect or refused because they crashed upstreams. */
+  /** The prompt parts that are suspected or refused because they may have crashed upstreams. */
   List<PartView> parts();
 
   /** The orders to engines. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/QuarantineOrderExecutor.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/QuarantineOrderExecutor.java
@@ -15,8 +15,8 @@
 import org.marjoramsail.language.Subject;
 
 /**
- * Clears contents and parts of prompts on all daemons; one that this daemon does not remember by
- * asking another.
+ * Clears a content or a prompt part on all daemons. If it is not stored on this daemon, the order
+ * is sent to a daemon on which it is.
  */
 public final class QuarantineOrderExecutor implements OrderExecutor {
 
@@ -28,9 +28,9 @@
   /**
    * Creates an instance with all that it needs.
    *
-   * @param lift clears a content or a part here and tells the others; false when there is nothing
-   *     to clear
-   * @param queries finds the daemons that remember it
+   * @param lift clears a content or a part on this daemon and, by message, on the others; false
+   *     when there is nothing to clear
+   * @param queries finds the daemons that store it
    * @param membership the daemons as they are known now
    * @param transport sends to one of them
    */
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -71,7 +71,7 @@
   private final Map<UpstreamName, LoadReport> latestLoads = new ConcurrentHashMap<>();
   private final Set<UpstreamName> unavailable = ConcurrentHashMap.newKeySet();
 
-  /** Messages to this daemon by the thread that sends them; the first is being delivered. */
+  /** Messages of each thread to this daemon itself, in order; the first is being delivered. */
   private final ThreadLocal<Deque<PlacementMessage>> undelivered =
       ThreadLocal.withInitial(ArrayDeque::new);
 
@@ -452,7 +452,7 @@
           .increment();
     }
     if (to.equals(self)) {
-      deliver(message);
+      deliverToSelf(message);
     } else {
       transport.send(to, message);
     }
@@ -461,10 +461,11 @@
   /**
    * Delivers a message to this daemon after those that are being delivered.
    *
-   * <p>Guards against a stack overflow, which loses the messages that remain: a grant that is no
-   * longer expected is withdrawn, which grants the next attempt, for each attempt of a queue.
+   * <p>Guards against a stack overflow, which loses the messages that remain. It shows in a long
+   * queue of attempts that are no longer expected: the grant of one is withdrawn, which grants the
+   * next, and delivery inside delivery would use stack for each of them.
    */
-  private void deliver(PlacementMessage message) {
+  private void deliverToSelf(PlacementMessage message) {
     Deque<PlacementMessage> messages = undelivered.get();
     messages.add(message);
     if (messages.size() > 1) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
@@ -16,6 +16,7 @@
 /** Executes the actions of one request's lifecycle and returns their results as events. */
 final class ActionRunner {
 
+  /** Refusal after an exception; whether the request has run is not known. */
   static final Refusal INTERNAL_FAILURE =
       Refusal.unknown(RefusalReason.INTERNAL, "The request ended after an internal failure.");
 
@@ -26,7 +27,10 @@
   private final RequestMeter meter;
   private final RequestProfile profile;
   private final RequestLog log;
+
+  /** Open calls by attempt; there are two while a request is also sent to another upstream. */
   private final Map<Integer, OpenCall> calls = new HashMap<>(2);
+
   private Optional<Refusal> lastRefusal = Optional.empty();
   private boolean responded;
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -132,7 +132,7 @@
     }
   }
 
-  /** Runs all actions, those after a failed one too: they may release resources of upstreams. */
+  /** Runs all actions, also those after a failed one, which may release resources of upstreams. */
   private void runAll(List<LifecycleAction> actions) {
     Optional<RuntimeException> failure = Optional.empty();
     for (LifecycleAction action : actions) {
@@ -145,7 +145,13 @@
     failure.ifPresent(this::endAfter);
   }
 
-  /** Refuses the request, unless its final response was sent, and cancels its attempts. */
+  /**
+   * Ends the request after an exception: refuses it, unless its final response was sent, and
+   * cancels its attempts.
+   *
+   * <p>The lifecycle refuses it the first time. After a second exception, or if the lifecycle has
+   * ended, the caller is refused directly.
+   */
   private void endAfter(RuntimeException exception) {
     runner.failedInternally(exception);
     boolean mayRefuse;
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
@@ -49,7 +49,7 @@
   /**
    * Logs a refusal and its reason.
    *
-   * @param hasBegun whether the caller was sent a part of its output, which is then broken off
+   * @param hasBegun whether the caller was sent a part of the output, which the refusal breaks off
    */
   void refused(RequestProfile profile, Refusal refusal, boolean hasBegun) {
     LOG.atInfo()
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
@@ -61,7 +61,7 @@
     metrics.failedInternally();
   }
 
-  /** Returns whether the caller was sent a part of its output. */
+  /** Returns whether the caller was sent a part of the output. */
   boolean hasBegun() {
     return tokens > 0;
   }
--- a/language/src/main/java/org/marjoramsail/language/NameKind.java
+++ b/language/src/main/java/org/marjoramsail/language/NameKind.java
@@ -21,7 +21,7 @@
   REQUEST("a request"),
   /** A version of a model. */
   VERSION("a version"),
-  /** The fingerprint of a quarantined content or part of prompts. */
+  /** The fingerprint of a quarantined content or prompt part. */
   FINGERPRINT("a fingerprint"),
   /** A name that is not in use. */
   NEW("a new name");
--- a/language/src/main/java/org/marjoramsail/language/Order.java
+++ b/language/src/main/java/org/marjoramsail/language/Order.java
@@ -147,7 +147,7 @@
   }
 
   /**
-   * Lets a content or a part of prompts run again that was refused because it crashed upstreams.
+   * Lets a content or a prompt part run again that was refused because it crashed upstreams.
    *
    * @param fingerprint the fingerprint of the content or the part
    */
--- a/language/src/main/java/org/marjoramsail/language/OrderTarget.java
+++ b/language/src/main/java/org/marjoramsail/language/OrderTarget.java
@@ -8,6 +8,6 @@
   ENGINE,
   /** A daemon. */
   HOST,
-  /** The contents and the parts of prompts that are refused because they crashed upstreams. */
+  /** The contents and the prompt parts that are refused because they crashed upstreams. */
   QUARANTINE
 }
--- a/language/src/main/java/org/marjoramsail/language/Subject.java
+++ b/language/src/main/java/org/marjoramsail/language/Subject.java
@@ -65,7 +65,7 @@
       Scope.FLEET,
       texts("fingerprint", "state", "host"),
       numbers("crashes", "age-millis")),
-  /** Parts of prompts that crashed upstreams, as each daemon remembers them. */
+  /** Prompt parts that may have crashed upstreams, as each daemon stores them. */
   PARTS(
       Visibility.PLATFORM,
       Scope.FLEET,
