--- a/core/src/main/java/org/marjoramsail/core/outcome/CrashableUpstream.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CrashableUpstream.java
@@ -9,8 +9,8 @@
  * Tracks the attempts on an upstream that may have caused a crash of it.
  *
  * <p>An attempt whose connection is cut waits for a proof of a crash. If none arrives in time, it
- * is undecided; if a response disproves the crash, it is dismissed. A later proof still applies to
- * both for a while.
+ * is undecided; a proof that follows soon still makes it a suspect. If a response disproves the
+ * crash, it is dismissed; then only a restart of the upstream makes it a suspect.
  */
 final class CrashableUpstream {
 
--- a/core/src/main/java/org/marjoramsail/core/outcome/QuarantineChange.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/QuarantineChange.java
@@ -39,7 +39,10 @@
     PART_REPORTED,
     /** Requests with these prompt parts are refused from now on. */
     PART_QUARANTINED,
-    /** The prompt parts are cleared, since they gave output or an operator said so. */
+    /**
+     * The prompt parts are cleared, since requests with them gave output or an operator lifted
+     * them.
+     */
     PART_CLEARED,
     /** Another daemon reported that the prompt parts are cleared. */
     PART_CLEARED_BY_REPORT;
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/RefusalWriterTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/RefusalWriterTest.java
@@ -18,7 +18,7 @@
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.daemon.fixture.Waits;
 
-/** What callers are told by a refusal. */
+/** Checks what a refusal states to its caller. */
 final class RefusalWriterTest {
 
   private record Answer(int status, MultiMap headers, Buffer body) {}
@@ -49,7 +49,7 @@
     assertThat(answer.body().toJsonObject().getString("reason")).isEqualTo(reason.code());
   }
 
-  /** Guards against a promise that a request has not run which crashed an upstream itself. */
+  /** Guards against a refusal that states not-run for a request that crashed an upstream. */
   @ParameterizedTest
   @EnumSource(names = {"QUARANTINED", "PROMPT_PART_QUARANTINED"})
   void aRequestThatIsQuarantinedAfterItMayHaveRunIsNotPromisedNotToHaveRun(RefusalReason reason) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/request/FailingActionTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/request/FailingActionTest.java
@@ -35,7 +35,7 @@
 import org.marjoramsail.daemon.metrics.RequestMetrics;
 import org.marjoramsail.daemon.upstream.PlainResponse;
 
-/** Guards against a request that nobody answers after one of its actions threw. */
+/** Guards against a request without a response after one of its actions threw an exception. */
 final class FailingActionTest {
 
   private static final UpstreamName UPSTREAM = new UpstreamName("engine-1");
