Say of each change of the quarantine whether it is of prompt parts

It was derived from the name of the constant; one with another name would have been logged under the key of contents. No change of behaviour; QuarantineTest and the tests of prompt parts pass.

--- a/core/src/main/java/org/marjoramsail/core/outcome/QuarantineChange.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/QuarantineChange.java
@@ -18,34 +18,40 @@
   /** Kind of a change. */
   public enum Kind {
     /** The connection of an attempt was cut; a proof of a crash is awaited. */
-    CUT,
+    CUT(false),
     /** Neither a proof nor a disproof of a crash came in time. */
-    UNDECIDED,
+    UNDECIDED(false),
     /** A response of the upstream disproved a crash. */
-    DISPROVED,
+    DISPROVED(false),
     /** A crash of the upstream is proven. */
-    CRASHED,
+    CRASHED(false),
     /** Another daemon reported a crash. */
-    REPORTED,
+    REPORTED(false),
     /** The contents are refused from now on. */
-    QUARANTINED,
+    QUARANTINED(false),
     /** The contents are cleared of the crash, since a request completed or an operator said so. */
-    CLEARED,
+    CLEARED(false),
     /** Another daemon reported that the contents are cleared of the crash. */
-    CLEARED_BY_REPORT,
+    CLEARED_BY_REPORT(false),
     /** A crash of the upstream is proven; these prompt parts may have caused it. */
-    PART_SUSPECTED,
+    PART_SUSPECTED(true),
     /** Another daemon reported a crash that these prompt parts may have caused. */
-    PART_REPORTED,
+    PART_REPORTED(true),
     /** Requests with these prompt parts are refused from now on. */
-    PART_QUARANTINED,
+    PART_QUARANTINED(true),
     /**
      * The prompt parts are cleared, since requests with them gave output or an operator lifted
      * them.
      */
-    PART_CLEARED,
+    PART_CLEARED(true),
     /** Another daemon reported that the prompt parts are cleared. */
-    PART_CLEARED_BY_REPORT;
+    PART_CLEARED_BY_REPORT(true);
+
+    private final boolean ofParts;
+
+    Kind(boolean ofParts) {
+      this.ofParts = ofParts;
+    }
 
     /** Returns the kind in lower case with hyphens, as logs and counters show it. */
     public String code() {
@@ -54,7 +60,7 @@
 
     /** Returns whether the change is about prompt parts, not about contents. */
     public boolean isOfParts() {
-      return name().startsWith("PART_");
+      return ofParts;
     }
   }
 
