Deliver a daemon's placement messages to itself also after one that fails

A message whose delivery threw discarded all that waited behind it, which is the loss that the queue guards against. Now the others are delivered and the last failure is thrown then. Found in review; LongQueueTest, FailingActionTest and the path tests pass; no test of its own.

--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/DistributedPlacement.java
@@ -472,12 +472,26 @@
       return;
     }
     try {
-      while (!messages.isEmpty()) {
-        receive(self, messages.peek());
-        messages.remove();
+      Optional<RuntimeException> failure = deliverAll(messages);
+      if (failure.isPresent()) {
+        throw failure.get();
       }
     } finally {
       messages.clear();
     }
   }
+
+  /** Delivers all messages, those after one whose delivery failed too; returns the last failure. */
+  private Optional<RuntimeException> deliverAll(Deque<PlacementMessage> messages) {
+    Optional<RuntimeException> failure = Optional.empty();
+    while (!messages.isEmpty()) {
+      try {
+        receive(self, messages.peek());
+      } catch (RuntimeException exception) {
+        failure = Optional.of(exception);
+      }
+      messages.remove();
+    }
+    return failure;
+  }
 }
