--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementService.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementService.java
@@ -15,7 +15,7 @@
   /**
    * Requests upstreams.
    *
-   * @param request one attempt; a request has at most one waiting or granted attempt at a time
+   * @param request one attempt; under each identifier at most one waits or is granted at a time
    * @param result called once, on any thread, unless the request is withdrawn first
    */
   void place(PlacementRequest request, Consumer<PlacementResult> result);
