--- a/command/src/test/java/org/marjoramsail/command/platform/CrashLogTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/CrashLogTest.java
@@ -61,7 +61,7 @@
     assertThat(log.result().late()).isEqualTo(1);
   }
 
-  /** Crashes servers one millisecond apart, with requests of the content. */
+  /** Records crashes of servers, one millisecond apart, by requests with one content. */
   private void crash(int count) {
     for (int crash = 0; crash < count; crash++) {
       log.requested("request-" + crash, CONTENT);
--- a/command/src/test/java/org/marjoramsail/command/platform/SilenceLogTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/SilenceLogTest.java
@@ -16,7 +16,7 @@
 
   private final SilenceLog log = new SilenceLog();
 
-  /** Guards against daemons that end a response whose server would have gone on. */
+  /** Guards against daemons that end a response while its server only pauses. */
   @Test
   void aResponseThatIsBrokenOffBesideAShortPauseIsLost() {
     runAndPause(false);
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/RefusalWriterTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/RefusalWriterTest.java
@@ -38,7 +38,7 @@
     Waits.get(vertx.close());
   }
 
-  /** Guards against callers that come back soon for what stays refused for minutes. */
+  /** Guards against a retry time in refusals of requests that stay refused for minutes. */
   @ParameterizedTest
   @EnumSource(names = {"QUARANTINED", "PROMPT_PART_QUARANTINED"})
   void aRequestThatIsQuarantinedAndHasNotRunHasNoRetryTime(RefusalReason reason) {
