End a process only once its callers have their responses

Cause: the end of the process was taken for the end of its work. The stop completed when the registry of requests was empty, and the virtual machine halted at once. Its port was open until then, and nothing waited for connections in the accept queue, unread requests, or responses that were ended and not yet written; the system resets connections with unread bytes. A response that said "connection: close" did not close its connection either, since the library leaves that to the handler.

ListeningPort closes the port alone. What still runs when the time for the stop has passed is refused with its true run state, named in the log, and the process ends with code 6; "stopped with nothing lost" is logged only where that is true. The daemon also tells the others that it has left.

--- a/command/src/main/java/org/marjoramsail/command/capacity/MeasuredDaemons.java
+++ b/command/src/main/java/org/marjoramsail/command/capacity/MeasuredDaemons.java
@@ -51,7 +51,7 @@
 
     @Override
     public Future<Void> stop() {
-      return Future.fromCompletionStage(runtime.stop(phase -> {}));
+      return Future.fromCompletionStage(runtime.stop(phase -> {})).mapEmpty();
     }
 
     @Override
--- a/command/src/main/java/org/marjoramsail/command/fleet/RuntimeFleetDaemon.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/RuntimeFleetDaemon.java
@@ -47,7 +47,9 @@
     if (killed) {
       return Future.succeededFuture();
     }
-    return Future.fromCompletionStage(runtime.stop(phase -> {})).eventually(() -> vertx.close());
+    return Future.fromCompletionStage(runtime.stop(phase -> {}))
+        .<Void>mapEmpty()
+        .eventually(() -> vertx.close());
   }
 
   /** Closing the event loops breaks all connections without a word, as the death of a process. */
--- /dev/null
+++ b/command/src/test/java/org/marjoramsail/command/platform/ProcessEndTest.java
@@ -0,0 +1,118 @@
+package org.marjoramsail.command.platform;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.marjoramsail.command.fleet.FleetDaemon;
+import org.marjoramsail.command.fleet.FleetRun;
+import org.marjoramsail.command.fleet.ProcessDaemons;
+import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.daemon.assembly.SystemClock;
+import org.marjoramsail.daemon.settings.Endpoint;
+import org.marjoramsail.daemon.settings.ListenSettings;
+import org.marjoramsail.daemon.settings.Settings;
+import org.marjoramsail.platform.assembly.LoopbackPlatform;
+import org.marjoramsail.platform.standin.PlatformStandIn;
+import org.marjoramsail.platform.standin.ServerStandIn;
+
+/** Ends of processes whose callers keep their connections busy until the process has ended. */
+@Timeout(240)
+final class ProcessEndTest {
+
+  private static final ServerStandIn.Pace ENGINE_PACE = new ServerStandIn.Pace(30, 30, 90, 64);
+  private static final ServerStandIn.Pace PLAIN_PACE = new ServerStandIn.Pace(1, 20, 0, 64);
+  private static final long PATIENCE_SECONDS = 60;
+  private static final long LOAD_MILLIS = 500;
+  private static final int STOPS = 4;
+
+  private final Clock clock = new SystemClock();
+  private final Set<String> arrived = ConcurrentHashMap.newKeySet();
+  private Vertx vertx;
+  private PlatformStandIn platform;
+
+  @BeforeEach
+  void startPlatform() throws Exception {
+    vertx = Vertx.vertx();
+    platform =
+        new PlatformStandIn(
+            vertx,
+            new ObjectMapper(),
+            LoopbackPlatform.ADDRESS,
+            new PlatformStandIn.Size(2, 3, 3, ENGINE_PACE, PLAIN_PACE));
+    FleetRun.await("start", platform.start(), PATIENCE_SECONDS);
+    for (String service : List.of(PlatformStandIn.ENGINES, PlatformStandIn.DESK)) {
+      platform
+          .servers(service)
+          .forEach(
+              server -> server.onArrival((attempt, prefill, accepted) -> arrived.add(attempt)));
+    }
+  }
+
+  @AfterEach
+  void closePlatform() throws Exception {
+    FleetRun.await("close", vertx.close(), PATIENCE_SECONDS);
+  }
+
+  /** Guards against an end of the process that resets calls which it has not answered yet. */
+  @Test
+  void aProcessThatIsToldToStopAnswersAllCallsOnItsConnections(@TempDir Path directory)
+      throws Exception {
+    List<BusyCallers.Unanswered> unanswered = new ArrayList<>();
+    int answered = 0;
+    try (ProcessDaemons processes = new ProcessDaemons(directory)) {
+      for (int stop = 0; stop < STOPS; stop++) {
+        BusyCallers callers = stopUnderLoad(processes, "stop-" + stop);
+        answered += callers.answered();
+        unanswered.addAll(callers.unanswered());
+      }
+    }
+
+    assertThat(answered).isPositive();
+    assertThat(unanswered).isEmpty();
+  }
+
+  private BusyCallers stopUnderLoad(ProcessDaemons processes, String name) throws Exception {
+    FleetDaemon daemon = FleetRun.await("start", processes.start(settings(name)), PATIENCE_SECONDS);
+    Endpoint endpoint = new Endpoint(LoopbackPlatform.ADDRESS, daemon.callerPort());
+    BusyCallers callers = new BusyCallers(vertx, clock, endpoint, name);
+    vertx.runOnContext(nothing -> startCallers(callers));
+    FleetRun.await("load", vertx.timer(LOAD_MILLIS), PATIENCE_SECONDS);
+    FleetRun.await("stop", daemon.stop(), PATIENCE_SECONDS);
+    FleetRun.await("last calls", whenIdle(callers), PATIENCE_SECONDS);
+    return callers;
+  }
+
+  private static void startCallers(BusyCallers callers) {
+    callers.start(8, PlatformStandIn.ONCE);
+    callers.start(8, PlatformStandIn.REPEATABLE);
+    callers.start(4, PlatformStandIn.RESUMABLE);
+  }
+
+  private Future<Void> whenIdle(BusyCallers callers) {
+    return callers.isIdle()
+        ? Future.succeededFuture()
+        : vertx.timer(1).compose(waited -> whenIdle(callers));
+  }
+
+  private Settings settings(String name) {
+    return LoopbackPlatform.settings(
+            name,
+            ListenSettings.onFreePorts(LoopbackPlatform.ADDRESS),
+            new Endpoint(LoopbackPlatform.ADDRESS, platform.storePort()),
+            List.of(),
+            1_000)
+        .withLimits(LoopbackPlatform.PROCESS_LIMITS);
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -262,19 +262,26 @@
   }
 
   @Override
-  public CompletionStage<Void> stop(Consumer<StopPhase> listener) {
+  public CompletionStage<UnfinishedWork> stop(Consumer<StopPhase> listener) {
     listener.accept(StopPhase.NOT_READY);
     return requests
         .callers
         .stop(settings.limits().leaveMillis(), settings.limits().stopMillis())
         .compose(
             running -> {
-              listener.accept(StopPhase.HANDING_OVER);
-              orders.stop();
-              membership.leave();
-              listener.accept(StopPhase.LEAVING);
-              return membership.stop();
+              UnfinishedWork cutOff = new UnfinishedWork(running, 0, 0, placement.views().size());
+              return leaveFleet(listener).eventually(operators::stop).map(cutOff);
             })
+        .toCompletionStage();
+  }
+
+  private Future<Void> leaveFleet(Consumer<StopPhase> listener) {
+    listener.accept(StopPhase.HANDING_OVER);
+    orders.stop();
+    membership.leave();
+    listener.accept(StopPhase.LEAVING);
+    return membership
+        .stop()
         .compose(
             left -> {
               listener.accept(StopPhase.CLOSING);
@@ -284,9 +291,7 @@
               configuration.stop();
               claims.stop();
               return network.stop();
-            })
-        .eventually(operators::stop)
-        .toCompletionStage();
+            });
   }
 
   /** The shards that this daemon decides for now. */
@@ -296,7 +301,8 @@
 
   @Override
   public UnfinishedWork unfinished() {
-    return new UnfinishedWork(requests.registry.size(), 0, placement.views().size());
+    return new UnfinishedWork(
+        requests.registry.size(), requests.callers.openConnections(), 0, placement.views().size());
   }
 
   @Override
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/package-info.java
@@ -0,0 +1,2 @@
+/** How servers end their ports and connections. */
+package org.marjoramsail.daemon.connection;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -36,6 +36,7 @@
 import org.marjoramsail.core.routing.Route;
 import org.marjoramsail.core.routing.RoutingConfiguration;
 import org.marjoramsail.core.stream.StreamOrigin;
+import org.marjoramsail.daemon.connection.ListeningPort;
 import org.marjoramsail.daemon.request.LatencyTargets;
 import org.marjoramsail.daemon.request.NewRequest;
 import org.marjoramsail.daemon.request.RequestHandle;
@@ -61,8 +62,8 @@
   private final PathMonitor paths;
   private final RelayServer relayServer;
   private final ResumedStreams resumedStreams;
+  private final ListeningPort port = new ListeningPort();
   private final Set<HttpConnection> connections = new HashSet<>();
-  private final Set<HttpConnection> busy = new HashSet<>();
   private HttpServer server;
   private boolean stopping;
   private boolean refusing;
@@ -159,19 +160,24 @@
     stopping = true;
   }
 
-  /** Refuses new requests and closes idle connections; running requests continue. */
-  public void refuseNewRequests() {
+  /** Accepts no further connections; requests on those that are open are served. */
+  public Future<Void> closePort() {
+    return Future.join(port.close(), relayServer.closePort()).mapEmpty();
+  }
+
+  /**
+   * Refuses new requests and closes idle connections. Each other connection is closed once its
+   * response is written, or when the time has passed.
+   */
+  public void shutdown(long withinMillis) {
     refusing = true;
-    for (HttpConnection connection : List.copyOf(connections)) {
-      if (!busy.contains(connection)) {
-        connection.close();
-      }
-    }
+    Future<Void> unused = server.shutdown(withinMillis, TimeUnit.MILLISECONDS);
+    relayServer.shutdown(withinMillis);
   }
 
-  /** Closes the port and all connections. */
-  public Future<Void> close() {
-    return server == null ? Future.succeededFuture() : server.close();
+  /** Returns the number of connections of callers that carried a request and are open. */
+  public int openConnections() {
+    return connections.size();
   }
 
   /** Returns the number of connections to upstreams that were opened. */
@@ -243,19 +249,15 @@
   }
 
   private void opened(HttpConnection connection) {
+    port.accepted(connection);
     connections.add(connection);
-    connection.closeHandler(
-        closed -> {
-          connections.remove(connection);
-          busy.remove(connection);
-        });
+    connection.closeHandler(closed -> connections.remove(connection));
   }
 
   private void receive(HttpServerRequest request) {
     long receivedAtMillis = dependencies.clock().millis();
-    busy.add(request.connection());
     request.response().exceptionHandler(ignored -> {});
-    request.response().endHandler(ended -> busy.remove(request.connection()));
+    request.response().endHandler(ended -> closeIfStopping(request));
     CallerParameters parameters = dependencies.protocol().parametersOf(request.headers());
     Optional<Refusal> refusal = refusalOf(request);
     if (refusal.isPresent()) {
@@ -283,6 +285,21 @@
     readBody(accepted, routing.limits());
   }
 
+  /**
+   * Closes the connection of a response that says so, after its last byte and the last one of the
+   * request: a close with unread bytes would reset the connection, and the response with it.
+   */
+  private void closeIfStopping(HttpServerRequest request) {
+    if (!stopping) {
+      return;
+    }
+    if (request.isEnded()) {
+      request.connection().close();
+    } else {
+      request.endHandler(ended -> request.connection().close());
+    }
+  }
+
   private Optional<Refusal> refusalOf(HttpServerRequest request) {
     if (refusing) {
       return Optional.of(
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -11,12 +11,14 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.daemon.connection.ListeningPort;
 
 /**
  * HTTP server that relays calls of other daemons, which reach no upstream, to upstreams.
@@ -44,6 +46,8 @@
   private final UpstreamConnections connections;
   private final CallLog calls;
   private final BooleanSupplier available;
+  private final ListeningPort port = new ListeningPort();
+  private Optional<HttpServer> server = Optional.empty();
   private int running;
   private long accepted;
 
@@ -74,20 +78,35 @@
   }
 
   /** Starts to listen; completes with the port. */
-  Future<Integer> start(String address, int port) {
+  Future<Integer> start(String address, int portNumber) {
     HttpServerOptions options =
         new HttpServerOptions()
             .setHost(address)
-            .setPort(port)
+            .setPort(portNumber)
             .setTcpNoDelay(true)
             .setTcpKeepAlive(true)
             .setMaxHeaderSize(MAXIMUM_HEAD_BYTES)
             .setMaxInitialLineLength(MAXIMUM_HEAD_BYTES);
-    return vertx
-        .createHttpServer(options)
-        .requestHandler(this::receive)
-        .listen()
-        .map(HttpServer::actualPort);
+    HttpServer created =
+        vertx
+            .createHttpServer(options)
+            .connectionHandler(port::accepted)
+            .requestHandler(this::receive);
+    server = Optional.of(created);
+    return created.listen().map(HttpServer::actualPort);
+  }
+
+  /** Accepts no further connections; calls on those that are open are relayed. */
+  Future<Void> closePort() {
+    return port.close();
+  }
+
+  /** Closes each connection once its call has ended, or when the time has passed. */
+  void shutdown(long withinMillis) {
+    server.ifPresent(
+        listening -> {
+          Future<Void> unused = listening.shutdown(withinMillis, TimeUnit.MILLISECONDS);
+        });
   }
 
   /** Returns the number of calls that are being relayed. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/ExitCode.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/ExitCode.java
@@ -13,7 +13,9 @@
   /** Something outside is not there or not free. */
   UNAVAILABLE(4, "an address to listen on or another resource is not available"),
   /** A second signal ended the stop before running requests had ended. */
-  STOPPED_AT_ONCE(5, "a second signal cut the stop short; the log names what was lost");
+  STOPPED_AT_ONCE(5, "a second signal cut the stop short; the log names what was lost"),
+  /** The time for a stop passed before all requests had ended. */
+  STOPPED_LATE(6, "the time for a stop passed; the log names what was lost");
 
   private final int code;
   private final String meaning;
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/RunningDaemon.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/RunningDaemon.java
@@ -8,12 +8,12 @@
 public interface RunningDaemon {
 
   /**
-   * Stops without cutting off a request.
+   * Stops without cutting off a request, unless the time for the stop passes.
    *
    * @param listener told of each phase as it begins, on any thread
-   * @return done once everything has ended; fails when something did not end in time
+   * @return completes once everything has ended, with what was cut off
    */
-  CompletionStage<Void> stop(Consumer<StopPhase> listener);
+  CompletionStage<UnfinishedWork> stop(Consumer<StopPhase> listener);
 
   /**
    * Takes settings that have changed; what cannot change while the daemon runs waits for its next
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/StopSequence.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/StopSequence.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /** Turns the first signal into a stop that loses nothing and the second into one at once. */
 final class StopSequence {
@@ -35,33 +36,41 @@
     LOGGER.atInfo().log("stop asked for");
     daemon
         .stop(phase -> LOGGER.atInfo().addKeyValue("phase", phase.code()).log("stopping"))
-        .whenComplete((nothing, failure) -> ended(failure));
+        .whenComplete(
+            (cutOff, failure) -> {
+              if (failure == null) {
+                ended(cutOff);
+              } else {
+                failed(failure);
+              }
+            });
   }
 
-  private void ended(Throwable failure) {
-    if (failure == null) {
+  private void ended(UnfinishedWork cutOff) {
+    if (cutOff.isLossless()) {
       LOGGER.atInfo().log("stopped with nothing lost");
       end.complete(ExitCode.OK);
-      return;
+    } else {
+      log(LOGGER.atWarn(), cutOff).log("stopped when its time had passed; this is cut off");
+      end.complete(ExitCode.STOPPED_LATE);
     }
-    UnfinishedWork lost = daemon.unfinished();
-    LOGGER
-        .atError()
-        .setCause(failure)
-        .addKeyValue("requests", lost.requests())
-        .addKeyValue("atMostOnce", lost.atMostOnce())
-        .log("stop failed");
+  }
+
+  private void failed(Throwable failure) {
+    log(LOGGER.atError().setCause(failure), daemon.unfinished()).log("stop failed");
     end.complete(ExitCode.FAILURE);
   }
 
   private void stopAtOnce() {
-    UnfinishedWork lost = daemon.unfinished();
-    LOGGER
-        .atWarn()
-        .addKeyValue("requests", lost.requests())
-        .addKeyValue("atMostOnce", lost.atMostOnce())
-        .addKeyValue("shards", lost.shards())
+    log(LOGGER.atWarn(), daemon.unfinished())
         .log("second signal: stopping at once; these requests are cut off");
     end.complete(ExitCode.STOPPED_AT_ONCE);
   }
+
+  private static LoggingEventBuilder log(LoggingEventBuilder line, UnfinishedWork work) {
+    return line.addKeyValue("requests", work.requests())
+        .addKeyValue("connections", work.connections())
+        .addKeyValue("relayedCalls", work.relayedCalls())
+        .addKeyValue("shards", work.shards());
+  }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/UnfinishedWork.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/UnfinishedWork.java
@@ -3,8 +3,15 @@
 /**
  * What a daemon still has to do for others.
  *
- * @param requests requests of callers that have no answer yet
- * @param atMostOnce how many of these may not run again
+ * @param requests requests of callers that have not ended
+ * @param connections open connections of callers that have carried a request
+ * @param relayedCalls calls of other daemons that are relayed
  * @param shards the shards that it owns
  */
-public record UnfinishedWork(int requests, int atMostOnce, int shards) {}
+public record UnfinishedWork(int requests, int connections, int relayedCalls, int shards) {
+
+  /** Returns whether an end of the process would cut off a request, a response or a call. */
+  public boolean isLossless() {
+    return requests == 0 && connections == 0 && relayedCalls == 0;
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
@@ -136,7 +136,15 @@
 
   /** Notifies all requests that an upstream has restarted or was removed. */
   public void upstreamRestarted(UpstreamName upstream) {
-    LifecycleEvent event = new LifecycleEvent.UpstreamRestarted(upstream);
+    deliverToAll(new LifecycleEvent.UpstreamRestarted(upstream));
+  }
+
+  /** Ends all requests; their run state is that of each. */
+  public void endAll(Refusal refusal) {
+    deliverToAll(new LifecycleEvent.CallerEnded(refusal));
+  }
+
+  private void deliverToAll(LifecycleEvent event) {
     for (Shard shard : shards) {
       List<LiveRequest> all;
       synchronized (shard) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/main/MarjoramsailDaemonTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/main/MarjoramsailDaemonTest.java
@@ -108,6 +108,17 @@
     assertThat(running.stops).isEqualTo(1);
   }
 
+  /** Guards against a stop that cuts off requests and looks like one that lost nothing. */
+  @Test
+  void aStopThatCutsOffRequestsHasAnExitCodeOfItsOwn() {
+    running.endsByItself = true;
+    running.cutOff = new UnfinishedWork(3, 2, 1, 0);
+
+    ExitCode exitCode = daemon(this::launch, Runnable::run).run("--settings", GOOD);
+
+    assertThat(exitCode).isEqualTo(ExitCode.STOPPED_LATE);
+  }
+
   @Test
   void aSecondSignalStopsAtOnceThoughRequestsStillRun() {
     // An operator stops a daemon while a summary runs and then presses Ctrl-C again.
@@ -160,23 +171,24 @@
   }
 
   private static final class FakeDaemon implements RunningDaemon {
-    private final CompletableFuture<Void> end = new CompletableFuture<>();
+    private final CompletableFuture<UnfinishedWork> end = new CompletableFuture<>();
+    private UnfinishedWork cutOff = new UnfinishedWork(0, 0, 0, 0);
     private boolean endsByItself;
     private int stops;
 
     @Override
-    public CompletionStage<Void> stop(Consumer<StopPhase> listener) {
+    public CompletionStage<UnfinishedWork> stop(Consumer<StopPhase> listener) {
       stops++;
       listener.accept(StopPhase.DRAINING);
       if (endsByItself) {
-        end.complete(null);
+        end.complete(cutOff);
       }
       return end;
     }
 
     @Override
     public UnfinishedWork unfinished() {
-      return new UnfinishedWork(1, 0, 2);
+      return new UnfinishedWork(1, 0, 0, 2);
     }
   }
 }
