Close the completions port in order at the end of a stop

Now what still runs is refused, and each connection is closed after its response, within half a second.

--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
@@ -9,6 +9,9 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
@@ -25,6 +28,9 @@
 
   private static final long FINISH_CHECK_MILLIS = 20;
 
+  /** Time after the last request has ended in which responses are written. */
+  private static final long LAST_RESPONSES_MILLIS = 500;
+
   private final Vertx vertx;
   private final CallerBinding binding;
   private final CallerLimits limits;
@@ -32,6 +38,7 @@
   private final CallerHandler handler;
   private final ConnectionGuard connections;
   private final AtomicInteger port = new AtomicInteger();
+  private final Queue<HttpServer> servers = new ConcurrentLinkedQueue<>();
   private volatile StopPhase phase = StopPhase.SERVING;
   private volatile String deployment = "";
 
@@ -109,8 +116,12 @@
       vertx.setTimer(FINISH_CHECK_MILLIS, waited -> finish(untilMillis, closed));
       return;
     }
-    vertx
-        .undeploy(deployment)
+    dependencies
+        .registry()
+        .endAll(
+            Refusal.unknown(RefusalReason.STOPPING, "The time for the stop of this daemon ended."));
+    Future.join(servers.stream().map(CallerServer::shutdown).toList())
+        .eventually(() -> vertx.undeploy(deployment))
         .onComplete(
             done -> {
               enter(StopPhase.CLOSED);
@@ -118,6 +129,11 @@
             });
   }
 
+  /** Closes the port, and each connection once its response is written. */
+  private static Future<Void> shutdown(HttpServer server) {
+    return server.shutdown(LAST_RESPONSES_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
   private void enter(StopPhase next) {
     phase = next;
     LOG.atInfo()
@@ -171,6 +187,7 @@
               .connectionHandler(connections::opened)
               .invalidRequestHandler(CallerServer.this::invalid)
               .requestHandler(CallerServer.this::serve);
+      servers.add(server);
       return server.listen().onSuccess(listening -> port.set(listening.actualPort()));
     }
   }
