Refuse a request whose handling ends with an Error

LiveRequest caught RuntimeException only. An OutOfMemoryError or StackOverflowError in an action of a request ended its task on the event loop: the caller got neither a response nor a refusal, the upstream was not released, and no later event of the request was handled, since its queue stayed marked as being drained.

Errors now end a request as exceptions do, with the refusal INTERNAL of its true run state, counted as failed internally. The log line is written after the refusal, since it can fail for the same cause, and the queue is drained further if the end of the request itself fails.

The two new tests of FailingActionTest failed before: the error left the test and ended the forked process of the tests.

--- a/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
@@ -16,7 +16,7 @@
 /** Executes the actions of one request's lifecycle and returns their results as events. */
 final class ActionRunner {
 
-  /** Refusal after an exception; whether the request has run is not known. */
+  /** Refusal after an exception or error; whether the request has run is not known. */
   static final Refusal INTERNAL_FAILURE =
       Refusal.unknown(RefusalReason.INTERNAL, "The request ended after an internal failure.");
 
@@ -53,10 +53,10 @@
     this.meter = new RequestMeter(metrics, clock, profile, perTokenTargetMillis);
   }
 
-  /** Logs and counts an exception that was thrown while the request was handled. */
-  void failedInternally(RuntimeException exception) {
+  /** Counts and logs an exception or error that was thrown while the request was handled. */
+  void failedInternally(Throwable failure) {
     meter.failedInternally();
-    log.failedInternally(profile, exception);
+    log.failedInternally(profile, failure);
   }
 
   /** Refuses a request whose final response could not be sent. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -16,8 +16,8 @@
  * after another on the executor of the request. The lifecycle decides under the lock of the shard;
  * its actions run outside the lock.
  *
- * <p>An exception ends the request with a refusal, and its further events are still handled. This
- * guards against a caller that gets neither a response nor a refusal.
+ * <p>An exception or error ends the request with a refusal, and its further events are still
+ * handled. This guards against a caller that gets neither a response nor a refusal.
  */
 final class LiveRequest {
 
@@ -96,9 +96,28 @@
 
   private void drain() {
     boolean more = true;
-    while (more) {
-      more = handleNext();
+    boolean isInterrupted = true;
+    try {
+      while (more) {
+        more = handleNext();
+      }
+      isInterrupted = false;
+    } finally {
+      if (isInterrupted) {
+        drainLater();
+      }
+    }
+  }
+
+  /** Handles the remaining events after the end of a request has failed. */
+  private void drainLater() {
+    synchronized (shardLock) {
+      draining = !mailbox.isEmpty();
+      if (!draining) {
+        return;
+      }
     }
+    executor.execute(this::drain);
   }
 
   private boolean handleNext() {
@@ -112,8 +131,8 @@
     }
     try {
       handle(event);
-    } catch (RuntimeException exception) {
-      endAfter(exception);
+    } catch (RuntimeException | Error failure) {
+      endAfter(failure);
     }
     return true;
   }
@@ -134,26 +153,25 @@
 
   /** Runs all actions, also those after a failed one, which may release resources of upstreams. */
   private void runAll(List<LifecycleAction> actions) {
-    Optional<RuntimeException> failure = Optional.empty();
+    Optional<Throwable> failure = Optional.empty();
     for (LifecycleAction action : actions) {
       try {
         runner.run(action, this::deliver);
-      } catch (RuntimeException exception) {
-        failure = Optional.of(exception);
+      } catch (RuntimeException | Error thrown) {
+        failure = Optional.of(thrown);
       }
     }
     failure.ifPresent(this::endAfter);
   }
 
   /**
-   * Ends the request after an exception: refuses it, unless its final response was sent, and
-   * cancels its attempts.
+   * Ends the request after an exception or error: refuses it, unless its final response was sent,
+   * and cancels its attempts. The log comes last, since it may fail for the same cause.
    *
-   * <p>The lifecycle refuses it the first time. After a second exception, or if the lifecycle has
+   * <p>The lifecycle refuses it the first time. After a second failure, or if the lifecycle has
    * ended, the caller is refused directly.
    */
-  private void endAfter(RuntimeException exception) {
-    runner.failedInternally(exception);
+  private void endAfter(Throwable failure) {
     boolean mayRefuse;
     synchronized (shardLock) {
       mayRefuse = lifecycle.state() != LifecycleState.ENDED && !failed;
@@ -164,6 +182,7 @@
     } else {
       runner.refuseUnlessResponded();
     }
+    runner.failedInternally(failure);
   }
 
   private void updateAfterEvent() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
@@ -87,11 +87,11 @@
   }
 
   /** Logs an exception that was thrown while a request was handled. */
-  void failedInternally(RequestProfile profile, RuntimeException exception) {
+  void failedInternally(RequestProfile profile, Throwable failure) {
     LOG.atError()
         .addKeyValue("request", profile.id().value())
         .addKeyValue("service", profile.service())
-        .setCause(exception)
+        .setCause(failure)
         .log("request failed internally");
   }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/request/FailingActionTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/request/FailingActionTest.java
@@ -35,7 +35,7 @@
 import org.marjoramsail.daemon.metrics.RequestMetrics;
 import org.marjoramsail.daemon.upstream.PlainResponse;
 
-/** Guards against a request without a response after one of its actions threw an exception. */
+/** Guards against a request without a response after one of its actions threw. */
 final class FailingActionTest {
 
   private static final UpstreamName UPSTREAM = new UpstreamName("engine-1");
@@ -52,6 +52,8 @@
   private boolean isSenderFailing;
   private boolean isTokenFailing;
   private boolean isRefusalLogFailing;
+  private boolean isMemoryExhausted;
+  private boolean isStackExhausted;
 
   private final RequestRegistry registry =
       new RequestRegistry(
@@ -103,6 +105,33 @@
     assertThat(registry.size()).isZero();
   }
 
+  @Test
+  void aRequestWhoseSenderRunsOutOfMemoryIsRefusedAndItsUpstreamReleased() {
+    isMemoryExhausted = true;
+
+    register();
+
+    assertThat(refusals).extracting(Refusal::reason).containsExactly(RefusalReason.INTERNAL);
+    assertThat(refusals).extracting(Refusal::runState).containsExactly(RunState.UNKNOWN);
+    assertThat(cancelled).containsExactly(1);
+    assertThat(registry.size()).isZero();
+    assertThat(failures()).isEqualTo(1);
+  }
+
+  @Test
+  void aRequestWhoseOutputExhaustsTheStackIsEndedOnce() {
+    register();
+    isStackExhausted = true;
+
+    token(0);
+    token(1);
+
+    assertThat(tokens).isEmpty();
+    assertThat(refusals).extracting(Refusal::reason).containsExactly(RefusalReason.INTERNAL);
+    assertThat(cancelled).containsExactly(1);
+    assertThat(registry.size()).isZero();
+  }
+
   @Test
   void aRefusalThatCannotBeLoggedIsSent() {
     isRefusalLogFailing = true;
@@ -204,6 +233,9 @@
       if (isSenderFailing) {
         throw new IllegalStateException("no connection pool");
       }
+      if (isMemoryExhausted) {
+        throw new OutOfMemoryError("no heap");
+      }
       upstreamEvents = Optional.of(events);
       return Optional.empty();
     }
@@ -231,6 +263,9 @@
       if (isTokenFailing) {
         throw new IllegalStateException("no response head");
       }
+      if (isStackExhausted) {
+        throw new StackOverflowError();
+      }
       tokens.add(index);
     }
 
