Refuse a request whose handling throws before it is registered

An exception or error in ForwardServer between the head of a request and its registration went to the handler of the event loop, which only logs it: the caller had no answer until its own time was over. An OutOfMemoryError while a large body is collected is the likely case.

RequestGuard runs each step before the registration and refuses the request as INTERNAL and not run, since nothing was sent, counts it and logs the cause. The body that was collected so far is dropped with its handlers.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -58,6 +58,7 @@
   private final ForwardServerDependencies dependencies;
   private final ForwardDependencies exchangeDependencies;
   private final RefusalWriter refusals;
+  private final RequestGuard guard;
   private final PlainResponseTimes plainResponseTimes = new PlainResponseTimes();
   private final PathMonitor paths;
   private final RelayServer relayServer;
@@ -83,6 +84,7 @@
     this.refusals =
         new RefusalWriter(
             dependencies.protocol(), json, dependencies.random(), connectionCloseHeader);
+    this.guard = new RequestGuard(this::reject, dependencies.meters());
     UpstreamConnections upstreamConnections =
         new UpstreamConnections(
             vertx,
@@ -151,7 +153,7 @@
         vertx
             .createHttpServer(options)
             .connectionHandler(this::opened)
-            .requestHandler(this::receive);
+            .requestHandler(request -> guard.run(request, "", () -> receive(request)));
     return server.listen().map(HttpServer::actualPort);
   }
 
@@ -259,9 +261,16 @@
     request.response().exceptionHandler(ignored -> {});
     request.response().endHandler(ended -> closeIfStopping(request));
     CallerParameters parameters = dependencies.protocol().parametersOf(request.headers());
+    guard.run(
+        request, parameters.attempt(), () -> authorise(request, parameters, receivedAtMillis));
+  }
+
+  private void authorise(
+      HttpServerRequest request, CallerParameters parameters, long receivedAtMillis) {
+    String attempt = parameters.attempt();
     Optional<Refusal> refusal = refusalOf(request);
     if (refusal.isPresent()) {
-      reject(request, parameters, refusal.get());
+      reject(request, attempt, refusal.get());
       return;
     }
     RoutingConfiguration routing = dependencies.routing().get().orElseThrow();
@@ -271,12 +280,12 @@
           Refusal.notRun(
               RefusalReason.UNKNOWN_SERVICE,
               "No route of host '" + hostOf(request) + "' begins the path " + request.path() + ".");
-      reject(request, parameters, unknown);
+      reject(request, attempt, unknown);
       return;
     }
     CallerAccess access = CallerAccess.of(routing, route.get(), parameters.key());
     if (access.refusal().isPresent()) {
-      reject(request, parameters, access.refusal().get());
+      reject(request, attempt, access.refusal().get());
       return;
     }
     AcceptedRequest accepted =
@@ -361,15 +370,20 @@
     long maximum = Math.min(MAXIMUM_BODY_BYTES, bounds.bodyBytes());
     Buffer body = Buffer.buffer();
     request.handler(
-        bytes -> {
-          body.appendBuffer(bytes);
-          if (body.length() > maximum) {
-            request.handler(ignored -> {});
-            request.endHandler(ignored -> {});
-            reject(request, accepted.parameters(), tooLarge(body.length(), maximum));
-          }
-        });
-    request.endHandler(ended -> received(accepted, body));
+        bytes ->
+            guard.run(request, accepted.attempt(), () -> append(accepted, body, bytes, maximum)));
+    request.endHandler(
+        ended -> guard.run(request, accepted.attempt(), () -> received(accepted, body)));
+  }
+
+  private void append(AcceptedRequest accepted, Buffer body, Buffer bytes, long maximum) {
+    HttpServerRequest request = accepted.request();
+    body.appendBuffer(bytes);
+    if (body.length() > maximum) {
+      request.handler(ignored -> {});
+      request.endHandler(ignored -> {});
+      reject(request, accepted.attempt(), tooLarge(body.length(), maximum));
+    }
   }
 
   private void received(AcceptedRequest accepted, Buffer body) {
@@ -384,13 +398,14 @@
         accepted.route(),
         accepted.organisationName(),
         task -> context.runOnContext(ignored -> task.run()),
-        origin -> resume(accepted, body, origin));
+        origin ->
+            guard.run(
+                accepted.request(), accepted.attempt(), () -> resume(accepted, body, origin)));
   }
 
   private void resume(AcceptedRequest accepted, Buffer body, Optional<StreamOrigin> origin) {
     if (origin.isEmpty()) {
-      reject(
-          accepted.request(), accepted.parameters(), ResumedStreams.refusal(accepted.parameters()));
+      reject(accepted.request(), accepted.attempt(), ResumedStreams.refusal(accepted.parameters()));
       return;
     }
     register(accepted, body, origin);
@@ -398,10 +413,19 @@
 
   private void register(AcceptedRequest accepted, Buffer body, Optional<StreamOrigin> origin) {
     HttpServerRequest request = accepted.request();
-    Route route = accepted.route();
     if (request.response().closed()) {
       return;
     }
+    Optional<RequestHandle> registered =
+        guard.call(request, accepted.attempt(), () -> start(accepted, body, origin));
+    registered.ifPresent(
+        handle -> request.response().closeHandler(closed -> handle.callerDisconnected()));
+  }
+
+  private RequestHandle start(
+      AcceptedRequest accepted, Buffer body, Optional<StreamOrigin> origin) {
+    HttpServerRequest request = accepted.request();
+    Route route = accepted.route();
     boolean hasBody =
         body.length() > 0
             || request.headers().contains("content-length")
@@ -420,21 +444,19 @@
     ForwardExchange exchange =
         new ForwardExchange(exchangeDependencies, forwarded, profile, request, route);
     Context context = vertx.getOrCreateContext();
-    RequestHandle handle =
-        dependencies
-            .registry()
-            .register(
-                new NewRequest(
-                    profile,
-                    ForwardingRules.policyOf(
-                        route, plainResponseTimes.overdueMillis(profile.service())),
-                    exchange,
-                    Optional.empty(),
-                    route.gapTargetMillis(),
-                    new LatencyTargets(route.targetMillis(), route.gapTargetMillis()),
-                    exchange,
-                    task -> context.runOnContext(ignored -> task.run())));
-    request.response().closeHandler(closed -> handle.callerDisconnected());
+    return dependencies
+        .registry()
+        .register(
+            new NewRequest(
+                profile,
+                ForwardingRules.policyOf(
+                    route, plainResponseTimes.overdueMillis(profile.service())),
+                exchange,
+                Optional.empty(),
+                route.gapTargetMillis(),
+                new LatencyTargets(route.targetMillis(), route.gapTargetMillis()),
+                exchange,
+                task -> context.runOnContext(ignored -> task.run())));
   }
 
   private RequestProfile profileOf(
@@ -518,6 +540,10 @@
     String organisationName() {
       return organisation.map(OrganisationDefinition::name).orElse(route.host());
     }
+
+    String attempt() {
+      return parameters.attempt();
+    }
   }
 
   private static long fingerprint(String service, ForwardedRequest request) {
@@ -534,13 +560,13 @@
   /**
    * Refuses a request. If its body is unread, the connection is closed, since it cannot be reused.
    */
-  private void reject(HttpServerRequest request, CallerParameters parameters, Refusal refusal) {
+  private void reject(HttpServerRequest request, String attempt, Refusal refusal) {
     dependencies.refused().accept(refusal);
     boolean hasUnreadBody = !request.isEnded() && mayHaveBody(request);
     if (hasUnreadBody) {
       request.response().putHeader("connection", "close");
     }
-    refusals.write(request, parameters.attempt(), refusal);
+    refusals.write(request, attempt, refusal);
   }
 
   private static boolean mayHaveBody(HttpServerRequest request) {
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
@@ -0,0 +1,177 @@
+package org.marjoramsail.daemon.forward;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import java.lang.reflect.Proxy;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.marjoramsail.core.failure.Refusal;
+import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.feedback.UpstreamFeedbackTable;
+import org.marjoramsail.core.model.DaemonId;
+import org.marjoramsail.core.model.Repeatability;
+import org.marjoramsail.core.routing.CallerLimits;
+import org.marjoramsail.core.routing.OutputForecast;
+import org.marjoramsail.core.routing.Route;
+import org.marjoramsail.core.routing.RouteTable;
+import org.marjoramsail.core.routing.RoutingConfiguration;
+import org.marjoramsail.core.routing.WeightedService;
+import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.daemon.assembly.SystemClock;
+import org.marjoramsail.daemon.fixture.Waits;
+
+/** Guards against a caller without a response after the handling of its request threw. */
+final class ForwardServerTest {
+
+  private record Answer(int status, Buffer body) {}
+
+  private static final String ADDRESS = "127.0.0.1";
+  private static final String HOST = "desk.example";
+  private static final RoutingConfiguration ROUTING =
+      new RoutingConfiguration(
+          1,
+          new RouteTable(
+              List.of(
+                  new Route(
+                      "status",
+                      HOST,
+                      "/status/",
+                      Repeatability.IDEMPOTENT,
+                      false,
+                      1_000,
+                      500,
+                      0,
+                      0,
+                      2,
+                      List.of(new WeightedService("desk", 1))))),
+          List.of(),
+          new CallerLimits(8_192, 8_192, 1_000, 1_000));
+
+  private final Vertx vertx = Vertx.vertx();
+  private final SimpleMeterRegistry meters = new SimpleMeterRegistry();
+  private final Queue<Refusal> refused = new ConcurrentLinkedQueue<>();
+  private Optional<Error> headFailure = Optional.empty();
+  private Optional<Error> bodyFailure = Optional.empty();
+  private int port;
+
+  @BeforeEach
+  void start() {
+    ForwardServer server = new ForwardServer(vertx, dependencies(), new ObjectMapper());
+    port = Waits.get(server.start(ADDRESS, 0));
+  }
+
+  @AfterEach
+  void close() {
+    Waits.get(vertx.close());
+  }
+
+  @Test
+  void aRequestWhoseHeadExhaustsTheStackIsRefusedAsNotRun() {
+    headFailure = Optional.of(new StackOverflowError("too deep"));
+
+    assertThatCallIsRefused();
+  }
+
+  @Test
+  void aRequestThatRunsOutOfMemoryBeforeItIsRegisteredIsRefusedAsNotRun() {
+    bodyFailure = Optional.of(new OutOfMemoryError("no heap"));
+
+    assertThatCallIsRefused();
+  }
+
+  private void assertThatCallIsRefused() {
+    Answer answer = call();
+
+    assertThat(answer.status()).isEqualTo(503);
+    assertThat(answer.body().toJsonObject().getString("reason")).isEqualTo("internal");
+    assertThat(answer.body().toJsonObject().getString("run")).isEqualTo("not-run");
+    assertThat(refused).extracting(Refusal::reason).containsExactly(RefusalReason.INTERNAL);
+    Waits.until(
+        "the failure is counted",
+        () -> meters.counter("marjoramsail.requests.failed.internally").count() == 1);
+  }
+
+  private Answer call() {
+    return Waits.get(
+        vertx
+            .createHttpClient()
+            .request(HttpMethod.POST, port, ADDRESS, "/status/1")
+            .map(request -> request.putHeader("host", HOST))
+            .compose(request -> request.send(Buffer.buffer("content")))
+            .compose(
+                response -> response.body().map(body -> new Answer(response.statusCode(), body))));
+  }
+
+  private ForwardServerDependencies dependencies() {
+    Clock clock = new SystemClock();
+    DaemonId daemon = new DaemonId("entry-1", 1);
+    Random random = new Random(7);
+    return new ForwardServerDependencies(
+        daemon,
+        protocol(),
+        () -> Optional.of(ROUTING),
+        null,
+        upstream -> Optional.empty(),
+        service -> 0L,
+        service -> 1,
+        null,
+        new UpstreamFeedbackRecorder(new UpstreamFeedbackTable(), clock, meters),
+        new StreamDirectory(daemon, null, (delayMillis, task) -> {}, clock),
+        null,
+        meters,
+        new OutputForecast(),
+        refused::add,
+        ConnectFaults.NONE,
+        new Relays(daemon, null, clock, random),
+        "token",
+        clock,
+        random);
+  }
+
+  /** Returns a protocol that throws the chosen failures while a request is read. */
+  private ForwardingProtocol protocol() {
+    Map<String, Runnable> failures =
+        Map.of(
+            "parametersOf", () -> headFailure.ifPresent(ForwardServerTest::raise),
+            "forwardedHeaders", () -> bodyFailure.ifPresent(ForwardServerTest::raise));
+    return (ForwardingProtocol)
+        Proxy.newProxyInstance(
+            ForwardingProtocol.class.getClassLoader(),
+            new Class<?>[] {ForwardingProtocol.class},
+            (proxy, method, arguments) -> {
+              failures.getOrDefault(method.getName(), () -> {}).run();
+              return method.getName().equals("parametersOf") ? parameters() : null;
+            });
+  }
+
+  private static void raise(Error failure) {
+    throw failure;
+  }
+
+  private static CallerParameters parameters() {
+    return new CallerParameters(
+        "attempt-1",
+        OptionalLong.empty(),
+        0,
+        0,
+        OptionalInt.empty(),
+        0,
+        Optional.empty(),
+        List.of(),
+        Optional.empty());
+  }
+}
