Start local processes with the options of the deployment

Processes of local fleets and soaks ran without -Xss256k and three other options of deploy/system.toml, so that neither their memory nor their threads were those of the deployment.

The settings of a process can be replaced and its signal for that, SIGHUP, be sent: FleetDaemon.reload. The file is replaced as a whole. Daemons without a file of settings keep theirs.

The soak runs on the runtime of the build (17), the deployment on 25; options that 17 does not have are ignored by -XX:+IgnoreUnrecognizedVMOptions.

--- a/command/src/main/java/org/marjoramsail/command/fleet/FleetDaemon.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/FleetDaemon.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import java.util.OptionalLong;
+import org.marjoramsail.daemon.settings.Settings;
 
 /** A daemon of a local fleet. */
 public interface FleetDaemon {
@@ -21,6 +22,14 @@
   /** Stops without cutting off a request. */
   Future<Void> stop();
 
+  /**
+   * Reads its settings again, as a process does at the signal for it. A daemon without a file of
+   * settings keeps those that it has.
+   *
+   * @param newer the settings that it finds
+   */
+  default void reload(Settings newer) {}
+
   /** Ends at once, as a process does that dies: connections break and nothing is handed over. */
   Future<Void> kill();
 
--- a/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
@@ -1,9 +1,5 @@
 package org.marjoramsail.command.fleet;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.vertx.core.Future;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -30,19 +26,22 @@
  */
 public final class ProcessDaemons implements FleetDaemonFactory, AutoCloseable {
 
-  /** Dozens of processes share one machine: little memory, and few threads of the compiler. */
-  private static final List<String> VIRTUAL_MACHINE_OPTIONS =
-      List.of("-Xms8m", "-Xmx112m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+  /** Those of the deployment, without its archive of classes. */
+  static final List<String> VIRTUAL_MACHINE_OPTIONS =
+      List.of(
+          "-Xms8m",
+          "-Xmx112m",
+          "-Xss256k",
+          "-XX:+IgnoreUnrecognizedVMOptions",
+          "-XX:+UseSerialGC",
+          "-XX:+UseCompactObjectHeaders",
+          "-XX:TieredStopAtLevel=1",
+          "-XX:-UsePerfData");
 
   private static final long POLL_MILLIS = 100;
   private static final int MOST_POLLS = 600;
   private static final int CONNECT_MILLIS = 100;
 
-  private final ObjectMapper mapper =
-      JsonMapper.builder()
-          .addModule(new Jdk8Module())
-          .serializationInclusion(JsonInclude.Include.NON_ABSENT)
-          .build();
   private final Executor later =
       CompletableFuture.delayedExecutor(POLL_MILLIS, TimeUnit.MILLISECONDS);
   private final Queue<Process> processes = new ConcurrentLinkedQueue<>();
@@ -63,12 +62,12 @@
     try {
       ListenSettings listen = withPorts(settings.listen());
       String name = settings.host().name() + "-" + starts.incrementAndGet();
-      Path file = directory.resolve(name + ".json");
-      mapper.writeValue(file.toFile(), settings.withListen(listen));
-      Process process = launch(file, directory.resolve(name + ".log"));
+      SettingsFile file = new SettingsFile(directory.resolve(name + ".json"));
+      file.write(settings.withListen(listen));
+      Process process = launch(file.path(), directory.resolve(name + ".log"));
       processes.add(process);
       return Future.fromCompletionStage(listening(process, listen, MOST_POLLS))
-          .map(nothing -> new ProcessFleetDaemon(process, listen));
+          .map(nothing -> new ProcessFleetDaemon(process, listen, file));
     } catch (IOException failure) {
       return Future.failedFuture(failure);
     }
--- a/command/src/main/java/org/marjoramsail/command/fleet/ProcessFleetDaemon.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/ProcessFleetDaemon.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.marjoramsail.daemon.settings.ListenSettings;
+import org.marjoramsail.daemon.settings.Settings;
 
 /** A daemon of a local fleet that is a process of its own. */
 final class ProcessFleetDaemon implements FleetDaemon {
@@ -21,10 +22,12 @@
 
   private final Process process;
   private final ListenSettings listen;
+  private final SettingsFile file;
 
-  ProcessFleetDaemon(Process process, ListenSettings listen) {
+  ProcessFleetDaemon(Process process, ListenSettings listen, SettingsFile file) {
     this.process = process;
     this.listen = listen;
+    this.file = file;
   }
 
   @Override
@@ -54,6 +57,16 @@
     return ended();
   }
 
+  @Override
+  public void reload(Settings newer) {
+    try {
+      file.write(newer.withListen(listen));
+    } catch (IOException failure) {
+      throw new UncheckedIOException(file.path() + " could not be written", failure);
+    }
+    signal("-HUP");
+  }
+
   @Override
   public Future<Void> kill() {
     process.destroyForcibly();
