Judge calls without a response in platform-soak

The soak counted calls without a response and judged none: a daemon that was told to stop counted as disturbed, and its limits of a stop were its own.

LossLog judges them as the rule LOST does. A call is lost if it ended without a complete response and had reached a server, or was sent more than 200 ms before: at daemons that stop (until a second after the grace), that reload, and that do neither. Not lost: calls at the deadline of their caller, beside an unplanned disturbance of their daemon, server or path from 3 s before they were sent until their end, beside a standstill of the soak, and in the last sixth of the grace if sent within 3 s of the signal. Calls that reached no server and ended sooner cross the end of their connection: the rule does not count them, the report shows them. A server that leaves serves on and excuses nothing. Calls are judged at the end of the run, since the crash of a server is recorded after its calls have ended. The time of a call begins when its request is written, not when its connection is asked for.

Daemons of the soak have the limits of the deployment for a stop (PROCESS_LIMITS). Nothing that the soak judged before is judged otherwise.

PlatformSoakTest#daemonsThatAreToldToStopLoseNoCall also allows no more than one crossed call a stop, beyond the rule: most calls that a halted process resets had reached no server within 200 ms, and the rule counts few of them.

--- a/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
+++ b/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
@@ -16,6 +16,7 @@
 import org.marjoramsail.command.platform.PlatformSoak;
 import org.marjoramsail.command.platform.PlatformSoakReport;
 import org.marjoramsail.command.platform.PlatformSoakSetup;
+import org.marjoramsail.command.platform.UnansweredCall;
 import org.marjoramsail.core.failure.MarjoramsailException;
 
 /** Runs daemons as processes under faults before stand-ins of the users' platform. */
@@ -35,6 +36,11 @@
           + " its server did nothing but pause for less than 2 seconds is lost by silence.",
       "Contents that crash each server that runs them come again and again. More than 3 seconds"
           + " after its third crash, a content may reach servers three times more.",
+      "Calls without a complete response are lost when they had reached a server, or were sent more"
+          + " than 200 ms before their connection ended: at daemons that stop, that read their"
+          + " settings again, and that do neither. Calls beside an unplanned disturbance of their"
+          + " daemon, their server or a path do not count, nor do those at the deadline of their"
+          + " caller.",
       "Ends with 3 when a rule was broken, when no request of a kind was served, or when fewer than"
           + " nine tenths of the requests were sent on time."
     })
@@ -189,6 +195,7 @@
         .forEach(request -> output.println("ran although refused as not run: " + request));
     printSilence(report.silence(), output);
     printCrashes(report.crashes(), output);
+    printUnanswered(report.unanswered(), output);
     output.println(report.isClean() ? "The soak is clean." : "The soak is BROKEN.");
   }
 
@@ -208,6 +215,26 @@
     crashes.excess().forEach(excess -> output.println("crashing content sent on: " + excess));
   }
 
+  private static void printUnanswered(
+      PlatformSoakReport.Unanswered unanswered, PrintStream output) {
+    output.printf(
+        "%d stops, %d reloads; calls without a complete response: %d at their deadline, %d beside"
+            + " disturbances%n",
+        unanswered.stops(), unanswered.reloads(), unanswered.atDeadline(), unanswered.disturbed());
+    for (UnansweredCall.Phase phase : UnansweredCall.Phase.values()) {
+      output.printf("calls without a response, %s:", phase.code());
+      for (UnansweredCall.Reason reason : UnansweredCall.Reason.values()) {
+        output.printf(" %d %s", unanswered.count(phase, reason), reason.code());
+      }
+      output.println();
+    }
+    unanswered
+        .lostByStop()
+        .forEach((stop, calls) -> output.printf("lost calls, stop of %s: %d%n", stop, calls));
+    unanswered.lost().forEach(lost -> output.println("lost call: " + lost));
+    unanswered.crossed().forEach(crossed -> output.println("not counted: " + crossed));
+  }
+
   private static void require(String option, int value, int least, int most) throws UsageException {
     if (value < least || value > most) {
       throw new UsageException(option, Integer.toString(value), least + " to " + most);
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
@@ -59,7 +59,8 @@
     private Optional<Endpoint> store = Optional.empty();
     private Optional<FleetDaemon> process = Optional.empty();
     private boolean isPaused;
-    private boolean isStopping;
+    private Optional<FleetDaemon> stopping = Optional.empty();
+    private boolean hasOtherSeeds;
 
     Host(String name, ListenSettings listen, LinkStandIn storePath) {
       this.name = name;
@@ -139,7 +140,7 @@
   /** Returns the running daemons, including those that are stopping and still serve. */
   List<Entry> entries() {
     return hosts.stream()
-        .filter(host -> host.process.isPresent() || host.isStopping)
+        .filter(host -> host.process.isPresent() || host.stopping.isPresent())
         .map(host -> new Entry(host.name, host.listen.caller()))
         .toList();
   }
@@ -155,7 +156,10 @@
       FleetDaemon killed = host.process.orElseThrow();
       host.process = Optional.empty();
       arrivals.disturbanceBegins(host.name);
-      killed.kill().onComplete(ended -> startLater(host, downMillis));
+      killed
+          .kill()
+          .onComplete(
+              ended -> startLater(host, downMillis, () -> arrivals.disturbanceEnds(host.name)));
     }
   }
 
@@ -205,17 +209,39 @@
     }
     FleetDaemon stopped = host.process.orElseThrow();
     host.process = Optional.empty();
-    arrivals.disturbanceBegins(host.name);
-    host.isStopping = true;
+    arrivals.stopBegins(host.name);
+    host.stopping = Optional.of(stopped);
     stopped
         .stop()
         .onComplete(
             ended -> {
-              host.isStopping = false;
-              startLater(host, 1);
+              host.stopping = Optional.empty();
+              startLater(host, 1, () -> arrivals.stopEnds(host.name));
             });
   }
 
+  /**
+   * Tells some daemons to read their settings again, also those that are told to stop.
+   *
+   * @param isChanged whether the settings name other addresses to learn of daemons from
+   */
+  void reloadAtRandom(int count, boolean isChanged, Random random) {
+    List<Host> running = new ArrayList<>();
+    for (Host host : hosts) {
+      if (!host.isPaused && host.process.or(() -> host.stopping).isPresent()) {
+        running.add(host);
+      }
+    }
+    Collections.shuffle(running, random);
+    running.subList(0, Math.min(count, running.size())).forEach(host -> reload(host, isChanged));
+  }
+
+  private void reload(Host host, boolean isChanged) {
+    host.hasOtherSeeds ^= isChanged;
+    arrivals.reloadBegins(host.name);
+    host.process.or(() -> host.stopping).orElseThrow().reload(settings(host));
+  }
+
   /** Kills all daemons for good. */
   void end() {
     isEnded = true;
@@ -233,7 +259,7 @@
     return running.subList(0, Math.min(count, running.size()));
   }
 
-  private void startLater(Host host, long millis) {
+  private void startLater(Host host, long millis, Runnable started) {
     vertx.setTimer(
         millis,
         fired -> {
@@ -242,20 +268,28 @@
                 .onComplete(
                     done -> {
                       starting.remove(host);
-                      arrivals.disturbanceEnds(host.name);
+                      started.run();
                     });
           }
         });
   }
 
   private Future<Void> start(Host host) {
-    List<Endpoint> seeds = hosts.stream().limit(SEEDS).map(seed -> seed.listen.peer()).toList();
-    Settings settings =
-        LoopbackPlatform.settings(
-            host.name, host.listen, host.store.orElseThrow(), seeds, retrySlack);
     return factory
-        .start(settings)
+        .start(settings(host))
         .onSuccess(process -> host.process = Optional.of(process))
         .mapEmpty();
   }
+
+  private Settings settings(Host host) {
+    List<Endpoint> seeds =
+        hosts.stream()
+            .skip(host.hasOtherSeeds ? 1 : 0)
+            .limit(SEEDS)
+            .map(seed -> seed.listen.peer())
+            .toList();
+    return LoopbackPlatform.settings(
+            host.name, host.listen, host.store.orElseThrow(), seeds, retrySlack)
+        .withLimits(LoopbackPlatform.PROCESS_LIMITS);
+  }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
@@ -147,9 +147,10 @@
         PULSE_MILLIS,
         timer -> {
           long nowMillis = clock.millis();
-          if (nowMillis - lastMillis.getAndSet(nowMillis) > STALL_MILLIS) {
+          long sinceMillis = lastMillis.getAndSet(nowMillis);
+          if (nowMillis - sinceMillis > STALL_MILLIS) {
             stalls++;
-            arrivals.stalled();
+            arrivals.stalled(sinceMillis);
           }
         });
   }
@@ -192,6 +193,7 @@
         ranTwice,
         load.toldNotRun().stream().filter(ran::contains).toList(),
         arrivals.silence(),
-        arrivals.crashes());
+        arrivals.crashes(),
+        arrivals.unanswered());
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
@@ -2,6 +2,9 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.marjoramsail.standin.load.ArrivalLog;
 import org.marjoramsail.standin.load.DrainLog;
 
@@ -19,6 +22,7 @@
  * @param falselyNotRun requests that ran although their callers were told that they did not
  * @param silence what became of responses whose servers paused
  * @param crashes what became of requests whose content crashes servers
+ * @param unanswered calls without a complete response
  */
 public record PlatformSoakReport(
     Load load,
@@ -31,7 +35,8 @@
     List<String> ranTwice,
     List<String> falselyNotRun,
     Silence silence,
-    Crashes crashes) {
+    Crashes crashes,
+    Unanswered unanswered) {
 
   /** Share of the requests that have to be sent on time for a soak to prove something. */
   private static final double MINIMUM_ON_TIME = 0.9;
@@ -127,6 +132,48 @@
     }
   }
 
+  /**
+   * Calls that were sent and ended without a complete response.
+   *
+   * @param stops how often daemons were told to stop
+   * @param reloads how often daemons were told to read their settings again
+   * @param lost calls that daemons lost
+   * @param crossed calls that crossed the end of their connection, which do not count as lost
+   * @param atDeadline calls that ended with the time of their caller, or with that of a stop
+   * @param disturbed calls whose daemon, server or path was disturbed
+   */
+  public record Unanswered(
+      int stops,
+      int reloads,
+      List<UnansweredCall> lost,
+      List<UnansweredCall> crossed,
+      int atDeadline,
+      int disturbed) {
+    /** Copies the lists, so that the value is immutable. */
+    public Unanswered {
+      lost = List.copyOf(lost);
+      crossed = List.copyOf(crossed);
+    }
+
+    /** Returns how many calls ended so in a phase of their daemon. */
+    public long count(UnansweredCall.Phase phase, UnansweredCall.Reason reason) {
+      return Stream.concat(lost.stream(), crossed.stream())
+          .filter(call -> call.phase() == phase && call.reason() == reason)
+          .count();
+    }
+
+    /** Returns how many calls were lost at each stop that lost some. */
+    public Map<String, Long> lostByStop() {
+      return lost.stream()
+          .filter(call -> call.phase() == UnansweredCall.Phase.STOP)
+          .collect(
+              Collectors.groupingBy(
+                  call -> call.host() + " at " + call.signalMillis(),
+                  TreeMap::new,
+                  Collectors.counting()));
+    }
+  }
+
   /** Copies the collections, so that the value is immutable. */
   public PlatformSoakReport {
     kinds = List.copyOf(kinds);
@@ -148,6 +195,7 @@
         && falselyNotRun.isEmpty()
         && silence.lost().isEmpty()
         && crashes.excess().isEmpty()
+        && unanswered.lost().isEmpty()
         && retries.values().stream().noneMatch(window -> window.excess() > 0);
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
@@ -122,6 +122,24 @@
     platform.configure(PlatformStandIn.FIRST_ROUTE, timeoutMillis);
   }
 
+  /** Puts configurations in force one after the other, each with another timeout. */
+  void changeTimeoutsInSeries(List<Long> timeoutsMillis, long gapMillis) {
+    long delayMillis = 1;
+    for (long timeoutMillis : timeoutsMillis) {
+      vertx.setTimer(delayMillis, fired -> changeTimeouts(timeoutMillis));
+      delayMillis += gapMillis;
+    }
+  }
+
+  /** Tells some daemons, drawn anew each time, to read their settings again and again. */
+  void reloadInSeries(int count, int times, long gapMillis, Random random) {
+    for (int time = 0; time < times; time++) {
+      boolean isChanged = random.nextBoolean();
+      vertx.setTimer(
+          1 + time * gapMillis, fired -> daemons.reloadAtRandom(count, isChanged, random));
+    }
+  }
+
   /** Lets the store misbehave for a time. */
   void disturbStore(StoreStandIn.Mood mood, long millis) {
     arrivals.disturbanceBegins(DrainLog.STORE);
@@ -201,7 +219,7 @@
   }
 
   private void leave(String server, boolean announced, long millis) {
-    arrivals.troubleBegins(server);
+    arrivals.leaves(server);
     if (announced) {
       platform.drain(server);
       vertx.setTimer(millis, fired -> platform.unlist(server));
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
@@ -25,6 +25,7 @@
   private final DrainLog drains = new DrainLog(LoopbackPlatform.DRAIN_MILLIS, disturbances);
   private final SilenceLog silence = new SilenceLog();
   private final CrashLog crashes = new CrashLog(CrashLog.CONTENT);
+  private final LossLog losses = new LossLog();
   private final Map<String, String> hosts = new HashMap<>();
   private final Map<String, ArrivalLog> retries = new HashMap<>();
 
@@ -61,7 +62,7 @@
    * @param runs the requests that it has run, in order
    */
   synchronized void crashed(String server, List<String> runs) {
-    silence.troubleBegins(server);
+    troubleBegins(server);
     for (int last = runs.size() - 1; last >= 0; last--) {
       if (crashes.isCrashing(runs.get(last))) {
         crashes.crashed(runs.get(last), clock.millis());
@@ -80,31 +81,61 @@
     drains.acknowledged(server, clock.millis());
   }
 
-  /** Records that a disturbance of a part begins. */
+  /** Records that an unplanned disturbance of a part begins. */
   synchronized void disturbanceBegins(String part) {
     disturbances.begin(part);
+    losses.disturbanceBegins(part, clock.millis());
   }
 
-  /** Records that a disturbance of a part ends. */
+  /** Records that such a disturbance of a part ends. */
   synchronized void disturbanceEnds(String part) {
     disturbances.end(part, clock.millis());
+    losses.disturbanceEnds(part, clock.millis());
+  }
+
+  /** Records that a daemon is told to stop, which excuses no lost call. */
+  synchronized void stopBegins(String host) {
+    disturbances.begin(host);
+    losses.stopBegins(host, clock.millis());
   }
 
-  /** Records that the process of the soak was delayed, so that daemons are not blamed for it. */
-  synchronized void stalled() {
+  /** Records that a daemon is told to read its settings again, which excuses no lost call. */
+  synchronized void reloadBegins(String host) {
+    losses.reloadBegins(host, clock.millis());
+  }
+
+  /** Records that a daemon that was told to stop has been started again. */
+  synchronized void stopEnds(String host) {
+    disturbances.end(host, clock.millis());
+  }
+
+  /**
+   * Records that the process of the soak was delayed until now, so that daemons are not blamed.
+   *
+   * @param sinceMillis when it was last known not to be
+   */
+  synchronized void stalled(long sinceMillis) {
     disturbances.begin(DrainLog.STORE);
     disturbances.end(DrainLog.STORE, clock.millis());
     silence.stalled(clock.millis());
+    losses.stalled(sinceMillis, clock.millis());
   }
 
   /** Records that a server has trouble other than a pause. */
   synchronized void troubleBegins(String server) {
     silence.troubleBegins(server);
+    losses.disturbanceBegins(server, clock.millis());
   }
 
   /** Records that such trouble of a server ends. */
   synchronized void troubleEnds(String server) {
     silence.troubleEnds(server, clock.millis());
+    losses.disturbanceEnds(server, clock.millis());
+  }
+
+  /** Records that a server leaves; it serves on, so that this excuses no lost call. */
+  synchronized void leaves(String server) {
+    silence.troubleBegins(server);
   }
 
   /** Records that a server pauses, for 2 s or more if {@code isLong}. */
@@ -122,6 +153,26 @@
     silence.gap(millis);
   }
 
+  /** Records that the whole request of a call was sent to a host. */
+  synchronized void sent(String request) {
+    losses.sent(request, hosts.getOrDefault(request, ""), clock.millis());
+  }
+
+  /** Returns the calls without a complete response. */
+  synchronized PlatformSoakReport.Unanswered unanswered() {
+    return losses.result();
+  }
+
+  /** Records that a call ended without a complete response, by a cause that its caller saw. */
+  synchronized void unanswered(String request, String cause) {
+    losses.unanswered(request, clock.millis(), cause);
+  }
+
+  /** Records that a caller no longer waits for a response. */
+  synchronized void gaveUp(String request) {
+    losses.gaveUp(request);
+  }
+
   /** Records that a host broke off the response to a request, or sent none. */
   synchronized void brokenOff(String request, String host, long afterMillis) {
     if (isCalm(host)) {
@@ -162,6 +213,7 @@
       silence.runArrived(attempt, server, nowMillis);
     }
     drains.arrived(attempt, server, nowMillis);
+    losses.arrived(attempt, server);
     crashes.arrived(attempt, prefill, isCalm(hosts.getOrDefault(attempt, "")), nowMillis);
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.command.platform;
 
+import io.vertx.core.AsyncResult;
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpMethod;
@@ -13,6 +14,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.platform.assembly.LoopbackPlatform;
 import org.marjoramsail.platform.standin.CallerStandIn;
@@ -88,6 +90,7 @@
     this.arrivals = arrivals;
     this.random = random;
     this.caller = new CallerStandIn(vertx, LoopbackPlatform.ADDRESS, clock);
+    caller.onSent(arrivals::sent);
   }
 
   /** Sends requests from now on until a time. */
@@ -273,12 +276,26 @@
             all)
         .timeout(CALLER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
         .onSuccess(answer -> arrivals.gap(answer.longestGapMillis()))
-        .onComplete(
-            result -> {
-              if (result.failed() || !result.result().whole()) {
-                arrivals.brokenOff(attempt, entry.host(), clock.millis() - sentMillis);
-              }
-            });
+        .onComplete(result -> ended(entry, attempt, sentMillis, result));
+  }
+
+  private void ended(
+      PlatformProcesses.Entry entry, String attempt, long sentMillis, AsyncResult<Answer> result) {
+    if (result.succeeded() && result.result().whole()) {
+      return;
+    }
+    arrivals.brokenOff(attempt, entry.host(), clock.millis() - sentMillis);
+    if (result.cause() instanceof TimeoutException) {
+      arrivals.gaveUp(attempt);
+    } else {
+      arrivals.unanswered(attempt, describe(result));
+    }
+  }
+
+  private static String describe(AsyncResult<Answer> incomplete) {
+    return incomplete.failed()
+        ? String.valueOf(incomplete.cause().getMessage())
+        : "response broken off after " + incomplete.result().body().length() + " characters";
   }
 
   private LossReason reasonOf(PlatformProcesses.Entry entry) {
--- a/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
@@ -15,6 +15,7 @@
 final class PlatformSoakTest {
 
   private static final long SEED = 2;
+  private static final long PLANNED_WORK_SEED = 3;
 
   /** Guards against retries beyond the budget that only processes show, such as late grants. */
   @Test
@@ -48,4 +49,28 @@
       assertThat(report.crashes().crashes()).isPositive();
     }
   }
+
+  /** Guards against an end of a process that leaves calls without a response. */
+  @Test
+  void daemonsThatAreToldToStopLoseNoCall(@TempDir Path directory) throws Exception {
+    PlatformSoakReport.Unanswered unanswered =
+        soakOfPlannedWork(directory, List.of(PlatformFault.DAEMON_ROLL));
+
+    assertThat(unanswered.stops()).isPositive();
+    assertThat(unanswered.count(UnansweredCall.Phase.STOP, UnansweredCall.Reason.CROSSED))
+        .as("calls that crossed the end of their connection: " + unanswered.crossed())
+        .isLessThanOrEqualTo(unanswered.stops());
+  }
+
+  private static PlatformSoakReport.Unanswered soakOfPlannedWork(
+      Path directory, List<PlatformFault> faults) throws Exception {
+    PlatformSoakSetup setup =
+        new PlatformSoakSetup(3, 2, 3, 3, 60, 8, 52, 25, PLANNED_WORK_SEED, faults);
+    try (ProcessDaemons processes = new ProcessDaemons(directory)) {
+      PlatformSoakReport report = new PlatformSoak(new SystemClock(), processes).run(setup);
+
+      assertThat(report.isClean()).as(report.toString()).isTrue();
+      return report.unanswered();
+    }
+  }
 }
