Bound the responses of upstreams to forwarded requests

What callers saw: an upstream in trouble sent bytes without end, and the daemon collected them until the deadline. Callers waited for a 504 where another upstream would have served them, a daemon of 112 MB ended up without memory, and an interim response with status 102 was returned to a caller as the response to its request.

Cause: a plain body, the body of a failure, of a refusal, of a prefill and an event of a stream were collected without a bound, and nothing counted interim responses. A relay read faster than its sender. The deletion of a KV cache waited for its response without a timeout.

A response beyond a bound fails its attempt as EXCESSIVE: the connection is reset, the request may have run and is repeated only where it may run twice. It does not count as a sign of a crash. An event id that is no number now also ends its call.

Heads are bounded at 16 KB in place of 64 KB, so that a hundred of them fit into the heap.

ForwardCallTest: its listener has the new result of bytes(), nothing else has changed.

--- a/core/src/main/java/org/marjoramsail/core/outcome/UpstreamFailure.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/UpstreamFailure.java
@@ -23,6 +23,8 @@
   CUT(false, RetryReason.STREAM_CUT, AttemptResult.FAILED),
   /** The response violated the protocol. */
   MALFORMED(false, RetryReason.DECODE_FAILED, AttemptResult.FAILED),
+  /** The response was larger than a response may be. */
+  EXCESSIVE(false, RetryReason.RESPONSE_TOO_LARGE, AttemptResult.FAILED),
   /** No progress was made for too long after the send. */
   TIMED_OUT(false, RetryReason.TIMEOUT, AttemptResult.TIMED_OUT);
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.daemon.forward;
 
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -27,6 +28,7 @@
   private final LivenessListener liveness;
   private final Map<Incarnation, Set<ForwardCall>> open = new HashMap<>();
   private Set<Incarnation> accepting = Set.of();
+  private final Map<ResponseBound, Long> excessive = new EnumMap<>(ResponseBound.class);
   private long abandoned;
   private final Map<Incarnation, Long> receivedAtMillis = new HashMap<>();
 
@@ -73,6 +75,16 @@
         .log("call given up before a response");
   }
 
+  /** Records a response that was given up since it exceeded a bound. */
+  void exceeded(ResponseBound bound) {
+    excessive.merge(bound, 1L, Long::sum);
+  }
+
+  /** Returns the number of responses that exceeded a bound. */
+  long exceededCount(ResponseBound bound) {
+    return excessive.getOrDefault(bound, 0L);
+  }
+
   /** Records that the upstream of a call has begun to respond on a direct connection. */
   void answered(ForwardCall call) {
     liveness.reached(call.upstream().upstream(), call.writtenAtMillis());
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/EventSplitter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/EventSplitter.java
@@ -59,6 +59,11 @@
     return pending.chars().skip(blockStart).anyMatch(next -> next != '\n' && next != '\r');
   }
 
+  /** Returns the number of bytes that belong to no complete event yet. */
+  int pendingBytes() {
+    return pending.length();
+  }
+
   /** Returns the bytes after the last event: blocks without an id, and further blank lines. */
   String trailingText() {
     return pending.toString();
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.daemon.forward;
 
+import io.netty.handler.codec.TooLongFrameException;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientConnection;
@@ -31,16 +32,31 @@
      */
     boolean head(int status, MultiMap headers);
 
-    /** Handles some bytes of the body. */
-    void bytes(Buffer bytes);
+    /**
+     * Handles some bytes of the body.
+     *
+     * @return the failure of the call, if these bytes make it fail
+     */
+    Optional<UpstreamFailure> bytes(Buffer bytes);
 
     /** Handles the end of a complete response. */
     void end();
 
     /** Handles a failure, after which nothing more is received. */
     void failed(UpstreamFailure failure);
+
+    /** Handles the end of the call, however it ends; called before the end or the failure. */
+    default void closed() {}
   }
 
+  /** More than proper upstreams send, which is some tens. */
+  private static final int MAXIMUM_HEADERS = 200;
+
+  /** More than proper upstreams send, which is none or one. */
+  private static final int MAXIMUM_INTERIM_RESPONSES = 8;
+
+  private static final int FIRST_FINAL_STATUS = 200;
+
   private static final long NOT_WRITTEN = Long.MIN_VALUE;
 
   private final UpstreamConnections connections;
@@ -52,6 +68,8 @@
   private final Listener listener;
   private Optional<UpstreamConnection> connection = Optional.empty();
   private long writtenAtMillis = NOT_WRITTEN;
+  private Optional<HttpClientResponse> response = Optional.empty();
+  private int interimResponses;
   private boolean answered;
   private boolean closed;
 
@@ -98,6 +116,22 @@
     disconnect();
   }
 
+  /** Gives the call up after some time, unless it has ended by then. */
+  ForwardCall closeAfter(long millis) {
+    connections.later(millis, this::closeUnlessEnded);
+    return this;
+  }
+
+  /** Reads no more of the body until {@link #resume}. */
+  void pause() {
+    response.ifPresent(HttpClientResponse::pause);
+  }
+
+  /** Reads on. */
+  void resume() {
+    response.ifPresent(HttpClientResponse::resume);
+  }
+
   /** Returns the identifier of the caller's request. */
   String request() {
     return request.parameters().attempt();
@@ -135,6 +169,12 @@
     return isDirect() && isWritten() && !answered && writtenAtMillis < millis;
   }
 
+  private void closeUnlessEnded() {
+    if (!closed) {
+      close();
+    }
+  }
+
   private void disconnect() {
     markEnded();
     closeConnection();
@@ -145,8 +185,11 @@
   }
 
   private void markEnded() {
-    closed = true;
-    calls.ended(this);
+    if (!closed) {
+      closed = true;
+      calls.ended(this);
+      listener.closed();
+    }
   }
 
   private void send(UpstreamConnection acquired, MultiMap headers) {
@@ -176,7 +219,9 @@
       closeConnection();
       return;
     }
-    clientRequest.exceptionHandler(cause -> fail(UpstreamFailure.CUT));
+    clientRequest.exceptionHandler(this::responseFailed);
+    clientRequest.continueHandler(interim -> interimResponse());
+    clientRequest.earlyHintsHandler(hints -> interimResponse());
     // The upstream may have started to drain while the connection was opened.
     if (!accepting.getAsBoolean()) {
       fail(UpstreamFailure.NOT_ACCEPTING);
@@ -185,15 +230,36 @@
     writtenAtMillis = calls.millis();
     (request.hasBody() ? clientRequest.send(request.body()) : clientRequest.send())
         .onSuccess(this::receive)
-        .onFailure(cause -> fail(UpstreamFailure.CUT));
+        .onFailure(this::responseFailed);
   }
 
-  private void receive(HttpClientResponse response) {
+  /** Guards against interim responses without end, which no timeout of a connection ends. */
+  private void interimResponse() {
+    interimResponses++;
+    if (interimResponses > MAXIMUM_INTERIM_RESPONSES) {
+      failExceeding(ResponseBound.INTERIM_RESPONSES);
+    }
+  }
+
+  private void receive(HttpClientResponse received) {
     if (closed) {
       return;
     }
-    if (!isDirect() && response.headers().contains(Relay.NOT_SENT)) {
-      connections.notSent(connection.orElseThrow(), response.statusCode());
+    response = Optional.of(received);
+    if (received.statusCode() < FIRST_FINAL_STATUS) {
+      fail(UpstreamFailure.MALFORMED);
+      return;
+    }
+    if (received.headers().size() > MAXIMUM_HEADERS) {
+      failExceeding(ResponseBound.HEADERS);
+      return;
+    }
+    receiveFinal(received);
+  }
+
+  private void receiveFinal(HttpClientResponse received) {
+    if (!isDirect() && received.headers().contains(Relay.NOT_SENT)) {
+      connections.notSent(connection.orElseThrow(), received.statusCode());
       fail(UpstreamFailure.CONNECT_FAILED);
       return;
     }
@@ -201,43 +267,42 @@
     if (isDirect()) {
       calls.answered(this);
     }
-    response.exceptionHandler(cause -> fail(UpstreamFailure.CUT));
-    if (!listener.head(response.statusCode(), response.headers())) {
+    received.exceptionHandler(this::responseFailed);
+    if (!listener.head(received.statusCode(), received.headers())) {
       disconnect();
       return;
     }
-    response.handler(
+    received.handler(
         bytes -> {
-          received();
+          recordReceived();
           if (!closed) {
-            listener.bytes(bytes);
+            listener.bytes(bytes).ifPresent(this::fail);
           }
         });
-    response.endHandler(ended -> end(response));
+    received.endHandler(ended -> end(received));
   }
 
   private boolean isDirect() {
     return connection.filter(UpstreamConnection::isDirect).isPresent();
   }
 
-  private void received() {
+  private void recordReceived() {
     if (isDirect()) {
       calls.received(this);
     }
   }
 
-  private void end(HttpClientResponse response) {
+  private void end(HttpClientResponse ended) {
     if (closed) {
       return;
     }
     markEnded();
     HttpClientConnection finished = connection.orElseThrow().connection();
     finished.closeHandler(null);
-    String connectionHeader = response.headers().get("connection");
-    Optional<Long> idleMillis = keepAliveMillis.apply(response.headers());
+    String connectionHeader = ended.headers().get("connection");
+    Optional<Long> idleMillis = keepAliveMillis.apply(ended.headers());
     boolean framed =
-        response.headers().contains("content-length")
-            || response.headers().contains("transfer-encoding");
+        ended.headers().contains("content-length") || ended.headers().contains("transfer-encoding");
     if (isDirect()
         && framed
         && idleMillis.isPresent()
@@ -249,6 +314,21 @@
     listener.end();
   }
 
+  private void responseFailed(Throwable cause) {
+    if (cause instanceof TooLongFrameException) {
+      failExceeding(ResponseBound.HEAD_BYTES);
+    } else {
+      fail(UpstreamFailure.CUT);
+    }
+  }
+
+  private void failExceeding(ResponseBound bound) {
+    if (!closed) {
+      calls.exceeded(bound);
+      fail(UpstreamFailure.EXCESSIVE);
+    }
+  }
+
   private void fail(UpstreamFailure failure) {
     if (closed) {
       return;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardDependencies.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardDependencies.java
@@ -13,6 +13,7 @@
  * @param protocol names of headers and fields on the wire
  * @param connections pool of connections to upstreams
  * @param calls tracks the calls in flight
+ * @param bufferedBytes counts the bytes of responses that are buffered
  * @param upstreams finds upstreams by name
  * @param handleLifetimeMillis returns the lifetime of the KV caches of a service, in milliseconds
  * @param liveness receives reports about the liveness of upstreams
@@ -29,6 +30,7 @@
     ForwardingProtocol protocol,
     UpstreamConnections connections,
     CallLog calls,
+    BufferedBytes bufferedBytes,
     Function<UpstreamName, Optional<UpstreamDefinition>> upstreams,
     Function<String, Long> handleLifetimeMillis,
     LivenessListener liveness,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -41,6 +41,15 @@
   /** Size to which the write queue of a slow caller is raised, in bytes. */
   private static final int MAXIMUM_WRITE_QUEUE_BYTES = 16 << 20;
 
+  /** Maximum size of a plain response, in bytes: services respond with some megabytes at most. */
+  private static final int MAXIMUM_BODY_BYTES = 8 << 20;
+
+  /** Maximum size of a response that only contains a few fields, in bytes. */
+  private static final int MAXIMUM_FIELDS_BYTES = 64 << 10;
+
+  /** Maximum size of one event of a stream, in bytes: an event holds a few tokens. */
+  private static final int MAXIMUM_EVENT_BYTES = 64 << 10;
+
   private record ResponseHead(int status, MultiMap headers) {}
 
   private final ForwardDependencies dependencies;
@@ -155,8 +164,9 @@
                 holder,
                 dropRequest,
                 () -> true,
-                new DropListener(holder, () -> events.accept(confirmed)))
-            .start(headers);
+                new KvDeletion(dependencies, holder, () -> events.accept(confirmed)))
+            .start(headers)
+            .closeAfter(KvDeletion.TIMEOUT_MILLIS);
   }
 
   /** Records the origin of a stream that its caller may resume, by the attempt that began it. */
@@ -326,9 +336,15 @@
     };
   }
 
+  private Optional<UpstreamFailure> exceeded(ResponseBound bound) {
+    dependencies.calls().exceeded(bound);
+    return Optional.of(UpstreamFailure.EXCESSIVE);
+  }
+
   /** Buffers the body of a response. */
   private abstract class BufferingListener implements ForwardCall.Listener {
     private final Buffer body = Buffer.buffer();
+    private final BufferedBytes.Share share = dependencies.bufferedBytes().open();
     private final int attempt;
     private final UpstreamDefinition upstream;
     private final Consumer<LifecycleEvent> events;
@@ -374,9 +390,24 @@
       return dependencies.clock().millis() - sentAtMillis;
     }
 
+    /** Returns the maximum size of the body, in bytes. */
+    abstract int maximumBytes();
+
     @Override
-    public void bytes(Buffer bytes) {
+    public Optional<UpstreamFailure> bytes(Buffer bytes) {
+      if (body.length() + bytes.length() > maximumBytes()) {
+        return exceeded(ResponseBound.BODY_BYTES);
+      }
+      if (!share.add(bytes.length())) {
+        return exceeded(ResponseBound.BUFFERED_BYTES);
+      }
       body.appendBuffer(bytes);
+      return Optional.empty();
+    }
+
+    @Override
+    public void closed() {
+      share.release();
     }
 
     @Override
@@ -398,6 +429,11 @@
       super(send.attempt(), upstream, events);
     }
 
+    @Override
+    int maximumBytes() {
+      return MAXIMUM_FIELDS_BYTES;
+    }
+
     @Override
     public boolean head(int status, MultiMap headers) {
       disposition =
@@ -462,16 +498,25 @@
     }
 
     @Override
-    public void bytes(Buffer bytes) {
+    int maximumBytes() {
+      boolean isReturned =
+          disposition == ResponseDisposition.SERVED || disposition == ResponseDisposition.FAILED;
+      return isReturned ? MAXIMUM_BODY_BYTES : MAXIMUM_FIELDS_BYTES;
+    }
+
+    @Override
+    public Optional<UpstreamFailure> bytes(Buffer bytes) {
       if (!isStream()) {
-        super.bytes(bytes);
-        return;
+        return super.bytes(bytes);
       }
       try {
         splitter.split(bytes).forEach(this::event);
       } catch (NumberFormatException malformed) {
-        failed(UpstreamFailure.MALFORMED);
+        return Optional.of(UpstreamFailure.MALFORMED);
       }
+      return splitter.pendingBytes() > MAXIMUM_EVENT_BYTES
+          ? exceeded(ResponseBound.EVENT_BYTES)
+          : Optional.empty();
     }
 
     @Override
@@ -533,39 +578,4 @@
       }
     }
   }
-
-  /** Waits for the deletion of a KV cache; of its response only the feedback is used. */
-  private final class DropListener implements ForwardCall.Listener {
-    private final UpstreamDefinition holder;
-    private final Runnable done;
-
-    DropListener(UpstreamDefinition holder, Runnable done) {
-      this.holder = holder;
-      this.done = done;
-    }
-
-    @Override
-    public boolean head(int status, MultiMap headers) {
-      dependencies
-          .feedback()
-          .recordFeedback(holder, dependencies.protocol().feedbackOf(status, headers));
-      return true;
-    }
-
-    @Override
-    public void bytes(Buffer bytes) {
-      // The body of this response is not used.
-    }
-
-    @Override
-    public void end() {
-      done.run();
-    }
-
-    @Override
-    public void failed(UpstreamFailure failure) {
-      // The KV cache expires by itself, and the request lifecycle repeats the deletion until it
-      // gives up.
-    }
-  }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -56,6 +56,7 @@
 
   private final Vertx vertx;
   private final ForwardServerDependencies dependencies;
+  private final BufferedBytes bufferedBytes = new BufferedBytes();
   private final ForwardDependencies exchangeDependencies;
   private final RefusalWriter refusals;
   private final RequestGuard guard;
@@ -118,6 +119,7 @@
             dependencies.protocol(),
             upstreamConnections,
             new CallLog(dependencies.clock(), paths::received, dependencies.liveness()),
+            bufferedBytes,
             dependencies.upstreams(),
             dependencies.handleLifetimeMillis(),
             dependencies.liveness(),
@@ -197,6 +199,17 @@
     return exchangeDependencies.calls().abandonedCount();
   }
 
+  /** Returns the number of responses of upstreams that exceeded a bound. */
+  public long responsesExceeding(ResponseBound bound) {
+    return exchangeDependencies.calls().exceededCount(bound)
+        + relayServer.responsesExceeding(bound);
+  }
+
+  /** Returns the size of the large responses that are being buffered, in bytes. */
+  public long responseBytesBuffered() {
+    return bufferedBytes.countedBytes();
+  }
+
   /**
    * Starts to relay calls of other daemons.
    *
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -36,9 +36,6 @@
   private static final int NOT_SENT_STATUS = 503;
   private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
 
-  /** Size to which the write queue of a slow sender is raised, in bytes. */
-  private static final int MAXIMUM_WRITE_QUEUE_BYTES = 16 << 20;
-
   private final Vertx vertx;
   private final byte[] token;
   private final ForwardingProtocol protocol;
@@ -119,6 +116,11 @@
     return accepted;
   }
 
+  /** Returns the number of responses of upstreams that exceeded a bound. */
+  long responsesExceeding(ResponseBound bound) {
+    return calls.exceededCount(bound);
+  }
+
   private void receive(HttpServerRequest request) {
     request.response().exceptionHandler(reset -> {});
     String presented = request.getHeader(Relay.TOKEN);
@@ -168,6 +170,7 @@
             relayed,
             () -> upstreams.apply(target.name()).isPresent(),
             listener);
+    listener.relays(call);
     request
         .response()
         .closeHandler(
@@ -191,6 +194,7 @@
   private final class RelayedCall implements ForwardCall.Listener {
     private final HttpServerRequest request;
     private final HttpServerResponse response;
+    private Optional<ForwardCall> call = Optional.empty();
     private boolean ended;
 
     RelayedCall(HttpServerRequest request) {
@@ -198,6 +202,10 @@
       this.response = request.response();
     }
 
+    void relays(ForwardCall started) {
+      call = Optional.of(started);
+    }
+
     void ended() {
       if (!ended) {
         ended = true;
@@ -221,12 +229,15 @@
       return true;
     }
 
+    /** Guards against an upstream that sends faster than the sender of the call reads. */
     @Override
-    public void bytes(Buffer bytes) {
+    public Optional<UpstreamFailure> bytes(Buffer bytes) {
+      Future<Void> unused = response.write(bytes);
       if (response.writeQueueFull()) {
-        response.setWriteQueueMaxSize(MAXIMUM_WRITE_QUEUE_BYTES);
+        call.ifPresent(ForwardCall::pause);
+        response.drainHandler(drained -> call.ifPresent(ForwardCall::resume));
       }
-      response.write(bytes);
+      return Optional.empty();
     }
 
     @Override
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
@@ -46,6 +46,12 @@
   /** Time for which a connection without a request so far may stay open, in milliseconds. */
   private static final long UNUSED_MILLIS = 1_000;
 
+  /**
+   * Maximum size of the head of a response, and of its trailers, in bytes. It leaves room for
+   * cookies and for links, and a hundred such heads fit into the heap of a daemon.
+   */
+  private static final int MAXIMUM_HEAD_BYTES = 16 << 10;
+
   private record IdleConnection(HttpClientConnection connection, long usableUntilMillis) {}
 
   private final HttpClientAgent client;
@@ -83,7 +89,7 @@
                 .setKeepAlive(true)
                 .setTcpNoDelay(true)
                 .setTcpKeepAlive(true)
-                .setMaxHeaderSize(64 * 1024)
+                .setMaxHeaderSize(MAXIMUM_HEAD_BYTES)
                 .setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
     this.clock = clock;
     this.listener = listener;
@@ -209,6 +215,11 @@
     }
   }
 
+  /** Runs an action after some time. */
+  void later(long millis, Runnable action) {
+    vertx.setTimer(millis, fired -> action.run());
+  }
+
   /** Returns the number of connections to relays that were requested. */
   long relayed() {
     return relayed;
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -131,7 +131,9 @@
     }
 
     @Override
-    public void bytes(Buffer bytes) {}
+    public Optional<UpstreamFailure> bytes(Buffer bytes) {
+      return Optional.empty();
+    }
 
     @Override
     public void end() {}
