Bound short calls to engines, and end streams whose line is too long

The body of a status, of a list of attempts and of cache events was collected without a bound and without a timeout. It now has the bounds of other responses. A frame or a body that is too long fails as EXCESSIVE in place of MALFORMED; a frame that is too long now also ends its connection.

Evidence: EndlessControlCallTest passes.

--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/EngineClient.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/EngineClient.java
@@ -134,7 +134,9 @@
     response.handler(
         bytes -> {
           if (!parser.feed(bytes)) {
-            onFailure.accept(UpstreamFailure.MALFORMED);
+            onFailure.accept(UpstreamFailure.EXCESSIVE);
+            response.handler(null);
+            response.request().reset();
           }
         });
     response.exceptionHandler(cause -> onFailure.accept(UpstreamFailure.CUT));
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamHttp.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamHttp.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.daemon.upstream;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -10,6 +11,7 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.marjoramsail.core.outcome.UpstreamFailure;
 
@@ -97,15 +99,28 @@
         .compose(request -> send(endpoint, request, Buffer.buffer()))
         .compose(
             response ->
-                response
-                    .body()
-                    .recover(
-                        cause ->
-                            Future.failedFuture(
-                                new UpstreamCallException(endpoint, UpstreamFailure.CUT, cause)))
+                body(endpoint, response)
                     .compose(body -> requireOk(endpoint, response.statusCode(), body)));
   }
 
+  /** Collects the body of a short call, and gives it up if it does not end in time. */
+  private Future<Buffer> body(UpstreamEndpoint endpoint, HttpClientResponse response) {
+    Promise<Buffer> body = Promise.promise();
+    collect(
+        response,
+        limits.maximumResponseBytes(),
+        body::tryComplete,
+        failure -> body.tryFail(new UpstreamCallException(endpoint, failure, "body")));
+    return body.future()
+        .timeout(limits.controlTimeoutMillis(), TimeUnit.MILLISECONDS)
+        .onFailure(cause -> response.request().reset())
+        .recover(
+            cause ->
+                Future.failedFuture(
+                    new UpstreamCallException(
+                        endpoint, UpstreamCallException.failureOf(cause), cause)));
+  }
+
   private static Future<Buffer> requireOk(UpstreamEndpoint endpoint, int status, Buffer body) {
     if (status == OK) {
       return Future.succeededFuture(body);
@@ -125,9 +140,9 @@
         bytes -> {
           body.appendBuffer(bytes);
           if (body.length() > maximumBytes) {
+            onFailure.accept(UpstreamFailure.EXCESSIVE);
             response.handler(null);
             response.request().reset();
-            onFailure.accept(UpstreamFailure.MALFORMED);
           }
         });
     response.exceptionHandler(cause -> onFailure.accept(UpstreamFailure.CUT));
