--- a/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
@@ -36,7 +36,8 @@
           "-XX:+UseSerialGC",
           "-XX:+UseCompactObjectHeaders",
           "-XX:TieredStopAtLevel=1",
-          "-XX:-UsePerfData");
+          "-XX:-UsePerfData",
+          "-XX:+ErrorFileToStdout");
 
   private static final long POLL_MILLIS = 100;
   private static final int MOST_POLLS = 600;
