Bound the memory of all request bodies that are held

Nothing bounded the bodies of requests together: each may have the size of the configuration's limit, up to 64 MB, in a heap of 112 MB. A body also grows by copies and was copied twice more for its fingerprint.

BodyMemory counts the bytes that are held until the response has ended or its caller has left. The fingerprint is taken from one copy. The sizes of a head move to RequestHead, which keeps ForwardServer within its length.

ForwardServerTest has a test of the bound; with the bound taken out of BodyMemory it fails ("did not come about: the body is held").

--- a/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
+++ b/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
@@ -35,6 +35,7 @@
   STORE_UNAVAILABLE(503, true),
   STOPPING(503, true),
   CONNECTION_LIMIT(503, true),
+  MEMORY_LIMIT(503, true),
   UPSTREAM_REFUSED(502, true),
   UPSTREAM_FAILED(502, true),
   RETRIES_EXHAUSTED(502, true),
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -10,9 +10,10 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -51,15 +52,13 @@
   private static final long MAXIMUM_BODY_BYTES = 64L << 20;
   private static final int BACKLOG = 1_024;
 
-  /** Bytes of a header besides its name and value: a colon, a space and the line end. */
-  private static final int HEADER_SEPARATORS = 4;
-
   private final Vertx vertx;
   private final ForwardServerDependencies dependencies;
   private final BufferedBytes bufferedBytes = new BufferedBytes();
   private final ForwardDependencies exchangeDependencies;
   private final RefusalWriter refusals;
   private final RequestGuard guard;
+  private final BodyMemory bodyMemory;
   private final PlainResponseTimes plainResponseTimes = new PlainResponseTimes();
   private final PathMonitor paths;
   private final RelayServer relayServer;
@@ -86,6 +85,7 @@
         new RefusalWriter(
             dependencies.protocol(), json, dependencies.random(), connectionCloseHeader);
     this.guard = new RequestGuard(this::reject, dependencies.meters());
+    this.bodyMemory = new BodyMemory(dependencies.bodyMemoryBytes());
     UpstreamConnections upstreamConnections =
         new UpstreamConnections(
             vertx,
@@ -301,12 +301,24 @@
       reject(request, attempt, access.refusal().get());
       return;
     }
+    if (RequestHead.declaredBodyBytes(request) > bodyMemory.freeBytes()) {
+      reject(request, attempt, bodyMemory.refusal(RequestHead.declaredBodyBytes(request)));
+      return;
+    }
+    BodyMemory.Account memory = bodyMemory.open();
+    request.response().endHandler(ended -> ended(request, memory));
+    request.response().closeHandler(closed -> memory.close());
     AcceptedRequest accepted =
         new AcceptedRequest(
-            request, parameters, route.get(), access.organisation(), receivedAtMillis);
+            request, parameters, route.get(), access.organisation(), receivedAtMillis, memory);
     readBody(accepted, routing.limits());
   }
 
+  private void ended(HttpServerRequest request, BodyMemory.Account memory) {
+    memory.close();
+    closeIfStopping(request);
+  }
+
   /**
    * Closes the connection of a response that says so, after its last byte and the last one of the
    * request: a close with unread bytes would reset the connection, and the response with it.
@@ -335,7 +347,7 @@
               "This daemon has not yet heard of a configuration.",
               500));
     }
-    int headBytes = headBytes(request);
+    int headBytes = RequestHead.bytes(request);
     int maximumHeadBytes = routing.get().limits().headerBytes();
     if (headBytes > maximumHeadBytes) {
       return Optional.of(
@@ -344,36 +356,19 @@
               "The head has " + headBytes + " bytes; allowed: " + maximumHeadBytes + "."));
     }
     long maximum = routing.get().limits().bodyBytes();
-    long declared = declaredLength(request);
+    long declared = RequestHead.declaredBodyBytes(request);
     if (declared > maximum) {
       return Optional.of(tooLarge(declared, maximum));
     }
     return Optional.empty();
   }
 
-  private static int headBytes(HttpServerRequest request) {
-    int bytes = request.uri().length();
-    for (Map.Entry<String, String> header : request.headers()) {
-      bytes += header.getKey().length() + header.getValue().length() + HEADER_SEPARATORS;
-    }
-    return bytes;
-  }
-
   private static Refusal tooLarge(long bytes, long maximum) {
     return Refusal.notRun(
         RefusalReason.BODY_TOO_LARGE,
         "The body has " + bytes + " bytes; allowed: " + maximum + ".");
   }
 
-  private static long declaredLength(HttpServerRequest request) {
-    String declared = request.getHeader("content-length");
-    try {
-      return declared == null ? -1 : Long.parseLong(declared.strip());
-    } catch (NumberFormatException malformed) {
-      return -1;
-    }
-  }
-
   private static String hostOf(HttpServerRequest request) {
     return Optional.ofNullable(request.getHeader("host")).orElse("");
   }
@@ -390,15 +385,22 @@
   }
 
   private void append(AcceptedRequest accepted, Buffer body, Buffer bytes, long maximum) {
-    HttpServerRequest request = accepted.request();
+    if (!accepted.memory().add(bytes.length())) {
+      endReading(accepted, bodyMemory.refusal(body.length() + bytes.length()));
+      return;
+    }
     body.appendBuffer(bytes);
     if (body.length() > maximum) {
-      request.handler(ignored -> {});
-      request.endHandler(ignored -> {});
-      reject(request, accepted.attempt(), tooLarge(body.length(), maximum));
+      endReading(accepted, tooLarge(body.length(), maximum));
     }
   }
 
+  private void endReading(AcceptedRequest accepted, Refusal refusal) {
+    accepted.request().handler(ignored -> {});
+    accepted.request().endHandler(ignored -> {});
+    reject(accepted.request(), accepted.attempt(), refusal);
+  }
+
   private void received(AcceptedRequest accepted, Buffer body) {
     boolean resumes = accepted.route().streaming() && accepted.parameters().resumeAfter() > 0;
     if (!resumes) {
@@ -432,7 +434,14 @@
     Optional<RequestHandle> registered =
         guard.call(request, accepted.attempt(), () -> start(accepted, body, origin));
     registered.ifPresent(
-        handle -> request.response().closeHandler(closed -> handle.callerDisconnected()));
+        handle ->
+            request
+                .response()
+                .closeHandler(
+                    closed -> {
+                      accepted.memory().close();
+                      handle.callerDisconnected();
+                    }));
   }
 
   private RequestHandle start(
@@ -547,7 +556,8 @@
       CallerParameters parameters,
       Route route,
       Optional<OrganisationDefinition> organisation,
-      long receivedAtMillis) {
+      long receivedAtMillis,
+      BodyMemory.Account memory) {
 
     /** Returns the organisation of the caller, or the host if callers need no key. */
     String organisationName() {
@@ -560,9 +570,10 @@
   }
 
   private static long fingerprint(String service, ForwardedRequest request) {
-    String line = request.method() + " " + request.uri() + "\n";
-    Buffer whole = Buffer.buffer(line).appendBuffer(request.body());
-    return Fingerprint.of(service, whole.getBytes());
+    byte[] line = (request.method() + " " + request.uri() + "\n").getBytes(StandardCharsets.UTF_8);
+    byte[] whole = Arrays.copyOf(line, line.length + request.body().length());
+    request.body().getBytes(whole, line.length);
+    return Fingerprint.of(service, whole);
   }
 
   private void recordOutputLength(RequestProfile profile, int maximumTokens, int eventCount) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerDependencies.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerDependencies.java
@@ -32,6 +32,7 @@
  * @param meters counts resumed streams
  * @param forecast predicts output lengths
  * @param refused receives requests that are refused before they are registered
+ * @param bodyMemoryBytes maximum number of bytes of all request bodies that are held
  * @param connectFaults {@link ConnectFaults#NONE} outside of tests
  * @param relays daemons that relay calls to upstreams that this one does not reach
  * @param relayToken authorizes other daemons to send calls to be relayed
@@ -53,6 +54,7 @@
     MeterRegistry meters,
     OutputForecast forecast,
     Consumer<Refusal> refused,
+    long bodyMemoryBytes,
     ConnectFaults connectFaults,
     Relays relays,
     String relayToken,
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
@@ -4,8 +4,10 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import java.lang.reflect.Proxy;
 import java.util.List;
@@ -41,6 +43,7 @@
 
   private static final String ADDRESS = "127.0.0.1";
   private static final String HOST = "desk.example";
+  private static final int BODY_MEMORY_BYTES = 1_000;
   private static final RoutingConfiguration ROUTING =
       new RoutingConfiguration(
           1,
@@ -93,6 +96,23 @@
     assertThatCallIsRefused();
   }
 
+  /** Guards against bodies that are collected until the memory of the process is exhausted. */
+  @Test
+  void aBodyForWhichThereIsNoRoomIsRefusedUntilTheOthersHaveEnded() {
+    HttpClientRequest unfinished = Waits.get(begin());
+    unfinished.setChunked(true);
+    Waits.get(unfinished.write(Buffer.buffer("c".repeat(BODY_MEMORY_BYTES))));
+
+    Waits.until("the body is held", () -> reasonOf(call()).equals("memory-limit"));
+
+    Waits.get(unfinished.connection().close());
+    Waits.until("the body is released", () -> !reasonOf(call()).equals("memory-limit"));
+  }
+
+  private static String reasonOf(Answer answer) {
+    return answer.body().toJsonObject().getString("reason");
+  }
+
   private void assertThatCallIsRefused() {
     Answer answer = call();
 
@@ -107,15 +127,19 @@
 
   private Answer call() {
     return Waits.get(
-        vertx
-            .createHttpClient()
-            .request(HttpMethod.POST, port, ADDRESS, "/status/1")
-            .map(request -> request.putHeader("host", HOST))
+        begin()
             .compose(request -> request.send(Buffer.buffer("content")))
             .compose(
                 response -> response.body().map(body -> new Answer(response.statusCode(), body))));
   }
 
+  private Future<HttpClientRequest> begin() {
+    return vertx
+        .createHttpClient()
+        .request(HttpMethod.POST, port, ADDRESS, "/status/1")
+        .map(request -> request.putHeader("host", HOST));
+  }
+
   private ForwardServerDependencies dependencies() {
     Clock clock = new SystemClock();
     DaemonId daemon = new DaemonId("entry-1", 1);
@@ -135,6 +159,7 @@
         meters,
         new OutputForecast(),
         refused::add,
+        BODY_MEMORY_BYTES,
         ConnectFaults.NONE,
         new Relays(daemon, null, clock, random),
         "token",
