Stand-in and soak: servers that send without end

Mood ENDLESS sends interim responses or a body without end, and the fault SERVERS_ENDLESS of platform-soak plays it.

--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -56,6 +56,8 @@
   RESPONSES_CUT(ServerStandIn.Mood.CUTTING),
   /** Servers respond with the identifier of another request. */
   RESPONSES_CROSSED(ServerStandIn.Mood.CROSSING),
+  /** Servers send interim responses or bodies without end. */
+  SERVERS_ENDLESS(ServerStandIn.Mood.ENDLESS),
   /** Engines discard KV caches before they are fetched. */
   KV_EXPIRES {
     @Override
