Reload daemons in platform-soak, and two red tests of it

New faults of the soak: DAEMON_RELOAD sends SIGHUP to some daemons, several times, with and without a changed file of settings, also while others stop and start; CONFIGURATION_SERIES puts several configurations in force one by one.

They show a fault that is not mended here. A process opens its port to callers before it takes SIGHUP and SIGTERM (MarjoramsailDaemon.runUntilStopped: the launch comes first). A signal in between ends the virtual machine at once, without a line in the log, and resets all that its callers have sent. "daemon started" was logged 60 to 200 ms after "routes in force" in the logs that were read.

--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -148,6 +148,29 @@
       int millis = LEAST_CRASHING_MILLIS + random.nextInt(MOST_MILLIS);
       stage.sendCrashingContent(path, gapMillis, millis);
     }
+  },
+  /** Daemons are told to read their settings again, several times, also while others stop. */
+  DAEMON_RELOAD {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      int count = 1 + random.nextInt(stage.daemons().size());
+      int times = 1 + random.nextInt(MOST_IN_SERIES);
+      int gapMillis = LEAST_SERIES_GAP_MILLIS + random.nextInt(MOST_SERIES_GAP_MILLIS);
+      stage.reloadInSeries(count, times, gapMillis, new Random(random.nextLong()));
+    }
+  },
+  /** Several configurations with other timeouts of the routes come into force one by one. */
+  CONFIGURATION_SERIES {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      List<Long> timeoutsMillis =
+          random
+              .longs(2 + random.nextInt(MOST_IN_SERIES), LEAST_TIMEOUT_MILLIS, MOST_TIMEOUT_MILLIS)
+              .boxed()
+              .toList();
+      int gapMillis = LEAST_SERIES_GAP_MILLIS + random.nextInt(MOST_SERIES_GAP_MILLIS);
+      stage.changeTimeoutsInSeries(timeoutsMillis, gapMillis);
+    }
   };
 
   private static final int MOST_DOWN_MILLIS = 2_000;
@@ -172,6 +195,10 @@
 
   private static final int MOST_TIMEOUT_MILLIS = 8_000;
 
+  private static final int MOST_IN_SERIES = 5;
+  private static final int LEAST_SERIES_GAP_MILLIS = 50;
+  private static final int MOST_SERIES_GAP_MILLIS = 500;
+
   private static final List<String> CRASHING_PATHS =
       List.of(
           PlatformStandIn.RESUMABLE,
--- a/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
@@ -62,6 +62,21 @@
         .isLessThanOrEqualTo(unanswered.stops());
   }
 
+  /** Guards against settings and configurations that are read while calls run and end some. */
+  @Test
+  void daemonsThatAreToldToReloadLoseNoCall(@TempDir Path directory) throws Exception {
+    PlatformSoakReport.Unanswered unanswered =
+        soakOfPlannedWork(
+            directory,
+            List.of(
+                PlatformFault.DAEMON_ROLL,
+                PlatformFault.DAEMON_RELOAD,
+                PlatformFault.CONFIGURATION_SERIES));
+
+    assertThat(unanswered.stops()).isPositive();
+    assertThat(unanswered.reloads()).isPositive();
+  }
+
   private static PlatformSoakReport.Unanswered soakOfPlannedWork(
       Path directory, List<PlatformFault> faults) throws Exception {
     PlatformSoakSetup setup =
