Pass no request on behind a response that closes its connection

A caller that sent a second request before the response of the first lost it while the daemon stopped: the response of the first closed the connection, but the library begins the next request inside the end of the response, before its end handler. The second request was passed on to an upstream, and its connection was closed without a response.

CallerConnections notes the close when the head of a response announces it, and later requests on that connection are not begun. Only announced closes are carried out after a response; a stream whose head was written before the stop leaves its connection to the next request, or to the shutdown of the server.

A refusal of a request whose body is unread announced a close and none followed: a body that never ended held its connection for the idle timeout, and a stop with it.

KeptConnectionTest failed before: the second attempt ran at an upstream and had no response; the refused caller saw no end of its connection in 30 s.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -12,7 +12,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -64,7 +63,7 @@
   private final RelayServer relayServer;
   private final ResumedStreams resumedStreams;
   private final ListeningPort port = new ListeningPort();
-  private final Set<HttpConnection> connections = new HashSet<>();
+  private final CallerConnections connections;
   private HttpServer server;
   private boolean stopping;
   private boolean refusing;
@@ -80,6 +79,7 @@
   public ForwardServer(Vertx vertx, ForwardServerDependencies dependencies, ObjectMapper json) {
     this.vertx = vertx;
     this.dependencies = dependencies;
+    this.connections = new CallerConnections(vertx);
     ConnectionCloseHeader connectionCloseHeader = new ConnectionCloseHeader(() -> stopping);
     this.refusals =
         new RefusalWriter(
@@ -181,7 +181,7 @@
 
   /** Returns the number of connections of callers that carried a request and are open. */
   public int openConnections() {
-    return connections.size();
+    return connections.open();
   }
 
   /** Returns the number of connections to upstreams that were opened. */
@@ -265,14 +265,17 @@
 
   private void opened(HttpConnection connection) {
     port.accepted(connection);
-    connections.add(connection);
-    connection.closeHandler(closed -> connections.remove(connection));
+    connections.opened(connection);
   }
 
   private void receive(HttpServerRequest request) {
+    if (connections.isClosing(request.connection())) {
+      return;
+    }
     long receivedAtMillis = dependencies.clock().millis();
     request.response().exceptionHandler(ignored -> {});
-    request.response().endHandler(ended -> closeIfStopping(request));
+    request.response().headersEndHandler(begins -> connections.responseBegins(request));
+    request.response().endHandler(ended -> connections.responseEnded(request));
     CallerParameters parameters = dependencies.protocol().parametersOf(request.headers());
     guard.run(
         request, parameters.attempt(), () -> authorise(request, parameters, receivedAtMillis));
@@ -316,22 +319,7 @@
 
   private void ended(HttpServerRequest request, BodyMemory.Account memory) {
     memory.close();
-    closeIfStopping(request);
-  }
-
-  /**
-   * Closes the connection of a response that says so, after its last byte and the last one of the
-   * request: a close with unread bytes would reset the connection, and the response with it.
-   */
-  private void closeIfStopping(HttpServerRequest request) {
-    if (!stopping) {
-      return;
-    }
-    if (request.isEnded()) {
-      request.connection().close();
-    } else {
-      request.endHandler(ended -> request.connection().close());
-    }
+    connections.responseEnded(request);
   }
 
   private Optional<Refusal> refusalOf(HttpServerRequest request) {
