Count the idle time of a connection only while no request runs on it

The idle timeout of 60 s without a byte closed a connection also while its request ran, although a route may allow more. Idle events do not reach the library while a request that was read whole has no complete response; a body that stalls is still subject to the timeout.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerConnections.java
@@ -1,21 +1,28 @@
 package org.marjoramsail.daemon.forward;
 
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.timeout.IdleStateEvent;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpVersion;
+import io.vertx.core.net.impl.ConnectionBase;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.marjoramsail.daemon.connection.OrderlyClose;
 
-/** The open connections of callers. Runs on one event loop. */
+/** The open connections of callers and the requests that run on them. Runs on one event loop. */
 final class CallerConnections {
 
   private final Vertx vertx;
   private final Map<HttpConnection, State> states = new HashMap<>();
 
   private static final class State {
+    private final Set<HttpServerRequest> running = new HashSet<>();
     private boolean closing;
   }
 
@@ -23,10 +30,15 @@
     this.vertx = vertx;
   }
 
-  /** Handles a new connection. */
+  /** Handles a new connection, whose idle timeout then counts only while no request runs. */
   void opened(HttpConnection connection) {
-    states.put(connection, new State());
+    State state = new State();
+    states.put(connection, state);
     connection.closeHandler(closed -> states.remove(connection));
+    if (connection instanceof ConnectionBase base) {
+      ChannelHandlerContext context = base.channelHandlerContext();
+      context.pipeline().addBefore(context.name(), null, new IdleFilter(state));
+    }
   }
 
   /** Returns the number of open connections. */
@@ -40,6 +52,11 @@
     return state == null || state.closing;
   }
 
+  /** Handles a request that was read whole. */
+  void requestBegins(HttpServerRequest request) {
+    stateOf(request).ifPresent(state -> state.running.add(request));
+  }
+
   /**
    * Handles the head of a response, before the next request on its connection is read: that one is
    * not to be passed on if the connection is closed after this response.
@@ -58,6 +75,7 @@
     stateOf(request)
         .ifPresent(
             state -> {
+              state.running.remove(request);
               if (state.closing) {
                 OrderlyClose.close(vertx, request.connection());
               }
@@ -67,4 +85,20 @@
   private Optional<State> stateOf(HttpServerRequest request) {
     return Optional.ofNullable(states.get(request.connection()));
   }
+
+  /** Stops idle events of a connection while a request runs on it. */
+  private static final class IdleFilter extends ChannelInboundHandlerAdapter {
+    private final State state;
+
+    IdleFilter(State state) {
+      this.state = state;
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+      if (!(event instanceof IdleStateEvent) || state.running.isEmpty()) {
+        context.fireUserEventTriggered(event);
+      }
+    }
+  }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -369,7 +369,10 @@
         bytes ->
             guard.run(request, accepted.attempt(), () -> append(accepted, body, bytes, maximum)));
     request.endHandler(
-        ended -> guard.run(request, accepted.attempt(), () -> received(accepted, body)));
+        ended -> {
+          connections.requestBegins(request);
+          guard.run(request, accepted.attempt(), () -> received(accepted, body));
+        });
   }
 
   private void append(AcceptedRequest accepted, Buffer body, Buffer bytes, long maximum) {
