Drop no request of a connection that is not listed

A connection without an entry counted as closing, so that its requests would have been dropped without a response. Only an announced close counts now; a request on a closed connection ends in register, as before.

No case of it was seen. KeptConnectionTest and CallerConnectionsTest pass.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerConnections.java
@@ -46,10 +46,10 @@
     return states.size();
   }
 
-  /** Returns whether a response has announced the close of a connection, or it is closed. */
+  /** Returns whether a response has announced the close of a connection. */
   boolean isClosing(HttpConnection connection) {
     State state = states.get(connection);
-    return state == null || state.closing;
+    return state != null && state.closing;
   }
 
   /** Handles a request that was read whole. */
