Handle signals from the beginning of a start

Operators saw a daemon end when it was told of new settings while it started, and a stop during the start reset the calls that were already accepted: the handlers of TERM and HUP were registered only once the launch had returned, and the virtual machine ends the process at a signal without a handler. With a warm-up the launch takes seconds.

Handlers are registered before the settings are read. The launch has a thread of its own: a stop that comes meanwhile begins as soon as the daemon runs, new settings are read then, and a second signal ends the process at once at any time.

In MarjoramsailDaemonTest the three tests of signals during the launch timed out, since the signals were lost. All pass now.

aSecondSignalStopsAtOnceThoughRequestsStillRun sent both signals while the handler was registered, which was after the launch; its first signal now comes during the launch and its second while the stop runs, with the same assertions.

--- a/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
@@ -74,6 +74,11 @@
     }
   }
 
+  /** Returns the processes that were started, in the order of their start. */
+  public List<Process> processes() {
+    return List.copyOf(processes);
+  }
+
   /** Ends every process that was started here and still runs. */
   @Override
   public void close() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
@@ -127,28 +127,53 @@
   }
 
   private ExitCode withSettings(Path file, boolean checkOnly) {
+    if (!checkOnly) {
+      return runUntilStopped(file);
+    }
+    try {
+      reader.read(file);
+    } catch (SettingsException failure) {
+      return unusable(failure);
+    }
+    output.println(file + ": no fault found");
+    return ExitCode.OK;
+  }
+
+  private ExitCode unusable(SettingsException failure) {
+    errors.println(failure.getMessage());
+    return ExitCode.SETTINGS;
+  }
+
+  /**
+   * Runs the daemon. Signals are handled from the first moment: the virtual machine ends the
+   * process at a signal without a handler, with the requests that a start has accepted.
+   */
+  private ExitCode runUntilStopped(Path file) {
+    StopSequence sequence = new StopSequence();
+    SettingsReload reload = new SettingsReload(file, reader);
+    signals.onStop(sequence::signalled);
+    signals.onReload(reload::reload);
     Settings settings;
     try {
       settings = reader.read(file);
     } catch (SettingsException failure) {
-      errors.println(failure.getMessage());
-      return ExitCode.SETTINGS;
-    }
-    if (checkOnly) {
-      output.println(file + ": no fault found");
-      return ExitCode.OK;
+      return unusable(failure);
     }
     LoggingSetup.apply(settings.logging());
-    return runUntilStopped(file, settings);
+    // A second signal ends the process at once, also while this thread starts the daemon.
+    Thread launch = new Thread(() -> launch(settings, sequence, reload), "launch");
+    launch.setDaemon(true);
+    launch.start();
+    return sequence.awaitEnd();
   }
 
-  private ExitCode runUntilStopped(Path file, Settings settings) {
-    StopSequence sequence;
-    SettingsReload reload;
+  private void launch(Settings settings, StopSequence sequence, SettingsReload reload) {
     try {
       RunningDaemon running = launcher.launch(settings);
-      sequence = new StopSequence(running);
-      reload = new SettingsReload(file, settings, reader, running);
+      LOGGER.atInfo().addKeyValue("host", settings.host().name()).log("daemon started");
+      reload.started(running, settings);
+      reload.watch();
+      sequence.started(running);
     } catch (LaunchException failure) {
       LOGGER
           .atError()
@@ -157,13 +182,10 @@
           .setCause(failure)
           .log("daemon did not start");
       errors.println(failure.getMessage());
-      return failure.failure().exitCode();
+      sequence.endWith(failure.failure().exitCode());
+    } catch (RuntimeException | Error failure) {
+      sequence.startFailed(failure);
     }
-    LOGGER.atInfo().addKeyValue("host", settings.host().name()).log("daemon started");
-    signals.onStop(sequence::signalled);
-    signals.onReload(reload::reload);
-    reload.watch();
-    return sequence.awaitEnd();
   }
 
   private static String version() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/SettingsReload.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/SettingsReload.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.daemon.main;
 
 import java.nio.file.Path;
+import java.util.Optional;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -24,14 +25,23 @@
 
   private final Path file;
   private final SettingsReader reader;
-  private final RunningDaemon daemon;
-  private Settings current;
+  private Optional<InForce> inForce = Optional.empty();
+  private boolean isAskedFor;
 
-  SettingsReload(Path file, Settings current, SettingsReader reader, RunningDaemon daemon) {
+  /** The daemon and the settings that it has. */
+  private record InForce(RunningDaemon daemon, Settings settings) {}
+
+  SettingsReload(Path file, SettingsReader reader) {
     this.file = file;
-    this.current = current;
     this.reader = reader;
-    this.daemon = daemon;
+  }
+
+  /** Takes the daemon, and reads the settings if a signal said so while it was started. */
+  synchronized void started(RunningDaemon daemon, Settings settings) {
+    inForce = Optional.of(new InForce(daemon, settings));
+    if (isAskedFor) {
+      look();
+    }
   }
 
   /** Looks at the file from time to time, on a thread that does not keep the process alive. */
@@ -47,19 +57,24 @@
         looks.scheduleWithFixedDelay(this::look, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
   }
 
-  /** Handles what the file says now. */
+  /** Handles what the file says now, or once the daemon runs. */
   synchronized void reload() {
     LOGGER.atInfo().addKeyValue("file", file).log("settings are read again");
+    isAskedFor = true;
     look();
   }
 
   private synchronized void look() {
+    inForce.ifPresent(this::compare);
+  }
+
+  private void compare(InForce before) {
     try {
       Settings newer = reader.read(file);
-      if (!newer.equals(current)) {
-        current = newer;
+      if (!newer.equals(before.settings())) {
+        inForce = Optional.of(new InForce(before.daemon(), newer));
         LOGGER.atInfo().addKeyValue("file", file).log("settings have changed");
-        daemon.reload(newer);
+        before.daemon().reload(newer);
       }
     } catch (SettingsException fault) {
       LOGGER
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/StopSequence.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/StopSequence.java
@@ -1,24 +1,27 @@
 package org.marjoramsail.daemon.main;
 
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
 
-/** Turns the first signal into a stop that loses nothing and the second into one at once. */
+/**
+ * Turns the first signal into a stop that loses nothing and the second into one at once.
+ *
+ * <p>Takes signals before the daemon runs: a start accepts requests before it has ended, and a stop
+ * that did not wait for it would cut them off.
+ */
 final class StopSequence {
 
   private static final Logger LOGGER = LoggerFactory.getLogger(StopSequence.class);
 
-  private final RunningDaemon daemon;
+  private final CompletableFuture<RunningDaemon> started = new CompletableFuture<>();
   private final AtomicBoolean isStopping = new AtomicBoolean();
   private final CompletableFuture<ExitCode> end = new CompletableFuture<>();
 
-  StopSequence(RunningDaemon daemon) {
-    this.daemon = daemon;
-  }
-
+  /** Handles a signal, on any thread. */
   void signalled() {
     if (isStopping.compareAndSet(false, true)) {
       stopGracefully();
@@ -27,6 +30,21 @@
     }
   }
 
+  /** Takes the daemon, which is stopped now if a signal said so while it was started. */
+  void started(RunningDaemon daemon) {
+    started.complete(daemon);
+  }
+
+  /** Ends the wait without a stop. */
+  void endWith(ExitCode exitCode) {
+    end.complete(exitCode);
+  }
+
+  /** Ends the wait with the failure of the start. */
+  void startFailed(Throwable failure) {
+    end.completeExceptionally(failure);
+  }
+
   /** Waits until the daemon has stopped. */
   ExitCode awaitEnd() {
     return end.join();
@@ -34,16 +52,21 @@
 
   private void stopGracefully() {
     LOGGER.atInfo().log("stop asked for");
-    daemon
-        .stop(phase -> LOGGER.atInfo().addKeyValue("phase", phase.code()).log("stopping"))
-        .whenComplete(
-            (cutOff, failure) -> {
-              if (failure == null) {
-                ended(cutOff);
-              } else {
-                failed(failure);
-              }
-            });
+    CompletableFuture<UnfinishedWork> unused =
+        started
+            .thenCompose(daemon -> daemon.stop(StopSequence::began))
+            .whenComplete(
+                (cutOff, failure) -> {
+                  if (failure == null) {
+                    ended(cutOff);
+                  } else {
+                    failed(failure);
+                  }
+                });
+  }
+
+  private static void began(StopPhase phase) {
+    LOGGER.atInfo().addKeyValue("phase", phase.code()).log("stopping");
   }
 
   private void ended(UnfinishedWork cutOff) {
@@ -57,16 +80,22 @@
   }
 
   private void failed(Throwable failure) {
-    log(LOGGER.atError().setCause(failure), daemon.unfinished()).log("stop failed");
+    log(LOGGER.atError().setCause(failure), unfinished()).log("stop failed");
     end.complete(ExitCode.FAILURE);
   }
 
   private void stopAtOnce() {
-    log(LOGGER.atWarn(), daemon.unfinished())
+    log(LOGGER.atWarn(), unfinished())
         .log("second signal: stopping at once; these requests are cut off");
     end.complete(ExitCode.STOPPED_AT_ONCE);
   }
 
+  private UnfinishedWork unfinished() {
+    return Optional.ofNullable(started.getNow(null))
+        .map(RunningDaemon::unfinished)
+        .orElse(new UnfinishedWork(0, 0, 0, 0));
+  }
+
   private static LoggingEventBuilder log(LoggingEventBuilder line, UnfinishedWork work) {
     return line.addKeyValue("requests", work.requests())
         .addKeyValue("connections", work.connections())
--- a/daemon/src/test/java/org/marjoramsail/daemon/main/MarjoramsailDaemonTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/main/MarjoramsailDaemonTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.io.PrintStream;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -13,10 +15,12 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.marjoramsail.daemon.settings.Settings;
 import org.marjoramsail.daemon.settings.SettingsReader;
 
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class MarjoramsailDaemonTest {
 
   private static final Path EXAMPLES = Path.of("..", "examples");
@@ -26,6 +30,7 @@
   private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
   private final List<Settings> launched = new ArrayList<>();
   private final FakeDaemon running = new FakeDaemon();
+  private final FakeSignals signals = new FakeSignals();
 
   @TempDir private Path directory;
 
@@ -124,13 +129,9 @@
     // An operator stops a daemon while a summary runs and then presses Ctrl-C again.
     // The stop waits for the summary; the second signal must not wait behind the first one.
     // Shown by an exit code of its own, so that nobody takes this for a stop without loss.
-    MarjoramsailDaemon.SignalSource twice =
-        handler -> {
-          handler.run();
-          handler.run();
-        };
+    running.whenStopping = signals::stop;
 
-    ExitCode exitCode = daemon(this::launch, twice).run("--settings", GOOD);
+    ExitCode exitCode = daemon(this::launchAndStop, signals).run("--settings", GOOD);
 
     assertThat(exitCode).isEqualTo(ExitCode.STOPPED_AT_ONCE);
     assertThat(running.stops).isEqualTo(1);
@@ -147,6 +148,63 @@
     assertThat(daemon(this::launch, once).run("--settings", GOOD)).isEqualTo(ExitCode.FAILURE);
   }
 
+  /** Guards against a signal during the start that ends the process with what it has accepted. */
+  @Test
+  void aStopDuringTheLaunchIsDoneOnceTheDaemonRuns() {
+    running.endsByItself = true;
+
+    ExitCode exitCode = daemon(this::launchAndStop, signals).run("--settings", GOOD);
+
+    assertThat(exitCode).isEqualTo(ExitCode.OK);
+    assertThat(running.stops).isEqualTo(1);
+  }
+
+  /** Guards against a launch that keeps a second signal from ending the process. */
+  @Test
+  void aSecondSignalDuringTheLaunchStopsAtOnce() {
+    CompletableFuture<RunningDaemon> launched = new CompletableFuture<>();
+    DaemonLauncher launcher =
+        settings -> {
+          signals.stop();
+          signals.stop();
+          return launched.join();
+        };
+
+    assertThat(daemon(launcher, signals).run("--settings", GOOD))
+        .isEqualTo(ExitCode.STOPPED_AT_ONCE);
+    launched.complete(running);
+  }
+
+  /** Guards against new settings that are lost since their signal came during the start. */
+  @Test
+  void aReloadDuringTheLaunchIsDoneOnceTheDaemonRuns() throws Exception {
+    Path file = directory.resolve("settings.json");
+    Files.copy(Path.of(GOOD), file);
+    String changed = Files.readString(file).replaceFirst("\"entry-1\"", "\"entry-2\"");
+    running.endsByItself = true;
+    DaemonLauncher launcher =
+        settings -> {
+          write(file, changed);
+          signals.reload();
+          signals.stop();
+          return running;
+        };
+
+    daemon(launcher, signals).run("--settings", file.toString());
+
+    assertThat(running.reloaded)
+        .singleElement()
+        .satisfies(newer -> assertThat(newer.host().name()).isEqualTo("entry-2"));
+  }
+
+  private static void write(Path file, String text) {
+    try {
+      Files.writeString(file, text);
+    } catch (IOException failure) {
+      throw new UncheckedIOException(failure);
+    }
+  }
+
   private ExitCode run(String... arguments) {
     return daemon(this::launch, handler -> {}).run(arguments);
   }
@@ -156,6 +214,11 @@
     return running;
   }
 
+  private RunningDaemon launchAndStop(Settings settings) {
+    signals.stop();
+    return launch(settings);
+  }
+
   private MarjoramsailDaemon daemon(
       DaemonLauncher launcher, MarjoramsailDaemon.SignalSource signals) {
     return new MarjoramsailDaemon(
@@ -170,9 +233,35 @@
     return stream.toString(StandardCharsets.UTF_8);
   }
 
+  /** Signals that a test sends; one without a handler is lost. */
+  private static final class FakeSignals implements MarjoramsailDaemon.SignalSource {
+    private Runnable stopHandler = () -> {};
+    private Runnable reloadHandler = () -> {};
+
+    @Override
+    public void onStop(Runnable handler) {
+      stopHandler = handler;
+    }
+
+    @Override
+    public void onReload(Runnable handler) {
+      reloadHandler = handler;
+    }
+
+    void stop() {
+      stopHandler.run();
+    }
+
+    void reload() {
+      reloadHandler.run();
+    }
+  }
+
   private static final class FakeDaemon implements RunningDaemon {
     private final CompletableFuture<UnfinishedWork> end = new CompletableFuture<>();
     private UnfinishedWork cutOff = new UnfinishedWork(0, 0, 0, 0);
+    private final List<Settings> reloaded = new ArrayList<>();
+    private Runnable whenStopping = () -> {};
     private boolean endsByItself;
     private int stops;
 
@@ -180,12 +269,18 @@
     public CompletionStage<UnfinishedWork> stop(Consumer<StopPhase> listener) {
       stops++;
       listener.accept(StopPhase.DRAINING);
+      whenStopping.run();
       if (endsByItself) {
         end.complete(cutOff);
       }
       return end;
     }
 
+    @Override
+    public void reload(Settings newer) {
+      reloaded.add(newer);
+    }
+
     @Override
     public UnfinishedWork unfinished() {
       return new UnfinishedWork(1, 0, 0, 2);
