Count a relayed call until its response is written

A relay took a call for ended before its last bytes were written, so that a stop could end the process with them: the daemon that sent the call would see a reset and its caller a 502 for a request that has run. Found in review by reading; no test shows it.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -242,8 +242,7 @@
 
     @Override
     public void end() {
-      ended();
-      response.end();
+      response.end().onComplete(written -> ended());
     }
 
     @Override
