Wait for requests that are being read before the completions port stops

CallerServer waited for registered requests only. A request whose body was still read was cut off after half a second, and if its body came in that time it was passed on and cut off. The stop now waits for each request without a complete response. Found in review by reading; CallerLimitsTest passes, no test shows the fault.

--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
@@ -111,7 +111,7 @@
   }
 
   private void finish(long untilMillis, Promise<Integer> closed) {
-    int running = dependencies.registry().size();
+    int running = Math.max(dependencies.registry().size(), connections.activeRequests());
     if (running > 0 && dependencies.clock().millis() < untilMillis) {
       vertx.setTimer(FINISH_CHECK_MILLIS, waited -> finish(untilMillis, closed));
       return;
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/ConnectionGuard.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/ConnectionGuard.java
@@ -81,6 +81,11 @@
     return !state.overLimit;
   }
 
+  /** Returns the number of requests without a complete response, those that are read included. */
+  int activeRequests() {
+    return states.values().stream().mapToInt(state -> state.activeRequests).sum();
+  }
+
   /** Returns the number of open connections. */
   int open() {
     return open.get();
