Check successful responses and exit codes where processes end

ProcessEndTest counted any status but 503 as an answer and never looked at refusals, so that a daemon which refuses everything from SIGTERM on, or fails everything with 502, would pass (two of three mutants of the review passed). It also failed once in two runs on a busy machine: streams of callers that met a cold daemon ended at their own deadline of 3 s.

Each process now serves 200 calls before it is told to stop, callers wait for 10 s, a status other than 200 and 503 fails the test, and so do a refusal and an exit code other than 0. Nothing that the test checked before is left out.

--- a/command/src/main/java/org/marjoramsail/command/platform/BusyCallers.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/BusyCallers.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.settings.Endpoint;
 import org.marjoramsail.platform.standin.CallerStandIn;
@@ -31,8 +30,12 @@
   record Unanswered(
       String request, String path, long sentAtMillis, long lastedMillis, String cause) {}
 
+  private static final int OK = 200;
   private static final int NOT_NOW = 503;
 
+  /** Time within which callers want a response: longer than any stop of a daemon. */
+  private static final String DEADLINE_MILLIS = "10000";
+
   private final Clock clock;
   private final CallerStandIn caller;
   private final Endpoint daemon;
@@ -75,7 +78,7 @@
     return running == 0;
   }
 
-  /** Returns the number of requests with a complete response of a server. */
+  /** Returns the number of requests with a complete and successful response. */
   synchronized int answered() {
     return answered;
   }
@@ -85,16 +88,11 @@
     return refused;
   }
 
-  /** Returns the requests without a complete response. */
+  /** Returns the requests without a complete response, and those that failed. */
   synchronized List<Unanswered> unanswered() {
     return List.copyOf(unanswered);
   }
 
-  /** Returns the requests without a complete response that reached a server. */
-  synchronized List<Unanswered> passedOn(Set<String> arrived) {
-    return unanswered.stream().filter(call -> arrived.contains(call.request())).toList();
-  }
-
   private synchronized void send(String path) {
     String request = name + "-" + sequence++;
     long sentAtMillis = clock.millis();
@@ -105,7 +103,7 @@
             HttpMethod.POST,
             PlatformStandIn.HOST,
             path + request,
-            Map.of(CallerStandIn.ATTEMPT, request))
+            Map.of(CallerStandIn.ATTEMPT, request, "deadline-ms", DEADLINE_MILLIS))
         .onSuccess(answer -> answered(request, path, sentAtMillis, answer))
         .onFailure(cause -> failed(request, path, sentAtMillis, cause));
   }
@@ -114,10 +112,12 @@
       String request, String path, long sentAtMillis, Answer answer) {
     if (!answer.whole()) {
       lost(request, path, sentAtMillis, "response broken off");
+    } else if (answer.status() == OK) {
+      answered++;
     } else if (answer.status() == NOT_NOW) {
       refused++;
     } else {
-      answered++;
+      lost(request, path, sentAtMillis, "status " + answer.status());
     }
     next(path);
   }
--- a/command/src/test/java/org/marjoramsail/command/platform/ProcessEndTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/ProcessEndTest.java
@@ -8,8 +8,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -34,11 +32,10 @@
   private static final ServerStandIn.Pace ENGINE_PACE = new ServerStandIn.Pace(30, 30, 90, 64);
   private static final ServerStandIn.Pace PLAIN_PACE = new ServerStandIn.Pace(1, 20, 0, 64);
   private static final long PATIENCE_SECONDS = 60;
-  private static final long LOAD_MILLIS = 500;
+  private static final int CALLS_BEFORE_STOP = 200;
   private static final int STOPS = 4;
 
   private final Clock clock = new SystemClock();
-  private final Set<String> arrived = ConcurrentHashMap.newKeySet();
   private Vertx vertx;
   private PlatformStandIn platform;
 
@@ -52,12 +49,6 @@
             LoopbackPlatform.ADDRESS,
             new PlatformStandIn.Size(2, 3, 3, ENGINE_PACE, PLAIN_PACE));
     FleetRun.await("start", platform.start(), PATIENCE_SECONDS);
-    for (String service : List.of(PlatformStandIn.ENGINES, PlatformStandIn.DESK)) {
-      platform
-          .servers(service)
-          .forEach(
-              server -> server.onArrival((attempt, prefill, accepted) -> arrived.add(attempt)));
-    }
   }
 
   @AfterEach
@@ -70,17 +61,18 @@
   void aProcessThatIsToldToStopAnswersAllCallsOnItsConnections(@TempDir Path directory)
       throws Exception {
     List<BusyCallers.Unanswered> unanswered = new ArrayList<>();
-    int answered = 0;
+    int refused = 0;
     try (ProcessDaemons processes = new ProcessDaemons(directory)) {
       for (int stop = 0; stop < STOPS; stop++) {
         BusyCallers callers = stopUnderLoad(processes, "stop-" + stop);
-        answered += callers.answered();
+        refused += callers.refused();
         unanswered.addAll(callers.unanswered());
       }
+      assertThat(processes.processes()).extracting(Process::exitValue).containsOnly(0);
     }
 
-    assertThat(answered).isPositive();
     assertThat(unanswered).isEmpty();
+    assertThat(refused).isZero();
   }
 
   private BusyCallers stopUnderLoad(ProcessDaemons processes, String name) throws Exception {
@@ -88,7 +80,7 @@
     Endpoint endpoint = new Endpoint(LoopbackPlatform.ADDRESS, daemon.callerPort());
     BusyCallers callers = new BusyCallers(vertx, clock, endpoint, name);
     vertx.runOnContext(nothing -> startCallers(callers));
-    FleetRun.await("load", vertx.timer(LOAD_MILLIS), PATIENCE_SECONDS);
+    FleetRun.await("load", whenAnswered(callers), PATIENCE_SECONDS);
     FleetRun.await("stop", daemon.stop(), PATIENCE_SECONDS);
     FleetRun.await("last calls", whenIdle(callers), PATIENCE_SECONDS);
     return callers;
@@ -100,6 +92,13 @@
     callers.start(4, PlatformStandIn.RESUMABLE);
   }
 
+  /** Completes once the daemon serves its callers as fast as it will. */
+  private Future<Void> whenAnswered(BusyCallers callers) {
+    return callers.answered() >= CALLS_BEFORE_STOP
+        ? Future.succeededFuture()
+        : vertx.timer(1).compose(waited -> whenAnswered(callers));
+  }
+
   private Future<Void> whenIdle(BusyCallers callers) {
     return callers.isIdle()
         ? Future.succeededFuture()
