End a stop in time beside requests that are never sent whole

The stop waited for every open connection, and what it does after its limit was not part of the time that it leaves.

The refusal after the limit has no test.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerConnections.java
@@ -24,6 +24,10 @@
   private static final class State {
     private final Set<HttpServerRequest> running = new HashSet<>();
     private boolean closing;
+
+    boolean isUnfinished() {
+      return closing || !running.isEmpty();
+    }
   }
 
   CallerConnections(Vertx vertx) {
@@ -41,9 +45,13 @@
     }
   }
 
-  /** Returns the number of open connections. */
-  int open() {
-    return states.size();
+  /**
+   * Returns the number of connections that are not idle: on which a request that was read whole has
+   * no complete response, or that are being closed after one. Requests that are never sent whole do
+   * not count.
+   */
+  int unfinished() {
+    return Math.toIntExact(states.values().stream().filter(State::isUnfinished).count());
   }
 
   /** Returns whether a response has announced the close of a connection. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -6,7 +6,6 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpConnection;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -51,6 +50,9 @@
   private static final long MAXIMUM_BODY_BYTES = 64L << 20;
   private static final int BACKLOG = 1_024;
 
+  private static final Refusal STOPPING =
+      Refusal.notRun(RefusalReason.STOPPING, "This daemon takes nothing more.", 50);
+
   private final Vertx vertx;
   private final ForwardServerDependencies dependencies;
   private final BufferedBytes bufferedBytes = new BufferedBytes();
@@ -67,6 +69,7 @@
   private HttpServer server;
   private boolean stopping;
   private boolean refusing;
+  private boolean refusingUnregistered;
   private long sequence;
 
   /**
@@ -179,9 +182,15 @@
     relayServer.shutdown(withinMillis);
   }
 
-  /** Returns the number of connections of callers that carried a request and are open. */
-  public int openConnections() {
-    return connections.open();
+  /** Refuses requests that are not registered yet, such as those whose body is being read. */
+  public void refuseUnregistered() {
+    refusing = true;
+    refusingUnregistered = true;
+  }
+
+  /** Returns the number of connections of callers with a response that is not yet complete. */
+  public int unfinishedConnections() {
+    return connections.unfinished();
   }
 
   /** Returns the number of connections to upstreams that were opened. */
@@ -290,12 +299,16 @@
       return;
     }
     RoutingConfiguration routing = dependencies.routing().get().orElseThrow();
-    Optional<Route> route = routing.routes().find(hostOf(request), request.path());
+    Optional<Route> route = routing.routes().find(RequestHead.host(request), request.path());
     if (route.isEmpty()) {
       Refusal unknown =
           Refusal.notRun(
               RefusalReason.UNKNOWN_SERVICE,
-              "No route of host '" + hostOf(request) + "' begins the path " + request.path() + ".");
+              "No route of host '"
+                  + RequestHead.host(request)
+                  + "' begins the path "
+                  + request.path()
+                  + ".");
       reject(request, attempt, unknown);
       return;
     }
@@ -324,8 +337,7 @@
 
   private Optional<Refusal> refusalOf(HttpServerRequest request) {
     if (refusing) {
-      return Optional.of(
-          Refusal.notRun(RefusalReason.STOPPING, "This daemon takes nothing more.", 50));
+      return Optional.of(STOPPING);
     }
     Optional<RoutingConfiguration> routing = dependencies.routing().get();
     if (routing.isEmpty()) {
@@ -357,10 +369,6 @@
         "The body has " + bytes + " bytes; allowed: " + maximum + ".");
   }
 
-  private static String hostOf(HttpServerRequest request) {
-    return Optional.ofNullable(request.getHeader("host")).orElse("");
-  }
-
   private void readBody(AcceptedRequest accepted, CallerLimits bounds) {
     HttpServerRequest request = accepted.request();
     long maximum = Math.min(MAXIMUM_BODY_BYTES, bounds.bodyBytes());
@@ -422,6 +430,10 @@
     if (request.response().closed()) {
       return;
     }
+    if (refusingUnregistered) {
+      reject(request, accepted.attempt(), STOPPING);
+      return;
+    }
     Optional<RequestHandle> registered =
         guard.call(request, accepted.attempt(), () -> start(accepted, body, origin));
     registered.ifPresent(
@@ -447,7 +459,7 @@
         new ForwardedRequest(
             request.method(),
             request.uri(),
-            hostOf(request),
+            RequestHead.host(request),
             dependencies.protocol().forwardedHeaders(request.headers()),
             body,
             hasBody,
@@ -577,16 +589,10 @@
    */
   private void reject(HttpServerRequest request, String attempt, Refusal refusal) {
     dependencies.refused().accept(refusal);
-    boolean hasUnreadBody = !request.isEnded() && mayHaveBody(request);
+    boolean hasUnreadBody = !request.isEnded() && RequestHead.mayHaveBody(request);
     if (hasUnreadBody) {
       request.response().putHeader("connection", "close");
     }
     refusals.write(request, attempt, refusal);
   }
-
-  private static boolean mayHaveBody(HttpServerRequest request) {
-    return !request.method().equals(HttpMethod.GET)
-        || request.headers().contains("content-length")
-        || request.headers().contains("transfer-encoding");
-  }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RequestHead.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RequestHead.java
@@ -1,9 +1,11 @@
 package org.marjoramsail.daemon.forward;
 
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.Map;
+import java.util.Optional;
 
-/** Sizes that the head of a request has and states. */
+/** What the head of a request states. */
 final class RequestHead {
 
   /** Bytes of a header besides its name and value: a colon, a space and the line end. */
@@ -29,4 +31,16 @@
       return -1;
     }
   }
+
+  /** Returns the value of the host header; empty if there is none. */
+  static String host(HttpServerRequest request) {
+    return Optional.ofNullable(request.getHeader("host")).orElse("");
+  }
+
+  /** Returns whether a body may follow the head. */
+  static boolean mayHaveBody(HttpServerRequest request) {
+    return !request.method().equals(HttpMethod.GET)
+        || request.headers().contains("content-length")
+        || request.headers().contains("transfer-encoding");
+  }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/UnfinishedWork.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/UnfinishedWork.java
@@ -4,7 +4,7 @@
  * What a daemon still has to do for others.
  *
  * @param requests requests of callers that have not ended
- * @param connections open connections of callers that have carried a request
+ * @param connections connections of callers with a response that is not yet complete
  * @param relayedCalls calls of other daemons that are relayed
  * @param shards the shards that it owns
  */
