--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -279,6 +279,7 @@
 
   private void receive(HttpServerRequest request) {
     if (connections.isClosing(request.connection())) {
+      // The response before it has told the caller to send it on another connection.
       return;
     }
     long receivedAtMillis = dependencies.clock().millis();
