--- a/command/src/main/java/org/marjoramsail/command/platform/LossLog.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/LossLog.java
@@ -17,7 +17,7 @@
  */
 final class LossLog {
 
-  /** Time before the end of its connection from which on a call has to be answered. */
+  /** Minimum time between a request and the end of its connection for a call to count as lost. */
   private static final long SLACK_MILLIS = 200;
 
   /** Time after which the platform kills a process that was told to stop. */
@@ -28,10 +28,10 @@
 
   private static final long RELOAD_MILLIS = 2_000;
 
-  /** Time after the signal for a stop in which a sent call may run until the end of the grace. */
+  /** Time after the stop signal in which calls are sent that may be cut off as the grace ends. */
   private static final long LONG_CALLS_MILLIS = 3_000;
 
-  /** Time after the signal for a stop at which the last sixth of the grace begins. */
+  /** Time after the stop signal from which those calls may be cut off. */
   private static final long LAST_SIXTH_MILLIS = GRACE_MILLIS * 5 / 6;
 
   /** Time after a disturbance in which calls are not judged. */
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
@@ -155,14 +155,14 @@
       crossed = List.copyOf(crossed);
     }
 
-    /** Returns how many calls ended so in a phase of their daemon. */
+    /** Returns the number of unanswered calls of a phase and a reason. */
     public long count(UnansweredCall.Phase phase, UnansweredCall.Reason reason) {
       return Stream.concat(lost.stream(), crossed.stream())
           .filter(call -> call.phase() == phase && call.reason() == reason)
           .count();
     }
 
-    /** Returns how many calls were lost at each stop that lost some. */
+    /** Returns the number of lost calls of each stop with lost calls. */
     public Map<String, Long> lostByStop() {
       return lost.stream()
           .filter(call -> call.phase() == UnansweredCall.Phase.STOP)
--- a/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
@@ -62,7 +62,7 @@
         .isLessThanOrEqualTo(unanswered.stops());
   }
 
-  /** Guards against settings and configurations that are read while calls run and end some. */
+  /** Guards against calls that are broken off when settings or a configuration are read. */
   @Test
   void daemonsThatAreToldToReloadLoseNoCall(@TempDir Path directory) throws Exception {
     PlatformSoakReport.Unanswered unanswered =
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
@@ -167,7 +167,7 @@
         random);
   }
 
-  /** Returns a protocol that throws the chosen failures while a request is read. */
+  /** Returns a protocol that throws the failures of the test while a request is read. */
   private ForwardingProtocol protocol() {
     Map<String, Runnable> failures =
         Map.of(
