Count the time of a launch after a stop signal toward the stop

What callers saw: nothing yet; a stop that was asked for during a launch took its full time from the end of the launch, so that on a slow machine the platform's kill came first and cut off what ran.

Cause: the stop sequence waits for the launch and then begins with the whole time.

Evidence: MarjoramsailDaemonTest with a launch of 2,000 ms on an injected clock; the stop had no such parameter before.

--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -262,11 +262,13 @@
   }
 
   @Override
-  public CompletionStage<UnfinishedWork> stop(Consumer<StopPhase> listener) {
+  public CompletionStage<UnfinishedWork> stop(long elapsedMillis, Consumer<StopPhase> listener) {
     listener.accept(StopPhase.NOT_READY);
+    long leaveMillis = settings.limits().leaveMillis();
+    long stopMillis = Math.max(1, settings.limits().stopMillis() - elapsedMillis);
     return requests
         .callers
-        .stop(settings.limits().leaveMillis(), settings.limits().stopMillis())
+        .stop(leaveMillis, stopMillis)
         .compose(
             running -> {
               UnfinishedWork cutOff = new UnfinishedWork(running, 0, 0, placement.views().size());
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/MarjoramsailDaemon.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Properties;
 import java.util.ServiceLoader;
+import java.util.concurrent.TimeUnit;
+import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.settings.Settings;
 import org.marjoramsail.daemon.settings.SettingsException;
 import org.marjoramsail.daemon.settings.SettingsReader;
@@ -24,6 +26,7 @@
   private final DaemonLauncher launcher;
   private final SettingsReader reader;
   private final SignalSource signals;
+  private final Clock clock;
   private final PrintStream output;
   private final PrintStream errors;
 
@@ -46,6 +49,7 @@
    * @param launcher starts the daemon
    * @param reader reads the settings
    * @param signals tells when to stop
+   * @param clock measures how long a start delays a stop
    * @param output where what was asked for is printed
    * @param errors where faults are printed
    */
@@ -53,11 +57,13 @@
       DaemonLauncher launcher,
       SettingsReader reader,
       SignalSource signals,
+      Clock clock,
       PrintStream output,
       PrintStream errors) {
     this.launcher = launcher;
     this.reader = reader;
     this.signals = signals;
+    this.clock = clock;
     this.output = output;
     this.errors = errors;
   }
@@ -67,7 +73,12 @@
     DaemonLauncher launcher = MarjoramsailDaemon::launchAccepted;
     MarjoramsailDaemon daemon =
         new MarjoramsailDaemon(
-            launcher, new SettingsReader(), new ProcessSignals(), System.out, System.err);
+            launcher,
+            new SettingsReader(),
+            new ProcessSignals(),
+            MarjoramsailDaemon::monotonicMillis,
+            System.out,
+            System.err);
     ExitCode exitCode = daemon.run(arguments);
     LoggingSetup.close();
     System.out.flush();
@@ -149,7 +160,7 @@
    * process at a signal without a handler, with the requests that a start has accepted.
    */
   private ExitCode runUntilStopped(Path file) {
-    StopSequence sequence = new StopSequence();
+    StopSequence sequence = new StopSequence(clock);
     SettingsReload reload = new SettingsReload(file, reader);
     signals.onStop(sequence::signalled);
     signals.onReload(reload::reload);
@@ -188,6 +199,10 @@
     }
   }
 
+  private static long monotonicMillis() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
   private static String version() {
     try (InputStream stream = MarjoramsailDaemon.class.getResourceAsStream(VERSION_RESOURCE)) {
       if (stream == null) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/main/StopSequence.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/main/StopSequence.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.marjoramsail.core.time.Clock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.spi.LoggingEventBuilder;
@@ -20,6 +21,12 @@
   private final CompletableFuture<RunningDaemon> started = new CompletableFuture<>();
   private final AtomicBoolean isStopping = new AtomicBoolean();
   private final CompletableFuture<ExitCode> end = new CompletableFuture<>();
+  private final Clock clock;
+
+  /** Creates a sequence that measures by a clock how long a start delays the stop. */
+  StopSequence(Clock clock) {
+    this.clock = clock;
+  }
 
   /** Handles a signal, on any thread. */
   void signalled() {
@@ -52,9 +59,11 @@
 
   private void stopGracefully() {
     LOGGER.atInfo().log("stop asked for");
+    long signalledMillis = clock.millis();
     CompletableFuture<UnfinishedWork> unused =
         started
-            .thenCompose(daemon -> daemon.stop(StopSequence::began))
+            .thenCompose(
+                daemon -> daemon.stop(clock.millis() - signalledMillis, StopSequence::began))
             .whenComplete(
                 (cutOff, failure) -> {
                   if (failure == null) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/main/MarjoramsailDaemonTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/main/MarjoramsailDaemonTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.marjoramsail.core.time.ManualClock;
 import org.marjoramsail.daemon.settings.Settings;
 import org.marjoramsail.daemon.settings.SettingsReader;
 
@@ -31,6 +32,7 @@
   private final List<Settings> launched = new ArrayList<>();
   private final FakeDaemon running = new FakeDaemon();
   private final FakeSignals signals = new FakeSignals();
+  private final ManualClock clock = new ManualClock(0);
 
   @TempDir private Path directory;
 
@@ -159,6 +161,22 @@
     assertThat(running.stops).isEqualTo(1);
   }
 
+  /** Guards against a stop that lasts beyond the grace of the platform, which kills the process. */
+  @Test
+  void theTimeOfTheLaunchAfterASignalCountsTowardTheStop() {
+    running.endsByItself = true;
+    DaemonLauncher launcher =
+        settings -> {
+          signals.stop();
+          clock.advance(2_000);
+          return running;
+        };
+
+    daemon(launcher, signals).run("--settings", GOOD);
+
+    assertThat(running.elapsedMillis).isEqualTo(2_000);
+  }
+
   /** Guards against a launch that keeps a second signal from ending the process. */
   @Test
   void aSecondSignalDuringTheLaunchStopsAtOnce() {
@@ -225,6 +243,7 @@
         launcher,
         new SettingsReader(),
         signals,
+        clock,
         new PrintStream(output, true, StandardCharsets.UTF_8),
         new PrintStream(errors, true, StandardCharsets.UTF_8));
   }
@@ -264,10 +283,12 @@
     private Runnable whenStopping = () -> {};
     private boolean endsByItself;
     private int stops;
+    private long elapsedMillis;
 
     @Override
-    public CompletionStage<UnfinishedWork> stop(Consumer<StopPhase> listener) {
+    public CompletionStage<UnfinishedWork> stop(long elapsedMillis, Consumer<StopPhase> listener) {
       stops++;
+      this.elapsedMillis = elapsedMillis;
       listener.accept(StopPhase.DRAINING);
       whenStopping.run();
       if (endsByItself) {
