--- a/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
@@ -74,6 +74,11 @@
     }
   }
 
+  /** Returns the directory with a log of each process, {@code HOST-NUMBER.log}. */
+  public Path directory() {
+    return directory;
+  }
+
   /** Returns the processes that were started, in the order of their start. */
   public List<Process> processes() {
     return List.copyOf(processes);
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
@@ -21,6 +21,8 @@
 import org.marjoramsail.platform.standin.PlatformStandIn;
 import org.marjoramsail.platform.standin.ServerStandIn;
 import org.marjoramsail.standin.network.LinkStandIn;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Soak of daemons that are processes, before stand-ins of the users' platform: faults come in
@@ -28,6 +30,7 @@
  */
 public final class PlatformSoak {
 
+  private static final Logger LOGGER = LoggerFactory.getLogger(PlatformSoak.class);
   private static final ServerStandIn.Pace ENGINE_PACE = new ServerStandIn.Pace(30, 30, 90, 16);
   private static final ServerStandIn.Pace PLAIN_PACE = new ServerStandIn.Pace(1, 43, 0, 30);
   private static final long MILLIS_PER_SECOND = 1_000;
@@ -106,7 +109,18 @@
     } finally {
       daemons.end();
     }
-    return report(platform, load, arrivals);
+    PlatformSoakReport report = report(platform, load, arrivals);
+    logLosses(report);
+    return report;
+  }
+
+  /** Logs what the daemons have logged about lost calls, whose files may not outlive the soak. */
+  private void logLosses(PlatformSoakReport report) throws FleetException {
+    try {
+      new DaemonLogs(factory.directory()).linesOf(report.unanswered().lost()).forEach(LOGGER::warn);
+    } catch (IOException failure) {
+      throw new FleetException("read the logs of the daemons", failure);
+    }
   }
 
   private PlatformStandIn platform(Vertx vertx, PlatformSoakSetup setup) {
