Take log lines about starts and stops by their loggers

The messages of a process about its start, its stop and its settings are found by the names of their loggers, since a part of a message also occurs in lines about requests.

--- a/command/src/main/java/org/marjoramsail/command/platform/DaemonLogs.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/DaemonLogs.java
@@ -17,9 +17,9 @@
 
   private static final int MOST_LINES_PER_CALL = 40;
 
-  /** Messages of a process about its start and its stop. */
-  private static final List<String> PROCESS_MESSAGES =
-      List.of("daemon started", "stop asked for", "\"stopping\"", "stopped ", "settings ");
+  /** Loggers of a process that report its start, its stop and its settings. */
+  private static final List<String> PROCESS_LOGGERS =
+      List.of(" MarjoramsailDaemon ", " StopSequence ", " SettingsReload ");
 
   private final Path directory;
 
@@ -59,7 +59,7 @@
   }
 
   private static boolean isAboutProcess(String line) {
-    return PROCESS_MESSAGES.stream().anyMatch(line::contains);
+    return PROCESS_LOGGERS.stream().anyMatch(line::contains);
   }
 
   private static List<String> search(List<Path> files, Predicate<String> isWanted, int most)
