Refuse requests at a stop by the clock, not when a timer fires

Cause: new requests are refused once the timer of the balancer's time fires. Requests that came meanwhile were passed on although the process ended before them. The limit, too, counted from the turn of the event loop and not from the signal.

Now each request that is read after the balancer's time is refused by the clock, and both times count from the call of the stop. A refusal says that the request has not run, so that its caller can send it elsewhere.

Evidence: ForwardServerTest with an injected clock and no timer; nothing gave the server a time before.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -50,9 +50,6 @@
   private static final long MAXIMUM_BODY_BYTES = 64L << 20;
   private static final int BACKLOG = 1_024;
 
-  private static final Refusal STOPPING =
-      Refusal.notRun(RefusalReason.STOPPING, "This daemon takes nothing more.", 50);
-
   private final Vertx vertx;
   private final ForwardServerDependencies dependencies;
   private final BufferedBytes bufferedBytes = new BufferedBytes();
@@ -66,10 +63,8 @@
   private final ResumedStreams resumedStreams;
   private final ListeningPort port = new ListeningPort();
   private final CallerConnections connections;
+  private final StopState stop;
   private HttpServer server;
-  private boolean stopping;
-  private boolean refusing;
-  private boolean refusingUnregistered;
   private long sequence;
 
   /**
@@ -83,7 +78,8 @@
     this.vertx = vertx;
     this.dependencies = dependencies;
     this.connections = new CallerConnections(vertx);
-    ConnectionCloseHeader connectionCloseHeader = new ConnectionCloseHeader(() -> stopping);
+    this.stop = new StopState(dependencies.clock());
+    ConnectionCloseHeader connectionCloseHeader = new ConnectionCloseHeader(stop::isAnnounced);
     this.refusals =
         new RefusalWriter(
             dependencies.protocol(), json, dependencies.random(), connectionCloseHeader);
@@ -114,7 +110,7 @@
                 unused -> {}),
             dependencies.liveness(),
             dependencies.clock(),
-            () -> !paths.isCutOff() && !refusing);
+            () -> !paths.isCutOff() && !stop.isRefusing());
     this.resumedStreams =
         new ResumedStreams(dependencies.streams(), dependencies.versions(), dependencies.meters());
     this.exchangeDependencies =
@@ -162,9 +158,12 @@
     return server.listen().map(HttpServer::actualPort);
   }
 
-  /** Adds {@code connection: close} to all responses from now on. */
-  public void sendConnectionClose() {
-    stopping = true;
+  /**
+   * Adds {@code connection: close} to all responses from now on, and refuses requests that are read
+   * after a time.
+   */
+  public void announceStop(long refuseFromMillis) {
+    stop.announce(refuseFromMillis);
   }
 
   /** Accepts no further connections; requests on those that are open are served. */
@@ -177,15 +176,14 @@
    * response is written, or when the time has passed.
    */
   public void shutdown(long withinMillis) {
-    refusing = true;
+    stop.refuse();
     Future<Void> unused = server.shutdown(withinMillis, TimeUnit.MILLISECONDS);
     relayServer.shutdown(withinMillis);
   }
 
   /** Refuses requests that are not registered yet, such as those whose body is being read. */
   public void refuseUnregistered() {
-    refusing = true;
-    refusingUnregistered = true;
+    stop.refuseUnregistered();
   }
 
   /** Returns the number of connections of callers with a response that is not yet complete. */
@@ -337,8 +335,8 @@
   }
 
   private Optional<Refusal> refusalOf(HttpServerRequest request) {
-    if (refusing) {
-      return Optional.of(STOPPING);
+    if (stop.isRefusing()) {
+      return Optional.of(StopState.REFUSAL);
     }
     Optional<RoutingConfiguration> routing = dependencies.routing().get();
     if (routing.isEmpty()) {
@@ -431,8 +429,8 @@
     if (request.response().closed()) {
       return;
     }
-    if (refusingUnregistered) {
-      reject(request, accepted.attempt(), STOPPING);
+    if (stop.isRefusingUnregistered()) {
+      reject(request, accepted.attempt(), StopState.REFUSAL);
       return;
     }
     Optional<RequestHandle> registered =
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
@@ -32,8 +32,7 @@
 import org.marjoramsail.core.routing.RouteTable;
 import org.marjoramsail.core.routing.RoutingConfiguration;
 import org.marjoramsail.core.routing.WeightedService;
-import org.marjoramsail.core.time.Clock;
-import org.marjoramsail.daemon.assembly.SystemClock;
+import org.marjoramsail.core.time.ManualClock;
 import org.marjoramsail.daemon.fixture.Waits;
 
 /** Guards against a caller without a response after the handling of its request threw. */
@@ -69,11 +68,13 @@
   private final Queue<Refusal> refused = new ConcurrentLinkedQueue<>();
   private Optional<Error> headFailure = Optional.empty();
   private Optional<Error> bodyFailure = Optional.empty();
+  private final ManualClock clock = new ManualClock(0);
+  private ForwardServer server;
   private int port;
 
   @BeforeEach
   void start() {
-    ForwardServer server = new ForwardServer(vertx, dependencies(), new ObjectMapper());
+    server = new ForwardServer(vertx, dependencies(), new ObjectMapper());
     port = Waits.get(server.start(ADDRESS, 0));
   }
 
@@ -109,6 +110,24 @@
     Waits.until("the body is released", () -> !reasonOf(call()).equals("memory-limit"));
   }
 
+  /** Guards against requests that a busy event loop reads too late to complete them. */
+  @Test
+  void aRequestThatIsReadOnceTheBalancerHasLeftIsRefusedThoughThePortIsOpen() {
+    server.announceStop(3_000);
+    clock.advance(3_000);
+
+    assertThat(reasonOf(call())).isEqualTo("stopping");
+  }
+
+  /** Guards against refusals of requests that balancers still send while they learn of a stop. */
+  @Test
+  void aRequestThatIsReadBeforeTheBalancerHasLeftIsNotRefusedForTheStop() {
+    server.announceStop(3_000);
+    clock.advance(2_999);
+
+    assertThat(reasonOf(call())).isNotEqualTo("stopping");
+  }
+
   private static String reasonOf(Answer answer) {
     return answer.body().toJsonObject().getString("reason");
   }
@@ -141,7 +160,6 @@
   }
 
   private ForwardServerDependencies dependencies() {
-    Clock clock = new SystemClock();
     DaemonId daemon = new DaemonId("entry-1", 1);
     Random random = new Random(7);
     return new ForwardServerDependencies(
