Revert the ownership of shards by daemons that leave

An attempt that was withdrawn at an owner stays obsolete there for 5 s, so that it is dropped when the same daemon owns the shard again; and a leaving daemon that owns shards ends while others wait for it. Both are listed in the postmortem, as is the fault itself: while all daemons leave, each takes itself for the owner.

--- a/core/src/main/java/org/marjoramsail/core/membership/MembershipView.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipView.java
@@ -35,13 +35,6 @@
         .toList();
   }
 
-  /** Returns the daemons of a region that have announced their departure and still work. */
-  public List<Member> leavingInRegion(String region) {
-    return members.stream()
-        .filter(member -> member.state() == MemberState.LEAVING && member.region().equals(region))
-        .toList();
-  }
-
   /** Returns whether no other daemon is known. */
   public boolean isAlone() {
     return members.size() == 1;
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardMap.java
@@ -97,7 +97,7 @@
   /**
    * Returns the first daemon in the {@linkplain #ranking ranking} of a shard, which owns it.
    *
-   * @return empty when the shard's region has no daemon that may own it
+   * @return empty when no daemon of the shard's region is eligible
    */
   public static Optional<Member> ownerOf(ShardId shard, MembershipView view) {
     return ranking(shard, view).findFirst();
@@ -110,22 +110,12 @@
    * <p>Daemons on hosts with at least half of the largest processor come first, because an owner
    * handles several messages for each request of its pool and would delay requests on a small host.
    * Among these, the order follows the hash of the shard and the host.
-   *
-   * <p>While all daemons of a region leave, these still own its shards: without a common owner each
-   * would grant the same slots and the same rates for the requests that it completes.
    */
   public static Stream<Member> ranking(ShardId shard, MembershipView view) {
-    List<Member> candidates = view.eligibleInRegion(shard.region());
-    if (candidates.isEmpty()) {
-      candidates = view.leavingInRegion(shard.region());
-    }
-    return ranked(shard, candidates);
-  }
-
-  private static Stream<Member> ranked(ShardId shard, List<Member> candidates) {
-    int greatest = candidates.stream().mapToInt(Member::milliCores).max().orElse(0);
+    List<Member> eligible = view.eligibleInRegion(shard.region());
+    int greatest = eligible.stream().mapToInt(Member::milliCores).max().orElse(0);
     String prefix = shard + "|";
-    return candidates.stream()
+    return eligible.stream()
         .sorted(
             Comparator.<Member, Boolean>comparing(member -> 2L * member.milliCores() >= greatest)
                 .thenComparingLong(member -> hash(prefix + member.id().host()))
