Refuse a request whose body ends after the limit of a stop by the clock

A request whose body was complete after the limit, and before the late timer that ends the stop, was passed on and then ended as one that may have run.

Cause: as for heads, the refusal waited for a timer of the event loop. The server now knows both times of the stop and compares them with the clock.

Evidence: ForwardServerTest#aRequestWhoseBodyEndsAfterTheTimeForTheStopIsRefused, with an injected clock and no timer; the server had no such time before.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -159,11 +159,11 @@
   }
 
   /**
-   * Adds {@code connection: close} to all responses from now on, and refuses requests that are read
-   * after a time.
+   * Adds {@code connection: close} to all responses from now on, and refuses requests of which the
+   * head is read after a time, or that are read whole after another.
    */
-  public void announceStop(long refuseFromMillis) {
-    stop.announce(refuseFromMillis);
+  public void announceStop(long refuseFromMillis, long refuseAllFromMillis) {
+    stop.announce(refuseFromMillis, refuseAllFromMillis);
   }
 
   /** Accepts no further connections; requests on those that are open are served. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/StopState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/StopState.java
@@ -13,22 +13,26 @@
 
   private final Clock clock;
   private boolean announced;
-  private boolean refusingUnregistered;
   private long refuseFromMillis = Long.MAX_VALUE;
+  private long refuseAllFromMillis = Long.MAX_VALUE;
 
   StopState(Clock clock) {
     this.clock = clock;
   }
 
   /**
-   * Announces the stop in each response, and refuses requests that are read after a time.
+   * Announces the stop in each response, and refuses requests that come too late.
    *
-   * <p>The time counts by the clock: the timer of a busy event loop may fire seconds later, and a
+   * <p>Both times count by the clock: the timer of a busy event loop may fire seconds later, and a
    * request that is passed on meanwhile might not end before the process.
+   *
+   * @param refuseFromMillis time from which requests are refused of which the head is read
+   * @param refuseAllFromMillis time from which those are refused, too, whose body is being read
    */
-  void announce(long refuseFromMillis) {
+  void announce(long refuseFromMillis, long refuseAllFromMillis) {
     announced = true;
     this.refuseFromMillis = refuseFromMillis;
+    this.refuseAllFromMillis = refuseAllFromMillis;
   }
 
   /** Returns whether responses announce the close of their connections. */
@@ -49,11 +53,11 @@
   /** Refuses requests that are not registered yet, such as those whose body is being read. */
   void refuseUnregistered() {
     refuse();
-    refusingUnregistered = true;
+    refuseAllFromMillis = Long.MIN_VALUE;
   }
 
   /** Returns whether requests are refused that are not registered yet. */
   boolean isRefusingUnregistered() {
-    return refusingUnregistered;
+    return clock.millis() >= refuseAllFromMillis;
   }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import java.lang.reflect.Proxy;
 import java.util.List;
@@ -113,7 +114,7 @@
   /** Guards against requests that a busy event loop reads too late to complete them. */
   @Test
   void aRequestThatIsReadOnceTheBalancerHasLeftIsRefusedThoughThePortIsOpen() {
-    server.announceStop(3_000);
+    server.announceStop(3_000, 7_000);
     clock.advance(3_000);
 
     assertThat(reasonOf(call())).isEqualTo("stopping");
@@ -122,12 +123,32 @@
   /** Guards against refusals of requests that balancers still send while they learn of a stop. */
   @Test
   void aRequestThatIsReadBeforeTheBalancerHasLeftIsNotRefusedForTheStop() {
-    server.announceStop(3_000);
+    server.announceStop(3_000, 7_000);
     clock.advance(2_999);
 
     assertThat(reasonOf(call())).isNotEqualTo("stopping");
   }
 
+  /** Guards against requests whose body ends too late, and which are cut off once passed on. */
+  @Test
+  void aRequestWhoseBodyEndsAfterTheTimeForTheStopIsRefused() {
+    HttpClientRequest unfinished = Waits.get(begin());
+    unfinished.setChunked(true);
+    Waits.get(unfinished.write(Buffer.buffer("c".repeat(BODY_MEMORY_BYTES))));
+    Waits.until("the body is held", () -> reasonOf(call()).equals("memory-limit"));
+    server.announceStop(3_000, 7_000);
+    clock.advance(7_000);
+
+    Answer answer =
+        Waits.get(
+            unfinished
+                .end()
+                .compose(sent -> unfinished.response())
+                .compose(ForwardServerTest::answer));
+
+    assertThat(reasonOf(answer)).isEqualTo("stopping");
+  }
+
   private static String reasonOf(Answer answer) {
     return answer.body().toJsonObject().getString("reason");
   }
@@ -148,8 +169,11 @@
     return Waits.get(
         begin()
             .compose(request -> request.send(Buffer.buffer("content")))
-            .compose(
-                response -> response.body().map(body -> new Answer(response.statusCode(), body))));
+            .compose(ForwardServerTest::answer));
+  }
+
+  private static Future<Answer> answer(HttpClientResponse response) {
+    return response.body().map(body -> new Answer(response.statusCode(), body));
   }
 
   private Future<HttpClientRequest> begin() {
