Count a crash whose address was taken over before the cut was noticed

What callers saw: a content that crashes engines ended a third one where the engines start again at once under other names; two are allowed.

Cause: the list of upstreams may show the other upstream at the address some milliseconds before the host notices the cut. A takeover counted only after a cut, and probes are accepted by the new upstream, so that no proof was left: the crash became undecided after 500 ms and the content ran on a third engine.

The new test in QuarantineTest fails on the old code with no content listed.

Fix: a takeover is kept as the sequence of the last attempt before it. A cut of an attempt that started earlier is a proven crash. Attempts that started later went to an upstream at another address and prove nothing by it.

--- a/core/src/main/java/org/marjoramsail/core/outcome/CrashableUpstream.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CrashableUpstream.java
@@ -45,6 +45,9 @@
   /** Start of the latest request or connection that reached the upstream. */
   long reachedAtMillis = NEVER;
 
+  /** Sequence of the last attempt that started before another upstream took over the address. */
+  long takenOverSequence;
+
   /** Incarnation whose running attempts became suspects last; negative if there is none. */
   long crashedIncarnation = -1;
 
--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -178,6 +178,9 @@
     state.lastCutAtMillis = nowMillis;
     state.cut.put(key, run);
     changed(QuarantineChange.Kind.CUT, upstream, List.of(run.fingerprint), request.value());
+    if (run.sequence <= state.takenOverSequence) {
+      crashed(upstream, state, REPLACED, nowMillis);
+    }
   }
 
   /**
@@ -257,9 +260,13 @@
 
   /**
    * Records that another upstream listens at the address of one, which proves a crash after a cut.
+   *
+   * <p>The list may show the other upstream before the cut is noticed, so that it also proves a
+   * crash at a later cut of an attempt that started before.
    */
   public synchronized void addressTakenOver(UpstreamName name, long nowMillis) {
     CrashableUpstream state = upstream(name);
+    state.takenOverSequence = sequence;
     if (state.mayHaveCrashed(nowMillis)) {
       crashed(name, state, REPLACED, nowMillis);
     }
--- a/core/src/test/java/org/marjoramsail/core/outcome/QuarantineTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/QuarantineTest.java
@@ -182,6 +182,28 @@
     assertThat(suspicion(POISON)).isEqualTo(Suspicion.SUSPECT);
   }
 
+  /** Guards against a proof that the list shows before the cut is noticed, and that is lost. */
+  @Test
+  void anUpstreamAtTheAddressThatIsListedBeforeTheCutProvesTheCrash() {
+    RequestId request = start(FIRST, POISON);
+    quarantine.addressTakenOver(FIRST, 1);
+    assertThat(suspicion(POISON)).isEqualTo(Suspicion.CLEAR);
+
+    quarantine.connectionLost(FIRST, request, 1, 2);
+
+    assertThat(quarantine.list(10)).extracting(QuarantineEntry::crashes).containsExactly(1);
+  }
+
+  /** Guards against a crash of an upstream that was listed at another address since. */
+  @Test
+  void aCutOfAnAttemptThatStartedAfterTheAddressWasTakenOverProvesNothing() {
+    quarantine.addressTakenOver(FIRST, 1);
+
+    quarantine.connectionLost(FIRST, start(FIRST, POISON), 1, 2);
+
+    assertThat(quarantine.list(10)).isEmpty();
+  }
+
   /** Guards against a second crash of the same upstream that is not counted. */
   @Test
   void theSecondCrashOfOneUpstreamCountsLikeTheFirst() {
