Probe an upstream after a cut until a crash is proven or disproved

What callers saw: a content that had crashed an engine could remain unsuspected, so that its next request crashed another one.

Cause: probes ended after two accepted connections, 21 ms after the cut. An engine whose port closes later than its connections, as on a busy machine, accepts both and was never probed again.

Evidence: beside load, at 20 to 27, proofs of a refused connection came up to 213 ms after the cut.

Fix: all probes are opened until a crash is proven or disproved, and a last one is added 3.1 s after the cut. A cut that stays undecided costs seven connections instead of two.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamProbes.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamProbes.java
@@ -19,10 +19,11 @@
 final class UpstreamProbes {
 
   /**
-   * Delays before the connections, in milliseconds. The first may be accepted by a process that is
-   * about to end, or be refused before this daemon has reached another upstream.
+   * Delays before the connections, in milliseconds. All of them are opened until a crash is proven
+   * or disproved: the first may be accepted by a process that is about to end, which may take
+   * longer on a busy machine, or be refused before this daemon has reached another upstream.
    */
-  private static final List<Long> DELAYS_MILLIS = List.of(1L, 20L, 100L, 200L, 400L, 800L);
+  private static final List<Long> DELAYS_MILLIS = List.of(1L, 20L, 100L, 200L, 400L, 800L, 1_600L);
 
   private final Vertx vertx;
   private final UpstreamConnections connections;
@@ -75,8 +76,7 @@
               if (opened.failed() && liveness.mayHaveCrashed(upstream.name())) {
                 reachAnother(upstream);
               }
-              boolean isLast = opened.succeeded() && probe > 0;
-              probeLater(upstream, isLast ? DELAYS_MILLIS.size() : probe + 1);
+              probeLater(upstream, probe + 1);
             });
   }
 
