Report a cut to the other hosts at once, before a crash is proven

What callers saw: requests with one prompt part, or one content, sent to one host after another, crashed an engine behind each host until the first crash was proven and reported.

Cause: what a host holds back after a cut, the others did not know of.

Fix: a cut is reported with its content and the parts that had given no output, before the caller gets a response. Others treat it like a cut of their own: they hold back parts that they have not cleared, and a content that was cut on two upstreams. A report of the crash or a response of the upstream ends it. A request that was placed before is postponed at its grant, now also for its content.

What a sound content pays: a suspicion ends by itself 500 ms after its report, and requests recheck every 100 ms, so that one cut holds it back for at most 0.6 s on another host. A content is held back only if it was cut on two upstreams, or on one after a proven crash; a part only where the host has not seen it give output. Each further cut has 500 ms of its own.

The test stays listed with its other cause: a host that has just started serves calls before the others have sent it their reports.

--- a/core/src/main/java/org/marjoramsail/core/outcome/CrashableUpstream.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CrashableUpstream.java
@@ -4,6 +4,8 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
+import org.marjoramsail.core.model.UpstreamName;
 
 /**
  * Tracks the attempts on an upstream that may have caused a crash of it.
@@ -66,6 +68,11 @@
     return nowMillis - lastCutAtMillis <= LATE_PROOF_MILLIS;
   }
 
+  /** Returns the cut attempts that wait for a proof; none if a crash is presumed. */
+  Stream<OpenCut> openCuts(UpstreamName name) {
+    return presumed ? Stream.empty() : cut.values().stream().map(run -> new OpenCut(name, run));
+  }
+
   /** Stops the wait for a proof; one that follows still counts. */
   void leaveUndecided() {
     undecided.putAll(cut);
--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -41,7 +41,8 @@
  * that broke, alone does not prove a crash: it counts only once the upstream has a new incarnation,
  * refuses connections or has lost its address to another. Contents that lost their connections at
  * the same time are kept apart until the next report of the upstream's incarnation proves or
- * disproves the crash.
+ * disproves the crash. Other daemons are informed of a cut at once, and treat it like one of their
+ * own until the proof or disproof arrives or the same time has passed.
  *
  * <p>Safe for several threads.
  */
@@ -71,9 +72,11 @@
   private final Map<UpstreamName, CrashableUpstream> upstreams = new HashMap<>();
   private final CrashRecords records;
   private final PromptPartQuarantine promptParts;
+  private final ReportedCuts reportedCuts;
   private final Function<UpstreamName, Optional<SoftwareVersion>> versions;
   private final QuarantineListener listener;
   private final ArrayDeque<CrashReportMessage> outgoing = new ArrayDeque<>();
+  private final OutgoingCuts outgoingCuts;
   private long sequence;
 
   /** Creates a quarantine without suspects for upstreams whose software versions are not known. */
@@ -118,6 +121,8 @@
     this.settleMillis = settleMillis;
     this.records = new CrashRecords(maximumEntries);
     this.promptParts = new PromptPartQuarantine(lifetimeMillis, partCrashLimit, listener);
+    this.reportedCuts = new ReportedCuts(settleMillis);
+    this.outgoingCuts = new OutgoingCuts(settleMillis);
     this.versions = versions;
     this.listener = listener;
   }
@@ -178,17 +183,44 @@
     state.lastCutAtMillis = nowMillis;
     state.cut.put(key, run);
     changed(QuarantineChange.Kind.CUT, upstream, List.of(run.fingerprint), request.value());
+    outgoingCuts.cut(upstream, run, nowMillis);
     if (run.sequence <= state.takenOverSequence) {
       crashed(upstream, state, REPLACED, nowMillis);
     }
   }
 
+  /** Handles the report of a cut from another daemon. */
+  public synchronized void handle(DaemonId from, CutMessage message, long nowMillis) {
+    reportedCuts.handle(from, message, nowMillis);
+    List<Long> contents = message.suspects().stream().map(PartSuspects::content).toList();
+    changed(
+        message.isDisproof()
+            ? QuarantineChange.Kind.DISPROVED_BY_REPORT
+            : QuarantineChange.Kind.CUT_REPORTED,
+        message.upstream(),
+        contents,
+        from.host());
+  }
+
+  /** Removes and returns the messages on cuts for the other daemons; each is returned once. */
+  public synchronized List<CutMessage> takeCutMessages() {
+    return outgoingCuts.take();
+  }
+
+  /** Returns the cuts here and on other daemons after which a crash may still be proven. */
+  private Stream<OpenCut> openCuts(long nowMillis) {
+    return Stream.concat(
+        upstreams.entrySet().stream().flatMap(one -> one.getValue().openCuts(one.getKey())),
+        reportedCuts.open(nowMillis));
+  }
+
   /**
    * Records that a request with this content completed, which clears it unless it is quarantined.
    */
   public synchronized void completed(long fingerprint, long nowMillis) {
     if (records.suspicion(fingerprint) != Suspicion.QUARANTINED) {
       upstreams.values().forEach(one -> one.removeCuts(fingerprint));
+      reportedCuts.remove(fingerprint);
       clear(fingerprint, "completed", nowMillis);
     }
   }
@@ -214,6 +246,7 @@
       List<Long> dismissed = state.dismissCuts();
       if (!dismissed.isEmpty()) {
         changed(QuarantineChange.Kind.DISPROVED, name, dismissed, "response");
+        outgoingCuts.disproved(name);
       }
     }
     state.incarnation = Math.max(state.incarnation, incarnation);
@@ -289,16 +322,20 @@
   public synchronized Suspicion suspicion(long fingerprint, long nowMillis) {
     settleAndExpire(nowMillis);
     Suspicion proven = records.suspicion(fingerprint);
-    List<CrashableUpstream> cut =
-        upstreams.values().stream().filter(one -> one.hasCut(fingerprint)).toList();
-    if (proven == Suspicion.QUARANTINED || cut.isEmpty()) {
+    if (proven == Suspicion.QUARANTINED) {
       return proven;
     }
-    long unsettled = cut.stream().filter(one -> !one.presumed).count();
-    boolean mustWait =
-        proven == Suspicion.UNSETTLED
-            || (unsettled > 0 && records.crashCount(fingerprint) + unsettled >= CRASH_LIMIT);
-    return mustWait ? Suspicion.UNSETTLED : Suspicion.SUSPECT;
+    List<OpenCut> cuts =
+        openCuts(nowMillis).filter(one -> one.run().hasFingerprint(fingerprint)).toList();
+    long upstreamCount = cuts.stream().map(OpenCut::upstream).distinct().count();
+    boolean mayBeRefusedSoon =
+        upstreamCount > 0 && records.crashCount(fingerprint) + upstreamCount >= CRASH_LIMIT;
+    if (proven == Suspicion.UNSETTLED || mayBeRefusedSoon) {
+      return Suspicion.UNSETTLED;
+    }
+    boolean isCut =
+        !cuts.isEmpty() || upstreams.values().stream().anyMatch(one -> one.hasCut(fingerprint));
+    return isCut ? Suspicion.SUSPECT : proven;
   }
 
   /** Returns the parts of a request that refuse it, since they have crashed upstreams. */
@@ -308,9 +345,9 @@
   }
 
   /**
-   * Returns whether a request has to wait for another one that this daemon sent with the same
-   * suspected part. The other one still runs and has given no output, or it was cut and a crash of
-   * its upstream is neither proven nor disproved.
+   * Returns whether a request has to wait for another one with the same suspected part. The other
+   * one was sent by this daemon and still runs and has given no output, or it was cut, here or on
+   * another daemon, and a crash of its upstream is neither proven nor disproved.
    */
   public synchronized boolean isPartOnTrial(List<SharedPromptPart> parts, long nowMillis) {
     if (parts.isEmpty()) {
@@ -318,31 +355,23 @@
     }
     settleAndExpire(nowMillis);
     Set<Long> suspects = promptParts.suspects(parts, nowMillis);
-    for (CrashableUpstream one : upstreams.values()) {
-      if (!suspects.isEmpty()
-          && one.running.values().stream().anyMatch(run -> run.mayCrashWith(suspects))) {
-        return true;
-      }
-      if (!one.presumed && one.isUnsettled() && hasCutWith(one, parts, nowMillis)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /** Returns whether a request with one of the parts was cut on an upstream. */
-  private boolean hasCutWith(CrashableUpstream one, List<SharedPromptPart> parts, long nowMillis) {
-    for (RunningAttempt run : one.cut.values()) {
-      Set<Long> uncleared =
-          parts.stream()
-              .filter(part -> !promptParts.isCleared(part, run.version, nowMillis))
-              .map(SharedPromptPart::fingerprint)
-              .collect(Collectors.toSet());
-      if (run.mayCrashWith(uncleared)) {
-        return true;
-      }
-    }
-    return false;
+    boolean isRunning =
+        !suspects.isEmpty()
+            && upstreams.values().stream()
+                .flatMap(one -> one.running.values().stream())
+                .anyMatch(run -> run.mayCrashWith(suspects));
+    return isRunning
+        || openCuts(nowMillis)
+            .map(OpenCut::run)
+            .anyMatch(run -> run.mayCrashWith(uncleared(parts, run.version, nowMillis)));
+  }
+
+  private Set<Long> uncleared(
+      List<SharedPromptPart> parts, Optional<SoftwareVersion> version, long nowMillis) {
+    return parts.stream()
+        .filter(part -> !promptParts.isCleared(part, version, nowMillis))
+        .map(SharedPromptPart::fingerprint)
+        .collect(Collectors.toSet());
   }
 
   /** Handles a crash with suspected prompt parts that another daemon reported; returns a reply. */
@@ -403,6 +432,7 @@
         message.upstream(),
         message.fingerprints(),
         from.host());
+    reportedCuts.remove(from, message.upstream());
     record(message, nowMillis);
   }
 
--- a/core/src/main/java/org/marjoramsail/core/outcome/QuarantineChange.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/QuarantineChange.java
@@ -19,10 +19,14 @@
   public enum Kind {
     /** The connection of an attempt was cut; a proof of a crash is awaited. */
     CUT(false),
+    /** Another daemon reported a cut, after which a proof of a crash is awaited. */
+    CUT_REPORTED(false),
     /** Neither a proof nor a disproof of a crash came in time. */
     UNDECIDED(false),
     /** A response of the upstream disproved a crash. */
     DISPROVED(false),
+    /** Another daemon reported that a response disproved a crash. */
+    DISPROVED_BY_REPORT(false),
     /** A crash of the upstream is proven. */
     CRASHED(false),
     /** Another daemon reported a crash. */
--- a/core/src/main/java/org/marjoramsail/core/outcome/QuarantineGuard.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/QuarantineGuard.java
@@ -109,16 +109,16 @@
   }
 
   /**
-   * Returns whether a grant has an upstream that may hold another suspect. Guards against two
-   * requests that were placed on one upstream before both became suspect, and against two with the
-   * same suspected part that were placed before one of them started.
+   * Returns whether a granted attempt has to be placed again later: it became unsettled since it
+   * was placed, or its upstream may hold another suspect. Guards against two requests that were
+   * placed on one upstream before both became suspect, against two with the same suspected part
+   * that were placed before one of them started, and against one whose content or part was cut
+   * elsewhere while it waited.
    */
-  boolean wouldShareUpstreamWithSuspect(Grant grant, long nowMillis) {
-    if (mustWaitForSuspectedPart(nowMillis)) {
-      return true;
-    }
-    if (suspicion(nowMillis) != Suspicion.SUSPECT) {
-      return false;
+  boolean mustPostpone(Grant grant, long nowMillis) {
+    Suspicion suspicion = suspicion(nowMillis);
+    if (suspicion != Suspicion.SUSPECT) {
+      return suspicion == Suspicion.UNSETTLED;
     }
     List<UpstreamName> others = quarantine.upstreamsWithOtherSuspects(profile.fingerprint());
     return others.contains(grant.target()) || grant.prefill().filter(others::contains).isPresent();
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -206,7 +206,7 @@
     if (guard.isQuarantined(nowMillis)) {
       state = LifecycleState.BACKING_OFF;
       refuseQuarantined();
-    } else if (guard.wouldShareUpstreamWithSuspect(newGrant, nowMillis)) {
+    } else if (guard.mustPostpone(newGrant, nowMillis)) {
       postponePlacement();
     } else if (newGrant.mode() == GrantMode.PLAIN) {
       sendPlain(newGrant);
@@ -239,7 +239,7 @@
       refuseQuarantined();
       return;
     }
-    if (guard.wouldShareUpstreamWithSuspect(newGrant, nowMillis)) {
+    if (guard.mustPostpone(newGrant, nowMillis)) {
       postponePlacement();
       return;
     }
--- a/core/src/test/java/org/marjoramsail/core/outcome/PromptPartFleet.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/PromptPartFleet.java
@@ -347,6 +347,7 @@
       after(between(100, 200), () -> attempt(request, engine.number));
     }
     engine.running.clear();
+    cut.forEach(this::sendNew);
     cut.forEach(host -> after(PROBE_MILLIS + random.nextInt(20), () -> prove(host, name)));
     after(
         between(2_000, 4_000),
@@ -371,7 +372,10 @@
   }
 
   private void sendNew(Host from) {
-    for (PeerMessage message : from.quarantine.takePartMessages()) {
+    List<PeerMessage> messages = new ArrayList<>(from.quarantine.takeCutMessages());
+    messages.addAll(from.quarantine.takePartMessages());
+    messages.addAll(from.quarantine.takeMessages());
+    for (PeerMessage message : messages) {
       for (Host to : hosts) {
         if (to != from) {
           after(between(1, MAXIMUM_DELAY_MILLIS), () -> receive(from, to, message));
@@ -381,7 +385,11 @@
   }
 
   private void receive(Host from, Host to, PeerMessage message) {
-    if (message instanceof PartCrashMessage crash) {
+    if (message instanceof CutMessage cut) {
+      to.quarantine.handle(from.id, cut, nowMillis);
+    } else if (message instanceof CrashReportMessage report) {
+      to.quarantine.handle(from.id, report, nowMillis);
+    } else if (message instanceof PartCrashMessage crash) {
       to.quarantine
           .handle(from.id, crash, nowMillis)
           .ifPresent(
--- a/core/src/test/java/org/marjoramsail/core/outcome/PromptPartLifecycleTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/PromptPartLifecycleTest.java
@@ -96,6 +96,45 @@
     assertThat(actions).hasAtLeastOneElementOfType(LifecycleAction.Place.class);
   }
 
+  /** Guards against a request that was placed before its part was cut on another host. */
+  @Test
+  void aRequestIsNotSentAtItsGrantWhileItsPartIsHeldBackForACutOnAnotherHost() {
+    RequestLifecycle waiting = start(OPENING, DEADLY);
+    CutMessage cut =
+        new CutMessage(
+            new UpstreamName("engine-1"),
+            Optional.empty(),
+            List.of(new PartSuspects(7, List.of(DEADLY))));
+    quarantine.handle(new DaemonId("entry-2", 1), cut, nowMillis);
+    actions.clear();
+
+    grant(waiting, "engine-2");
+
+    assertThat(actions).noneMatch(LifecycleAction.SendDecode.class::isInstance);
+    nowMillis += 500;
+    handle(waiting, new LifecycleEvent.TimePassed());
+    assertThat(actions).hasAtLeastOneElementOfType(LifecycleAction.Place.class);
+  }
+
+  /** Guards against a request that was placed before its content was cut twice on other hosts. */
+  @Test
+  void aRequestIsNotSentAtItsGrantWhileItsContentWaitsForAProof() {
+    RequestLifecycle waiting = start();
+    for (String upstream : List.of("engine-1", "engine-2")) {
+      CutMessage cut =
+          new CutMessage(
+              new UpstreamName(upstream),
+              Optional.empty(),
+              List.of(new PartSuspects(waiting.profile().fingerprint(), List.of())));
+      quarantine.handle(new DaemonId("entry-2", 1), cut, nowMillis);
+    }
+    actions.clear();
+
+    grant(waiting, "engine-3");
+
+    assertThat(actions).noneMatch(LifecycleAction.SendDecode.class::isInstance);
+  }
+
   @Test
   void aSoundRequestThatSharesTheOtherPartsIsPlaced() {
     giveOutput(OPENING);
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -28,6 +28,7 @@
 import org.marjoramsail.core.message.PeerMessageHandler;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.outcome.CrashReportMessage;
+import org.marjoramsail.core.outcome.CutMessage;
 import org.marjoramsail.core.outcome.Invariant;
 import org.marjoramsail.core.outcome.Invariants;
 import org.marjoramsail.core.outcome.PartClearanceMessage;
@@ -65,6 +66,7 @@
 import org.marjoramsail.daemon.platform.HttpObjectApiSettings;
 import org.marjoramsail.daemon.request.CrashObserver;
 import org.marjoramsail.daemon.request.CrashReportSender;
+import org.marjoramsail.daemon.request.LifecycleDependencies;
 import org.marjoramsail.daemon.request.QuarantineLog;
 import org.marjoramsail.daemon.request.StoredClaims;
 import org.marjoramsail.daemon.settings.Settings;
@@ -212,6 +214,9 @@
     network.register(
         CrashReportMessage.class,
         (from, message) -> quarantine.handle(from, (CrashReportMessage) message, clock.millis()));
+    network.register(
+        CutMessage.class,
+        (from, message) -> quarantine.handle(from, (CutMessage) message, clock.millis()));
     network.register(
         PartCrashMessage.class,
         (from, message) -> crashReports.handle(from, (PartCrashMessage) message, clock.millis()));
@@ -361,8 +366,7 @@
         new StoredClaims(claims),
         upstreams,
         poller::poll,
-        quarantine,
-        invariants,
+        new LifecycleDependencies(quarantine, invariants, crashReports::sendNew),
         clock,
         random,
         json,
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/RequestParts.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/RequestParts.java
@@ -9,9 +9,7 @@
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.DaemonId;
-import org.marjoramsail.core.outcome.Invariants;
 import org.marjoramsail.core.outcome.LifecyclePolicy;
-import org.marjoramsail.core.outcome.Quarantine;
 import org.marjoramsail.core.placement.PlacementService;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.caller.CallerBinding;
@@ -45,17 +43,16 @@
       ClaimGate claims,
       UpstreamParts upstreams,
       Consumer<UpstreamDefinition> probe,
-      Quarantine quarantine,
-      Invariants invariants,
+      LifecycleDependencies lifecycles,
       Clock clock,
       RandomGenerator random,
       ObjectMapper json,
       MeterRegistry meters) {
-    this.metrics = new RequestMetrics(meters, invariants);
+    this.metrics = new RequestMetrics(meters, lifecycles.invariants());
     this.registry =
         new RequestRegistry(
             new RequestDependencies(placement, claims),
-            new LifecycleDependencies(quarantine, invariants),
+            lifecycles,
             metrics,
             new RequestLog(() -> "configuration " + configuration.get().revision()),
             clock,
--- a/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/peer/PeerMessageType.java
@@ -26,6 +26,7 @@
 import org.marjoramsail.core.membership.StateMessage;
 import org.marjoramsail.core.message.PeerMessage;
 import org.marjoramsail.core.outcome.CrashReportMessage;
+import org.marjoramsail.core.outcome.CutMessage;
 import org.marjoramsail.core.outcome.PartClearanceMessage;
 import org.marjoramsail.core.outcome.PartCrashMessage;
 import org.marjoramsail.core.placement.OrganisationUsageMessage;
@@ -82,6 +83,7 @@
   STREAM_RESULT(76, StreamResultMessage.class),
   PART_CRASH(77, PartCrashMessage.class),
   PART_CLEARANCE(78, PartClearanceMessage.class),
+  CUT(79, CutMessage.class),
   OPERATOR_QUESTION(90, OperatorQueryMessage.class),
   OPERATOR_ANSWER(91, OperatorResultMessage.class),
   DRAIN_HOST(92, DrainHostMessage.class),
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/CrashReportSender.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/CrashReportSender.java
@@ -40,8 +40,10 @@
 
   /** Sends the reports that were added since the last call. */
   public synchronized void sendNew() {
-    quarantine.takeMessages().forEach(this::sendToAll);
+    quarantine.takeCutMessages().forEach(this::sendToAll);
+    // Before the crash reports, at which receivers discard the cuts that hold the parts back.
     quarantine.takePartMessages().forEach(this::sendToAll);
+    quarantine.takeMessages().forEach(this::sendToAll);
   }
 
   private void sendToAll(PeerMessage message) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LifecycleDependencies.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LifecycleDependencies.java
@@ -8,5 +8,7 @@
  *
  * @param quarantine detects requests whose content crashes upstreams
  * @param invariants handles violated invariants of the program
+ * @param sendReports sends the new reports of the quarantine to the other daemons
  */
-public record LifecycleDependencies(Quarantine quarantine, Invariants invariants) {}
+public record LifecycleDependencies(
+    Quarantine quarantine, Invariants invariants, Runnable sendReports) {}
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -28,6 +28,7 @@
   private final RequestLifecycle lifecycle;
   private final RequestTrace trace;
   private final ActionRunner runner;
+  private final Runnable sendReports;
   private final Runnable onSettled;
   private final Deque<LifecycleEvent> mailbox = new ArrayDeque<>(2);
   private boolean draining;
@@ -42,6 +43,7 @@
       TaskScheduler scheduler,
       RequestLifecycle lifecycle,
       ActionRunner runner,
+      Runnable sendReports,
       Runnable onSettled) {
     this.shardLock = shardLock;
     this.executor = executor;
@@ -50,6 +52,7 @@
     this.lifecycle = lifecycle;
     this.trace = new RequestTrace(lifecycle.profile().receivedAtMillis());
     this.runner = runner;
+    this.sendReports = sendReports;
     this.onSettled = onSettled;
   }
 
@@ -138,10 +141,25 @@
   }
 
   private void handle(LifecycleEvent event) {
-    runAll(decide(event));
+    List<LifecycleAction> actions = decide(event);
+    try {
+      reportCut(event);
+    } finally {
+      runAll(actions);
+    }
     updateAfterEvent();
   }
 
+  /**
+   * Reports a cut to the other daemons before the caller gets a response, after which it may repeat
+   * the request on another daemon.
+   */
+  private void reportCut(LifecycleEvent event) {
+    if (event instanceof LifecycleEvent.UpstreamFailed failed && failed.failure().mayBeCrash()) {
+      sendReports.run();
+    }
+  }
+
   private List<LifecycleAction> decide(LifecycleEvent event) {
     synchronized (shardLock) {
       long nowMillis = clock.millis();
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
@@ -112,6 +112,7 @@
         scheduler,
         lifecycle,
         runner,
+        lifecycleDependencies.sendReports(),
         () -> removeSettled(shard, request));
   }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -400,7 +400,9 @@
         new RequestRegistry(
             new RequestDependencies(placement, new NoClaims()),
             new LifecycleDependencies(
-                new Quarantine(600_000, 500, 10_000, QuarantineListener.NONE), invariants),
+                new Quarantine(600_000, 500, 10_000, QuarantineListener.NONE),
+                invariants,
+                () -> {}),
             new RequestMetrics(meters, invariants),
             new RequestLog(() -> ""),
             members::millis,
--- a/daemon/src/test/java/org/marjoramsail/daemon/request/FailingActionTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/request/FailingActionTest.java
@@ -25,6 +25,7 @@
 import org.marjoramsail.core.outcome.Quarantine;
 import org.marjoramsail.core.outcome.QuarantineListener;
 import org.marjoramsail.core.outcome.RequestProfile;
+import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.core.placement.AttemptPhase;
 import org.marjoramsail.core.placement.AttemptReport;
 import org.marjoramsail.core.placement.Grant;
@@ -54,12 +55,16 @@
   private boolean isRefusalLogFailing;
   private boolean isMemoryExhausted;
   private boolean isStackExhausted;
+  private boolean isCutReportFailing;
+  private final List<Integer> endedAttemptsAtCutReports = new ArrayList<>();
 
   private final RequestRegistry registry =
       new RequestRegistry(
           new RequestDependencies(new FailingPlacement(), new NoClaims()),
           new LifecycleDependencies(
-              new Quarantine(60_000, 2_000, 100, QuarantineListener.NONE), invariants),
+              new Quarantine(60_000, 2_000, 100, QuarantineListener.NONE),
+              invariants,
+              this::sendCutReports),
           new RequestMetrics(meters, invariants),
           new RequestLog(this::configurationSummary),
           () -> 0,
@@ -143,6 +148,43 @@
     assertThat(cancelled).containsExactly(1);
   }
 
+  /** Guards against a caller that repeats the request on a daemon that has no report yet. */
+  @Test
+  void aCutIsReportedToOtherDaemonsBeforeAnythingElseHappens() {
+    register();
+
+    cut();
+
+    assertThat(endedAttemptsAtCutReports).containsExactly(0);
+    assertThat(reports).extracting(AttemptReport::phase).containsExactly(AttemptPhase.ENDED);
+  }
+
+  @Test
+  void aRequestWhoseCutCannotBeReportedIsRefusedAndItsUpstreamReleased() {
+    isCutReportFailing = true;
+    register();
+
+    cut();
+
+    assertThat(refusals).extracting(Refusal::reason).containsExactly(RefusalReason.INTERNAL);
+    assertThat(cancelled).containsExactly(1);
+    assertThat(reports).extracting(AttemptReport::phase).containsExactly(AttemptPhase.ENDED);
+    assertThat(registry.size()).isZero();
+  }
+
+  private void sendCutReports() {
+    endedAttemptsAtCutReports.add(reports.size());
+    if (isCutReportFailing) {
+      throw new IllegalStateException("no transport");
+    }
+  }
+
+  private void cut() {
+    upstreamEvents
+        .orElseThrow()
+        .accept(new LifecycleEvent.UpstreamFailed(1, UPSTREAM, UpstreamFailure.CUT));
+  }
+
   private String configurationSummary() {
     if (isRefusalLogFailing) {
       throw new IllegalStateException("no summary");
--- a/daemon/src/test/java/org/marjoramsail/daemon/request/PromptPartReportsTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/request/PromptPartReportsTest.java
@@ -14,6 +14,7 @@
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.outcome.CutMessage;
 import org.marjoramsail.core.outcome.PartClearanceMessage;
 import org.marjoramsail.core.outcome.PartCrashMessage;
 import org.marjoramsail.core.outcome.Quarantine;
@@ -52,6 +53,24 @@
     }
   }
 
+  /** Guards against requests at one host after another until the first crash is proven. */
+  @Test
+  void aPartThatWasCutBehindOneHostIsHeldBackByTheOthersBeforeTheProof() {
+    join(fleet);
+    giveOutput(fleet.get(2), DEADLY);
+    UpstreamName upstream = new UpstreamName("engine");
+    RequestId request = new RequestId("summary");
+    Quarantine first = quarantines.get(fleet.get(0));
+    first.started(upstream, request, 1, 7, List.of(OPENING, DEADLY));
+
+    first.connectionLost(upstream, request, 1, 5);
+    senders.get(fleet.get(0)).sendNew();
+
+    assertThat(quarantines.get(fleet.get(1)).isPartOnTrial(List.of(DEADLY), 5)).isTrue();
+    assertThat(quarantines.get(fleet.get(2)).isPartOnTrial(List.of(DEADLY), 5)).isFalse();
+    assertThat(quarantines.get(fleet.get(2)).isPartOnTrial(List.of(OPENING), 5)).isTrue();
+  }
+
   /** Guards against a host that has just started and lets a refused part crash further servers. */
   @Test
   void aHostThatJoinsRefusesThePartsThatTheOthersRefuse() {
@@ -89,7 +108,9 @@
 
   private void deliver(DaemonId from, DaemonId to, PeerMessage sent) {
     PeerMessage message = overTheWire(sent);
-    if (message instanceof PartCrashMessage crash) {
+    if (message instanceof CutMessage cut) {
+      quarantines.get(to).handle(from, cut, 5);
+    } else if (message instanceof PartCrashMessage crash) {
       senders.get(to).handle(from, crash, 5);
     } else if (message instanceof PartClearanceMessage clearance) {
       senders.get(to).handle(from, clearance, 5);
