Move the profiles of forwarded requests out of ForwardServer

The profile of a request, with its identifier and fingerprint, is now created by ForwardProfiles, and AcceptedRequest has a file of its own. No behaviour changes.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -9,8 +9,6 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -21,13 +19,8 @@
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.model.Incarnation;
-import org.marjoramsail.core.model.RequestId;
-import org.marjoramsail.core.model.ServiceClass;
-import org.marjoramsail.core.model.StreamChunking;
 import org.marjoramsail.core.model.UpstreamName;
-import org.marjoramsail.core.outcome.Fingerprint;
 import org.marjoramsail.core.outcome.RequestProfile;
-import org.marjoramsail.core.outcome.SharedPromptPart;
 import org.marjoramsail.core.routing.CallerAccess;
 import org.marjoramsail.core.routing.CallerLimits;
 import org.marjoramsail.core.routing.ForwardingRules;
@@ -61,11 +54,11 @@
   private final PathMonitor paths;
   private final RelayServer relayServer;
   private final ResumedStreams resumedStreams;
+  private final ForwardProfiles profiles;
   private final ListeningPort port = new ListeningPort();
   private final CallerConnections connections;
   private final StopState stop;
   private HttpServer server;
-  private long sequence;
 
   /**
    * Creates a server that does not listen yet.
@@ -113,6 +106,9 @@
             () -> !paths.isCutOff() && !stop.isRefusing());
     this.resumedStreams =
         new ResumedStreams(dependencies.streams(), dependencies.versions(), dependencies.meters());
+    this.profiles =
+        new ForwardProfiles(
+            dependencies.daemon(), dependencies.forecast(), dependencies.tokensPerEvent());
     this.exchangeDependencies =
         new ForwardDependencies(
             dependencies.protocol(),
@@ -464,7 +460,7 @@
             hasBody,
             accepted.parameters(),
             accepted.organisation().map(OrganisationDefinition::name));
-    RequestProfile profile = profileOf(forwarded, accepted, origin);
+    RequestProfile profile = profiles.create(forwarded, accepted, origin);
     ForwardExchange exchange =
         new ForwardExchange(exchangeDependencies, forwarded, profile, request, route);
     Context context = vertx.getOrCreateContext();
@@ -483,53 +479,6 @@
                 task -> context.runOnContext(ignored -> task.run())));
   }
 
-  private RequestProfile profileOf(
-      ForwardedRequest request, AcceptedRequest accepted, Optional<StreamOrigin> origin) {
-    CallerParameters parameters = accepted.parameters();
-    Route route = accepted.route();
-    long receivedAtMillis = accepted.receivedAtMillis();
-    boolean generation = route.streaming() && parameters.promptTokens() > 0;
-    String service =
-        origin
-            .map(StreamOrigin::service)
-            .orElseGet(() -> route.serviceFor(Fingerprint.of(parameters.attempt(), new byte[0])));
-    int outputTokens =
-        generation
-            ? dependencies
-                .forecast()
-                .expectedTokens(
-                    route.name(), parameters.outputTokens(), parameters.expectedTokens())
-            : 0;
-    return new RequestProfile(
-        new RequestId(parameters.attempt() + "." + dependencies.daemon().host() + "." + sequence++),
-        dependencies.daemon(),
-        service,
-        accepted.organisationName(),
-        route.name(),
-        ServiceClass.TIMELY,
-        route.repeatability(),
-        generation,
-        false,
-        generation ? parameters.promptTokens() : 0,
-        outputTokens,
-        List.of(),
-        fingerprint(service, request),
-        receivedAtMillis,
-        ForwardingRules.targetAtMillis(route, receivedAtMillis),
-        ForwardingRules.deadlineAtMillis(route, receivedAtMillis, parameters.timeoutMillis()),
-        new StreamChunking(dependencies.tokensPerEvent().apply(service), route.gapTargetMillis()),
-        accepted
-            .organisation()
-            .map(
-                holder ->
-                    holder.countedTokens(parameters.promptTokens(), parameters.outputTokens()))
-            .orElse(0),
-        origin.map(StreamOrigin::version),
-        parameters.sharedPromptParts().stream()
-            .map(id -> SharedPromptPart.of(service, accepted.organisationName(), id))
-            .toList());
-  }
-
   /** Reports the connections to upstreams that are opened. */
   private final class ConnectResults implements ConnectListener {
 
@@ -552,32 +501,6 @@
     }
   }
 
-  /** A request whose head was accepted. */
-  private record AcceptedRequest(
-      HttpServerRequest request,
-      CallerParameters parameters,
-      Route route,
-      Optional<OrganisationDefinition> organisation,
-      long receivedAtMillis,
-      BodyMemory.Account memory) {
-
-    /** Returns the organisation of the caller, or the host if callers need no key. */
-    String organisationName() {
-      return organisation.map(OrganisationDefinition::name).orElse(route.host());
-    }
-
-    String attempt() {
-      return parameters.attempt();
-    }
-  }
-
-  private static long fingerprint(String service, ForwardedRequest request) {
-    byte[] line = (request.method() + " " + request.uri() + "\n").getBytes(StandardCharsets.UTF_8);
-    byte[] whole = Arrays.copyOf(line, line.length + request.body().length());
-    request.body().getBytes(whole, line.length);
-    return Fingerprint.of(service, whole);
-  }
-
   private void recordOutputLength(RequestProfile profile, int maximumTokens, int eventCount) {
     int tokens = eventCount * dependencies.tokensPerEvent().apply(profile.service());
     dependencies.forecast().update(profile.rule(), maximumTokens, tokens);
