Accept all connections in the queue before a port closes

What callers saw: as a daemon stops, calls on connections that were just opened end with "Connection reset" a few milliseconds after they were sent.

Cause: the operating system resets the connections in the accept queue when the port closes. The acceptor closed the port without a look at the queue, behind whatever kept its event loop busy. A channel that is closed while it is registered with a selector also listens on until the selector's next pass: the close was reported while new connections were still established, to be reset.

Fix: the channel is deregistered first, so that the close takes effect at once. After the selector's next pass its event loop accepts until a read finds the queue empty, and closes with no other task between.

--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/ListeningPort.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/ListeningPort.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.daemon.connection;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.http.HttpConnection;
@@ -11,24 +12,31 @@
  * Port of an HTTP server, which can be closed before the server.
  *
  * <p>Guards against connections that are accepted while the server is shut down: the library closes
- * those that it has not yet handed to an event loop, and their callers get no response.
+ * those that it has not yet handed to an event loop, and their callers get no response. Safe for
+ * several threads.
  */
 public final class ListeningPort {
 
   private Optional<Channel> channel = Optional.empty();
 
-  /** Takes the port from a connection that it has accepted. */
+  /** Takes the port from the first connection that it has accepted. */
   public synchronized void accepted(HttpConnection connection) {
     if (channel.isEmpty() && connection instanceof ConnectionBase base) {
       channel = Optional.ofNullable(base.channelHandlerContext().channel().parent());
     }
   }
 
-  /** Accepts no further connections; those that are accepted continue. */
+  /**
+   * Accepts the connections that the operating system has established, and none after them; those
+   * that are accepted continue.
+   */
   public synchronized Future<Void> close() {
+    if (channel.isEmpty()) {
+      return Future.succeededFuture();
+    }
     Promise<Void> closed = Promise.promise();
-    channel.ifPresentOrElse(
-        listening -> listening.close().addListener(done -> closed.complete()), closed::complete);
+    ChannelFuture unused =
+        OrderlyPortClose.close(channel.get()).addListener(done -> closed.complete());
     return closed.future();
   }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
@@ -34,6 +34,7 @@
 import org.marjoramsail.core.routing.RoutingConfiguration;
 import org.marjoramsail.core.routing.WeightedService;
 import org.marjoramsail.core.time.ManualClock;
+import org.marjoramsail.daemon.fixture.AcceptQueue;
 import org.marjoramsail.daemon.fixture.Waits;
 
 /** Guards against a caller without a response after the handling of its request threw. */
@@ -43,6 +44,9 @@
 
   private static final String ADDRESS = "127.0.0.1";
   private static final String HOST = "desk.example";
+  private static final int QUEUED = 20;
+  private static final String CLOSING_CALL =
+      "GET /unknown HTTP/1.1\r\nhost: desk.example\r\nconnection: close\r\n\r\n";
   private static final int BODY_MEMORY_BYTES = 1_000;
   private static final RoutingConfiguration ROUTING =
       new RoutingConfiguration(
@@ -149,6 +153,24 @@
     assertThat(reasonOf(answer)).isEqualTo("stopping");
   }
 
+  /** Guards against a reset of callers and of other daemons as the ports close. */
+  @Test
+  void portsThatCloseServeAllConnectionsInTheirAcceptQueues() throws Exception {
+    int relayPort = Waits.get(server.startRelay(ADDRESS, 0));
+    try (AcceptQueue first = new AcceptQueue(vertx)) {
+      first.add(1, port, CLOSING_CALL).add(1, relayPort, CLOSING_CALL).release().results();
+    }
+
+    try (AcceptQueue queue = new AcceptQueue(vertx)) {
+      queue.add(QUEUED, port, CLOSING_CALL).add(QUEUED, relayPort, CLOSING_CALL);
+      Future<Void> unused = server.closePort();
+      List<String> results = queue.release().results();
+
+      assertThat(results.subList(0, QUEUED)).containsOnly("HTTP/1.1 404 Not Found");
+      assertThat(results.subList(QUEUED, 2 * QUEUED)).containsOnly("HTTP/1.1 403 Forbidden");
+    }
+  }
+
   private static String reasonOf(Answer answer) {
     return answer.body().toJsonObject().getString("reason");
   }
