Complete the close of a port on the context of its caller

What callers saw: nothing yet. Cause: the future of a closed port completed on the acceptor's thread, so that the rest of a graceful stop, which runs on one event loop, ran on another thread beside it, with timers on a context of its own: a data race on the connections that the stop counts.

Evidence: the new test of ListeningPort found no context where the future completed; it is now that of the caller, since the listener of the channel returns to it before it completes the future.

--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/ListeningPort.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/ListeningPort.java
@@ -2,8 +2,10 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
 import java.util.Optional;
@@ -17,8 +19,14 @@
  */
 public final class ListeningPort {
 
+  private final Vertx vertx;
   private Optional<Channel> channel = Optional.empty();
 
+  /** Creates a port that has accepted no connection. */
+  public ListeningPort(Vertx vertx) {
+    this.vertx = vertx;
+  }
+
   /** Takes the port from the first connection that it has accepted. */
   public synchronized void accepted(HttpConnection connection) {
     if (channel.isEmpty() && connection instanceof ConnectionBase base) {
@@ -29,14 +37,18 @@
   /**
    * Accepts the connections that the operating system has established, and none after them; those
    * that are accepted continue.
+   *
+   * @return completes on the context of the caller
    */
   public synchronized Future<Void> close() {
     if (channel.isEmpty()) {
       return Future.succeededFuture();
     }
+    Context context = vertx.getOrCreateContext();
     Promise<Void> closed = Promise.promise();
     ChannelFuture unused =
-        OrderlyPortClose.close(channel.get()).addListener(done -> closed.complete());
+        OrderlyPortClose.close(channel.get())
+            .addListener(done -> context.runOnContext(ignored -> closed.complete()));
     return closed.future();
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -55,7 +55,7 @@
   private final RelayServer relayServer;
   private final ResumedStreams resumedStreams;
   private final ForwardProfiles profiles;
-  private final ListeningPort port = new ListeningPort();
+  private final ListeningPort port;
   private final CallerConnections connections;
   private final StopState stop;
   private HttpServer server;
@@ -70,6 +70,7 @@
   public ForwardServer(Vertx vertx, ForwardServerDependencies dependencies, ObjectMapper json) {
     this.vertx = vertx;
     this.dependencies = dependencies;
+    this.port = new ListeningPort(vertx);
     this.connections = new CallerConnections(vertx);
     this.stop = new StopState(dependencies.clock());
     ConnectionCloseHeader connectionCloseHeader = new ConnectionCloseHeader(stop::isAnnounced);
@@ -162,7 +163,11 @@
     stop.announce(refuseFromMillis, refuseAllFromMillis);
   }
 
-  /** Accepts no further connections; requests on those that are open are served. */
+  /**
+   * Accepts no further connections; requests on those that are open are served.
+   *
+   * @return completes on the context of the caller
+   */
   public Future<Void> closePort() {
     return Future.join(port.close(), relayServer.closePort()).mapEmpty();
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -43,7 +43,7 @@
   private final UpstreamConnections connections;
   private final CallLog calls;
   private final BooleanSupplier available;
-  private final ListeningPort port = new ListeningPort();
+  private final ListeningPort port;
   private Optional<HttpServer> server = Optional.empty();
   private int running;
   private long accepted;
@@ -66,6 +66,7 @@
       Clock clock,
       BooleanSupplier available) {
     this.vertx = vertx;
+    this.port = new ListeningPort(vertx);
     this.token = token.getBytes(StandardCharsets.UTF_8);
     this.protocol = protocol;
     this.upstreams = upstreams;
--- a/daemon/src/test/java/org/marjoramsail/daemon/connection/ListeningPortTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/connection/ListeningPortTest.java
@@ -4,7 +4,9 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
@@ -30,7 +32,7 @@
   private static final int CALLERS = 50;
 
   private final Vertx vertx = Vertx.vertx();
-  private final ListeningPort port = new ListeningPort();
+  private final ListeningPort port = new ListeningPort(vertx);
   private final CompletableFuture<Channel> listening = new CompletableFuture<>();
   private int portNumber;
 
@@ -75,6 +77,22 @@
     assertThat(connected.join()).isFalse();
   }
 
+  /** Guards against the rest of a stop on another thread than its own. */
+  @Test
+  void aCloseCompletesOnTheContextOfItsCaller() throws Exception {
+    call();
+    Context context = vertx.getOrCreateContext();
+    Promise<Context> completedOn = Promise.promise();
+
+    context.runOnContext(
+        begins -> {
+          Future<Void> unused =
+              port.close().onComplete(closed -> completedOn.complete(Vertx.currentContext()));
+        });
+
+    assertThat(Waits.get(completedOn.future())).isSameAs(context);
+  }
+
   private void opened(HttpConnection connection) {
     port.accepted(connection);
     listening.complete(((ConnectionBase) connection).channelHandlerContext().channel().parent());
