Close a port that has not accepted a connection with its first one

What callers saw: nothing yet. Cause: a port is known from the first connection that it accepts. A stop before that left the port open until the server was shut down, which drops the connections that are accepted meanwhile.

The first connection after the request now closes the port, and is served as those in the queue are.

--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/ListeningPort.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/ListeningPort.java
@@ -21,6 +21,7 @@
 
   private final Vertx vertx;
   private Optional<Channel> channel = Optional.empty();
+  private boolean closing;
 
   /** Creates a port that has accepted no connection. */
   public ListeningPort(Vertx vertx) {
@@ -31,16 +32,20 @@
   public synchronized void accepted(HttpConnection connection) {
     if (channel.isEmpty() && connection instanceof ConnectionBase base) {
       channel = Optional.ofNullable(base.channelHandlerContext().channel().parent());
+      if (closing && channel.isPresent()) {
+        ChannelFuture unused = OrderlyPortClose.close(channel.get());
+      }
     }
   }
 
   /**
    * Accepts the connections that the operating system has established, and none after them; those
-   * that are accepted continue.
+   * that are accepted continue. A port without a connection closes after its first one.
    *
    * @return completes on the context of the caller
    */
   public synchronized Future<Void> close() {
+    closing = true;
     if (channel.isEmpty()) {
       return Future.succeededFuture();
     }
--- a/daemon/src/test/java/org/marjoramsail/daemon/connection/ListeningPortTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/connection/ListeningPortTest.java
@@ -93,6 +93,16 @@
     assertThat(Waits.get(completedOn.future())).isSameAs(context);
   }
 
+  /** Guards against a port without callers that accepts them while its server is shut down. */
+  @Test
+  void aPortThatIsClosedBeforeItsFirstConnectionServesThatOneAndClosesThen() throws Exception {
+    Waits.get(port.close());
+
+    call();
+
+    Waits.until("the port refuses connections", () -> !connects());
+  }
+
   private void opened(HttpConnection connection) {
     port.accepted(connection);
     listening.complete(((ConnectionBase) connection).channelHandlerContext().channel().parent());
