Close the port of the caller server before the server

What callers saw: at the end of a stop of the caller server, connections in the accept queue were reset, and accepted ones that no event loop had yet were closed by the library without a response.

Cause: the server was shut down with its port open. The port is now closed as that of the forwarding server, and the last connections have 100 ms in which their requests are refused as not run; then the server is shut down.

Evidence: CallerServerStopTest, 40 callers in the queue of a busy acceptor: all were reset before, all get 503 now.

--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -15,6 +16,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.daemon.connection.ListeningPort;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -28,6 +30,9 @@
 
   private static final long FINISH_CHECK_MILLIS = 20;
 
+  /** Time after the port is closed in which the last accepted connections send their requests. */
+  private static final long LAST_REQUESTS_MILLIS = 100;
+
   /** Time after the last request has ended in which responses are written. */
   private static final long LAST_RESPONSES_MILLIS = 500;
 
@@ -37,6 +42,7 @@
   private final CallerDependencies dependencies;
   private final CallerHandler handler;
   private final ConnectionGuard connections;
+  private final ListeningPort listeningPort;
   private final AtomicInteger port = new AtomicInteger();
   private final Queue<HttpServer> servers = new ConcurrentLinkedQueue<>();
   private volatile StopPhase phase = StopPhase.SERVING;
@@ -59,6 +65,7 @@
     this.handler =
         new CallerHandler(vertx, dependencies, limits, new RequestIds(dependencies.daemon()));
     this.connections = new ConnectionGuard(vertx, limits);
+    this.listeningPort = new ListeningPort(vertx);
   }
 
   /**
@@ -120,7 +127,10 @@
         .registry()
         .endAll(
             Refusal.unknown(RefusalReason.STOPPING, "The time for the stop of this daemon ended."));
-    Future.join(servers.stream().map(CallerServer::shutdown).toList())
+    listeningPort
+        .close()
+        .compose(portClosed -> vertx.timer(LAST_REQUESTS_MILLIS))
+        .compose(refused -> Future.join(servers.stream().map(CallerServer::shutdown).toList()))
         .eventually(() -> vertx.undeploy(deployment))
         .onComplete(
             done -> {
@@ -129,7 +139,7 @@
             });
   }
 
-  /** Closes the port, and each connection once its response is written. */
+  /** Closes each connection once its response is written. */
   private static Future<Void> shutdown(HttpServer server) {
     return server.shutdown(LAST_RESPONSES_MILLIS, TimeUnit.MILLISECONDS);
   }
@@ -142,6 +152,11 @@
         .log("stopping");
   }
 
+  private void opened(HttpConnection connection) {
+    listeningPort.accepted(connection);
+    connections.opened(connection);
+  }
+
   private void serve(HttpServerRequest request) {
     if (!connections.admit(request)) {
       handler.refuse(
@@ -184,7 +199,7 @@
       HttpServer server =
           vertx
               .createHttpServer(options)
-              .connectionHandler(connections::opened)
+              .connectionHandler(CallerServer.this::opened)
               .invalidRequestHandler(CallerServer.this::invalid)
               .requestHandler(CallerServer.this::serve);
       servers.add(server);
