Give network paths of stand-ins a constant time

Callers of stand-ins and of soaks sat beside their daemons: a path took no time, so that no response was under way when a process ended. LinkStandIn now takes a time for new connections, bytes and ends of connections, each way, in order.

A server that refuses a connection is seen by its caller as one that closes it, since the proxy has accepted it. onRefused therefore gives the port of the caller. The connection of a caller that leaves before its path reaches the server is closed; it would have stayed open.

--- a/standin/src/main/java/org/marjoramsail/standin/network/LinkStandIn.java
+++ b/standin/src/main/java/org/marjoramsail/standin/network/LinkStandIn.java
@@ -9,12 +9,15 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntConsumer;
 import java.util.function.LongUnaryOperator;
 import org.marjoramsail.core.time.Clock;
 
 /**
  * A network path to a server that can be cut: a TCP proxy that holds all bytes meanwhile, as the
- * operating system of their sender does.
+ * operating system of their sender does. New connections, bytes and ends of connections take the
+ * same constant time to the other side.
  *
  * <p>After the cut, the held bytes of a connection that its sender has closed are delivered; those
  * of a connection that its sender has reset are discarded. Safe for several threads.
@@ -26,12 +29,19 @@
   private final Vertx vertx;
   private final Clock clock;
   private final LongUnaryOperator deliveryDelay;
+  private final long pathMillis;
   private final NetClient client;
   private final Set<Direction> directions = new HashSet<>();
+  private volatile IntConsumer refusalListener = port -> {};
   private NetServer server;
   private boolean cut;
   private int closedByCallers;
 
+  /** Creates a path that is not cut and takes no time. */
+  public LinkStandIn(Vertx vertx, Clock clock, LongUnaryOperator deliveryDelay) {
+    this(vertx, clock, deliveryDelay, 0);
+  }
+
   /**
    * Creates a path that is not cut.
    *
@@ -39,11 +49,13 @@
    * @param clock returns the current time
    * @param deliveryDelay returns the delay of bytes after a cut, from the time for which they were
    *     held, both in milliseconds
+   * @param pathMillis time from one side to the other
    */
-  public LinkStandIn(Vertx vertx, Clock clock, LongUnaryOperator deliveryDelay) {
+  public LinkStandIn(Vertx vertx, Clock clock, LongUnaryOperator deliveryDelay, long pathMillis) {
     this.vertx = vertx;
     this.clock = clock;
     this.deliveryDelay = deliveryDelay;
+    this.pathMillis = pathMillis;
     this.client = vertx.createNetClient();
   }
 
@@ -58,6 +70,14 @@
     return atMillis - heldMillis;
   }
 
+  /**
+   * Sets the listener for connections that the server refuses, which gets the ports of their
+   * callers: the proxy has accepted them, so that these see a connection that is closed.
+   */
+  public void onRefused(IntConsumer listener) {
+    refusalListener = listener;
+  }
+
   /** Listens in front of a server on the same address; returns the port. */
   public Future<Integer> start(String address, int targetPort) {
     server = vertx.createNetServer();
@@ -93,10 +113,20 @@
 
   private synchronized void opened(NetSocket near, String address, int targetPort) {
     near.pause();
-    client
-        .connect(targetPort, address)
-        .onSuccess(far -> join(near, far))
-        .onFailure(cause -> near.close());
+    Future<NetSocket> reached = afterPath().compose(passed -> client.connect(targetPort, address));
+    near.closeHandler(ended -> reached.onSuccess(NetSocket::close));
+    reached.onSuccess(far -> join(near, far)).onFailure(cause -> refused(near));
+  }
+
+  private Future<Void> afterPath() {
+    return pathMillis == 0
+        ? Future.succeededFuture()
+        : vertx.timer(pathMillis, TimeUnit.MILLISECONDS).mapEmpty();
+  }
+
+  private void refused(NetSocket near) {
+    refusalListener.accept(near.remoteAddress().port());
+    afterPath().onSuccess(passed -> near.close());
   }
 
   private synchronized void join(NetSocket near, NetSocket far) {
@@ -117,9 +147,9 @@
     Direction(NetSocket source, NetSocket target, Runnable onClose) {
       this.target = target;
       this.onClose = onClose;
-      source.handler(this::received);
-      source.exceptionHandler(reset -> discard());
-      source.closeHandler(ignored -> ended());
+      source.handler(bytes -> afterPath().onSuccess(passed -> received(bytes)));
+      source.exceptionHandler(reset -> afterPath().onSuccess(passed -> discard()));
+      source.closeHandler(ignored -> afterPath().onSuccess(passed -> ended()));
     }
 
     private void received(Buffer bytes) {
