--- a/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
@@ -90,7 +90,7 @@
     this.arrivals = arrivals;
     this.random = random;
     this.caller = new CallerStandIn(vertx, LoopbackPlatform.ADDRESS, clock);
-    caller.onSent(arrivals::sent);
+    caller.onSent((attempt, port) -> arrivals.sent(attempt));
   }
 
   /** Sends requests from now on until a time. */
