Let the soak play longer paths and connections kept busy

All calls are judged by LossLog; one behind an announced close counts as lost only if it had reached a server, and refused connections count as not sent.

--- a/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
+++ b/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
@@ -41,6 +41,9 @@
           + " settings again, and that do neither. Calls beside an unplanned disturbance of their"
           + " daemon, their server or a path do not count, nor do those at the deadline of their"
           + " caller.",
+      "Some callers keep connections to every daemon busy until its process is gone. Half of them"
+          + " ignore that a response announces the close of its connection; what they send behind"
+          + " it is lost only when it had reached a server.",
       "Ends with 3 when a rule was broken, when no request of a kind was served, or when fewer than"
           + " nine tenths of the requests were sent on time."
     })
@@ -58,6 +61,7 @@
   private static final int MOST_SECONDS = 3_600;
   private static final int MOST_RATE = 2_000;
   private static final int MOST_SLACK = 100_000;
+  private static final int MOST_PATH_MILLIS = 1_000;
   private static final String FAULTS = "--faults";
 
   @Option(name = "--daemons", title = "COUNT", description = "daemons, 1 to 100; default 12")
@@ -87,6 +91,19 @@
       description = "plain requests a second; default 30")
   private int plainRequests = 30;
 
+  @Option(
+      name = "--path-millis",
+      title = "MILLISECONDS",
+      description =
+          "time from callers to daemons, from daemons to servers, and back, 0 to 1000; default 0")
+  private int pathMillis;
+
+  @Option(
+      name = "--kept",
+      title = "REQUESTS",
+      description = "most requests a second on connections that are kept busy; default 20")
+  private int keptRequests = 20;
+
   @Option(name = "--seconds", title = "SECONDS", description = "how long, 1 to 3600; default 30")
   private int seconds = 30;
 
@@ -125,6 +142,8 @@
     require("--slack", retrySlack, 0, MOST_SLACK);
     require("--streams", streams, 0, MOST_RATE);
     require("--requests", plainRequests, 1, MOST_RATE);
+    require("--path-millis", pathMillis, 0, MOST_PATH_MILLIS);
+    require("--kept", keptRequests, 0, MOST_RATE);
     require("--seconds", seconds, 1, MOST_SECONDS);
     return new PlatformSoakSetup(
         daemons,
@@ -136,7 +155,9 @@
         plainRequests,
         seconds,
         seed,
-        chosenFaults());
+        chosenFaults(),
+        pathMillis,
+        keptRequests);
   }
 
   private List<PlatformFault> chosenFaults() throws UsageException {
@@ -219,8 +240,12 @@
       PlatformSoakReport.Unanswered unanswered, PrintStream output) {
     output.printf(
         "%d stops, %d reloads; calls without a complete response: %d at their deadline, %d beside"
-            + " disturbances%n",
-        unanswered.stops(), unanswered.reloads(), unanswered.atDeadline(), unanswered.disturbed());
+            + " disturbances, %d not sent%n",
+        unanswered.stops(),
+        unanswered.reloads(),
+        unanswered.atDeadline(),
+        unanswered.disturbed(),
+        unanswered.notSent());
     for (UnansweredCall.Phase phase : UnansweredCall.Phase.values()) {
       output.printf("calls without a response, %s:", phase.code());
       for (UnansweredCall.Reason reason : UnansweredCall.Reason.values()) {
--- a/command/src/main/java/org/marjoramsail/command/platform/LossLog.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/LossLog.java
@@ -45,7 +45,8 @@
 
   private record Sent(String host, long atMillis) {}
 
-  private record Unanswered(String request, Sent sent, long endMillis, String cause) {
+  private record Unanswered(
+      String request, Sent sent, long endMillis, String cause, boolean isBehindClose) {
     long lastedMillis() {
       return endMillis - sent.atMillis();
     }
@@ -58,6 +59,7 @@
   private final Map<String, Set<String>> servers = new HashMap<>();
   private final List<Unanswered> unanswered = new ArrayList<>();
   private int givenUp;
+  private int notSent;
 
   /** Records that a daemon is told to stop. */
   void stopBegins(String host, long nowMillis) {
@@ -100,9 +102,31 @@
    * @param cause what the caller saw
    */
   void unanswered(String request, long nowMillis, String cause) {
+    add(request, nowMillis, cause, false);
+  }
+
+  /**
+   * Records that a call ends without a response behind one that announced the close of their
+   * connection.
+   *
+   * @param cause what the caller saw
+   */
+  void unansweredBehindClose(String request, long nowMillis, String cause) {
+    add(request, nowMillis, cause, true);
+  }
+
+  private void add(String request, long nowMillis, String cause, boolean isBehindClose) {
     // Of a request that was not sent, nothing can be lost.
     Optional.ofNullable(sent.get(request))
-        .ifPresent(call -> unanswered.add(new Unanswered(request, call, nowMillis, cause)));
+        .ifPresentOrElse(
+            call -> unanswered.add(new Unanswered(request, call, nowMillis, cause, isBehindClose)),
+            () -> notSent++);
+  }
+
+  /** Records that the connection of a call was refused, so that its request was not sent. */
+  void refused(String request) {
+    sent.remove(request);
+    notSent++;
   }
 
   /** Records that a caller no longer waits for a response. */
@@ -115,7 +139,7 @@
   /** Returns the result. */
   PlatformSoakReport.Unanswered result() {
     List<UnansweredCall> lost = new ArrayList<>();
-    List<UnansweredCall> crossed = new ArrayList<>();
+    List<UnansweredCall> notCounted = new ArrayList<>();
     int atDeadline = givenUp;
     int disturbed = 0;
     for (Unanswered call : unanswered) {
@@ -125,17 +149,20 @@
         disturbed++;
       } else {
         UnansweredCall.Reason reason = reason(call);
-        (reason == UnansweredCall.Reason.CROSSED ? crossed : lost).add(describe(call, reason));
+        (reason.isLost() ? lost : notCounted).add(describe(call, reason));
       }
     }
     return new PlatformSoakReport.Unanswered(
-        count(stops), count(reloads), lost, crossed, atDeadline, disturbed);
+        count(stops), count(reloads), lost, notCounted, atDeadline, disturbed, notSent);
   }
 
   private UnansweredCall.Reason reason(Unanswered call) {
     if (servers.containsKey(call.request())) {
       return UnansweredCall.Reason.PASSED_ON;
     }
+    if (call.isBehindClose()) {
+      return UnansweredCall.Reason.BEHIND_CLOSE;
+    }
     return call.lastedMillis() > SLACK_MILLIS
         ? UnansweredCall.Reason.NOT_PASSED_ON
         : UnansweredCall.Reason.CROSSED;
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
@@ -56,23 +56,27 @@
     private final String name;
     private final ListenSettings listen;
     private final LinkStandIn storePath;
+    private final LinkStandIn callerPath;
     private Optional<Endpoint> store = Optional.empty();
+    private Optional<Endpoint> entrance = Optional.empty();
     private Optional<FleetDaemon> process = Optional.empty();
     private boolean isPaused;
     private Optional<FleetDaemon> stopping = Optional.empty();
     private boolean hasOtherSeeds;
 
-    Host(String name, ListenSettings listen, LinkStandIn storePath) {
+    Host(String name, ListenSettings listen, LinkStandIn storePath, LinkStandIn callerPath) {
       this.name = name;
       this.listen = listen;
       this.storePath = storePath;
+      this.callerPath = callerPath;
     }
   }
 
   private final Vertx vertx;
   private final ProcessDaemons factory;
   private final int storePort;
-  private final double retrySlack;
+  private final PlatformSoakSetup setup;
+  private final Clock clock;
   private final SoakArrivals arrivals;
   private final List<Host> hosts = new ArrayList<>();
   private final Set<Host> starting = new HashSet<>();
@@ -94,7 +98,8 @@
     this.vertx = vertx;
     this.factory = factory;
     this.storePort = storePort;
-    this.retrySlack = setup.retrySlack();
+    this.setup = setup;
+    this.clock = clock;
     this.arrivals = arrivals;
     int count = setup.daemons();
     // Soaks that start at the same time choose different ports.
@@ -104,12 +109,19 @@
       Endpoint caller = freePort(address, firstPort);
       Endpoint operator = freePort(address, caller.port() + 1);
       Endpoint peer = freePort(address, operator.port() + 1);
-      LinkStandIn storePath = new LinkStandIn(vertx, clock, LinkStandIn::retransmissionDelayMillis);
       ListenSettings listen = new ListenSettings(caller, operator, peer);
-      hosts.add(new Host("host-" + (number + 1), listen, storePath));
+      hosts.add(host("host-" + (number + 1), listen));
     }
   }
 
+  private Host host(String name, ListenSettings listen) {
+    LinkStandIn storePath = new LinkStandIn(vertx, clock, LinkStandIn::retransmissionDelayMillis);
+    LinkStandIn callerPath =
+        new LinkStandIn(vertx, clock, LinkStandIn::retransmissionDelayMillis, setup.pathMillis());
+    callerPath.onRefused(port -> arrivals.refused(name, port));
+    return new Host(name, listen, storePath, callerPath);
+  }
+
   private static Endpoint freePort(String address, int firstPort) throws IOException {
     for (int port = firstPort; port < LAST_PORT; port++) {
       try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(address))) {
@@ -134,14 +146,28 @@
     return host.storePath
         .start(LoopbackPlatform.ADDRESS, storePort)
         .onSuccess(port -> host.store = Optional.of(new Endpoint(LoopbackPlatform.ADDRESS, port)))
-        .compose(port -> start(host));
+        .compose(port -> openCallerPath(host))
+        .compose(entrance -> start(host));
+  }
+
+  /** A path that takes no time is left out, so that callers see refused connections as such. */
+  private Future<Void> openCallerPath(Host host) {
+    Endpoint caller = host.listen.caller();
+    if (setup.pathMillis() == 0) {
+      host.entrance = Optional.of(caller);
+      return Future.succeededFuture();
+    }
+    return host.callerPath
+        .start(caller.address(), caller.port())
+        .onSuccess(port -> host.entrance = Optional.of(new Endpoint(caller.address(), port)))
+        .mapEmpty();
   }
 
   /** Returns the running daemons, including those that are stopping and still serve. */
   List<Entry> entries() {
     return hosts.stream()
         .filter(host -> host.process.isPresent() || host.stopping.isPresent())
-        .map(host -> new Entry(host.name, host.listen.caller()))
+        .map(host -> new Entry(host.name, host.entrance.orElseThrow()))
         .toList();
   }
 
@@ -289,7 +315,7 @@
             .map(seed -> seed.listen.peer())
             .toList();
     return LoopbackPlatform.settings(
-            host.name, host.listen, host.store.orElseThrow(), seeds, retrySlack)
+            host.name, host.listen, host.store.orElseThrow(), seeds, setup.retrySlack())
         .withLimits(LoopbackPlatform.PROCESS_LIMITS);
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
@@ -97,6 +97,7 @@
       vertx.runOnContext(
           nothing -> {
             load.start(endMillis);
+            new KeptConnections(vertx, clock, setup, daemons, load).start(endMillis);
             stage.restartCrashedServers(new Random(random.nextLong()));
             watchPulse(vertx, arrivals);
             vertx.setTimer(
@@ -135,7 +136,9 @@
             ENGINE_PACE,
             PLAIN_PACE),
         (server, port) -> {
-          LinkStandIn link = new LinkStandIn(vertx, clock, LinkStandIn::retransmissionDelayMillis);
+          LinkStandIn link =
+              new LinkStandIn(
+                  vertx, clock, LinkStandIn::retransmissionDelayMillis, setup.pathMillis());
           links.put(server, link);
           return link.start(LoopbackPlatform.ADDRESS, port);
         });
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
@@ -138,9 +138,11 @@
    * @param stops how often daemons were told to stop
    * @param reloads how often daemons were told to read their settings again
    * @param lost calls that daemons lost
-   * @param crossed calls that crossed the end of their connection, which do not count as lost
+   * @param crossed calls that crossed the end of their connection or came behind an announced
+   *     close, which do not count as lost
    * @param atDeadline calls that ended with the time of their caller, or with that of a stop
    * @param disturbed calls whose daemon, server or path was disturbed
+   * @param notSent calls that found no connection, most of them refused
    */
   public record Unanswered(
       int stops,
@@ -148,7 +150,8 @@
       List<UnansweredCall> lost,
       List<UnansweredCall> crossed,
       int atDeadline,
-      int disturbed) {
+      int disturbed,
+      int notSent) {
     /** Copies the lists, so that the value is immutable. */
     public Unanswered {
       lost = List.copyOf(lost);
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakSetup.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakSetup.java
@@ -15,6 +15,8 @@
  * @param seconds duration of the load
  * @param seed seed of the load and of the faults
  * @param faults kinds of faults that may happen
+ * @param pathMillis constant time from callers to daemons, from daemons to servers, and back
+ * @param keptPerSecond most requests that callers send on connections that they keep busy
  */
 public record PlatformSoakSetup(
     int daemons,
@@ -26,10 +28,56 @@
     double plainPerSecond,
     int seconds,
     long seed,
-    List<PlatformFault> faults) {
+    List<PlatformFault> faults,
+    long pathMillis,
+    double keptPerSecond) {
 
   /** Copies the list, so that the value is immutable. */
   public PlatformSoakSetup {
     faults = List.copyOf(faults);
   }
+
+  /** Creates a setup with paths that take no time and without connections that are kept busy. */
+  public PlatformSoakSetup(
+      int daemons,
+      int prefillServers,
+      int decodeServers,
+      int plainServers,
+      double retrySlack,
+      double streamsPerSecond,
+      double plainPerSecond,
+      int seconds,
+      long seed,
+      List<PlatformFault> faults) {
+    this(
+        daemons,
+        prefillServers,
+        decodeServers,
+        plainServers,
+        retrySlack,
+        streamsPerSecond,
+        plainPerSecond,
+        seconds,
+        seed,
+        faults,
+        0,
+        0);
+  }
+
+  /** Returns this setup with another time of the paths and another rate on kept connections. */
+  public PlatformSoakSetup withConnections(long millis, double perSecond) {
+    return new PlatformSoakSetup(
+        daemons,
+        prefillServers,
+        decodeServers,
+        plainServers,
+        retrySlack,
+        streamsPerSecond,
+        plainPerSecond,
+        seconds,
+        seed,
+        faults,
+        millis,
+        perSecond);
+  }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
@@ -26,6 +26,7 @@
   private final SilenceLog silence = new SilenceLog();
   private final CrashLog crashes = new CrashLog(CrashLog.CONTENT);
   private final LossLog losses = new LossLog();
+  private final RefusedConnections refusals = new RefusedConnections();
   private final Map<String, String> hosts = new HashMap<>();
   private final Map<String, ArrivalLog> retries = new HashMap<>();
 
@@ -153,9 +154,16 @@
     silence.gap(millis);
   }
 
-  /** Records that the whole request of a call was sent to a host. */
-  synchronized void sent(String request) {
-    losses.sent(request, hosts.getOrDefault(request, ""), clock.millis());
+  /** Records that the whole request of a call was sent to a host, from a port of its caller. */
+  synchronized void sent(String request, int port) {
+    String host = hosts.getOrDefault(request, "");
+    losses.sent(request, host, clock.millis());
+    refusals.sent(request, host, port, clock.millis());
+  }
+
+  /** Records that a host refused a connection, which its network path had accepted. */
+  synchronized void refused(String host, int port) {
+    refusals.refused(host, port, clock.millis());
   }
 
   /** Returns the calls without a complete response. */
@@ -165,7 +173,19 @@
 
   /** Records that a call ended without a complete response, by a cause that its caller saw. */
   synchronized void unanswered(String request, String cause) {
-    losses.unanswered(request, clock.millis(), cause);
+    if (refusals.isRefused(request)) {
+      losses.refused(request);
+    } else {
+      losses.unanswered(request, clock.millis(), cause);
+    }
+  }
+
+  /**
+   * Records that a call ended without a response behind one that announced the close of their
+   * connection.
+   */
+  synchronized void unansweredBehindClose(String request, String cause) {
+    losses.unansweredBehindClose(request, clock.millis(), cause);
   }
 
   /** Records that a caller no longer waits for a response. */
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeoutException;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.platform.assembly.LoopbackPlatform;
+import org.marjoramsail.platform.standin.AnnouncedCloseException;
 import org.marjoramsail.platform.standin.CallerStandIn;
 import org.marjoramsail.platform.standin.CallerStandIn.Answer;
 import org.marjoramsail.platform.standin.PlatformStandIn;
@@ -72,6 +73,7 @@
   private double nextAtMillis;
   private long endMillis;
   private int sequence;
+  private int keptSequence;
   private int late;
 
   SoakLoad(
@@ -90,7 +92,7 @@
     this.arrivals = arrivals;
     this.random = random;
     this.caller = new CallerStandIn(vertx, LoopbackPlatform.ADDRESS, clock);
-    caller.onSent((attempt, port) -> arrivals.sent(attempt));
+    caller.onSent(arrivals::sent);
   }
 
   /** Sends requests from now on until a time. */
@@ -164,7 +166,6 @@
         isStream
             ? draw < RESUMABLE_SHARE ? PlatformStandIn.RESUMABLE : PlatformStandIn.STREAM
             : draw < REPEATABLE_SHARE ? PlatformStandIn.REPEATABLE : PlatformStandIn.ONCE;
-    String service = service(path);
     KindCount kind = kinds.computeIfAbsent(path, KindCount::new);
     String request = "soak-" + sequence++;
     kind.sent();
@@ -173,21 +174,46 @@
     }
     List<PlatformProcesses.Entry> entries = daemons.entries();
     if (entries.isEmpty()) {
-      arrivals.requested(service, request, "");
+      arrivals.requested(service(path), request, "");
       lost(kind, LossReason.NO_DAEMON);
       return;
     }
     PlatformProcesses.Entry entry = entries.get(random.nextInt(entries.size()));
-    arrivals.requested(service, request, entry.host());
-    Future<Answer> answer = call(entry, path, request, request, Map.of());
-    answer
-        .onSuccess(received -> answered(kind, request, received))
-        .onFailure(failure -> lost(kind, reasonOf(entry)));
+    Future<Answer> answer = sendTo(caller, entry, kind, path, request);
     if (path.equals(PlatformStandIn.RESUMABLE)) {
       answer.onSuccess(received -> followStream(entry, request, received));
     }
   }
 
+  private Future<Answer> sendTo(
+      CallerStandIn sender,
+      PlatformProcesses.Entry entry,
+      KindCount kind,
+      String path,
+      String request) {
+    arrivals.requested(service(path), request, entry.host());
+    return call(sender, entry, path, request, request, Map.of())
+        .onSuccess(received -> answered(kind, request, received))
+        .onFailure(failure -> lost(kind, reasonOf(entry)));
+  }
+
+  /** Returns a caller that keeps one connection, and whose requests are judged like all others. */
+  CallerStandIn keepingCaller(CallerStandIn.ClosePolicy policy) {
+    CallerStandIn keeping =
+        CallerStandIn.onOneConnection(vertx, LoopbackPlatform.ADDRESS, clock, policy);
+    keeping.onSent(arrivals::sent);
+    return keeping;
+  }
+
+  /** Sends a request that may run once only, by a caller that keeps its connection. */
+  Future<Answer> sendKept(CallerStandIn keeping, PlatformProcesses.Entry entry, String path) {
+    KindCount kind = kinds.computeIfAbsent(path + " kept", KindCount::new);
+    String request = "kept-" + keptSequence++;
+    kind.sent();
+    once.add(request);
+    return sendTo(keeping, entry, kind, path, request);
+  }
+
   /** Sends a request whose content crashes servers to any daemon. */
   void sendCrashing(String path, String content) {
     List<PlatformProcesses.Entry> entries = daemons.entries();
@@ -201,7 +227,7 @@
     PlatformProcesses.Entry entry = entries.get(random.nextInt(entries.size()));
     arrivals.requested(service(path), request, entry.host());
     arrivals.crashingRequested(request, content);
-    call(entry, path, content, request, Map.of())
+    call(caller, entry, path, content, request, Map.of())
         .onSuccess(answer -> recordRefusal(request, answer));
   }
 
@@ -243,7 +269,7 @@
     Map<String, String> headers =
         Map.of(
             CallerStandIn.RESUMES, request, CallerStandIn.LAST_EVENT, Integer.toString(last.id()));
-    call(entry, PlatformStandIn.RESUMABLE, request, attempt, headers)
+    call(caller, entry, PlatformStandIn.RESUMABLE, request, attempt, headers)
         .onSuccess(
             answer -> {
               List<StreamEvent> further = StreamEvent.in(answer.body());
@@ -258,6 +284,7 @@
   }
 
   private Future<Answer> call(
+      CallerStandIn sender,
       PlatformProcesses.Entry entry,
       String path,
       String request,
@@ -266,7 +293,7 @@
     long sentMillis = clock.millis();
     Map<String, String> all = new HashMap<>(headers);
     all.put(CallerStandIn.ATTEMPT, attempt);
-    return caller
+    return sender
         .call(
             entry.caller().address(),
             entry.caller().port(),
@@ -287,6 +314,8 @@
     arrivals.brokenOff(attempt, entry.host(), clock.millis() - sentMillis);
     if (result.cause() instanceof TimeoutException) {
       arrivals.gaveUp(attempt);
+    } else if (result.cause() instanceof AnnouncedCloseException) {
+      arrivals.unansweredBehindClose(attempt, describe(result));
     } else {
       arrivals.unanswered(attempt, describe(result));
     }
--- a/command/src/main/java/org/marjoramsail/command/platform/UnansweredCall.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/UnansweredCall.java
@@ -42,11 +42,24 @@
   /** How far a call without a complete response had come. */
   public enum Reason {
     /** It had reached a server. */
-    PASSED_ON,
+    PASSED_ON(true),
     /** It had reached no server, and was sent long enough before its end to be read. */
-    NOT_PASSED_ON,
+    NOT_PASSED_ON(true),
     /** It had reached no server, and was sent shortly before its connection ended. */
-    CROSSED;
+    CROSSED(false),
+    /** It had reached no server, behind a response that announced the close of its connection. */
+    BEHIND_CLOSE(false);
+
+    private final boolean lost;
+
+    Reason(boolean lost) {
+      this.lost = lost;
+    }
+
+    /** Returns whether the daemon lost the call. */
+    public boolean isLost() {
+      return lost;
+    }
 
     /** Returns the name by which reports call it. */
     public String code() {
--- a/command/src/test/java/org/marjoramsail/command/platform/LossLogTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/LossLogTest.java
@@ -123,6 +123,40 @@
     assertThat(log.result().lost()).isEmpty();
   }
 
+  @Test
+  void aCallBehindAnAnnouncedCloseThatReachedNoServerIsNotLost() {
+    log.stopBegins(HOST, SENT_MILLIS - 3_000);
+    log.sent(REQUEST, HOST, SENT_MILLIS);
+
+    log.unansweredBehindClose(REQUEST, LATER_MILLIS, CAUSE);
+
+    assertThat(log.result().lost()).isEmpty();
+    assertThat(log.result().count(UnansweredCall.Phase.STOP, UnansweredCall.Reason.BEHIND_CLOSE))
+        .isEqualTo(1);
+  }
+
+  /** Guards against a connection that is closed as announced while a later request runs on it. */
+  @Test
+  void aCallBehindAnAnnouncedCloseThatReachedAServerIsLost() {
+    log.stopBegins(HOST, SENT_MILLIS - 3_000);
+    passOn();
+
+    log.unansweredBehindClose(REQUEST, SOON_MILLIS, CAUSE);
+
+    assertLost(UnansweredCall.Phase.STOP, UnansweredCall.Reason.PASSED_ON);
+  }
+
+  @Test
+  void aCallWhoseConnectionIsRefusedIsNotLost() {
+    log.sent(REQUEST, HOST, SENT_MILLIS);
+
+    log.refused(REQUEST);
+
+    assertThat(log.result().lost()).isEmpty();
+    assertThat(log.result().crossed()).isEmpty();
+    assertThat(log.result().notSent()).isEqualTo(1);
+  }
+
   @Test
   void aCallThatIsSentLaterIsLostInTheLastSixthOfTheGrace() {
     log.stopBegins(HOST, SENT_MILLIS - 6_000);
--- a/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
@@ -16,6 +16,9 @@
 
   private static final long SEED = 2;
   private static final long PLANNED_WORK_SEED = 3;
+  private static final long PATH_SEED = 5;
+  private static final long PATH_MILLIS = 5;
+  private static final double KEPT_PER_SECOND = 40;
 
   /** Guards against retries beyond the budget that only processes show, such as late grants. */
   @Test
@@ -77,6 +80,22 @@
     assertThat(unanswered.reloads()).isPositive();
   }
 
+  /** Guards against an end of a process that cuts off responses which are still on their way. */
+  @Test
+  void daemonsThatAreToldToStopLoseNoCallOfCallersOnALongerPath(@TempDir Path directory)
+      throws Exception {
+    PlatformSoakSetup setup =
+        new PlatformSoakSetup(
+                3, 2, 3, 3, 60, 8, 30, 12, PATH_SEED, List.of(PlatformFault.DAEMON_ROLL))
+            .withConnections(PATH_MILLIS, KEPT_PER_SECOND);
+    try (ProcessDaemons processes = new ProcessDaemons(directory)) {
+      PlatformSoakReport report = new PlatformSoak(new SystemClock(), processes).run(setup);
+
+      assertThat(report.isClean()).as(report.toString()).isTrue();
+      assertThat(report.unanswered().stops()).isPositive();
+    }
+  }
+
   private static PlatformSoakReport.Unanswered soakOfPlannedWork(
       Path directory, List<PlatformFault> faults) throws Exception {
     PlatformSoakSetup setup =
