Show the calls that a soak does not judge

platform-soak counted calls beside a disturbance and said nothing else of them. The report now has each of these calls with its phase and how far it had come, so that a loss beside a standstill is seen and can be traced.

The verdict is as before.

--- a/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
+++ b/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
@@ -244,7 +244,7 @@
         unanswered.stops(),
         unanswered.reloads(),
         unanswered.atDeadline(),
-        unanswered.disturbed(),
+        unanswered.disturbed().size(),
         unanswered.notSent());
     for (UnansweredCall.Phase phase : UnansweredCall.Phase.values()) {
       output.printf("calls without a response, %s:", phase.code());
@@ -258,6 +258,9 @@
         .forEach((stop, calls) -> output.printf("lost calls, stop of %s: %d%n", stop, calls));
     unanswered.lost().forEach(lost -> output.println("lost call: " + lost));
     unanswered.crossed().forEach(crossed -> output.println("not counted: " + crossed));
+    unanswered
+        .disturbed()
+        .forEach(disturbed -> output.println("not judged, beside a disturbance: " + disturbed));
   }
 
   private static void require(String option, int value, int least, int most) throws UsageException {
--- a/command/src/main/java/org/marjoramsail/command/platform/LossLog.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/LossLog.java
@@ -141,12 +141,12 @@
     List<UnansweredCall> lost = new ArrayList<>();
     List<UnansweredCall> notCounted = new ArrayList<>();
     int atDeadline = givenUp;
-    int disturbed = 0;
+    List<UnansweredCall> disturbed = new ArrayList<>();
     for (Unanswered call : unanswered) {
       if (call.lastedMillis() >= CallerStandIn.DEADLINE_MILLIS || isAtEndOfGrace(call)) {
         atDeadline++;
       } else if (isDisturbed(call)) {
-        disturbed++;
+        disturbed.add(describe(call, reason(call)));
       } else {
         UnansweredCall.Reason reason = reason(call);
         (reason.isLost() ? lost : notCounted).add(describe(call, reason));
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
@@ -141,7 +141,8 @@
    * @param crossed calls that crossed the end of their connection or came behind an announced
    *     close, which do not count as lost
    * @param atDeadline calls that ended with the time of their caller, or with that of a stop
-   * @param disturbed calls whose daemon, server or path was disturbed
+   * @param disturbed calls whose daemon, server or path was disturbed, or beside a standstill of
+   *     the soak, which are not judged
    * @param notSent calls that found no connection, most of them refused
    */
   public record Unanswered(
@@ -150,12 +151,13 @@
       List<UnansweredCall> lost,
       List<UnansweredCall> crossed,
       int atDeadline,
-      int disturbed,
+      List<UnansweredCall> disturbed,
       int notSent) {
     /** Copies the lists, so that the value is immutable. */
     public Unanswered {
       lost = List.copyOf(lost);
       crossed = List.copyOf(crossed);
+      disturbed = List.copyOf(disturbed);
     }
 
     /** Returns the number of unanswered calls of a phase and a reason. */
--- a/command/src/test/java/org/marjoramsail/command/platform/LossLogTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/LossLogTest.java
@@ -175,7 +175,9 @@
     log.unanswered(REQUEST, SOON_MILLIS, CAUSE);
 
     assertThat(log.result().lost()).isEmpty();
-    assertThat(log.result().disturbed()).isEqualTo(1);
+    assertThat(log.result().disturbed())
+        .extracting(UnansweredCall::request)
+        .containsExactly(REQUEST);
   }
 
   @Test
