Bound the calls that cross stops on a longer path

The soak on a path of 5 ms judged lost calls only. A process that is halted too early on a fast machine resets calls within 200 ms after they were sent, which count as crossed, so that the test could pass with that fault. It now has the bound of the test without a path: one crossed call for each stop at most. That bound is moved to a method, unchanged.

--- a/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
@@ -60,9 +60,7 @@
         soakOfPlannedWork(directory, List.of(PlatformFault.DAEMON_ROLL));
 
     assertThat(unanswered.stops()).isPositive();
-    assertThat(unanswered.count(UnansweredCall.Phase.STOP, UnansweredCall.Reason.CROSSED))
-        .as("calls that crossed the end of their connection: " + unanswered.crossed())
-        .isLessThanOrEqualTo(unanswered.stops());
+    assertFewCallsCrossStops(unanswered);
   }
 
   /** Guards against calls that are broken off when settings or a configuration are read. */
@@ -86,16 +84,23 @@
       throws Exception {
     PlatformSoakSetup setup =
         new PlatformSoakSetup(
-                3, 2, 3, 3, 60, 8, 30, 12, PATH_SEED, List.of(PlatformFault.DAEMON_ROLL))
+                3, 2, 3, 3, 60, 8, 30, 10, PATH_SEED, List.of(PlatformFault.DAEMON_ROLL))
             .withConnections(PATH_MILLIS, KEPT_PER_SECOND);
     try (ProcessDaemons processes = new ProcessDaemons(directory)) {
       PlatformSoakReport report = new PlatformSoak(new SystemClock(), processes).run(setup);
 
       assertThat(report.isClean()).as(report.toString()).isTrue();
       assertThat(report.unanswered().stops()).isPositive();
+      assertFewCallsCrossStops(report.unanswered());
     }
   }
 
+  private static void assertFewCallsCrossStops(PlatformSoakReport.Unanswered unanswered) {
+    assertThat(unanswered.count(UnansweredCall.Phase.STOP, UnansweredCall.Reason.CROSSED))
+        .as("calls that crossed the end of their connection: " + unanswered.crossed())
+        .isLessThanOrEqualTo(unanswered.stops());
+  }
+
   private static PlatformSoakReport.Unanswered soakOfPlannedWork(
       Path directory, List<PlatformFault> faults) throws Exception {
     PlatformSoakSetup setup =
