Count the time for the last requests of the caller server on each event loop

Cause: one timer for all event loops; a loop that was late still had its accepted connections in its queue when the server was shut down. Each loop now counts the time itself, behind the connections that wait for it.

--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.daemon.caller;
 
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.vertx.core.Context;
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
@@ -44,7 +45,7 @@
   private final ConnectionGuard connections;
   private final ListeningPort listeningPort;
   private final AtomicInteger port = new AtomicInteger();
-  private final Queue<HttpServer> servers = new ConcurrentLinkedQueue<>();
+  private final Queue<Listening> listeners = new ConcurrentLinkedQueue<>();
   private volatile StopPhase phase = StopPhase.SERVING;
   private volatile String deployment = "";
 
@@ -129,8 +130,7 @@
             Refusal.unknown(RefusalReason.STOPPING, "The time for the stop of this daemon ended."));
     listeningPort
         .close()
-        .compose(portClosed -> vertx.timer(LAST_REQUESTS_MILLIS))
-        .compose(refused -> Future.join(servers.stream().map(CallerServer::shutdown).toList()))
+        .compose(portClosed -> Future.join(listeners.stream().map(Listening::shutdown).toList()))
         .eventually(() -> vertx.undeploy(deployment))
         .onComplete(
             done -> {
@@ -139,11 +139,6 @@
             });
   }
 
-  /** Closes each connection once its response is written. */
-  private static Future<Void> shutdown(HttpServer server) {
-    return server.shutdown(LAST_RESPONSES_MILLIS, TimeUnit.MILLISECONDS);
-  }
-
   private void enter(StopPhase next) {
     phase = next;
     LOG.atInfo()
@@ -184,6 +179,25 @@
     handler.refuse(request, refusal, true);
   }
 
+  /** A server on one event loop. */
+  private record Listening(Vertx vertx, Context context, HttpServer server) {
+
+    /**
+     * Closes each connection once its response is written. The time for the last requests begins
+     * behind the connections that wait for this event loop, which the library would drop.
+     */
+    Future<Void> shutdown() {
+      Promise<Void> closed = Promise.promise();
+      context.runOnContext(
+          begins ->
+              vertx
+                  .timer(LAST_REQUESTS_MILLIS)
+                  .compose(passed -> server.shutdown(LAST_RESPONSES_MILLIS, TimeUnit.MILLISECONDS))
+                  .onComplete(closed));
+      return closed.future();
+    }
+  }
+
   private final class Listener extends VerticleBase {
     @Override
     public Future<?> start() {
@@ -202,7 +216,7 @@
               .connectionHandler(CallerServer.this::opened)
               .invalidRequestHandler(CallerServer.this::invalid)
               .requestHandler(CallerServer.this::serve);
-      servers.add(server);
+      listeners.add(new Listening(vertx, context, server));
       return server.listen().onSuccess(listening -> port.set(listening.actualPort()));
     }
   }
