Refuse bodies that never fit into memory as too large

What callers saw: 503 memory-limit with a time for a retry, for a body larger than the memory for all bodies, which no retry can make fit.

Cause: only the configured limit of a body counted as final. The limit is now the smallest of the configured one, the fixed one and the memory for all bodies, for declared lengths and for bodies that are read without one.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/BodyMemory.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/BodyMemory.java
@@ -23,6 +23,11 @@
     return new Account();
   }
 
+  /** Returns the maximum number of bytes of all bodies together. */
+  long maximumBytes() {
+    return maximumBytes;
+  }
+
   /** Returns the number of bytes for which there is room. */
   long freeBytes() {
     return maximumBytes - heldBytes;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -355,7 +355,7 @@
               RefusalReason.HEADERS_TOO_LARGE,
               "The head has " + headBytes + " bytes; allowed: " + maximumHeadBytes + "."));
     }
-    long maximum = routing.get().limits().bodyBytes();
+    long maximum = maximumBodyBytes(routing.get().limits());
     long declared = RequestHead.declaredBodyBytes(request);
     if (declared > maximum) {
       return Optional.of(tooLarge(declared, maximum));
@@ -363,6 +363,11 @@
     return Optional.empty();
   }
 
+  /** Returns the maximum size of a body, which a retry does not change. */
+  private long maximumBodyBytes(CallerLimits limits) {
+    return Math.min(bodyMemory.maximumBytes(), Math.min(MAXIMUM_BODY_BYTES, limits.bodyBytes()));
+  }
+
   private static Refusal tooLarge(long bytes, long maximum) {
     return Refusal.notRun(
         RefusalReason.BODY_TOO_LARGE,
@@ -371,7 +376,7 @@
 
   private void readBody(AcceptedRequest accepted, CallerLimits bounds) {
     HttpServerRequest request = accepted.request();
-    long maximum = Math.min(MAXIMUM_BODY_BYTES, bounds.bodyBytes());
+    long maximum = maximumBodyBytes(bounds);
     Buffer body = Buffer.buffer();
     request.handler(
         bytes ->
@@ -384,13 +389,13 @@
   }
 
   private void append(AcceptedRequest accepted, Buffer body, Buffer bytes, long maximum) {
-    if (!accepted.memory().add(bytes.length())) {
-      endReading(accepted, bodyMemory.refusal(body.length() + bytes.length()));
-      return;
-    }
-    body.appendBuffer(bytes);
-    if (body.length() > maximum) {
-      endReading(accepted, tooLarge(body.length(), maximum));
+    long length = (long) body.length() + bytes.length();
+    if (length > maximum) {
+      endReading(accepted, tooLarge(length, maximum));
+    } else if (accepted.memory().add(bytes.length())) {
+      body.appendBuffer(bytes);
+    } else {
+      endReading(accepted, bodyMemory.refusal(length));
     }
   }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.daemon.forward;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.tuple;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
@@ -19,6 +20,7 @@
 import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -153,6 +155,21 @@
     assertThat(reasonOf(answer)).isEqualTo("stopping");
   }
 
+  /** Guards against retries of a body that fits into no memory of this daemon at any time. */
+  @Test
+  void aBodyThatIsLargerThanTheMemoryForAllBodiesIsRefusedAsTooLarge() {
+    Buffer body = Buffer.buffer("c".repeat(BODY_MEMORY_BYTES + 1));
+
+    Answer declared = call(request -> request.send(body));
+    Answer chunked = call(request -> request.setChunked(true).send(body));
+
+    assertThat(List.of(declared, chunked))
+        .extracting(Answer::status, ForwardServerTest::reasonOf)
+        .containsOnly(tuple(413, "body-too-large"));
+    assertThat(declared.body().toJsonObject().getString("detail"))
+        .contains("allowed: " + BODY_MEMORY_BYTES);
+  }
+
   /** Guards against a reset of callers and of other daemons as the ports close. */
   @Test
   void portsThatCloseServeAllConnectionsInTheirAcceptQueues() throws Exception {
@@ -188,9 +205,13 @@
   }
 
   private Answer call() {
+    return call(request -> request.send(Buffer.buffer("content")));
+  }
+
+  private Answer call(Function<HttpClientRequest, Future<HttpClientResponse>> send) {
     return Waits.get(
         begin()
-            .compose(request -> request.send(Buffer.buffer("content")))
+            .compose(send)
             .compose(ForwardServerTest::answer));
   }
 
