Poll in the tests of processes without nested futures

Cause: the test polled with a chain of futures that grew by one each millisecond. When the condition held, the chain was completed by nested calls, which overflowed the stack (StackOverflowError in the log of the run), and the outcome was lost. A periodic timer now polls and completes one future. What the tests check is unchanged.

--- a/command/src/test/java/org/marjoramsail/command/platform/ProcessEndTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/ProcessEndTest.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -32,7 +31,10 @@
   private static final ServerStandIn.Pace ENGINE_PACE = new ServerStandIn.Pace(30, 30, 90, 64);
   private static final ServerStandIn.Pace PLAIN_PACE = new ServerStandIn.Pace(1, 20, 0, 64);
   private static final long PATIENCE_SECONDS = 60;
+
+  /** Calls after which the daemon serves its callers as fast as it will. */
   private static final int CALLS_BEFORE_STOP = 200;
+
   private static final int STOPS = 4;
 
   private final Clock clock = new SystemClock();
@@ -80,9 +82,12 @@
     Endpoint endpoint = new Endpoint(LoopbackPlatform.ADDRESS, daemon.callerPort());
     BusyCallers callers = new BusyCallers(vertx, clock, endpoint, name);
     vertx.runOnContext(nothing -> startCallers(callers));
-    FleetRun.await("load", whenAnswered(callers), PATIENCE_SECONDS);
+    FleetRun.await(
+        "load",
+        Polling.until(vertx, () -> callers.answered() >= CALLS_BEFORE_STOP),
+        PATIENCE_SECONDS);
     FleetRun.await("stop", daemon.stop(), PATIENCE_SECONDS);
-    FleetRun.await("last calls", whenIdle(callers), PATIENCE_SECONDS);
+    FleetRun.await("last calls", Polling.until(vertx, callers::isIdle), PATIENCE_SECONDS);
     return callers;
   }
 
@@ -92,19 +97,6 @@
     callers.start(4, PlatformStandIn.RESUMABLE);
   }
 
-  /** Completes once the daemon serves its callers as fast as it will. */
-  private Future<Void> whenAnswered(BusyCallers callers) {
-    return callers.answered() >= CALLS_BEFORE_STOP
-        ? Future.succeededFuture()
-        : vertx.timer(1).compose(waited -> whenAnswered(callers));
-  }
-
-  private Future<Void> whenIdle(BusyCallers callers) {
-    return callers.isIdle()
-        ? Future.succeededFuture()
-        : vertx.timer(1).compose(waited -> whenIdle(callers));
-  }
-
   private Settings settings(String name) {
     return LoopbackPlatform.settings(
             name,
--- a/command/src/test/java/org/marjoramsail/command/platform/ProcessSignalsTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/ProcessSignalsTest.java
@@ -111,10 +111,11 @@
       for (int reload = 0; reload < RELOADS; reload++) {
         reload(processes.processes().get(0));
         int answered = callers.answered();
-        FleetRun.await("load", whenAnsweredMoreThan(answered, callers), PATIENCE_SECONDS);
+        FleetRun.await(
+            "load", Polling.until(vertx, () -> callers.answered() > answered), PATIENCE_SECONDS);
       }
       callers.end();
-      FleetRun.await("last calls", whenIdle(callers), PATIENCE_SECONDS);
+      FleetRun.await("last calls", Polling.until(vertx, callers::isIdle), PATIENCE_SECONDS);
 
       assertThat(callers.answered()).isGreaterThanOrEqualTo(RELOADS);
       assertThat(callers.unanswered()).isEmpty();
@@ -127,18 +128,6 @@
     callers.start(4, PlatformStandIn.RESUMABLE);
   }
 
-  private Future<Void> whenAnsweredMoreThan(int calls, BusyCallers callers) {
-    return callers.answered() > calls
-        ? Future.succeededFuture()
-        : vertx.timer(1).compose(waited -> whenAnsweredMoreThan(calls, callers));
-  }
-
-  private Future<Void> whenIdle(BusyCallers callers) {
-    return callers.isIdle()
-        ? Future.succeededFuture()
-        : vertx.timer(1).compose(waited -> whenIdle(callers));
-  }
-
   private static void awaitListening(Endpoint endpoint, Process process) throws IOException {
     while (!isListening(endpoint)) {
       assertThat(process.isAlive()).isTrue();
