Know the size of the fleet from records of hosts in the store

On a platform without a list of hosts, an organisation got more than its rate when all hosts restarted together, and hosts that died for good held their parts of the rate for an hour.

Cause: a daemon knew only its seeds and the members that it had met. One that had just started divided limits by too few hosts; one that had met hosts that are gone divided by too many.

Each host now keeps a record in the platform's store, renews it once a minute and reads those of all hosts as often. core.membership.HostLeases decides which call is due and which records count; platform.fleet carries the calls out. A record counts for 200 s from the first sight of a renewal by the reader's own clock, so that a daemon that starts counts all that the store knows. A host that announced its end counts for 30 s, since it may be restarting. A store that is away, takes no writes or came back from a backup ends no lease. While the records of a fleet are new, the seeds count as well. The addresses are also used to join the others.

A removal that the store refuses is tried again after the next reading, since it says nothing about the renewals of other hosts.

--- a/core/src/main/java/org/marjoramsail/core/membership/MembershipProtocol.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/MembershipProtocol.java
@@ -35,7 +35,7 @@
   private static final long UNKNOWN_SENDER_DIGEST_MILLIS = 500;
 
   private final MembershipSettings settings;
-  private final List<PeerAddress> seeds;
+  private final FleetAddresses addresses;
   private final RandomGenerator random;
   private final MemberTable table;
   private final Dissemination dissemination = new Dissemination();
@@ -44,8 +44,6 @@
   private final RelayedPings relays = new RelayedPings();
   private final MembershipCounts counts = new MembershipCounts();
 
-  private List<PeerAddress> hostList = List.of();
-  private boolean hasReachedMostSeeds;
   private List<MembershipAction> actions = new ArrayList<>();
   private boolean changed;
   private boolean hasNewSuspicions;
@@ -72,7 +70,7 @@
       RandomGenerator random,
       long nowMillis) {
     this.settings = settings;
-    this.seeds = List.copyOf(seeds);
+    this.addresses = new FleetAddresses(seeds);
     this.random = random;
     this.table = new MemberTable(self, nowMillis);
     this.probes = new ProbeSchedule(random);
@@ -89,19 +87,8 @@
 
   /** Returns the current view. */
   public MembershipView view() {
-    return table.view(regions::isReachable, unknownHosts(), removedHosts(), isFleetKnown());
-  }
-
-  /**
-   * Returns whether the size of the fleet is known, from the host list or from members.
-   *
-   * <p>Daemons share their seeds, so that only one part of a divided fleet reaches most of them. A
-   * daemon that has reached most of them once has met the whole fleet; members that fail later stay
-   * in its table.
-   */
-  private boolean isFleetKnown() {
-    hasReachedMostSeeds |= table.reachesMostOf(seeds);
-    return hasReachedMostSeeds || !hostList.isEmpty();
+    return table.view(
+        regions::isReachable, unknownHosts(), removedHosts(), addresses.isFleetKnown(table));
   }
 
   /** Returns the address of an incarnation, if it is the newest one known on its host. */
@@ -128,20 +115,28 @@
    * Sets the addresses of the platform's host list, which may lag. They are used like seeds, and
    * tell the size of the fleet.
    */
-  public void hostList(List<PeerAddress> addresses) {
+  public void hostList(List<PeerAddress> listed) {
+    hostList(listed, true);
+  }
+
+  /**
+   * Sets the addresses of a host list.
+   *
+   * @param isComplete whether the list has all hosts; otherwise the seeds count as hosts as well
+   */
+  public void hostList(List<PeerAddress> listed, boolean isComplete) {
     int unknownBefore = unknownHosts();
     int removedBefore = removedHosts();
-    hostList = List.copyOf(addresses);
+    addresses.hostList(listed, isComplete);
     changed |= unknownHosts() != unknownBefore || removedHosts() != removedBefore;
   }
 
   private int removedHosts() {
-    return hostList.isEmpty() ? 0 : table.deadNotAmong(hostList);
+    return addresses.removedHosts(table);
   }
 
   private int unknownHosts() {
-    // The host list replaces the seeds, which may be stale for good.
-    return table.unknownAmong(hostList.isEmpty() ? seeds : hostList);
+    return addresses.unknownHosts(table);
   }
 
   /** Returns the actions that are due; to be called after each {@link #pauseMillis}. */
@@ -369,8 +364,7 @@
     boolean alone = table.activeCount() == 1;
     nextSeedMillis =
         nowMillis + (alone ? settings.probePeriodMillis() : settings.seedPeriodMillis());
-    Set<PeerAddress> candidates = new LinkedHashSet<>(seeds);
-    candidates.addAll(hostList);
+    Set<PeerAddress> candidates = addresses.all();
     for (MemberEntry inactive : table.inactive()) {
       candidates.add(inactive.update().listening());
     }
--- a/core/src/main/java/org/marjoramsail/core/membership/VirtualFleet.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/VirtualFleet.java
@@ -28,6 +28,9 @@
   private static final long HOST_LIST_DELAY_MILLIS = 20;
   private static final long HOST_LIST_PERIOD_MILLIS = 2_000;
 
+  /** How often a daemon looks whether a call of the store is due. */
+  private static final long LEASE_TICK_MILLIS = 200;
+
   /** Listener for the messages that daemons send. */
   @FunctionalInterface
   public interface Observer {
@@ -49,11 +52,16 @@
 
     /** Network between availability zones of one region, without faults. */
     public static final Network RELIABLE = new Network(0, 0, 1, 2);
+
+    private long delayMillis(RandomGenerator random) {
+      return random.nextLong(minimumDelayMillis, maximumDelayMillis + 1);
+    }
   }
 
   private static final class Node {
     private final MemberUpdate self;
     private final MembershipProtocol protocol;
+    private Optional<HostLeases> leases = Optional.empty();
     private boolean running = true;
     private long pausedUntilMillis;
 
@@ -80,6 +88,8 @@
   private Network network = Network.RELIABLE;
   private BiPredicate<MemberUpdate, MemberUpdate> cut = (from, to) -> false;
   private boolean hasHostList;
+  private Optional<VirtualHostStore> hostStore = Optional.empty();
+  private Network storeNetwork = Network.RELIABLE;
   private int seedCount = 2;
   private long order;
 
@@ -101,6 +111,16 @@
     hasHostList = true;
   }
 
+  /**
+   * Has each daemon that starts from now on keep a record of its host in a store.
+   *
+   * @param storeNetwork latency of the calls; nothing is lost or duplicated
+   */
+  public void enableHostLeases(VirtualHostStore store, Network storeNetwork) {
+    this.hostStore = Optional.of(store);
+    this.storeNetwork = storeNetwork;
+  }
+
   /** Sets the number of seeds, which are the first hosts, for daemons that start later. */
   public void seedCount(int count) {
     seedCount = count;
@@ -157,6 +177,7 @@
   /** Makes a daemon announce its departure, and announce that it has left and stop after a time. */
   public void leave(String host, long afterMillis) {
     Node node = nodes.get(host);
+    node.leases.ifPresent(HostLeases::leave);
     perform(node, node.protocol.leave(clock.millis()));
     schedule(
         afterMillis,
@@ -244,6 +265,7 @@
     if (hasHostList) {
       schedule(HOST_LIST_DELAY_MILLIS, node, () -> readHostList(node));
     }
+    hostStore.ifPresent(store -> startLeases(node, store));
     return self.id();
   }
 
@@ -254,6 +276,33 @@
     schedule(HOST_LIST_PERIOD_MILLIS, node, () -> readHostList(node));
   }
 
+  private void startLeases(Node node, VirtualHostStore store) {
+    RandomGenerator leaseRandom =
+        RandomGeneratorFactory.<RandomGenerator>of("L64X128MixRandom").create(random.nextLong());
+    node.leases =
+        Optional.of(
+            new HostLeases(node.self.host(), node.self.listening(), leaseRandom, clock.millis()));
+    tickLeases(node, store);
+  }
+
+  private void tickLeases(Node node, VirtualHostStore store) {
+    HostLeases leases = node.leases.orElseThrow();
+    leases.next(clock.millis()).ifPresent(call -> callStore(node, store, call));
+    schedule(LEASE_TICK_MILLIS, node, () -> tickLeases(node, store));
+  }
+
+  private void callStore(Node node, VirtualHostStore store, HostLeaseCall call) {
+    VirtualHostStore.Response response = store.call(call, clock.millis());
+    schedule(
+        storeNetwork.delayMillis(random),
+        node,
+        () -> {
+          HostLeases leases = node.leases.orElseThrow();
+          response.handle(leases, clock.millis());
+          node.protocol.hostList(leases.addresses(), leases.isComplete(clock.millis()));
+        });
+  }
+
   private void tick(Node node) {
     perform(node, node.protocol.tick(clock.millis()));
     schedule(node.protocol.pauseMillis(clock.millis()), node, () -> tick(node));
@@ -298,10 +347,8 @@
   }
 
   private void deliver(Node from, Node to, PeerMessage message) {
-    long delayMillis =
-        random.nextLong(network.minimumDelayMillis(), network.maximumDelayMillis() + 1);
     schedule(
-        delayMillis,
+        network.delayMillis(random),
         to,
         () -> perform(to, to.protocol.receive(from.self.id(), message, clock.millis())));
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/membership/MembershipService.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/membership/MembershipService.java
@@ -149,8 +149,17 @@
 
   /** Sets the addresses of the platform's host list, which may lag; they are used like seeds. */
   public void hostList(List<PeerAddress> addresses) {
+    hostList(addresses, true);
+  }
+
+  /**
+   * Sets the addresses of a host list.
+   *
+   * @param isComplete whether the list has all hosts; otherwise the seeds count as hosts as well
+   */
+  public void hostList(List<PeerAddress> addresses, boolean isComplete) {
     synchronized (lock) {
-      protocol.ifPresent(running -> running.hostList(addresses));
+      protocol.ifPresent(running -> running.hostList(addresses, isComplete));
     }
   }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateScenario.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateScenario.java
@@ -60,14 +60,19 @@
 
   /** Runs the scenario with faults that are set up before the hosts start. */
   Outcome run(Consumer<FleetSimulation> faults) {
+    return run(faults, END_MILLIS);
+  }
+
+  /** Runs the scenario until a time, with faults that are set up before the hosts start. */
+  Outcome run(Consumer<FleetSimulation> faults, long endMillis) {
     OrganisationDefinition limited =
         new OrganisationDefinition(
             FleetSimulation.ORGANISATION, List.of(), List.of(), 1, 0, REQUESTS_PER_SECOND, 0);
     FleetSimulation fleet = new FleetSimulation(new Size(hosts, 10, 6, 0), seed, List.of(limited));
     faults.accept(fleet);
-    fleet.load(RequestKind.LOOKUP, demandPerSecond, 0, END_MILLIS);
+    fleet.load(RequestKind.LOOKUP, demandPerSecond, 0, endMillis);
     fleet.startAll();
-    fleet.run(END_MILLIS);
+    fleet.run(endMillis);
     int notServed = (int) fleet.ends().stream().filter(end -> !end.served()).count();
     return new Outcome(
         fleet.arrivals(FleetSimulation.PLAIN).mostFirstArrivals(),
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -24,6 +24,7 @@
 import org.marjoramsail.core.membership.MembershipSettings;
 import org.marjoramsail.core.membership.MembershipView;
 import org.marjoramsail.core.membership.VirtualFleet;
+import org.marjoramsail.core.membership.VirtualHostStore;
 import org.marjoramsail.core.message.PeerMessage;
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.Repeatability;
@@ -233,6 +234,11 @@
     hasHostList = false;
   }
 
+  /** Has daemons keep a record of their host in a store, before any host starts. */
+  void withHostLeases(VirtualHostStore store, VirtualFleet.Network storeNetwork) {
+    members.enableHostLeases(store, storeNetwork);
+  }
+
   /** Sets the number of seeds, which are the first hosts, before any host starts. */
   void seedCount(int count) {
     members.seedCount(count);
