--- a/command/src/test/java/org/marjoramsail/command/platform/ProcessEndTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/ProcessEndTest.java
@@ -4,9 +4,12 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,6 +24,7 @@
 import org.marjoramsail.daemon.settings.ListenSettings;
 import org.marjoramsail.daemon.settings.Settings;
 import org.marjoramsail.platform.assembly.LoopbackPlatform;
+import org.marjoramsail.platform.standin.CallerStandIn;
 import org.marjoramsail.platform.standin.PlatformStandIn;
 import org.marjoramsail.platform.standin.ServerStandIn;
 
@@ -36,6 +40,8 @@
   private static final int CALLS_BEFORE_STOP = 200;
 
   private static final int STOPS = 4;
+  private static final long CALL_MILLIS = 100;
+  private static final int OK = 200;
 
   private final Clock clock = new SystemClock();
   private Vertx vertx;
@@ -80,6 +86,7 @@
   private BusyCallers stopUnderLoad(ProcessDaemons processes, String name) throws Exception {
     FleetDaemon daemon = FleetRun.await("start", processes.start(settings(name)), PATIENCE_SECONDS);
     Endpoint endpoint = new Endpoint(LoopbackPlatform.ADDRESS, daemon.callerPort());
+    awaitRoutes(endpoint);
     BusyCallers callers = new BusyCallers(vertx, clock, endpoint, name);
     vertx.runOnContext(nothing -> startCallers(callers));
     FleetRun.await(
@@ -91,6 +98,28 @@
     return callers;
   }
 
+  /**
+   * Waits until the daemon serves a call: it listens before it has routes, and refuses until then.
+   */
+  private void awaitRoutes(Endpoint daemon) throws Exception {
+    CallerStandIn caller = new CallerStandIn(vertx, daemon.address());
+    AtomicBoolean isServed = new AtomicBoolean();
+    long calls =
+        vertx.setPeriodic(
+            CALL_MILLIS,
+            timer ->
+                caller
+                    .call(
+                        daemon.port(),
+                        HttpMethod.POST,
+                        PlatformStandIn.HOST,
+                        PlatformStandIn.REPEATABLE + "first",
+                        Map.of())
+                    .onSuccess(answer -> isServed.compareAndSet(false, answer.status() == OK)));
+    FleetRun.await("routes", Polling.until(vertx, isServed::get), PATIENCE_SECONDS);
+    vertx.cancelTimer(calls);
+  }
+
   private static void startCallers(BusyCallers callers) {
     callers.start(8, PlatformStandIn.ONCE);
     callers.start(8, PlatformStandIn.REPEATABLE);
