--- a/command/src/main/java/org/marjoramsail/command/platform/KeptConnections.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/KeptConnections.java
@@ -11,8 +11,8 @@
 import org.marjoramsail.platform.standin.PlatformStandIn;
 
 /**
- * Callers of a soak that keep connections to every daemon busy until its process is gone: half of
- * them honour that a response announces the close, half ignore it. Runs on one event loop.
+ * Callers of a soak that keep connections to every daemon busy until its process ends: half of them
+ * honour that a response announces the close, half ignore it. Runs on one event loop.
  */
 final class KeptConnections {
 
--- a/core/src/main/java/org/marjoramsail/core/membership/HostLeaseCall.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/HostLeaseCall.java
@@ -22,7 +22,7 @@
       implements HostLeaseCall {}
 
   /**
-   * Removes the record of a host that is gone, unless it was renewed.
+   * Removes the record of a host that no longer renews it, unless it was renewed meanwhile.
    *
    * @param record the record as it was read
    */
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateFaultsTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetRateFaultsTest.java
@@ -163,7 +163,7 @@
     assertThat(outcome.servedSince(fromMillis)).isGreaterThanOrEqualTo(wantedInWindow());
   }
 
-  /** Guards against hosts that are gone for good and still hold a part of a limit. */
+  /** Guards against hosts that have ended for good and still hold a part of a limit. */
   @ParameterizedTest
   @ValueSource(longs = {11, 12})
   void aFleetThatShrinksWithoutAHostListServesTheWholeLimit(long seed) {
