Create the sender of crash reports before the requests that use it

What callers saw: a daemon of the own platform did not start: requests take a reference to the sender of crash reports, which was null until the next line of the constructor.

The sender needs nothing of the requests and is created first now.

--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -173,8 +173,8 @@
             PollInterval.defaults(),
             clock,
             random);
-    this.requests = requestParts(upstreams, invariants, random, json);
     this.crashReports = new CrashReportSender(self, quarantine, network);
+    this.requests = requestParts(upstreams, invariants, random, json);
     this.outcomes =
         new CrashObserver(
             quarantine, requests.registry, crashReports::sendNew, placementParts, clock);
