--- a/core/src/test/java/org/marjoramsail/core/membership/HostLeasesTest.java
+++ b/core/src/test/java/org/marjoramsail/core/membership/HostLeasesTest.java
@@ -35,7 +35,7 @@
     assertThat(running.get(3).isComplete(clock.millis())).isTrue();
   }
 
-  /** Guards against a fleet that holds back the limits of hosts that are gone for good. */
+  /** Guards against a fleet that holds back the limits of hosts that have ended for good. */
   @Test
   void hostsThatAreNotRenewedStopCountingAndAreRemoved() {
     startAll();
