--- a/command/src/test/java/org/marjoramsail/command/platform/RefusedConnectionsTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/RefusedConnectionsTest.java
@@ -4,7 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
-/** Which calls found that their daemon refuses connections, behind a path that accepts them. */
+/** Calls whose daemon refuses the connection after a network path has accepted it. */
 final class RefusedConnectionsTest {
 
   private static final String REQUEST = "soak-1";
--- a/core/src/main/java/org/marjoramsail/core/membership/HostLeases.java
+++ b/core/src/main/java/org/marjoramsail/core/membership/HostLeases.java
@@ -15,8 +15,8 @@
  * Leases of all hosts in the store, from which a daemon knows the size of its fleet.
  *
  * <p>Each daemon renews the record of its host and reads the records of all hosts, both rarely. A
- * record that is not renewed stops counting after the time of a lease, which is measured by the
- * clock of the reader from its first sight of the record. So a daemon that has just started counts
+ * record that is not renewed stops counting when its lease expires. The reader times the lease by
+ * its own clock, from its first reading of a renewal. So a daemon that has just started counts
  * every host that the store knows. A store that does not answer lets no lease end: the last known
  * hosts count until it answers again.
  *
@@ -256,7 +256,7 @@
 
   /**
    * Returns whether every running host of the fleet has had the time to write its record. Until
-   * then the addresses complement what else is known of the fleet.
+   * then the addresses are used in addition to the seeds and the known members.
    */
   public boolean isComplete(long nowMillis) {
     return hasRead && nowMillis >= completeFromMillis;
