--- a/review/src/Stand.java
+++ b/review/src/Stand.java
@@ -7,9 +7,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** What the cases share: the record, the daemons as processes, the configuration. */
@@ -20,6 +23,8 @@
   private static PrintWriter record;
   private static Path temporary;
   private static final List<Daemon> DAEMONS = new ArrayList<>();
+  private static final Random RANDOM = new Random();
+  private static final Set<Integer> PORTS = new HashSet<>();
 
   private Stand() {}
 
@@ -84,10 +89,19 @@
     }
   }
 
+  /** Returns a free port below those that the system gives to outgoing channels. */
   static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+    for (int tries = 0; tries < 100; tries++) {
+      int port = 15_000 + RANDOM.nextInt(15_000);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        if (PORTS.add(port)) {
+          return socket.getLocalPort();
+        }
+      } catch (IOException taken) {
+        continue;
+      }
     }
+    throw new IOException("no free port was found");
   }
 
   /** A daemon as a process, started as the deploy file says. */
