Start no work for a caller whose close has arrived and is not read yet

What callers saw: nothing; they had left.

Cause: a decision was taken on what the event loop had read, and not on what had arrived. A request and the close behind it wait in one socket; the loop reads the request, stops since the buffer was not filled, runs the tasks that place and send it, and reads the close a turn later.

Fix: the connection of the caller is read at the moments that matter (ConnectionProbe): before a lifecycle event that may start work is handled (placement, grant, retry, resumed stream, second attempt), and before a request is written to a connection that was opened for it. If it has been closed, the end of the caller's side is handled first, so that the request gives back what it holds and is neither answered nor refused. This holds for forwarded requests, for completions, and for a relay and its sender. Whatever made the loop late, the probe sees each close that has arrived. Dropped requests are counted.

--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleEvent.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleEvent.java
@@ -10,6 +10,14 @@
 /** Event of a request that its {@link RequestLifecycle} handles. */
 public sealed interface LifecycleEvent {
 
+  /**
+   * Returns whether the event may lead to work at the owner of a shard or at an upstream, which is
+   * not started for a caller that has left.
+   */
+  default boolean mayStartWork() {
+    return true;
+  }
+
   /** The request was registered. */
   record Started() implements LifecycleEvent {}
 
@@ -65,7 +73,12 @@
    * @param version version of its software, if known
    */
   record OutputStarted(int attempt, UpstreamName upstream, Optional<SoftwareVersion> version)
-      implements LifecycleEvent {}
+      implements LifecycleEvent {
+    @Override
+    public boolean mayStartWork() {
+      return false;
+    }
+  }
 
   /**
    * A token arrived from a decode upstream.
@@ -76,7 +89,12 @@
    * @param text text of the token
    */
   record TokenArrived(RequestId request, int attempt, int index, String text)
-      implements LifecycleEvent {}
+      implements LifecycleEvent {
+    @Override
+    public boolean mayStartWork() {
+      return false;
+    }
+  }
 
   /**
    * The last frame of a stream arrived.
@@ -100,6 +118,11 @@
       String trailingText)
       implements LifecycleEvent {
 
+    @Override
+    public boolean mayStartWork() {
+      return false;
+    }
+
     /** Creates the end of a stream without text after its last token. */
     public StreamFinished(
         RequestId request,
@@ -117,7 +140,12 @@
    *
    * @param attempt number of the attempt
    */
-  record PlainResponseReceived(int attempt) implements LifecycleEvent {}
+  record PlainResponseReceived(int attempt) implements LifecycleEvent {
+    @Override
+    public boolean mayStartWork() {
+      return false;
+    }
+  }
 
   /**
    * An upstream sent a complete response that reports a failure; the I/O layer keeps the response.
@@ -134,17 +162,32 @@
    * @param failure kind of the failure
    */
   record UpstreamFailed(int attempt, UpstreamName upstream, UpstreamFailure failure)
-      implements LifecycleEvent {}
+      implements LifecycleEvent {
+    @Override
+    public boolean mayStartWork() {
+      return failure != UpstreamFailure.CALLER_LEFT;
+    }
+  }
 
   /** The caller has closed its connection. */
-  record CallerDisconnected() implements LifecycleEvent {}
+  record CallerDisconnected() implements LifecycleEvent {
+    @Override
+    public boolean mayStartWork() {
+      return false;
+    }
+  }
 
   /**
    * This daemon ends the request, for instance since the caller reads its response too slowly.
    *
    * @param refusal reason; its run state is replaced by that of the lifecycle
    */
-  record CallerEnded(Refusal refusal) implements LifecycleEvent {}
+  record CallerEnded(Refusal refusal) implements LifecycleEvent {
+    @Override
+    public boolean mayStartWork() {
+      return false;
+    }
+  }
 
   /**
    * An upstream confirmed that it holds no resources for an attempt.
@@ -152,7 +195,12 @@
    * @param attempt number of the attempt
    * @param upstream the upstream
    */
-  record CancelConfirmed(int attempt, UpstreamName upstream) implements LifecycleEvent {}
+  record CancelConfirmed(int attempt, UpstreamName upstream) implements LifecycleEvent {
+    @Override
+    public boolean mayStartWork() {
+      return false;
+    }
+  }
 
   /**
    * An upstream has restarted or was removed from the configuration, so it holds no resources.
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleState.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleState.java
@@ -18,6 +18,11 @@
     return this == PREFILLING || this == GENERATING || this == PLAIN_RUNNING;
   }
 
+  /** Returns whether a response that reports a failure may still arrive. */
+  boolean isAwaitingResponse(boolean outputReceived) {
+    return this == PLAIN_RUNNING || (this == GENERATING && !outputReceived);
+  }
+
   /** Returns the state in lower case with hyphens, as operators see it. */
   public String code() {
     return name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -386,9 +386,7 @@
       endSilent(SilenceOutcome.FAILED, AttemptResult.FAILED);
       return;
     }
-    boolean isAwaited =
-        state == LifecycleState.PLAIN_RUNNING
-            || (state == LifecycleState.GENERATING && !attempt.isOutputReceived());
+    boolean isAwaited = state.isAwaitingResponse(attempt.isOutputReceived());
     if (!isAwaited || failed.attempt() != attempt.number()) {
       countDrop(DropReason.LATE_EVENT);
       return;
@@ -449,10 +447,13 @@
     } else {
       placement.avoid(upstream);
     }
+    if (failure == UpstreamFailure.CALLER_LEFT) {
+      state = LifecycleState.BACKING_OFF;
+      callerDisconnected();
+      return;
+    }
     if (history.mayHaveRun() && !profile.repeatability().isResendable()) {
-      refuse(
-          RefusalReason.UPSTREAM_FAILED,
-          "The upstream failed after the send; the request may run only once.");
+      refuse(LifecycleRefusals.failedAfterSend());
       return;
     }
     retry(
@@ -461,9 +462,7 @@
 
   private void retry(RetryReason reason) {
     if (!attempt.isAnotherAllowed(policy)) {
-      String detail =
-          "Attempt " + attempt.number() + " failed (" + reason.code() + ") and no retry is left.";
-      giveUpAttempt(Refusal.notRun(RefusalReason.RETRIES_EXHAUSTED, detail));
+      giveUpAttempt(LifecycleRefusals.retriesExhausted(attempt.number(), reason));
       return;
     }
     actions.add(new LifecycleAction.CountRetry(reason, history.priorCalls().isAny()));
--- a/core/src/main/java/org/marjoramsail/core/outcome/UpstreamFailure.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/UpstreamFailure.java
@@ -15,6 +15,8 @@
   LEAVING(true, RetryReason.UPSTREAM_LEAVING, AttemptResult.REFUSED),
   /** Nothing was sent: the upstream is draining or has requested a pause from this host. */
   NOT_ACCEPTING(true, RetryReason.UPSTREAM_NOT_ACCEPTING, AttemptResult.CANCELLED),
+  /** Nothing was sent: the caller has closed its connection. */
+  CALLER_LEFT(true, RetryReason.CALLER_LEFT, AttemptResult.CANCELLED),
   /** The decode upstream responded that the KV cache had expired before it could start. */
   KV_EXPIRED(true, RetryReason.KV_EXPIRED, AttemptResult.KV_LOST),
   /** The decode upstream responded that it could not fetch the KV cache and did not start. */
@@ -48,7 +50,7 @@
 
   /** Returns whether the upstream never received the request. */
   public boolean isNeverSent() {
-    return this == CONNECT_FAILED || this == NOT_ACCEPTING;
+    return this == CONNECT_FAILED || this == NOT_ACCEPTING || this == CALLER_LEFT;
   }
 
   /** Returns the reason of a retry after this failure. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHandler.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerHandler.java
@@ -12,8 +12,10 @@
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.model.RequestId;
+import org.marjoramsail.daemon.request.CallerPresence;
 import org.marjoramsail.daemon.request.CallerSink;
 import org.marjoramsail.daemon.request.CompletionSender;
+import org.marjoramsail.daemon.request.HttpCallerPresence;
 import org.marjoramsail.daemon.request.LatencyTargets;
 import org.marjoramsail.daemon.request.NewRequest;
 import org.marjoramsail.daemon.request.RequestHandle;
@@ -143,6 +145,7 @@
   private RequestHandle submit(
       HttpServerRequest request, RequestFactory.Prepared prepared, CallerSink sink) {
     Context context = vertx.getOrCreateContext();
+    CallerPresence caller = new HttpCallerPresence(request);
     RequestHandle handle =
         dependencies
             .registry()
@@ -151,7 +154,11 @@
                     prepared.profile(),
                     dependencies.policy(),
                     new CompletionSender(
-                        prepared.profile(), prepared.content(), sink, dependencies.upstreams()),
+                        prepared.profile(),
+                        prepared.content(),
+                        sink,
+                        caller,
+                        dependencies.upstreams()),
                     prepared.claim(),
                     prepared.rule().perTokenTargetMillis(),
                     new LatencyTargets(
@@ -159,6 +166,7 @@
                             - prepared.profile().receivedAtMillis(),
                         LatencyTargets.NO_GAP_LIMIT),
                     sink,
+                    caller,
                     task -> context.runOnContext(ignored -> task.run())));
     request.response().closeHandler(closed -> handle.callerDisconnected());
     return handle;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -8,8 +8,8 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
-import java.util.function.BooleanSupplier;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.outcome.UpstreamFailure;
@@ -64,7 +64,7 @@
   private final Function<MultiMap, Optional<Long>> keepAliveMillis;
   private final UpstreamDefinition target;
   private final ForwardedRequest request;
-  private final BooleanSupplier accepting;
+  private final Supplier<Optional<UpstreamFailure>> obstacle;
   private final Listener listener;
   private Optional<UpstreamConnection> connection = Optional.empty();
   private long writtenAtMillis = NOT_WRITTEN;
@@ -78,7 +78,7 @@
    *
    * @param keepAliveMillis returns how long an upstream keeps an idle connection, from the headers
    *     of a response
-   * @param accepting returns whether the upstream accepts the request now
+   * @param obstacle returns why the request is not to be written now, if there is a reason
    */
   ForwardCall(
       UpstreamConnections connections,
@@ -86,14 +86,14 @@
       Function<MultiMap, Optional<Long>> keepAliveMillis,
       UpstreamDefinition target,
       ForwardedRequest request,
-      BooleanSupplier accepting,
+      Supplier<Optional<UpstreamFailure>> obstacle,
       Listener listener) {
     this.connections = connections;
     this.calls = calls;
     this.keepAliveMillis = keepAliveMillis;
     this.target = target;
     this.request = request;
-    this.accepting = accepting;
+    this.obstacle = obstacle;
     this.listener = listener;
   }
 
@@ -222,9 +222,10 @@
     clientRequest.exceptionHandler(this::responseFailed);
     clientRequest.continueHandler(interim -> interimResponse());
     clientRequest.earlyHintsHandler(hints -> interimResponse());
-    // The upstream may have started to drain while the connection was opened.
-    if (!accepting.getAsBoolean()) {
-      fail(UpstreamFailure.NOT_ACCEPTING);
+    // The upstream may have started to drain, or the caller left, while the connection was opened.
+    Optional<UpstreamFailure> found = obstacle.get();
+    if (found.isPresent()) {
+      fail(found.get());
       return;
     }
     writtenAtMillis = calls.millis();
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -10,8 +10,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.model.SoftwareVersion;
@@ -28,7 +28,9 @@
 import org.marjoramsail.core.stream.StreamOrigin;
 import org.marjoramsail.core.stream.StreamRecord;
 import org.marjoramsail.daemon.request.AttemptSender;
+import org.marjoramsail.daemon.request.CallerPresence;
 import org.marjoramsail.daemon.request.CallerSink;
+import org.marjoramsail.daemon.request.HttpCallerPresence;
 import org.marjoramsail.daemon.request.OpenCall;
 import org.marjoramsail.daemon.upstream.KvLocation;
 import org.marjoramsail.daemon.upstream.PlainResponse;
@@ -57,6 +59,7 @@
   private final ForwardedRequest request;
   private final RequestProfile profile;
   private final HttpServerRequest caller;
+  private final CallerPresence presence;
   private final OptionalInt priority;
   private final boolean streaming;
   private final long streamLifetimeMillis;
@@ -81,6 +84,7 @@
     this.request = request;
     this.profile = profile;
     this.caller = caller;
+    this.presence = new HttpCallerPresence(caller);
     this.priority = priority;
     this.streaming = route.streaming();
     this.streamLifetimeMillis = ForwardingRules.streamLifetimeMillis(route);
@@ -172,7 +176,7 @@
         call(
                 holder,
                 dropRequest,
-                () -> true,
+                Optional::empty,
                 new KvDeletion(dependencies, holder, () -> events.accept(confirmed)))
             .start(headers)
             .closeAfter(KvDeletion.TIMEOUT_MILLIS);
@@ -266,7 +270,8 @@
       Optional<SoftwareVersion> requiredVersion,
       int attempt,
       Consumer<LifecycleEvent> events) {
-    Optional<UpstreamFailure> rejection = rejection(upstream, requiredVersion);
+    Optional<UpstreamFailure> rejection =
+        UpstreamRejection.of(dependencies, upstream, requiredVersion);
     if (rejection.isPresent()) {
       events.accept(new LifecycleEvent.UpstreamFailed(attempt, upstream, rejection.get()));
       return Optional.empty();
@@ -276,24 +281,13 @@
     return accepting;
   }
 
-  /**
-   * Returns why an upstream takes no request from this host now; empty if it does. The owner of the
-   * shard may select an upstream before it receives the feedback that this host already has, or
-   * while its list still has an earlier incarnation of another software version.
-   */
-  private Optional<UpstreamFailure> rejection(
+  /** Returns why a request is not written to a connection that was opened for it. */
+  private Optional<UpstreamFailure> obstacle(
       UpstreamName upstream, Optional<SoftwareVersion> requiredVersion) {
-    Optional<UpstreamDefinition> listed =
-        dependencies.upstreams().apply(upstream).filter(found -> !found.drained());
-    if (listed.isEmpty()) {
-      return Optional.of(UpstreamFailure.CONNECT_FAILED);
-    }
-    return listed
-            .filter(dependencies.feedback()::isAccepting)
-            .filter(found -> found.mayContinue(requiredVersion))
-            .isPresent()
-        ? Optional.empty()
-        : Optional.of(UpstreamFailure.NOT_ACCEPTING);
+    if (UpstreamRejection.of(dependencies, upstream, requiredVersion).isPresent()) {
+      return Optional.of(UpstreamFailure.NOT_ACCEPTING);
+    }
+    return presence.isPresent() ? Optional.empty() : Optional.of(UpstreamFailure.CALLER_LEFT);
   }
 
   private Optional<KvLocation> location(KvSource source) {
@@ -322,15 +316,14 @@
                 resumeAfter,
                 request.organisation(),
                 priority));
-    return call(
-            target, request, () -> rejection(target.name(), requiredVersion).isEmpty(), listener)
+    return call(target, request, () -> obstacle(target.name(), requiredVersion), listener)
         .start(headers);
   }
 
   private ForwardCall call(
       UpstreamDefinition target,
       ForwardedRequest sent,
-      BooleanSupplier accepting,
+      Supplier<Optional<UpstreamFailure>> obstacle,
       ForwardCall.Listener listener) {
     return new ForwardCall(
         dependencies.connections(),
@@ -338,7 +331,7 @@
         dependencies.protocol()::keepAliveMillis,
         target,
         sent,
-        accepting,
+        obstacle,
         listener);
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -30,6 +30,7 @@
 import org.marjoramsail.core.routing.RoutingConfiguration;
 import org.marjoramsail.core.stream.StreamOrigin;
 import org.marjoramsail.daemon.connection.ListeningPort;
+import org.marjoramsail.daemon.request.HttpCallerPresence;
 import org.marjoramsail.daemon.request.LatencyTargets;
 import org.marjoramsail.daemon.request.NewRequest;
 import org.marjoramsail.daemon.request.RequestHandle;
@@ -241,6 +242,11 @@
     return exchangeDependencies.connections().relayed();
   }
 
+  /** Returns the number of calls of other daemons that were closed before they were sent. */
+  public long callsDroppedByRelay() {
+    return relayServer.dropped();
+  }
+
   /** Returns the number of calls of other daemons that are being relayed. */
   public int relayedCalls() {
     return relayServer.running();
@@ -514,6 +520,7 @@
                 route.gapTargetMillis(),
                 new LatencyTargets(route.targetMillis(), route.gapTargetMillis()),
                 exchange,
+                new HttpCallerPresence(request),
                 task -> context.runOnContext(ignored -> task.run())));
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.daemon.forward;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
@@ -18,6 +19,7 @@
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.daemon.connection.ConnectionProbe;
 import org.marjoramsail.daemon.connection.ListeningPort;
 
 /**
@@ -47,6 +49,7 @@
   private Optional<HttpServer> server = Optional.empty();
   private int running;
   private long accepted;
+  private long dropped;
 
   /**
    * Creates a server that does not listen yet.
@@ -117,6 +120,11 @@
     return accepted;
   }
 
+  /** Returns the number of calls that were not sent since their sender had closed them. */
+  long dropped() {
+    return dropped;
+  }
+
   /** Returns the number of responses of upstreams that exceeded a bound. */
   long responsesExceeding(ResponseBound bound) {
     return calls.exceededCount(bound);
@@ -141,9 +149,11 @@
     }
     running++;
     accepted++;
+    Context context = vertx.getOrCreateContext();
+    // The sender's connection is probed, which a handler of what it sends must not do.
     request
         .body()
-        .onSuccess(body -> relay(request, body, target.get()))
+        .onSuccess(body -> context.runOnContext(read -> relay(request, body, target.get())))
         .onFailure(broken -> running--);
   }
 
@@ -169,7 +179,7 @@
             protocol::keepAliveMillis,
             target,
             relayed,
-            () -> upstreams.apply(target.name()).isPresent(),
+            () -> obstacle(request, target),
             listener);
     listener.relays(call);
     request
@@ -182,6 +192,17 @@
     ForwardCall unused = call.start(headers);
   }
 
+  private Optional<UpstreamFailure> obstacle(HttpServerRequest request, UpstreamDefinition target) {
+    if (upstreams.apply(target.name()).isEmpty()) {
+      return Optional.of(UpstreamFailure.NOT_ACCEPTING);
+    }
+    if (ConnectionProbe.isOpen(request.connection())) {
+      return Optional.empty();
+    }
+    dropped++;
+    return Optional.of(UpstreamFailure.CALLER_LEFT);
+  }
+
   private static void refuse(HttpServerRequest request, int status) {
     request
         .response()
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -36,6 +36,7 @@
   private final Map<LifecycleState, Counter> silentAttempts;
   private final Map<SilenceOutcome, Counter> silenceOutcomes;
   private final Map<RetryReason, Counter> retries;
+  private final Map<LifecycleState, Counter> droppedRequests = new EnumMap<>(LifecycleState.class);
   private final Map<DropReason, Counter> drops;
   private final Map<LatencyViolation, Counter> latencyViolations;
   private final Counter budgetedRetries;
@@ -61,6 +62,10 @@
     for (RunState run : RunState.values()) {
       refused.put(run, refusals(registry, run));
     }
+    for (LifecycleState state : LifecycleState.values()) {
+      droppedRequests.put(
+          state, registry.counter(PREFIX + "requests.dropped", "state", state.code()));
+    }
     this.brokenOff =
         perReason(registry, RefusalReason.class, "requests.broken.off", RefusalReason::code);
     this.silentAttempts = silentAttempts(registry);
@@ -209,6 +214,11 @@
     (fromBudget ? budgetedRetries : freeRetries).increment();
   }
 
+  /** Counts a request that is not passed on since its caller has left. */
+  public void dropped(LifecycleState state) {
+    droppedRequests.get(state).increment();
+  }
+
   /** Counts a dropped event or cancel. */
   public void dropped(DropReason reason) {
     drops.get(reason).increment();
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
@@ -8,6 +8,7 @@
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.outcome.LifecycleAction;
 import org.marjoramsail.core.outcome.LifecycleEvent;
+import org.marjoramsail.core.outcome.LifecycleState;
 import org.marjoramsail.core.outcome.RequestProfile;
 import org.marjoramsail.core.placement.PlacementResult;
 import org.marjoramsail.core.time.Clock;
@@ -59,6 +60,11 @@
     log.failedInternally(profile, failure);
   }
 
+  /** Counts a request that is not passed on since its caller has left. */
+  void dropped(LifecycleState state) {
+    meter.dropped(state);
+  }
+
   /** Refuses a request whose final response could not be sent. */
   void refuseUnlessResponded() {
     if (!responded) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/CompletionSender.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/CompletionSender.java
@@ -28,6 +28,7 @@
   private final RequestProfile profile;
   private final RequestContent content;
   private final CallerSink sink;
+  private final CallerPresence caller;
   private final UpstreamClients clients;
   private final Map<UpstreamName, UpstreamEndpoint> endpoints = new HashMap<>(2);
   private volatile Optional<ReceivedResponse> lastResponse = Optional.empty();
@@ -38,13 +39,19 @@
    * @param profile properties of the request
    * @param content the content that upstreams receive
    * @param sink receives the output
+   * @param caller tells whether the caller still waits
    * @param clients clients of the upstreams
    */
   public CompletionSender(
-      RequestProfile profile, RequestContent content, CallerSink sink, UpstreamClients clients) {
+      RequestProfile profile,
+      RequestContent content,
+      CallerSink sink,
+      CallerPresence caller,
+      UpstreamClients clients) {
     this.profile = profile;
     this.content = content;
     this.sink = sink;
+    this.caller = caller;
     this.clients = clients;
   }
 
@@ -76,6 +83,7 @@
                 .prefill(
                     resolved,
                     request,
+                    caller,
                     prefilled -> events.accept(prefilled(send.attempt(), prefilled)),
                     failure -> failed(send.attempt(), send.upstream(), failure, events)));
   }
@@ -115,6 +123,7 @@
                 .decode(
                     resolved,
                     request,
+                    caller,
                     !profile.repeatability().isResendable(),
                     listener(send.attempt(), send.upstream(), events)));
   }
@@ -173,6 +182,7 @@
                     .send(
                         resolved,
                         request,
+                        caller,
                         !profile.repeatability().isResendable(),
                         received -> plainResponseReceived(send.attempt(), received, events),
                         failure -> failed(send.attempt(), send.upstream(), failure, events)));
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -9,6 +9,7 @@
 import org.marjoramsail.core.outcome.LifecycleEvent;
 import org.marjoramsail.core.outcome.LifecycleState;
 import org.marjoramsail.core.outcome.RequestLifecycle;
+import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.core.time.Clock;
 
 /**
@@ -23,6 +24,7 @@
 
   private final Object shardLock;
   private final Executor executor;
+  private final CallerPresence caller;
   private final Clock clock;
   private final TaskScheduler scheduler;
   private final RequestLifecycle lifecycle;
@@ -39,6 +41,7 @@
   LiveRequest(
       Object shardLock,
       Executor executor,
+      CallerPresence caller,
       Clock clock,
       TaskScheduler scheduler,
       RequestLifecycle lifecycle,
@@ -47,6 +50,7 @@
       Runnable onSettled) {
     this.shardLock = shardLock;
     this.executor = executor;
+    this.caller = caller;
     this.clock = clock;
     this.scheduler = scheduler;
     this.lifecycle = lifecycle;
@@ -133,6 +137,7 @@
       }
     }
     try {
+      endIfCallerHasLeft(event);
       handle(event);
     } catch (RuntimeException | Error failure) {
       endAfter(failure);
@@ -140,6 +145,33 @@
     return true;
   }
 
+  /**
+   * Handles the end of the caller's side before an event that could start work for it. The event
+   * loop may have received the end later than the event and not handled it yet.
+   */
+  private void endIfCallerHasLeft(LifecycleEvent event) {
+    LifecycleState state;
+    synchronized (shardLock) {
+      state = lifecycle.state();
+    }
+    if (isUnsent(event)) {
+      runner.dropped(state);
+      return;
+    }
+    if (!event.mayStartWork() || state == LifecycleState.ENDED || caller.isPresent()) {
+      return;
+    }
+    if (!state.isRunning()) {
+      runner.dropped(state);
+    }
+    handle(new LifecycleEvent.CallerDisconnected());
+  }
+
+  private static boolean isUnsent(LifecycleEvent event) {
+    return event instanceof LifecycleEvent.UpstreamFailed failed
+        && failed.failure() == UpstreamFailure.CALLER_LEFT;
+  }
+
   private void handle(LifecycleEvent event) {
     List<LifecycleAction> actions = decide(event);
     try {
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/NewRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/NewRequest.java
@@ -15,6 +15,7 @@
  * @param perTokenTargetMillis target for the mean time between tokens, for metrics
  * @param latencyTargets its latency targets
  * @param sink receives its output
+ * @param caller tells whether its caller still waits
  * @param executor runs tasks one after another, among them the calls of the sink
  */
 public record NewRequest(
@@ -25,4 +26,5 @@
     long perTokenTargetMillis,
     LatencyTargets latencyTargets,
     CallerSink sink,
+    CallerPresence caller,
     Executor executor) {}
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
@@ -78,6 +78,10 @@
     metrics.retried(reason, fromBudget);
   }
 
+  void dropped(LifecycleState state) {
+    metrics.dropped(state);
+  }
+
   void dropped(DropReason reason) {
     metrics.dropped(reason);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
@@ -108,6 +108,7 @@
     return new LiveRequest(
         shard,
         request.executor(),
+        request.caller(),
         clock,
         scheduler,
         lifecycle,
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/EngineClient.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/EngineClient.java
@@ -17,6 +17,7 @@
 import org.marjoramsail.core.model.DaemonId;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.outcome.UpstreamFailure;
+import org.marjoramsail.daemon.request.CallerPresence;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -54,15 +55,17 @@
   /**
    * Sends a prefill request to an engine.
    *
+   * @param caller the caller of the request
    * @param onResponse called with the response, at most once
    * @param onFailure called with the failure, at most once and not after a response
    */
   public UpstreamCall prefill(
       UpstreamEndpoint endpoint,
       PrefillRequest request,
+      CallerPresence caller,
       Consumer<PrefillResponse> onResponse,
       Consumer<UpstreamFailure> onFailure) {
-    UpstreamCall call = new UpstreamCall();
+    UpstreamCall call = new UpstreamCall(caller);
     Consumer<UpstreamFailure> onFailureOnce = once(call, onFailure);
     post(endpoint, "/v1/prefill", request, false, call, onFailureOnce)
         .onSuccess(
@@ -100,15 +103,17 @@
   /**
    * Sends a decode request to an engine, which streams its output.
    *
+   * @param caller the caller of the request
    * @param newConnection whether to use a new connection, as for a request that may run only once
    * @param listener receives the stream
    */
   public UpstreamCall decode(
       UpstreamEndpoint endpoint,
       DecodeRequest request,
+      CallerPresence caller,
       boolean newConnection,
       DecodeListener listener) {
-    UpstreamCall call = new UpstreamCall();
+    UpstreamCall call = new UpstreamCall(caller);
     Consumer<UpstreamFailure> onFailure = once(call, listener::failed);
     post(endpoint, "/v1/decode", request, newConnection, call, onFailure)
         .onSuccess(response -> handleDecodeResponse(response, call, listener, onFailure));
@@ -241,11 +246,9 @@
       return Promise.<HttpClientResponse>promise().future();
     }
     return http.connect(endpoint, HttpMethod.POST, path, newConnection)
+        .compose(request -> call.attach(endpoint, request))
         .compose(
             request -> {
-              if (!call.attach(request)) {
-                return Promise.<HttpClientResponse>promise().future();
-              }
               request.putHeader("content-type", "application/json");
               return http.send(endpoint, request, body);
             })
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/PlainClient.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/PlainClient.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
-import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
@@ -14,6 +13,7 @@
 import java.util.function.Consumer;
 import org.marjoramsail.core.failure.RunState;
 import org.marjoramsail.core.outcome.UpstreamFailure;
+import org.marjoramsail.daemon.request.CallerPresence;
 
 /** Calls plain services. Handlers run on the Vert.x context of the call. */
 public final class PlainClient {
@@ -49,6 +49,7 @@
   /**
    * Sends a request.
    *
+   * @param caller the caller of the request
    * @param newConnection whether to use a new connection, as for a request that may run only once
    * @param onResponse called with the complete response, at most once
    * @param onFailure called with the failure, at most once and not after a response
@@ -56,10 +57,11 @@
   public UpstreamCall send(
       UpstreamEndpoint endpoint,
       PlainRequest request,
+      CallerPresence caller,
       boolean newConnection,
       Consumer<PlainResponse> onResponse,
       Consumer<UpstreamFailure> onFailure) {
-    UpstreamCall call = new UpstreamCall();
+    UpstreamCall call = new UpstreamCall(caller);
     Consumer<UpstreamFailure> onFailureOnce =
         failure -> {
           if (call.finish()) {
@@ -67,11 +69,9 @@
           }
         };
     http.connect(endpoint, HttpMethod.valueOf(request.method()), request.path(), newConnection)
+        .compose(httpRequest -> call.attach(endpoint, httpRequest))
         .compose(
             httpRequest -> {
-              if (!call.attach(httpRequest)) {
-                return Promise.<HttpClientResponse>promise().future();
-              }
               copyEndToEnd(request.headers(), httpRequest.headers());
               httpRequest.putHeader("marjoramsail-request", request.request().value());
               httpRequest.putHeader("marjoramsail-attempt", Integer.toString(request.attempt()));
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamCall.java
@@ -1,6 +1,10 @@
 package org.marjoramsail.daemon.upstream;
 
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.http.HttpClientRequest;
+import org.marjoramsail.core.outcome.UpstreamFailure;
+import org.marjoramsail.daemon.request.CallerPresence;
 import org.marjoramsail.daemon.request.OpenCall;
 
 /** A call in flight; closing it closes its connection, and no callback follows. */
@@ -8,17 +12,38 @@
 
   private boolean finished;
   private boolean closed;
+  private final CallerPresence caller;
   private HttpClientRequest request;
 
-  UpstreamCall() {}
+  /**
+   * Creates a call that is not connected.
+   *
+   * @param caller the caller of the request
+   */
+  UpstreamCall(CallerPresence caller) {
+    this.caller = caller;
+  }
 
-  /** Attaches the HTTP request of a new connection; returns false if the call is already closed. */
-  synchronized boolean attach(HttpClientRequest connected) {
-    request = connected;
-    if (closed) {
-      connected.reset();
+  /**
+   * Attaches the HTTP request of a new connection.
+   *
+   * @return the request if it is to be sent; never completes if the call is already closed, and
+   *     fails if the caller has left
+   */
+  Future<HttpClientRequest> attach(UpstreamEndpoint endpoint, HttpClientRequest connected) {
+    synchronized (this) {
+      request = connected;
+      if (closed) {
+        connected.reset();
+        return Promise.<HttpClientRequest>promise().future();
+      }
+    }
+    if (caller.isPresent()) {
+      return Future.succeededFuture(connected);
     }
-    return !closed;
+    connected.reset();
+    return Future.failedFuture(
+        new UpstreamCallException(endpoint, UpstreamFailure.CALLER_LEFT, "nothing was sent"));
   }
 
   /** Returns whether the call has ended or was closed. */
--- a/daemon/src/test/java/org/marjoramsail/daemon/caller/OutcomeFailureTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/caller/OutcomeFailureTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.vertx.core.Vertx;
+import java.io.IOException;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.model.UpstreamRole;
+import org.marjoramsail.daemon.fixture.AcceptQueue;
 import org.marjoramsail.daemon.fixture.CallerPath;
 import org.marjoramsail.daemon.fixture.Callers;
 import org.marjoramsail.daemon.fixture.FakeEngine;
@@ -21,6 +23,8 @@
 
 final class OutcomeFailureTest {
 
+  private static final int DEPARTED = 10;
+
   private final Vertx vertx = Vertx.vertx();
   private final FakeEngine prefill = new FakeEngine(vertx, "prefill-1", UpstreamRole.PREFILL);
   private final FakeEngine first = new FakeEngine(vertx, "decode-1", UpstreamRole.DECODE);
@@ -56,6 +60,26 @@
     path.close();
   }
 
+  /** Guards against work for callers whose close waits in the socket behind their requests. */
+  @Test
+  void aRequestWhoseCallerLeavesBeforeItIsReadIsNotPassedOn() throws IOException {
+    String request =
+        "POST /services/ventanilla/receipt HTTP/1.1\r\nhost: 127.0.0.1\r\nauthorization: Bearer "
+            + CallerPath.TOKEN
+            + "\r\ncontent-length: 6\r\n\r\nfiling";
+
+    try (AcceptQueue queue = new AcceptQueue(vertx)) {
+      queue.add(DEPARTED, path.port(), request).leave().release();
+      Waits.until(
+          "all are handled",
+          () ->
+              path.count("requests.dropped", "state", "received") + plain.runs() + otherPlain.runs()
+                  >= DEPARTED);
+    }
+
+    assertThat(plain.runs() + otherPlain.runs()).isZero();
+  }
+
   private HttpResponse<String> receipt(Optional<String> key) {
     HttpRequest.Builder request =
         callers
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/FleetSimulation.java
@@ -47,6 +47,7 @@
 import org.marjoramsail.daemon.metrics.RequestMetrics;
 import org.marjoramsail.daemon.placement.ConfiguredShards;
 import org.marjoramsail.daemon.placement.DistributedPlacement;
+import org.marjoramsail.daemon.request.CallerPresence;
 import org.marjoramsail.daemon.request.LatencyTargets;
 import org.marjoramsail.daemon.request.LifecycleDependencies;
 import org.marjoramsail.daemon.request.NewRequest;
@@ -495,6 +496,7 @@
                 TARGET_MILLIS,
                 new LatencyTargets(TARGET_MILLIS, LatencyTargets.NO_GAP_LIMIT),
                 exchange,
+                CallerPresence.ALWAYS,
                 Runnable::run));
   }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -12,7 +12,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
@@ -33,18 +34,36 @@
     Waits.get(vertx.close());
   }
 
+  /** Guards against work for a caller that leaves while a connection is opened for its request. */
+  @Test
+  void nothingIsSentIfTheCallerLeavesWhileTheConnectionIsOpened() {
+    FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
+    AtomicReference<Optional<UpstreamFailure>> obstacle = new AtomicReference<>(Optional.empty());
+    Promise<UpstreamFailure> failure = Promise.promise();
+    Context context = vertx.getOrCreateContext();
+
+    context.runOnContext(
+        started -> {
+          ForwardCall unused = call(upstream, obstacle::get, failure).start(headers());
+          obstacle.set(Optional.of(UpstreamFailure.CALLER_LEFT));
+        });
+
+    assertThat(Waits.get(failure.future())).isEqualTo(UpstreamFailure.CALLER_LEFT);
+    assertThat(upstream.runs()).isZero();
+  }
+
   /** Guards against new work on an upstream that drains while a connection to it is opened. */
   @Test
   void nothingIsSentIfTheUpstreamDrainsWhileItsConnectionIsOpened() {
     FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
-    AtomicBoolean accepting = new AtomicBoolean(true);
+    AtomicReference<Optional<UpstreamFailure>> obstacle = new AtomicReference<>(Optional.empty());
     Promise<UpstreamFailure> failure = Promise.promise();
     Context context = vertx.getOrCreateContext();
 
     context.runOnContext(
         started -> {
-          ForwardCall unused = call(upstream, accepting, failure).start(headers());
-          accepting.set(false);
+          ForwardCall unused = call(upstream, obstacle::get, failure).start(headers());
+          obstacle.set(Optional.of(UpstreamFailure.NOT_ACCEPTING));
         });
 
     assertThat(Waits.get(failure.future())).isEqualTo(UpstreamFailure.NOT_ACCEPTING);
@@ -52,7 +71,9 @@
   }
 
   private ForwardCall call(
-      FakePlainService upstream, AtomicBoolean accepting, Promise<UpstreamFailure> failure) {
+      FakePlainService upstream,
+      Supplier<Optional<UpstreamFailure>> obstacle,
+      Promise<UpstreamFailure> failure) {
     return new ForwardCall(
         new UpstreamConnections(
             vertx,
@@ -65,7 +86,7 @@
         responseHeaders -> Optional.empty(),
         upstream.definition("desk"),
         request(),
-        accepting::get,
+        obstacle,
         new FailureListener(failure));
   }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/request/FailingActionTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/request/FailingActionTest.java
@@ -230,6 +230,7 @@
             10,
             new LatencyTargets(900, 100),
             new RecordingSink(),
+            CallerPresence.ALWAYS,
             Runnable::run));
   }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/AbandonedUpstreamCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/AbandonedUpstreamCallTest.java
@@ -14,6 +14,7 @@
 import org.marjoramsail.daemon.assembly.SystemClock;
 import org.marjoramsail.daemon.fixture.FakePlainService;
 import org.marjoramsail.daemon.fixture.Waits;
+import org.marjoramsail.daemon.request.CallerPresence;
 import org.marjoramsail.standin.network.LinkStandIn;
 
 /** What upstreams of the own interface receive of calls that were given up. */
@@ -69,6 +70,11 @@
             MultiMap.caseInsensitiveMultiMap(),
             Buffer.buffer("content"));
     return client.send(
-        endpoint, request, false, response::complete, failure -> response.fail(failure.name()));
+        endpoint,
+        request,
+        CallerPresence.ALWAYS,
+        false,
+        response::complete,
+        failure -> response.fail(failure.name()));
   }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/EngineClientTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/EngineClientTest.java
@@ -17,6 +17,7 @@
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.daemon.fixture.Waits;
+import org.marjoramsail.daemon.request.CallerPresence;
 import org.slf4j.LoggerFactory;
 
 final class EngineClientTest {
@@ -74,6 +75,7 @@
     engines.decode(
         endpoint,
         request,
+        CallerPresence.ALWAYS,
         false,
         new DecodeListener() {
           @Override
--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/OrphanCancellerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/OrphanCancellerTest.java
@@ -21,6 +21,7 @@
 import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.fixture.Waits;
+import org.marjoramsail.daemon.request.CallerPresence;
 import org.marjoramsail.standin.engine.EngineSettings;
 import org.marjoramsail.standin.engine.EngineStandIn;
 import org.marjoramsail.standin.engine.EngineTimings;
@@ -81,6 +82,7 @@
     engines.decode(
         UpstreamEndpoint.of(definition),
         decodeRequest,
+        CallerPresence.ALWAYS,
         false,
         new DecodeListener() {
           @Override
