Soak callers that leave before their response, at slow and paused hosts

platform-soak sends requests whose callers leave (--leaving, 20 a second by default): half of them within 20 ms of the request, the others after 50 to 350 ms, before the response or in a stream. It is broken when more than three of these reach a server over half a second after the close, at any host, also one that stood still, or when servers still work on more than a quarter of the interrupted streams of undisturbed hosts then. The new fault daemon-slow lets a process run for 15 in 100 of some seconds.

--- a/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
+++ b/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
@@ -44,6 +44,9 @@
       "Some callers keep connections to every daemon busy until its process is gone. Half of them"
           + " ignore that a response announces the close of its connection; what they send behind"
           + " it is lost only when it had reached a server.",
+      "Some callers leave before their response is complete, half of them at once. No more than"
+          + " three of their requests may reach a server over half a second later, and servers may"
+          + " still work on a quarter of the interrupted streams then.",
       "Ends with 3 when a rule was broken, when no request of a kind was served, or when fewer than"
           + " nine tenths of the requests were sent on time."
     })
@@ -104,6 +107,12 @@
       description = "most requests a second on connections that are kept busy; default 20")
   private int keptRequests = 20;
 
+  @Option(
+      name = "--leaving",
+      title = "REQUESTS",
+      description = "requests a second whose callers leave before the response; default 20")
+  private int leavingRequests = 20;
+
   @Option(name = "--seconds", title = "SECONDS", description = "how long, 1 to 3600; default 30")
   private int seconds = 30;
 
@@ -144,6 +153,7 @@
     require("--requests", plainRequests, 1, MOST_RATE);
     require("--path-millis", pathMillis, 0, MOST_PATH_MILLIS);
     require("--kept", keptRequests, 0, MOST_RATE);
+    require("--leaving", leavingRequests, 0, MOST_RATE);
     require("--seconds", seconds, 1, MOST_SECONDS);
     return new PlatformSoakSetup(
         daemons,
@@ -157,7 +167,8 @@
         seed,
         chosenFaults(),
         pathMillis,
-        keptRequests);
+        keptRequests,
+        leavingRequests);
   }
 
   private List<PlatformFault> chosenFaults() throws UsageException {
@@ -217,6 +228,7 @@
     printSilence(report.silence(), output);
     printCrashes(report.crashes(), output);
     printUnanswered(report.unanswered(), output);
+    printDepartures(report.departures(), output);
     output.println(report.isClean() ? "The soak is clean." : "The soak is BROKEN.");
   }
 
@@ -263,6 +275,22 @@
         .forEach(disturbed -> output.println("not judged, beside a disturbance: " + disturbed));
   }
 
+  private static void printDepartures(
+      PlatformSoakReport.Departures departures, PrintStream output) {
+    output.printf(
+        "%d callers left; %d requests arrived after that, %d of them over 0.5 s later; servers"
+            + " still worked on %d of %d streams%n",
+        departures.requests(),
+        departures.arrivals(),
+        departures.late().size(),
+        departures.continued().size(),
+        departures.interrupted());
+    departures.late().forEach(late -> output.println("arrived for a departed caller: " + late));
+    departures
+        .continued()
+        .forEach(stream -> output.println("still at work for a departed caller: " + stream));
+  }
+
   private static void require(String option, int value, int least, int most) throws UsageException {
     if (value < least || value > most) {
       throw new UsageException(option, Integer.toString(value), least + " to " + most);
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -171,6 +171,14 @@
       int gapMillis = LEAST_SERIES_GAP_MILLIS + random.nextInt(MOST_SERIES_GAP_MILLIS);
       stage.changeTimeoutsInSeries(timeoutsMillis, gapMillis);
     }
+  },
+  /** Some daemons get little processor time for a time. */
+  DAEMON_SLOW {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      int slowed = 1 + random.nextInt(Math.max(1, stage.daemons().size() / 2));
+      stage.daemons().slowAtRandom(slowed, millis(random), random);
+    }
   };
 
   private static final int MOST_DOWN_MILLIS = 2_000;
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
@@ -34,6 +34,11 @@
 
   private static final int HOSTS_PER_BLOCK = 250;
 
+  /** Time for which a slow process stands still, and for which it runs after that. */
+  private static final long SLOW_PAUSE_MILLIS = 170;
+
+  private static final long SLOW_RUN_MILLIS = 30;
+
   /**
    * Ports of daemons begin here, below those that the operating system hands out: a connection
    * might take one of these between the choice and the start.
@@ -204,6 +209,26 @@
     }
   }
 
+  /** Lets the processes of some daemons run for a small share of a time. */
+  void slowAtRandom(int count, long millis, Random random) {
+    for (Host host : choose(count, random)) {
+      host.isPaused = true;
+      arrivals.disturbanceBegins(host.name);
+      slow(host, host.process.orElseThrow(), clock.millis() + millis);
+    }
+  }
+
+  private void slow(Host host, FleetDaemon process, long untilMillis) {
+    boolean isReplaced = host.process.filter(process::equals).isEmpty();
+    if (clock.millis() >= untilMillis || isEnded || isReplaced) {
+      host.isPaused = false;
+      arrivals.disturbanceEnds(host.name);
+      return;
+    }
+    process.pause(SLOW_PAUSE_MILLIS);
+    vertx.setTimer(SLOW_PAUSE_MILLIS + SLOW_RUN_MILLIS, fired -> slow(host, process, untilMillis));
+  }
+
   /** Cuts the network paths of some daemons to the store for a time. */
   void cutStorePaths(int count, long millis, Random random) {
     for (Host host : choose(count, random)) {
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
@@ -88,6 +88,9 @@
     SoakLoad load =
         new SoakLoad(
             vertx, clock, setup, platform, daemons, arrivals, new Random(random.nextLong()));
+    LeavingCallers leaving =
+        new LeavingCallers(
+            vertx, clock, setup, platform, daemons, arrivals, new Random(setup.seed()));
     try {
       FleetRun.await("start", daemons.startAll(), START_SECONDS);
       long loadMillis = setup.seconds() * MILLIS_PER_SECOND;
@@ -98,6 +101,7 @@
           nothing -> {
             load.start(endMillis);
             new KeptConnections(vertx, clock, setup, daemons, load).start(endMillis);
+            leaving.start(endMillis);
             stage.restartCrashedServers(new Random(random.nextLong()));
             watchPulse(vertx, arrivals);
             vertx.setTimer(
@@ -211,6 +215,7 @@
         load.toldNotRun().stream().filter(ran::contains).toList(),
         arrivals.silence(),
         arrivals.crashes(),
-        arrivals.unanswered());
+        arrivals.unanswered(),
+        arrivals.departures());
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
@@ -23,6 +23,7 @@
  * @param silence what became of responses whose servers paused
  * @param crashes what became of requests whose content crashes servers
  * @param unanswered calls without a complete response
+ * @param departures what became of requests whose callers have left
  */
 public record PlatformSoakReport(
     Load load,
@@ -36,7 +37,8 @@
     List<String> falselyNotRun,
     Silence silence,
     Crashes crashes,
-    Unanswered unanswered) {
+    Unanswered unanswered,
+    Departures departures) {
 
   /** Share of the requests that have to be sent on time for a soak to prove something. */
   private static final double MINIMUM_ON_TIME = 0.9;
@@ -179,6 +181,33 @@
     }
   }
 
+  /**
+   * Requests whose callers closed their connections before the response was complete.
+   *
+   * @param requests number of these requests
+   * @param arrivals how many of them reached a server after that, at any time
+   * @param late those that reached a server more than half a second after that
+   * @param interrupted streams on which a server worked as their callers left
+   * @param continued those on which it still worked half a second later
+   */
+  public record Departures(
+      int requests, int arrivals, List<String> late, int interrupted, List<String> continued) {
+
+    private static final int MAXIMUM_LATE = 3;
+    private static final double MAXIMUM_CONTINUED = 0.25;
+
+    /** Copies the lists, so that the value is immutable. */
+    public Departures {
+      late = List.copyOf(late);
+      continued = List.copyOf(continued);
+    }
+
+    /** Returns whether no more than a few requests and a quarter of the streams went on. */
+    boolean isClean() {
+      return late.size() <= MAXIMUM_LATE && continued.size() <= MAXIMUM_CONTINUED * interrupted;
+    }
+  }
+
   /** Copies the collections, so that the value is immutable. */
   public PlatformSoakReport {
     kinds = List.copyOf(kinds);
@@ -201,6 +230,7 @@
         && silence.lost().isEmpty()
         && crashes.excess().isEmpty()
         && unanswered.lost().isEmpty()
+        && departures.isClean()
         && retries.values().stream().noneMatch(window -> window.excess() > 0);
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakSetup.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakSetup.java
@@ -17,6 +17,7 @@
  * @param faults kinds of faults that may happen
  * @param pathMillis constant time from callers to daemons, from daemons to servers, and back
  * @param keptPerSecond most requests that callers send on connections that they keep busy
+ * @param leavingPerSecond requests whose callers leave before the response is complete
  */
 public record PlatformSoakSetup(
     int daemons,
@@ -30,14 +31,18 @@
     long seed,
     List<PlatformFault> faults,
     long pathMillis,
-    double keptPerSecond) {
+    double keptPerSecond,
+    double leavingPerSecond) {
 
   /** Copies the list, so that the value is immutable. */
   public PlatformSoakSetup {
     faults = List.copyOf(faults);
   }
 
-  /** Creates a setup with paths that take no time and without connections that are kept busy. */
+  /**
+   * Creates a setup with paths that take no time, without connections that are kept busy and
+   * without callers that leave.
+   */
   public PlatformSoakSetup(
       int daemons,
       int prefillServers,
@@ -61,6 +66,7 @@
         seed,
         faults,
         0,
+        0,
         0);
   }
 
@@ -78,6 +84,25 @@
         seed,
         faults,
         millis,
+        perSecond,
+        leavingPerSecond);
+  }
+
+  /** Returns this setup with another rate of requests whose callers leave. */
+  public PlatformSoakSetup withLeavingCallers(double perSecond) {
+    return new PlatformSoakSetup(
+        daemons,
+        prefillServers,
+        decodeServers,
+        plainServers,
+        retrySlack,
+        streamsPerSecond,
+        plainPerSecond,
+        seconds,
+        seed,
+        faults,
+        pathMillis,
+        keptPerSecond,
         perSecond);
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
@@ -26,6 +26,7 @@
   private final SilenceLog silence = new SilenceLog();
   private final CrashLog crashes = new CrashLog(CrashLog.CONTENT);
   private final LossLog losses = new LossLog();
+  private final DepartureLog departures = new DepartureLog();
   private final RefusedConnections refusals = new RefusedConnections();
   private final Map<String, String> hosts = new HashMap<>();
   private final Map<String, ArrivalLog> retries = new HashMap<>();
@@ -52,6 +53,21 @@
     hosts.put(request, host);
   }
 
+  /** Records that a caller closes its connection before its response is complete. */
+  synchronized void left(String request, String host) {
+    departures.left(request, host, clock.millis());
+  }
+
+  /** Records whether a server still works on a stream whose caller has left. */
+  synchronized void judgeDeparture(String request, boolean isAtWork) {
+    departures.judged(request, isAtWork, clock.millis());
+  }
+
+  /** Returns what became of requests whose callers have left. */
+  synchronized PlatformSoakReport.Departures departures() {
+    return departures.result();
+  }
+
   /** Records that a caller sends a request whose content crashes servers. */
   synchronized void crashingRequested(String request, String content) {
     crashes.requested(request, content);
@@ -86,12 +102,14 @@
   synchronized void disturbanceBegins(String part) {
     disturbances.begin(part);
     losses.disturbanceBegins(part, clock.millis());
+    departures.disturbanceBegins(part, clock.millis());
   }
 
   /** Records that such a disturbance of a part ends. */
   synchronized void disturbanceEnds(String part) {
     disturbances.end(part, clock.millis());
     losses.disturbanceEnds(part, clock.millis());
+    departures.disturbanceEnds(part, clock.millis());
   }
 
   /** Records that a daemon is told to stop, which excuses no lost call. */
@@ -120,6 +138,7 @@
     disturbances.end(DrainLog.STORE, clock.millis());
     silence.stalled(clock.millis());
     losses.stalled(sinceMillis, clock.millis());
+    departures.stalled(sinceMillis, clock.millis());
   }
 
   /** Records that a server has trouble other than a pause. */
@@ -234,6 +253,7 @@
     }
     drains.arrived(attempt, server, nowMillis);
     losses.arrived(attempt, server);
+    departures.arrived(attempt, server, nowMillis);
     crashes.arrived(attempt, prefill, isCalm(hosts.getOrDefault(attempt, "")), nowMillis);
   }
 }
--- a/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
@@ -19,6 +19,8 @@
   private static final long PATH_SEED = 5;
   private static final long PATH_MILLIS = 5;
   private static final double KEPT_PER_SECOND = 40;
+  private static final long DEPARTURE_SEED = 7;
+  private static final double LEAVING_PER_SECOND = 80;
 
   /** Guards against retries beyond the budget that only processes show, such as late grants. */
   @Test
@@ -53,6 +55,32 @@
     }
   }
 
+  /** Guards against work for callers that have left, which daemons that stand still read late. */
+  @Test
+  void daemonsThatStandStillDoNoWorkForCallersThatHaveLeft(@TempDir Path directory)
+      throws Exception {
+    PlatformSoakSetup setup =
+        new PlatformSoakSetup(
+                3,
+                2,
+                3,
+                3,
+                60,
+                8,
+                20,
+                15,
+                DEPARTURE_SEED,
+                List.of(PlatformFault.DAEMON_PAUSE, PlatformFault.DAEMON_SLOW))
+            .withLeavingCallers(LEAVING_PER_SECOND);
+    try (ProcessDaemons processes = new ProcessDaemons(directory)) {
+      PlatformSoakReport report = new PlatformSoak(new SystemClock(), processes).run(setup);
+
+      assertThat(report.isClean()).as(report.toString()).isTrue();
+      assertThat(report.departures().interrupted()).isPositive();
+      assertThat(report.faults()).isNotEmpty();
+    }
+  }
+
   /** Guards against an end of a process that leaves calls without a response. */
   @Test
   void daemonsThatAreToldToStopLoseNoCall(@TempDir Path directory) throws Exception {
