Keep streams from before a shorter timeout at the version that began them

Cause here: a stream that nobody has a record of goes on if one version was listed for as long as a stream can last, and that was twice the timeout in force at the take-up. When a timeout is shortened, streams that began under the longer one outlive that history.

Fix: the history has to reach back for twice the longest timeout of the route that this daemon has seen, and for 30 s at least, since a daemon that has just started has not seen earlier timeouts.

Evidence: two of the four tests of OnlyOriginTest failed before (the new version was named for streams of the old one), all pass now.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -18,6 +18,7 @@
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.model.UpstreamRole;
 import org.marjoramsail.core.routing.EngineProfile;
+import org.marjoramsail.core.routing.ForwardingRules;
 import org.marjoramsail.core.routing.PoolConfiguration;
 import org.marjoramsail.core.routing.Route;
 import org.marjoramsail.core.routing.RoutedService;
@@ -36,6 +37,12 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(ForwardingState.class);
 
+  /**
+   * Time for which streams may last that began before this daemon started, in milliseconds. The
+   * timeout of their route may have been longer than any that this daemon has seen.
+   */
+  private static final long EARLIER_STREAM_MILLIS = 30_000;
+
   private final DiscoveredUpstreams discoveredUpstreams = new DiscoveredUpstreams();
   private final Clock clock;
   private final Consumer<Configuration> poolListener;
@@ -44,6 +51,7 @@
   private volatile Configuration configuration = Configuration.empty();
   private Set<Incarnation> incarnations = Set.of();
   private Map<String, Long> servicesSinceMillis = Map.of();
+  private Map<String, Long> longestStreamsMillis = Map.of();
   private boolean batching;
   private boolean publishPending;
   private boolean upstreamListReachable = true;
@@ -271,8 +279,8 @@
   }
 
   @Override
-  public Optional<StreamOrigin> onlyOrigin(Route route, long withinMillis) {
-    long sinceMillis = clock.millis() - withinMillis;
+  public Optional<StreamOrigin> onlyOrigin(Route route) {
+    long sinceMillis = clock.millis() - longestStreamMillis(route);
     boolean hadOneService =
         route.services().size() == 1
             && servicesSinceMillis.getOrDefault(route.name(), Long.MAX_VALUE) <= sinceMillis;
@@ -285,6 +293,16 @@
         .map(version -> new StreamOrigin(service, version));
   }
 
+  /**
+   * Returns the time for which streams of a route may last, also of those that began when the route
+   * had another timeout.
+   */
+  private long longestStreamMillis(Route route) {
+    long lifetimeMillis = ForwardingRules.streamLifetimeMillis(route);
+    long earlierMillis = longestStreamsMillis.getOrDefault(route.name(), lifetimeMillis);
+    return Math.max(EARLIER_STREAM_MILLIS, Math.max(lifetimeMillis, earlierMillis));
+  }
+
   @Override
   public String describe(String service) {
     Map<SoftwareVersion, Long> countByVersion =
@@ -296,19 +314,26 @@
     return countByVersion.toString();
   }
 
-  /** Records since when each route has its services. */
+  /** Records since when each route has its services, and how long its streams may last. */
   private void recordServices(RoutingConfiguration newer) {
     Map<String, List<WeightedService>> before =
         routing.stream()
             .flatMap(known -> known.routes().all().stream())
             .collect(Collectors.toMap(Route::name, Route::services, (first, second) -> first));
     Map<String, Long> since = new HashMap<>();
+    Map<String, Long> longest = new HashMap<>();
     for (Route route : newer.routes().all()) {
       boolean isSame = route.services().equals(before.get(route.name()));
       since.put(
           route.name(), isSame ? servicesSinceMillis.get(route.name()) : (Long) clock.millis());
+      longest.put(
+          route.name(),
+          Math.max(
+              ForwardingRules.streamLifetimeMillis(route),
+              longestStreamsMillis.getOrDefault(route.name(), 0L)));
     }
     servicesSinceMillis = since;
+    longestStreamsMillis = longest;
   }
 
   /** Returns the number of engines in the pools. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ListedVersions.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ListedVersions.java
@@ -8,11 +8,11 @@
 public interface ListedVersions {
 
   /**
-   * Returns where all streams of a route have begun within some time.
+   * Returns where all streams of a route have begun that their callers may still resume.
    *
    * @return empty unless the route had one service all the time, and the service one version
    */
-  Optional<StreamOrigin> onlyOrigin(Route route, long withinMillis);
+  Optional<StreamOrigin> onlyOrigin(Route route);
 
   /** Returns the listed versions of a service with the number of their upstreams, for logs. */
   String describe(String service);
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ResumedStreams.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ResumedStreams.java
@@ -10,7 +10,6 @@
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.model.DaemonId;
-import org.marjoramsail.core.routing.ForwardingRules;
 import org.marjoramsail.core.routing.Route;
 import org.marjoramsail.core.routing.WeightedService;
 import org.marjoramsail.core.stream.StreamKey;
@@ -92,8 +91,7 @@
   /** Returns the only origin that streams of the route can have, if there is one. */
   private Optional<StreamOrigin> inferred(
       CallerParameters parameters, Route route, ResumeOutcome otherwise) {
-    Optional<StreamOrigin> only =
-        versions.onlyOrigin(route, ForwardingRules.streamLifetimeMillis(route));
+    Optional<StreamOrigin> only = versions.onlyOrigin(route);
     ResumeOutcome outcome = only.isPresent() ? ResumeOutcome.ONLY_VERSION : otherwise;
     log(parameters, route, outcome, only, StreamLookup.Result.NONE);
     return only;
