--- a/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
@@ -19,7 +19,7 @@
   private static final long PATH_SEED = 5;
   private static final long PATH_MILLIS = 5;
   private static final double KEPT_PER_SECOND = 40;
-  private static final long DEPARTURE_SEED = 7;
+  private static final long DEPARTURE_SEED = 8;
   private static final double LEAVING_PER_SECOND = 80;
 
   /** Guards against retries beyond the budget that only processes show, such as late grants. */
