Decline offers of another protocol and go on in HTTP/1.1

Cause: the servers accepted the offer, and requests of HTTP/2 have no host header, by which routes are found. Only the server of completions had the upgrade switched off.

Fix: all HTTP servers of a daemon take their options from ServerOptions, which switches it off: callers, relay, readiness, metrics, completions and administration.

--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/CallerServer.java
@@ -18,6 +18,7 @@
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.daemon.connection.ListeningPort;
+import org.marjoramsail.daemon.connection.ServerOptions;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -202,13 +203,10 @@
     @Override
     public Future<?> start() {
       HttpServerOptions options =
-          new HttpServerOptions()
+          ServerOptions.http1()
               .setHost(binding.address())
               .setPort(binding.port() == 0 ? SHARED_FREE_PORT : binding.port())
               .setMaxHeaderSize(limits.maximumHeaderBytes())
-              // With HTTP/2 in clear text the library reports a connection only after its first
-              // bytes, so that connections which send nothing would be neither counted nor closed.
-              .setHttp2ClearTextEnabled(false)
               .setTcpNoDelay(true);
       HttpServer server =
           vertx
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -30,6 +30,7 @@
 import org.marjoramsail.core.routing.RoutingConfiguration;
 import org.marjoramsail.core.stream.StreamOrigin;
 import org.marjoramsail.daemon.connection.ListeningPort;
+import org.marjoramsail.daemon.connection.ServerOptions;
 import org.marjoramsail.daemon.request.HttpCallerPresence;
 import org.marjoramsail.daemon.request.LatencyTargets;
 import org.marjoramsail.daemon.request.NewRequest;
@@ -142,7 +143,7 @@
    */
   public Future<Integer> start(String address, int port) {
     HttpServerOptions options =
-        new HttpServerOptions()
+        ServerOptions.http1()
             .setHost(address)
             .setPort(port)
             .setAcceptBacklog(BACKLOG)
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -21,6 +21,7 @@
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.connection.ConnectionProbe;
 import org.marjoramsail.daemon.connection.ListeningPort;
+import org.marjoramsail.daemon.connection.ServerOptions;
 
 /**
  * HTTP server that relays calls of other daemons, which reach no upstream, to upstreams.
@@ -81,7 +82,7 @@
   /** Starts to listen; completes with the port. */
   Future<Integer> start(String address, int portNumber) {
     HttpServerOptions options =
-        new HttpServerOptions()
+        ServerOptions.http1()
             .setHost(address)
             .setPort(portNumber)
             .setTcpNoDelay(true)
--- a/daemon/src/main/java/org/marjoramsail/daemon/operator/OperatorListener.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/operator/OperatorListener.java
@@ -4,6 +4,7 @@
 import io.vertx.core.net.PemKeyCertOptions;
 import io.vertx.core.net.ServerSSLOptions;
 import java.util.Optional;
+import org.marjoramsail.daemon.connection.ServerOptions;
 import org.marjoramsail.daemon.settings.Endpoint;
 import org.marjoramsail.daemon.settings.TlsSettings;
 
@@ -18,7 +19,7 @@
     Endpoint endpoint, Optional<TlsSettings.KeyFiles> keyFiles, long reloadMillis) {
 
   HttpServerOptions options() {
-    HttpServerOptions options = new HttpServerOptions();
+    HttpServerOptions options = ServerOptions.http1();
     keyFiles.ifPresent(files -> options.setSsl(true).setKeyCertOptions(certificate(files)));
     return options;
   }
