End only what was sent before an upstream ended when it is listed again

Cause: the news of a restart ended each request that ran on the name of the upstream, whichever start it ran on.

Fix: the news says when the earlier incarnation had ended, on the clock of this daemon: when it last saw a connection to the upstream closed in a call or refused; where it saw none, at the start that the new one states, and not later than now. A request whose attempt was sent from then on goes on. An attempt that was silent and is resumed counts as sent before.

--- a/core/src/main/java/org/marjoramsail/core/outcome/AttemptLauncher.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptLauncher.java
@@ -44,6 +44,7 @@
         nowMillis
             + STALL_ESTIMATE_FACTOR * grant.expectedPrefillMillis()
             + policy.prefillStallMillis());
+    progress.attemptSent(nowMillis);
     outstanding.add(grant.attempt(), upstream);
     guard.prefillStarted(grant.attempt(), upstream);
     return new LifecycleAction.SendPrefill(grant.attempt(), upstream);
@@ -56,6 +57,7 @@
     long estimateMillis = grant.expectedPrefillMillis() + grant.expectedTransferMillis();
     progress.expectWithin(
         STALL_ESTIMATE_FACTOR * estimateMillis + policy.tokenStallMillis(), nowMillis);
+    progress.attemptSent(nowMillis);
     history.recordSend(grant.attempt());
     outstanding.add(grant.attempt(), grant.target());
     guard.started(grant.attempt(), grant.target());
@@ -67,6 +69,7 @@
   LifecycleAction sendPlain(Grant grant, long nowMillis) {
     progress.expectWithin(policy.responseStallMillis(), nowMillis);
     progress.requestSent(nowMillis);
+    progress.attemptSent(nowMillis);
     history.recordSend(grant.attempt());
     guard.started(grant.attempt(), grant.target());
     return new LifecycleAction.SendPlain(grant.attempt(), grant.target());
--- a/core/src/main/java/org/marjoramsail/core/outcome/CurrentAttempt.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CurrentAttempt.java
@@ -197,5 +197,6 @@
     output.started(silent.version());
     kv.attach(silent.kv());
     progress.requestSent(silent.sentAtMillis());
+    progress.attemptSent(silent.sentAtMillis());
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleDispatch.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleDispatch.java
@@ -29,7 +29,7 @@
     } else if (event instanceof LifecycleEvent.CancelConfirmed confirmed) {
       lifecycle.cancelConfirmed(confirmed);
     } else if (event instanceof LifecycleEvent.UpstreamRestarted restarted) {
-      lifecycle.upstreamRestarted(restarted.upstream());
+      lifecycle.upstreamRestarted(restarted);
     } else {
       return false;
     }
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleEvent.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleEvent.java
@@ -203,11 +203,20 @@
   }
 
   /**
-   * An upstream has restarted or was removed from the configuration, so it holds no resources.
+   * An upstream has restarted or was removed from the configuration, so it holds no resources of
+   * what was sent to it before its end.
    *
    * @param upstream the upstream
+   * @param endedAtMillis when its earlier incarnation had ended, on the clock of this daemon; what
+   *     was sent from then on runs on the new one
    */
-  record UpstreamRestarted(UpstreamName upstream) implements LifecycleEvent {}
+  record UpstreamRestarted(UpstreamName upstream, long endedAtMillis) implements LifecycleEvent {
+
+    /** Creates the restart of an upstream on which nothing runs any more. */
+    public UpstreamRestarted(UpstreamName upstream) {
+      this(upstream, Long.MAX_VALUE);
+    }
+  }
 
   /** The time of {@link RequestLifecycle#nextWakeMillis} has been reached. */
   record TimePassed() implements LifecycleEvent {}
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -265,7 +265,7 @@
   }
 
   private void refuseInvariantViolation() {
-    refuse(RefusalReason.INTERNAL, "The request was not sent: an invariant did not hold.");
+    refuse(LifecycleRefusals.invariantViolated());
   }
 
   void placementRefused(LifecycleEvent.PlacementRefused refused) {
@@ -396,8 +396,7 @@
     attempt.failureResponseReceived().ifPresent(actions::add);
     if (!profile.repeatability().isResendable() || !attempt.isAnotherAllowed(policy)) {
       state = LifecycleState.BACKING_OFF;
-      giveUpAttempt(
-          Refusal.notRun(RefusalReason.UPSTREAM_FAILED, "The upstream responded with a failure."));
+      giveUpAttempt(LifecycleRefusals.failureResponse());
       return;
     }
     placement.avoid(upstream);
@@ -425,7 +424,11 @@
     outstanding.release(confirmed.attempt(), confirmed.upstream());
   }
 
-  void upstreamRestarted(UpstreamName upstream) {
+  void upstreamRestarted(LifecycleEvent.UpstreamRestarted restarted) {
+    UpstreamName upstream = restarted.upstream();
+    if (guard.isRunningOn(upstream) && progress.wasSentSince(restarted.endedAtMillis())) {
+      return;
+    }
     outstanding.releaseAll(upstream);
     kv.holderRestarted(upstream);
     if (silent.isOn(upstream)) {
@@ -498,7 +501,7 @@
       return;
     }
     if (nowMillis >= profile.deadlineAtMillis()) {
-      refuse(RefusalReason.DEADLINE_PASSED, "The deadline of the request has passed.");
+      refuse(LifecycleRefusals.deadlinePassed());
     } else if (state == LifecycleState.BACKING_OFF && nowMillis >= waitUntilMillis) {
       tryToPlace();
     } else if (nowMillis >= silent.overlapUntilMillis(state)) {
@@ -553,10 +556,6 @@
     giveUpAttempt(guard.refusal(nowMillis));
   }
 
-  private void refuse(RefusalReason reason, String detail) {
-    refuse(Refusal.notRun(reason, detail));
-  }
-
   /** Refuses with the run state of this lifecycle, in place of that of the refusal. */
   private void refuse(Refusal refusal) {
     finalResponse.unsuccessfulEnd(refusal, history.runState()).ifPresent(this::sendFinalResponse);
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestProgress.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestProgress.java
@@ -14,6 +14,7 @@
   private long longestGapMillis;
   private long stallAtMillis = NEVER;
   private long sentAtMillis;
+  private long attemptSentAtMillis;
   private long responseMillis;
 
   /**
@@ -72,6 +73,16 @@
     return stallAtMillis;
   }
 
+  /** Records that the current attempt was sent to an upstream. */
+  void attemptSent(long nowMillis) {
+    attemptSentAtMillis = nowMillis;
+  }
+
+  /** Returns whether the current attempt was sent to its upstream at a time or later. */
+  boolean wasSentSince(long millis) {
+    return attemptSentAtMillis >= millis;
+  }
+
   /** Records that a plain request was sent. */
   void requestSent(long nowMillis) {
     sentAtMillis = nowMillis;
--- a/core/src/test/java/org/marjoramsail/core/outcome/SilentAttemptTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/SilentAttemptTest.java
@@ -83,6 +83,30 @@
     assertThat(actions).noneMatch(LifecycleAction.Refuse.class::isInstance);
   }
 
+  /** Guards against a stream of a restarted upstream that is ended with those before it. */
+  @Test
+  void aStreamThatWasSentAfterItsUpstreamHadEndedOutlivesTheNewsOfTheRestart() {
+    startStream();
+
+    handle(new LifecycleEvent.UpstreamRestarted(SILENT, 0));
+    handle(token(1, 1));
+    handle(token(1, 2));
+    handle(finished(1));
+
+    assertThat(tokens()).containsExactly(0, 1, 2);
+    assertThat(actions).hasAtLeastOneElementOfType(LifecycleAction.Complete.class);
+  }
+
+  /** Guards against a stream that waits on an upstream that has restarted since. */
+  @Test
+  void aStreamThatWasSentBeforeItsUpstreamHadEndedIsEndedByTheNewsOfTheRestart() {
+    startStream();
+
+    handle(new LifecycleEvent.UpstreamRestarted(SILENT, Long.MAX_VALUE));
+
+    assertThat(actions).contains(new LifecycleAction.CloseAttempt(1));
+  }
+
   @Test
   void aSilentAttemptGoesOnUntilAnotherGivesOutput() {
     startStream();
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
@@ -75,6 +75,11 @@
         .log("call given up before a response");
   }
 
+  /** Records a call on a direct connection that was closed before its response ended. */
+  void cut(ForwardCall call) {
+    liveness.connectionLost(call.upstream().upstream());
+  }
+
   /** Records a response that was given up since it exceeded a bound. */
   void exceeded(ResponseBound bound) {
     excessive.merge(bound, 1L, Long::sum);
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -334,6 +334,9 @@
     if (closed) {
       return;
     }
+    if (failure == UpstreamFailure.CUT && isDirect()) {
+      calls.cut(this);
+    }
     disconnect();
     listener.failed(failure);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/LivenessListener.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/LivenessListener.java
@@ -16,6 +16,9 @@
    */
   void responded(Incarnation upstream, long sentAtMillis);
 
+  /** Records that the connection of a call to an upstream was closed before its response ended. */
+  default void connectionLost(UpstreamName upstream) {}
+
   /** Records that an upstream refused a connection, as after its process has ended. */
   void connectionRefused(UpstreamName upstream);
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
@@ -1,8 +1,8 @@
 package org.marjoramsail.daemon.forward;
 
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.function.Consumer;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.UpstreamName;
@@ -25,23 +25,47 @@
    */
   private static final long NO_RESPONSE_MILLIS = Long.MIN_VALUE;
 
+  private static final int MAXIMUM_ENDS = 1_000;
+
+  /** Receives upstreams that have restarted. */
+  @FunctionalInterface
+  public interface RestartListener {
+    /**
+     * Handles a restart, after which nothing runs that was sent before its earlier incarnation had
+     * ended.
+     *
+     * @param endedAtMillis when it had ended, on the clock of this daemon
+     */
+    void restarted(UpstreamName upstream, long endedAtMillis);
+  }
+
   private final Quarantine quarantine;
   private final Clock clock;
-  private final Consumer<UpstreamName> restarted;
+  private final RestartListener restarted;
   private final Runnable sendReports;
   private final Map<String, UpstreamName> namesByAddress = new HashMap<>();
 
+  /** When an upstream was last seen to close or refuse a connection. */
+  private final Map<UpstreamName, Long> endedAtMillis =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<UpstreamName, Long> eldest) {
+          return size() > MAXIMUM_ENDS;
+        }
+      };
+
   /**
    * Creates an instance.
    *
    * @param quarantine counts at most one crash for each incarnation
    * @param clock returns the current time
-   * @param restarted receives upstreams that have restarted, on which no earlier request runs any
-   *     more
+   * @param restarted receives upstreams that have restarted
    * @param sendReports sends the new reports of the quarantine to the other daemons
    */
   public UpstreamLiveness(
-      Quarantine quarantine, Clock clock, Consumer<UpstreamName> restarted, Runnable sendReports) {
+      Quarantine quarantine, Clock clock, RestartListener restarted, Runnable sendReports) {
     this.quarantine = quarantine;
     this.clock = clock;
     this.restarted = restarted;
@@ -53,7 +77,7 @@
     Incarnation incarnation = upstream.incarnation();
     if (recordIncarnation(incarnation, NO_RESPONSE_MILLIS)) {
       LOG.atInfo().addKeyValue("upstream", incarnation).log("upstream has started again");
-      restarted.accept(upstream.name());
+      restarted.restarted(upstream.name(), endOfEarlierIncarnation(upstream));
     }
     UpstreamName before =
         namesByAddress.put(upstream.address() + ":" + upstream.port(), upstream.name());
@@ -63,6 +87,22 @@
     sendReports.run();
   }
 
+  /**
+   * Returns when the earlier incarnation of an upstream had ended. Where this daemon has seen no
+   * connection end, that is the start that the new one states, as far as its clock is not ahead.
+   */
+  private long endOfEarlierIncarnation(UpstreamDefinition upstream) {
+    Long seenAtMillis = endedAtMillis.remove(upstream.name());
+    return seenAtMillis == null
+        ? Math.min(clock.millis(), upstream.incarnation().startedAtMillis())
+        : seenAtMillis;
+  }
+
+  @Override
+  public void connectionLost(UpstreamName upstream) {
+    endedAtMillis.put(upstream, clock.millis());
+  }
+
   @Override
   public void responded(Incarnation upstream, long sentAtMillis) {
     recordIncarnation(upstream, sentAtMillis);
@@ -70,6 +110,7 @@
 
   @Override
   public void connectionRefused(UpstreamName upstream) {
+    endedAtMillis.put(upstream, clock.millis());
     quarantine.connectionsRefused(upstream, clock.millis());
     sendReports.run();
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
@@ -136,6 +136,15 @@
     log.ended(snapshot, violation);
   }
 
+  /**
+   * Notifies all requests that an upstream has restarted.
+   *
+   * @param endedAtMillis when its earlier incarnation had ended
+   */
+  public void upstreamRestarted(UpstreamName upstream, long endedAtMillis) {
+    deliverToAll(new LifecycleEvent.UpstreamRestarted(upstream, endedAtMillis));
+  }
+
   /** Notifies all requests that an upstream has restarted or was removed. */
   public void upstreamRestarted(UpstreamName upstream) {
     deliverToAll(new LifecycleEvent.UpstreamRestarted(upstream));
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/UpstreamLivenessTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/UpstreamLivenessTest.java
@@ -26,8 +26,38 @@
   private final ManualClock clock = new ManualClock(10_000);
   private final Quarantine quarantine = new Quarantine(60_000, 500, 100, QuarantineListener.NONE);
   private final List<UpstreamName> restarted = new ArrayList<>();
+  private final List<Long> ends = new ArrayList<>();
   private final UpstreamLiveness liveness =
-      new UpstreamLiveness(quarantine, clock, restarted::add, () -> {});
+      new UpstreamLiveness(quarantine, clock, this::restarted, () -> {});
+
+  private void restarted(UpstreamName upstream, long endedAtMillis) {
+    restarted.add(upstream);
+    ends.add(endedAtMillis);
+  }
+
+  /** Guards against streams of a restarted upstream that are ended with those of its last start. */
+  @Test
+  void theEndOfTheEarlierIncarnationIsWhenItsConnectionsWereLost() {
+    liveness.listed(engine(1_000));
+    clock.advance(5_000);
+    liveness.connectionLost(ENGINE);
+    clock.advance(1_000);
+
+    liveness.listed(engine(15_900));
+
+    assertThat(ends).containsExactly(15_000L);
+  }
+
+  /** Guards against streams that stay on an upstream whose end nothing has shown. */
+  @Test
+  void theEndOfAnEarlierIncarnationThatWasNotSeenIsTheStartOfTheNext() {
+    liveness.listed(engine(1_000));
+    clock.advance(5_000);
+    liveness.listed(engine(12_000));
+    liveness.listed(engine(99_000));
+
+    assertThat(ends).containsExactly(12_000L, 15_000L);
+  }
 
   @Test
   void aLaterStartIsReportedAsARestart() {
