Leave a connection to the call that uses it next

Cause: a call kept its connection after the end of its response, when the pool, or the next call, already owned it.

Fix: the call gives its connection away before it is released.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -304,10 +304,14 @@
     Optional<Long> idleMillis = keepAliveMillis.apply(ended.headers());
     boolean framed =
         ended.headers().contains("content-length") || ended.headers().contains("transfer-encoding");
-    if (isDirect()
-        && framed
-        && idleMillis.isPresent()
-        && !"close".equalsIgnoreCase(connectionHeader)) {
+    boolean isReusable =
+        isDirect()
+            && framed
+            && idleMillis.isPresent()
+            && !"close".equalsIgnoreCase(connectionHeader);
+    // The next call may own the connection from here on, so that closing this one must not cut it.
+    connection = Optional.empty();
+    if (isReusable) {
       connections.release(target.incarnation(), finished, idleMillis.get());
     } else {
       finished.close();
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -27,6 +27,8 @@
 /** What a call sends to its upstream, and when. */
 final class ForwardCallTest {
 
+  private static final long KEEP_ALIVE_MILLIS = 60_000;
+
   private final Vertx vertx = Vertx.vertx();
 
   @AfterEach
@@ -70,24 +72,66 @@
     assertThat(upstream.runs()).isZero();
   }
 
+  /** Guards against a connection that is cut under the next request which uses it. */
+  @Test
+  void aCallThatIsClosedAfterItsResponseLeavesItsConnectionToTheNextOne() {
+    FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
+    UpstreamConnections connections = connections();
+    Promise<UpstreamFailure> ended = Promise.promise();
+    Promise<Boolean> isOpen = Promise.promise();
+    Context context = vertx.getOrCreateContext();
+
+    context.runOnContext(
+        started -> {
+          ForwardCall call =
+              call(connections, upstream, Optional::empty, new EndListener(ended)).start(headers());
+          ended
+              .future()
+              .compose(done -> connections.acquire(upstream.definition("desk")))
+              .onSuccess(
+                  next -> {
+                    next.connection().closeHandler(closed -> isOpen.tryComplete(false));
+                    call.close();
+                    next.connection()
+                        .request()
+                        .compose(request -> request.send())
+                        .onComplete(answered -> isOpen.tryComplete(answered.succeeded()));
+                  });
+        });
+
+    assertThat(Waits.get(isOpen.future())).isTrue();
+  }
+
   private ForwardCall call(
       FakePlainService upstream,
       Supplier<Optional<UpstreamFailure>> obstacle,
       Promise<UpstreamFailure> failure) {
+    return call(connections(), upstream, obstacle, new FailureListener(failure));
+  }
+
+  private UpstreamConnections connections() {
+    return new UpstreamConnections(
+        vertx,
+        new SystemClock(),
+        new IgnoredResults(),
+        ConnectFaults.NONE,
+        target -> Optional.empty(),
+        unused -> {});
+  }
+
+  private static ForwardCall call(
+      UpstreamConnections connections,
+      FakePlainService upstream,
+      Supplier<Optional<UpstreamFailure>> obstacle,
+      ForwardCall.Listener listener) {
     return new ForwardCall(
-        new UpstreamConnections(
-            vertx,
-            new SystemClock(),
-            new IgnoredResults(),
-            ConnectFaults.NONE,
-            target -> Optional.empty(),
-            unused -> {}),
+        connections,
         new CallLog(new SystemClock(), () -> {}, new IgnoredLiveness()),
-        responseHeaders -> Optional.empty(),
+        responseHeaders -> Optional.of(KEEP_ALIVE_MILLIS),
         upstream.definition("desk"),
         request(),
         obstacle,
-        new FailureListener(failure));
+        listener);
   }
 
   private static MultiMap headers() {
@@ -142,6 +186,30 @@
         UpstreamDefinition target, long startedAtMillis, boolean refused, String cause) {}
   }
 
+  /** Completes with the end of a response. */
+  private record EndListener(Promise<UpstreamFailure> ended) implements ForwardCall.Listener {
+
+    @Override
+    public boolean head(int status, MultiMap headers) {
+      return true;
+    }
+
+    @Override
+    public Optional<UpstreamFailure> bytes(Buffer bytes) {
+      return Optional.empty();
+    }
+
+    @Override
+    public void end() {
+      ended.tryComplete();
+    }
+
+    @Override
+    public void failed(UpstreamFailure reason) {
+      ended.tryFail(reason.name());
+    }
+  }
+
   /** Completes with the failure of a call; a response counts as a malformed one. */
   private record FailureListener(Promise<UpstreamFailure> failure) implements ForwardCall.Listener {
 
