--- a/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
@@ -100,12 +100,13 @@
   }
 
   /**
-   * Handles the list of another daemon, while this daemon has not read one itself.
+   * Handles the list of another daemon, while this daemon has not read one itself. An empty list is
+   * that of a daemon that has read none, and counts as no list.
    *
    * @return whether the upstreams have changed; never once a list was read
    */
   public boolean listedByPeer(List<ListedUpstream> others) {
-    if (known) {
+    if (known || others.isEmpty()) {
       return false;
     }
     others.forEach(this::put);
--- a/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
@@ -40,6 +40,18 @@
     assertThat(names()).containsExactly("a");
   }
 
+  /**
+   * Guards against a daemon that is ready without upstreams, from another that has read no list.
+   */
+  @Test
+  void anEmptyListOfAnotherDaemonIsNoList() {
+    assertThat(discovered.listedByPeer(List.of())).isFalse();
+    assertThat(discovered.isKnown()).isFalse();
+
+    assertThat(discovered.listedByPeer(List.of(listed("a", 1, false)))).isTrue();
+    assertThat(discovered.isKnown()).isTrue();
+  }
+
   /** Guards against work for an upstream that was removed while the list could be read. */
   @Test
   void anEntryThatIsRemovedWhileTheListIsReadableIsRemovedAtOnce() {
