Postmortem of work that went on for callers that have left

Events that start no work, such as tokens, do not take the lock of the shard once more for the check.

--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -150,6 +150,9 @@
    * loop may have received the end later than the event and not handled it yet.
    */
   private void endIfCallerHasLeft(LifecycleEvent event) {
+    if (!event.mayStartWork() && !isUnsent(event)) {
+      return;
+    }
     LifecycleState state;
     synchronized (shardLock) {
       state = lifecycle.state();
@@ -158,7 +161,7 @@
       runner.dropped(state);
       return;
     }
-    if (!event.mayStartWork() || state == LifecycleState.ENDED || caller.isPresent()) {
+    if (state == LifecycleState.ENDED || caller.isPresent()) {
       return;
     }
     if (!state.isRunning()) {
