Take a connection that was lost long before a restart for no sign of it

What callers would see: a stream on the earlier start of a server waits until it counts as silent, where the server had closed some other connection long before it restarted without closing this one.

Fix: it counts from 5 s before the stated start on; else the stated start does.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
@@ -27,6 +27,9 @@
 
   private static final int MAXIMUM_ENDS = 1_000;
 
+  /** Longest time of a restart plus the error of the clock of an upstream, in milliseconds. */
+  private static final long RESTART_MILLIS = 5_000;
+
   /** Receives upstreams that have restarted. */
   @FunctionalInterface
   public interface RestartListener {
@@ -89,13 +92,14 @@
 
   /**
    * Returns when the earlier incarnation of an upstream had ended. Where this daemon has seen no
-   * connection end, that is the start that the new one states, as far as its clock is not ahead.
+   * connection end shortly before the start that the new one states, that is this start, as far as
+   * its clock is not ahead.
    */
   private long endOfEarlierIncarnation(UpstreamDefinition upstream) {
+    long startMillis = Math.min(clock.millis(), upstream.incarnation().startedAtMillis());
     Long seenAtMillis = endedAtMillis.remove(upstream.name());
-    return seenAtMillis == null
-        ? Math.min(clock.millis(), upstream.incarnation().startedAtMillis())
-        : seenAtMillis;
+    boolean isOfThisRestart = seenAtMillis != null && seenAtMillis >= startMillis - RESTART_MILLIS;
+    return isOfThisRestart ? seenAtMillis : startMillis;
   }
 
   @Override
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/UpstreamLivenessTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/UpstreamLivenessTest.java
@@ -48,6 +48,18 @@
     assertThat(ends).containsExactly(15_000L);
   }
 
+  /** Guards against streams that stay on an upstream since it once closed another connection. */
+  @Test
+  void aConnectionThatWasLostLongBeforeARestartIsNotTheEndOfTheEarlierIncarnation() {
+    liveness.listed(engine(1_000));
+    liveness.connectionLost(ENGINE);
+    clock.advance(60_000);
+
+    liveness.listed(engine(65_000));
+
+    assertThat(ends).containsExactly(65_000L);
+  }
+
   /** Guards against streams that stay on an upstream whose end nothing has shown. */
   @Test
   void theEndOfAnEarlierIncarnationThatWasNotSeenIsTheStartOfTheNext() {
