End all that runs on a restarted upstream whose end nothing has shown

Fix: without a lost or refused connection around the restart all that runs on the upstream is ended, as before.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
@@ -27,6 +27,8 @@
 
   private static final int MAXIMUM_ENDS = 1_000;
 
+  private static final long UNKNOWN_END = Long.MAX_VALUE;
+
   /** Longest time of a restart plus the error of the clock of an upstream, in milliseconds. */
   private static final long RESTART_MILLIS = 5_000;
 
@@ -91,15 +93,15 @@
   }
 
   /**
-   * Returns when the earlier incarnation of an upstream had ended. Where this daemon has seen no
-   * connection end shortly before the start that the new one states, that is this start, as far as
-   * its clock is not ahead.
+   * Returns when the earlier incarnation of an upstream had ended: when this daemon last saw one of
+   * its connections end, shortly before the start that the new one states or later. Where it saw
+   * none, nothing shows which requests run on the new one, and all count as lost.
    */
   private long endOfEarlierIncarnation(UpstreamDefinition upstream) {
     long startMillis = Math.min(clock.millis(), upstream.incarnation().startedAtMillis());
     Long seenAtMillis = endedAtMillis.remove(upstream.name());
     boolean isOfThisRestart = seenAtMillis != null && seenAtMillis >= startMillis - RESTART_MILLIS;
-    return isOfThisRestart ? seenAtMillis : startMillis;
+    return isOfThisRestart ? seenAtMillis : UNKNOWN_END;
   }
 
   @Override
