Reword three comments on delays

Comments only, found when reading the diff: what begins the measurement of an event loop, what its text is for, and why callers leave within 20 ms. The formatter accepts both modules; no test was run again.

--- a/command/src/main/java/org/marjoramsail/command/platform/LeavingCallers.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/LeavingCallers.java
@@ -26,7 +26,7 @@
   private static final double MILLIS_PER_SECOND = 1_000;
   private static final String CONTENT = "content";
 
-  /** Shorter than a daemon that is busy takes to read a request. */
+  /** A busy daemon takes longer to read a request. */
   private static final int MOST_HASTE_MILLIS = 20;
 
   private static final int LEAST_PATIENCE_MILLIS = 50;
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/EventLoopDelay.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/EventLoopDelay.java
@@ -29,7 +29,7 @@
   private long maximumBeforeMillis;
 
   /**
-   * Creates an instance that has measured nothing.
+   * Creates an instance; {@link #start} begins the measurement.
    *
    * @param meters gets the gauge {@code marjoramsail.event.loop.delay.millis}
    */
@@ -72,7 +72,7 @@
     return Math.max(maximumBeforeMillis, maximumInWindowMillis);
   }
 
-  /** Returns the longest delay for logs. */
+  /** Returns the longest delay as text for log lines. */
   public String describe() {
     return ", event loop late by " + maximumMillis() + " ms at most";
   }
