Wait until the port of a crashed stand-in is free before it listens again

Cause: a server counts as closed before its listening socket is: a channel that is registered with a selector releases its descriptor when its event loop selects the next time. The bind of a restart that waits for the close may run on another event loop before that. The reservation of the port lost the same race, with a line in the log alone. Why this works: a crash ends only once its port is reserved, tried each millisecond for a second at most; a reservation does not listen and is not registered, so its port is free as soon as it is closed.

--- a/standin/src/main/java/org/marjoramsail/standin/server/CrashableServer.java
+++ b/standin/src/main/java/org/marjoramsail/standin/server/CrashableServer.java
@@ -10,6 +10,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -23,6 +24,8 @@
   private static final Logger LOG = LoggerFactory.getLogger(CrashableServer.class);
   private static final int BACKLOG_CONNECTIONS = 1024;
   private static final int IDLE_TIMEOUT_SECONDS = 120;
+  private static final int RESERVATION_TRIES = 1_000;
+  private static final long RESERVATION_RETRY_MILLIS = 1;
 
   private final Vertx vertx;
   private final ScaledTime time;
@@ -116,7 +119,7 @@
 
   /** Stops listening and cuts every connection at once. */
   public Future<Void> drop() {
-    dropped = cutAll().onSuccess(closed -> reservePort());
+    dropped = cutAll().compose(closed -> reservePort(RESERVATION_TRIES));
     return dropped;
   }
 
@@ -129,15 +132,26 @@
     return running.map(HttpServer::close).orElseGet(Future::succeededFuture);
   }
 
-  private void reservePort() {
-    if (!up) {
-      reservation = Optional.of(new PortReservation(address, port));
+  /**
+   * Holds the port of the closed server. Its socket listens until the event loop that accepts its
+   * connections has run once more, although the server counts as closed.
+   */
+  private Future<Void> reservePort(int tries) {
+    PortReservation attempt = new PortReservation(address, port);
+    if (attempt.isHeld() || tries == 1) {
+      reservation = Optional.of(attempt);
+      return Future.succeededFuture();
     }
+    attempt.close();
+    return vertx
+        .timer(RESERVATION_RETRY_MILLIS, TimeUnit.MILLISECONDS)
+        .compose(fired -> reservePort(tries - 1));
   }
 
   /** Stops for good and lets go of the port. */
   public Future<Void> close() {
     return cutAll()
+        .eventually(() -> dropped)
         .onComplete(
             ended -> {
               reservation.ifPresent(PortReservation::close);
--- a/standin/src/main/java/org/marjoramsail/standin/server/PortReservation.java
+++ b/standin/src/main/java/org/marjoramsail/standin/server/PortReservation.java
@@ -17,17 +17,29 @@
   private static final Logger LOG = LoggerFactory.getLogger(PortReservation.class);
 
   private final Socket socket = new Socket();
+  private final boolean held;
 
-  /** Holds the port if it is free; the log says if it is not. */
+  /** Holds the port if it is free; {@link #isHeld()} and the log say if it is not. */
   public PortReservation(String address, int port) {
+    held = bind(new InetSocketAddress(address, port));
+  }
+
+  private boolean bind(InetSocketAddress address) {
     try {
       socket.setReuseAddress(true);
-      socket.bind(new InetSocketAddress(address, port));
+      socket.bind(address);
+      return true;
     } catch (IOException taken) {
-      LOG.atWarn().addKeyValue("port", port).setCause(taken).log("cannot reserve the port");
+      LOG.atInfo().addKeyValue("address", address).setCause(taken).log("cannot reserve the port");
+      return false;
     }
   }
 
+  /** Returns whether the port was free, so that no other socket can get it. */
+  public boolean isHeld() {
+    return held;
+  }
+
   /** Lets go of the port. */
   @Override
   public void close() {
