Charge nothing for grants of which no call was sent

What callers saw: an organisation whose callers leave early, as behind a slow host, used up its own rate and the retry budget of its service, so that its other callers were refused. Cause: the owner of a shard charges an attempt when it grants it. A request that was dropped since its caller had left was reported as cancelled, or withdrawn, and both look the same to the owner as a call that was sent and given up. So did a grant that is postponed since its content has become suspect: each of its grants was charged. Why this works: the entry daemon knows whether a call of the attempt was sent. An attempt without one is withdrawn and marked as unsent; the owner takes its retries out of the slots in which they were counted, so that no other window changes, and returns its cost to the rates, up to their burst. Counts that other owners receive never fall: a refund offsets the next starts. A restored attempt is not refunded, as another owner charged it. Daemons of before read the message without the mark, and go on to charge.

--- a/core/src/main/java/org/marjoramsail/core/outcome/AttemptHistory.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/AttemptHistory.java
@@ -137,6 +137,14 @@
             outputTokens));
   }
 
+  /** Returns the withdrawal of an attempt that was never sent; empty when its end was reported. */
+  Optional<LifecycleAction> endUnsent(RequestId placementId, int attempt) {
+    boolean first = endReported.add(attempt);
+    return invariants.check(first, Invariant.ONE_END_REPORT, profile.id())
+        ? Optional.of(new LifecycleAction.Withdraw(placementId))
+        : Optional.empty();
+  }
+
   /** Returns the report of the end of an attempt; empty when it was already reported. */
   Optional<LifecycleAction> endReport(
       RequestId placementId,
--- a/core/src/main/java/org/marjoramsail/core/outcome/CurrentAttempt.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CurrentAttempt.java
@@ -30,6 +30,8 @@
   private RequestId placementId;
   private Optional<Grant> grant = Optional.empty();
   private boolean outputReceived;
+  private boolean prefillSent;
+  private boolean callSent;
 
   CurrentAttempt(
       RequestId request,
@@ -60,6 +62,8 @@
     number = highestNumber;
     placementId = silent.isPlacedAs(request) ? request.forAttempt(number) : request;
     outputReceived = false;
+    prefillSent = false;
+    callSent = false;
   }
 
   /** Returns its number, from one; zero before the first attempt. */
@@ -102,6 +106,16 @@
     grant = Optional.of(newGrant);
   }
 
+  /**
+   * Records that a call of this attempt is sent to an upstream.
+   *
+   * @param prefill whether it is a prefill, which another call follows
+   */
+  void callSent(boolean prefill) {
+    callSent = true;
+    prefillSent |= prefill;
+  }
+
   boolean isOutputReceived() {
     return outputReceived;
   }
@@ -116,12 +130,18 @@
         placementId, number, phase, cachedTokens, tookMillis, output.generatedTokens());
   }
 
-  /** Returns the report of its end to its owner; empty if it holds no grant. */
+  /**
+   * Returns the report of its end to its owner; empty if it holds no grant. An attempt of which no
+   * call was sent is withdrawn, so that its owner charges nothing for it.
+   */
   Optional<LifecycleAction> reportEnd(AttemptResult result, Optional<UpstreamName> failedUpstream) {
     if (grant.isEmpty()) {
       return Optional.empty();
     }
     grant = Optional.empty();
+    if (!callSent) {
+      return history.endUnsent(placementId, number);
+    }
     return history.endReport(
         placementId, number, result, failedUpstream, output.generatedTokens(), progress);
   }
@@ -134,6 +154,9 @@
     }
     guard.stopRunning(number);
     history.recordFailure(number, failure, prefill);
+    if (failure == UpstreamFailure.CALLER_LEFT && (prefill || !prefillSent)) {
+      callSent = false;
+    }
     List<LifecycleAction> actions = new ArrayList<>();
     actions.add(new LifecycleAction.CloseAttempt(number));
     actions.addAll(outstanding.cancel(number, upstream, nowMillis));
@@ -193,6 +216,8 @@
     placementId = silent.placementId();
     grant = Optional.of(silent.grant());
     outputReceived = silent.outputReceived();
+    prefillSent = silent.phase() != AttemptPhase.PREFILLING;
+    callSent = true;
     guard.resume(silent.upstream());
     output.started(silent.version());
     kv.attach(silent.kv());
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
@@ -30,9 +30,9 @@
   record Place(PlacementRequest request) implements LifecycleAction {}
 
   /**
-   * Withdraws an attempt that waits for placement.
+   * Withdraws an attempt that waits for placement, or was granted and not sent to an upstream.
    *
-   * @param request the request
+   * @param request identifier under which it is placed
    */
   record Withdraw(RequestId request) implements LifecycleAction {}
 
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -231,6 +231,7 @@
 
   private void sendPrefill(Grant newGrant) {
     state = LifecycleState.PREFILLING;
+    attempt.callSent(true);
     actions.add(launcher.sendPrefill(newGrant, nowMillis));
   }
 
@@ -252,6 +253,7 @@
     }
     silent.sentElsewhere(output.tokens() > 0, nowMillis);
     state = LifecycleState.GENERATING;
+    attempt.callSent(false);
     actions.add(launcher.sendDecode(newGrant, nowMillis));
   }
 
@@ -261,6 +263,7 @@
       return;
     }
     state = LifecycleState.PLAIN_RUNNING;
+    attempt.callSent(false);
     actions.add(launcher.sendPlain(newGrant, nowMillis));
   }
 
--- a/core/src/main/java/org/marjoramsail/core/placement/EntryPlacement.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/EntryPlacement.java
@@ -87,7 +87,7 @@
     List<EntryAction> actions = new ArrayList<>();
     TrackedAttempt previous = attempts.remove(request.request());
     if (previous != null) {
-      actions.add(withdrawal(previous));
+      actions.add(withdrawal(previous, false));
     }
     Map<UpstreamName, Long> paused = pausedIn(shard, nowMillis);
     TrackedAttempt attempt =
@@ -118,13 +118,13 @@
                 attempt.shard, report, relay.next(attempt.owner, attempt.shard, nowMillis))));
   }
 
-  /** Withdraws a request, whether it waits or was granted. */
+  /** Withdraws an attempt that waits, or was granted and not sent to an upstream. */
   public List<EntryAction> withdraw(RequestId request) {
     TrackedAttempt attempt = attempts.remove(request);
     if (attempt == null) {
       return List.of();
     }
-    return List.of(withdrawal(attempt));
+    return List.of(withdrawal(attempt, true));
   }
 
   /** Handles a message from an owner. */
@@ -197,7 +197,7 @@
     if (!isExpected) {
       // The grant crossed a withdrawal or comes from a former owner. Withdrawing it frees its slots
       // now rather than after the owner's expiry.
-      return List.of(withdrawal(from, granted.shard(), grant.request(), grant.attempt()));
+      return List.of(withdrawal(from, granted.shard(), grant.request(), grant.attempt(), false));
     }
     if (attempt.grant.isPresent()) {
       return List.of();
@@ -349,13 +349,14 @@
     return self;
   }
 
-  private static EntryAction withdrawal(TrackedAttempt attempt) {
+  private static EntryAction withdrawal(TrackedAttempt attempt, boolean unsent) {
     return withdrawal(
-        attempt.owner, attempt.shard, attempt.request.request(), attempt.request.attempt());
+        attempt.owner, attempt.shard, attempt.request.request(), attempt.request.attempt(), unsent);
   }
 
   private static EntryAction withdrawal(
-      DaemonId owner, ShardId shard, RequestId request, int attempt) {
-    return new EntryAction.Send(owner, new PlacementMessage.Withdraw(shard, request, attempt));
+      DaemonId owner, ShardId shard, RequestId request, int attempt, boolean unsent) {
+    return new EntryAction.Send(
+        owner, new PlacementMessage.Withdraw(shard, request, attempt, unsent));
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/OrganisationState.java
@@ -46,6 +46,8 @@
   private double waitingTokens;
   private long startedRequests;
   private long startedTokens;
+  private long refundedRequests;
+  private long refundedTokens;
   private long sentRequests;
   private long sentTokens;
   private double recentRequests;
@@ -334,13 +336,32 @@
     recentRequests++;
     recentTokens += request.countedTokens();
     if (!request.isRepeat()) {
-      startedRequests++;
-      startedTokens += request.countedTokens();
+      countStart(request.countedTokens());
       requests.take(1, nowMillis);
       tokens.take(request.countedTokens(), nowMillis);
     }
   }
 
+  /** Counts a start for other shards, whose counts never fall: a refund offsets later starts. */
+  private void countStart(long startTokens) {
+    long offsetRequests = Math.min(1, refundedRequests);
+    long offsetTokens = Math.min(startTokens, refundedTokens);
+    refundedRequests -= offsetRequests;
+    refundedTokens -= offsetTokens;
+    startedRequests += 1 - offsetRequests;
+    startedTokens += startTokens - offsetTokens;
+  }
+
+  /** Returns to the rates what {@link #started} charged for an attempt that was never sent. */
+  void refund(PlacementRequest request, long nowMillis) {
+    if (!request.isRepeat()) {
+      refundedRequests++;
+      refundedTokens += request.countedTokens();
+      requests.giveBack(1, nowMillis);
+      tokens.giveBack(request.countedTokens(), nowMillis);
+    }
+  }
+
   /** Records an attempt that another owner started and charged to the rates. */
   void restored() {
     running++;
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementMessage.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementMessage.java
@@ -125,8 +125,18 @@
     }
   }
 
-  /** Entry daemon to owner: removes an attempt, whether it waits or was granted. */
-  record Withdraw(ShardId shard, RequestId request, int attempt) implements PlacementMessage {}
+  /**
+   * Entry daemon to owner: removes an attempt, whether it waits or was granted.
+   *
+   * @param unsent whether the entry daemon has sent no call of the attempt to an upstream, and will
+   *     send none, so that nothing is charged for its grant
+   */
+  record Withdraw(
+      ShardId shard,
+      RequestId request,
+      int attempt,
+      @JsonInclude(JsonInclude.Include.NON_DEFAULT) boolean unsent)
+      implements PlacementMessage {}
 
   /**
    * Entry daemon to owner: lists all attempts that the entry daemon has registered with this owner
--- a/core/src/main/java/org/marjoramsail/core/placement/Placer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/Placer.java
@@ -39,6 +39,12 @@
    */
   List<PlacementResult> report(AttemptReport report, long nowMillis);
 
+  /**
+   * Returns to the limits of an organisation what the grant of an attempt took from them, since no
+   * call of it was sent; the attempt is withdrawn afterwards.
+   */
+  default void refund(RequestId request, long nowMillis) {}
+
   /** Removes a waiting or granted request, whose result is no longer required. */
   List<PlacementResult> withdraw(RequestId request, long nowMillis);
 
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -167,6 +167,11 @@
     return dispatch(nowMillis);
   }
 
+  @Override
+  public void refund(RequestId request, long nowMillis) {
+    reservations.find(request).ifPresent(attempt -> attempt.refund(nowMillis));
+  }
+
   @Override
   public List<PlacementResult> withdraw(RequestId request, long nowMillis) {
     discard(request, nowMillis);
--- a/core/src/main/java/org/marjoramsail/core/placement/RetryBudget.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RetryBudget.java
@@ -105,6 +105,16 @@
     retries.add(count, nowMillis);
   }
 
+  /**
+   * Returns the retries of a granted attempt of which no call was sent.
+   *
+   * @param count the retries
+   * @param countedAtMillis when they were counted
+   */
+  void retriesReturned(int count, long countedAtMillis, long nowMillis) {
+    retries.remove(count, countedAtMillis, nowMillis);
+  }
+
   /** Returns the number of retries that are available. */
   public int available(long nowMillis) {
     double allowed =
--- a/core/src/main/java/org/marjoramsail/core/placement/RunningAttempt.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/RunningAttempt.java
@@ -18,6 +18,7 @@
   private AttemptPhase phase;
   private long phaseStartedAt;
   private double costMillis;
+  private boolean isCharged;
 
   /**
    * Creates an attempt with the upstreams that were reserved for it.
@@ -62,6 +63,20 @@
     return organisation;
   }
 
+  /** Charges its start to the limits of its organisation. */
+  void charge(long nowMillis) {
+    organisation.started(request, nowMillis);
+    isCharged = true;
+  }
+
+  /** Returns what was charged here, if anything, to the limits of its organisation. */
+  void refund(long nowMillis) {
+    if (isCharged) {
+      isCharged = false;
+      organisation.refund(request, nowMillis);
+    }
+  }
+
   Optional<UpstreamState> prefill() {
     return prefill;
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardCoordinator.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardCoordinator.java
@@ -39,6 +39,7 @@
     private long lastMessageMillis;
     private Grant grant;
     private Optional<Long> grantedMillis = Optional.empty();
+    private long retriesCountedMillis;
     private boolean isCounted;
 
     Registration(DaemonId entry, PlacementRequest request, long lastMessageMillis) {
@@ -111,7 +112,7 @@
       return report(report.report(), nowMillis);
     }
     if (message instanceof PlacementMessage.Withdraw withdraw) {
-      return withdraw(withdraw.request(), withdraw.attempt(), nowMillis);
+      return withdraw(withdraw, nowMillis);
     }
     if (message instanceof PlacementMessage.Holdings holdings) {
       return holdings(from, holdings.held(), nowMillis);
@@ -274,6 +275,7 @@
       // A later phase was reported to an earlier owner, which counted the request then.
       registration.isCounted = restore.phase() != AttemptPhase.PREFILLING;
       registrations.put(request.request(), registration);
+      registration.retriesCountedMillis = nowMillis;
       retries.retriesRestored(retriesOf(request, restore.grant()), nowMillis);
       result.addAll(
           outgoing(
@@ -305,6 +307,21 @@
     return outgoing(placer.report(report, nowMillis), nowMillis);
   }
 
+  private List<Outgoing> withdraw(PlacementMessage.Withdraw message, long nowMillis) {
+    Registration existing = registrations.get(message.request());
+    boolean isUnsentGrant =
+        message.unsent()
+            && existing != null
+            && existing.attempt == message.attempt()
+            && existing.grant != null;
+    if (isUnsentGrant) {
+      retries.retriesReturned(
+          retriesOf(existing.request, existing.grant), existing.retriesCountedMillis, nowMillis);
+      placer.refund(message.request(), nowMillis);
+    }
+    return withdraw(message.request(), message.attempt(), nowMillis);
+  }
+
   private List<Outgoing> withdraw(RequestId request, int attempt, long nowMillis) {
     Registration existing = registrations.get(request);
     if (existing == null || existing.attempt != attempt) {
@@ -381,6 +398,7 @@
     if (registration.grant == null) {
       retries.release(registration.reservedRetries());
       retries.retriesGranted(retriesOf(registration.request, grant), nowMillis);
+      registration.retriesCountedMillis = nowMillis;
     }
     registration.grant = grant;
     registration.grantedMillis = registration.grantedMillis.or(() -> Optional.of(nowMillis));
--- a/core/src/main/java/org/marjoramsail/core/placement/SharedRate.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SharedRate.java
@@ -55,6 +55,15 @@
     }
   }
 
+  /** Returns a cost that this owner has taken, up to the maximum credit. */
+  void giveBack(double cost, long nowMillis) {
+    if (perSecond > 0) {
+      fillOwn(nowMillis);
+      fleet.giveBack(cost, nowMillis);
+      ownCredit = Math.min(ownBurst(), ownCredit + cost);
+    }
+  }
+
   /** Takes a cost that other owners have granted. */
   void takeElsewhere(double cost, long nowMillis) {
     fillOwn(nowMillis);
--- a/core/src/main/java/org/marjoramsail/core/placement/SlotReservations.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/SlotReservations.java
@@ -63,7 +63,6 @@
       choice.target().startTransfer(choice.transferBytes());
     }
     expectFirstOutput(request, choice, nowMillis);
-    attempt.organisation().started(request, nowMillis);
     AttemptPhase phase =
         choice.isPrefillNeeded() ? AttemptPhase.PREFILLING : AttemptPhase.PREFILLED;
     RunningAttempt granted =
@@ -77,6 +76,7 @@
             choice.transferBytes(),
             phase,
             nowMillis);
+    granted.charge(nowMillis);
     addOutstanding(granted);
     running.put(request.request(), granted);
     return grant;
--- a/core/src/main/java/org/marjoramsail/core/placement/TokenBucket.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/TokenBucket.java
@@ -68,6 +68,14 @@
     }
   }
 
+  /** Returns a cost that was taken, up to the maximum credit. */
+  void giveBack(double cost, long nowMillis) {
+    if (perSecond > 0) {
+      fill(nowMillis);
+      credit = Math.min(burst, credit + cost);
+    }
+  }
+
   /** Takes a cost, but as much at most as leaves a debt of {@link #MAXIMUM_DEBT_BURSTS}. */
   void takeLeavingLimitedDebt(double cost, long nowMillis) {
     if (perSecond > 0) {
--- a/core/src/main/java/org/marjoramsail/core/placement/WindowCount.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WindowCount.java
@@ -23,6 +23,16 @@
     sum += count;
   }
 
+  /** Removes events that were added at a time; no effect once they have left the window. */
+  void remove(long count, long addedAtMillis, long nowMillis) {
+    advance(nowMillis);
+    long slot = Math.floorDiv(addedAtMillis, slotMillis);
+    if (currentSlot - slot < counts.length) {
+      counts[index(slot)] -= count;
+      sum -= count;
+    }
+  }
+
   /** Returns the count, including events that left the window within the length of one slot. */
   long sum(long nowMillis) {
     advance(nowMillis);
--- a/core/src/test/java/org/marjoramsail/core/outcome/FuzzedRequest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/FuzzedRequest.java
@@ -4,9 +4,11 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.failure.RunState;
@@ -22,6 +24,7 @@
   final List<LifecycleAction> finalResponses = new ArrayList<>();
   final Map<Integer, Integer> endReports = new HashMap<>();
   final List<Integer> granted = new ArrayList<>();
+  final Set<Integer> sent = new HashSet<>();
   Optional<FuzzedUpstream> reservedAlone = Optional.empty();
   int waitingAttempt;
   int runs;
@@ -64,9 +67,23 @@
         && report.report().phase() == AttemptPhase.ENDED) {
       endReports.merge(report.report().attempt(), 1, Integer::sum);
       reservedAlone = Optional.empty();
+    } else if (action instanceof LifecycleAction.SendPrefill send) {
+      sent.add(send.attempt());
+    } else if (action instanceof LifecycleAction.SendDecode send) {
+      sent.add(send.attempt());
+    } else if (action instanceof LifecycleAction.SendPlain send) {
+      sent.add(send.attempt());
+    } else if (action instanceof LifecycleAction.Withdraw && waitingAttempt == 0) {
+      observeWithdrawnGrant(granted.get(granted.size() - 1));
     }
   }
 
+  private void observeWithdrawnGrant(int attempt) {
+    assertThat(sent).as("attempts whose calls were sent").doesNotContain(attempt);
+    endReports.merge(attempt, 1, Integer::sum);
+    reservedAlone = Optional.empty();
+  }
+
   /** Returns whether the upstream is reserved for this request alone, as a suspect. */
   boolean isReservedAlone(FuzzedUpstream upstream) {
     return lifecycle.state() != LifecycleState.ENDED && reservedAlone.equals(Optional.of(upstream));
--- a/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/OrganisationRateTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.ServiceClass;
 
 /** Tests token rate limits of organisations over several owners and their successors. */
@@ -260,6 +261,49 @@
     return grants;
   }
 
+  /** Guards against callers that leave before they are served and use up the rate of others. */
+  @Test
+  void grantsThatAreNeverSentCostNothingOfARateLimit() {
+    ReservingPlacer owner = placer(false);
+    owner.tick(0);
+    int unsent = 10 * (int) BURST / REQUEST_TOKENS;
+    for (int number = 0; number < unsent; number++) {
+      assertThat(granted(place(owner, "unsent-" + number, 100))).hasSize(1);
+      owner.refund(new RequestId("unsent-" + number), 100);
+      owner.withdraw(new RequestId("unsent-" + number), 100);
+    }
+
+    int sent = 0;
+    while (granted(place(owner, "sent-" + sent, 100)).size() == 1) {
+      sent++;
+    }
+
+    assertThat(sent).isEqualTo((int) BURST / REQUEST_TOKENS);
+  }
+
+  /** Guards against a refund that lets other owners count a start twice or not at all. */
+  @Test
+  void otherOwnersCountOnlyTheGrantsThatWereSent() {
+    ReservingPlacer owner = placer(0, 2, false, 0);
+    place(owner, "unsent", 100);
+    OrganisationUsageMessage before = owner.usage(1_000);
+    owner.refund(new RequestId("unsent"), 1_100);
+    owner.refund(new RequestId("unsent"), 1_100);
+    owner.withdraw(new RequestId("unsent"), 1_100);
+    OrganisationUsageMessage refunded = owner.usage(2_000);
+    place(owner, "first", 2_100);
+    place(owner, "second", 2_100);
+    OrganisationUsageMessage after = owner.usage(3_000);
+
+    assertThat(startedTokens(before)).isEqualTo(REQUEST_TOKENS);
+    assertThat(startedTokens(refunded)).isEqualTo(REQUEST_TOKENS);
+    assertThat(startedTokens(after)).isEqualTo(2 * REQUEST_TOKENS);
+  }
+
+  private static long startedTokens(OrganisationUsageMessage message) {
+    return message.usages().stream().mapToLong(OrganisationUsageMessage.Usage::startedTokens).sum();
+  }
+
   private static void share(List<ReservingPlacer> owners, long now) {
     List<OrganisationUsageMessage> usages = owners.stream().map(owner -> owner.usage(now)).toList();
     for (ReservingPlacer owner : owners) {
--- a/core/src/test/java/org/marjoramsail/core/placement/RetryBudgetTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/RetryBudgetTest.java
@@ -108,6 +108,29 @@
     assertThat(budget.tryReserve(0, 11_000)).isTrue();
   }
 
+  /** Guards against a returned retry that adds to the windows after the one it was counted in. */
+  @Test
+  void retriesThatAreReturnedCountInNoWindow() {
+    RetryBudget budget = settledBudget();
+    budget.retriesGranted(5, 20_000);
+
+    budget.retriesReturned(5, 20_000, 29_000);
+
+    assertThat(budget.available(29_000)).isEqualTo(HALF_OF_THE_SLACK);
+    assertThat(budget.available(31_000)).isEqualTo(HALF_OF_THE_SLACK);
+  }
+
+  /** Guards against a budget that exceeds the slack since a retry is returned late. */
+  @Test
+  void retriesThatAreReturnedAfterTheirWindowChangeNothing() {
+    RetryBudget budget = settledBudget();
+    budget.retriesGranted(5, 20_000);
+
+    budget.retriesReturned(5, 20_000, 31_000);
+
+    assertThat(budget.available(31_000)).isEqualTo(HALF_OF_THE_SLACK);
+  }
+
   /** Guards against retries that are lost to attempts that find no upstream. */
   @Test
   void reservedRetriesThatAreNotGrantedAreReturned() {
