Order the entries of an upstream by the revisions of the store

What callers saw: an upstream started while its clock was 2.4 s ahead and again under its name once the clock was right. Cause: an entry with an earlier start than the one in use was taken for a late write of an earlier incarnation, whatever its revision. A clock on another machine decided the order of what the store had ordered. Quarantine and placement compared starts in the same way. Why this works: revisions decide. A start only tells incarnations apart; it is late if it was listed before and a later one has followed. Where clocks and revisions disagree, both starts apply by their revisions, and neither ends the draining of the other, so that no entry of the upstream that runs is ignored for good. An earlier start ends running requests and proves a crash only if a connection has ended, so that a late entry of an incarnation that was never seen does neither. A response names the incarnation it was sent to, and no longer counts as news of a restart. The guard against late entries, aLateEntryOfAnEarlierIncarnationChangesNothing, is unchanged.

--- a/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
+++ b/core/src/main/java/org/marjoramsail/core/configuration/UpstreamDefinition.java
@@ -72,21 +72,27 @@
 
   /** Returns a copy with this capacity. */
   public UpstreamDefinition withCapacity(int newSlots, Optional<Integer> newMemoryTokens) {
-    return copy(newSlots, newMemoryTokens, startedAtMillis, softwareVersion);
+    return copy(newSlots, drained, newMemoryTokens, startedAtMillis, softwareVersion);
   }
 
   /** Returns a copy with this start time. */
   public UpstreamDefinition withStartTime(long newStartedAtMillis) {
-    return copy(slots, memoryTokens, Optional.of(newStartedAtMillis), softwareVersion);
+    return copy(slots, drained, memoryTokens, Optional.of(newStartedAtMillis), softwareVersion);
   }
 
   /** Returns a copy with this software version. */
   public UpstreamDefinition withSoftwareVersion(SoftwareVersion newVersion) {
-    return copy(slots, memoryTokens, startedAtMillis, Optional.of(newVersion));
+    return copy(slots, drained, memoryTokens, startedAtMillis, Optional.of(newVersion));
+  }
+
+  /** Returns a copy that is drained or not. */
+  public UpstreamDefinition withDrained(boolean newDrained) {
+    return copy(slots, newDrained, memoryTokens, startedAtMillis, softwareVersion);
   }
 
   private UpstreamDefinition copy(
       int newSlots,
+      boolean newDrained,
       Optional<Integer> newMemoryTokens,
       Optional<Long> newStartedAtMillis,
       Optional<SoftwareVersion> newVersion) {
@@ -100,7 +106,7 @@
         region,
         newSlots,
         fenced,
-        drained,
+        newDrained,
         newMemoryTokens,
         newStartedAtMillis,
         newVersion);
--- a/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
@@ -21,7 +21,7 @@
  * afterwards.
  *
  * <p>An upstream may restart under its name. Entries of an earlier incarnation that the list shows
- * late do not replace those of the later one.
+ * late do not replace those of the later one; see {@link IncarnationOrder}.
  *
  * <p>Not safe for several threads; the I/O layer calls it on a single one.
  */
@@ -34,11 +34,13 @@
   public static final long SHORTEST_EXPIRY_MILLIS = 1_000;
 
   private static final class Entry {
+    private final IncarnationOrder incarnations;
     private ListedUpstream listed;
     private Optional<Long> expiresAtMillis = Optional.empty();
 
     private Entry(ListedUpstream listed) {
       this.listed = listed;
+      this.incarnations = new IncarnationOrder(listed.definition());
     }
   }
 
@@ -234,18 +236,14 @@
       return true;
     }
     entry.expiresAtMillis = Optional.empty();
-    boolean isOfEarlierIncarnation =
-        one.definition().startedAtMillis().isPresent()
-            && entry.listed.definition().incarnation().supersedes(one.definition().incarnation());
-    if (entry.listed.revision().compareTo(one.revision()) > 0 || isOfEarlierIncarnation) {
+    boolean isOutdated = entry.listed.revision().compareTo(one.revision()) > 0;
+    if (isOutdated || isUndrainedByRestore(entry.listed, one)) {
       return false;
     }
-    if (isUndrainedByRestore(entry.listed, one)) {
-      return false;
-    }
-    boolean changed = !entry.listed.definition().equals(one.definition());
-    entry.listed = one;
-    return changed;
+    UpstreamDefinition before = entry.listed.definition();
+    Optional<UpstreamDefinition> next = entry.incarnations.next(before, one.definition());
+    next.ifPresent(latest -> entry.listed = new ListedUpstream(latest, one.revision()));
+    return next.filter(latest -> !latest.equals(before)).isPresent();
   }
 
   /**
--- a/core/src/main/java/org/marjoramsail/core/model/Incarnation.java
+++ b/core/src/main/java/org/marjoramsail/core/model/Incarnation.java
@@ -18,9 +18,14 @@
    */
   public static final long UNKNOWN_START = 0;
 
-  /** Returns whether this is a later incarnation of the same upstream. */
-  public boolean supersedes(Incarnation other) {
-    return upstream.equals(other.upstream) && startedAtMillis > other.startedAtMillis;
+  /**
+   * Returns whether this incarnation, which is listed after another one of the same upstream, is a
+   * different one. Its start time may be earlier, since the clock of the upstream may be wrong.
+   */
+  public boolean replaces(Incarnation listedBefore) {
+    return upstream.equals(listedBefore.upstream)
+        && startedAtMillis != UNKNOWN_START
+        && startedAtMillis != listedBefore.startedAtMillis;
   }
 
   /**
--- a/core/src/main/java/org/marjoramsail/core/outcome/CrashRecords.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CrashRecords.java
@@ -95,6 +95,13 @@
         : Suspicion.UNSETTLED;
   }
 
+  /** Returns which of these contents are refused. */
+  Set<Long> quarantined(Collection<Long> fingerprints) {
+    Set<Long> result = new LinkedHashSet<>(fingerprints);
+    result.removeIf(fingerprint -> suspicion(fingerprint) != Suspicion.QUARANTINED);
+    return result;
+  }
+
   private boolean isOnlyExplanation(long fingerprint) {
     return crashCount(fingerprint) >= Quarantine.CRASH_LIMIT
         && othersOnAllCrashes(fingerprint).isEmpty();
--- a/core/src/main/java/org/marjoramsail/core/outcome/CrashableUpstream.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CrashableUpstream.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.core.outcome;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -68,6 +69,25 @@
     return nowMillis - lastCutAtMillis <= LATE_PROOF_MILLIS;
   }
 
+  /**
+   * Returns whether another upstream was reached since the last cut of this one, or none was in use
+   * before.
+   *
+   * @param all all upstreams
+   */
+  boolean isAnotherReached(Collection<CrashableUpstream> all) {
+    boolean isAnotherInUse = false;
+    for (CrashableUpstream other : all) {
+      if (other != this) {
+        if (other.reachedAtMillis > lastCutAtMillis) {
+          return true;
+        }
+        isAnotherInUse |= other.reachedAtMillis > lastCutAtMillis - LATE_PROOF_MILLIS;
+      }
+    }
+    return !isAnotherInUse;
+  }
+
   /** Returns the cut attempts that wait for a proof; none if a crash is presumed. */
   Stream<OpenCut> openCuts(UpstreamName name) {
     return presumed ? Stream.empty() : cut.values().stream().map(run -> new OpenCut(name, run));
--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -1,11 +1,8 @@
 package org.marjoramsail.core.outcome;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -75,7 +72,7 @@
   private final ReportedCuts reportedCuts;
   private final Function<UpstreamName, Optional<SoftwareVersion>> versions;
   private final QuarantineListener listener;
-  private final ArrayDeque<CrashReportMessage> outgoing = new ArrayDeque<>();
+  private final OutgoingCrashReports outgoing;
   private final OutgoingCuts outgoingCuts;
   private long sequence;
 
@@ -120,6 +117,7 @@
     this.lifetimeMillis = lifetimeMillis;
     this.settleMillis = settleMillis;
     this.records = new CrashRecords(maximumEntries);
+    this.outgoing = new OutgoingCrashReports(records);
     this.promptParts = new PromptPartQuarantine(lifetimeMillis, partCrashLimit, listener);
     this.reportedCuts = new ReportedCuts(settleMillis);
     this.outgoingCuts = new OutgoingCuts(settleMillis);
@@ -253,6 +251,40 @@
     return restarted;
   }
 
+  /**
+   * Handles the incarnation that the list has for an upstream. The list shows incarnations in their
+   * order, also where the clock of the upstream gives a later one an earlier start.
+   *
+   * @param startMillis start of the incarnation, which identifies it
+   * @param connectionsEnded whether a connection to the upstream has ended since the last listing,
+   *     without which an earlier start proves no crash
+   */
+  public synchronized ListedIncarnation listed(
+      UpstreamName name, long startMillis, boolean connectionsEnded, long nowMillis) {
+    CrashableUpstream state = upstream(name);
+    ListedIncarnation result = ListedIncarnation.of(state.incarnation, startMillis);
+    boolean isProof =
+        result == ListedIncarnation.LATER_START
+            || (result == ListedIncarnation.EARLIER_START && connectionsEnded);
+    if (isProof) {
+      crashed(name, state, RESTARTED, nowMillis);
+    }
+    state.incarnation = startMillis;
+    return result;
+  }
+
+  /**
+   * Records a response of the incarnation that was listed when its request was sent, which
+   * disproves a crash before that moment.
+   */
+  public synchronized void responded(
+      UpstreamName name, long startMillis, long sentAtMillis, long nowMillis) {
+    CrashableUpstream state = upstream(name);
+    if (state.incarnation == 0 || state.incarnation == startMillis) {
+      incarnation(name, startMillis, sentAtMillis, nowMillis);
+    }
+  }
+
   /**
    * Records that an upstream refuses connections, which proves a crash after a cut.
    *
@@ -262,7 +294,7 @@
    */
   public synchronized void connectionsRefused(UpstreamName name, long nowMillis) {
     CrashableUpstream state = upstream(name);
-    if (state.mayHaveCrashed(nowMillis) && isReachingOthers(state)) {
+    if (state.mayHaveCrashed(nowMillis) && state.isAnotherReached(upstreams.values())) {
       crashed(name, state, REFUSED, nowMillis);
     }
   }
@@ -277,20 +309,6 @@
     state.reachedAtMillis = Math.max(state.reachedAtMillis, asOfMillis);
   }
 
-  private boolean isReachingOthers(CrashableUpstream state) {
-    boolean isAnotherInUse = false;
-    for (CrashableUpstream other : upstreams.values()) {
-      if (other != state) {
-        if (other.reachedAtMillis > state.lastCutAtMillis) {
-          return true;
-        }
-        isAnotherInUse |=
-            other.reachedAtMillis > state.lastCutAtMillis - CrashableUpstream.LATE_PROOF_MILLIS;
-      }
-    }
-    return !isAnotherInUse;
-  }
-
   /**
    * Records that another upstream listens at the address of one, which proves a crash after a cut.
    *
@@ -439,9 +457,9 @@
   private void record(CrashReportMessage message, long nowMillis) {
     CrashId crash = new CrashId(message.upstream(), message.incarnation());
     long expiresAtMillis = nowMillis + Math.min(lifetimeMillis, message.lifetimeMillis());
-    Set<Long> refusedBefore = refused(message.fingerprints());
+    Set<Long> refusedBefore = records.quarantined(message.fingerprints());
     records.add(crash, message.fingerprints(), message.lifted(), expiresAtMillis);
-    Set<Long> refusedNow = refused(message.fingerprints());
+    Set<Long> refusedNow = records.quarantined(message.fingerprints());
     refusedNow.removeAll(refusedBefore);
     for (long fingerprint : refusedNow) {
       String crashes = records.crashCount(fingerprint) + " crashes";
@@ -449,34 +467,15 @@
     }
   }
 
-  private Set<Long> refused(Collection<Long> fingerprints) {
-    return fingerprints.stream()
-        .filter(fingerprint -> records.suspicion(fingerprint) == Suspicion.QUARANTINED)
-        .collect(Collectors.toCollection(LinkedHashSet::new));
-  }
-
   /** Removes and returns the messages for the other daemons; each is returned once. */
   public synchronized List<CrashReportMessage> takeMessages() {
-    List<CrashReportMessage> messages = List.copyOf(outgoing);
-    outgoing.clear();
-    return messages;
+    return outgoing.take();
   }
 
   /** Returns a report of each stored crash, with the contents that are not cleared of it. */
   public synchronized List<CrashReportMessage> reports(long nowMillis) {
     records.expire(nowMillis);
-    return records.crashes().stream()
-        .map(crash -> report(crash, nowMillis))
-        .filter(report -> !report.fingerprints().isEmpty())
-        .toList();
-  }
-
-  private CrashReportMessage report(CrashId crash, long nowMillis) {
-    List<Long> suspects = records.suspects(crash);
-    long expiresAtMillis =
-        suspects.stream().mapToLong(records::expiresAtMillis).max().orElse(nowMillis);
-    return new CrashReportMessage(
-        crash.upstream(), crash.incarnation(), suspects, expiresAtMillis - nowMillis, false);
+    return outgoing.all(nowMillis);
   }
 
   /** Returns the contents that are suspect or refused. */
@@ -507,18 +506,11 @@
   }
 
   private boolean clear(long fingerprint, String source, long nowMillis) {
-    List<CrashId> counted = records.clear(fingerprint);
-    for (CrashId crash : counted) {
-      changed(QuarantineChange.Kind.CLEARED, crash.upstream(), List.of(fingerprint), source);
-      outgoing.add(
-          new CrashReportMessage(
-              crash.upstream(),
-              crash.incarnation(),
-              List.of(fingerprint),
-              records.expiresAtMillis(fingerprint) - nowMillis,
-              true));
+    List<UpstreamName> crashed = outgoing.clear(fingerprint, nowMillis);
+    for (UpstreamName upstream : crashed) {
+      changed(QuarantineChange.Kind.CLEARED, upstream, List.of(fingerprint), source);
     }
-    return !counted.isEmpty();
+    return !crashed.isEmpty();
   }
 
   private void crashed(UpstreamName name, CrashableUpstream state, String proof, long nowMillis) {
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -147,10 +147,10 @@
   /**
    * Applies a newer definition. A role that changed in it applies until the engine reports its own.
    *
-   * @return whether the definition belongs to a later incarnation of the upstream
+   * @return whether the definition belongs to another incarnation of the upstream
    */
   boolean define(UpstreamDefinition newer, long nowMillis) {
-    boolean restarted = newer.incarnation().supersedes(definition.incarnation());
+    boolean restarted = newer.incarnation().replaces(definition.incarnation());
     if (newer.role() != definition.role() || restarted) {
       role = newer.role();
     }
--- a/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
@@ -124,6 +124,88 @@
     assertThat(discovered.changed(listedWithStart("a", 7, false, 3_000), 3)).isTrue();
   }
 
+  /** Guards against a clock that was ahead, whose restart is never seen to drain. */
+  @Test
+  void aRestartWithAnEarlierStartIsListedAndDrains() {
+    discovered.listed(List.of(listedWithStart("a", 5, false, 2_000)), List.of(), 0);
+
+    assertThat(discovered.changed(listedWithStart("a", 6, false, 1_000), 1)).isTrue();
+    assertThat(discovered.changed(listedWithStart("a", 7, true, 1_000), 2)).isTrue();
+
+    assertThat(start()).isEqualTo(1_000);
+    assertThat(discovered.upstreams().get(0).drained()).isTrue();
+  }
+
+  /** Guards against a late write of an incarnation that was listed and then replaced. */
+  @Test
+  void aLateEntryOfAReplacedIncarnationChangesNothing() {
+    discovered.listed(List.of(listedWithStart("a", 4, false, 1_000)), List.of(), 0);
+    discovered.changed(listedWithStart("a", 5, false, 2_000), 1);
+
+    assertThat(discovered.changed(listedWithStart("a", 6, true, 1_000), 2)).isFalse();
+    assertThat(discovered.changed(listedWithStart("a", 7, false, 1_000), 3)).isFalse();
+
+    assertThat(start()).isEqualTo(2_000);
+    assertThat(discovered.upstreams().get(0).drained()).isFalse();
+  }
+
+  /** Guards against a late write that serves again what drains, where a clock was ahead. */
+  @Test
+  void aDrainingRestartWithAnEarlierStartStaysDrainedAfterALateEntry() {
+    discovered.listed(List.of(listedWithStart("a", 5, false, 2_000)), List.of(), 0);
+    discovered.changed(listedWithStart("a", 6, false, 1_000), 1);
+    discovered.changed(listedWithStart("a", 7, true, 1_000), 2);
+
+    assertThat(discovered.changed(listedWithStart("a", 8, false, 2_000), 3)).isFalse();
+
+    assertThat(discovered.upstreams().get(0).drained()).isTrue();
+  }
+
+  /**
+   * Guards against an upstream whose entries are ignored for good after a late entry of an
+   * incarnation that this daemon has not seen.
+   */
+  @Test
+  void anUpstreamIsSeenToDrainAfterALateEntryOfAnUnknownIncarnation() {
+    discovered.listed(List.of(listedWithStart("a", 5, false, 2_000)), List.of(), 0);
+    discovered.changed(listedWithStart("a", 6, false, 1_000), 1);
+
+    assertThat(discovered.changed(listedWithStart("a", 7, false, 2_000), 2)).isTrue();
+    assertThat(discovered.changed(listedWithStart("a", 8, true, 2_000), 3)).isTrue();
+
+    assertThat(start()).isEqualTo(2_000);
+    assertThat(discovered.upstreams().get(0).drained()).isTrue();
+  }
+
+  /** Guards against an incarnation that is not seen to drain since a late entry replaced it. */
+  @Test
+  void anUpstreamThatDrainsDirectlyAfterALateEntryIsSeenToDrain() {
+    discovered.listed(List.of(listedWithStart("a", 5, false, 2_000)), List.of(), 0);
+    discovered.changed(listedWithStart("a", 6, false, 1_000), 1);
+
+    assertThat(discovered.changed(listedWithStart("a", 7, true, 2_000), 2)).isTrue();
+
+    assertThat(discovered.upstreams().get(0).drained()).isTrue();
+  }
+
+  /** Guards against a restart that is ignored once several starts have been listed. */
+  @Test
+  void aLaterStartReplacesAllThatWereListedBefore() {
+    discovered.listed(List.of(listedWithStart("a", 5, false, 2_000)), List.of(), 0);
+    discovered.changed(listedWithStart("a", 6, false, 1_000), 1);
+    discovered.changed(listedWithStart("a", 7, false, 1_500), 2);
+
+    assertThat(discovered.changed(listedWithStart("a", 8, false, 2_000), 3)).isFalse();
+    assertThat(discovered.changed(listedWithStart("a", 9, true, 1_000), 4)).isFalse();
+
+    assertThat(start()).isEqualTo(1_500);
+    assertThat(discovered.upstreams().get(0).drained()).isFalse();
+  }
+
+  private long start() {
+    return discovered.upstreams().get(0).incarnation().startedAtMillis();
+  }
+
   /** Guards against an upstream that is kept after its entry was overwritten by an invalid one. */
   @Test
   void anEntryThatBecomesInvalidRemovesItsUpstream() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamLiveness.java
@@ -6,6 +6,7 @@
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.outcome.ListedIncarnation;
 import org.marjoramsail.core.outcome.Quarantine;
 import org.marjoramsail.core.time.Clock;
 import org.slf4j.Logger;
@@ -29,6 +30,9 @@
 
   private static final long UNKNOWN_END = Long.MAX_VALUE;
 
+  /** Before all requests: none of them ran on an incarnation that has ended. */
+  private static final long NO_END = Long.MIN_VALUE;
+
   /** Longest time of a restart plus the error of the clock of an upstream, in milliseconds. */
   private static final long RESTART_MILLIS = 5_000;
 
@@ -80,9 +84,13 @@
   /** Handles an upstream that the list has for the first time, or in a new incarnation. */
   public void listed(UpstreamDefinition upstream) {
     Incarnation incarnation = upstream.incarnation();
-    if (recordIncarnation(incarnation, NO_RESPONSE_MILLIS)) {
-      LOG.atInfo().addKeyValue("upstream", incarnation).log("upstream has started again");
-      restarted.restarted(upstream.name(), endOfEarlierIncarnation(upstream));
+    ListedIncarnation listed = recordListed(incarnation);
+    if (listed != ListedIncarnation.UNCHANGED) {
+      LOG.atInfo()
+          .addKeyValue("upstream", incarnation)
+          .addKeyValue("start", listed)
+          .log("upstream has started again");
+      restarted.restarted(upstream.name(), endOfEarlierIncarnation(upstream, listed));
     }
     UpstreamName before =
         namesByAddress.put(upstream.address() + ":" + upstream.port(), upstream.name());
@@ -95,13 +103,17 @@
   /**
    * Returns when the earlier incarnation of an upstream had ended: when this daemon last saw one of
    * its connections end, shortly before the start that the new one states or later. Where it saw
-   * none, nothing shows which requests run on the new one, and all count as lost.
+   * none, nothing shows which requests run on the new one, and all count as lost, unless the entry
+   * may be a late one of an incarnation before the one that runs.
    */
-  private long endOfEarlierIncarnation(UpstreamDefinition upstream) {
+  private long endOfEarlierIncarnation(UpstreamDefinition upstream, ListedIncarnation listed) {
     long startMillis = Math.min(clock.millis(), upstream.incarnation().startedAtMillis());
     Long seenAtMillis = endedAtMillis.remove(upstream.name());
     boolean isOfThisRestart = seenAtMillis != null && seenAtMillis >= startMillis - RESTART_MILLIS;
-    return isOfThisRestart ? seenAtMillis : UNKNOWN_END;
+    if (isOfThisRestart) {
+      return seenAtMillis;
+    }
+    return listed == ListedIncarnation.EARLIER_START ? NO_END : UNKNOWN_END;
   }
 
   @Override
@@ -111,7 +123,7 @@
 
   @Override
   public void responded(Incarnation upstream, long sentAtMillis) {
-    recordIncarnation(upstream, sentAtMillis);
+    quarantine.responded(upstream.upstream(), start(upstream), sentAtMillis, clock.millis());
   }
 
   @Override
@@ -131,8 +143,17 @@
     return quarantine.mayHaveCrashed(upstream, clock.millis());
   }
 
-  private boolean recordIncarnation(Incarnation upstream, long asOfMillis) {
-    long start = Math.max(DEFAULT_START_MILLIS, upstream.startedAtMillis());
-    return quarantine.incarnation(upstream.upstream(), start, asOfMillis, clock.millis());
+  private ListedIncarnation recordListed(Incarnation upstream) {
+    UpstreamName name = upstream.upstream();
+    if (upstream.startedAtMillis() == Incarnation.UNKNOWN_START) {
+      quarantine.incarnation(name, start(upstream), NO_RESPONSE_MILLIS, clock.millis());
+      return ListedIncarnation.UNCHANGED;
+    }
+    boolean connectionsEnded = endedAtMillis.containsKey(name);
+    return quarantine.listed(name, start(upstream), connectionsEnded, clock.millis());
+  }
+
+  private static long start(Incarnation upstream) {
+    return Math.max(DEFAULT_START_MILLIS, upstream.startedAtMillis());
   }
 }
