Count crashes of upstreams that are lost together once

Cause: each crash was independent evidence against a content that was on the upstream, also where its attempts were under way on both when they were lost. The more popular a sound content is, the more certainly it is on both. Why this works: an attempt that was sent before the first crash was known says nothing that the first crash does not say. Each attempt holds the number of independent crashes known when it was sent, with open cuts; a crash counts one more than that of the first attempt on its upstream. No clock of another host is needed. Below two the content waits for a trial on one upstream, by one of the daemons that reported; any response clears it, a crash is the second one. A deadly content ends one upstream more than before if two were sent at once, three in all.

--- a/core/src/main/java/org/marjoramsail/core/outcome/CrashRecords.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CrashRecords.java
@@ -9,26 +9,41 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableSet;
 import java.util.Set;
+import java.util.TreeSet;
 
 /**
  * Records which contents were on which crashed upstreams, and derives which one is the cause.
  *
  * <p>A content is refused when it was on {@link Quarantine#CRASH_LIMIT} crashed upstreams and no
- * other content was on all of these. While there are others, each of them may be the cause: one
- * that is refused already explains the crashes, and otherwise they are retried one after another,
- * the least likely first. Each one that completes is cleared, so that the cause is found without a
- * further crash.
+ * other content was on all of these. Crashes count as independent if the content was sent to the
+ * one after the other was noticed: upstreams that are lost together prove nothing against a content
+ * that was on several of them. After such crashes it needs a trial, which clears it or is the
+ * second, independent crash. While there are others, each of them may be the cause: one that is
+ * refused already explains the crashes, and otherwise they are retried one after another, the least
+ * likely first. Each one that completes is cleared, so that the cause is found without a further
+ * crash.
  */
 final class CrashRecords {
 
   private static final class Entry {
-    private final Set<CrashId> crashes = new LinkedHashSet<>();
+    /** Crashes with the number of independent ones up to each. */
+    private final Map<CrashId, Integer> crashes = new LinkedHashMap<>();
+
     private final Set<CrashId> cleared = new HashSet<>();
+    private final NavigableSet<String> reporters = new TreeSet<>();
+    private long lastCrashMillis;
     private long expiresAtMillis;
 
     private List<CrashId> activeCrashes() {
-      return crashes.stream().filter(crash -> !cleared.contains(crash)).toList();
+      return crashes.keySet().stream().filter(crash -> !cleared.contains(crash)).toList();
+    }
+
+    private int evidence() {
+      List<CrashId> active = activeCrashes();
+      int highest = active.stream().mapToInt(crashes::get).max().orElse(0);
+      return Math.min(highest, active.size());
     }
   }
 
@@ -40,19 +55,58 @@
     this.maximumEntries = maximumEntries;
   }
 
-  /** Adds a crash with the contents that ran on the upstream, the least likely cause first. */
-  void add(CrashId crash, Collection<Long> fingerprints, boolean lifted, long expiresAtMillis) {
-    suspects.computeIfAbsent(crash, unused -> new LinkedHashSet<>()).addAll(fingerprints);
-    for (long fingerprint : fingerprints) {
-      Entry entry = entry(fingerprint);
-      entry.crashes.add(crash);
-      if (lifted) {
+  /**
+   * Adds a crash with the contents that ran on the upstream, the least likely cause first.
+   *
+   * @param reporter host that reports the crash
+   */
+  void add(CrashReportMessage report, String reporter, long nowMillis, long expiresAtMillis) {
+    CrashId crash = new CrashId(report.upstream(), report.incarnation());
+    List<Long> contents = report.fingerprints();
+    suspects.computeIfAbsent(crash, unused -> new LinkedHashSet<>()).addAll(contents);
+    for (int index = 0; index < contents.size(); index++) {
+      Entry entry = entry(contents.get(index));
+      if (!entry.crashes.containsKey(crash)) {
+        entry.lastCrashMillis = nowMillis;
+      }
+      int evidence = report.evidence(index).orElse(entry.evidence() + 1);
+      entry.crashes.merge(crash, evidence, Math::min);
+      entry.reporters.add(reporter);
+      if (report.lifted()) {
         entry.cleared.add(crash);
       }
       entry.expiresAtMillis = Math.max(entry.expiresAtMillis, expiresAtMillis);
     }
   }
 
+  /** Returns the number of independent crashes of which this content is not cleared. */
+  int evidence(long fingerprint) {
+    Entry entry = entries.get(fingerprint);
+    return entry == null ? 0 : entry.evidence();
+  }
+
+  /** Returns the number of independent crashes with a content up to a recorded one. */
+  int evidence(long fingerprint, CrashId crash) {
+    return entries.get(fingerprint).crashes.get(crash);
+  }
+
+  /** Returns whether a content was on several upstreams that were lost together, and no other. */
+  boolean needsTrial(long fingerprint) {
+    return crashCount(fingerprint) >= Quarantine.CRASH_LIMIT
+        && evidence(fingerprint) < Quarantine.CRASH_LIMIT
+        && othersOnAllCrashes(fingerprint).isEmpty();
+  }
+
+  /** Returns when the latest crash with a content was recorded. */
+  long lastCrashMillis(long fingerprint) {
+    return entries.get(fingerprint).lastCrashMillis;
+  }
+
+  /** Returns the hosts that reported crashes with a content, in the same order on all daemons. */
+  NavigableSet<String> reporters(long fingerprint) {
+    return entries.get(fingerprint).reporters;
+  }
+
   /** Returns the number of crashes of which this content is not cleared. */
   int crashCount(long fingerprint) {
     Entry entry = entries.get(fingerprint);
@@ -87,7 +141,9 @@
     }
     List<Long> others = othersOnAllCrashes(fingerprint);
     if (others.isEmpty()) {
-      return Suspicion.QUARANTINED;
+      return evidence(fingerprint) < Quarantine.CRASH_LIMIT
+          ? Suspicion.UNSETTLED
+          : Suspicion.QUARANTINED;
     }
     boolean isExplained = others.stream().anyMatch(this::isOnlyExplanation);
     return isExplained || others.stream().noneMatch(other -> isTriedFirst(other, fingerprint))
@@ -103,7 +159,7 @@
   }
 
   private boolean isOnlyExplanation(long fingerprint) {
-    return crashCount(fingerprint) >= Quarantine.CRASH_LIMIT
+    return evidence(fingerprint) >= Quarantine.CRASH_LIMIT
         && othersOnAllCrashes(fingerprint).isEmpty();
   }
 
@@ -117,7 +173,7 @@
 
   private boolean isActive(long fingerprint, CrashId crash) {
     Entry entry = entries.get(fingerprint);
-    return entry != null && entry.crashes.contains(crash) && !entry.cleared.contains(crash);
+    return entry != null && entry.crashes.containsKey(crash) && !entry.cleared.contains(crash);
   }
 
   private boolean isTriedFirst(long other, long fingerprint) {
--- a/core/src/main/java/org/marjoramsail/core/outcome/CrashableUpstream.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/CrashableUpstream.java
@@ -143,6 +143,13 @@
     return cut.values().stream().anyMatch(run -> run.hasFingerprint(fingerprint));
   }
 
+  /** Returns whether a proof that follows would make a content a suspect. */
+  boolean mayProve(long fingerprint) {
+    return Stream.of(cut, undecided, dismissed)
+        .flatMap(runs -> runs.values().stream())
+        .anyMatch(run -> run.hasFingerprint(fingerprint));
+  }
+
   static List<Long> fingerprints(Map<AttemptKey, RunningAttempt> attempts) {
     return attempts.values().stream().map(run -> run.fingerprint).distinct().toList();
   }
--- a/core/src/main/java/org/marjoramsail/core/outcome/OutgoingCrashReports.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/OutgoingCrashReports.java
@@ -1,7 +1,9 @@
 package org.marjoramsail.core.outcome;
 
 import java.util.ArrayDeque;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import org.marjoramsail.core.model.UpstreamName;
 
 /** Reports of crashes and of cleared contents for the other daemons. */
@@ -14,6 +16,23 @@
     this.records = records;
   }
 
+  /**
+   * Returns the report of a crash with the attempts that ran on the upstream. The evidence against
+   * a content is that of its first attempt there, which would have been the one to crash it.
+   */
+  static CrashReportMessage report(
+      UpstreamName upstream, long incarnation, List<RunningAttempt> runs, long lifetimeMillis) {
+    Map<Long, Integer> evidence = new LinkedHashMap<>();
+    runs.forEach(run -> evidence.merge(run.fingerprint, run.evidenceBefore + 1, Math::min));
+    return new CrashReportMessage(
+        upstream,
+        incarnation,
+        List.copyOf(evidence.keySet()),
+        lifetimeMillis,
+        false,
+        List.copyOf(evidence.values()));
+  }
+
   /** Adds the report of a crash. */
   void add(CrashReportMessage message) {
     outgoing.add(message);
@@ -55,6 +74,11 @@
     long expiresAtMillis =
         suspects.stream().mapToLong(records::expiresAtMillis).max().orElse(nowMillis);
     return new CrashReportMessage(
-        crash.upstream(), crash.incarnation(), suspects, expiresAtMillis - nowMillis, false);
+        crash.upstream(),
+        crash.incarnation(),
+        suspects,
+        expiresAtMillis - nowMillis,
+        false,
+        suspects.stream().map(content -> records.evidence(content, crash)).toList());
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/outcome/PromptPartQuarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/PromptPartQuarantine.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -76,6 +77,19 @@
     }
   }
 
+  /** Records the parts of the attempts without output; no other attempt can be the cause. */
+  void crashed(CrashId crash, List<RunningAttempt> runs, long nowMillis) {
+    Map<Optional<SoftwareVersion>, List<PartSuspects>> suspects = new HashMap<>();
+    for (RunningAttempt run : runs) {
+      if (!run.outputReceived && !run.parts.isEmpty()) {
+        suspects
+            .computeIfAbsent(run.version, unused -> new ArrayList<>())
+            .add(new PartSuspects(run.fingerprint, run.parts));
+      }
+    }
+    suspects.forEach((version, parts) -> crashed(crash, version, parts, nowMillis));
+  }
+
   /** Records a proven crash of an upstream, with the requests on it that had given no output. */
   void crashed(
       CrashId crash,
--- a/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/Quarantine.java
@@ -32,6 +32,9 @@
  *       first. A content whose request completes is cleared; the last one left is refused without a
  *       further crash.
  *   <li>A content whose crashes are explained by a refused one is retried at once.
+ *   <li>Upstreams that crashed before the content was sent to one of them with knowledge of another
+ *       count once; the content is then retried on one upstream at a time, see {@link
+ *       ContentTrials}.
  * </ol>
  *
  * <p>So a content is never refused because of another one on the same upstream. A cut, a connection
@@ -73,18 +76,21 @@
   private final Function<UpstreamName, Optional<SoftwareVersion>> versions;
   private final QuarantineListener listener;
   private final OutgoingCrashReports outgoing;
+  private final ContentTrials trials;
+  private final String self;
   private final OutgoingCuts outgoingCuts;
   private long sequence;
 
   /** Creates a quarantine without suspects for upstreams whose software versions are not known. */
   public Quarantine(
       long lifetimeMillis, long settleMillis, int maximumEntries, QuarantineListener listener) {
-    this(lifetimeMillis, settleMillis, maximumEntries, listener, unused -> Optional.empty());
+    this("", lifetimeMillis, settleMillis, maximumEntries, listener, unused -> Optional.empty());
   }
 
   /**
    * Creates a quarantine without suspects.
    *
+   * @param self the host of this daemon
    * @param lifetimeMillis time for which a crash is stored
    * @param settleMillis time for which a cut waits for a proof of a crash
    * @param maximumEntries maximum number of contents; the oldest is removed first
@@ -92,12 +98,14 @@
    * @param versions returns the software version of an upstream, if known
    */
   public Quarantine(
+      String self,
       long lifetimeMillis,
       long settleMillis,
       int maximumEntries,
       QuarantineListener listener,
       Function<UpstreamName, Optional<SoftwareVersion>> versions) {
     this(
+        self,
         lifetimeMillis,
         settleMillis,
         maximumEntries,
@@ -108,6 +116,7 @@
 
   /** Creates a quarantine without suspects that refuses prompt parts after a number of crashes. */
   Quarantine(
+      String self,
       long lifetimeMillis,
       long settleMillis,
       int maximumEntries,
@@ -118,6 +127,8 @@
     this.settleMillis = settleMillis;
     this.records = new CrashRecords(maximumEntries);
     this.outgoing = new OutgoingCrashReports(records);
+    this.trials = new ContentTrials(self, records);
+    this.self = self;
     this.promptParts = new PromptPartQuarantine(lifetimeMillis, partCrashLimit, listener);
     this.reportedCuts = new ReportedCuts(settleMillis);
     this.outgoingCuts = new OutgoingCuts(settleMillis);
@@ -139,10 +150,19 @@
       List<SharedPromptPart> parts) {
     Optional<SoftwareVersion> version =
         parts.isEmpty() ? Optional.empty() : versions.apply(upstream);
-    RunningAttempt run = new RunningAttempt(fingerprint, parts, version, ++sequence);
+    RunningAttempt run =
+        new RunningAttempt(fingerprint, parts, version, ++sequence, evidence(fingerprint));
     upstream(upstream).running.put(new AttemptKey(request, attempt), run);
   }
 
+  /** Returns the independent crashes with a content; a cut counts, since a proof may follow. */
+  private int evidence(long fingerprint) {
+    boolean isCut =
+        upstreams.values().stream().anyMatch(upstream -> upstream.mayProve(fingerprint))
+            || reportedCuts.hasContent(fingerprint);
+    return records.evidence(fingerprint) + (isCut ? 1 : 0);
+  }
+
   /** Records that an attempt gave output, so that its start did not crash the upstream. */
   public void outputReceived(UpstreamName upstream, RequestId request, int attempt) {
     outputReceived(upstream, request, attempt, 0);
@@ -343,6 +363,9 @@
     if (proven == Suspicion.QUARANTINED) {
       return proven;
     }
+    if (records.needsTrial(fingerprint)) {
+      return mayTry(fingerprint, nowMillis) ? Suspicion.SUSPECT : Suspicion.UNSETTLED;
+    }
     List<OpenCut> cuts =
         openCuts(nowMillis).filter(one -> one.run().hasFingerprint(fingerprint)).toList();
     long upstreamCount = cuts.stream().map(OpenCut::upstream).distinct().count();
@@ -356,6 +379,15 @@
     return isCut ? Suspicion.SUSPECT : proven;
   }
 
+  /** Returns whether the trial of a content may start: one at a time, and not beside a cut. */
+  private boolean mayTry(long fingerprint, long nowMillis) {
+    return trials.isDue(fingerprint, nowMillis)
+        && openCuts(nowMillis).noneMatch(cut -> cut.run().hasFingerprint(fingerprint))
+        && upstreams.values().stream()
+            .flatMap(upstream -> upstream.running.values().stream())
+            .noneMatch(run -> run.hasFingerprint(fingerprint) && !run.outputReceived);
+  }
+
   /** Returns the parts of a request that refuse it, since they have crashed upstreams. */
   public synchronized List<SharedPromptPart> refusingParts(
       List<SharedPromptPart> parts, long nowMillis) {
@@ -451,14 +483,13 @@
         message.fingerprints(),
         from.host());
     reportedCuts.remove(from, message.upstream());
-    record(message, nowMillis);
+    record(message, from.host(), nowMillis);
   }
 
-  private void record(CrashReportMessage message, long nowMillis) {
-    CrashId crash = new CrashId(message.upstream(), message.incarnation());
+  private void record(CrashReportMessage message, String reporter, long nowMillis) {
     long expiresAtMillis = nowMillis + Math.min(lifetimeMillis, message.lifetimeMillis());
     Set<Long> refusedBefore = records.quarantined(message.fingerprints());
-    records.add(crash, message.fingerprints(), message.lifted(), expiresAtMillis);
+    records.add(message, reporter, nowMillis, expiresAtMillis);
     Set<Long> refusedNow = records.quarantined(message.fingerprints());
     refusedNow.removeAll(refusedBefore);
     for (long fingerprint : refusedNow) {
@@ -524,26 +555,13 @@
       return;
     }
     runs.sort(LEAST_LIKELY_FIRST);
-    List<Long> suspects = runs.stream().map(run -> run.fingerprint).distinct().toList();
     CrashReportMessage message =
-        new CrashReportMessage(name, state.incarnation, suspects, lifetimeMillis, false);
+        OutgoingCrashReports.report(name, state.incarnation, runs, lifetimeMillis);
+    List<Long> suspects = message.fingerprints();
     changed(QuarantineChange.Kind.CRASHED, name, suspects, proof);
-    record(message, nowMillis);
+    record(message, self, nowMillis);
     outgoing.add(message);
-    recordPartSuspects(new CrashId(name, state.incarnation), runs, nowMillis);
-  }
-
-  /** Records the parts of the attempts without output; no other attempt can be the cause. */
-  private void recordPartSuspects(CrashId crash, List<RunningAttempt> runs, long nowMillis) {
-    Map<Optional<SoftwareVersion>, List<PartSuspects>> suspects = new HashMap<>();
-    for (RunningAttempt run : runs) {
-      if (!run.outputReceived && !run.parts.isEmpty()) {
-        suspects
-            .computeIfAbsent(run.version, unused -> new ArrayList<>())
-            .add(new PartSuspects(run.fingerprint, run.parts));
-      }
-    }
-    suspects.forEach((version, parts) -> promptParts.crashed(crash, version, parts, nowMillis));
+    promptParts.crashed(new CrashId(name, state.incarnation), runs, nowMillis);
   }
 
   private void settleAndExpire(long nowMillis) {
--- a/core/src/main/java/org/marjoramsail/core/outcome/ReportedCuts.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/ReportedCuts.java
@@ -45,6 +45,7 @@
               one.content(),
               one.parts().stream().limit(MAXIMUM_PARTS).toList(),
               message.version(),
+              0,
               0);
       cuts.addLast(new ReportedCut(from, new OpenCut(message.upstream(), run), nowMillis));
     }
@@ -63,6 +64,11 @@
     cuts.removeIf(one -> one.cut().run().hasFingerprint(fingerprint));
   }
 
+  /** Returns whether a cut of a request with this content is stored. */
+  boolean hasContent(long fingerprint) {
+    return cuts.stream().anyMatch(one -> one.cut().run().hasFingerprint(fingerprint));
+  }
+
   /** Returns the cuts that are stored. */
   Stream<OpenCut> open(long nowMillis) {
     cuts.removeIf(one -> nowMillis - one.atMillis() >= lifetimeMillis);
--- a/core/src/main/java/org/marjoramsail/core/outcome/RunningAttempt.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RunningAttempt.java
@@ -15,17 +15,22 @@
   /** Rises with each attempt that starts, on any upstream. */
   final long sequence;
 
+  /** Independent crashes with its content that were recorded when it started. */
+  final int evidenceBefore;
+
   boolean outputReceived;
 
   RunningAttempt(
       long fingerprint,
       List<SharedPromptPart> parts,
       Optional<SoftwareVersion> version,
-      long sequence) {
+      long sequence,
+      int evidenceBefore) {
     this.fingerprint = fingerprint;
     this.parts = parts;
     this.version = version;
     this.sequence = sequence;
+    this.evidenceBefore = evidenceBefore;
   }
 
   /** Returns whether it may crash its upstream if one of these parts crashes upstreams. */
--- a/core/src/test/java/org/marjoramsail/core/outcome/PromptPartQuarantineTest.java
+++ b/core/src/test/java/org/marjoramsail/core/outcome/PromptPartQuarantineTest.java
@@ -31,6 +31,7 @@
   /** Returns a quarantine for upstreams whose names end with their version. */
   private static Quarantine quarantine() {
     return new Quarantine(
+        "host",
         LIFETIME_MILLIS,
         100,
         100,
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -92,9 +92,7 @@
   private final PrometheusMeterRegistry meters =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private final Invariants invariants;
-  private final Quarantine quarantine =
-      new Quarantine(
-          CRASH_LIFETIME_MILLIS, CRASH_SETTLE_MILLIS, MAXIMUM_SUSPECTS, new QuarantineLog(meters));
+  private final Quarantine quarantine;
   private final PeerNetwork network;
   private final MembershipService membership;
   private final ConfigurationService configuration;
@@ -131,6 +129,7 @@
     this.clock = clock;
     this.invariants = new Invariants(mode);
     this.self = new DaemonId(settings.host().name(), clock.millis());
+    this.quarantine = quarantine();
     SecureRandom secure = new SecureRandom();
     Random random = new Random(secure.nextLong());
     ObjectMapper json = JsonMapper.builder().addModule(new Jdk8Module()).build();
@@ -403,6 +402,16 @@
         meters);
   }
 
+  private Quarantine quarantine() {
+    return new Quarantine(
+        self.host(),
+        CRASH_LIFETIME_MILLIS,
+        CRASH_SETTLE_MILLIS,
+        MAXIMUM_SUSPECTS,
+        new QuarantineLog(meters),
+        unused -> Optional.empty());
+  }
+
   private MembershipService membershipService(PeerDirectory addresses, Random random) {
     return new MembershipService(
         vertx,
