Pass on streams by the order of their event ids, whatever the ids are

Cause: the id of an event was taken for its position in the output. Why this works: the position is counted, and the id is only compared: an event whose id the caller has received is dropped, as where an upstream begins anew, and an id that does not increase fails the attempt, so that no stream loses events and looks complete. A stream goes on elsewhere after the id of the last event that was sent to the caller, and a caller may resume after id 0, which was taken for no id. Test fixtures take an absent id in place of 0, their checks are unchanged.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerParameters.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallerParameters.java
@@ -14,8 +14,7 @@
  * @param promptTokens length of the prompt in tokens; zero for a plain request
  * @param outputTokens maximum number of generated tokens; zero for a plain request
  * @param expectedTokens number of tokens that the caller expects to be generated
- * @param resumeAfter id of the last event that the caller received from a broken stream; zero for
- *     none
+ * @param resumeAfter id of the last event that the caller received from a broken stream, if any
  * @param resumes identifier of the attempt that brought the first event of the broken stream; empty
  *     if the caller names none
  * @param sharedPromptParts identifiers of the parts of its prompt that other requests may share, in
@@ -28,7 +27,7 @@
     int promptTokens,
     int outputTokens,
     OptionalInt expectedTokens,
-    int resumeAfter,
+    OptionalInt resumeAfter,
     Optional<String> resumes,
     List<String> sharedPromptParts,
     Optional<String> key) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -67,6 +67,7 @@
   private final Map<Integer, KvLocation> handles = new HashMap<>(2);
   private final Map<UpstreamName, UpstreamDefinition> targets = new HashMap<>(2);
   private Optional<ResponseHead> streamHead = Optional.empty();
+  private final StreamPosition position;
 
   /**
    * Creates an exchange.
@@ -81,6 +82,7 @@
       Route route,
       OptionalInt priority) {
     this.dependencies = dependencies;
+    this.position = new StreamPosition(request.parameters().resumeAfter());
     this.request = request;
     this.profile = profile;
     this.caller = caller;
@@ -102,7 +104,7 @@
                 Optional.empty(),
                 true,
                 Optional.empty(),
-                0,
+                OptionalInt.empty(),
                 new PrefillListener(send, events, definition)));
   }
 
@@ -111,10 +113,6 @@
       LifecycleAction.SendDecode send, Consumer<LifecycleEvent> events) {
     Optional<UpstreamDefinition> target =
         target(send.upstream(), send.requiredVersion(), send.attempt(), events);
-    int resumeAfter =
-        send.startIndex() > 0 || request.parameters().resumeAfter() > 0
-            ? request.parameters().resumeAfter() + send.startIndex()
-            : 0;
     return target.map(
         definition ->
             open(
@@ -122,8 +120,8 @@
                 send.requiredVersion(),
                 false,
                 send.kv().flatMap(this::location),
-                resumeAfter,
-                new ResponseListener(send.attempt(), definition, events)));
+                position.lastId(),
+                new ResponseListener(send.attempt(), definition, events, send.startIndex())));
   }
 
   @Override
@@ -138,8 +136,8 @@
                 Optional.empty(),
                 false,
                 Optional.empty(),
-                0,
-                new ResponseListener(send.attempt(), definition, events)));
+                OptionalInt.empty(),
+                new ResponseListener(send.attempt(), definition, events, 0)));
   }
 
   /**
@@ -205,6 +203,7 @@
 
   @Override
   public void token(int index, String text) {
+    position.sent(index);
     HttpServerResponse response = caller.response();
     if (response.closed() || response.ended()) {
       return;
@@ -299,7 +298,7 @@
       Optional<SoftwareVersion> requiredVersion,
       boolean prefill,
       Optional<KvLocation> kv,
-      int resumeAfter,
+      OptionalInt resumeAfter,
       ForwardCall.Listener listener) {
     MultiMap headers = MultiMap.caseInsensitiveMultiMap().addAll(request.headers());
     headers.set("host", request.host());
@@ -484,10 +483,16 @@
     private ResponseHead head = new ResponseHead(0, MultiMap.caseInsensitiveMultiMap());
     private ResponseDisposition disposition = ResponseDisposition.UNKNOWN;
     private final EventSplitter splitter = new EventSplitter();
+    private final AttemptEvents numbering;
     private int lastIndex = -1;
 
-    ResponseListener(int attempt, UpstreamDefinition upstream, Consumer<LifecycleEvent> lifecycle) {
+    ResponseListener(
+        int attempt,
+        UpstreamDefinition upstream,
+        Consumer<LifecycleEvent> lifecycle,
+        int startIndex) {
       super(attempt, upstream, lifecycle);
+      this.numbering = new AttemptEvents(startIndex, position.lastId());
     }
 
     @Override
@@ -518,8 +523,10 @@
         return super.bytes(bytes);
       }
       try {
-        splitter.split(bytes).forEach(this::event);
-      } catch (NumberFormatException malformed) {
+        for (EventSplitter.Event event : splitter.split(bytes)) {
+          event(event);
+        }
+      } catch (NumberFormatException | NonIncreasingIdException malformed) {
         return Optional.of(UpstreamFailure.MALFORMED);
       }
       return splitter.pendingBytes() > MAXIMUM_EVENT_BYTES
@@ -543,16 +550,17 @@
       return streaming && disposition == ResponseDisposition.SERVED;
     }
 
-    private void event(EventSplitter.Event event) {
+    private void event(EventSplitter.Event event) throws NonIncreasingIdException {
       if (streamHead.isEmpty()) {
         streamHead = Optional.of(head);
       }
-      if (lastIndex < 0) {
+      if (numbering.isEmpty()) {
         emit(
             new LifecycleEvent.OutputStarted(
                 attempt(), upstream().name(), upstream().softwareVersion()));
       }
-      lastIndex = event.id() - request.parameters().resumeAfter() - 1;
+      lastIndex = numbering.indexOf(event.id());
+      position.received(lastIndex, event.id());
       emit(new LifecycleEvent.TokenArrived(profile.id(), attempt(), lastIndex, event.text()));
     }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardParameters.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardParameters.java
@@ -12,7 +12,7 @@
  * @param remainingMillis time until the deadline of the request, in milliseconds
  * @param prefill whether only the prompt is to be prefilled
  * @param kv location of the KV cache of the prompt
- * @param resumeAfter id of the last event that the caller received; zero for none
+ * @param resumeAfter id of the last event that the caller received, if any
  * @param organisation organisation of the caller; empty if unknown
  * @param priority urgency of the request among those of its engine, from zero for the most urgent;
  *     empty if the engine needs none
@@ -22,6 +22,6 @@
     long remainingMillis,
     boolean prefill,
     Optional<KvLocation> kv,
-    int resumeAfter,
+    OptionalInt resumeAfter,
     Optional<String> organisation,
     OptionalInt priority) {}
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -435,7 +435,8 @@
   }
 
   private void received(AcceptedRequest accepted, Buffer body) {
-    boolean resumes = accepted.route().streaming() && accepted.parameters().resumeAfter() > 0;
+    boolean resumes =
+        accepted.route().streaming() && accepted.parameters().resumeAfter().isPresent();
     if (!resumes) {
       register(accepted, body, Optional.empty());
       return;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ResumedStreams.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ResumedStreams.java
@@ -112,7 +112,7 @@
     LOG.atInfo()
         .addKeyValue("attempt", parameters.attempt())
         .addKeyValue("resumes", parameters.resumes().orElse(""))
-        .addKeyValue("lastEvent", parameters.resumeAfter())
+        .addKeyValue("lastEvent", parameters.resumeAfter().orElse(0))
         .addKeyValue("rule", route.name())
         .addKeyValue("service", service)
         .addKeyValue("origin", outcome.code())
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -152,7 +152,7 @@
             0,
             0,
             OptionalInt.empty(),
-            0,
+            OptionalInt.empty(),
             Optional.empty(),
             List.of(),
             Optional.empty()),
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
@@ -276,7 +276,7 @@
         0,
         0,
         OptionalInt.empty(),
-        0,
+        OptionalInt.empty(),
         Optional.empty(),
         List.of(),
         Optional.empty());
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
@@ -96,7 +96,7 @@
             0,
             0,
             OptionalInt.empty(),
-            0,
+            OptionalInt.empty(),
             Optional.empty(),
             List.of(),
             Optional.empty());
