Pass on the bytes of a request target as they came

What upstreams saw: a path with a byte above 127 arrived encoded once more, C3 B1 as C3 83 C2 B1. Cause: the HTTP server reads one character from each byte, and the HTTP client writes characters in UTF-8. Why this works: the bytes are read as UTF-8 before they are written as such, at the entry and at a relay, and the route is found by the same text. A target that is no UTF-8 cannot be written unchanged by the client; such a request, which HTTP does not allow, is rejected with 400 and not run.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -310,7 +310,8 @@
       return;
     }
     RoutingConfiguration routing = dependencies.routing().get().orElseThrow();
-    Optional<Route> route = routing.routes().find(RequestHead.host(request), request.path());
+    Optional<Route> route =
+        routing.routes().find(RequestHead.host(request), RequestTarget.pathOf(request));
     if (route.isEmpty()) {
       Refusal unknown =
           Refusal.notRun(
@@ -358,6 +359,12 @@
               "This daemon has not yet heard of a configuration.",
               500));
     }
+    if (RequestTarget.toForward(request.uri()).isEmpty()) {
+      return Optional.of(
+          Refusal.notRun(
+              RefusalReason.MALFORMED_REQUEST,
+              "The request target has bytes above 127 that are no UTF-8."));
+    }
     int headBytes = RequestHead.bytes(request);
     int maximumHeadBytes = routing.get().limits().headerBytes();
     if (headBytes > maximumHeadBytes) {
@@ -493,7 +500,7 @@
     ForwardedRequest forwarded =
         new ForwardedRequest(
             request.method(),
-            request.uri(),
+            RequestTarget.of(request),
             RequestHead.host(request),
             dependencies.protocol().forwardedHeaders(request.headers()),
             body,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -165,7 +165,7 @@
     ForwardedRequest relayed =
         new ForwardedRequest(
             request.method(),
-            request.uri(),
+            RequestTarget.of(request),
             "",
             headers,
             body,
