Add the caller to the fingerprint of a content

Cause: the fingerprint had the service, the method, the path and the body alone. Why this works: the organisation of the key, or the host where callers need no key, is part of it now, as it is for prompt parts. The own interface keeps the prompt alone: what crashes an engine there is the prompt, whoever sends it. Daemons of both versions compute different fingerprints, so that a content is refused by each after two crashes that its own version saw, for as long as both run.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardProfiles.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardProfiles.java
@@ -79,7 +79,7 @@
         generation ? parameters.promptTokens() : 0,
         outputTokens,
         List.of(),
-        fingerprint(service, request),
+        fingerprint(service, accepted.organisationName(), request),
         receivedAtMillis,
         ForwardingRules.targetAtMillis(route, receivedAtMillis),
         ForwardingRules.deadlineAtMillis(route, receivedAtMillis, parameters.timeoutMillis()),
@@ -97,10 +97,14 @@
         urgency.applyAsInt(route, service));
   }
 
-  private static long fingerprint(String service, ForwardedRequest request) {
+  /**
+   * Returns the fingerprint of a content. Another caller may be served where the content of one
+   * crashes upstreams.
+   */
+  static long fingerprint(String service, String caller, ForwardedRequest request) {
     byte[] line = (request.method() + " " + request.uri() + "\n").getBytes(StandardCharsets.UTF_8);
     byte[] whole = Arrays.copyOf(line, line.length + request.body().length());
     request.body().getBytes(whole, line.length);
-    return Fingerprint.of(service, whole);
+    return Fingerprint.of(service + "\n" + caller, whole);
   }
 }
