Drop an event that an upstream sends twice, and fail on other repeated ids

Cause: the check of the ids did not tell an event that is repeated from one that has the id of another. Why this works: an event with the id and the text of the one before is the same event and is dropped, as repeated frames are. An earlier id, or the same id with another text, still fails the attempt.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/AttemptEvents.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/AttemptEvents.java
@@ -14,6 +14,7 @@
   private final int startIndex;
   private final OptionalInt startAfterId;
   private OptionalInt lastId = OptionalInt.empty();
+  private String lastText = "";
   private int nextIndex;
 
   /**
@@ -31,15 +32,21 @@
   /**
    * Returns the position of the next event.
    *
-   * @return {@value #EARLIER} or the last position before the attempt, for an event that an
-   *     upstream repeats although the caller has received it
-   * @throws NonIncreasingIdException if the id does not exceed that of the event before
+   * @return for an event that an upstream repeats although the caller has received it, a position
+   *     before the next one
+   * @throws NonIncreasingIdException if the id does not exceed that of the event before, which is
+   *     not the same event
    */
-  int indexOf(int id) throws NonIncreasingIdException {
+  int indexOf(EventSplitter.Event event) throws NonIncreasingIdException {
+    int id = event.id();
     if (lastId.isPresent() && id <= lastId.getAsInt()) {
+      if (id == lastId.getAsInt() && event.text().equals(lastText)) {
+        return nextIndex - 1;
+      }
       throw new NonIncreasingIdException(id, lastId.getAsInt());
     }
     lastId = OptionalInt.of(id);
+    lastText = event.text();
     if (startAfterId.isPresent() && id <= startAfterId.getAsInt()) {
       return id == startAfterId.getAsInt() ? startIndex - 1 : EARLIER;
     }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -559,7 +559,7 @@
             new LifecycleEvent.OutputStarted(
                 attempt(), upstream().name(), upstream().softwareVersion()));
       }
-      lastIndex = numbering.indexOf(event.id());
+      lastIndex = numbering.indexOf(event);
       position.received(lastIndex, event.id());
       emit(new LifecycleEvent.TokenArrived(profile.id(), attempt(), lastIndex, event.text()));
     }
