Judge an unread request by the response that ended its connection

Cause: callers that ignore announced closes send two requests at a time on a connection. The first was a stream whose server was cut by the soak; it may run once, so that it could only be broken off with its connection, and the second ended with it. The check excused the first, and did not know that the second shared its connection. Why this is as strict: a call is excused only if it reached no server, the call before it on the same connection ended with it, and the server of that one was disturbed. Behind a response of a calm server, or on another connection, it is lost as before. Tests: three in LossLogTest, one for each of these; the others have a port in addition, their checks are unchanged. Measured: LossLogTest green.

--- a/command/src/main/java/org/marjoramsail/command/platform/LossLog.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/LossLog.java
@@ -43,13 +43,27 @@
   /** Name of the soak itself among the disturbed parts. */
   private static final String SOAK = "soak";
 
-  private record Sent(String host, long atMillis) {}
+  /** Time within which the calls on one connection end that end with it. */
+  private static final long SAME_END_MILLIS = 50;
+
+  private record Sent(String host, int port, long atMillis) {
+    boolean isOnConnectionOf(Sent other) {
+      return host.equals(other.host) && port == other.port;
+    }
+  }
 
   private record Unanswered(
       String request, Sent sent, long endMillis, String cause, boolean isBehindClose) {
     long lastedMillis() {
       return endMillis - sent.atMillis();
     }
+
+    /** Returns whether a call was sent before on the same connection and ended with it. */
+    boolean isBehind(Unanswered other) {
+      return sent.isOnConnectionOf(other.sent)
+          && other.sent.atMillis() <= sent.atMillis()
+          && Math.abs(other.endMillis - endMillis) <= SAME_END_MILLIS;
+    }
   }
 
   private final DisturbedTimes disturbances = new DisturbedTimes();
@@ -86,9 +100,13 @@
     disturbances.add(SOAK, fromMillis, untilMillis);
   }
 
-  /** Records that the whole request of a call was sent. */
-  void sent(String request, String host, long nowMillis) {
-    sent.put(request, new Sent(host, nowMillis));
+  /**
+   * Records that the whole request of a call was sent.
+   *
+   * @param port the port of its caller, which identifies the connection
+   */
+  void sent(String request, String host, int port, long nowMillis) {
+    sent.put(request, new Sent(host, port, nowMillis));
   }
 
   /** Records that a request arrives at a server. */
@@ -183,13 +201,28 @@
 
   private boolean isDisturbed(Unanswered call) {
     long fromMillis = call.sent().atMillis() - SETTLE_MILLIS;
-    Set<String> parts = new LinkedHashSet<>(servers.getOrDefault(call.request(), Set.of()));
+    Set<String> parts = serversOf(call);
     parts.add(SOAK);
     parts.add(call.sent().host());
     return parts.stream()
         .anyMatch(part -> !disturbances.isCalm(part, fromMillis, call.endMillis() + RECORD_MILLIS));
   }
 
+  /**
+   * Returns the servers that a call depends on: its own, and for one that reached none those of the
+   * calls before it on its connection. A response that a server breaks off ends its connection, and
+   * with it requests that were not read.
+   */
+  private Set<String> serversOf(Unanswered call) {
+    Set<String> own = new LinkedHashSet<>(servers.getOrDefault(call.request(), Set.of()));
+    if (own.isEmpty()) {
+      unanswered.stream()
+          .filter(call::isBehind)
+          .forEach(ahead -> own.addAll(servers.getOrDefault(ahead.request(), Set.of())));
+    }
+    return own;
+  }
+
   private UnansweredCall describe(Unanswered call, UnansweredCall.Reason reason) {
     Optional<Long> stop = lastSignal(stops, call, STOP_MILLIS);
     Optional<Long> reload = lastSignal(reloads, call, RELOAD_MILLIS);
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
@@ -176,7 +176,7 @@
   /** Records that the whole request of a call was sent to a host, from a port of its caller. */
   synchronized void sent(String request, int port) {
     String host = hosts.getOrDefault(request, "");
-    losses.sent(request, host, clock.millis());
+    losses.sent(request, host, port, clock.millis());
     refusals.sent(request, host, port, clock.millis());
   }
 
--- a/command/src/test/java/org/marjoramsail/command/platform/LossLogTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/LossLogTest.java
@@ -12,6 +12,7 @@
   private static final String HOST = "host-1";
   private static final String SERVER = "i-plain-1";
   private static final String CAUSE = "Connection reset";
+  private static final int PORT = 40_000;
   private static final long SENT_MILLIS = 100_000;
   private static final long SOON_MILLIS = SENT_MILLIS + 30;
   private static final long LATER_MILLIS = SENT_MILLIS + 201;
@@ -35,16 +36,50 @@
   @Test
   void aCallThatReachedNoServerIsLostWhenItWasSentLongBeforeItsEnd() {
     log.stopBegins(HOST, SENT_MILLIS - 3_000);
-    log.sent(REQUEST, HOST, SENT_MILLIS);
+    log.sent(REQUEST, HOST, PORT, SENT_MILLIS);
 
     log.unanswered(REQUEST, LATER_MILLIS, CAUSE);
 
     assertLost(UnansweredCall.Phase.STOP, UnansweredCall.Reason.NOT_PASSED_ON);
   }
 
+  /** Guards against a request behind a broken response that counts as dropped by its daemon. */
+  @Test
+  void anUnreadCallIsNotJudgedBehindAResponseThatADisturbedServerBrokeOff() {
+    sendBehindBrokenResponse(PORT);
+    log.disturbanceBegins(SERVER, SENT_MILLIS);
+
+    assertThat(log.result().lost()).isEmpty();
+    assertThat(log.result().disturbed()).hasSize(2);
+  }
+
+  /** Guards against an excuse for calls behind a response that the daemon broke off by itself. */
+  @Test
+  void anUnreadCallIsLostBehindAResponseOfACalmServerThatWasBrokenOff() {
+    sendBehindBrokenResponse(PORT);
+
+    assertThat(log.result().lost()).hasSize(2);
+  }
+
+  /** Guards against an excuse for calls whose connection had no broken response. */
+  @Test
+  void anUnreadCallIsLostBesideAResponseThatWasBrokenOffOnAnotherConnection() {
+    sendBehindBrokenResponse(PORT + 1);
+    log.disturbanceBegins(SERVER, SENT_MILLIS);
+
+    assertThat(log.result().lost()).hasSize(1);
+  }
+
+  private void sendBehindBrokenResponse(int port) {
+    passOn();
+    log.sent("behind", HOST, port, SENT_MILLIS);
+    log.unanswered("behind", LATER_MILLIS, CAUSE);
+    log.unanswered(REQUEST, LATER_MILLIS + 1, CAUSE);
+  }
+
   @Test
   void aCallThatReachedNoServerAndCrossedTheEndOfItsConnectionIsNotLost() {
-    log.sent(REQUEST, HOST, SENT_MILLIS);
+    log.sent(REQUEST, HOST, PORT, SENT_MILLIS);
 
     log.unanswered(REQUEST, LATER_MILLIS - 1, CAUSE);
 
@@ -126,7 +161,7 @@
   @Test
   void aCallBehindAnAnnouncedCloseThatReachedNoServerIsNotLost() {
     log.stopBegins(HOST, SENT_MILLIS - 3_000);
-    log.sent(REQUEST, HOST, SENT_MILLIS);
+    log.sent(REQUEST, HOST, PORT, SENT_MILLIS);
 
     log.unansweredBehindClose(REQUEST, LATER_MILLIS, CAUSE);
 
@@ -148,7 +183,7 @@
 
   @Test
   void aCallWhoseConnectionIsRefusedIsNotLost() {
-    log.sent(REQUEST, HOST, SENT_MILLIS);
+    log.sent(REQUEST, HOST, PORT, SENT_MILLIS);
 
     log.refused(REQUEST);
 
@@ -231,7 +266,7 @@
   }
 
   private void passOn() {
-    log.sent(REQUEST, HOST, SENT_MILLIS);
+    log.sent(REQUEST, HOST, PORT, SENT_MILLIS);
     log.arrived(REQUEST, SERVER);
   }
 
