Withdraw an attempt whose caller leaves while its connection opens

What callers saw: nothing at once; the place, the share of limits and the retries of a request stayed taken although nothing of it had been written when its caller left, so that requests of others could be refused for it. Cause: a close that was read while a connection to the upstream was being opened ended the attempt as cancelled, as if it had been sent. Only a close that was noticed at the write, or with the grant, withdrew it. Why this works: an open call tells whether it was written. A departure before that is the failure that the write itself reports (CALLER_LEFT), whose attempt is withdrawn as unsent; no cancel is sent to the upstream. The counter of dropped requests now has every request of which no call was under way when its caller left, also if the close was read in time. Before, it had only those that a probe found. Tests: three in DepartedCallerTest, one in ForwardCallTest. With a call that never counts as unsent (mutation) the first of them fails.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -116,6 +116,11 @@
     disconnect();
   }
 
+  @Override
+  public boolean isUnsent() {
+    return !isWritten();
+  }
+
   /** Gives the call up after some time, unless it has ended by then. */
   ForwardCall closeAfter(long millis) {
     connections.later(millis, this::closeUnlessEnded);
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.LifecycleAction;
 import org.marjoramsail.core.outcome.LifecycleEvent;
 import org.marjoramsail.core.outcome.LifecycleState;
@@ -29,8 +30,10 @@
   private final RequestProfile profile;
   private final RequestLog log;
 
+  private record AttemptCall(UpstreamName upstream, OpenCall call) {}
+
   /** Open calls by attempt; there are two while a request is also sent to another upstream. */
-  private final Map<Integer, OpenCall> calls = new HashMap<>(2);
+  private final Map<Integer, AttemptCall> calls = new HashMap<>(2);
 
   private Optional<Refusal> lastRefusal = Optional.empty();
   private boolean responded;
@@ -60,6 +63,13 @@
     log.failedInternally(profile, failure);
   }
 
+  /** Returns the upstream of an attempt whose call is open and was not written to a connection. */
+  Optional<UpstreamName> upstreamOfUnsent(int attempt) {
+    return Optional.ofNullable(calls.get(attempt))
+        .filter(open -> open.call().isUnsent())
+        .map(AttemptCall::upstream);
+  }
+
   /** Counts a request that is not passed on since its caller has left. */
   void dropped(LifecycleState state) {
     meter.dropped(state);
@@ -125,13 +135,13 @@
 
   private void runUpstream(LifecycleAction action, Consumer<LifecycleEvent> events) {
     if (action instanceof LifecycleAction.SendPrefill send) {
-      storeCall(send.attempt(), sender.sendPrefill(send, events));
+      storeCall(send.attempt(), send.upstream(), sender.sendPrefill(send, events));
     } else if (action instanceof LifecycleAction.SendDecode send) {
-      storeCall(send.attempt(), sender.sendDecode(send, events));
+      storeCall(send.attempt(), send.upstream(), sender.sendDecode(send, events));
     } else if (action instanceof LifecycleAction.SendPlain send) {
-      storeCall(send.attempt(), sender.sendPlain(send, events));
+      storeCall(send.attempt(), send.upstream(), sender.sendPlain(send, events));
     } else if (action instanceof LifecycleAction.CloseAttempt close) {
-      Optional.ofNullable(calls.remove(close.attempt())).ifPresent(OpenCall::close);
+      Optional.ofNullable(calls.remove(close.attempt())).ifPresent(open -> open.call().close());
     } else if (action instanceof LifecycleAction.Cancel cancel) {
       sender.cancel(cancel, events);
     }
@@ -173,7 +183,7 @@
     }
   }
 
-  private void storeCall(int attempt, Optional<OpenCall> opened) {
-    opened.ifPresent(call -> calls.put(attempt, call));
+  private void storeCall(int attempt, UpstreamName upstream, Optional<OpenCall> opened) {
+    opened.ifPresent(call -> calls.put(attempt, new AttemptCall(upstream, call)));
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
+import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.LifecycleAction;
 import org.marjoramsail.core.outcome.LifecycleEvent;
 import org.marjoramsail.core.outcome.LifecycleState;
@@ -137,8 +138,7 @@
       }
     }
     try {
-      endIfCallerHasLeft(event);
-      handle(event);
+      handleUnlessCallerHasLeft(event);
     } catch (RuntimeException | Error failure) {
       endAfter(failure);
     }
@@ -146,28 +146,51 @@
   }
 
   /**
-   * Handles the end of the caller's side before an event that could start work for it. The event
-   * loop may have received the end later than the event and not handled it yet.
+   * Handles an event, but first the end of the caller's side if the event could start work for a
+   * caller that has left. The event loop may have received that end later than the event and not
+   * handled it yet.
    */
-  private void endIfCallerHasLeft(LifecycleEvent event) {
-    if (!event.mayStartWork() && !isUnsent(event)) {
-      return;
-    }
+  private void handleUnlessCallerHasLeft(LifecycleEvent event) {
     LifecycleState state;
     synchronized (shardLock) {
       state = lifecycle.state();
     }
-    if (isUnsent(event)) {
-      runner.dropped(state);
+    if (event instanceof LifecycleEvent.CallerDisconnected) {
+      handleDeparture(state);
       return;
     }
-    if (state == LifecycleState.ENDED || caller.isPresent()) {
-      return;
+    if (event.mayStartWork() && state != LifecycleState.ENDED && !caller.isPresent()) {
+      handleDeparture(state);
+    } else if (state != LifecycleState.ENDED && isUnsent(event)) {
+      runner.dropped(state);
     }
-    if (!state.isRunning()) {
+    handle(event);
+  }
+
+  private void handleDeparture(LifecycleState state) {
+    int attempt = attempt();
+    Optional<UpstreamName> unsentTo =
+        state.isRunning() ? runner.upstreamOfUnsent(attempt) : Optional.empty();
+    boolean isWaiting = state != LifecycleState.ENDED && !state.isRunning();
+    if (isWaiting || unsentTo.isPresent()) {
       runner.dropped(state);
     }
-    handle(new LifecycleEvent.CallerDisconnected());
+    handle(departure(attempt, unsentTo));
+  }
+
+  /** Returns the event of the departure, by which an attempt whose call is unsent is withdrawn. */
+  private static LifecycleEvent departure(int attempt, Optional<UpstreamName> unsentTo) {
+    return unsentTo
+        .<LifecycleEvent>map(
+            upstream ->
+                new LifecycleEvent.UpstreamFailed(attempt, upstream, UpstreamFailure.CALLER_LEFT))
+        .orElseGet(LifecycleEvent.CallerDisconnected::new);
+  }
+
+  private int attempt() {
+    synchronized (shardLock) {
+      return lifecycle.attempt();
+    }
   }
 
   private static boolean isUnsent(LifecycleEvent event) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/OpenCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/OpenCall.java
@@ -6,4 +6,9 @@
 
   /** Closes the call, which delivers no results afterwards. */
   void close();
+
+  /** Returns whether the request was not written to a connection, so that it cannot have run. */
+  default boolean isUnsent() {
+    return false;
+  }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamCall.java
@@ -12,6 +12,7 @@
 
   private boolean finished;
   private boolean closed;
+  private boolean sent;
   private final CallerPresence caller;
   private HttpClientRequest request;
 
@@ -39,6 +40,7 @@
       }
     }
     if (caller.isPresent()) {
+      markSent();
       return Future.succeededFuture(connected);
     }
     connected.reset();
@@ -46,6 +48,15 @@
         new UpstreamCallException(endpoint, UpstreamFailure.CALLER_LEFT, "nothing was sent"));
   }
 
+  private synchronized void markSent() {
+    sent = true;
+  }
+
+  @Override
+  public synchronized boolean isUnsent() {
+    return !sent;
+  }
+
   /** Returns whether the call has ended or was closed. */
   synchronized boolean isFinished() {
     return finished;
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -54,6 +54,28 @@
     assertThat(upstream.runs()).isZero();
   }
 
+  /** Guards against limits that are charged for a call that was given up before its write. */
+  @Test
+  void aCallIsUnsentUntilItIsWritten() {
+    FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
+    Promise<Boolean> isUnsentWhileItConnects = Promise.promise();
+    Promise<Boolean> isUnsentAfterItsResponse = Promise.promise();
+    Promise<UpstreamFailure> ended = Promise.promise();
+    Context context = vertx.getOrCreateContext();
+
+    context.runOnContext(
+        started -> {
+          ForwardCall call =
+              call(connections(), upstream, Optional::empty, new EndListener(ended))
+                  .start(headers());
+          isUnsentWhileItConnects.complete(call.isUnsent());
+          ended.future().onSuccess(done -> isUnsentAfterItsResponse.complete(call.isUnsent()));
+        });
+
+    assertThat(Waits.get(isUnsentWhileItConnects.future())).isTrue();
+    assertThat(Waits.get(isUnsentAfterItsResponse.future())).isFalse();
+  }
+
   /** Guards against new work on an upstream that drains while a connection to it is opened. */
   @Test
   void nothingIsSentIfTheUpstreamDrainsWhileItsConnectionIsOpened() {
--- a/daemon/src/test/java/org/marjoramsail/daemon/request/DepartedCallerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/request/DepartedCallerTest.java
@@ -46,6 +46,8 @@
   private final List<Refusal> refusals = new ArrayList<>();
   private Optional<Consumer<PlacementResult>> placement = Optional.empty();
   private Optional<Consumer<LifecycleEvent>> upstream = Optional.empty();
+  private Optional<OpenCall> openCall = Optional.empty();
+  private int closed;
   private boolean isPresent = true;
 
   private final Invariants invariants = new Invariants(Invariants.Mode.THROW);
@@ -65,7 +67,7 @@
   void aRequestWhoseCallerHasLeftIsNotPlaced() {
     isPresent = false;
 
-    register();
+    RequestHandle unused = register();
 
     assertThat(placed).isEmpty();
     assertDroppedIn("received");
@@ -74,7 +76,7 @@
   /** Guards against a request that is sent when its grant arrives after its caller has left. */
   @Test
   void aGrantThatArrivesAfterItsCallerHasLeftIsWithdrawnAndNotSent() {
-    register();
+    RequestHandle unused = register();
     isPresent = false;
 
     grant();
@@ -87,7 +89,7 @@
   /** Guards against a retry for a caller that has left. */
   @Test
   void aRequestThatFailsAfterItsCallerHasLeftIsNotRetried() {
-    register();
+    RequestHandle unused = register();
     grant();
     isPresent = false;
 
@@ -106,7 +108,7 @@
    */
   @Test
   void aRequestThatIsNotWrittenSinceItsCallerHasLeftReturnsItsGrant() {
-    register();
+    RequestHandle unused = register();
     grant();
     isPresent = false;
 
@@ -120,10 +122,51 @@
     assertDroppedIn("plain-running");
   }
 
+  /** Guards against a place, or a share of limits, that stays taken by a call that was not sent. */
+  @Test
+  void aRequestWhoseCallerLeavesWhileItsConnectionOpensReturnsItsGrant() {
+    openCall = Optional.of(new RecordingCall(true));
+    RequestHandle request = register();
+    grant();
+
+    request.callerDisconnected();
+
+    assertThat(withdrawn).containsExactly(new RequestId("q1"));
+    assertThat(reports).isEmpty();
+    assertThat(closed).isEqualTo(1);
+    assertDroppedIn("plain-running");
+  }
+
+  /** Guards against a request that may have run and is charged to nobody. */
+  @Test
+  void aRequestWhoseCallerLeavesAfterItWasWrittenIsReportedAsCancelled() {
+    openCall = Optional.of(new RecordingCall(false));
+    RequestHandle request = register();
+    grant();
+
+    request.callerDisconnected();
+
+    assertThat(withdrawn).isEmpty();
+    assertThat(reports).hasSize(1);
+    assertThat(closed).isEqualTo(1);
+    assertThat(dropped("plain-running")).isZero();
+  }
+
+  /** Guards against a departure that no counter shows. */
+  @Test
+  void aRequestWhoseCallerLeavesWhileItWaitsCountsAsDropped() {
+    RequestHandle request = register();
+
+    request.callerDisconnected();
+
+    assertThat(withdrawn).hasSize(1);
+    assertDroppedIn("placing");
+  }
+
   /** Guards against a caller that is taken for one that has left. */
   @Test
   void aRequestWhoseCallerWaitsIsSent() {
-    register();
+    RequestHandle unused = register();
 
     grant();
 
@@ -131,12 +174,15 @@
   }
 
   private void assertDroppedIn(String state) {
-    assertThat(meters.get("marjoramsail.requests.dropped").tag("state", state).counter().count())
-        .isEqualTo(1);
+    assertThat(dropped(state)).isEqualTo(1);
     assertThat(registry.size()).isZero();
     assertThat(refusals).isEmpty();
   }
 
+  private double dropped(String state) {
+    return meters.get("marjoramsail.requests.dropped").tag("state", state).counter().count();
+  }
+
   private void grant() {
     PlacementRequest request = placed.get(placed.size() - 1);
     placement
@@ -154,7 +200,7 @@
                     0)));
   }
 
-  private void register() {
+  private RequestHandle register() {
     RequestProfile profile =
         new RequestProfile(
             new RequestId("q1"),
@@ -173,18 +219,35 @@
             0,
             900,
             10_000);
-    RequestHandle unused =
-        registry.register(
-            new NewRequest(
-                profile,
-                LifecyclePolicy.defaults(),
-                new RecordingSender(),
-                Optional.empty(),
-                10,
-                new LatencyTargets(900, 100),
-                new RecordingSink(),
-                () -> isPresent,
-                Runnable::run));
+    return registry.register(
+        new NewRequest(
+            profile,
+            LifecyclePolicy.defaults(),
+            new RecordingSender(),
+            Optional.empty(),
+            10,
+            new LatencyTargets(900, 100),
+            new RecordingSink(),
+            () -> isPresent,
+            Runnable::run));
+  }
+
+  private final class RecordingCall implements OpenCall {
+    private final boolean unsent;
+
+    private RecordingCall(boolean unsent) {
+      this.unsent = unsent;
+    }
+
+    @Override
+    public boolean isUnsent() {
+      return unsent;
+    }
+
+    @Override
+    public void close() {
+      closed++;
+    }
   }
 
   private final class RecordingPlacement implements PlacementService {
@@ -223,7 +286,7 @@
         LifecycleAction.SendPlain send, Consumer<LifecycleEvent> events) {
       sent.add(send.attempt());
       upstream = Optional.of(events);
-      return Optional.empty();
+      return openCall;
     }
 
     @Override
