Reword four comments on callers that leave

Cause: a reader who is new to the code would not have understood the order of a departure and an event, or what charging to nobody means. Change: comments only, two in LiveRequest and two in its test. Measured: formatter, linter and compiler clean for daemon and what it needs; DepartedCallerTest and ForwardCallTest green.

--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -146,9 +146,8 @@
   }
 
   /**
-   * Handles an event, but first the end of the caller's side if the event could start work for a
-   * caller that has left. The event loop may have received that end later than the event and not
-   * handled it yet.
+   * Handles an event. If it could start work and the caller has left, the departure is handled
+   * first: the event loop may not have read the close of the connection yet.
    */
   private void handleUnlessCallerHasLeft(LifecycleEvent event) {
     LifecycleState state;
@@ -178,7 +177,7 @@
     handle(departure(attempt, unsentTo));
   }
 
-  /** Returns the event of the departure, by which an attempt whose call is unsent is withdrawn. */
+  /** Returns the event that ends the request; an unsent call fails, so that it is withdrawn. */
   private static LifecycleEvent departure(int attempt, Optional<UpstreamName> unsentTo) {
     return unsentTo
         .<LifecycleEvent>map(
--- a/daemon/src/test/java/org/marjoramsail/daemon/request/DepartedCallerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/request/DepartedCallerTest.java
@@ -137,7 +137,7 @@
     assertDroppedIn("plain-running");
   }
 
-  /** Guards against a request that may have run and is charged to nobody. */
+  /** Guards against a request that may have run and is not charged to its organisation. */
   @Test
   void aRequestWhoseCallerLeavesAfterItWasWrittenIsReportedAsCancelled() {
     openCall = Optional.of(new RecordingCall(false));
@@ -152,7 +152,7 @@
     assertThat(dropped("plain-running")).isZero();
   }
 
-  /** Guards against a departure that no counter shows. */
+  /** Guards against callers that leave while they wait and are not counted. */
   @Test
   void aRequestWhoseCallerLeavesWhileItWaitsCountsAsDropped() {
     RequestHandle request = register();
