Record the age of the list at each request sent, and the upstreams kept without an entry

Requests reached leaving upstreams, and nothing told a list that is late from an upstream that is kept for an outage, or from a write in time that is read late.

--- a/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
@@ -195,6 +195,20 @@
     }
   }
 
+  /** Returns the upstreams that are kept although the list has no entry for them. */
+  public Map<UpstreamName, RetainedUpstream> retained() {
+    Map<UpstreamName, RetainedUpstream> retained = new HashMap<>();
+    entries.forEach(
+        (name, entry) ->
+            entry.expiresAtMillis.ifPresent(
+                untilMillis ->
+                    retained.put(
+                        name,
+                        new RetainedUpstream(
+                            name, interruptedAtMillis, recoveredAtMillis, untilMillis))));
+    return retained;
+  }
+
   /** Returns whether a list was ever read, here or by a peer. */
   public boolean isKnown() {
     return known;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
@@ -26,6 +26,7 @@
   private final Clock clock;
   private final Runnable receivedListener;
   private final LivenessListener liveness;
+  private final ListAgeLog listAges;
   private final Map<Incarnation, Set<ForwardCall>> open = new HashMap<>();
   private Set<Incarnation> accepting = Set.of();
   private final Map<ResponseBound, Long> excessive = new EnumMap<>(ResponseBound.class);
@@ -37,9 +38,11 @@
    *
    * @param receivedListener called whenever an upstream has sent something on a direct connection
    * @param liveness receives the upstreams that are reached
+   * @param listAges records how old the list of upstreams is at each request
    */
-  CallLog(Clock clock, Runnable receivedListener, LivenessListener liveness) {
+  CallLog(Clock clock, Runnable receivedListener, LivenessListener liveness, ListAgeLog listAges) {
     this.clock = clock;
+    this.listAges = listAges;
     this.receivedListener = receivedListener;
     this.liveness = liveness;
   }
@@ -54,6 +57,11 @@
     open.computeIfAbsent(call.upstream(), upstream -> new HashSet<>()).add(call);
   }
 
+  /** Records a call whose request is being written. */
+  void written(ForwardCall call) {
+    listAges.written(call);
+  }
+
   /** Records a call that has ended or was given up. */
   void ended(ForwardCall call) {
     open.computeIfPresent(
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -234,6 +234,7 @@
       return;
     }
     writtenAtMillis = calls.millis();
+    calls.written(this);
     (request.hasBody() ? clientRequest.send(request.body()) : clientRequest.send())
         .onSuccess(this::receive)
         .onFailure(this::responseFailed);
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -92,6 +92,8 @@
             dependencies.relays()::failed);
     this.paths =
         new PathMonitor(dependencies.clock(), dependencies.random(), upstreamConnections::open);
+    ListAgeLog listAges =
+        new ListAgeLog(() -> dependencies.versions().ageMillis(), dependencies.meters());
     this.relayServer =
         new RelayServer(
             vertx,
@@ -105,8 +107,7 @@
                 dependencies.connectFaults(),
                 upstream -> Optional.empty(),
                 unused -> {}),
-            dependencies.liveness(),
-            dependencies.clock(),
+            new CallLog(dependencies.clock(), () -> {}, dependencies.liveness(), listAges),
             () -> !paths.isCutOff() && !stop.isRefusing());
     this.resumedStreams =
         new ResumedStreams(dependencies.streams(), dependencies.versions(), dependencies.meters());
@@ -120,7 +121,7 @@
         new ForwardDependencies(
             dependencies.protocol(),
             upstreamConnections,
-            new CallLog(dependencies.clock(), paths::received, dependencies.liveness()),
+            new CallLog(dependencies.clock(), paths::received, dependencies.liveness(), listAges),
             bufferedBytes,
             dependencies.upstreams(),
             dependencies.handleLifetimeMillis(),
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -13,6 +13,7 @@
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.discovery.DiscoveredUpstreams;
 import org.marjoramsail.core.discovery.ListedUpstream;
+import org.marjoramsail.core.discovery.RetainedUpstream;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
@@ -52,6 +53,7 @@
   private Set<Incarnation> incarnations = Set.of();
   private Map<String, Long> servicesSinceMillis = Map.of();
   private Map<String, Long> longestStreamsMillis = Map.of();
+  private Map<UpstreamName, RetainedUpstream> retained = Map.of();
   private boolean batching;
   private boolean publishPending;
   private boolean upstreamListReachable = true;
@@ -131,6 +133,7 @@
     if (discoveredUpstreams.listed(listed, unusable, clock.millis())) {
       publish();
     }
+    logRetained();
   }
 
   /**
@@ -219,6 +222,7 @@
       LOG.atInfo().addKeyValue("upstream", name).log("upstream gone from the list");
       publish();
     }
+    logRetained();
   }
 
   /** Records that the list of upstreams responded without changes. */
@@ -248,6 +252,7 @@
       LOG.atInfo().log("upstreams that did not reappear in the list were removed");
       publish();
     }
+    logRetained();
   }
 
   /** Returns the versions and the age of routes and upstreams, for logs. */
@@ -259,13 +264,18 @@
         + configuration.upstreams().size()
         + (discoveredUpstreams.isReachable() ? "" : ", list not read")
         + ", heard "
-        + (long) upstreamListAgeMillis()
+        + ageMillis()
         + " ms ago";
   }
 
-  /** Returns the time since the last response of the list of upstreams, in milliseconds. */
-  public double upstreamListAgeMillis() {
-    return (double) (clock.millis() - discoveredUpstreams.lastReceivedAtMillis());
+  @Override
+  public long ageMillis() {
+    return clock.millis() - discoveredUpstreams.lastReceivedAtMillis();
+  }
+
+  /** Returns the number of upstreams that are kept although the list has no entry for them. */
+  public int retainedUpstreams() {
+    return retained.size();
   }
 
   /** Returns the version of the routes in use; zero if there are none. */
@@ -349,6 +359,25 @@
     return incarnations;
   }
 
+  private void logRetained() {
+    Map<UpstreamName, RetainedUpstream> before = retained;
+    retained = discoveredUpstreams.retained();
+    retained.values().stream()
+        .filter(one -> !one.equals(before.get(one.name())))
+        .forEach(
+            one ->
+                LOG.atInfo()
+                    .addKeyValue("upstream", one.name())
+                    .addKeyValue("listAvailableMillisAgo", agoMillis(one.availableAtMillis()))
+                    .addKeyValue("outageEndedMillisAgo", agoMillis(one.outageEndedAtMillis()))
+                    .addKeyValue("keptMillis", one.untilMillis() - clock.millis())
+                    .log("upstream kept without an entry, which may have expired in an outage"));
+  }
+
+  private long agoMillis(long atMillis) {
+    return clock.millis() - atMillis;
+  }
+
   private void logUnavailable(String cause) {
     if (upstreamListReachable) {
       upstreamListReachable = false;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ListedVersions.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ListedVersions.java
@@ -14,6 +14,9 @@
    */
   Optional<StreamOrigin> onlyOrigin(Route route);
 
+  /** Returns the time since the list last responded, in milliseconds. */
+  long ageMillis();
+
   /** Returns the listed versions of a service with the number of their upstreams, for logs. */
   String describe(String service);
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -18,7 +18,6 @@
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.UpstreamFailure;
-import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.connection.ConnectionProbe;
 import org.marjoramsail.daemon.connection.ListeningPort;
 import org.marjoramsail.daemon.connection.ServerOptions;
@@ -57,7 +56,7 @@
    *
    * @param token what senders have to present
    * @param connections pool of direct connections
-   * @param liveness receives the upstreams that are reached
+   * @param calls tracks the relayed calls
    * @param available returns whether this daemon reaches upstreams and accepts calls
    */
   RelayServer(
@@ -66,8 +65,7 @@
       ForwardingProtocol protocol,
       Function<UpstreamName, Optional<UpstreamDefinition>> upstreams,
       UpstreamConnections connections,
-      LivenessListener liveness,
-      Clock clock,
+      CallLog calls,
       BooleanSupplier available) {
     this.vertx = vertx;
     this.port = new ListeningPort(vertx);
@@ -75,7 +73,7 @@
     this.protocol = protocol;
     this.upstreams = upstreams;
     this.connections = connections;
-    this.calls = new CallLog(clock, () -> {}, liveness);
+    this.calls = calls;
     this.available = available;
   }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.micrometer.core.instrument.DistributionSummary;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Context;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
@@ -28,8 +31,10 @@
 final class ForwardCallTest {
 
   private static final long KEEP_ALIVE_MILLIS = 60_000;
+  private static final long LIST_AGE_MILLIS = 2_500;
 
   private final Vertx vertx = Vertx.vertx();
+  private final MeterRegistry meters = new SimpleMeterRegistry();
 
   @AfterEach
   void close() {
@@ -54,6 +59,23 @@
     assertThat(upstream.runs()).isZero();
   }
 
+  /** Guards against late requests to leaving upstreams whose cause no metric shows. */
+  @Test
+  void theAgeOfTheListIsRecordedWhenARequestIsWritten() {
+    FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
+    Promise<UpstreamFailure> ended = Promise.promise();
+
+    vertx.runOnContext(
+        started ->
+            call(connections(), upstream, Optional::empty, new EndListener(ended))
+                .start(headers()));
+
+    Waits.get(ended.future());
+    DistributionSummary ages = meters.get("marjoramsail.upstream.calls.list.age.millis").summary();
+    assertThat(ages.count()).isEqualTo(1);
+    assertThat(ages.max()).isEqualTo(LIST_AGE_MILLIS);
+  }
+
   /** Guards against limits that are charged for a call that was given up before its write. */
   @Test
   void aCallIsUnsentUntilItIsWritten() {
@@ -141,14 +163,18 @@
         unused -> {});
   }
 
-  private static ForwardCall call(
+  private ForwardCall call(
       UpstreamConnections connections,
       FakePlainService upstream,
       Supplier<Optional<UpstreamFailure>> obstacle,
       ForwardCall.Listener listener) {
     return new ForwardCall(
         connections,
-        new CallLog(new SystemClock(), () -> {}, new IgnoredLiveness()),
+        new CallLog(
+            new SystemClock(),
+            () -> {},
+            new IgnoredLiveness(),
+            new ListAgeLog(() -> LIST_AGE_MILLIS, meters)),
         responseHeaders -> Optional.of(KEEP_ALIVE_MILLIS),
         upstream.definition("desk"),
         request(),
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
@@ -83,8 +84,11 @@
             ConnectFaults.NONE,
             target -> Optional.empty(),
             unused -> {}),
-        new IgnoredLiveness(),
-        new SystemClock(),
+        new CallLog(
+            new SystemClock(),
+            () -> {},
+            new IgnoredLiveness(),
+            new ListAgeLog(() -> 0, new SimpleMeterRegistry())),
         () -> true);
   }
 
