Let several daemons of a soak lose the store together while servers leave

No soak cut several paths at once, and after a cut all open connections went on and delivered what they had held. The new fault cuts 1 to all paths for 0.3 to 5.8 s; afterwards connections that were open go on, are closed, or stay silent, and a server leaves at a random moment about the cut, draining or removed. A next cut waits 6.5 s, since arrivals count at daemons that were calm for 3 s.

--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -7,6 +7,7 @@
 import org.marjoramsail.platform.standin.PlatformStandIn;
 import org.marjoramsail.platform.standin.ServerStandIn;
 import org.marjoramsail.platform.standin.StoreStandIn;
+import org.marjoramsail.standin.network.LinkStandIn;
 
 /** Kinds of faults of a soak on the platform's path. */
 public enum PlatformFault {
@@ -106,6 +107,31 @@
       stage.daemons().cutStorePaths(cut, millis(random), random);
     }
   },
+  /**
+   * Several daemons lose their paths to the store together for a moment, while a server leaves; the
+   * connections that were open may stay silent or be closed.
+   */
+  ZONE_LOSES_STORE {
+    /** Requests are judged only at daemons that were not disturbed for some time. */
+    @Override
+    boolean isPossible(PlatformSoakStage stage) {
+      return stage.daemons().hadStoreFor(JUDGED_MILLIS);
+    }
+
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      int daemons = stage.daemons().size();
+      int cut = random.nextBoolean() ? daemons : 1 + random.nextInt(daemons);
+      int millis =
+          LEAST_ZONE_CUT_MILLIS + random.nextInt(MOST_ZONE_CUT_MILLIS - LEAST_ZONE_CUT_MILLIS);
+      LinkStandIn.OpenConnections[] states = LinkStandIn.OpenConnections.values();
+      LinkStandIn.OpenConnections open = states[random.nextInt(states.length)];
+      int leaveMillis = 1 + random.nextInt(millis + LONGEST_LEAVE_DELAY_MILLIS);
+      boolean announced = random.nextInt(4) == 0;
+      stage.daemons().cutStorePathsTogether(cut, millis, open, random);
+      stage.replaceServersLater(service(random), leaveMillis, announced, millis(random), random);
+    }
+  },
   /** The platform's store does not respond. */
   STORE_SILENT {
     @Override
@@ -181,6 +207,17 @@
     }
   };
 
+  /** Bounds, in milliseconds, of the time for which several daemons lose the store together. */
+  private static final int LEAST_ZONE_CUT_MILLIS = 300;
+
+  private static final int MOST_ZONE_CUT_MILLIS = 5_800;
+
+  /** Time after such a cut in which none begins, in milliseconds. */
+  private static final long JUDGED_MILLIS = 6_500;
+
+  /** Longest time after the end of such a cut at which a server leaves, in milliseconds. */
+  private static final int LONGEST_LEAVE_DELAY_MILLIS = 1_000;
+
   private static final int MOST_DOWN_MILLIS = 2_000;
   private static final int MOST_PAUSE_MILLIS = 3_700;
   private static final int MOST_RELEASE_GAP_MILLIS = 500;
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
@@ -86,6 +86,7 @@
   private final List<Host> hosts = new ArrayList<>();
   private final Set<Host> starting = new HashSet<>();
   private boolean isEnded;
+  private long zoneCutUntilMillis = Long.MIN_VALUE / 2;
 
   /**
    * Creates hosts without processes.
@@ -243,6 +244,35 @@
     }
   }
 
+  /** Returns whether the last cut of several paths to the store at once ended some time ago. */
+  boolean hadStoreFor(long millis) {
+    return clock.millis() - zoneCutUntilMillis >= millis;
+  }
+
+  /**
+   * Cuts the network paths of some daemons to the store at one moment, as when an availability zone
+   * loses its path.
+   *
+   * @param open state of their open connections to the store after the cut
+   */
+  void cutStorePathsTogether(
+      int count, long millis, LinkStandIn.OpenConnections open, Random random) {
+    zoneCutUntilMillis = clock.millis() + millis;
+    List<Host> cut = List.copyOf(choose(count, random));
+    for (Host host : cut) {
+      arrivals.disturbanceBegins(host.name);
+      host.storePath.cut();
+    }
+    vertx.setTimer(
+        millis,
+        fired -> {
+          for (Host host : cut) {
+            host.storePath.restore(open);
+            arrivals.disturbanceEnds(host.name);
+          }
+        });
+  }
+
   /** Tells daemons to stop one after the other, and starts each again once it has ended. */
   void stopInTurn(long pauseMillis, long withinMillis) {
     for (int number = 0; number < hosts.size(); number++) {
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
@@ -186,6 +186,29 @@
     }
   }
 
+  /**
+   * Starts a successor of one server, which leaves after some time.
+   *
+   * @param delayMillis time from now on at which the server leaves
+   * @param announced whether it is listed as draining before it is removed from the list
+   * @param millis time for which it is listed as draining
+   */
+  void replaceServersLater(
+      String service, long delayMillis, boolean announced, long millis, Random random) {
+    List<String> staying = new ArrayList<>(platform.listed(service));
+    staying.removeAll(leaving);
+    if (staying.isEmpty()) {
+      return;
+    }
+    String name = staying.get(random.nextInt(staying.size()));
+    leaving.add(name);
+    replace(
+        service,
+        name,
+        platform.version(name),
+        () -> vertx.setTimer(delayMillis, fired -> leave(name, announced, millis)));
+  }
+
   /**
    * Replaces a share of the engines by engines of a new software version, one after the other.
    *
--- a/standin/src/main/java/org/marjoramsail/standin/network/LinkStandIn.java
+++ b/standin/src/main/java/org/marjoramsail/standin/network/LinkStandIn.java
@@ -24,6 +24,16 @@
  */
 public final class LinkStandIn {
 
+  /** State after a cut of the connections that were open in it. */
+  public enum OpenConnections {
+    /** They continue, and what was held is delivered. */
+    CONTINUE,
+    /** They are closed on both sides. */
+    CLOSE,
+    /** They stay open and transmit nothing, as after a device on the path has lost its state. */
+    STAY_SILENT
+  }
+
   private static final long FIRST_RETRANSMISSION_MILLIS = 200;
 
   private final Vertx vertx;
@@ -96,9 +106,20 @@
   }
 
   /** Delivers what was held, and all bytes from now on. */
-  public synchronized void restore() {
+  public void restore() {
+    restore(OpenConnections.CONTINUE);
+  }
+
+  /** Ends the cut; connections that are opened from now on transmit all bytes. */
+  public synchronized void restore(OpenConnections open) {
     cut = false;
-    List.copyOf(directions).forEach(Direction::deliverLater);
+    for (Direction direction : List.copyOf(directions)) {
+      switch (open) {
+        case CONTINUE -> direction.deliverLater();
+        case CLOSE -> direction.closeNow();
+        case STAY_SILENT -> direction.silence();
+      }
+    }
   }
 
   /** Returns the number of connections that the side of the callers has closed or reset. */
@@ -143,6 +164,7 @@
     private long heldSinceMillis;
     private boolean closed;
     private boolean delivering;
+    private boolean silent;
 
     Direction(NetSocket source, NetSocket target, Runnable onClose) {
       this.target = target;
@@ -154,6 +176,9 @@
 
     private void received(Buffer bytes) {
       synchronized (LinkStandIn.this) {
+        if (silent) {
+          return;
+        }
         if (!cut && !delivering && held.length() == 0) {
           target.write(bytes);
           return;
@@ -175,12 +200,25 @@
       synchronized (LinkStandIn.this) {
         closed = true;
         onClose.run();
-        if (!cut && !delivering) {
+        if (silent) {
+          directions.remove(this);
+        } else if (!cut && !delivering) {
           deliver();
         }
       }
     }
 
+    private void closeNow() {
+      held = Buffer.buffer();
+      directions.remove(this);
+      target.close();
+    }
+
+    private void silence() {
+      held = Buffer.buffer();
+      silent = true;
+    }
+
     private void deliverLater() {
       if (held.length() == 0 || delivering) {
         deliver();
@@ -198,7 +236,7 @@
     private void deliverUnlessCut() {
       synchronized (LinkStandIn.this) {
         delivering = false;
-        if (!cut) {
+        if (!cut && !silent) {
           deliver();
         }
       }
