--- a/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
@@ -17,6 +17,7 @@
   private static final long SEED = 2;
   private static final long PLANNED_WORK_SEED = 3;
   private static final long PATH_SEED = 5;
+  private static final long STORE_LOSS_SEED = 12;
   private static final long PATH_MILLIS = 5;
   private static final double KEPT_PER_SECOND = 40;
   private static final long DEPARTURE_SEED = 8;
@@ -55,6 +56,23 @@
     }
   }
 
+  /**
+   * Guards against requests to servers that leave while several daemons lose the store together.
+   */
+  @Test
+  void daemonsThatLoseTheStoreTogetherSendNothingToServersThatHaveLeft(@TempDir Path directory)
+      throws Exception {
+    PlatformSoakSetup setup =
+        new PlatformSoakSetup(
+            3, 2, 3, 4, 60, 6, 80, 30, STORE_LOSS_SEED, List.of(PlatformFault.ZONE_LOSES_STORE));
+    try (ProcessDaemons processes = new ProcessDaemons(directory)) {
+      PlatformSoakReport report = new PlatformSoak(new SystemClock(), processes).run(setup);
+
+      assertThat(report.isClean()).as(report.toString()).isTrue();
+      assertThat(report.draining().servers()).isPositive();
+    }
+  }
+
   /** Guards against work for callers that have left, which daemons that stand still read late. */
   @Test
   void daemonsThatStandStillDoNoWorkForCallersThatHaveLeft(@TempDir Path directory)
