Bound the time for which an upstream without an entry is kept by the earliest end of the outage

What callers saw: nothing yet. A server that ends meanwhile cuts them off.

Cause, of the class "what was true when it was learned is taken for what is true now": - A missing entry was kept for 2 s from when the daemon noticed the end of an outage. On a connection that died that is up to 4.0 s after its end, and an outage was assumed after any silence, also of the path alone. - A dead watch was noticed after 4.0 s (3.3 s and 0.7 s), and the idle connections that were used next were as dead as the watch. The bound was taken as the sum of two that do not add up. - A rate limit (429) and a refused connection counted as the same failure as a 503.

Why the fix works: - ListOutage bounds the end of an outage from both sides: after the last call without a response was sent, and before the first response came. An upstream is kept for 2 s from the latest end, and no longer than the time for which a daemon may be outdated from the earliest one, less 400 ms. Both rules hold with any length of a silence, and no entry is removed during an outage, when upstreams cannot register. - Two renewals have to be missed before an entry can expire; the interval comes from the settings (heartbeatMillis, 500 ms if absent).

Changes to tests: DiscoveredUpstreamsTest gives the times of calls; silence of 200 ms no longer counts as an outage in which an entry can expire, so that case now lasts for the shortest one. WatchScheduleTest holds the sum of a timeout, a failed call and its repetition against the time after a disturbance alone, in place of that time plus the bound of a change, which was the fault.

--- a/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
@@ -16,9 +16,9 @@
  * Upstreams that this daemon assumes to exist, from a list that lags and has outages.
  *
  * <p>While the list cannot be read, the last state is kept. Entries may expire in such an outage
- * although their upstreams run; those upstreams register again shortly after its end. So an entry
- * that is missing then is kept until {@link #REAPPEARANCE_MILLIS} have passed and removed
- * afterwards.
+ * although their upstreams run; those upstreams register again shortly after its end. So an
+ * upstream whose entry is missing then is kept for a time after the end of the outage, see {@link
+ * RetentionBounds}.
  *
  * <p>An upstream may restart under its name. Entries of an earlier incarnation that the list shows
  * late do not replace those of the later one; see {@link IncarnationOrder}.
@@ -27,12 +27,6 @@
  */
 public final class DiscoveredUpstreams {
 
-  /** Time after an outage for which a missing entry is kept, in milliseconds. */
-  public static final long REAPPEARANCE_MILLIS = 2_000;
-
-  /** Shortest outage in which an entry can expire, in milliseconds. */
-  public static final long SHORTEST_EXPIRY_MILLIS = 1_000;
-
   private static final class Entry {
     private final IncarnationOrder incarnations;
     private ListedUpstream listed;
@@ -42,37 +36,65 @@
       this.listed = listed;
       this.incarnations = new IncarnationOrder(listed.definition());
     }
+
+    /** Keeps an entry that is missing until a later time. */
+    private void extendTo(long untilMillis) {
+      expiresAtMillis = expiresAtMillis.map(before -> Math.max(before, untilMillis));
+    }
   }
 
   private final Map<UpstreamName, Entry> entries = new HashMap<>();
   private final VersionHistory versions = new VersionHistory();
+  private final ListOutage outage;
   private boolean reachable;
-  private boolean entriesMayHaveExpired;
-  private long interruptedAtMillis;
   private boolean known;
-  private long recoveredAtMillis;
   private long lastReceivedAtMillis;
 
   /** Creates an instance without entries. */
-  public DiscoveredUpstreams() {}
+  public DiscoveredUpstreams(RetentionBounds bounds) {
+    this.outage = new ListOutage(bounds);
+  }
 
-  /** Records that the list did not respond, perhaps for some time. */
-  public void readFailed() {
+  /**
+   * Records that a call to read the list got no response.
+   *
+   * @param sentAtMillis when it was sent
+   */
+  public void readFailed(long sentAtMillis) {
     reachable = false;
-    entriesMayHaveExpired = true;
+    outage.unanswered(sentAtMillis);
   }
 
   /**
-   * Records that the list has become unreadable now, as when a connection is closed. Entries that
-   * are missing after a short interruption were removed.
+   * Records that the connection of a call to read the list was closed. Entries that are missing
+   * after a short interruption were removed.
+   *
+   * @param sentAtMillis when the call was sent
    */
-  public void readInterrupted(long nowMillis) {
-    if (reachable) {
-      reachable = false;
-      interruptedAtMillis = nowMillis;
+  public void readInterrupted(long sentAtMillis, long nowMillis) {
+    reachable = false;
+    outage.closed(sentAtMillis, nowMillis);
+  }
+
+  /** Records that the list responded without its state, as when there were too many calls. */
+  public void readDeclined(long nowMillis) {
+    reachable = false;
+    available(nowMillis);
+  }
+
+  /** Records that the list is available, though its state has not been read yet. */
+  public void available(long nowMillis) {
+    if (outage.responded(nowMillis)) {
+      entries.values().forEach(entry -> entry.extendTo(outage.retainedUntilMillis()));
     }
   }
 
+  /** Records that the list was restored from a backup, which may lack entries. */
+  public void restored(long nowMillis) {
+    reachable = false;
+    outage.restored(nowMillis);
+  }
+
   /**
    * Handles the complete list.
    *
@@ -143,19 +165,17 @@
 
   /** Records that the list responded, with or without changes. */
   public void received(long nowMillis) {
-    if (!reachable) {
-      reachable = true;
-      if (entriesMayHaveExpired || nowMillis - interruptedAtMillis >= SHORTEST_EXPIRY_MILLIS) {
-        recoveredAtMillis = nowMillis;
-      }
-      entriesMayHaveExpired = false;
-    }
+    available(nowMillis);
+    reachable = true;
     lastReceivedAtMillis = nowMillis;
   }
 
-  /** Removes entries that were missing for too long; returns whether there were any. */
+  /**
+   * Removes entries that were missing for too long; returns whether there were any. None is removed
+   * in an outage, in which upstreams cannot register.
+   */
   public boolean tick(long nowMillis) {
-    return entries.values().removeIf(entry -> isExpired(entry, nowMillis));
+    return !outage.isOngoing() && entries.values().removeIf(entry -> isExpired(entry, nowMillis));
   }
 
   private boolean isExpired(Entry entry, long nowMillis) {
@@ -204,8 +224,7 @@
                 untilMillis ->
                     retained.put(
                         name,
-                        new RetainedUpstream(
-                            name, interruptedAtMillis, recoveredAtMillis, untilMillis))));
+                        new RetainedUpstream(name, outage.earliestEndMillis(), untilMillis))));
     return retained;
   }
 
@@ -275,7 +294,7 @@
 
   private boolean remove(UpstreamName name, long nowMillis) {
     Entry entry = entries.get(name);
-    long retainedUntilMillis = recoveredAtMillis + REAPPEARANCE_MILLIS;
+    long retainedUntilMillis = outage.retainedUntilMillis();
     if (known && nowMillis < retainedUntilMillis && !entry.listed.definition().drained()) {
       if (entry.expiresAtMillis.isEmpty()) {
         entry.expiresAtMillis = Optional.of(retainedUntilMillis);
--- a/core/src/main/java/org/marjoramsail/core/discovery/RetainedUpstream.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/RetainedUpstream.java
@@ -7,10 +7,8 @@
  * milliseconds.
  *
  * @param name the upstream
- * @param availableAtMillis when the list was last known to be available before the outage in which
- *     the entry may have expired
- * @param outageEndedAtMillis when that outage ended at the earliest
+ * @param outageEndedAtMillis when the outage in which the entry may have expired ended at the
+ *     earliest
  * @param untilMillis when the upstream is removed unless its entry reappears
  */
-public record RetainedUpstream(
-    UpstreamName name, long availableAtMillis, long outageEndedAtMillis, long untilMillis) {}
+public record RetainedUpstream(UpstreamName name, long outageEndedAtMillis, long untilMillis) {}
--- a/core/src/main/java/org/marjoramsail/core/discovery/WatchSchedule.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/WatchSchedule.java
@@ -28,8 +28,11 @@
    */
   private static final long GATHER_MILLIS = 350;
 
-  /** Time that a daemon needs to time out a request, repeat it and apply the response. */
-  private static final long REACTION_MILLIS = SHORTEST_RESPONSE_MILLIS + GATHER_MILLIS + 650;
+  /**
+   * Time that a daemon needs to time out a request, to send it again twice if the first of these
+   * fails as well, and to apply the response.
+   */
+  private static final long REACTION_MILLIS = 2 * SHORTEST_RESPONSE_MILLIS + GATHER_MILLIS + 150;
 
   /** Shorter waits would cost a fleet too many requests. */
   private static final long SHORTEST_WAIT_MILLIS = 1_000;
@@ -56,14 +59,13 @@
   }
 
   /**
-   * Returns the longest wait of a request with which changes are applied before their deadline,
-   * even after a connection has died without a reset.
+   * Returns the longest wait of a request with which a daemon is up to date in time, even after a
+   * connection has died without a reset while the request waited.
    *
    * @param recoveryMillis time after such a fault for which a daemon may be outdated
-   * @param changeBoundMillis shortest time in which a change has to be in force after that
    */
-  public static long longestWaitMillis(double recoveryMillis, double changeBoundMillis) {
-    long allowed = (long) (recoveryMillis + changeBoundMillis) - REACTION_MILLIS;
+  public static long longestWaitMillis(double recoveryMillis) {
+    long allowed = (long) recoveryMillis - REACTION_MILLIS;
     return Math.max(SHORTEST_WAIT_MILLIS, Math.min(LONGEST_WAIT_MILLIS, allowed));
   }
 
@@ -77,6 +79,11 @@
     return failing ? 0 : waitMillis;
   }
 
+  /** Returns the time that a response may take beyond the requested wait. */
+  public long responseMillis() {
+    return responseMillis;
+  }
+
   /** Returns the timeout of a request. */
   public long timeoutMillis() {
     return waitMillis() + responseMillis;
--- a/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
@@ -13,7 +13,15 @@
 
   private static final long RECOVERED_AT_MILLIS = 10_000;
 
-  private final DiscoveredUpstreams discovered = new DiscoveredUpstreams();
+  private static final long RECOVERY_MILLIS = 3_000;
+  private static final long RENEWAL_MILLIS = 1_200;
+  private static final RetentionBounds BOUNDS =
+      new RetentionBounds(RECOVERY_MILLIS, RENEWAL_MILLIS);
+
+  /** Time of the last call without a response before the list recovered. */
+  private static final long FAILED_AT_MILLIS = RECOVERED_AT_MILLIS - 250;
+
+  private final DiscoveredUpstreams discovered = new DiscoveredUpstreams(BOUNDS);
 
   @Test
   void isNotKnownBeforeTheFirstList() {
@@ -29,14 +37,13 @@
   @Test
   void entriesThatExpiredInAnOutageAreKeptUntilTheirUpstreamsCouldRegisterAgain() {
     discovered.listed(List.of(listed("a", 1, false), listed("b", 2, false)), List.of(), 0);
-    discovered.readFailed();
+    discovered.readFailed(FAILED_AT_MILLIS);
 
     assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS)).isFalse();
     assertThat(names()).containsExactlyInAnyOrder("a", "b");
 
     discovered.changed(listed("a", 9, false), RECOVERED_AT_MILLIS + 1_500);
-    assertThat(discovered.tick(RECOVERED_AT_MILLIS + DiscoveredUpstreams.REAPPEARANCE_MILLIS))
-        .isTrue();
+    assertThat(discovered.tick(RECOVERED_AT_MILLIS + RetentionBounds.REAPPEARANCE_MILLIS)).isTrue();
     assertThat(names()).containsExactly("a");
   }
 
@@ -64,7 +71,7 @@
   @Test
   void anEntryThatIsMissingAfterAShortInterruptionIsRemovedAtOnce() {
     discovered.listed(List.of(listed("a", 1, false)), List.of(), 0);
-    discovered.readInterrupted(RECOVERED_AT_MILLIS - 200);
+    discovered.readInterrupted(0, RECOVERED_AT_MILLIS - 200);
 
     assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS)).isTrue();
     assertThat(names()).isEmpty();
@@ -74,7 +81,7 @@
   @Test
   void anEntryThatIsMissingAfterALongInterruptionIsKept() {
     discovered.listed(List.of(listed("a", 1, false)), List.of(), 0);
-    discovered.readInterrupted(RECOVERED_AT_MILLIS - DiscoveredUpstreams.SHORTEST_EXPIRY_MILLIS);
+    discovered.readInterrupted(0, RECOVERED_AT_MILLIS - BOUNDS.shortestExpiryMillis());
 
     assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS)).isFalse();
     assertThat(names()).containsExactly("a");
@@ -84,18 +91,114 @@
   @Test
   void anEntryThatIsMissingAfterSilenceIsKept() {
     discovered.listed(List.of(listed("a", 1, false)), List.of(), 0);
-    discovered.readInterrupted(RECOVERED_AT_MILLIS - 200);
-    discovered.readFailed();
+    discovered.readInterrupted(0, RECOVERED_AT_MILLIS - BOUNDS.shortestExpiryMillis());
+    discovered.readFailed(FAILED_AT_MILLIS);
 
     assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS)).isFalse();
     assertThat(names()).containsExactly("a");
   }
 
+  /**
+   * Guards against requests to an upstream that left while only the path to the list was silent,
+   * for a time in which no entry can expire.
+   */
+  @Test
+  void anEntryThatIsMissingAfterAShortSilenceIsRemovedAtOnce() {
+    discovered.listed(List.of(listed("a", 1, false)), List.of(), 0);
+    discovered.received(RECOVERED_AT_MILLIS - 1_850);
+    discovered.readFailed(RECOVERED_AT_MILLIS - 1_850);
+
+    assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS)).isTrue();
+    assertThat(names()).isEmpty();
+  }
+
+  /**
+   * Guards against requests to an upstream that left in an outage whose end is noticed late, as on
+   * a connection that has died.
+   */
+  @Test
+  void anEntryThatIsMissingAfterAnOutageIsNotKeptForLongerThanDaemonsMayBeOutdated() {
+    discovered.listed(List.of(listed("a", 1, false)), List.of(), 0);
+    discovered.readFailed(RECOVERED_AT_MILLIS - 1_500);
+
+    discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS);
+
+    long longestMillis = RECOVERED_AT_MILLIS - 1_500 + RECOVERY_MILLIS;
+    assertThat(discovered.retained().get(name("a")).untilMillis()).isLessThan(longestMillis);
+    assertThat(discovered.tick(longestMillis - 200)).isTrue();
+    assertThat(names()).isEmpty();
+  }
+
+  /**
+   * Guards against the refusal of all requests after an outage whose end is known before the list
+   * is read.
+   */
+  @Test
+  void anEntryIsKeptIfTheListIsReadSomeTimeAfterTheStoreResponds() {
+    discovered.listed(List.of(listed("a", 1, false)), List.of(), 0);
+    discovered.readFailed(FAILED_AT_MILLIS);
+    discovered.available(RECOVERED_AT_MILLIS);
+    discovered.readDeclined(RECOVERED_AT_MILLIS + 100);
+
+    assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS + 900)).isFalse();
+    assertThat(discovered.tick(RECOVERED_AT_MILLIS + 1_999)).isFalse();
+    assertThat(discovered.tick(RECOVERED_AT_MILLIS + 2_000)).isTrue();
+  }
+
+  /** Guards against upstreams that are removed in a second outage, in which none can register. */
+  @Test
+  void anEntryThatIsMissingIsKeptThroughASecondOutageAndForATimeAfterIt() {
+    discovered.listed(List.of(listed("a", 1, false)), List.of(), 0);
+    discovered.readFailed(FAILED_AT_MILLIS);
+    discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS);
+    long secondEndMillis = RECOVERED_AT_MILLIS + 5_000;
+    discovered.readFailed(RECOVERED_AT_MILLIS + 100);
+    discovered.readFailed(secondEndMillis - 250);
+
+    assertThat(discovered.tick(secondEndMillis - 100)).isFalse();
+    assertThat(discovered.listed(List.of(), List.of(), secondEndMillis)).isFalse();
+    assertThat(discovered.tick(secondEndMillis + 1_999)).isFalse();
+    assertThat(discovered.tick(secondEndMillis + 2_000)).isTrue();
+  }
+
+  /** Guards against a call from before the end of an outage that times out after it. */
+  @Test
+  void aCallThatFailsAfterALaterOneHasSucceededBeginsNoOutage() {
+    discovered.listed(List.of(listed("a", 1, false)), List.of(), 0);
+    discovered.received(RECOVERED_AT_MILLIS);
+    discovered.readFailed(RECOVERED_AT_MILLIS - 900);
+
+    assertThat(discovered.removed(name("a"), RECOVERED_AT_MILLIS + 5_000)).isTrue();
+  }
+
+  /**
+   * Guards against requests to an upstream that left while the list refused calls by their rate.
+   */
+  @Test
+  void anEntryThatIsMissingAfterCallsWereDeclinedIsRemovedAtOnce() {
+    discovered.listed(List.of(listed("a", 1, false)), List.of(), 0);
+    discovered.readDeclined(RECOVERED_AT_MILLIS - 2_700);
+    discovered.readDeclined(RECOVERED_AT_MILLIS - 300);
+
+    assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS)).isTrue();
+  }
+
+  /** Guards against upstreams that are dropped since a restored backup does not list them yet. */
+  @Test
+  void anEntryThatIsMissingInARestoredListIsKept() {
+    discovered.listed(List.of(listed("a", 1, false)), List.of(), 0);
+    discovered.received(RECOVERED_AT_MILLIS);
+    discovered.restored(RECOVERED_AT_MILLIS + 10);
+
+    assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS + 10)).isFalse();
+    assertThat(discovered.tick(RECOVERED_AT_MILLIS + 10 + 2_000)).isTrue();
+  }
+
   /** An upstream that is draining does not register again. */
   @Test
   void aDrainedEntryThatIsMissingAfterAnOutageIsRemoved() {
     discovered.listed(List.of(listed("a", 1, true)), List.of(), 0);
-    discovered.readFailed();
+    discovered.readFailed(FAILED_AT_MILLIS);
     discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS);
     assertThat(names()).isEmpty();
   }
@@ -210,7 +313,7 @@
   @Test
   void anEntryThatBecomesInvalidRemovesItsUpstream() {
     discovered.listed(List.of(listed("a", 1, false), listed("b", 1, false)), List.of(), 0);
-    discovered.readFailed();
+    discovered.readFailed(FAILED_AT_MILLIS);
 
     assertThat(
             discovered.listed(
@@ -277,7 +380,7 @@
     discovered.listed(List.of(ofVersion("a", 1, "v1")), List.of(), 0);
     assertThat(discovered.onlyVersionSince("service", 0)).isPresent();
 
-    discovered.readFailed();
+    discovered.readFailed(FAILED_AT_MILLIS);
     assertThat(discovered.onlyVersionSince("service", 0)).isEmpty();
 
     discovered.listed(List.of(ofVersion("a", 1, "v1")), List.of(), RECOVERED_AT_MILLIS);
--- a/core/src/test/java/org/marjoramsail/core/discovery/WatchScheduleTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/WatchScheduleTest.java
@@ -7,6 +7,8 @@
 
 class WatchScheduleTest {
 
+  private static final long SHORTEST_RESPONSE_MILLIS = 700;
+
   private final WatchSchedule schedule = new WatchSchedule(3_000, new SplittableRandom(1));
 
   @Test
@@ -61,23 +63,21 @@
   }
 
   /**
-   * Guards against a dead connection on which a request waits beyond the time in which a change has
-   * to be in force.
+   * Guards against a dead connection on which a request waits beyond the time in which a daemon has
+   * to be up to date, also if the first request after it fails.
    */
   @Test
   void aRequestOnADeadConnectionTimesOutWithinThePlatformsBounds() {
     for (double recovery : new double[] {3_000, 5_000}) {
-      for (double bound : new double[] {2_000, 4_000}) {
-        WatchSchedule bounded =
-            new WatchSchedule(
-                WatchSchedule.longestWaitMillis(recovery, bound), new SplittableRandom(1));
-        long knownMillis = bounded.timeoutMillis() + bounded.failed() + bounded.gatherMillis(1);
+      WatchSchedule bounded =
+          new WatchSchedule(WatchSchedule.longestWaitMillis(recovery), new SplittableRandom(1));
+      long knownMillis = bounded.timeoutMillis() + bounded.failed();
+      knownMillis += SHORTEST_RESPONSE_MILLIS + bounded.gatherMillis(1);
 
-        assertThat(knownMillis).isLessThan((long) (recovery + bound));
-        assertThat(bounded.gatherMillis(1)).isLessThan((long) (bound / 5));
-      }
+      assertThat(knownMillis).isLessThanOrEqualTo((long) recovery);
+      assertThat(bounded.gatherMillis(1)).isLessThan(400);
     }
-    assertThat(WatchSchedule.longestWaitMillis(0, 0)).isEqualTo(1_000);
-    assertThat(WatchSchedule.longestWaitMillis(1e9, 1e9)).isEqualTo(20_000);
+    assertThat(WatchSchedule.longestWaitMillis(0)).isEqualTo(1_000);
+    assertThat(WatchSchedule.longestWaitMillis(1e9)).isEqualTo(20_000);
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -14,6 +14,7 @@
 import org.marjoramsail.core.discovery.DiscoveredUpstreams;
 import org.marjoramsail.core.discovery.ListedUpstream;
 import org.marjoramsail.core.discovery.RetainedUpstream;
+import org.marjoramsail.core.discovery.RetentionBounds;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
@@ -44,7 +45,7 @@
    */
   private static final long EARLIER_STREAM_MILLIS = 30_000;
 
-  private final DiscoveredUpstreams discoveredUpstreams = new DiscoveredUpstreams();
+  private final DiscoveredUpstreams discoveredUpstreams;
   private final Clock clock;
   private final Consumer<Configuration> poolListener;
   private final Consumer<UpstreamDefinition> incarnationListener;
@@ -63,14 +64,17 @@
    * Creates an empty state.
    *
    * @param clock returns the current time
+   * @param retention decides how long an upstream without an entry is kept after an outage
    * @param poolListener receives each change of the pools
    * @param incarnationListener receives each upstream that is new or has a new incarnation
    */
   public ForwardingState(
       Clock clock,
+      RetentionBounds retention,
       Consumer<Configuration> poolListener,
       Consumer<UpstreamDefinition> incarnationListener) {
     this.clock = clock;
+    this.discoveredUpstreams = new DiscoveredUpstreams(retention);
     this.poolListener = poolListener;
     this.incarnationListener = incarnationListener;
   }
@@ -231,16 +235,52 @@
     discoveredUpstreams.received(clock.millis());
   }
 
-  /** Records that the list of upstreams did not respond, perhaps for some time. */
-  public void upstreamsUnavailable(String cause) {
+  /**
+   * Records that a call to the list of upstreams got no response.
+   *
+   * @param sentAtMillis when it was sent
+   */
+  public void upstreamsUnavailable(String cause, long sentAtMillis) {
+    logUnavailable(cause);
+    upstreamsUnanswered(sentAtMillis);
+  }
+
+  /** Records that another call to the store of that list, sent at some time, got no response. */
+  public void upstreamsUnanswered(long sentAtMillis) {
+    discoveredUpstreams.readFailed(sentAtMillis);
+  }
+
+  /**
+   * Records that the connection of a call to the list of upstreams was closed.
+   *
+   * @param sentAtMillis when the call was sent
+   */
+  public void upstreamsInterrupted(String cause, long sentAtMillis) {
     logUnavailable(cause);
-    discoveredUpstreams.readFailed();
+    discoveredUpstreams.readInterrupted(sentAtMillis, clock.millis());
   }
 
-  /** Records that the list of upstreams has become unreadable now. */
-  public void upstreamsInterrupted(String cause) {
+  /** Records that the list of upstreams responded that it is unavailable. */
+  public void upstreamsRefused(String cause) {
     logUnavailable(cause);
-    discoveredUpstreams.readInterrupted(clock.millis());
+    discoveredUpstreams.readFailed(clock.millis());
+  }
+
+  /** Records that the list of upstreams is available, but responded without its state. */
+  public void upstreamsDeclined(String cause) {
+    logUnavailable(cause);
+    discoveredUpstreams.readDeclined(clock.millis());
+  }
+
+  /** Records that the store of that list responds, before the list was read. */
+  public void upstreamListAvailable() {
+    discoveredUpstreams.available(clock.millis());
+  }
+
+  /** Records that the list of upstreams was restored from a backup, which may lack entries. */
+  public void upstreamsRestored() {
+    logUnavailable("RESTORED");
+    discoveredUpstreams.restored(clock.millis());
   }
 
   /**
@@ -368,16 +408,11 @@
             one ->
                 LOG.atInfo()
                     .addKeyValue("upstream", one.name())
-                    .addKeyValue("listAvailableMillisAgo", agoMillis(one.availableAtMillis()))
-                    .addKeyValue("outageEndedMillisAgo", agoMillis(one.outageEndedAtMillis()))
+                    .addKeyValue("outageEndedMillisAgo", clock.millis() - one.outageEndedAtMillis())
                     .addKeyValue("keptMillis", one.untilMillis() - clock.millis())
                     .log("upstream kept without an entry, which may have expired in an outage"));
   }
 
-  private long agoMillis(long atMillis) {
-    return clock.millis() - atMillis;
-  }
-
   private void logUnavailable(String cause) {
     if (upstreamListReachable) {
       upstreamListReachable = false;
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/ForwardingSettings.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/ForwardingSettings.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.Optional;
+import org.marjoramsail.core.discovery.RetentionBounds;
 import org.marjoramsail.core.placement.RetryLimits;
 
 /**
@@ -18,6 +19,7 @@
  * @param recoveryMillis for how long after a disturbance a host may be behind, in milliseconds
  * @param configurationMillis within which time a change of the configuration has to be in force
  * @param drainMillis after which time an upstream that leaves must get no new work
+ * @param heartbeatMillis at which interval upstreams renew their entries, in milliseconds
  * @param processorShare what the host gives this daemon of one core
  * @param processorSpeed how many times as fast as usual that core is
  * @param fenced whether upstreams refuse orders that carry an old fencing token
@@ -35,6 +37,7 @@
     double recoveryMillis,
     double configurationMillis,
     double drainMillis,
+    double heartbeatMillis,
     double processorShare,
     double processorSpeed,
     boolean fenced,
@@ -60,6 +63,11 @@
     return (int) Math.min(Integer.MAX_VALUE, Math.max(1, cores * MILLI_CORES_PER_CORE));
   }
 
+  /** Returns what decides how long upstreams without an entry are kept after an outage. */
+  public RetentionBounds retentionBounds() {
+    return new RetentionBounds(Math.round(recoveryMillis), Math.round(heartbeatMillis));
+  }
+
   /** Returns the retries that all daemons together may make. */
   public RetryLimits retryLimits() {
     return new RetryLimits(retryRatio, retrySlack);
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/PlatformBound.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/PlatformBound.java
@@ -31,6 +31,8 @@
   CONFIGURATION_MILLIS("configurationMillis", 0, 3_600_000, 2_000),
   /** Without it the same holds for upstreams that leave. */
   DRAIN_MILLIS("drainMillis", 0, 3_600_000, 2_000),
+  /** Without it entries count as expired after the shortest outage known of any deployment. */
+  HEARTBEAT_MILLIS("heartbeatMillis", 0, 3_600_000, 500),
   /** Without it a host counts as one that gives a whole core. */
   PROCESSOR_SHARE("processorShare", 0.001, 1_000, 1),
   /** Without it a core counts as one of the usual speed. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsDecoder.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/settings/SettingsDecoder.java
@@ -150,6 +150,7 @@
         PlatformBound.RECOVERY_MILLIS.read(fields),
         PlatformBound.CONFIGURATION_MILLIS.read(fields),
         PlatformBound.DRAIN_MILLIS.read(fields),
+        PlatformBound.HEARTBEAT_MILLIS.read(fields),
         PlatformBound.PROCESSOR_SHARE.read(fields),
         PlatformBound.PROCESSOR_SPEED.read(fields),
         fields.flag("fenced"),
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardingStateTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardingStateTest.java
@@ -11,6 +11,7 @@
 import org.marjoramsail.core.configuration.Configuration;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.discovery.ListedUpstream;
+import org.marjoramsail.core.discovery.RetentionBounds;
 import org.marjoramsail.core.discovery.StoreRevision;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.UpstreamName;
@@ -29,7 +30,10 @@
   private final List<Incarnation> newIncarnations = new ArrayList<>();
   private final ForwardingState state =
       new ForwardingState(
-          () -> now, published::add, listed -> newIncarnations.add(listed.incarnation()));
+          () -> now,
+          new RetentionBounds(3_000, 1_200),
+          published::add,
+          listed -> newIncarnations.add(listed.incarnation()));
 
   @BeforeEach
   void publishInitialState() {
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/OnlyOriginTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/OnlyOriginTest.java
@@ -6,8 +6,8 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
-import org.marjoramsail.core.discovery.DiscoveredUpstreams;
 import org.marjoramsail.core.discovery.ListedUpstream;
+import org.marjoramsail.core.discovery.RetentionBounds;
 import org.marjoramsail.core.discovery.StoreRevision;
 import org.marjoramsail.core.model.Repeatability;
 import org.marjoramsail.core.model.SoftwareVersion;
@@ -63,7 +63,7 @@
   void aStreamThatBeganUnderALongerTimeoutIsNotGivenToTheOnlyVersionThatIsLeft() {
     configure(4 * LONG_TIMEOUT_MILLIS);
     list(OLD, NEW);
-    clock.advance(DiscoveredUpstreams.REAPPEARANCE_MILLIS);
+    clock.advance(RetentionBounds.REAPPEARANCE_MILLIS);
     state.upstreamRemoved(name(OLD));
     configure(SHORT_TIMEOUT_MILLIS);
 
@@ -90,7 +90,8 @@
   }
 
   private ForwardingState newState() {
-    return new ForwardingState(clock, published -> {}, listed -> {});
+    return new ForwardingState(
+        clock, new RetentionBounds(3_000, 1_200), published -> {}, listed -> {});
   }
 
   private void configure(long timeoutMillis) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/settings/PlatformBoundTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/settings/PlatformBoundTest.java
@@ -23,6 +23,7 @@
     "leaseMillis, -1, 0",
     "recoveryMillis, null, 3000",
     "drainMillis, 1e10, 3600000",
+    "heartbeatMillis, null, 500",
     "processorShare, 0, 0.001",
     "processorSpeed, null, 1"
   })
@@ -57,7 +58,8 @@
         mapper.readTree(
             "{\"forwarding\": {\"retryRatio\": 0.2, \"retrySlack\": 54, \"graceSeconds\": 8,"
                 + " \"leaseMillis\": 3000, \"recoveryMillis\": 3000, \"configurationMillis\": 2000,"
-                + " \"drainMillis\": 2000, \"processorShare\": 0.36, \"processorSpeed\": 1}}");
+                + " \"drainMillis\": 2000, \"heartbeatMillis\": 1200,"
+                + " \"processorShare\": 0.36, \"processorSpeed\": 1}}");
     ((com.fasterxml.jackson.databind.node.ObjectNode) document.path("forwarding"))
         .set(field, mapper.readTree(value));
     return document;
--- a/daemon/src/test/java/org/marjoramsail/daemon/settings/SettingsDecoderTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/settings/SettingsDecoderTest.java
@@ -45,6 +45,7 @@
           "regions": {"santiago-a": "santiago", "santiago-b": "santiago"},
           "retryRatio": 0.2, "retrySlack": 54.5, "graceSeconds": 7.5, "leaseMillis": 3000,
           "recoveryMillis": 3000, "configurationMillis": 2000, "drainMillis": 2000.5,
+          "heartbeatMillis": 1200,
           "processorShare": 0.36, "processorSpeed": 2, "fenced": true, "warmUp": true}
       }
       """
