Read the lists before a stream of unknown origin goes on at the only listed version

Cause: where no host has a record of a stream, it goes on if the list has had one version for long enough. The host took its list for complete as long as no call had failed; a host that stood still, or whose watch had died, had missed the new version without a sign of it.

Why the fix works: a take-up is sent after its stream began, and that after the upstream was listed.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -110,7 +110,11 @@
             new CallLog(dependencies.clock(), () -> {}, dependencies.liveness(), listAges),
             () -> !paths.isCutOff() && !stop.isRefusing());
     this.resumedStreams =
-        new ResumedStreams(dependencies.streams(), dependencies.versions(), dependencies.meters());
+        new ResumedStreams(
+            dependencies.streams(),
+            dependencies.versions(),
+            dependencies.lists(),
+            dependencies.meters());
     this.profiles =
         new ForwardProfiles(
             dependencies.daemon(),
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerDependencies.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerDependencies.java
@@ -29,6 +29,7 @@
  * @param feedback records what upstreams report of themselves
  * @param streams origins of streams that callers may resume
  * @param versions software versions in the list of upstreams
+ * @param lists brings the list of upstreams up to date
  * @param meters counts resumed streams
  * @param forecast predicts output lengths
  * @param refused receives requests that are refused before they are registered
@@ -51,6 +52,7 @@
     UpstreamFeedbackRecorder feedback,
     StreamDirectory streams,
     ListedVersions versions,
+    ListConfirmation lists,
     MeterRegistry meters,
     OutputForecast forecast,
     Consumer<Refusal> refused,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ResumedStreams.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ResumedStreams.java
@@ -30,11 +30,22 @@
 
   private final StreamDirectory directory;
   private final ListedVersions versions;
+  private final ListConfirmation lists;
   private final Map<ResumeOutcome, Counter> counters = new EnumMap<>(ResumeOutcome.class);
 
-  ResumedStreams(StreamDirectory directory, ListedVersions versions, MeterRegistry meters) {
+  /**
+   * Creates an instance.
+   *
+   * @param lists brings {@code versions} up to date
+   */
+  ResumedStreams(
+      StreamDirectory directory,
+      ListedVersions versions,
+      ListConfirmation lists,
+      MeterRegistry meters) {
     this.directory = directory;
     this.versions = versions;
+    this.lists = lists;
     for (ResumeOutcome outcome : ResumeOutcome.values()) {
       counters.put(
           outcome, meters.counter("marjoramsail.streams.resumed", "origin", outcome.code()));
@@ -55,12 +66,12 @@
       Executor eventLoop,
       Consumer<Optional<StreamOrigin>> listener) {
     if (parameters.resumes().isEmpty()) {
-      listener.accept(inferred(parameters, route, ResumeOutcome.UNNAMED));
+      infer(parameters, route, ResumeOutcome.UNNAMED, listener);
       return;
     }
     StreamKey key = StreamKey.of(organisation, parameters.resumes().get());
     directory.find(
-        key, result -> eventLoop.execute(() -> listener.accept(found(parameters, route, result))));
+        key, result -> eventLoop.execute(() -> found(parameters, route, result, listener)));
   }
 
   /** Returns the refusal of a stream whose origin is not known. */
@@ -73,28 +84,43 @@
         RETRY_MILLIS);
   }
 
-  private Optional<StreamOrigin> found(
-      CallerParameters parameters, Route route, StreamLookup.Result result) {
+  private void found(
+      CallerParameters parameters,
+      Route route,
+      StreamLookup.Result result,
+      Consumer<Optional<StreamOrigin>> listener) {
     if (result.knowledge().ambiguous()) {
       log(parameters, route, ResumeOutcome.AMBIGUOUS, Optional.empty(), result);
-      return Optional.empty();
+      listener.accept(Optional.empty());
+      return;
     }
     Optional<StreamOrigin> origin =
         result.knowledge().origin().filter(known -> mayServe(route, known.service()));
     if (origin.isEmpty()) {
-      return inferred(parameters, route, ResumeOutcome.UNKNOWN);
+      infer(parameters, route, ResumeOutcome.UNKNOWN, listener);
+      return;
     }
     log(parameters, route, ResumeOutcome.RECORDED, origin, result);
-    return origin;
+    listener.accept(origin);
   }
 
-  /** Returns the only origin that streams of the route can have, if there is one. */
-  private Optional<StreamOrigin> inferred(
-      CallerParameters parameters, Route route, ResumeOutcome otherwise) {
-    Optional<StreamOrigin> only = versions.onlyOrigin(route);
-    ResumeOutcome outcome = only.isPresent() ? ResumeOutcome.ONLY_VERSION : otherwise;
-    log(parameters, route, outcome, only, StreamLookup.Result.NONE);
-    return only;
+  /**
+   * Finds the only origin that streams of the route can have, if there is one. The lists are read
+   * first: the stream may have begun at another daemon on an upstream that was listed while this
+   * one was paused or cut off.
+   */
+  private void infer(
+      CallerParameters parameters,
+      Route route,
+      ResumeOutcome otherwise,
+      Consumer<Optional<StreamOrigin>> listener) {
+    lists.confirm(
+        () -> {
+          Optional<StreamOrigin> only = versions.onlyOrigin(route);
+          ResumeOutcome outcome = only.isPresent() ? ResumeOutcome.ONLY_VERSION : otherwise;
+          log(parameters, route, outcome, only, StreamLookup.Result.NONE);
+          listener.accept(only);
+        });
   }
 
   private static boolean mayServe(Route route, String service) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
@@ -238,6 +238,7 @@
         new UpstreamFeedbackRecorder(new UpstreamFeedbackTable(), clock, meters),
         new StreamDirectory(daemon, null, (delayMillis, task) -> {}, clock),
         null,
+        ListConfirmation.NONE,
         meters,
         new OutputForecast(),
         refused::add,
