Let entries of a soak expire while the store does not respond

No soak had entries that expire. The new fault silences the store for 2.4 to 8 s, removes the entries of some servers or of all meanwhile, and lists each again up to 1.9 s after the store is back.

--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -139,6 +139,19 @@
       stage.disturbStore(StoreStandIn.Mood.SILENT, millis(random));
     }
   },
+  /** The platform's store does not respond, and entries of servers that run expire in it. */
+  STORE_LOSES_ENTRIES {
+    @Override
+    boolean isPossible(PlatformSoakStage stage) {
+      return !stage.storeLosesEntries();
+    }
+
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      int millis = LEAST_EXPIRY_MILLIS + random.nextInt(MOST_MILLIS - LEAST_EXPIRY_MILLIS);
+      stage.loseEntries(share(random), millis, random);
+    }
+  },
   /** Servers send nothing for a moment on connections that stay open, and go on. */
   SERVERS_PAUSE {
     @Override
@@ -207,6 +220,9 @@
     }
   };
 
+  /** Shortest time in which entries expire: two heartbeats of servers, in milliseconds. */
+  private static final int LEAST_EXPIRY_MILLIS = 2_400;
+
   /** Bounds, in milliseconds, of the time for which several daemons lose the store together. */
   private static final int LEAST_ZONE_CUT_MILLIS = 300;
 
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
@@ -20,6 +20,9 @@
 /** The daemons, servers, store and network paths that faults are done to. */
 final class PlatformSoakStage {
 
+  /** Time after the return of the store in which servers register again, in milliseconds. */
+  private static final int LONGEST_REGISTRATION_MILLIS = 1_900;
+
   /** Shortest pause of a server after which daemons may break off its responses. */
   private static final long LONG_PAUSE_MILLIS = 2_000;
 
@@ -38,6 +41,7 @@
   private final long endMillis;
   private final Set<String> leaving = new HashSet<>();
   private int started;
+  private int expired;
   private int releases;
   private int contents;
 
@@ -152,6 +156,35 @@
         });
   }
 
+  /** Returns whether servers whose entries expired have not all registered again. */
+  boolean storeLosesEntries() {
+    return expired > 0;
+  }
+
+  /**
+   * Lets the store respond to nothing for a time, in which entries of a share of the servers
+   * expire; these register again within two seconds of its end.
+   */
+  void loseEntries(double servers, long millis, Random random) {
+    List<String> running = new ArrayList<>(platform.listed(PlatformStandIn.ENGINES));
+    running.addAll(platform.listed(PlatformStandIn.DESK));
+    running.removeAll(leaving);
+    List<String> expiring = choose(running, servers, random);
+    expired = expiring.size();
+    disturbStore(StoreStandIn.Mood.SILENT, millis);
+    vertx.setTimer(millis / 2, fired -> expiring.forEach(platform::unlist));
+    for (String name : expiring) {
+      vertx.setTimer(
+          millis + random.nextInt(LONGEST_REGISTRATION_MILLIS),
+          fired -> {
+            expired--;
+            if (!leaving.contains(name)) {
+              platform.relist(name);
+            }
+          });
+    }
+  }
+
   /** Cuts the network paths to a share of the servers of a service for a time. */
   void cutPaths(String service, double servers, long millis, Random random) {
     for (String name : choose(platform.listed(service), servers, random)) {
