Log the end of the outage for which an upstream is kept, once

The end is stored when the time is decided. DiscoveredUpstreamsTest asserts both; it has the earliest end and no change after a later response.

--- a/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
@@ -223,8 +223,7 @@
             entry.expiresAtMillis.ifPresent(
                 untilMillis ->
                     retained.put(
-                        name,
-                        new RetainedUpstream(name, outage.earliestEndMillis(), untilMillis))));
+                        name, new RetainedUpstream(name, outage.endedAtMillis(), untilMillis))));
     return retained;
   }
 
--- a/core/src/main/java/org/marjoramsail/core/discovery/ListOutage.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/ListOutage.java
@@ -15,6 +15,7 @@
   private long availableAtMillis;
   private long earliestEndMillis;
   private long retainedUntilMillis;
+  private long endedAtMillis;
 
   ListOutage(RetentionBounds bounds) {
     this.bounds = bounds;
@@ -69,8 +70,8 @@
   }
 
   /** Returns when the last outage in which entries may have expired ended at the earliest. */
-  long earliestEndMillis() {
-    return earliestEndMillis;
+  long endedAtMillis() {
+    return endedAtMillis;
   }
 
   /** Returns until when an upstream without an entry is kept; in the past if it is not. */
@@ -85,6 +86,7 @@
   }
 
   private void retain(long latestEndMillis) {
+    endedAtMillis = earliestEndMillis;
     retainedUntilMillis =
         Math.max(
             retainedUntilMillis, bounds.retainedUntilMillis(earliestEndMillis, latestEndMillis));
--- a/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.SoftwareVersion;
@@ -123,8 +124,12 @@
 
     discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS);
 
+    RetainedUpstream retained = discovered.retained().get(name("a"));
+    assertThat(retained.outageEndedAtMillis()).isEqualTo(RECOVERED_AT_MILLIS - 1_500);
+    discovered.received(RECOVERED_AT_MILLIS + 100);
+    assertThat(discovered.retained()).containsExactly(Map.entry(name("a"), retained));
     long longestMillis = RECOVERED_AT_MILLIS - 1_500 + RECOVERY_MILLIS;
-    assertThat(discovered.retained().get(name("a")).untilMillis()).isLessThan(longestMillis);
+    assertThat(retained.untilMillis()).isLessThan(longestMillis);
     assertThat(discovered.tick(longestMillis - 200)).isTrue();
     assertThat(names()).isEmpty();
   }
