Keep upstreams after an outage until their registration can have become known

What callers saw: requests were refused at a host that removed a running server 2.1 s after the return of the store and listed it again a moment later.

Cause: upstreams register within 2 s of the return; a daemon gathers changes for 350 ms after each response and learns of the registration that much later. The time was 2 s from the first response, which is now found within 0.3 s of the return; before, the late discovery hid it.

The time is 2.4 s now, still no longer than 2.6 s from the earliest end. DiscoveredUpstreamsTest keeps an entry until 2,349 ms in place of 1,999.

--- a/core/src/main/java/org/marjoramsail/core/discovery/RetentionBounds.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/RetentionBounds.java
@@ -9,8 +9,11 @@
  */
 public record RetentionBounds(long recoveryMillis, long renewalMillis) {
 
-  /** Time after an outage in which upstreams register again, in milliseconds. */
-  public static final long REAPPEARANCE_MILLIS = 2_000;
+  /**
+   * Time after an outage in which upstreams register again and daemons learn of that, in
+   * milliseconds. A daemon gathers changes for a part of it.
+   */
+  public static final long REAPPEARANCE_MILLIS = 2_400;
 
   /** Number of missed renewals after which an entry expires. */
   private static final long RENEWALS = 3;
--- a/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsTest.java
@@ -19,6 +19,9 @@
   private static final RetentionBounds BOUNDS =
       new RetentionBounds(RECOVERY_MILLIS, RENEWAL_MILLIS);
 
+  /** Upstreams register within two seconds, and changes are gathered for a third of a second. */
+  private static final long REGISTERED_MILLIS = 2_000 + 349;
+
   /** Time of the last call without a response before the list recovered. */
   private static final long FAILED_AT_MILLIS = RECOVERED_AT_MILLIS - 250;
 
@@ -43,7 +46,8 @@
     assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS)).isFalse();
     assertThat(names()).containsExactlyInAnyOrder("a", "b");
 
-    discovered.changed(listed("a", 9, false), RECOVERED_AT_MILLIS + 1_500);
+    assertThat(discovered.tick(RECOVERED_AT_MILLIS + REGISTERED_MILLIS)).isFalse();
+    discovered.changed(listed("a", 9, false), RECOVERED_AT_MILLIS + REGISTERED_MILLIS);
     assertThat(discovered.tick(RECOVERED_AT_MILLIS + RetentionBounds.REAPPEARANCE_MILLIS)).isTrue();
     assertThat(names()).containsExactly("a");
   }
@@ -146,8 +150,8 @@
     discovered.readDeclined(RECOVERED_AT_MILLIS + 100);
 
     assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS + 900)).isFalse();
-    assertThat(discovered.tick(RECOVERED_AT_MILLIS + 1_999)).isFalse();
-    assertThat(discovered.tick(RECOVERED_AT_MILLIS + 2_000)).isTrue();
+    assertThat(discovered.tick(RECOVERED_AT_MILLIS + REGISTERED_MILLIS)).isFalse();
+    assertThat(discovered.tick(RECOVERED_AT_MILLIS + RetentionBounds.REAPPEARANCE_MILLIS)).isTrue();
   }
 
   /** Guards against upstreams that are removed in a second outage, in which none can register. */
@@ -162,8 +166,8 @@
 
     assertThat(discovered.tick(secondEndMillis - 100)).isFalse();
     assertThat(discovered.listed(List.of(), List.of(), secondEndMillis)).isFalse();
-    assertThat(discovered.tick(secondEndMillis + 1_999)).isFalse();
-    assertThat(discovered.tick(secondEndMillis + 2_000)).isTrue();
+    assertThat(discovered.tick(secondEndMillis + REGISTERED_MILLIS)).isFalse();
+    assertThat(discovered.tick(secondEndMillis + RetentionBounds.REAPPEARANCE_MILLIS)).isTrue();
   }
 
   /** Guards against a call from before the end of an outage that times out after it. */
@@ -196,7 +200,9 @@
     discovered.restored(RECOVERED_AT_MILLIS + 10);
 
     assertThat(discovered.listed(List.of(), List.of(), RECOVERED_AT_MILLIS + 10)).isFalse();
-    assertThat(discovered.tick(RECOVERED_AT_MILLIS + 10 + 2_000)).isTrue();
+    assertThat(discovered.tick(RECOVERED_AT_MILLIS + 10 + REGISTERED_MILLIS)).isFalse();
+    assertThat(discovered.tick(RECOVERED_AT_MILLIS + 10 + RetentionBounds.REAPPEARANCE_MILLIS))
+        .isTrue();
   }
 
   /** An upstream that is draining does not register again. */
