--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
@@ -244,7 +244,7 @@
     }
   }
 
-  /** Returns whether the last cut of several paths to the store at once ended some time ago. */
+  /** Returns whether no zone has lost the store for at least this time, in milliseconds. */
   boolean hadStoreFor(long millis) {
     return clock.millis() - zoneCutUntilMillis >= millis;
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -245,7 +245,11 @@
     upstreamsUnanswered(sentAtMillis);
   }
 
-  /** Records that another call to the store of that list, sent at some time, got no response. */
+  /**
+   * Records that a call to the store other than a read of the list got no response.
+   *
+   * @param sentAtMillis when it was sent
+   */
   public void upstreamsUnanswered(long sentAtMillis) {
     discoveredUpstreams.readFailed(sentAtMillis);
   }
@@ -272,7 +276,7 @@
     discoveredUpstreams.readDeclined(clock.millis());
   }
 
-  /** Records that the store of that list responds, before the list was read. */
+  /** Records that the store responds again, although the list has not been read yet. */
   public void upstreamListAvailable() {
     discoveredUpstreams.available(clock.millis());
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ListConfirmation.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ListConfirmation.java
@@ -8,8 +8,8 @@
   ListConfirmation NONE = Runnable::run;
 
   /**
-   * Reads all changes up to now, and then runs a task on the event loop, also if they could not be
-   * read. What is not readable shows in the state of the lists.
+   * Reads all changes up to now, and then runs a task on the event loop. The task also runs if the
+   * read failed; the lists are marked as unreadable then.
    */
   void confirm(Runnable task);
 }
