Keep the client that fetches a configuration until the answer is read

What users saw: a check of a configuration from a URL failed now and then with a closed connection.

Cause: Vert.x closes a client, and its connections, once nothing references it; the check kept only the future of the call.

Evidence: ConfigurationBytesTest collects garbage between the head and the body, and failed before.

Why the fix works: the client is referenced until the answer is read, and closed after that.

--- a/command/src/main/java/org/marjoramsail/command/check/ConfigurationBytes.java
+++ b/command/src/main/java/org/marjoramsail/command/check/ConfigurationBytes.java
@@ -5,6 +5,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxException;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
@@ -80,14 +81,16 @@
 
   private byte[] fetch(String source) throws UnreadableConfigurationException {
     Vertx vertx = Vertx.vertx();
+    // Vert.x closes a client, and its connections, once nothing references it.
+    HttpClient client =
+        vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS));
     try {
       RequestOptions options =
           new RequestOptions().setMethod(HttpMethod.GET).setAbsoluteURI(source);
       options.putHeader("accept", "application/json");
       token.ifPresent(secret -> options.putHeader("authorization", "Bearer " + secret));
       Future<Buffer> body =
-          vertx
-              .createHttpClient(new HttpClientOptions().setConnectTimeout(CONNECT_MILLIS))
+          client
               .request(options)
               .compose(request -> request.send().compose(response -> receive(source, response)));
       return body.toCompletionStage()
@@ -110,6 +113,7 @@
       throw new UnreadableConfigurationException(
           source, "the URL is not valid: " + failure.getMessage());
     } finally {
+      client.close();
       vertx.close();
     }
   }
