Keep the clients of tests as long as their connections

Tests that made one for a single call failed with a closed connection when garbage was collected meanwhile. Each test now holds its client in a field; no check changes.

--- a/command/src/test/java/org/marjoramsail/command/FleetOperatorsTest.java
+++ b/command/src/test/java/org/marjoramsail/command/FleetOperatorsTest.java
@@ -46,6 +46,7 @@
 
   @TempDir private static Path directory;
   private static Vertx vertx;
+  private static HttpClient caller;
   private static LocalFleet fleet;
 
   private record Said(ExitCode exitCode, String output, String errors) {
@@ -62,6 +63,7 @@
   static void start() throws Exception {
     Files.writeString(directory.resolve("token"), LocalFleet.OPERATOR_TOKEN + "\n");
     vertx = Vertx.vertx();
+    caller = vertx.createHttpClient();
     FleetSetup setup =
         new FleetSetup(
             Deployment.of(RequestMix.CABILDO_ABIERTO), 3, "reserve", 1, EngineTimings.defaults());
@@ -149,7 +151,6 @@
 
   @Test
   void aRequestAtOneDaemonIsListedAndExplainedByTheOthers() throws Exception {
-    HttpClient caller = vertx.createHttpClient();
     HttpClientRequest request =
         get(caller.request(HttpMethod.POST, callerPort(0), "127.0.0.1", "/v1/completions"));
     request
@@ -211,7 +212,6 @@
   }
 
   private static String lookUpAt(int daemon) {
-    HttpClient caller = vertx.createHttpClient();
     String path = "/services/plataforma-votacion/ballots/7/status";
     return get(
         caller
@@ -233,8 +233,7 @@
   }
 
   private static boolean isReady(FleetDaemon daemon) {
-    return get(vertx
-                .createHttpClient()
+    return get(caller
                 .request(HttpMethod.GET, daemon.operatorPort(), "127.0.0.1", "/health/ready")
                 .compose(HttpClientRequest::send))
             .statusCode()
--- a/daemon/src/test/java/org/marjoramsail/daemon/caller/ConnectionLimitTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/caller/ConnectionLimitTest.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.daemon.caller;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
@@ -18,6 +19,7 @@
           4, 2_048, 4_096, TIMEOUT_MILLIS, 300, 64 * 1024, TIMEOUT_MILLIS, 1_000_000, 16);
 
   private final Vertx vertx = Vertx.vertx();
+  private final NetClient client = vertx.createNetClient();
   private final CallerPath path = new CallerPath(vertx, LIMITS, List.of(), TIMEOUT_MILLIS);
 
   @AfterEach
@@ -43,6 +45,6 @@
   }
 
   private NetSocket connect() {
-    return Waits.get(vertx.createNetClient().connect(path.port(), "127.0.0.1"));
+    return Waits.get(client.connect(path.port(), "127.0.0.1"));
   }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/RefusalWriterTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/RefusalWriterTest.java
@@ -6,6 +6,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import java.lang.reflect.Proxy;
@@ -26,6 +27,7 @@
   private static final String ADDRESS = "127.0.0.1";
 
   private final Vertx vertx = Vertx.vertx();
+  private final HttpClient client = vertx.createHttpClient();
   private final RefusalWriter writer =
       new RefusalWriter(
           protocolWithoutHeaders(),
@@ -76,8 +78,7 @@
                 .requestHandler(caller -> writer.write(caller, "attempt-1", refusal))
                 .listen(0, ADDRESS));
     return Waits.get(
-        vertx
-            .createHttpClient()
+        client
             .request(HttpMethod.POST, server.actualPort(), ADDRESS, "/")
             .compose(request -> request.send())
             .compose(
--- a/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
@@ -6,6 +6,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetSocket;
 import java.io.IOException;
 import java.net.BindException;
@@ -42,10 +43,12 @@
   private final Map<DaemonId, PeerAddress> addresses = new ConcurrentHashMap<>();
   private final List<Daemon> daemons = new ArrayList<>();
   private Vertx vertx;
+  private NetClient client;
 
   @BeforeEach
   void open() {
     vertx = Vertx.vertx();
+    client = vertx.createNetClient();
   }
 
   @AfterEach
@@ -319,8 +322,7 @@
     RawConnection(PeerAddress address) throws Exception {
       socket =
           await(
-              vertx
-                  .createNetClient()
+              client
                   .connect(address.port(), address.address())
                   .onSuccess(
                       opened -> {
--- a/standin/src/test/java/org/marjoramsail/standin/engine/EngineStandInTest.java
+++ b/standin/src/test/java/org/marjoramsail/standin/engine/EngineStandInTest.java
@@ -8,6 +8,7 @@
 import static org.marjoramsail.standin.engine.EngineClient.source;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
@@ -39,6 +40,7 @@
           1, 1, 500, 10, 100_000, 2_048, 512, 3_600_000, 6_250_000_000L, 1, 0, 0, 0, 1, 1, 1, 10);
 
   private static Vertx vertx;
+  private static HttpClient httpClient;
   private static EngineClient client;
 
   private EngineStandIn prefill;
@@ -49,6 +51,7 @@
   @BeforeAll
   static void startVertx() {
     vertx = Vertx.vertx();
+    httpClient = vertx.createHttpClient();
     client = new EngineClient(vertx);
   }
 
@@ -185,8 +188,7 @@
   void aClientThatDisconnectsFreesItsAttemptAtOnce() throws Exception {
     decode.slowDown(STANDSTILL);
     HttpClientRequest request =
-        await(
-            vertx.createHttpClient().request(HttpMethod.POST, decodePort, LOOPBACK, "/v1/decode"));
+        await(httpClient.request(HttpMethod.POST, decodePort, LOOPBACK, "/v1/decode"));
     request.send(decode("r1", PROMPT, 12).toBuffer());
     until(() -> decode.audit().held() == 1);
 
