--- a/command/src/main/java/org/marjoramsail/command/fleet/FleetDaemon.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/FleetDaemon.java
@@ -16,6 +16,11 @@
   /** Where it takes other daemons. */
   int peerPort();
 
+  /** Returns the identifier of its process; empty if it has none of its own. */
+  default OptionalLong process() {
+    return OptionalLong.empty();
+  }
+
   /** Whether it owns a shard of that service now. */
   boolean isDecidingFor(String service);
 
--- a/command/src/main/java/org/marjoramsail/command/fleet/ProcessFleetDaemon.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/ProcessFleetDaemon.java
@@ -45,6 +45,11 @@
     return listen.peer().port();
   }
 
+  @Override
+  public OptionalLong process() {
+    return OptionalLong.of(process.pid());
+  }
+
   /** A run that ends the owner of a shard needs daemons in its own process; none is named here. */
   @Override
   public boolean isDecidingFor(String service) {
