Fill in the heartbeat in the settings of the review scripts

What users saw: none of the five scripts of review/ started: "the template has a placeholder that is not filled in".

Cause: deploy/settings.json got the placeholder heartbeat_ms, which review/src/Stand.java did not know.

Evidence: ReviewTemplateTest reads both files, and failed before.

--- a/review/src/Stand.java
+++ b/review/src/Stand.java
@@ -150,6 +150,7 @@
       values.put("{{bounds.contact_ms|json}}", "3000");
       values.put("{{bounds.config_apply_ms|json}}", "2000");
       values.put("{{bounds.drain_ms|json}}", "2000");
+      values.put("{{heartbeat_ms|json}}", "1200");
       values.put("{{limits.cpu_share|json}}", "0.75");
       values.put("{{limits.cpu_cores|json}}", "1");
       values.put(
