--- a/standin/src/main/java/org/marjoramsail/standin/network/LinkStandIn.java
+++ b/standin/src/main/java/org/marjoramsail/standin/network/LinkStandIn.java
@@ -1,6 +1,7 @@
 package org.marjoramsail.standin.network;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
@@ -8,10 +9,12 @@
 import io.vertx.core.net.NetSocket;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntConsumer;
 import java.util.function.LongUnaryOperator;
+import java.util.function.Supplier;
 import org.marjoramsail.core.time.Clock;
 
 /**
@@ -45,6 +48,7 @@
   private volatile IntConsumer refusalListener = port -> {};
   private NetServer server;
   private boolean cut;
+  private Optional<Supplier<Future<Set<Integer>>>> cutPorts = Optional.empty();
   private int closedByCallers;
 
   /** Creates a path that is not cut and takes no time. */
@@ -103,6 +107,29 @@
   /** Holds all bytes from now on. */
   public synchronized void cut() {
     cut = true;
+    cutPorts = Optional.empty();
+    directions.forEach(direction -> direction.isCut = true);
+  }
+
+  /**
+   * Holds all bytes of some connections, once it is known which these are, until the path is
+   * restored. A connection that is opened meanwhile transmits nothing before this is known of it.
+   *
+   * @param ports returns the ports of the callers whose connections are cut; asked now and for each
+   *     later connection
+   */
+  public synchronized void cut(Supplier<Future<Set<Integer>>> ports) {
+    cut = true;
+    cutPorts = Optional.of(ports);
+    List<Direction> open = List.copyOf(directions);
+    ports.get().onSuccess(current -> cutOpen(open, ports, current));
+  }
+
+  private synchronized void cutOpen(
+      List<Direction> open, Supplier<Future<Set<Integer>>> ports, Set<Integer> current) {
+    if (portsOfCut().filter(ports::equals).isPresent()) {
+      open.forEach(direction -> direction.isCut = current.contains(direction.nearPort));
+    }
   }
 
   /** Delivers what was held, and all bytes from now on. */
@@ -114,6 +141,7 @@
   public synchronized void restore(OpenConnections open) {
     cut = false;
     for (Direction direction : List.copyOf(directions)) {
+      direction.isCut = false;
       switch (open) {
         case CONTINUE -> direction.deliverLater();
         case CLOSE -> direction.closeNow();
@@ -132,11 +160,14 @@
     return directions.stream().mapToInt(direction -> direction.held.length()).sum();
   }
 
-  private synchronized void opened(NetSocket near, String address, int targetPort) {
+  private void opened(NetSocket near, String address, int targetPort) {
     near.pause();
-    Future<NetSocket> reached = afterPath().compose(passed -> client.connect(targetPort, address));
-    near.closeHandler(ended -> reached.onSuccess(NetSocket::close));
-    reached.onSuccess(far -> join(near, far)).onFailure(cause -> refused(near));
+    Promise<Void> closed = Promise.promise();
+    near.closeHandler(ended -> closed.complete());
+    afterPath()
+        .compose(passed -> client.connect(targetPort, address))
+        .onSuccess(far -> reached(near, far, closed.future()))
+        .onFailure(cause -> refused(near));
   }
 
   private Future<Void> afterPath() {
@@ -150,10 +181,48 @@
     afterPath().onSuccess(passed -> near.close());
   }
 
-  private synchronized void join(NetSocket near, NetSocket far) {
-    directions.add(new Direction(near, far, () -> closedByCallers++));
-    directions.add(new Direction(far, near, () -> {}));
+  private void reached(NetSocket near, NetSocket far, Future<Void> closed) {
+    far.pause();
+    far.closeHandler(ended -> near.close());
+    closed.onSuccess(ended -> far.close());
+    joinOnceKnown(near, far, closed);
+  }
+
+  private void joinOnceKnown(NetSocket near, NetSocket far, Future<Void> closed) {
+    Optional<Supplier<Future<Set<Integer>>>> ports = portsOfCut();
+    ports
+        .map(Supplier::get)
+        .orElse(Future.succeededFuture(Set.of()))
+        .otherwise(Set.of())
+        .onSuccess(
+            current -> {
+              if (!closed.isComplete() && !hasJoined(near, far, ports, current)) {
+                joinOnceKnown(near, far, closed);
+              }
+            });
+  }
+
+  /** Returns the callers that are cut off; empty if there are none, or if all are. */
+  private synchronized Optional<Supplier<Future<Set<Integer>>>> portsOfCut() {
+    return cut ? cutPorts : Optional.empty();
+  }
+
+  /** Joins two sides, unless the path was cut for other callers or restored meanwhile. */
+  private synchronized boolean hasJoined(
+      NetSocket near,
+      NetSocket far,
+      Optional<Supplier<Future<Set<Integer>>>> ports,
+      Set<Integer> current) {
+    if (!portsOfCut().equals(ports)) {
+      return false;
+    }
+    int port = near.remoteAddress().port();
+    boolean isCut = cut && (ports.isEmpty() || current.contains(port));
+    directions.add(new Direction(near, far, port, isCut, () -> closedByCallers++));
+    directions.add(new Direction(far, near, port, isCut, () -> {}));
     near.resume();
+    far.resume();
+    return true;
   }
 
   /** The bytes from one end of a connection to the other. */
@@ -162,12 +231,16 @@
     private final Runnable onClose;
     private Buffer held = Buffer.buffer();
     private long heldSinceMillis;
+    private final int nearPort;
+    private boolean isCut;
     private boolean closed;
     private boolean delivering;
     private boolean silent;
 
-    Direction(NetSocket source, NetSocket target, Runnable onClose) {
+    Direction(NetSocket source, NetSocket target, int nearPort, boolean isCut, Runnable onClose) {
       this.target = target;
+      this.nearPort = nearPort;
+      this.isCut = isCut;
       this.onClose = onClose;
       source.handler(bytes -> afterPath().onSuccess(passed -> received(bytes)));
       source.exceptionHandler(reset -> afterPath().onSuccess(passed -> discard()));
@@ -179,7 +252,7 @@
         if (silent) {
           return;
         }
-        if (!cut && !delivering && held.length() == 0) {
+        if (!isCut && !delivering && held.length() == 0) {
           target.write(bytes);
           return;
         }
@@ -202,7 +275,7 @@
         onClose.run();
         if (silent) {
           directions.remove(this);
-        } else if (!cut && !delivering) {
+        } else if (!isCut && !delivering) {
           deliver();
         }
       }
@@ -236,7 +309,7 @@
     private void deliverUnlessCut() {
       synchronized (LinkStandIn.this) {
         delivering = false;
-        if (!cut && !silent) {
+        if (!isCut && !silent) {
           deliver();
         }
       }
--- a/standin/src/test/java/org/marjoramsail/standin/network/LinkStandInTest.java
+++ b/standin/src/test/java/org/marjoramsail/standin/network/LinkStandInTest.java
@@ -6,9 +6,11 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.net.ServerSocket;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -25,6 +27,7 @@
   private static final int LINES = 500;
 
   private final Vertx vertx = Vertx.vertx();
+  private final NetClient client = vertx.createNetClient();
 
   @AfterEach
   void close() throws Exception {
@@ -48,8 +51,7 @@
     int entrance = await(path(pathMillis).start(ADDRESS, port));
     Promise<String> received = Promise.promise();
 
-    vertx
-        .createNetClient()
+    client
         .connect(entrance, ADDRESS)
         .onSuccess(socket -> collect(socket, received))
         .onFailure(received::fail);
@@ -68,7 +70,7 @@
     path.onRefused(refused::complete);
     int entrance = await(path.start(ADDRESS, closedPort()));
 
-    NetSocket caller = await(vertx.createNetClient().connect(entrance, ADDRESS));
+    NetSocket caller = await(client.connect(entrance, ADDRESS));
 
     assertThat(await(refused.future())).isEqualTo(caller.localAddress().port());
   }
@@ -84,12 +86,67 @@
     int port = await(server.listen(0, ADDRESS)).actualPort();
     int entrance = await(path(50).start(ADDRESS, port));
 
-    NetSocket caller = await(vertx.createNetClient().connect(entrance, ADDRESS));
+    NetSocket caller = await(client.connect(entrance, ADDRESS));
     await(caller.close());
 
     await(closed.future());
   }
 
+  /** Guards against a cut of some callers that also stops the others. */
+  @Test
+  void aPathThatIsCutForSomeCallersHoldsOnlyTheirBytes() throws Exception {
+    LinkStandIn path = path(0);
+    int entrance = await(path.start(ADDRESS, echo()));
+    NetSocket cut = await(client.connect(entrance, ADDRESS));
+    NetSocket open = await(client.connect(entrance, ADDRESS));
+    Future<String> cutFirst = answer(cut, "a");
+    Future<String> openFirst = answer(open, "b");
+    await(Future.all(cutFirst, openFirst));
+    Set<Integer> ports = Set.of(cut.localAddress().port());
+    path.cut(() -> Future.succeededFuture(ports));
+    NetSocket later = await(client.connect(entrance, ADDRESS));
+
+    Future<String> held = answer(cut, "c");
+
+    assertThat(await(answer(open, "d"))).isEqualTo("d");
+    assertThat(await(answer(later, "e"))).isEqualTo("e");
+    assertThat(held.isComplete()).isFalse();
+    path.restore();
+    assertThat(await(held)).isEqualTo("c");
+  }
+
+  /** Guards against a cut that begins after its end, and then lasts. */
+  @Test
+  void aCutThatEndsBeforeItsCallersAreKnownHoldsNothing() throws Exception {
+    LinkStandIn path = path(0);
+    int entrance = await(path.start(ADDRESS, echo()));
+    NetSocket earlier = await(client.connect(entrance, ADDRESS));
+    await(answer(earlier, "a"));
+    Promise<Set<Integer>> ports = Promise.promise();
+    path.cut(ports::future);
+    NetSocket later = await(client.connect(entrance, ADDRESS));
+    Future<String> waiting = answer(later, "b");
+
+    path.restore();
+    ports.complete(Set.of(earlier.localAddress().port(), later.localAddress().port()));
+
+    assertThat(await(waiting)).isEqualTo("b");
+    assertThat(await(answer(earlier, "c"))).isEqualTo("c");
+  }
+
+  private int echo() throws Exception {
+    NetServer server =
+        vertx.createNetServer().connectHandler(socket -> socket.handler(socket::write));
+    return await(server.listen(0, ADDRESS)).actualPort();
+  }
+
+  private static Future<String> answer(NetSocket socket, String text) {
+    Promise<String> answer = Promise.promise();
+    socket.handler(bytes -> answer.tryComplete(bytes.toString()));
+    socket.write(text);
+    return answer.future();
+  }
+
   private LinkStandIn path(long pathMillis) {
     return new LinkStandIn(vertx, () -> 0, heldMillis -> 0, pathMillis);
   }
