Send a stream with the head of the attempt that gave its first event

What callers saw: a stream whose head, and so its proof, was of an upstream none of whose events they were sent.

Cause: the head of the first attempt that gave any event was kept, also if its events were dropped later.

Why the fix works: each token names its attempt, and the head is looked up by it. No head can be written without a token, so that the end of a stream writes none.

--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleAction.java
@@ -101,10 +101,11 @@
   /**
    * Sends the next token to the caller.
    *
+   * @param attempt the attempt that gave it
    * @param index index of the token
    * @param text text of the token
    */
-  record EmitToken(int index, String text) implements LifecycleAction {}
+  record EmitToken(int attempt, int index, String text) implements LifecycleAction {}
 
   /**
    * Ends the output successfully.
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -338,7 +338,7 @@
         .ifPresent(version -> actions.add(new LifecycleAction.RecordVersion(version)));
     progress.chunkSent(nowMillis);
     progress.expectWithin(policy.tokenStallMillis(), nowMillis);
-    actions.add(new LifecycleAction.EmitToken(token.index(), token.text()));
+    actions.add(new LifecycleAction.EmitToken(token.attempt(), token.index(), token.text()));
   }
 
   /** Releases the KV cache: the first frame proves that the decode upstream has imported it. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/BufferedResponseSink.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/BufferedResponseSink.java
@@ -35,7 +35,7 @@
   }
 
   @Override
-  public void token(int index, String chunk) {
+  public void token(int attempt, int index, String chunk) {
     text.append(chunk);
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/StreamSink.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/StreamSink.java
@@ -62,7 +62,7 @@
   }
 
   @Override
-  public void token(int index, String text) {
+  public void token(int attempt, int index, String text) {
     if (!response.headWritten()) {
       response.setChunked(true);
       response.putHeader("content-type", "text/event-stream");
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -66,7 +66,7 @@
   private final Map<Integer, PlainResponse> responses = new HashMap<>(2);
   private final Map<Integer, KvLocation> handles = new HashMap<>(2);
   private final Map<UpstreamName, UpstreamDefinition> targets = new HashMap<>(2);
-  private Optional<ResponseHead> streamHead = Optional.empty();
+  private final Map<Integer, ResponseHead> streamHeads = new HashMap<>(2);
   private final StreamPosition position;
 
   /**
@@ -202,14 +202,14 @@
   }
 
   @Override
-  public void token(int index, String text) {
+  public void token(int attempt, int index, String text) {
     position.sent(index);
     HttpServerResponse response = caller.response();
     if (response.closed() || response.ended()) {
       return;
     }
     if (!response.headWritten()) {
-      ResponseHead head = streamHead.orElseThrow();
+      ResponseHead head = streamHeads.get(attempt);
       response.setStatusCode(head.status());
       response.headers().addAll(head.headers());
       response.setChunked(true);
@@ -232,15 +232,6 @@
     if (response.closed() || response.ended()) {
       return;
     }
-    if (!response.headWritten()) {
-      streamHead.ifPresent(
-          head -> {
-            response.setStatusCode(head.status());
-            response.headers().addAll(head.headers());
-          });
-      response.setChunked(true);
-      dependencies.connectionCloseHeader().addIfStopping(response);
-    }
     response.end(bytesOf(completion.trailingText()));
     dependencies
         .completionListener()
@@ -551,10 +542,8 @@
     }
 
     private void event(EventSplitter.Event event) throws NonIncreasingIdException {
-      if (streamHead.isEmpty()) {
-        streamHead = Optional.of(head);
-      }
       if (numbering.isEmpty()) {
+        streamHeads.put(attempt(), head);
         emit(
             new LifecycleEvent.OutputStarted(
                 attempt(), upstream().name(), upstream().softwareVersion()));
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/ActionRunner.java
@@ -86,7 +86,7 @@
   void run(LifecycleAction action, Consumer<LifecycleEvent> events) {
     if (action instanceof LifecycleAction.EmitToken token) {
       meter.token();
-      sink.token(token.index(), token.text());
+      sink.token(token.attempt(), token.index(), token.text());
     } else if (action instanceof LifecycleAction.RecordVersion version) {
       sender.recordVersion(version);
     } else if (action instanceof LifecycleAction.Complete complete) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/CallerSink.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/CallerSink.java
@@ -7,8 +7,12 @@
 /** Receives the output of a request; called in order, on the executor of the request. */
 public interface CallerSink {
 
-  /** Sends the next token to the caller. */
-  void token(int index, String text);
+  /**
+   * Sends the next token to the caller.
+   *
+   * @param attempt the attempt that gave it
+   */
+  void token(int attempt, int index, String text);
 
   /** Ends the output after its last token. */
   void complete(Completion completion);
--- a/daemon/src/test/java/org/marjoramsail/daemon/fleet/SimulatedHost.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/fleet/SimulatedHost.java
@@ -176,7 +176,7 @@
     }
 
     @Override
-    public void token(int index, String text) {
+    public void token(int attempt, int index, String text) {
       // Only the end of the output is counted.
     }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/request/DepartedCallerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/request/DepartedCallerTest.java
@@ -300,7 +300,7 @@
 
   private final class RecordingSink implements CallerSink {
     @Override
-    public void token(int index, String text) {}
+    public void token(int attempt, int index, String text) {}
 
     @Override
     public void complete(Completion completion) {}
--- a/daemon/src/test/java/org/marjoramsail/daemon/request/FailingActionTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/request/FailingActionTest.java
@@ -302,7 +302,7 @@
   private final class RecordingSink implements CallerSink {
 
     @Override
-    public void token(int index, String text) {
+    public void token(int attempt, int index, String text) {
       if (isTokenFailing) {
         throw new IllegalStateException("no response head");
       }
