Deliver no kept failure after the first event of a stream

What callers saw: the response of a failed attempt could follow events of another attempt of the same stream.

Cause: the end of a request delivered a failure that it had kept, whether or not output had begun.

Why the fix works: once output has begun, only the end of that output or a refusal may follow.

--- a/core/src/main/java/org/marjoramsail/core/outcome/FinalResponse.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/FinalResponse.java
@@ -44,13 +44,14 @@
 
   /**
    * Returns the end of a request without a successful response; empty when the caller has
-   * disconnected.
+   * disconnected. A failure response cannot follow a part of the output of another attempt.
    */
-  Optional<LifecycleAction> unsuccessfulEnd(Refusal refusal, RunState runState) {
+  Optional<LifecycleAction> unsuccessfulEnd(
+      Refusal refusal, RunState runState, boolean outputBegun) {
     if (callerDisconnected) {
       return Optional.empty();
     }
-    if (failedAttempt.isPresent()) {
+    if (failedAttempt.isPresent() && !outputBegun) {
       return Optional.of(new LifecycleAction.DeliverResponse(failedAttempt.getAsInt()));
     }
     return Optional.of(
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -245,7 +245,7 @@
       return;
     }
     if (!history.maySend()) {
-      refuseInvariantViolation();
+      refuse(LifecycleRefusals.invariantViolated());
       return;
     }
     if (silent.isPrefilling()) {
@@ -259,7 +259,7 @@
 
   private void sendPlain(Grant newGrant) {
     if (!history.maySend()) {
-      refuseInvariantViolation();
+      refuse(LifecycleRefusals.invariantViolated());
       return;
     }
     state = LifecycleState.PLAIN_RUNNING;
@@ -267,10 +267,6 @@
     actions.add(launcher.sendPlain(newGrant, nowMillis));
   }
 
-  private void refuseInvariantViolation() {
-    refuse(LifecycleRefusals.invariantViolated());
-  }
-
   void placementRefused(LifecycleEvent.PlacementRefused refused) {
     if (state != LifecycleState.PLACING || refused.attempt() != attempt.number()) {
       countDrop(DropReason.LATE_EVENT);
@@ -561,7 +557,9 @@
 
   /** Refuses with the run state of this lifecycle, in place of that of the refusal. */
   private void refuse(Refusal refusal) {
-    finalResponse.unsuccessfulEnd(refusal, history.runState()).ifPresent(this::sendFinalResponse);
+    finalResponse
+        .unsuccessfulEnd(refusal, history.runState(), output.tokens() > 0)
+        .ifPresent(this::sendFinalResponse);
     end(AttemptResult.CANCELLED, history.outcomeWithoutResponse());
   }
 
