Keep the response of each attempt of a completion

What callers saw: with two attempts under way, no response, as that of one attempt replaced that of the other.

Cause: the sender kept the last response only, and delivered nothing for any other attempt.

Evidence: CompletionSenderTest failed before.

--- a/daemon/src/main/java/org/marjoramsail/daemon/request/CompletionSender.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/CompletionSender.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.KvSource;
@@ -23,15 +24,13 @@
 /** Sends the attempts of a completion request or of a plain request to upstreams. */
 public final class CompletionSender implements AttemptSender {
 
-  private record ReceivedResponse(int attempt, PlainResponse response) {}
-
   private final RequestProfile profile;
   private final RequestContent content;
   private final CallerSink sink;
   private final CallerPresence caller;
   private final UpstreamClients clients;
   private final Map<UpstreamName, UpstreamEndpoint> endpoints = new HashMap<>(2);
-  private volatile Optional<ReceivedResponse> lastResponse = Optional.empty();
+  private final Map<Integer, PlainResponse> responses = new ConcurrentHashMap<>(2);
 
   /**
    * Creates a sender for one request.
@@ -57,9 +56,7 @@
 
   @Override
   public void deliver(int attempt) {
-    lastResponse
-        .filter(received -> received.attempt() == attempt)
-        .ifPresent(received -> sink.respond(received.response()));
+    Optional.ofNullable(responses.get(attempt)).ifPresent(sink::respond);
   }
 
   @Override
@@ -190,7 +187,7 @@
 
   private void plainResponseReceived(
       int attempt, PlainResponse received, Consumer<LifecycleEvent> events) {
-    lastResponse = Optional.of(new ReceivedResponse(attempt, received));
+    responses.put(attempt, received);
     events.accept(new LifecycleEvent.PlainResponseReceived(attempt));
   }
 
