Use a connection to an upstream only while it is in step

What callers saw: a success where the upstream had responded with a failure, and the reverse; bodies of other requests; posts that were refused as not run although they had run, or that ran twice.

Cause: a part of one message is read as a part of another. An upstream sends the begin of a further response; the decoder keeps the line that has not ended and reports nothing. The next response on that connection is read as the rest of that line: identifier, proof and body fit the request, the status is that of the extra bytes. Beside it: a response without an identifier counted as the request's own; relays looked at no identifier; a reset that a write finds ended a response without a length.

ConnectionReuse is the one place that decides whether a response counts, and after which a connection is used again; it never carries an identifier twice. A head, body or event with the status line of another response is malformed. A complete response is read to its end before the end of its connection counts. Relays send chunks, so that a response that fails at its end is not whole for the sender. Logs and metrics tell for each response its connection, position, identifier, proof and what became of the connection.

--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/package-info.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/package-info.java
@@ -1,2 +1,2 @@
-/** How servers end their ports and connections. */
+/** Watches connections, and ends ports and connections. */
 package org.marjoramsail.daemon.connection;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/CallLog.java
@@ -11,6 +11,7 @@
 import org.marjoramsail.core.time.Clock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 
 /**
  * Tracks the calls in flight by upstream, and logs those that may still reach an upstream although
@@ -23,6 +24,11 @@
   /** Time without a response after which an upstream may be out of reach, in milliseconds. */
   private static final long SILENCE_MILLIS = 500;
 
+  private static final int FIRST_FAILURE_STATUS = 400;
+
+  /** Statuses of rejections, which are frequent while upstreams are full. */
+  private static final Set<Integer> REJECTIONS = Set.of(408, 421, 429, 503);
+
   private final Clock clock;
   private final Runnable receivedListener;
   private final LivenessListener liveness;
@@ -30,7 +36,9 @@
   private final Map<Incarnation, Set<ForwardCall>> open = new HashMap<>();
   private Set<Incarnation> accepting = Set.of();
   private final Map<ResponseBound, Long> excessive = new EnumMap<>(ResponseBound.class);
+  private final Map<ResponseOrigin, Long> responses = new EnumMap<>(ResponseOrigin.class);
   private long abandoned;
+  private long written;
   private final Map<Incarnation, Long> receivedAtMillis = new HashMap<>();
 
   /**
@@ -59,6 +67,7 @@
 
   /** Records a call whose request is being written. */
   void written(ForwardCall call) {
+    written++;
     listAges.written(call);
   }
 
@@ -88,6 +97,43 @@
     liveness.connectionLost(call.upstream().upstream());
   }
 
+  /** Records a final response, and what becomes of its connection. */
+  void responded(
+      ForwardCall call,
+      UpstreamConnection connection,
+      int status,
+      ResponseOrigin origin,
+      boolean proven,
+      ConnectionFate fate) {
+    responses.merge(origin, 1L, Long::sum);
+    boolean isFailure = status >= FIRST_FAILURE_STATUS && !REJECTIONS.contains(status);
+    boolean isOrdinary = origin == ResponseOrigin.OWN && !isFailure && !fate.isOutOfStep();
+    if (isOrdinary && !LOG.isDebugEnabled()) {
+      return;
+    }
+    LOG.atLevel(isOrdinary ? Level.DEBUG : Level.INFO)
+        .addKeyValue("request", call.request())
+        .addKeyValue("upstream", call.upstream())
+        .addKeyValue("connection", connection.serial())
+        .addKeyValue("localPort", connection.localPort())
+        .addKeyValue("position", connection.requests())
+        .addKeyValue("status", status)
+        .addKeyValue("identifier", origin.code())
+        .addKeyValue("proven", proven)
+        .addKeyValue("fate", fate.code())
+        .log("upstream responded");
+  }
+
+  /** Returns the number of final responses by origin. */
+  long responseCount(ResponseOrigin origin) {
+    return responses.getOrDefault(origin, 0L);
+  }
+
+  /** Returns the number of requests that were written. */
+  long writtenCount() {
+    return written;
+  }
+
   /** Records a response that was given up since it exceeded a bound. */
   void exceeded(ResponseBound bound) {
     excessive.merge(bound, 1L, Long::sum);
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -3,16 +3,15 @@
 import io.netty.handler.codec.TooLongFrameException;
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
 import java.util.Optional;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.outcome.UpstreamFailure;
+import org.marjoramsail.daemon.connection.JoinedHead;
 import org.marjoramsail.daemon.request.OpenCall;
 
 /**
@@ -61,36 +60,39 @@
 
   private final UpstreamConnections connections;
   private final CallLog calls;
-  private final Function<MultiMap, Optional<Long>> keepAliveMillis;
+  private final ForwardingProtocol protocol;
   private final UpstreamDefinition target;
   private final ForwardedRequest request;
   private final Supplier<Optional<UpstreamFailure>> obstacle;
   private final Listener listener;
   private Optional<UpstreamConnection> connection = Optional.empty();
+  private String attempt = "";
+  private ResponseOrigin origin = ResponseOrigin.NONE;
   private long writtenAtMillis = NOT_WRITTEN;
   private Optional<HttpClientResponse> response = Optional.empty();
   private int interimResponses;
+  private boolean requestWritten;
+  private String lastBytes = "";
+  private boolean isStatusLineReceived;
   private boolean answered;
   private boolean closed;
 
   /**
    * Creates a call that is not started.
    *
-   * @param keepAliveMillis returns how long an upstream keeps an idle connection, from the headers
-   *     of a response
    * @param obstacle returns why the request is not to be written now, if there is a reason
    */
   ForwardCall(
       UpstreamConnections connections,
       CallLog calls,
-      Function<MultiMap, Optional<Long>> keepAliveMillis,
+      ForwardingProtocol protocol,
       UpstreamDefinition target,
       ForwardedRequest request,
       Supplier<Optional<UpstreamFailure>> obstacle,
       Listener listener) {
     this.connections = connections;
     this.calls = calls;
-    this.keepAliveMillis = keepAliveMillis;
+    this.protocol = protocol;
     this.target = target;
     this.request = request;
     this.obstacle = obstacle;
@@ -100,8 +102,9 @@
   /** Connects and sends the request with these headers. */
   ForwardCall start(MultiMap headers) {
     calls.started(this);
+    attempt = protocol.attemptOf(headers);
     connections
-        .acquire(target)
+        .acquire(target, attempt)
         .onSuccess(acquired -> send(acquired, headers))
         .onFailure(cause -> fail(UpstreamFailure.CONNECT_FAILED));
     return this;
@@ -148,7 +151,7 @@
 
   /** Returns the local port of the connection, which identifies it in a packet capture. */
   int localPort() {
-    return connection.map(open -> open.connection().localAddress().port()).orElse(0);
+    return connection.map(UpstreamConnection::localPort).orElse(0);
   }
 
   /** Returns whether the request was written to a connection. */
@@ -186,7 +189,7 @@
   }
 
   private void closeConnection() {
-    connection.map(UpstreamConnection::connection).ifPresent(HttpClientConnection::close);
+    connection.ifPresent(UpstreamConnection::close);
   }
 
   private void markEnded() {
@@ -199,7 +202,7 @@
 
   private void send(UpstreamConnection acquired, MultiMap headers) {
     if (closed) {
-      acquired.connection().close();
+      acquired.close();
       return;
     }
     connection = Optional.of(acquired);
@@ -234,10 +237,11 @@
       return;
     }
     writtenAtMillis = calls.millis();
+    connection.ifPresent(used -> used.begin(attempt));
     calls.written(this);
-    (request.hasBody() ? clientRequest.send(request.body()) : clientRequest.send())
-        .onSuccess(this::receive)
-        .onFailure(this::responseFailed);
+    clientRequest.response().onSuccess(this::receive).onFailure(this::responseFailed);
+    (request.hasBody() ? clientRequest.end(request.body()) : clientRequest.end())
+        .onSuccess(written -> requestWritten = true);
   }
 
   /** Guards against interim responses without end, which no timeout of a connection ends. */
@@ -274,21 +278,62 @@
     if (isDirect()) {
       calls.answered(this);
     }
+    origin = ResponseOrigin.of(attempt, protocol.attemptOf(received.headers()));
+    if (!ConnectionReuse.isBound(connection.orElseThrow(), origin)
+        || JoinedHead.isJoined(received.statusMessage(), received.headers())
+        || ConnectionReuse.isBodyDropped(received.statusCode(), received.headers())) {
+      responded(received, ConnectionFate.RESPONSE_UNBOUND);
+      fail(UpstreamFailure.MALFORMED);
+      return;
+    }
     received.exceptionHandler(this::responseFailed);
     if (!listener.head(received.statusCode(), received.headers())) {
       disconnect();
       return;
     }
-    received.handler(
-        bytes -> {
-          recordReceived();
-          if (!closed) {
-            listener.bytes(bytes).ifPresent(this::fail);
-          }
-        });
+    boolean isFramed = ConnectionReuse.isFramed(received.headers());
+    received.handler(bytes -> receiveBytes(bytes, isFramed));
     received.endHandler(ended -> end(received));
   }
 
+  /** A response that ends with its connection has no end before another one that follows it. */
+  private void receiveBytes(Buffer bytes, boolean isFramed) {
+    recordReceived();
+    if (closed) {
+      return;
+    }
+    isStatusLineReceived |=
+        JoinedResponse.containsStatusLine(bytes)
+            || JoinedResponse.containsStatusLine(lastBytes + firstBytesOf(bytes));
+    if (isStatusLineReceived && !isFramed) {
+      fail(UpstreamFailure.MALFORMED);
+      return;
+    }
+    lastBytes = lastBytesOf(bytes);
+    listener.bytes(bytes).ifPresent(this::fail);
+  }
+
+  private static String firstBytesOf(Buffer bytes) {
+    return bytes.getString(
+        0, Math.min(bytes.length(), JoinedResponse.STATUS_LINE_BYTES), "ISO-8859-1");
+  }
+
+  private String lastBytesOf(Buffer bytes) {
+    int start = Math.max(0, bytes.length() - JoinedResponse.STATUS_LINE_BYTES);
+    String end = bytes.getString(start, bytes.length(), "ISO-8859-1");
+    String all = start == 0 ? lastBytes + end : end;
+    return all.substring(Math.max(0, all.length() - JoinedResponse.STATUS_LINE_BYTES));
+  }
+
+  /**
+   * Returns whether what follows the response may be the rest of another one that is in its body.
+   */
+  private boolean isContinued() {
+    String following = connection.orElseThrow().following();
+    return !following.isEmpty()
+        && (isStatusLineReceived || JoinedResponse.isStatusLineAcross(lastBytes, following));
+  }
+
   private boolean isDirect() {
     return connection.filter(UpstreamConnection::isDirect).isPresent();
   }
@@ -303,28 +348,41 @@
     if (closed) {
       return;
     }
+    // A reset that a write finds closes the connection without an error.
+    boolean mayBeReset =
+        !requestWritten && ConnectionReuse.isEndedByClose(ended.statusCode(), ended.headers());
+    if (mayBeReset || isContinued()) {
+      fail(UpstreamFailure.MALFORMED);
+      return;
+    }
     markEnded();
-    HttpClientConnection finished = connection.orElseThrow().connection();
-    finished.closeHandler(null);
-    String connectionHeader = ended.headers().get("connection");
-    Optional<Long> idleMillis = keepAliveMillis.apply(ended.headers());
-    boolean framed =
-        ended.headers().contains("content-length") || ended.headers().contains("transfer-encoding");
-    boolean isReusable =
-        isDirect()
-            && framed
-            && idleMillis.isPresent()
-            && !"close".equalsIgnoreCase(connectionHeader);
+    UpstreamConnection finished = connection.orElseThrow();
+    finished.connection().closeHandler(null);
+    finished.delivered();
+    Optional<Long> idleMillis = protocol.keepAliveMillis(ended.headers());
+    ConnectionFate fate =
+        ConnectionReuse.after(finished, origin, ended.headers(), idleMillis.isPresent());
+    responded(ended, fate);
     // The next call may own the connection from here on, so that closing this one must not cut it.
     connection = Optional.empty();
-    if (isReusable) {
-      connections.release(target.incarnation(), finished, idleMillis.get());
+    if (fate.isReused()) {
+      connections.release(target.incarnation(), finished, idleMillis.orElseThrow());
     } else {
       finished.close();
     }
     listener.end();
   }
 
+  private void responded(HttpClientResponse ended, ConnectionFate fate) {
+    calls.responded(
+        this,
+        connection.orElseThrow(),
+        ended.statusCode(),
+        origin,
+        protocol.isProven(ended.headers()),
+        fate);
+  }
+
   private void responseFailed(Throwable cause) {
     if (cause instanceof TooLongFrameException) {
       failExceeding(ResponseBound.HEAD_BYTES);
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -2,7 +2,6 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.nio.charset.StandardCharsets;
@@ -159,24 +158,15 @@
       events.accept(confirmed);
       return;
     }
-    MultiMap headers = MultiMap.caseInsensitiveMultiMap();
-    ForwardedRequest dropRequest =
-        new ForwardedRequest(
-            HttpMethod.DELETE,
-            dependencies.protocol().handlePath(handle.handle()),
-            "",
-            headers,
-            Buffer.buffer(),
-            false,
-            request.parameters(),
-            request.organisation());
+    String path = dependencies.protocol().handlePath(handle.handle());
+    ForwardedRequest dropRequest = KvDeletion.request(path, request);
     ForwardCall unused =
         call(
                 holder,
                 dropRequest,
                 Optional::empty,
                 new KvDeletion(dependencies, holder, () -> events.accept(confirmed)))
-            .start(headers)
+            .start(dropRequest.headers())
             .closeAfter(KvDeletion.TIMEOUT_MILLIS);
   }
 
@@ -318,7 +308,7 @@
     return new ForwardCall(
         dependencies.connections(),
         dependencies.calls(),
-        dependencies.protocol()::keepAliveMillis,
+        dependencies.protocol(),
         target,
         sent,
         obstacle,
@@ -370,6 +360,18 @@
       events.accept(event);
     }
 
+    @Override
+    public final void end() {
+      if (JoinedResponse.isBodyJoined(body, dependencies.protocol().attemptHeader())) {
+        failed(UpstreamFailure.MALFORMED);
+      } else {
+        endWhole();
+      }
+    }
+
+    /** Handles the end of a response that is not joined with another one. */
+    abstract void endWhole();
+
     /**
      * Records that the upstream responded, and its feedback, unless a different upstream may have
      * responded at its address.
@@ -447,7 +449,7 @@
     }
 
     @Override
-    public void end() {
+    void endWhole() {
       Optional<PrefilledPrompt> prefilled =
           disposition == ResponseDisposition.SERVED
               ? dependencies.protocol().prefilledPrompt(body())
@@ -515,6 +517,9 @@
       }
       try {
         for (EventSplitter.Event event : splitter.split(bytes)) {
+          if (JoinedResponse.isTextJoined(event.text(), dependencies.protocol().attemptHeader())) {
+            return Optional.of(UpstreamFailure.MALFORMED);
+          }
           event(event);
         }
       } catch (NumberFormatException | NonIncreasingIdException malformed) {
@@ -526,7 +531,7 @@
     }
 
     @Override
-    public void end() {
+    void endWhole() {
       if (disposition == ResponseDisposition.FULL
           || disposition == ResponseDisposition.MISDIRECTED) {
         failed(failureOf(disposition));
@@ -554,7 +559,10 @@
     }
 
     private void endStream() {
-      if (splitter.hasIncompleteEvent() || lastIndex < 0) {
+      String attemptHeader = dependencies.protocol().attemptHeader();
+      if (splitter.hasIncompleteEvent()
+          || lastIndex < 0
+          || JoinedResponse.isTextJoined(splitter.trailingText(), attemptHeader)) {
         failed(UpstreamFailure.CUT);
         return;
       }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -224,6 +224,26 @@
         + relayServer.responsesExceeding(bound);
   }
 
+  /** Returns the number of responses of upstreams by the request that their identifier names. */
+  public long responses(ResponseOrigin origin) {
+    return exchangeDependencies.calls().responseCount(origin) + relayServer.responses(origin);
+  }
+
+  /** Returns the number of requests that were written to connections. */
+  public long requestsWritten() {
+    return exchangeDependencies.calls().writtenCount() + relayServer.written();
+  }
+
+  /** Returns the number of connections on which something arrived that no request waited for. */
+  public long unrequestedResponses() {
+    return exchangeDependencies.connections().unrequested() + relayServer.unrequested();
+  }
+
+  /** Returns the number of connections that were opened for calls of other daemons. */
+  public long connectionsOpenedForOthers() {
+    return relayServer.opened();
+  }
+
   /** Returns the size of the large responses that are being buffered, in bytes. */
   public long responseBytesBuffered() {
     return bufferedBytes.countedBytes();
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingProtocol.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingProtocol.java
@@ -27,13 +27,26 @@
   MultiMap returnedHeaders(MultiMap upstreamHeaders);
 
   /**
-   * Classifies a response by its status and headers.
+   * Classifies a response to a request by its status and headers.
    *
-   * @param attempt the attempt to which the response should belong
+   * @param attempt the identifier of the request; empty if it has none
    * @param prefill whether the request asked only for a prefill
    */
   ResponseDisposition dispositionOf(int status, MultiMap headers, String attempt, boolean prefill);
 
+  /**
+   * Returns the identifier that a request or a response bears; empty if it bears none.
+   *
+   * @return for headers with several identifiers, a text that equals none of them
+   */
+  String attemptOf(MultiMap headers);
+
+  /** Returns the name of the header that bears the identifier. */
+  String attemptHeader();
+
+  /** Returns whether a response bears the proof that its upstream made it. */
+  boolean isProven(MultiMap upstreamHeaders);
+
   /** Returns what an upstream reports of itself in the head of any response. */
   UpstreamFeedback feedbackOf(int status, MultiMap upstreamHeaders);
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/KvDeletion.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/KvDeletion.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
 import java.util.Optional;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.outcome.UpstreamFailure;
@@ -32,6 +33,19 @@
     this.done = done;
   }
 
+  /** Returns the request that deletes the KV cache of a prefill of another request. */
+  static ForwardedRequest request(String path, ForwardedRequest prefilled) {
+    return new ForwardedRequest(
+        HttpMethod.DELETE,
+        path,
+        "",
+        MultiMap.caseInsensitiveMultiMap(),
+        Buffer.buffer(),
+        false,
+        prefilled.parameters(),
+        prefilled.organisation());
+  }
+
   @Override
   public boolean head(int status, MultiMap headers) {
     dependencies
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -5,6 +5,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
@@ -12,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
@@ -38,6 +40,9 @@
   private static final int NOT_SENT_STATUS = 503;
   private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
 
+  /** Statuses of responses without a body. */
+  private static final Set<Integer> BODILESS = Set.of(204, 205, 304);
+
   private final Vertx vertx;
   private final byte[] token;
   private final ForwardingProtocol protocol;
@@ -129,6 +134,26 @@
     return calls.exceededCount(bound);
   }
 
+  /** Returns the number of responses of upstreams by origin. */
+  long responses(ResponseOrigin origin) {
+    return calls.responseCount(origin);
+  }
+
+  /** Returns the number of requests that were written. */
+  long written() {
+    return calls.writtenCount();
+  }
+
+  /** Returns the number of connections that were opened. */
+  long opened() {
+    return connections.opened();
+  }
+
+  /** Returns the number of connections on which something arrived that no request waited for. */
+  long unrequested() {
+    return connections.unrequested();
+  }
+
   private void receive(HttpServerRequest request) {
     request.response().exceptionHandler(reset -> {});
     String presented = request.getHeader(Relay.TOKEN);
@@ -175,7 +200,7 @@
         new ForwardCall(
             connections,
             calls,
-            protocol::keepAliveMillis,
+            protocol,
             target,
             relayed,
             () -> obstacle(request, target),
@@ -241,15 +266,26 @@
       }
       response.setStatusCode(status);
       response.headers().addAll(Relay.passedOn(headers));
-      String length = headers.get("content-length");
-      if (length == null) {
+      if (hasBody(status)) {
+        // A failure that is found at the end of the body has to reach the sender as such.
         response.setChunked(true);
       } else {
-        response.putHeader("content-length", length);
+        copyLength(headers);
       }
       return true;
     }
 
+    private boolean hasBody(int status) {
+      return !HttpMethod.HEAD.equals(request.method()) && !BODILESS.contains(status);
+    }
+
+    private void copyLength(MultiMap headers) {
+      String length = headers.get("content-length");
+      if (length != null) {
+        response.putHeader("content-length", length);
+      }
+    }
+
     /** Guards against an upstream that sends faster than the sender of the call reads. */
     @Override
     public Optional<UpstreamFailure> bytes(Buffer bytes) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
@@ -21,6 +22,8 @@
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.daemon.upstream.AbortiveClose;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Pool of idle connections to upstreams, by incarnation instead of address, since addresses are
@@ -52,7 +55,12 @@
    */
   private static final int MAXIMUM_HEAD_BYTES = 16 << 10;
 
-  private record IdleConnection(HttpClientConnection connection, long usableUntilMillis) {}
+  private static final Logger LOG = LoggerFactory.getLogger(UpstreamConnections.class);
+
+  /** Numbers the connections of all pools. */
+  private static final AtomicLong SERIALS = new AtomicLong();
+
+  private record IdleConnection(UpstreamConnection connection, long usableUntilMillis) {}
 
   private final HttpClientAgent client;
   private final Clock clock;
@@ -64,6 +72,7 @@
   private final Consumer<Relay> relayFailed;
   private long opened;
   private long relayed;
+  private long unrequested;
 
   /**
    * Creates an empty pool.
@@ -98,23 +107,45 @@
     this.relayFailed = relayFailed;
   }
 
-  /** Returns a connection that nothing else uses. A failure proves that nothing was sent. */
-  Future<UpstreamConnection> acquire(UpstreamDefinition target) {
-    Deque<IdleConnection> idleConnections = idle.get(target.incarnation());
-    while (idleConnections != null && !idleConnections.isEmpty()) {
-      IdleConnection newest = idleConnections.pollLast();
-      if (newest.usableUntilMillis() > clock.millis()) {
-        return Future.succeededFuture(UpstreamConnection.direct(newest.connection()));
-      }
-      newest.connection().close();
+  /**
+   * Returns a connection that nothing else uses, and that carried no request with an identifier. A
+   * failure proves that nothing was sent.
+   *
+   * @param attempt the identifier that the request bears; empty if it bears none
+   */
+  Future<UpstreamConnection> acquire(UpstreamDefinition target, String attempt) {
+    Optional<UpstreamConnection> usable = acquireIdle(target.incarnation(), attempt);
+    if (usable.isPresent()) {
+      return Future.succeededFuture(usable.get());
     }
     Optional<Relay> used = relay.apply(target.name());
     if (used.isPresent()) {
       return connect(used.get());
     }
-    return connect(target)
-        .map(UpstreamConnection::direct)
-        .recover(cause -> connectByRelay(target, cause));
+    return connect(target).recover(cause -> connectByRelay(target, cause));
+  }
+
+  /** A response to a request without an identifier only counts on a new connection. */
+  private Optional<UpstreamConnection> acquireIdle(Incarnation target, String attempt) {
+    Deque<IdleConnection> idleConnections = idle.get(target);
+    if (idleConnections == null || attempt.isEmpty()) {
+      return Optional.empty();
+    }
+    Deque<IdleConnection> passedOver = new ArrayDeque<>(0);
+    Optional<UpstreamConnection> usable = Optional.empty();
+    while (usable.isEmpty() && !idleConnections.isEmpty()) {
+      IdleConnection newest = idleConnections.pollLast();
+      UpstreamConnection connection = newest.connection();
+      if (connection.hasCarried(attempt)) {
+        passedOver.addFirst(newest);
+      } else if (newest.usableUntilMillis() > clock.millis() && connection.isUsable()) {
+        usable = Optional.of(connection);
+      } else {
+        connection.close();
+      }
+    }
+    idleConnections.addAll(passedOver);
+    return usable;
   }
 
   /** Connects to a relay after the direct connection has failed, if there is one by now. */
@@ -126,7 +157,7 @@
     relayed++;
     return client
         .connect(options(used.address(), used.port()))
-        .map(connection -> new UpstreamConnection(connection, Optional.of(used)))
+        .map(connection -> watched(connection, Optional.of(used), used.daemon().toString()))
         .onFailure(cause -> relayFailed.accept(used));
   }
 
@@ -144,16 +175,34 @@
         .mapEmpty();
   }
 
-  private Future<HttpClientConnection> connect(UpstreamDefinition target) {
+  private Future<UpstreamConnection> connect(UpstreamDefinition target) {
     opened++;
     long startedAtMillis = clock.millis();
     return faultOf(target)
         .compose(reachable -> client.connect(options(target.address(), target.port())))
+        .map(connection -> watched(connection, Optional.empty(), target.incarnation().toString()))
         .onSuccess(connection -> listener.connected(target, startedAtMillis))
         .onFailure(
             cause -> listener.failed(target, startedAtMillis, isRefusal(cause), cause.toString()));
   }
 
+  private UpstreamConnection watched(
+      HttpClientConnection connection, Optional<Relay> used, String peer) {
+    return new UpstreamConnection(
+        SERIALS.incrementAndGet(), connection, used, received -> recordUnrequested(received, peer));
+  }
+
+  private void recordUnrequested(UpstreamConnection connection, String peer) {
+    unrequested++;
+    LOG.atInfo()
+        .addKeyValue("request", connection.lastAttempt())
+        .addKeyValue("peer", peer)
+        .addKeyValue("connection", connection.serial())
+        .addKeyValue("localPort", connection.localPort())
+        .addKeyValue("position", connection.requests())
+        .log("connection closed on which something arrived that no request waits for");
+  }
+
   private static HttpConnectOptions options(String address, int port) {
     return new HttpConnectOptions()
         .setHost(address)
@@ -176,18 +225,25 @@
     return cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
   }
 
-  /** Returns a connection to the pool after a complete response. */
-  void release(Incarnation target, HttpClientConnection connection, long idleMillis) {
+  /**
+   * Returns a connection to the pool after a complete response, in a later turn of the event loop:
+   * what follows the response in the same bytes is read by then.
+   */
+  void release(Incarnation target, UpstreamConnection connection, long idleMillis) {
+    vertx.runOnContext(read -> releaseNow(target, connection, idleMillis));
+  }
+
+  private void releaseNow(Incarnation target, UpstreamConnection connection, long idleMillis) {
     long usableMillis = idleMillis - IDLE_MARGIN_MILLIS;
     Deque<IdleConnection> idleConnections =
         idle.computeIfAbsent(target, incarnation -> new ArrayDeque<>());
-    if (usableMillis <= 0 || idleConnections.size() >= MAXIMUM_IDLE) {
+    if (usableMillis <= 0 || idleConnections.size() >= MAXIMUM_IDLE || !connection.isInStep()) {
       connection.close();
       return;
     }
     IdleConnection idleConnection = new IdleConnection(connection, clock.millis() + usableMillis);
     idleConnections.addLast(idleConnection);
-    connection.closeHandler(closed -> idleConnections.remove(idleConnection));
+    connection.connection().closeHandler(closed -> idleConnections.remove(idleConnection));
   }
 
   /** Closes the connections to all upstreams except the given ones, and those that have expired. */
@@ -225,6 +281,11 @@
     return relayed;
   }
 
+  /** Returns the number of connections on which something arrived that no request waited for. */
+  long unrequested() {
+    return unrequested;
+  }
+
   /** Returns the number of connections that were opened. */
   long opened() {
     return opened;
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
@@ -3,18 +3,32 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.lang.reflect.Proxy;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.model.UpstreamRole;
 import org.marjoramsail.daemon.assembly.SystemClock;
 import org.marjoramsail.daemon.fixture.AcceptQueue;
 import org.marjoramsail.daemon.fixture.FakePlainService;
@@ -23,7 +37,19 @@
 /** Calls that a daemon relays for others. */
 final class RelayServerTest {
 
+  private static final String BODY_BYTE = "z";
+
+  /** More than the buffers of all connections on the way hold. */
+  private static final int BODY_BYTES = 12 << 20;
+
+  private static final int BODY_STEP_BYTES = 16 << 10;
+  private static final int BODIES = 6;
+
+  private static final int READ_BYTES = 64 << 10;
+  private static final int PATIENCE_MILLIS = 20_000;
+  private static final String LAST_CHUNK = "\r\n0\r\n\r\n";
   private static final int CALLS = 10;
+  private static final String EXTRA = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
   private static final String ADDRESS = "127.0.0.1";
   private static final String TOKEN = "token";
   private static final String CALL =
@@ -71,6 +97,74 @@
     }
   }
 
+  /** Guards against a complete response that is cut, as its sender reads it too slowly. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void aCompleteResponseIsRelayedWholeToASlowSender(boolean isConnectionEnded) throws IOException {
+    Queue<Integer> lengths = new ConcurrentLinkedQueue<>();
+    for (int body = 0; body < BODIES; body++) {
+      lengths.add(BODY_BYTES + body * BODY_STEP_BYTES);
+    }
+    List<Integer> expected = List.copyOf(lengths);
+    NetServer upstream =
+        vertx
+            .createNetServer()
+            .connectHandler(
+                socket ->
+                    socket.handler(
+                        request -> respond(socket, lengths.remove(), isConnectionEnded)));
+    RelayServer relay = relay(definition(Waits.get(upstream.listen(0, ADDRESS)).actualPort()));
+    int port = Waits.get(relay.start(ADDRESS, 0));
+
+    for (int length : expected) {
+      String response = readSlowly(port);
+
+      assertThat(response.chars().filter(read -> read == BODY_BYTE.charAt(0)).count())
+          .isEqualTo(length);
+      assertThat(response).endsWith(LAST_CHUNK);
+    }
+    Waits.until("no call is relayed", () -> relay.running() == 0);
+  }
+
+  /** Responds, and ends the connection or sends something that was not asked for. */
+  private static void respond(NetSocket socket, int length, boolean isConnectionEnded) {
+    String response =
+        "HTTP/1.1 200 OK\r\ncontent-length: " + length + "\r\n\r\n" + BODY_BYTE.repeat(length);
+    Future<Void> unused =
+        isConnectionEnded ? socket.end(Buffer.buffer(response)) : socket.write(response + EXTRA);
+  }
+
+  /** Calls a relay and reads its response more slowly than the relay sends it. */
+  private String readSlowly(int port) throws IOException {
+    ByteArrayOutputStream response = new ByteArrayOutputStream();
+    try (Socket socket = new Socket()) {
+      socket.setSoTimeout(PATIENCE_MILLIS);
+      socket.setReceiveBufferSize(READ_BYTES);
+      socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+      socket.getOutputStream().write(CALL.getBytes(StandardCharsets.ISO_8859_1));
+      byte[] bytes = new byte[READ_BYTES];
+      for (int read = 0; read >= 0; read = socket.getInputStream().read(bytes)) {
+        response.write(bytes, 0, read);
+        Waits.get(vertx.timer(1));
+      }
+    }
+    return response.toString(StandardCharsets.ISO_8859_1);
+  }
+
+  private static UpstreamDefinition definition(int port) {
+    return new UpstreamDefinition(
+        new UpstreamName("desk-1"),
+        "desk",
+        UpstreamRole.PLAIN,
+        ADDRESS,
+        port,
+        "zone-a",
+        "region-a",
+        1,
+        false,
+        false);
+  }
+
   private RelayServer relay(UpstreamDefinition upstream) {
     return new RelayServer(
         vertx,
@@ -109,7 +203,12 @@
             ForwardingProtocol.class.getClassLoader(),
             new Class<?>[] {ForwardingProtocol.class},
             (proxy, method, arguments) ->
-                method.getName().equals("parametersOf") ? parameters : Optional.empty());
+                switch (method.getName()) {
+                  case "parametersOf" -> parameters;
+                  case "attemptOf" -> "";
+                  case "isProven" -> false;
+                  default -> Optional.empty();
+                });
   }
 
   private static final class IgnoredLiveness implements LivenessListener {
