Log the requests on a caller's connection that the daemon closes

Change: a connection that the daemon closes with requests on it, running or waiting behind others, is logged with the port of the caller, the reason and the attempts.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -74,7 +74,7 @@
     this.vertx = vertx;
     this.dependencies = dependencies;
     this.port = new ListeningPort(vertx);
-    this.connections = new CallerConnections(vertx);
+    this.connections = new CallerConnections(vertx, dependencies.protocol()::attemptOf);
     this.stop = new StopState(dependencies.clock());
     ConnectionCloseHeader connectionCloseHeader = new ConnectionCloseHeader(stop::isAnnounced);
     this.refusals =
@@ -317,6 +317,7 @@
       // The response before it has told the caller to send it on another connection.
       return;
     }
+    connections.requestAccepted(request);
     long receivedAtMillis = dependencies.clock().millis();
     request.response().exceptionHandler(ignored -> {});
     request.response().headersEndHandler(begins -> connections.responseBegins(request));
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/CallerConnectionsTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/CallerConnectionsTest.java
@@ -4,12 +4,14 @@
 
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import io.vertx.core.net.NetClient;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -23,7 +25,9 @@
   private static final long RESPONSE_MILLIS = 5 * IDLE_MILLIS / 2;
 
   private final Vertx vertx = Vertx.vertx();
-  private final CallerConnections connections = new CallerConnections(vertx);
+  private final HttpClient httpClient = vertx.createHttpClient(new PoolOptions());
+  private final NetClient netClient = vertx.createNetClient();
+  private final CallerConnections connections = new CallerConnections(vertx, headers -> "");
 
   @AfterEach
   void close() {
@@ -37,8 +41,7 @@
 
     int status =
         Waits.get(
-            vertx
-                .createHttpClient(new PoolOptions())
+            httpClient
                 .request(
                     new RequestOptions()
                         .setMethod(HttpMethod.GET)
@@ -58,8 +61,7 @@
     Promise<Void> closed = Promise.promise();
 
     Waits.get(
-        vertx
-            .createNetClient()
+        netClient
             .connect(server.actualPort(), "127.0.0.1")
             .onSuccess(socket -> socket.closeHandler(closed::complete)));
 
