Watch the pooled connections to the store, the object API, the host list and engines

What daemons saw: a status with the body of the next response; a refused write that counted as done, one that was done as refused; the body of a 503 as a result; a list of hosts without hosts that dropped all of them; one silent connection that kept the list from being read without a bound.

The pools used a connection again on which more had arrived than was due, and took a head that another one continues. The list took an answer without hosts for an empty list, and a call that timed out kept the only connection.

Why the fix works: RequestWatch closes a connection on which anything arrives that no request waits for, and refuses joined heads. A call of the list that fails ends its connection, and an answer without hosts is no list.

--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/RequestWatch.java
@@ -0,0 +1,79 @@
+package org.marjoramsail.daemon.connection;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.http.HttpRequest;
+import io.vertx.core.http.HttpClientBuilder;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.net.impl.ConnectionBase;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Watches connections whose requests are written by a pool: each request that is written makes a
+ * response due. A request that finds its connection out of step is not written, and fails; so does
+ * one whose response has a {@link JoinedHead}.
+ *
+ * <p>For clients that do not pipeline.
+ */
+public final class RequestWatch {
+
+  private static final Logger LOG = LoggerFactory.getLogger(RequestWatch.class);
+
+  private final HttpConnection connection;
+  private final ConnectionWatch watch;
+
+  private RequestWatch(HttpConnection connection, ConnectionWatch watch) {
+    this.connection = connection;
+    this.watch = watch;
+  }
+
+  /** Watches all connections of a client that is built. */
+  public static HttpClientBuilder watchAll(HttpClientBuilder builder) {
+    return builder.withConnectHandler(RequestWatch::of);
+  }
+
+  /** Watches a connection that carried nothing so far; called on its event loop. */
+  public static RequestWatch of(HttpConnection connection) {
+    // The connection may be a wrapper, of which the method returns the connection within.
+    HttpConnection within = connection.exceptionHandler(ignored -> {});
+    if (!(within instanceof ConnectionBase base)) {
+      throw new IllegalArgumentException("connection without a channel: " + within);
+    }
+    RequestWatch watch =
+        new RequestWatch(within, ConnectionWatch.refusingJoinedHeads(base, () -> log(within)));
+    ChannelHandlerContext last = base.channelHandlerContext();
+    last.pipeline().addBefore(last.name(), null, watch.new Requests());
+    return watch;
+  }
+
+  /** Reads what has arrived, and returns whether it is open and in step after that. */
+  public boolean isUsable() {
+    return (watch.isReading() || ConnectionProbe.isOpen(connection)) && watch.isInStep();
+  }
+
+  private static void log(HttpConnection connection) {
+    LOG.atInfo()
+        .addKeyValue("peer", connection.remoteAddress())
+        .addKeyValue("localPort", connection.localAddress().port())
+        .log("connection closed on which something arrived that no request waits for");
+  }
+
+  /** Watches the requests on their way to the encoder. */
+  private final class Requests extends ChannelOutboundHandlerAdapter {
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise)
+        throws Exception {
+      if (message instanceof HttpRequest) {
+        // The write fails on a connection that is closed.
+        if (!isUsable() && context.channel().isActive()) {
+          watch.closeOutOfStep();
+        }
+        watch.expectResponse();
+      }
+      super.write(context, message, promise);
+    }
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/platform/HostList.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/HostList.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import java.util.List;
+import java.util.Objects;
 
 /**
  * The platform's list of hosts.
@@ -12,8 +13,8 @@
 @JsonIgnoreProperties(ignoreUnknown = true)
 public record HostList(List<HostEntry> hosts, long ageMillis) {
 
-  /** Copies the list, so that the value cannot change. */
+  /** Copies the hosts, so that the value cannot change; an answer without them is no list. */
   public HostList {
-    hosts = hosts == null ? List.of() : List.copyOf(hosts);
+    hosts = List.copyOf(Objects.requireNonNull(hosts, "hosts"));
   }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/platform/HostListClient.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/HostListClient.java
@@ -7,14 +7,17 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.marjoramsail.daemon.connection.RequestWatch;
 
 /**
  * Asks the platform for its list of hosts again and again.
@@ -63,7 +66,8 @@
             .setDefaultHost(settings.address())
             .setDefaultPort(settings.port())
             .setConnectTimeout(settings.connectTimeoutMillis());
-    this.client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(1));
+    PoolOptions pool = new PoolOptions().setHttp1MaxSize(1);
+    this.client = RequestWatch.watchAll(vertx.httpClientBuilder().with(options).with(pool)).build();
   }
 
   /** Asks at once, and goes on until closed. */
@@ -83,15 +87,30 @@
       return;
     }
     client
-        .request(HttpMethod.GET, "/hosts")
-        .compose(request -> request.send().compose(HostListClient::body))
-        .timeout(settings.answerTimeoutMillis(), TimeUnit.MILLISECONDS)
+        .request(options())
+        .compose(this::exchange)
         .compose(this::parse)
         .onSuccess(listener::accept)
         .onComplete(result -> count(result.succeeded()))
         .onComplete(unused -> askLater());
   }
 
+  private RequestOptions options() {
+    return new RequestOptions()
+        .setMethod(HttpMethod.GET)
+        .setURI("/hosts")
+        .setConnectTimeout(settings.connectTimeoutMillis());
+  }
+
+  /** Ends the connection of a call that fails: the next call would wait for it. */
+  private Future<Buffer> exchange(HttpClientRequest request) {
+    return request
+        .send()
+        .compose(HostListClient::body)
+        .timeout(settings.answerTimeoutMillis(), TimeUnit.MILLISECONDS)
+        .onFailure(unused -> request.reset());
+  }
+
   private static Future<Buffer> body(HttpClientResponse response) {
     return response.statusCode() == OK
         ? response.body()
--- a/daemon/src/main/java/org/marjoramsail/daemon/platform/HttpObjectApi.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/HttpObjectApi.java
@@ -17,6 +17,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.marjoramsail.daemon.connection.RequestWatch;
 import org.marjoramsail.daemon.platform.ObjectApiException.Failure;
 import org.marjoramsail.daemon.upstream.AbortiveClose;
 
@@ -58,7 +59,7 @@
             .setTcpNoDelay(true);
     PoolOptions pool =
         new PoolOptions().setHttp1MaxSize(connections).setMaxWaitQueueSize(MAXIMUM_CALLS_WAITING);
-    return vertx.createHttpClient(options, pool);
+    return RequestWatch.watchAll(vertx.httpClientBuilder().with(options).with(pool)).build();
   }
 
   @Override
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamHttp.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamHttp.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.marjoramsail.core.outcome.UpstreamFailure;
+import org.marjoramsail.daemon.connection.RequestWatch;
 
 /**
  * HTTP client for upstreams that classifies failures by whether a request may have run.
@@ -34,7 +35,8 @@
   public UpstreamHttp(Vertx vertx, UpstreamLimits limits) {
     this.limits = limits;
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(limits.maximumConnections());
-    this.pooled = vertx.createHttpClient(options(limits).setKeepAlive(true), pool);
+    HttpClientOptions kept = options(limits).setKeepAlive(true);
+    this.pooled = RequestWatch.watchAll(vertx.httpClientBuilder().with(kept).with(pool)).build();
     this.unpooled = vertx.createHttpClient(options(limits).setKeepAlive(false), pool);
   }
 
--- /dev/null
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedHeadTest.java
@@ -0,0 +1,50 @@
+package org.marjoramsail.daemon.upstream;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpMethod;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.marjoramsail.core.model.UpstreamName;
+import org.marjoramsail.core.outcome.UpstreamFailure;
+import org.marjoramsail.daemon.fixture.Waits;
+import org.marjoramsail.standin.network.JoinedHeadStandIn;
+import org.marjoramsail.standin.network.JoinedHeadStandIn.Break;
+
+/** Calls to an upstream whose response breaks off, where another one continues it. */
+@Timeout(60)
+final class UpstreamJoinedHeadTest {
+
+  private static final String ADDRESS = "127.0.0.1";
+
+  private final Vertx vertx = Vertx.vertx();
+
+  @AfterEach
+  void close() {
+    Waits.get(vertx.close());
+  }
+
+  /**
+   * Guards against a success that is made of the status of one response and the body of another.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void aResponseThatAnotherOneContinuesIsCut(Break place) {
+    JoinedHeadStandIn server = new JoinedHeadStandIn(vertx, place, 200, 503, "other");
+    int port = Waits.get(server.start(ADDRESS));
+    UpstreamEndpoint endpoint = new UpstreamEndpoint(new UpstreamName("desk-1"), ADDRESS, port);
+    UpstreamHttp http = new UpstreamHttp(vertx, UpstreamLimits.defaults());
+
+    String result =
+        Waits.get(
+            http.control(endpoint, HttpMethod.GET, "/status")
+                .map(body -> body.toString(StandardCharsets.UTF_8))
+                .otherwise(cause -> UpstreamCallException.failureOf(cause).name()));
+
+    assertThat(result).isEqualTo(UpstreamFailure.CUT.name());
+  }
+}
