Read the answer to an order to its own server only

What callers saw: nothing; operators could see an order counted as taken that was refused, or as outdated.

Cause: answers to orders name no order.

--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -70,7 +70,6 @@
 import org.marjoramsail.daemon.request.QuarantineLog;
 import org.marjoramsail.daemon.request.StoredClaims;
 import org.marjoramsail.daemon.settings.Settings;
-import org.marjoramsail.daemon.upstream.AbortiveClose;
 import org.marjoramsail.daemon.upstream.CacheEventPoller;
 import org.marjoramsail.daemon.upstream.OrphanCanceller;
 import org.marjoramsail.daemon.upstream.PollInterval;
@@ -182,7 +181,7 @@
     this.orders =
         new OrderService(
             store,
-            new HttpEngineOrders(vertx.createHttpClient(AbortiveClose.options())),
+            new HttpEngineOrders(vertx),
             configuration::current,
             membership::view,
             clock,
--- a/daemon/src/main/java/org/marjoramsail/daemon/order/HttpEngineOrders.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/order/HttpEngineOrders.java
@@ -7,8 +7,10 @@
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.datatype.jdk8.Jdk8Module;
 import io.vertx.core.Future;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
@@ -25,8 +27,15 @@
 import org.marjoramsail.core.order.EngineOrderKind;
 import org.marjoramsail.core.order.EngineState;
 import org.marjoramsail.core.order.OrderProgress;
-
-/** Client of the engines' HTTP interface for orders. */
+import org.marjoramsail.daemon.connection.RequestWatch;
+import org.marjoramsail.daemon.upstream.AbortiveClose;
+
+/**
+ * Client of the engines' HTTP interface for orders.
+ *
+ * <p>Each call has a connection of its own: responses do not name the order that they belong to, so
+ * that one which is repeated on a connection would be taken for that to the next order.
+ */
 public final class HttpEngineOrders implements EngineOrders {
 
   private static final ObjectMapper MAPPER =
@@ -45,9 +54,10 @@
 
   private final HttpClient client;
 
-  /** Creates an instance that sends through the given HTTP client. */
-  public HttpEngineOrders(HttpClient client) {
-    this.client = client;
+  /** Creates an instance with an HTTP client of its own, which is closed with {@code vertx}. */
+  public HttpEngineOrders(Vertx vertx) {
+    HttpClientOptions options = AbortiveClose.options().setKeepAlive(false);
+    this.client = RequestWatch.watchAll(vertx.httpClientBuilder().with(options)).build();
   }
 
   private record OrderBody(
