Match responses in the soak with the visits that made them

What was missing: the judge of the soak compared no status, proof and body with the visit that made them, and no upstream responded twice.

Change: faults responses-repeated, responses-repeated-with-id and host-paths-cut; a judge (ResponseJudge, ResponseRule) that matches what each caller received with the visit, and finds posts that ran twice or were refused although they had run; counts of relayed calls, of new connections a request and of requests within 3 s after a return of the store. A call that its caller gave up is judged with its connection (LossLog). The tables of sockets are read off the event loop.

--- a/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
+++ b/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
@@ -9,8 +9,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.marjoramsail.command.fleet.FleetException;
 import org.marjoramsail.command.fleet.ProcessDaemons;
+import org.marjoramsail.command.platform.BrokenResponse;
 import org.marjoramsail.command.platform.KindCount;
 import org.marjoramsail.command.platform.PlatformFault;
 import org.marjoramsail.command.platform.PlatformSoak;
@@ -47,6 +50,12 @@
       "Some callers leave before their response is complete, half of them at once. No more than"
           + " three of their requests may reach a server over half a second later, and servers may"
           + " still work on a quarter of the interrupted streams then.",
+      "Servers send responses a second time, also late, cut, with another outcome or without an"
+          + " identifier, and respond to long requests before they read the body, or behind a"
+          + " response that breaks off. Each response"
+          + " that a caller receives is matched by its status, proof,"
+          + " identifier and body with the visit of a server that made it; each request that a"
+          + " server receives is compared with what its caller sent.",
       "Ends with 3 when a rule was broken, when no request of a kind was served, or when fewer than"
           + " nine tenths of the requests were sent on time."
     })
@@ -185,10 +194,10 @@
     return chosen;
   }
 
-  private static void print(PlatformSoakReport report, PrintStream output) {
+  private void print(PlatformSoakReport report, PrintStream output) {
     output.printf(
-        "%d requests, %d of them sent late; the soak itself stood still %d times%n",
-        report.load().requests(), report.load().late(), report.load().stalls());
+        "seed %d: %d requests, %d of them sent late; the soak itself stood still %d times%n",
+        seed, report.load().requests(), report.load().late(), report.load().stalls());
     for (KindCount kind : report.kinds()) {
       output.println(kind);
     }
@@ -229,9 +238,30 @@
     printCrashes(report.crashes(), output);
     printUnanswered(report.unanswered(), output);
     printDepartures(report.departures(), output);
+    printStoreReturn(report.storeReturn(), output);
+    printResponses(report.responses(), output);
     output.println(report.isClean() ? "The soak is clean." : "The soak is BROKEN.");
   }
 
+  private static void printResponses(PlatformSoakReport.Responses responses, PrintStream output) {
+    output.printf(
+        "%d requests reached servers, %d of them relayed; %.3f new connections a request%n",
+        responses.requests(),
+        responses.relayed(),
+        (double) responses.connections() / Math.max(1, responses.requests()));
+    output.printf(
+        "%d responses sent a second time, %d of them while a request waited%n",
+        responses.repeats(), responses.met());
+    new TreeMap<>(responses.repeated())
+        .forEach((kind, count) -> output.printf("repeated, %-55s %4d%n", kind, count));
+    new TreeMap<>(responses.early())
+        .forEach((kind, count) -> output.printf("before the body, %-47s %4d%n", kind, count));
+    responses.broken().stream()
+        .collect(Collectors.groupingBy(BrokenResponse::rule, TreeMap::new, Collectors.counting()))
+        .forEach((rule, count) -> output.printf("BROKEN %s: %d%n", rule.code(), count));
+    responses.broken().forEach(broken -> output.println("broken rule " + broken));
+  }
+
   private static void printSilence(PlatformSoakReport.Silence silence, PrintStream output) {
     output.printf(
         "silent servers: %d responses broken off, %d more at their deadline, %d repeats,"
@@ -291,6 +321,14 @@
         .forEach(stream -> output.println("still at work for a departed caller: " + stream));
   }
 
+  private static void printStoreReturn(
+      PlatformSoakReport.StoreReturn storeReturn, PrintStream output) {
+    output.printf(
+        "the store responded again %d times; of %d requests in the 3 s after it %d were refused and"
+            + " %d failed%n",
+        storeReturn.returns(), storeReturn.requests(), storeReturn.refused(), storeReturn.failed());
+  }
+
   private static void require(String option, int value, int least, int most) throws UsageException {
     if (value < least || value > most) {
       throw new UsageException(option, Integer.toString(value), least + " to " + most);
--- a/command/src/main/java/org/marjoramsail/command/platform/LossLog.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/LossLog.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 import org.marjoramsail.platform.standin.CallerStandIn;
 
 /**
@@ -72,6 +73,7 @@
   private final Map<String, Sent> sent = new HashMap<>();
   private final Map<String, Set<String>> servers = new HashMap<>();
   private final List<Unanswered> unanswered = new ArrayList<>();
+  private final List<Unanswered> brokenOffAfterDeadline = new ArrayList<>();
   private int givenUp;
   private int notSent;
 
@@ -154,6 +156,14 @@
     }
   }
 
+  /** Records that the response to a call is broken off whose caller no longer waits for it. */
+  void brokenOffAfterDeadline(String request, long nowMillis) {
+    Optional.ofNullable(sent.get(request))
+        .ifPresent(
+            call ->
+                brokenOffAfterDeadline.add(new Unanswered(request, call, nowMillis, "", false)));
+  }
+
   /** Returns the result. */
   PlatformSoakReport.Unanswered result() {
     List<UnansweredCall> lost = new ArrayList<>();
@@ -161,7 +171,7 @@
     int atDeadline = givenUp;
     List<UnansweredCall> disturbed = new ArrayList<>();
     for (Unanswered call : unanswered) {
-      if (call.lastedMillis() >= CallerStandIn.DEADLINE_MILLIS || isAtEndOfGrace(call)) {
+      if (isAtDeadline(call) || isBehindDeadline(call) || isAtEndOfGrace(call)) {
         atDeadline++;
       } else if (isDisturbed(call)) {
         disturbed.add(describe(call, reason(call)));
@@ -190,6 +200,28 @@
     return signals.values().stream().mapToInt(List::size).sum();
   }
 
+  private static boolean isAtDeadline(Unanswered call) {
+    return call.lastedMillis() >= CallerStandIn.DEADLINE_MILLIS;
+  }
+
+  /**
+   * Returns whether a call that reached no server ended with a response before it on its connection
+   * that was broken off at or after the deadline of its own call: such a response can only end with
+   * its connection.
+   */
+  private boolean isBehindDeadline(Unanswered call) {
+    return !servers.containsKey(call.request())
+        && ahead(call)
+            .anyMatch(other -> servers.containsKey(other.request()) && isAtDeadline(other));
+  }
+
+  /** Returns the calls before a call on its connection that ended with it. */
+  private Stream<Unanswered> ahead(Unanswered call) {
+    return Stream.concat(unanswered.stream(), brokenOffAfterDeadline.stream())
+        .filter(other -> !other.request().equals(call.request()))
+        .filter(call::isBehind);
+  }
+
   /** Returns whether a server may still have been at work when the grace of its daemon ended. */
   private boolean isAtEndOfGrace(Unanswered call) {
     Optional<Long> stop = lastSignal(stops, call, STOP_MILLIS);
@@ -216,9 +248,7 @@
   private Set<String> serversOf(Unanswered call) {
     Set<String> own = new LinkedHashSet<>(servers.getOrDefault(call.request(), Set.of()));
     if (own.isEmpty()) {
-      unanswered.stream()
-          .filter(call::isBehind)
-          .forEach(ahead -> own.addAll(servers.getOrDefault(ahead.request(), Set.of())));
+      ahead(call).forEach(other -> own.addAll(servers.getOrDefault(other.request(), Set.of())));
     }
     return own;
   }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -57,6 +57,20 @@
   RESPONSES_CUT(ServerStandIn.Mood.CUTTING),
   /** Servers respond with the identifier of another request. */
   RESPONSES_CROSSED(ServerStandIn.Mood.CROSSING),
+  /** Servers send a share of their responses a second time, also with another outcome. */
+  RESPONSES_REPEATED {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      repeatResponses(stage, random.nextDouble(), random);
+    }
+  },
+  /** The same, and all of these bear the identifier of their request. */
+  RESPONSES_REPEATED_WITH_ID {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      repeatResponses(stage, 1, random);
+    }
+  },
   /** Servers send interim responses or bodies without end. */
   SERVERS_ENDLESS(ServerStandIn.Mood.ENDLESS),
   /** Engines discard KV caches before they are fetched. */
@@ -99,6 +113,18 @@
       stage.cutPaths(service(random), random.nextDouble(), millis, random);
     }
   },
+  /**
+   * The network paths from some hosts to servers are cut for a time. Their connections are still
+   * accepted, so that these hosts take the servers for reached and no other host relays calls.
+   */
+  HOST_PATHS_CUT {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      int hosts = 1 + random.nextInt(Math.max(1, stage.daemons().size() / 2));
+      int millis = LEAST_MILLIS + random.nextInt(MOST_CUT_MILLIS - LEAST_MILLIS);
+      stage.cutPathsOfHosts(service(random), hosts, share(random), millis, random);
+    }
+  },
   /** The network paths of daemons to the store are cut for a time. */
   STORE_PATHS_CUT {
     @Override
@@ -234,6 +260,9 @@
   /** Longest time after the end of such a cut at which a server leaves, in milliseconds. */
   private static final int LONGEST_LEAVE_DELAY_MILLIS = 1_000;
 
+  /** Least share of the responses that are sent a second time. */
+  private static final double LEAST_REPEATED = 0.2;
+
   private static final int MOST_DOWN_MILLIS = 2_000;
   private static final int MOST_PAUSE_MILLIS = 3_700;
   private static final int MOST_RELEASE_GAP_MILLIS = 500;
@@ -305,6 +334,12 @@
     return name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
 
+  private static void repeatResponses(PlatformSoakStage stage, double withId, Random random) {
+    double responses = LEAST_REPEATED + random.nextDouble() * (1 - LEAST_REPEATED);
+    stage.repeatResponses(
+        service(random), share(random), responses, withId, millis(random), random);
+  }
+
   private static String service(Random random) {
     return random.nextBoolean() ? PlatformStandIn.ENGINES : PlatformStandIn.DESK;
   }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
@@ -8,12 +8,15 @@
 import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 import org.marjoramsail.command.fleet.FleetDaemon;
 import org.marjoramsail.command.fleet.ProcessDaemons;
 import org.marjoramsail.core.time.Clock;
@@ -22,6 +25,7 @@
 import org.marjoramsail.daemon.settings.Settings;
 import org.marjoramsail.platform.assembly.LoopbackPlatform;
 import org.marjoramsail.standin.network.LinkStandIn;
+import org.marjoramsail.standin.network.ProcessSockets;
 
 /**
  * Daemons on the platform's path, each a process with a loopback address of its own. Runs on one
@@ -83,6 +87,7 @@
   private final PlatformSoakSetup setup;
   private final Clock clock;
   private final SoakArrivals arrivals;
+  private final ProcessSockets sockets;
   private final List<Host> hosts = new ArrayList<>();
   private final Set<Host> starting = new HashSet<>();
   private boolean isEnded;
@@ -107,6 +112,7 @@
     this.setup = setup;
     this.clock = clock;
     this.arrivals = arrivals;
+    this.sockets = new ProcessSockets(vertx);
     int count = setup.daemons();
     // Soaks that start at the same time choose different ports.
     int firstPort = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_FIRST_PORT);
@@ -177,6 +183,36 @@
         .toList();
   }
 
+  /** Returns where the running processes take operators, by their identifiers. */
+  Map<Long, Endpoint> operators() {
+    Map<Long, Endpoint> operators = new HashMap<>();
+    for (Host host : hosts) {
+      host.process
+          .or(() -> host.stopping)
+          .map(FleetDaemon::process)
+          .ifPresent(pid -> operators.put(pid.orElseThrow(), host.listen.operator()));
+    }
+    return operators;
+  }
+
+  /**
+   * Chooses some hosts; returns what gives the ports from which their current processes have
+   * connected.
+   */
+  Supplier<Future<Set<Integer>>> portsOfSome(int count, Random random) {
+    List<Host> chosen = List.copyOf(choose(count, random));
+    return () -> {
+      Set<Long> processes = new HashSet<>();
+      for (Host host : chosen) {
+        host.process
+            .or(() -> host.stopping)
+            .map(FleetDaemon::process)
+            .ifPresent(pid -> processes.add(pid.orElseThrow()));
+      }
+      return sockets.portsOf(processes);
+    };
+  }
+
   /** Returns whether every host has a running process that is not paused. */
   boolean isWhole() {
     return hosts.stream().allMatch(host -> host.process.isPresent() && !host.isPaused);
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -20,6 +21,7 @@
 import org.marjoramsail.platform.assembly.LoopbackPlatform;
 import org.marjoramsail.platform.standin.PlatformStandIn;
 import org.marjoramsail.platform.standin.ServerStandIn;
+import org.marjoramsail.platform.standin.ServerVisits;
 import org.marjoramsail.standin.network.LinkStandIn;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -45,6 +47,9 @@
   /** Time after the last request in which responses are awaited; callers give up sooner. */
   private static final long LAST_RESPONSES_MILLIS = 5_000;
 
+  /** Time before the end of the soak in which metrics are no longer read. */
+  private static final long RELAYED_MILLIS = 1_000;
+
   private static final long PULSE_MILLIS = 20;
 
   /** Time without a pulse after which the soak itself has stood still, and judges nothing. */
@@ -91,6 +96,7 @@
     LeavingCallers leaving =
         new LeavingCallers(
             vertx, clock, setup, platform, daemons, arrivals, new Random(setup.seed()));
+    RelayedCalls relayed = new RelayedCalls(vertx, clock, daemons);
     try {
       FleetRun.await("start", daemons.startAll(), START_SECONDS);
       long loadMillis = setup.seconds() * MILLIS_PER_SECOND;
@@ -102,6 +108,7 @@
             load.start(endMillis);
             new KeptConnections(vertx, clock, setup, daemons, load).start(endMillis);
             leaving.start(endMillis);
+            relayed.start(endMillis + LAST_RESPONSES_MILLIS - RELAYED_MILLIS);
             stage.restartCrashedServers(new Random(random.nextLong()));
             watchPulse(vertx, arrivals);
             vertx.setTimer(
@@ -114,7 +121,7 @@
     } finally {
       daemons.end();
     }
-    PlatformSoakReport report = report(platform, load, arrivals);
+    PlatformSoakReport report = report(platform, load, arrivals, relayed.count());
     logLosses(report);
     return report;
   }
@@ -194,8 +201,24 @@
     vertx.setTimer(pauseMillis, fired -> nextFault(vertx, stage, setup, random, endMillis));
   }
 
+  private static PlatformSoakReport.Responses responses(
+      PlatformStandIn platform, SoakLoad load, int relayed) {
+    Map<String, Integer> repeated = new TreeMap<>();
+    Map<String, Integer> early = new TreeMap<>();
+    int connections = 0;
+    int met = 0;
+    for (ServerVisits server : platform.servers().stream().map(ServerStandIn::visits).toList()) {
+      server.repeated().forEach((kind, count) -> repeated.merge(kind, count, Integer::sum));
+      server.early().forEach((kind, count) -> early.merge(kind, count, Integer::sum));
+      connections += server.connectionsOpened();
+      met += server.repeatedToWaiting();
+    }
+    return new PlatformSoakReport.Responses(
+        platform.visits().size(), connections, relayed, repeated, met, early, load.broken());
+  }
+
   private PlatformSoakReport report(
-      PlatformStandIn platform, SoakLoad load, SoakArrivals arrivals) {
+      PlatformStandIn platform, SoakLoad load, SoakArrivals arrivals, int relayed) {
     Set<String> ran = new HashSet<>();
     List<String> ranTwice = new ArrayList<>();
     for (String request : platform.runs()) {
@@ -216,6 +239,8 @@
         arrivals.silence(),
         arrivals.crashes(),
         arrivals.unanswered(),
-        arrivals.departures());
+        arrivals.departures(),
+        responses(platform, load, relayed),
+        load.storeReturn());
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
@@ -24,6 +24,8 @@
  * @param crashes what became of requests whose content crashes servers
  * @param unanswered calls without a complete response
  * @param departures what became of requests whose callers have left
+ * @param responses responses that servers repeated, and those that broke a rule
+ * @param storeReturn results of the requests soon after the store responded again
  */
 public record PlatformSoakReport(
     Load load,
@@ -38,7 +40,9 @@
     Silence silence,
     Crashes crashes,
     Unanswered unanswered,
-    Departures departures) {
+    Departures departures,
+    Responses responses,
+    StoreReturn storeReturn) {
 
   /** Share of the requests that have to be sent on time for a soak to prove something. */
   private static final double MINIMUM_ON_TIME = 0.9;
@@ -208,6 +212,49 @@
     }
   }
 
+  /**
+   * Responses of servers, and what callers received of them.
+   *
+   * @param requests requests that reached servers
+   * @param connections connections that were opened to servers
+   * @param relayed requests that a host sent by another one
+   * @param repeated how many responses servers sent a second time, by the kinds of these
+   * @param met how many of these were sent while a request waited for its response
+   * @param early how many responses preceded the rest of a long body, by kind
+   * @param broken responses and requests that broke a rule
+   */
+  public record Responses(
+      int requests,
+      int connections,
+      int relayed,
+      Map<String, Integer> repeated,
+      int met,
+      Map<String, Integer> early,
+      List<BrokenResponse> broken) {
+    /** Copies the collections, so that the value is immutable. */
+    public Responses {
+      repeated = Map.copyOf(repeated);
+      early = Map.copyOf(early);
+      broken = List.copyOf(broken);
+    }
+
+    /** Returns the number of responses that servers sent a second time. */
+    public int repeats() {
+      return repeated.values().stream().mapToInt(Integer::intValue).sum();
+    }
+  }
+
+  /**
+   * Results of the requests that were sent within 3 s after the store responded again. They are not
+   * judged, as other faults go on meanwhile.
+   *
+   * @param returns how often the store responded again
+   * @param requests number of requests
+   * @param refused those that were refused as not run
+   * @param failed those with another response than a success, or without a complete one
+   */
+  public record StoreReturn(int returns, int requests, int refused, int failed) {}
+
   /** Copies the collections, so that the value is immutable. */
   public PlatformSoakReport {
     kinds = List.copyOf(kinds);
@@ -231,6 +278,7 @@
         && crashes.excess().isEmpty()
         && unanswered.lost().isEmpty()
         && departures.isClean()
+        && responses.broken().isEmpty()
         && retries.values().stream().noneMatch(window -> window.excess() > 0);
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
@@ -10,9 +10,12 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.platform.standin.PlatformStandIn;
 import org.marjoramsail.platform.standin.ServerStandIn;
+import org.marjoramsail.platform.standin.ServerVisits;
 import org.marjoramsail.platform.standin.StoreStandIn;
 import org.marjoramsail.standin.load.DrainLog;
 import org.marjoramsail.standin.network.LinkStandIn;
@@ -105,6 +108,28 @@
     }
   }
 
+  /**
+   * Lets some servers of a service send responses a second time for a time.
+   *
+   * @param servers share of the servers
+   * @param responses share of their responses
+   * @param withId share of these that bear the identifier of their request
+   */
+  void repeatResponses(
+      String service, double servers, double responses, double withId, long millis, Random random) {
+    for (String name : choose(platform.listed(service), servers, random)) {
+      ServerVisits visits = platform.server(name).visits();
+      arrivals.troubleBegins(name);
+      visits.repeatResponses(responses, withId, random.nextLong());
+      vertx.setTimer(
+          millis,
+          fired -> {
+            visits.repeatNothing();
+            arrivals.troubleEnds(name);
+          });
+    }
+  }
+
   /** Lets a share of the servers of a service send nothing for a time, and then go on. */
   void pauseServers(String service, double servers, long millis, Random random) {
     boolean isLong = millis >= LONG_PAUSE_MILLIS;
@@ -153,6 +178,7 @@
         fired -> {
           platform.store().mood(StoreStandIn.Mood.WELL);
           arrivals.disturbanceEnds(DrainLog.STORE);
+          load.storeReturned();
         });
   }
 
@@ -187,11 +213,22 @@
 
   /** Cuts the network paths to a share of the servers of a service for a time. */
   void cutPaths(String service, double servers, long millis, Random random) {
+    cutPaths(service, servers, millis, LinkStandIn::cut, random);
+  }
+
+  /** Cuts the network paths from some hosts to a share of the servers of a service for a time. */
+  void cutPathsOfHosts(String service, int hosts, double servers, long millis, Random random) {
+    Supplier<Future<Set<Integer>>> ports = daemons.portsOfSome(hosts, random);
+    cutPaths(service, servers, millis, link -> link.cut(ports), random);
+  }
+
+  private void cutPaths(
+      String service, double servers, long millis, Consumer<LinkStandIn> cut, Random random) {
     for (String name : choose(platform.listed(service), servers, random)) {
       LinkStandIn link = links.get(name);
       arrivals.disturbanceBegins(name);
       arrivals.troubleBegins(name);
-      link.cut();
+      cut.accept(link);
       vertx.setTimer(
           millis,
           fired -> {
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
@@ -40,6 +40,7 @@
 
   /** Observes the arrivals at a server. */
   void observe(PlatformStandIn platform, String service, String server) {
+    platform.server(server).visits().mark();
     platform
         .server(server)
         .onArrival(
@@ -212,6 +213,11 @@
     losses.gaveUp(request);
   }
 
+  /** Records that the response to a call is broken off whose caller no longer waits for it. */
+  synchronized void brokenOffAfterDeadline(String request) {
+    losses.brokenOffAfterDeadline(request, clock.millis());
+  }
+
   /** Records that a host broke off the response to a request, or sent none. */
   synchronized void brokenOff(String request, String host, long afterMillis) {
     if (isCalm(host)) {
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
@@ -10,6 +10,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
@@ -53,6 +54,14 @@
   /** Share of the plain requests that may be repeated, in hundredths. */
   private static final int REPEATABLE_SHARE = 30;
 
+  /** Share of the plain requests with a long body, in hundredths. */
+  private static final int LONG_SHARE = 30;
+
+  /** Bounds of the bytes of a long body, below the limit of the configuration. */
+  private static final int LEAST_LONG_BYTES = 20_000;
+
+  private static final int MOST_LONG_BYTES = 90_000;
+
   private static final int HUNDRED = 100;
   private static final int NO_ROOM = 429;
   private static final int NOT_NOW = 503;
@@ -64,12 +73,15 @@
   private final PlatformProcesses daemons;
   private final SoakArrivals arrivals;
   private final Random random;
+  private final Random bodies;
   private final CallerStandIn caller;
   private final Map<String, KindCount> kinds = new TreeMap<>();
   private final Map<LossReason, Integer> losses = new EnumMap<>(LossReason.class);
   private final Set<String> once = new HashSet<>();
   private final Set<String> toldNotRun = new HashSet<>();
+  private final ResponseJudge judge = new ResponseJudge();
   private final StreamCount streams = new StreamCount();
+  private final StoreReturns storeReturns;
   private double nextAtMillis;
   private long endMillis;
   private int sequence;
@@ -91,8 +103,10 @@
     this.daemons = daemons;
     this.arrivals = arrivals;
     this.random = random;
+    this.bodies = new Random(setup.seed());
     this.caller = new CallerStandIn(vertx, LoopbackPlatform.ADDRESS, clock);
-    caller.onSent(arrivals::sent);
+    caller.onSent(this::sent);
+    this.storeReturns = new StoreReturns(clock);
   }
 
   /** Sends requests from now on until a time. */
@@ -124,6 +138,16 @@
     return streams.result();
   }
 
+  /** Records that the store responds again. */
+  void storeReturned() {
+    storeReturns.returned();
+  }
+
+  /** Returns the results of the requests soon after the store responded again. */
+  PlatformSoakReport.StoreReturn storeReturn() {
+    return storeReturns.result();
+  }
+
   /** Returns the number of requests, with those that had no daemon to be sent to. */
   int requests() {
     return sequence;
@@ -179,20 +203,29 @@
       return;
     }
     PlatformProcesses.Entry entry = entries.get(random.nextInt(entries.size()));
-    Future<Answer> answer = sendTo(caller, entry, kind, path, request);
+    Future<Answer> answer = sendTo(caller, entry, kind, path, request, bodyHeaders(isStream));
     if (path.equals(PlatformStandIn.RESUMABLE)) {
       answer.onSuccess(received -> followStream(entry, request, received));
     }
   }
 
+  private Map<String, String> bodyHeaders(boolean isStream) {
+    if (isStream || bodies.nextInt(HUNDRED) >= LONG_SHARE) {
+      return Map.of();
+    }
+    int bytes = bodies.nextInt(LEAST_LONG_BYTES, MOST_LONG_BYTES);
+    return Map.of(CallerStandIn.BODY_BYTES, Integer.toString(bytes));
+  }
+
   private Future<Answer> sendTo(
       CallerStandIn sender,
       PlatformProcesses.Entry entry,
       KindCount kind,
       String path,
-      String request) {
+      String request,
+      Map<String, String> headers) {
     arrivals.requested(service(path), request, entry.host());
-    return call(sender, entry, path, request, request, Map.of())
+    return call(sender, entry, path, request, request, headers)
         .onSuccess(received -> answered(kind, request, received))
         .onFailure(failure -> lost(kind, reasonOf(entry)));
   }
@@ -201,7 +234,7 @@
   CallerStandIn keepingCaller(CallerStandIn.ClosePolicy policy) {
     CallerStandIn keeping =
         CallerStandIn.onOneConnection(vertx, LoopbackPlatform.ADDRESS, clock, policy);
-    keeping.onSent(arrivals::sent);
+    keeping.onSent(this::sent);
     return keeping;
   }
 
@@ -211,7 +244,7 @@
     String request = "kept-" + keptSequence++;
     kind.sent();
     once.add(request);
-    return sendTo(keeping, entry, kind, path, request);
+    return sendTo(keeping, entry, kind, path, request, Map.of());
   }
 
   /** Sends a request whose content crashes servers to any daemon. */
@@ -231,6 +264,16 @@
         .onSuccess(answer -> recordRefusal(request, answer));
   }
 
+  private void sent(String request, int port) {
+    arrivals.sent(request, port);
+    judge.sent(request, port);
+  }
+
+  /** Returns the responses, and the requests, that broke a rule. */
+  List<BrokenResponse> broken() {
+    return judge.broken(platform.visits());
+  }
+
   private static String service(String path) {
     return PlatformStandIn.isStream(path) ? PlatformStandIn.ENGINES : PlatformStandIn.DESK;
   }
@@ -293,17 +336,42 @@
     long sentMillis = clock.millis();
     Map<String, String> all = new HashMap<>(headers);
     all.put(CallerStandIn.ATTEMPT, attempt);
-    return sender
-        .call(
+    int lastEvent = Integer.parseInt(headers.getOrDefault(CallerStandIn.LAST_EVENT, "0"));
+    judge.requested(attempt, path, entry.host(), lastEvent);
+    Future<Answer> answer =
+        sender.call(
             entry.caller().address(),
             entry.caller().port(),
             HttpMethod.POST,
             PlatformStandIn.HOST,
             path + request,
-            all)
-        .timeout(CALLER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
-        .onSuccess(answer -> arrivals.gap(answer.longestGapMillis()))
-        .onComplete(result -> ended(entry, attempt, sentMillis, result));
+            all);
+    Future<Answer> awaited =
+        answer
+            .timeout(CALLER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+            .onSuccess(
+                received -> {
+                  judge.answered(attempt, received);
+                  arrivals.gap(received.longestGapMillis());
+                })
+            .onComplete(result -> ended(entry, attempt, sentMillis, result));
+    answer.onComplete(result -> endedAfterDeadline(attempt, awaited, result));
+    if (storeReturns.isRecent()) {
+      awaited.onComplete(result -> storeReturns.ended(statusOf(result)));
+    }
+    return awaited;
+  }
+
+  private static Optional<Integer> statusOf(AsyncResult<Answer> result) {
+    return Optional.ofNullable(result.result()).filter(Answer::whole).map(Answer::status);
+  }
+
+  private void endedAfterDeadline(
+      String attempt, Future<Answer> awaited, AsyncResult<Answer> result) {
+    boolean isWhole = result.succeeded() && result.result().whole();
+    if (!isWhole && awaited.cause() instanceof TimeoutException) {
+      arrivals.brokenOffAfterDeadline(attempt);
+    }
   }
 
   private void ended(
--- a/command/src/test/java/org/marjoramsail/command/platform/LossLogTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/LossLogTest.java
@@ -70,6 +70,74 @@
     assertThat(log.result().lost()).hasSize(1);
   }
 
+  /** Guards against a request that counts as lost behind a response that ends at its deadline. */
+  @Test
+  void anUnreadCallIsNotLostBehindAResponseThatWasBrokenOffAfterItsCallerGaveUp() {
+    sendBehindResponseAtDeadline(PORT);
+
+    assertThat(log.result().lost()).isEmpty();
+    assertThat(log.result().atDeadline()).isEqualTo(2);
+  }
+
+  /** Guards against an excuse for calls whose connection had no response at its deadline. */
+  @Test
+  void anUnreadCallIsLostBesideAResponseAtItsDeadlineOnAnotherConnection() {
+    sendBehindResponseAtDeadline(PORT + 1);
+
+    assertLost("behind", UnansweredCall.Reason.NOT_PASSED_ON);
+  }
+
+  /** Guards against an excuse for a call that its daemon had passed on. */
+  @Test
+  void aCallThatReachedAServerIsLostBehindAResponseAtItsDeadline() {
+    sendBehindResponseAtDeadline(PORT);
+    log.arrived("behind", SERVER);
+
+    assertLost("behind", UnansweredCall.Reason.PASSED_ON);
+  }
+
+  /** Guards against an excuse by a call that ended on its connection some time before. */
+  @Test
+  void anUnreadCallIsLostSomeTimeAfterAResponseAtItsDeadline() {
+    passOn();
+    log.gaveUp(REQUEST);
+    long endMillis = SENT_MILLIS + CallerStandIn.DEADLINE_MILLIS + 1_000;
+    log.brokenOffAfterDeadline(REQUEST, endMillis);
+    log.sent("behind", HOST, PORT, endMillis - 250);
+    log.unanswered("behind", endMillis + 51, CAUSE);
+
+    assertLost("behind", UnansweredCall.Reason.NOT_PASSED_ON);
+  }
+
+  /** Guards against an excuse by a call that was given up and has no part in the close. */
+  @Test
+  void anUnreadCallIsLostBehindACallThatReachedNoServerEither() {
+    log.sent(REQUEST, HOST, PORT, SENT_MILLIS);
+    endBehind(PORT);
+
+    assertLost("behind", UnansweredCall.Reason.NOT_PASSED_ON);
+  }
+
+  private void sendBehindResponseAtDeadline(int port) {
+    passOn();
+    endBehind(port);
+  }
+
+  private void endBehind(int port) {
+    log.gaveUp(REQUEST);
+    long endMillis = SENT_MILLIS + CallerStandIn.DEADLINE_MILLIS + 1_000;
+    log.sent("behind", HOST, port, endMillis - 250);
+    log.unanswered("behind", endMillis, CAUSE);
+    log.brokenOffAfterDeadline(REQUEST, endMillis + 1);
+  }
+
+  private void assertLost(String request, UnansweredCall.Reason reason) {
+    assertThat(log.result().lost())
+        .singleElement()
+        .satisfies(call -> assertThat(call.request()).isEqualTo(request))
+        .satisfies(call -> assertThat(call.reason()).isEqualTo(reason));
+  }
+
   private void sendBehindBrokenResponse(int port) {
     passOn();
     log.sent("behind", HOST, port, SENT_MILLIS);
--- a/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
@@ -18,6 +18,7 @@
   private static final long PLANNED_WORK_SEED = 3;
   private static final long PATH_SEED = 5;
   private static final long STORE_LOSS_SEED = 12;
+  private static final long REPEATS_SEED = 1;
   private static final long PATH_MILLIS = 5;
   private static final double KEPT_PER_SECOND = 40;
   private static final long DEPARTURE_SEED = 8;
@@ -73,6 +74,22 @@
     }
   }
 
+  /** Guards against responses that callers receive although they belong to another request. */
+  @Test
+  void callersOfServersThatRespondTwiceReceiveTheirOwnResponses(@TempDir Path directory)
+      throws Exception {
+    PlatformSoakSetup setup =
+        new PlatformSoakSetup(
+            3, 2, 3, 3, 60, 8, 60, 12, REPEATS_SEED, List.of(PlatformFault.RESPONSES_REPEATED));
+    try (ProcessDaemons processes = new ProcessDaemons(directory)) {
+      PlatformSoakReport report = new PlatformSoak(new SystemClock(), processes).run(setup);
+
+      assertThat(report.responses().broken()).isEmpty();
+      assertThat(report.isClean()).as(report.toString()).isTrue();
+      assertThat(report.responses().met()).isPositive();
+    }
+  }
+
   /** Guards against work for callers that have left, which daemons that stand still read late. */
   @Test
   void daemonsThatStandStillDoNoWorkForCallersThatHaveLeft(@TempDir Path directory)
