Start the timer of a polling test on the event loop

Cause: Polling.until started a periodic timer on the thread of the test. The timer can fire on the event loop before Vert.x has stored the future with which it is cancelled; if the condition holds at that moment, the cancellation throws, and the wait never ends.

Why the fix works: on its own event loop the timer cannot fire before it is stored. The production code and the soak have no periodic timer that is cancelled when it first fires.

--- a/command/src/test/java/org/marjoramsail/command/platform/Polling.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/Polling.java
@@ -20,6 +20,12 @@
   /** Completes once a condition holds. */
   static Future<Void> until(Vertx vertx, BooleanSupplier condition) {
     Promise<Void> holds = Promise.promise();
+    // On any other thread the timer may fire before Vert.x has stored what it needs to cancel it.
+    vertx.runOnContext(started -> poll(vertx, condition, holds));
+    return holds.future();
+  }
+
+  private static void poll(Vertx vertx, BooleanSupplier condition, Promise<Void> holds) {
     vertx.setPeriodic(
         INTERVAL_MILLIS,
         timer -> {
@@ -28,6 +34,5 @@
             holds.complete();
           }
         });
-    return holds.future();
   }
 }
