Stop reading a connection that sends more behind a paused response

What could be seen: a daemon that reads and drops without a bound what an upstream sends behind a complete response, for as long as the caller or the sender of a relayed call reads nothing.

Cause: the end of a connection is kept back until the response was read, and its socket went on to be read meanwhile.

Evidence: ConnectionWatchTest sends 64 MB behind a paused response; all of it was read before. Now the socket is not read once the connection is out of step, also when the client resumes, and the rest fails when the connection is closed after the delivery.

--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/ConnectionWatch.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/ConnectionWatch.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandler;
@@ -168,7 +169,9 @@
     }
     isOutOfStep = true;
     unrequested.run();
-    if (!isKeptForDelivery()) {
+    if (isKeptForDelivery()) {
+      channel.config().setAutoRead(false);
+    } else {
       ChannelFuture unused = channel.close();
     }
   }
@@ -188,7 +191,15 @@
   }
 
   /** Watches the bytes that the decoder receives. */
-  private final class Bytes extends ChannelInboundHandlerAdapter {
+  private final class Bytes extends ChannelDuplexHandler {
+
+    /** Reads nothing that would be dropped, although the client asks for more when it resumes. */
+    @Override
+    public void read(ChannelHandlerContext context) {
+      if (!isOutOfStep) {
+        context.read();
+      }
+    }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/connection/ConnectionWatchTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/connection/ConnectionWatchTest.java
@@ -17,6 +17,7 @@
 import io.vertx.core.net.impl.ConnectionBase;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.marjoramsail.daemon.fixture.Waits;
@@ -27,6 +28,10 @@
   private static final String ADDRESS = "127.0.0.1";
   private static final int RESET = 0;
   private static final int ORDERLY_END = -1;
+
+  /** More than the buffers of a connection hold. */
+  private static final int EXTRA_BYTES = 64 << 20;
+
   private static final Buffer RESPONSE =
       Buffer.buffer("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody");
 
@@ -61,6 +66,24 @@
     Waits.until("the client has closed it", closed::get);
   }
 
+  /** Guards against an upstream that sends without end behind a response that is paused. */
+  @Test
+  void whatFollowsAResponseIsNotReadUntilThatIsDelivered() {
+    HttpClientConnection connection = connect(ORDERLY_END);
+    Channel channel = channelOf(connection);
+
+    HttpClientResponse response = Waits.get(pausedResponse(connection));
+    Future<Void> written = Waits.get(upstream.future()).write(Buffer.buffer(new byte[EXTRA_BYTES]));
+    Waits.until(
+        "nothing more is read", () -> !channel.config().isAutoRead() || written.isComplete());
+    onEventLoop(channel, response::resume);
+
+    assertThat(Waits.get(body.future())).hasToString("body");
+    assertThat(written.isComplete()).isFalse();
+    onEventLoop(channel, watch::delivered);
+    Waits.until("the connection is closed", written::failed);
+  }
+
   private HttpClientConnection connect(int lingerSeconds) {
     NetServer server =
         vertx
