End relayed calls whose sender stands still

What could be seen: a relay keeps a call without end if the daemon that sent it stands still or is cut off, either before the call is sent whole or while its response is read. With 500 of them the relay takes no calls until the system gives the connections up, after minutes or, where nothing is in flight, hours.

Cause: nothing bounds the time of a sender; the deadline of a call is kept by the sender itself.

Evidence: RelayServerTest, with half of a body, and with a response of 64 MB of which nothing is read: both calls were still running after 20 s before, and end now. A sender that reads slowly gets its response whole, as before.

Why the fix works: SenderTimeout runs while the relay waits for the sender, for 30 s without progress, and closes the connection at once; the close ends the call and its connection to the upstream.

--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/ConnectionGuard.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/ConnectionGuard.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.marjoramsail.daemon.connection.ForcedClose;
 
 /**
  * Limits the number of connections and their idle time.
--- a/daemon/src/main/java/org/marjoramsail/daemon/caller/StreamSink.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/caller/StreamSink.java
@@ -10,6 +10,7 @@
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.outcome.Completion;
+import org.marjoramsail.daemon.connection.ForcedClose;
 import org.marjoramsail.daemon.request.CallerSink;
 import org.marjoramsail.daemon.upstream.PlainResponse;
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/ForcedClose.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/ForcedClose.java
@@ -1,4 +1,4 @@
-package org.marjoramsail.daemon.caller;
+package org.marjoramsail.daemon.connection;
 
 import io.netty.channel.ChannelFuture;
 import io.vertx.core.http.HttpConnection;
@@ -10,12 +10,12 @@
  * <p>Guards against a reader that reads nothing: the library queues its own close behind the unread
  * bytes, so that the connection stays open and the daemon cannot stop.
  */
-final class ForcedClose {
+public final class ForcedClose {
 
   private ForcedClose() {}
 
   /** Closes a connection; has no effect if it is already closed. */
-  static void close(HttpConnection connection) {
+  public static void close(HttpConnection connection) {
     if (connection instanceof ConnectionBase base) {
       // A failed close needs no handling; the close handler of the connection is called in any
       // case.
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -37,6 +37,9 @@
   /** Maximum number of calls that are relayed at the same time. */
   private static final int MAXIMUM_CALLS = 500;
 
+  /** Time after which a sender that neither sends nor reads has given its call up. */
+  private static final long SENDER_TIMEOUT_MILLIS = 30_000;
+
   private static final int NOT_SENT_STATUS = 503;
   private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
 
@@ -50,6 +53,7 @@
   private final UpstreamConnections connections;
   private final CallLog calls;
   private final BooleanSupplier available;
+  private final long senderTimeoutMillis;
   private final ListeningPort port;
   private Optional<HttpServer> server = Optional.empty();
   private int running;
@@ -72,6 +76,24 @@
       UpstreamConnections connections,
       CallLog calls,
       BooleanSupplier available) {
+    this(vertx, token, protocol, upstreams, connections, calls, available, SENDER_TIMEOUT_MILLIS);
+  }
+
+  /**
+   * Creates a server with a timeout of its own.
+   *
+   * @param senderTimeoutMillis how long a sender may take to send its call, or to read a part of
+   *     the response, in milliseconds
+   */
+  RelayServer(
+      Vertx vertx,
+      String token,
+      ForwardingProtocol protocol,
+      Function<UpstreamName, Optional<UpstreamDefinition>> upstreams,
+      UpstreamConnections connections,
+      CallLog calls,
+      BooleanSupplier available,
+      long senderTimeoutMillis) {
     this.vertx = vertx;
     this.port = new ListeningPort(vertx);
     this.token = token.getBytes(StandardCharsets.UTF_8);
@@ -80,6 +102,7 @@
     this.connections = connections;
     this.calls = calls;
     this.available = available;
+    this.senderTimeoutMillis = senderTimeoutMillis;
   }
 
   /** Starts to listen; completes with the port. */
@@ -174,14 +197,19 @@
     running++;
     accepted++;
     Context context = vertx.getOrCreateContext();
+    SenderTimeout timeout = new SenderTimeout(vertx, request.connection(), senderTimeoutMillis);
+    timeout.start();
     // The sender's connection is probed, which a handler of what it sends must not do.
     request
         .body()
-        .onSuccess(body -> context.runOnContext(read -> relay(request, body, target.get())))
+        .onComplete(ended -> timeout.cancel())
+        .onSuccess(
+            body -> context.runOnContext(read -> relay(request, body, target.get(), timeout)))
         .onFailure(broken -> running--);
   }
 
-  private void relay(HttpServerRequest request, Buffer body, UpstreamDefinition target) {
+  private void relay(
+      HttpServerRequest request, Buffer body, UpstreamDefinition target, SenderTimeout timeout) {
     MultiMap received = request.headers();
     boolean hasBody = received.contains("content-length") || received.contains("transfer-encoding");
     MultiMap headers = Relay.passedOn(received);
@@ -195,7 +223,7 @@
             hasBody,
             protocol.parametersOf(headers),
             Optional.empty());
-    RelayedCall listener = new RelayedCall(request);
+    RelayedCall listener = new RelayedCall(request, timeout);
     ForwardCall call =
         new ForwardCall(
             connections,
@@ -210,6 +238,7 @@
         .response()
         .closeHandler(
             closed -> {
+              timeout.cancel();
               call.close();
               listener.ended();
             });
@@ -240,12 +269,14 @@
   private final class RelayedCall implements ForwardCall.Listener {
     private final HttpServerRequest request;
     private final HttpServerResponse response;
+    private final SenderTimeout timeout;
     private Optional<ForwardCall> call = Optional.empty();
     private boolean ended;
 
-    RelayedCall(HttpServerRequest request) {
+    RelayedCall(HttpServerRequest request, SenderTimeout timeout) {
       this.request = request;
       this.response = request.response();
+      this.timeout = timeout;
     }
 
     void relays(ForwardCall started) {
@@ -292,14 +323,27 @@
       Future<Void> unused = response.write(bytes);
       if (response.writeQueueFull()) {
         call.ifPresent(ForwardCall::pause);
-        response.drainHandler(drained -> call.ifPresent(ForwardCall::resume));
+        timeout.start();
+        response.drainHandler(drained -> resume());
       }
       return Optional.empty();
     }
 
+    private void resume() {
+      timeout.cancel();
+      call.ifPresent(ForwardCall::resume);
+    }
+
     @Override
     public void end() {
-      response.end().onComplete(written -> ended());
+      timeout.start();
+      response
+          .end()
+          .onComplete(
+              written -> {
+                timeout.cancel();
+                ended();
+              });
     }
 
     @Override
@@ -311,6 +355,8 @@
       if (failure.isNeverSent()) {
         refuse(request, NOT_SENT_STATUS);
       } else {
+        // The library closes the connection once the sender has read what was written before.
+        timeout.start();
         request.connection().close();
       }
     }
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
@@ -4,6 +4,7 @@
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetServer;
@@ -45,7 +46,11 @@
   private static final int BODY_STEP_BYTES = 16 << 10;
   private static final int BODIES = 6;
 
+  /** More than all buffers hold, even those that grow as the receiver reads nothing. */
+  private static final int STALLING_BODY_BYTES = 64 << 20;
+
   private static final int READ_BYTES = 64 << 10;
+  private static final long SHORT_TIMEOUT_MILLIS = 200;
   private static final int PATIENCE_MILLIS = 20_000;
   private static final String LAST_CHUNK = "\r\n0\r\n\r\n";
   private static final int CALLS = 10;
@@ -126,6 +131,47 @@
     Waits.until("no call is relayed", () -> relay.running() == 0);
   }
 
+  /** Guards against calls of a sender that stands still, which a relay would keep without end. */
+  @Test
+  void aCallWhoseSenderReadsNothingEnds() throws IOException {
+    Promise<Void> upstreamClosed = Promise.promise();
+    NetServer upstream =
+        vertx
+            .createNetServer()
+            .connectHandler(
+                socket -> {
+                  socket.closeHandler(closed -> upstreamClosed.complete());
+                  socket.handler(request -> respond(socket, STALLING_BODY_BYTES, false));
+                });
+    UpstreamDefinition target = definition(Waits.get(upstream.listen(0, ADDRESS)).actualPort());
+    RelayServer relay = relay(target, SHORT_TIMEOUT_MILLIS);
+    int port = Waits.get(relay.start(ADDRESS, 0));
+
+    try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      sender.getOutputStream().write(CALL.getBytes(StandardCharsets.ISO_8859_1));
+
+      Waits.until("the call has ended", () -> relay.accepted() == 1 && relay.running() == 0);
+      Waits.get(upstreamClosed.future());
+    }
+  }
+
+  /** Guards against calls that are never sent whole, which a relay would keep without end. */
+  @Test
+  void aCallWhoseBodyIsNotSentEnds() throws IOException {
+    FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
+    RelayServer relay = relay(upstream.definition("desk"), SHORT_TIMEOUT_MILLIS);
+    int port = Waits.get(relay.start(ADDRESS, 0));
+    String post = CALL.replace("GET", "POST").replaceFirst("\r\n", "\r\ncontent-length: 2\r\n");
+
+    try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      sender.getOutputStream().write((post + "z").getBytes(StandardCharsets.ISO_8859_1));
+
+      Waits.until("the call has ended", () -> relay.accepted() == 1 && relay.running() == 0);
+      assertThat(sender.getInputStream().read()).isNegative();
+    }
+    assertThat(upstream.runs()).isZero();
+  }
+
   /** Responds, and ends the connection or sends something that was not asked for. */
   private static void respond(NetSocket socket, int length, boolean isConnectionEnded) {
     String response =
@@ -166,6 +212,10 @@
   }
 
   private RelayServer relay(UpstreamDefinition upstream) {
+    return relay(upstream, PATIENCE_MILLIS);
+  }
+
+  private RelayServer relay(UpstreamDefinition upstream, long senderTimeoutMillis) {
     return new RelayServer(
         vertx,
         TOKEN,
@@ -183,7 +233,8 @@
             () -> {},
             new IgnoredLiveness(),
             new ListAgeLog(() -> 0, new SimpleMeterRegistry())),
-        () -> true);
+        () -> true,
+        senderTimeoutMillis);
   }
 
   private static ForwardingProtocol protocol() {
