Count the progress of a relayed call's sender

What senders could see: a call ended with its connection closed although its body was sent steadily, or its response was read steadily but slowly.

Cause: the time counted from the first byte of the body, and from one drain of the write queue to the next.

Why the fix works: the connection is closed only if no byte was received or given to the system within the limit, which is 60 s now: the system takes bytes of a slow reader in steps of up to a third of its send buffer. The end of a response no longer leaves the handler of an earlier drain, which would end the wait.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -37,8 +37,8 @@
   /** Maximum number of calls that are relayed at the same time. */
   private static final int MAXIMUM_CALLS = 500;
 
-  /** Time after which a sender that neither sends nor reads has given its call up. */
-  private static final long SENDER_TIMEOUT_MILLIS = 30_000;
+  /** Time after which a sender that neither sends nor reads anything has given its call up. */
+  private static final long SENDER_TIMEOUT_MILLIS = 60_000;
 
   private static final int NOT_SENT_STATUS = 503;
   private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
@@ -82,8 +82,8 @@
   /**
    * Creates a server with a timeout of its own.
    *
-   * @param senderTimeoutMillis how long a sender may take to send its call, or to read a part of
-   *     the response, in milliseconds
+   * @param senderTimeoutMillis how long a sender may neither send nor read anything while it is
+   *     waited for, in milliseconds
    */
   RelayServer(
       Vertx vertx,
@@ -197,7 +197,7 @@
     running++;
     accepted++;
     Context context = vertx.getOrCreateContext();
-    SenderTimeout timeout = new SenderTimeout(vertx, request.connection(), senderTimeoutMillis);
+    SenderTimeout timeout = new SenderTimeout(vertx, request, senderTimeoutMillis);
     timeout.start();
     // The sender's connection is probed, which a handler of what it sends must not do.
     request
@@ -336,6 +336,8 @@
 
     @Override
     public void end() {
+      // A drain would end the wait for the sender, which lasts until all is written from here on.
+      response.drainHandler(null);
       timeout.start();
       response
           .end()
