Refuse joined heads on new connections to own upstreams, too

What callers could see: a success with the body of a failure, for requests that may run only once.

Cause: such requests use connections of their own, and only the pooled ones were watched.

Evidence: two of three cases of UpstreamJoinedHeadTest failed before. Found by a review.

--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamHttp.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamHttp.java
@@ -37,7 +37,9 @@
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(limits.maximumConnections());
     HttpClientOptions kept = options(limits).setKeepAlive(true);
     this.pooled = RequestWatch.watchAll(vertx.httpClientBuilder().with(kept).with(pool)).build();
-    this.unpooled = vertx.createHttpClient(options(limits).setKeepAlive(false), pool);
+    HttpClientOptions single = options(limits).setKeepAlive(false);
+    this.unpooled =
+        RequestWatch.watchAll(vertx.httpClientBuilder().with(single).with(pool)).build();
   }
 
   private static HttpClientOptions options(UpstreamLimits limits) {
