Close the connection of a caller that reads nothing of its stream

What callers could see: one caller that reads nothing of a stream makes the daemon keep all of it, until its memory is full; a stream that is broken off holds its connection and what it keeps for as long as its caller reads nothing.

Cause: events were written to the queue of the connection whatever waits there, and the library closes a connection only after what was written before, while the idle timeout of a connection does not count as long as a request runs on it.

The caller of a stream that is broken off has 3 s to read what was written.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -40,9 +40,6 @@
  */
 final class ForwardExchange implements AttemptSender, CallerSink {
 
-  /** Size to which the write queue of a slow caller is raised, in bytes. */
-  private static final int MAXIMUM_WRITE_QUEUE_BYTES = 16 << 20;
-
   /** Maximum size of a plain response, in bytes: services respond with some megabytes at most. */
   private static final int MAXIMUM_BODY_BYTES = 8 << 20;
 
@@ -67,6 +64,7 @@
   private final Map<UpstreamName, UpstreamDefinition> targets = new HashMap<>(2);
   private final Map<Integer, ResponseHead> streamHeads = new HashMap<>(2);
   private final StreamPosition position;
+  private final StreamOutput output;
 
   /**
    * Creates an exchange.
@@ -85,6 +83,7 @@
     this.request = request;
     this.profile = profile;
     this.caller = caller;
+    this.output = new StreamOutput(caller);
     this.presence = new HttpCallerPresence(caller);
     this.priority = priority;
     this.streaming = route.streaming();
@@ -205,10 +204,7 @@
       response.setChunked(true);
       dependencies.connectionCloseHeader().addIfStopping(response);
     }
-    if (response.writeQueueFull()) {
-      response.setWriteQueueMaxSize(MAXIMUM_WRITE_QUEUE_BYTES);
-    }
-    response.write(bytesOf(text));
+    output.write(bytesOf(text));
   }
 
   /** Returns the bytes of text that holds one character per byte. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RefusalWriter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RefusalWriter.java
@@ -1,6 +1,8 @@
 package org.marjoramsail.daemon.forward;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.Locale;
@@ -9,6 +11,7 @@
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.failure.RunState;
+import org.marjoramsail.daemon.connection.ForcedClose;
 
 /**
  * Writes refusals to callers.
@@ -34,6 +37,9 @@
 
   private static final double MILLIS_PER_SECOND = 1_000;
 
+  /** Time in which a caller may read what was written of a response that is broken off. */
+  private static final long MAXIMUM_READ_MILLIS = 3_000;
+
   private final ForwardingProtocol protocol;
   private final ObjectMapper json;
   private final RandomGenerator random;
@@ -58,6 +64,7 @@
     }
     if (response.headWritten()) {
       response.reset();
+      closeUnlessRead(caller.connection());
       return;
     }
     int status = statusOf(refusal);
@@ -72,6 +79,13 @@
     response.end(body(refusal));
   }
 
+  /** The library closes the connection only once what was written before has been read. */
+  private static void closeUnlessRead(HttpConnection connection) {
+    Vertx.currentContext()
+        .owner()
+        .setTimer(MAXIMUM_READ_MILLIS, fired -> ForcedClose.close(connection));
+  }
+
   private static int statusOf(Refusal refusal) {
     int reasonStatus = refusal.reason().httpStatus();
     boolean isClientError =
