--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
@@ -207,7 +207,8 @@
   }
 
   private Answer call(Function<HttpClientRequest, Future<HttpClientResponse>> send) {
-    return Waits.get(begin().compose(send).compose(ForwardServerTest::answer));
+    return Waits.get(
+        begin().compose(request -> send.apply(request).compose(ForwardServerTest::answer)));
   }
 
   private static Future<Answer> answer(HttpClientResponse response) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/RefusalWriterTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/RefusalWriterTest.java
@@ -3,10 +3,12 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import java.lang.reflect.Proxy;
@@ -80,12 +82,11 @@
     return Waits.get(
         client
             .request(HttpMethod.POST, server.actualPort(), ADDRESS, "/")
-            .compose(request -> request.send())
-            .compose(
-                response ->
-                    response
-                        .body()
-                        .map(body -> new Answer(response.statusCode(), response.headers(), body))));
+            .compose(request -> request.send().compose(RefusalWriterTest::answer)));
+  }
+
+  private static Future<Answer> answer(HttpClientResponse response) {
+    return response.body().map(body -> new Answer(response.statusCode(), response.headers(), body));
   }
 
   /** Returns a protocol that adds no header to a response. */
