Move what makes calls out of ForwardCallTest

A test of connections needs the same calls, with bodies and identifiers of its own.

The tests and their assertions are the same. The protocol reads an identifier from a header if there is one, which no request of ForwardCallTest has.

--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -11,30 +11,20 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
-import java.lang.reflect.Proxy;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.marjoramsail.core.configuration.UpstreamDefinition;
-import org.marjoramsail.core.model.Incarnation;
-import org.marjoramsail.core.model.UpstreamName;
-import org.marjoramsail.core.model.UpstreamRole;
 import org.marjoramsail.core.outcome.UpstreamFailure;
-import org.marjoramsail.daemon.assembly.SystemClock;
 import org.marjoramsail.daemon.fixture.FakePlainService;
 import org.marjoramsail.daemon.fixture.Waits;
 
@@ -57,13 +47,11 @@
     }
   }
 
-  private static final String ATTEMPT = "attempt-1";
-  private static final long KEEP_ALIVE_MILLIS = 60_000;
-  private static final long LIST_AGE_MILLIS = 2_500;
   private static final int PATIENCE_MILLIS = 20_000;
 
   private final Vertx vertx = Vertx.vertx();
   private final MeterRegistry meters = new SimpleMeterRegistry();
+  private final ForwardCalls calls = new ForwardCalls(vertx, meters);
 
   @AfterEach
   void close() {
@@ -80,7 +68,7 @@
 
     context.runOnContext(
         started -> {
-          ForwardCall unused = call(upstream, obstacle::get, failure).start(headers());
+          ForwardCall unused = call(upstream, obstacle::get, failure).start(ForwardCalls.headers());
           obstacle.set(Optional.of(UpstreamFailure.CALLER_LEFT));
         });
 
@@ -96,13 +84,17 @@
 
     vertx.runOnContext(
         started ->
-            call(connections(), upstream, Optional::empty, new EndListener(ended))
-                .start(headers()));
+            call(
+                    calls.connections(),
+                    upstream,
+                    Optional::empty,
+                    new ForwardCalls.EndListener(ended))
+                .start(ForwardCalls.headers()));
 
     Waits.get(ended.future());
     DistributionSummary ages = meters.get("marjoramsail.upstream.calls.list.age.millis").summary();
     assertThat(ages.count()).isEqualTo(1);
-    assertThat(ages.max()).isEqualTo(LIST_AGE_MILLIS);
+    assertThat(ages.max()).isEqualTo(ForwardCalls.LIST_AGE_MILLIS);
   }
 
   /** Guards against limits that are charged for a call that was given up before its write. */
@@ -117,8 +109,12 @@
     context.runOnContext(
         started -> {
           ForwardCall call =
-              call(connections(), upstream, Optional::empty, new EndListener(ended))
-                  .start(headers());
+              call(
+                      calls.connections(),
+                      upstream,
+                      Optional::empty,
+                      new ForwardCalls.EndListener(ended))
+                  .start(ForwardCalls.headers());
           isUnsentWhileItConnects.complete(call.isUnsent());
           ended.future().onSuccess(done -> isUnsentAfterItsResponse.complete(call.isUnsent()));
         });
@@ -137,7 +133,7 @@
 
     context.runOnContext(
         started -> {
-          ForwardCall unused = call(upstream, obstacle::get, failure).start(headers());
+          ForwardCall unused = call(upstream, obstacle::get, failure).start(ForwardCalls.headers());
           obstacle.set(Optional.of(UpstreamFailure.NOT_ACCEPTING));
         });
 
@@ -149,7 +145,7 @@
   @Test
   void aCallThatIsClosedAfterItsResponseLeavesItsConnectionToTheNextOne() {
     FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
-    UpstreamConnections connections = connections();
+    UpstreamConnections connections = calls.connections();
     Promise<UpstreamFailure> ended = Promise.promise();
     Promise<Boolean> isOpen = Promise.promise();
     Promise<Long> earlierRequests = Promise.promise();
@@ -158,7 +154,8 @@
     context.runOnContext(
         started -> {
           ForwardCall call =
-              call(connections, upstream, Optional::empty, new EndListener(ended)).start(headers());
+              call(connections, upstream, Optional::empty, new ForwardCalls.EndListener(ended))
+                  .start(ForwardCalls.headers());
           ended
               .future()
               .compose(done -> released(context))
@@ -218,7 +215,7 @@
     private final Promise<UpstreamFailure> ended = Promise.promise();
     private final Promise<Void> paused = Promise.promise();
     private final StringBuilder body = new StringBuilder();
-    private final UpstreamConnections connections = connections();
+    private final UpstreamConnections connections = calls.connections();
     private final Context context = vertx.getOrCreateContext();
     private final AtomicReference<ForwardCall> call = new AtomicReference<>();
     private final ServerSocket server;
@@ -235,12 +232,12 @@
 
     private void start() {
       call.set(
-          call(
+          calls.call(
               connections,
-              definition(server.getLocalPort()),
+              ForwardCalls.definition(server.getLocalPort()),
               Optional::empty,
               new PausingListener(this::pause, body, ended)));
-      ForwardCall unused = call.get().start(headers());
+      ForwardCall unused = call.get().start(ForwardCalls.headers());
     }
 
     private void pause() {
@@ -289,24 +286,10 @@
     return released(context).map(turn -> value.get());
   }
 
-  private static UpstreamDefinition definition(int port) {
-    return new UpstreamDefinition(
-        new UpstreamName("desk-1"),
-        "desk",
-        UpstreamRole.PLAIN,
-        "127.0.0.1",
-        port,
-        "zone-a",
-        "region-a",
-        1,
-        false,
-        false);
-  }
-
   /** Guards against a response to one visit of a request that is taken for that to another. */
   @Test
   void aConnectionDoesNotCarryARequestTwice() {
-    assertThat(earlierRequestsOnConnectionFor(ATTEMPT)).isZero();
+    assertThat(earlierRequestsOnConnectionFor(ForwardCalls.ATTEMPT)).isZero();
   }
 
   /** Guards against a response without an identifier that could belong to an earlier request. */
@@ -318,7 +301,7 @@
   /** Returns the number of requests on the connection that the next request takes. */
   private long earlierRequestsOnConnectionFor(String attempt) {
     FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
-    UpstreamConnections connections = connections();
+    UpstreamConnections connections = calls.connections();
     Promise<UpstreamFailure> ended = Promise.promise();
     Promise<Long> earlierRequests = Promise.promise();
     Context context = vertx.getOrCreateContext();
@@ -326,7 +309,8 @@
     context.runOnContext(
         started -> {
           ForwardCall unused =
-              call(connections, upstream, Optional::empty, new EndListener(ended)).start(headers());
+              call(connections, upstream, Optional::empty, new ForwardCalls.EndListener(ended))
+                  .start(ForwardCalls.headers());
           ended
               .future()
               .compose(done -> released(context))
@@ -345,34 +329,11 @@
     return later.future();
   }
 
-  private static ForwardingProtocol protocol() {
-    return (ForwardingProtocol)
-        Proxy.newProxyInstance(
-            ForwardingProtocol.class.getClassLoader(),
-            new Class<?>[] {ForwardingProtocol.class},
-            (proxy, method, arguments) ->
-                switch (method.getName()) {
-                  case "attemptOf" -> ATTEMPT;
-                  case "isProven" -> true;
-                  default -> Optional.of(KEEP_ALIVE_MILLIS);
-                });
-  }
-
   private ForwardCall call(
       FakePlainService upstream,
       Supplier<Optional<UpstreamFailure>> obstacle,
       Promise<UpstreamFailure> failure) {
-    return call(connections(), upstream, obstacle, new FailureListener(failure));
-  }
-
-  private UpstreamConnections connections() {
-    return new UpstreamConnections(
-        vertx,
-        new SystemClock(),
-        new IgnoredResults(),
-        ConnectFaults.NONE,
-        target -> Optional.empty(),
-        unused -> {});
+    return call(calls.connections(), upstream, obstacle, new FailureListener(failure));
   }
 
   private ForwardCall call(
@@ -380,102 +341,7 @@
       FakePlainService upstream,
       Supplier<Optional<UpstreamFailure>> obstacle,
       ForwardCall.Listener listener) {
-    return call(connections, upstream.definition("desk"), obstacle, listener);
-  }
-
-  private ForwardCall call(
-      UpstreamConnections connections,
-      UpstreamDefinition upstream,
-      Supplier<Optional<UpstreamFailure>> obstacle,
-      ForwardCall.Listener listener) {
-    return new ForwardCall(
-        connections,
-        new CallLog(
-            new SystemClock(),
-            () -> {},
-            new IgnoredLiveness(),
-            new ListAgeLog(() -> LIST_AGE_MILLIS, meters)),
-        protocol(),
-        upstream,
-        request(),
-        obstacle,
-        listener);
-  }
-
-  private static MultiMap headers() {
-    return MultiMap.caseInsensitiveMultiMap();
-  }
-
-  private static ForwardedRequest request() {
-    return new ForwardedRequest(
-        HttpMethod.POST,
-        "/status",
-        "desk.example",
-        headers(),
-        Buffer.buffer("content"),
-        true,
-        new CallerParameters(
-            ATTEMPT,
-            OptionalLong.empty(),
-            0,
-            0,
-            OptionalInt.empty(),
-            OptionalInt.empty(),
-            Optional.empty(),
-            List.of(),
-            Optional.empty()),
-        Optional.empty());
-  }
-
-  private static final class IgnoredLiveness implements LivenessListener {
-
-    @Override
-    public void responded(Incarnation upstream, long sentAtMillis) {}
-
-    @Override
-    public void reached(UpstreamName upstream, long startedAtMillis) {}
-
-    @Override
-    public void connectionRefused(UpstreamName upstream) {}
-
-    @Override
-    public boolean mayHaveCrashed(UpstreamName upstream) {
-      return false;
-    }
-  }
-
-  private static final class IgnoredResults implements ConnectListener {
-
-    @Override
-    public void connected(UpstreamDefinition target, long startedAtMillis) {}
-
-    @Override
-    public void failed(
-        UpstreamDefinition target, long startedAtMillis, boolean refused, String cause) {}
-  }
-
-  /** Completes with the end of a response. */
-  private record EndListener(Promise<UpstreamFailure> ended) implements ForwardCall.Listener {
-
-    @Override
-    public boolean head(int status, MultiMap headers) {
-      return true;
-    }
-
-    @Override
-    public Optional<UpstreamFailure> bytes(Buffer bytes) {
-      return Optional.empty();
-    }
-
-    @Override
-    public void end() {
-      ended.tryComplete();
-    }
-
-    @Override
-    public void failed(UpstreamFailure reason) {
-      ended.tryFail(reason.name());
-    }
+    return calls.call(connections, upstream.definition("desk"), obstacle, listener);
   }
 
   /** Pauses a call at the head of its response; completes with the end of the response. */
