Fail a call for the list of hosts that is answered with null

What could be seen: an answer that is the JSON literal null reaches the listener as a null list. The listener fails with a NullPointerException on the event loop, and the call counts as answered in marjoramsail.platform.hostlist.calls.

Cause: Jackson reads the literal null as no object, without an exception, so that the check in HostList is never reached.

Evidence: HostListMalformedTest with null, and with null between white space: 2 of 2 cases failed before, and pass now. Four more answers, a text, an empty text, a number and no content, failed the call before, too. All 30 tests of HostList*Test and HttpObjectApiTest pass.

Why the fix works: a null result fails the call with an exception that quotes the body, before any listener.

--- a/daemon/src/main/java/org/marjoramsail/daemon/platform/HostListClient.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/HostListClient.java
@@ -13,11 +13,13 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.marjoramsail.daemon.connection.RequestWatch;
+import org.marjoramsail.daemon.platform.ObjectApiException.Failure;
 
 /**
  * Asks the platform for its list of hosts again and again.
@@ -27,6 +29,7 @@
  */
 public final class HostListClient implements AutoCloseable {
 
+  private static final ObjectApiCall CALL = new ObjectApiCall(ObjectApiVerb.LIST, "hosts", "");
   private static final int OK = 200;
   private static final double SHORTEST_SHARE = 0.5;
   private static final long LONGEST_STEP_MILLIS = 500;
@@ -115,18 +118,24 @@
     return response.statusCode() == OK
         ? response.body()
         : Future.failedFuture(
-            new ObjectApiCall(ObjectApiVerb.LIST, "hosts", "")
-                .refused(response.statusCode(), "", response.getHeader("retry-after")));
+            CALL.refused(response.statusCode(), "", response.getHeader("retry-after")));
   }
 
   private Future<HostList> parse(Buffer body) {
     try {
-      return Future.succeededFuture(mapper.readValue(body.getBytes(), HostList.class));
+      // The JSON literal null is read as no object, not as a failure.
+      return Optional.ofNullable(mapper.readValue(body.getBytes(), HostList.class))
+          .map(Future::succeededFuture)
+          .orElseGet(() -> Future.failedFuture(noList(body)));
     } catch (IOException failure) {
       return Future.failedFuture(failure);
     }
   }
 
+  private static ObjectApiException noList(Buffer body) {
+    return CALL.failed(Failure.UNAVAILABLE, "no list of hosts: " + body, null);
+  }
+
   private void askLater() {
     waitOn(0, SHORTEST_SHARE + random.nextDouble());
   }
--- a/daemon/src/test/java/org/marjoramsail/daemon/platform/HostListMalformedTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/platform/HostListMalformedTest.java
@@ -30,7 +30,20 @@
 
   /** Guards against hosts that are all dropped because an answer does not tell of any. */
   @ParameterizedTest
-  @ValueSource(strings = {"{}", "{\"ageMillis\":1}", "{\"hosts\":null}", "{\"hosts\":1}", "[]"})
+  @ValueSource(
+      strings = {
+        "{}",
+        "{\"ageMillis\":1}",
+        "{\"hosts\":null}",
+        "{\"hosts\":1}",
+        "[]",
+        "null",
+        " null\n",
+        "\"\"",
+        "\"hosts\"",
+        "1",
+        ""
+      })
   void anAnswerWithoutHostsIsNoList(String body) {
     int port =
         Waits.get(
