Refuse an answer of the object API that lists no items

What could be seen: an answer to a list whose items are missing, null, a text or an object is read as a list without objects, with a version from which a watch then goes on. Objects that exist, such as the root of the configuration or leases, count as absent.

Cause: ObjectJson iterates over whatever is in the place of the items; a value that is no array has no elements.

Evidence: ObjectApiMalformedTest, 4 of 30 cases failed before, and pass now. The other 26 passed before, too: null, an array, a text, a number, an empty object or nothing in place of an object fails a read, makes a write uncertain and ends a watch. 205 tests of the packages platform, configuration, operator and order pass.

Why the fix works: a list without an array of items is malformed, and the read counts as unavailable, as it does without a version. The protocol in docs/design/protocols.md has the array in each answer.

--- a/daemon/src/main/java/org/marjoramsail/daemon/platform/ObjectJson.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/ObjectJson.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -31,8 +32,11 @@
   }
 
   ObjectList list(String kind, JsonNode json) throws IOException {
+    if (!(json.get("items") instanceof ArrayNode items)) {
+      throw new IOException("The answer has no array of items, but " + json.path("items") + ".");
+    }
     List<StoredObject> objects = new ArrayList<>();
-    for (JsonNode item : json.path("items")) {
+    for (JsonNode item : items) {
       objects.add(object(kind, item));
     }
     return new ObjectList(version(json), List.copyOf(objects));
