Close a connection to an upstream before its request is written to the end

What upstreams saw: the rest of a long request whose call was given up, or that they had answered already, as soon as they read on: an upstream that leaves meanwhile still receives it. A connection whose upstream reads nothing stays open together with its body.

Cause: the client writes everything that waits before it closes a connection. ForwardCall and AbortiveClose count on an immediate reset.

The two new cases of EarlyResponseTest assert less than half; AbandonedCallTest did not notice, as its body fits into the buffers.

Why the fix works: the close starts below the client's handler, which is the one that waits.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnection.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnection.java
@@ -1,6 +1,5 @@
 package org.marjoramsail.daemon.forward;
 
-import io.vertx.core.Future;
 import io.vertx.core.http.HttpClientConnection;
 import io.vertx.core.http.HttpConnection;
 import io.vertx.core.net.impl.ConnectionBase;
@@ -11,6 +10,7 @@
 import java.util.function.Consumer;
 import org.marjoramsail.daemon.connection.ConnectionProbe;
 import org.marjoramsail.daemon.connection.ConnectionWatch;
+import org.marjoramsail.daemon.connection.ForcedClose;
 
 /** A connection that leads to an upstream, and what it has carried. Runs on one event loop. */
 final class UpstreamConnection {
@@ -128,8 +128,9 @@
     return ConnectionProbe.isOpen(within) && watch.isInStep();
   }
 
+  /** Closes it at once; what is not written yet is never sent. */
   void close() {
     watch.delivered();
-    Future<Void> unused = connection.close();
+    ForcedClose.close(within);
   }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/EarlyResponseTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/EarlyResponseTest.java
@@ -115,6 +115,37 @@
     }
   }
 
+  /** Guards against a long request that is written to its end although its call was given up. */
+  @Test
+  void aLongRequestThatWasGivenUpIsNotWrittenToItsEnd() throws IOException {
+    StartedCall first = new StartedCall(FIRST, BODY_BYTES);
+    try (Upstream upstream = new Upstream()) {
+      upstream.readHead();
+      upstream.readBody(SOME_BYTES);
+      inContext(
+          () -> {
+            first.call.close();
+            return true;
+          });
+
+      assertThat(upstream.readToEnd()).isLessThan(BODY_BYTES / 2);
+    }
+  }
+
+  /** Guards against a connection that stays open until the rest of its request is read. */
+  @Test
+  void aConnectionIsClosedAtOnceIfItsResponseEndsBeforeItsRequestIsWritten() throws IOException {
+    StartedCall first = new StartedCall(FIRST, BODY_BYTES);
+    try (Upstream upstream = new Upstream()) {
+      upstream.readHead();
+      upstream.readBody(SOME_BYTES);
+      upstream.write(response(FIRST));
+      Waits.get(first.ended.future());
+
+      assertThat(upstream.readToEnd()).isLessThan(BODY_BYTES / 2);
+    }
+  }
+
   private void assertNextCallUses(Upstream upstream) throws IOException {
     StartedCall second = new StartedCall(SECOND, SOME_BYTES);
     assertThat(second.localPort()).isEqualTo(upstream.remotePort());
