Close the connection of a call that a relay refuses

What could be seen: a sender without the token of a relay is answered 403, and whatever it sends after that is read and dropped without a bound, on a connection that stays open.

Cause: the library closes the connection after the response only once the request was read whole.

Evidence: RelayServerTest sends one byte of a body of 12 MB with a wrong token; the connection was still open after 20 s before.

Why the fix works: OrderlyClose, as for callers: the response is delivered, and the connection closes a second later at most.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -22,6 +22,7 @@
 import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.daemon.connection.ConnectionProbe;
 import org.marjoramsail.daemon.connection.ListeningPort;
+import org.marjoramsail.daemon.connection.OrderlyClose;
 import org.marjoramsail.daemon.connection.ServerOptions;
 
 /**
@@ -256,13 +257,15 @@
     return Optional.of(UpstreamFailure.CALLER_LEFT);
   }
 
-  private static void refuse(HttpServerRequest request, int status) {
+  /** Refuses a call, of which the rest is not read. */
+  private void refuse(HttpServerRequest request, int status) {
     request
         .response()
         .setStatusCode(status)
         .putHeader(Relay.NOT_SENT, "1")
         .putHeader("connection", "close")
-        .end();
+        .end()
+        .onComplete(written -> OrderlyClose.close(vertx, request.connection()));
   }
 
   /** Passes the response of an upstream to the sender of the call. */
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
@@ -173,6 +173,25 @@
     assertThat(upstream.runs()).isZero();
   }
 
+  /** Guards against a body without end that is read although its call was refused. */
+  @Test
+  void aConnectionIsClosedAfterARefusalAlthoughItsBodyIsNotSent() throws IOException {
+    FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
+    int port = Waits.get(relay(upstream.definition("desk")).start(ADDRESS, 0));
+    String post =
+        CALL.replace(": " + TOKEN, ": wrong")
+            .replaceFirst("\r\n", "\r\ncontent-length: " + BODY_BYTES + "\r\n");
+
+    try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      sender.setSoTimeout(PATIENCE_MILLIS);
+      sender.getOutputStream().write((post + BODY_BYTE).getBytes(StandardCharsets.ISO_8859_1));
+      String response =
+          new String(sender.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+
+      assertThat(response).startsWith("HTTP/1.1 403").contains(Relay.NOT_SENT);
+    }
+  }
+
   /** Guards against a slow sender that is taken for one that stands still. */
   @Test
   void aCallWhoseBodyIsSentSteadilyIsRelayed() throws IOException {
