--- a/daemon/src/test/java/org/marjoramsail/daemon/platform/ObjectApiMalformedTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/platform/ObjectApiMalformedTest.java
@@ -47,7 +47,7 @@
         .isEqualTo(Failure.UNCERTAIN.name());
   }
 
-  /** Guards against objects that are all dropped because an answer does not tell of any. */
+  /** Guards against objects that are all dropped because an answer lists none. */
   @ParameterizedTest
   @ValueSource(
       strings = {
