--- a/command/src/test/java/org/marjoramsail/command/platform/ResponseJudgeTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/ResponseJudgeTest.java
@@ -137,7 +137,7 @@
         .containsExactly(ResponseRule.BODY_NOT_WHOLE);
   }
 
-  /** Guards against a second response that is taken for that which broke off before it. */
+  /** Guards against a judge that takes a second response for the one that broke off before it. */
   @Test
   void aWholeResponseBehindOneThatBrokeOffIsFound() {
     receives(PlatformStandIn.ONCE, answer(200, "seal.a.1.x", REQUEST, BODY, true));
--- a/daemon/src/main/java/org/marjoramsail/daemon/order/HttpEngineOrders.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/order/HttpEngineOrders.java
@@ -33,8 +33,8 @@
 /**
  * Client of the engines' HTTP interface for orders.
  *
- * <p>Each call has a connection of its own: responses do not name the order that they belong to, so
- * that one which is repeated on a connection would be taken for that to the next order.
+ * <p>Each call has a connection of its own: a response does not name its order, so that a repeated
+ * response on a shared connection would be taken for the response to the next order.
  */
 public final class HttpEngineOrders implements EngineOrders {
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/connection/JoinedHeadTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/connection/JoinedHeadTest.java
@@ -12,7 +12,7 @@
 
   private static final String REASON = "OK";
 
-  /** Guards against the status of a cut response before the headers of another one. */
+  /** Guards against a head with the status of one response and the headers of the next. */
   @ParameterizedTest
   @ValueSource(
       strings = {
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardCallTest.java
@@ -197,7 +197,7 @@
     }
   }
 
-  /** Guards against a part of another response in a body that is complete with it. */
+  /** Guards against a cut body that is filled up to its length by the next response. */
   @Test
   void aPausedBodyThatAnotherResponseEndsIsNotComplete() throws IOException {
     String begin = "bo" + "HTTP/1.1 200";
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/UnreadStreamTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/UnreadStreamTest.java
@@ -65,7 +65,7 @@
     }
   }
 
-  /** Guards against a broken-off stream whose caller is waited for without end. */
+  /** Guards against a connection that stays open until a broken-off stream is read. */
   @Test
   void theConnectionOfAStreamThatIsBrokenOffIsClosedAlthoughNothingIsRead() throws IOException {
     RefusalWriter refusals =
