Tell the soak of a crash of a server before its connections close

Cause: a server that a content crashes closed its connections first, and the soak was told once the port was closed, in a later turn of another event loop. Streams that the crash broke off could be judged before, as broken off by a pause. A fault of the soak, not of the daemons.

Why the fix works: the listener is told in the turn that begins the crash, before any connection is closed, and the trouble is recorded there. A second call tells that the server no longer listens, as before; a server is replaced, or started again at its port, after that one.

--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.marjoramsail.core.time.Clock;
@@ -348,9 +349,15 @@
    */
   void restartCrashedServers(Random random) {
     Context context = vertx.getOrCreateContext();
+    Set<String> crashing = ConcurrentHashMap.newKeySet();
     Set<String> crashed = new HashSet<>();
     platform.crashOn(SoakLoad.CRASHING, false);
     platform.onCrash(
+        server -> {
+          if (crashing.add(server)) {
+            arrivals.troubleBegins(server);
+          }
+        },
         server ->
             context.runOnContext(
                 nothing -> {
@@ -361,7 +368,7 @@
   }
 
   private void crashed(String server, Random random) {
-    arrivals.crashed(server, platform.server(server).runs());
+    arrivals.crashed(platform.server(server).runs());
     Future<Void> unused = links.get(server).close();
     long downMillis = random.nextLong(LEAST_CRASHED_MILLIS, MOST_CRASHED_MILLIS);
     vertx.setTimer(
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
@@ -75,12 +75,11 @@
   }
 
   /**
-   * Records that a server has crashed.
+   * Records that a server has crashed, whose trouble was recorded as the crash began.
    *
    * @param runs the requests that it has run, in order
    */
-  synchronized void crashed(String server, List<String> runs) {
-    troubleBegins(server);
+  synchronized void crashed(List<String> runs) {
     for (int last = runs.size() - 1; last >= 0; last--) {
       if (crashes.isCrashing(runs.get(last))) {
         crashes.crashed(runs.get(last), clock.millis());
