Set the handlers of PeerNetworkTest before a connection is read

Seen in a trial: connectionsAboveTheMaximumAreRefused and aConnectionWithoutAHandshakeIsClosedAtTheTimeout fail with "expected: CloseFrame[...] but was: null" after 20 s if the test's thread pauses for 500 ms between the connect and the registration of its result.

Cause: the test's thread asked for the connection and then registered what sets its handlers. Where the connection had opened meanwhile, the handlers were set in a later turn of the event loop, and the client drops bytes that arrive before. A daemon that refuses a connection sends its frame at once.

The connection is now opened in a turn of the event loop, so that its handlers are set in the turn in which it opens, before anything is read.

--- a/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
@@ -4,6 +4,7 @@
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
@@ -320,15 +321,20 @@
     private Buffer unparsed = Buffer.buffer();
 
     RawConnection(PeerAddress address) throws Exception {
-      socket =
-          await(
+      Promise<NetSocket> connected = Promise.promise();
+      vertx.runOnContext(
+          begins ->
               client
                   .connect(address.port(), address.address())
-                  .onSuccess(
-                      opened -> {
-                        opened.handler(this::read);
-                        opened.closeHandler(unused -> closed.complete(null));
-                      }));
+                  .onSuccess(this::opened)
+                  .onComplete(connected));
+      socket = await(connected.future());
+    }
+
+    /** Handles a new connection, on its event loop before anything is read from it. */
+    private void opened(NetSocket opened) {
+      opened.handler(this::read);
+      opened.closeHandler(ended -> closed.complete(null));
     }
 
     private void read(Buffer bytes) {
