Keep other runs of PeerNetworkTest away from the port of a restart

Seen in a trial: of two runs of aDaemonThatRestartsOnItsPortReceivesMessagesAgain at a time, with a pause of 3 s behind the choice of the port, one fails with "BindException: Address already in use".

A run now chooses among pairs of ports, and listens on the second one until the test ends: another run passes over the pair. The first one stays below the ephemeral range, as before.

--- a/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
@@ -204,41 +204,54 @@
   }
 
   /**
-   * Returns a free port below the ephemeral range, so that no outgoing connection of any process
-   * can take it while the daemon restarts.
+   * Returns a socket that keeps other runs of this test away from the port before its own, which is
+   * free and below the ephemeral range, so that no outgoing connection of any process can take it
+   * while the daemon restarts.
    */
-  private static int portBelowEphemeralRange() throws IOException {
-    for (int port = LOWEST_PORT; port < LOWEST_EPHEMERAL_PORT; port++) {
-      try (ServerSocket free = new ServerSocket(port)) {
-        return free.getLocalPort();
+  private static ServerSocket guardOfFreePort() throws IOException {
+    for (int port = LOWEST_PORT; port < LOWEST_EPHEMERAL_PORT; port += 2) {
+      try {
+        ServerSocket guard = new ServerSocket(port + 1);
+        if (isFree(port)) {
+          return guard;
+        }
+        guard.close();
       } catch (BindException portInUse) {
-        // Try the next port.
+        // Try the next two ports.
       }
     }
     throw new IOException("No port is free.");
   }
 
+  private static boolean isFree(int port) throws IOException {
+    try (ServerSocket free = new ServerSocket(port)) {
+      return free.isBound();
+    } catch (BindException portInUse) {
+      return false;
+    }
+  }
+
   @Test
   void aDaemonThatRestartsOnItsPortReceivesMessagesAgain() throws Exception {
-    int port = portBelowEphemeralRange();
-    Daemon one = daemon("one", 1, "key");
-    Daemon two =
-        daemon(
-            new PeerSettings("127.0.0.1", port, "cluster", "key", id("two", 1), "z", "r", BOUNDS),
-            PeerFaults.NONE);
-    one.network.send(two.id, new PingMessage(1, List.of()));
-    two.next();
-    await(two.network.stop());
-    Daemon restarted =
-        daemon(
-            new PeerSettings("127.0.0.1", port, "cluster", "key", id("two", 2), "z", "r", BOUNDS),
-            PeerFaults.NONE);
-    Received received = null;
-    for (int sequence = 2; received == null; sequence++) {
-      one.network.send(restarted.id, new PingMessage(sequence, List.of()));
-      received = restarted.received.poll(50, TimeUnit.MILLISECONDS);
+    try (ServerSocket guard = guardOfFreePort()) {
+      int port = guard.getLocalPort() - 1;
+      Daemon one = daemon("one", 1, "key");
+      Daemon two = daemon(settingsAt(port, id("two", 1)), PeerFaults.NONE);
+      one.network.send(two.id, new PingMessage(1, List.of()));
+      two.next();
+      await(two.network.stop());
+      Daemon restarted = daemon(settingsAt(port, id("two", 2)), PeerFaults.NONE);
+      Received received = null;
+      for (int sequence = 2; received == null; sequence++) {
+        one.network.send(restarted.id, new PingMessage(sequence, List.of()));
+        received = restarted.received.poll(50, TimeUnit.MILLISECONDS);
+      }
+      assertThat(received.from()).isEqualTo(one.id);
     }
-    assertThat(received.from()).isEqualTo(one.id);
+  }
+
+  private static PeerSettings settingsAt(int port, DaemonId daemon) {
+    return new PeerSettings("127.0.0.1", port, "cluster", "key", daemon, "z", "r", BOUNDS);
   }
 
   @Test
