Wait in PeerNetworkTest until the port of a stopped daemon is free

Cause: a socket that is closed listens until the event loop that accepts its connections has selected once more. Both daemons of the test share that event loop, and the second one was told to listen before. A daemon that restarts is another process, so that the fault is one of the test.

The test now waits until the port is free before the second daemon starts.

--- a/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
@@ -231,6 +231,18 @@
     }
   }
 
+  /**
+   * Waits until a port is free: the socket of a daemon that has stopped listens until the event
+   * loop that accepts its connections has run once more.
+   */
+  private static void awaitFree(int port) throws IOException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+    while (!isFree(port)) {
+      assertThat(System.nanoTime()).as("port %d is free before the timeout", port).isLessThan(end);
+      Thread.onSpinWait();
+    }
+  }
+
   @Test
   void aDaemonThatRestartsOnItsPortReceivesMessagesAgain() throws Exception {
     try (ServerSocket guard = guardOfFreePort()) {
@@ -240,6 +252,7 @@
       one.network.send(two.id, new PingMessage(1, List.of()));
       two.next();
       await(two.network.stop());
+      awaitFree(port);
       Daemon restarted = daemon(settingsAt(port, id("two", 2)), PeerFaults.NONE);
       Received received = null;
       for (int sequence = 2; received == null; sequence++) {
