Collect the bytes of LinkStandInTest from the turn of the connection on

Seen in a trial: aPathDeliversAllBytesInTheirOrderBeforeTheEndOfTheConnection fails with a TimeoutException on the path that takes no time, if the test's thread pauses for 500 ms between the connect and the registration of its result.

Cause: the server writes and ends at once; the client drops bytes, and reports no end, where the handlers are set in a turn of the event loop after the one in which the connection opened.

The connection is now opened in a turn of the event loop, so that its handlers are set before anything is read.

--- a/standin/src/test/java/org/marjoramsail/standin/network/LinkStandInTest.java
+++ b/standin/src/test/java/org/marjoramsail/standin/network/LinkStandInTest.java
@@ -51,10 +51,12 @@
     int entrance = await(path(pathMillis).start(ADDRESS, port));
     Promise<String> received = Promise.promise();
 
-    client
-        .connect(entrance, ADDRESS)
-        .onSuccess(socket -> collect(socket, received))
-        .onFailure(received::fail);
+    vertx.runOnContext(
+        begins ->
+            client
+                .connect(entrance, ADDRESS)
+                .onSuccess(socket -> collect(socket, received))
+                .onFailure(received::fail));
 
     assertThat(await(received.future()).split("\n"))
         .hasSize(LINES)
@@ -164,6 +166,7 @@
     socket.end();
   }
 
+  /** Collects all bytes of a connection, on its event loop in the turn in which it opens. */
   private static void collect(NetSocket socket, Promise<String> received) {
     Buffer bytes = Buffer.buffer();
     socket.handler(bytes::appendBuffer);
