Hold the port of LinkStandInTest that refuses connections

Cause: the port was free when it was chosen, and nothing held it: another process, or the path itself, could be given it before the connection.

The test now holds the port with a bound socket that does not listen, which refuses connections until the test ends.

--- a/standin/src/test/java/org/marjoramsail/standin/network/LinkStandInTest.java
+++ b/standin/src/test/java/org/marjoramsail/standin/network/LinkStandInTest.java
@@ -9,7 +9,9 @@
 import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
-import java.net.ServerSocket;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -70,11 +72,13 @@
     LinkStandIn path = path(pathMillis);
     Promise<Integer> refused = Promise.promise();
     path.onRefused(refused::complete);
-    int entrance = await(path.start(ADDRESS, closedPort()));
+    try (Socket refusing = bound()) {
+      int entrance = await(path.start(ADDRESS, refusing.getLocalPort()));
 
-    NetSocket caller = await(client.connect(entrance, ADDRESS));
+      NetSocket caller = await(client.connect(entrance, ADDRESS));
 
-    assertThat(await(refused.future())).isEqualTo(caller.localAddress().port());
+      assertThat(await(refused.future())).isEqualTo(caller.localAddress().port());
+    }
   }
 
   /** Guards against a connection to a server that stays open without its caller. */
@@ -153,10 +157,11 @@
     return new LinkStandIn(vertx, () -> 0, heldMillis -> 0, pathMillis);
   }
 
-  private static int closedPort() throws Exception {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
+  /** Returns a socket that holds a port and does not listen, so that connections are refused. */
+  private static Socket bound() throws IOException {
+    Socket socket = new Socket();
+    socket.bind(new InetSocketAddress(ADDRESS, 0));
+    return socket;
   }
 
   private static void writeLines(NetSocket socket) {
