Send the request of CallerConnectionsTest before its connection is accepted

Seen in a trial: both tests fail if the client pauses for 2 s behind the connect: "HttpClosedException: Connection was closed" and a TimeoutException.

Cause: the connection was idle until its request came, and closed after 1 s. The other test set its handler for the close on its own thread, after the connection may have closed: such a handler is not called.

The request now waits in the accept queue when its connection is accepted, so that the connection is not idle before the request is read, however long the client takes. The other test reads from a plain socket, which shows the close whenever it is read.

--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/CallerConnectionsTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/CallerConnectionsTest.java
@@ -2,20 +2,18 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
-import io.vertx.core.http.PoolOptions;
-import io.vertx.core.http.RequestOptions;
-import io.vertx.core.net.NetClient;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.marjoramsail.daemon.fixture.AcceptQueue;
 import org.marjoramsail.daemon.fixture.Waits;
 
 @Timeout(60)
@@ -23,10 +21,11 @@
 
   private static final int IDLE_MILLIS = 1_000;
   private static final long RESPONSE_MILLIS = 5 * IDLE_MILLIS / 2;
+  private static final int PATIENCE_MILLIS = 20_000;
+  private static final String REQUEST =
+      "GET / HTTP/1.1\r\nhost: desk.example\r\nconnection: close\r\n\r\n";
 
   private final Vertx vertx = Vertx.vertx();
-  private final HttpClient httpClient = vertx.createHttpClient(new PoolOptions());
-  private final NetClient netClient = vertx.createNetClient();
   private final CallerConnections connections = new CallerConnections(vertx, headers -> "");
 
   @AfterEach
@@ -36,36 +35,26 @@
 
   /** Guards against an idle timeout that closes a connection whose request is still running. */
   @Test
-  void aConnectionIsNotIdleWhileARequestRunsOnIt() {
+  void aConnectionIsNotIdleWhileARequestRunsOnIt() throws IOException {
     HttpServer server = Waits.get(server().listen(0, "127.0.0.1"));
 
-    int status =
-        Waits.get(
-            httpClient
-                .request(
-                    new RequestOptions()
-                        .setMethod(HttpMethod.GET)
-                        .setHost("127.0.0.1")
-                        .setPort(server.actualPort())
-                        .setURI("/"))
-                .compose(request -> request.send())
-                .map(response -> response.statusCode()));
+    try (AcceptQueue queue = new AcceptQueue(vertx)) {
+      queue.add(1, server.actualPort(), REQUEST).release();
 
-    assertThat(status).isEqualTo(200);
+      assertThat(queue.results()).containsExactly("HTTP/1.1 200 OK");
+    }
   }
 
   /** Guards against connections that nobody uses and that stay open. */
   @Test
-  void aConnectionWithoutARequestIsClosedOnceItIsIdle() {
+  void aConnectionWithoutARequestIsClosedOnceItIsIdle() throws IOException {
     HttpServer server = Waits.get(server().listen(0, "127.0.0.1"));
-    Promise<Void> closed = Promise.promise();
 
-    Waits.get(
-        netClient
-            .connect(server.actualPort(), "127.0.0.1")
-            .onSuccess(socket -> socket.closeHandler(closed::complete)));
+    try (Socket caller = new Socket(InetAddress.getLoopbackAddress(), server.actualPort())) {
+      caller.setSoTimeout(PATIENCE_MILLIS);
 
-    Waits.get(closed.future());
+      assertThat(caller.getInputStream().read()).isNegative();
+    }
   }
 
   private HttpServer server() {
