--- a/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/peer/PeerNetworkTest.java
@@ -4,6 +4,7 @@
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetClient;
@@ -203,41 +204,67 @@
   }
 
   /**
-   * Returns a free port below the ephemeral range, so that no outgoing connection of any process
-   * can take it while the daemon restarts.
+   * Returns a socket that keeps other runs of this test away from the port before its own, which is
+   * free and below the ephemeral range, so that no outgoing connection of any process can take it
+   * while the daemon restarts.
    */
-  private static int portBelowEphemeralRange() throws IOException {
-    for (int port = LOWEST_PORT; port < LOWEST_EPHEMERAL_PORT; port++) {
-      try (ServerSocket free = new ServerSocket(port)) {
-        return free.getLocalPort();
+  private static ServerSocket guardOfFreePort() throws IOException {
+    for (int port = LOWEST_PORT; port < LOWEST_EPHEMERAL_PORT; port += 2) {
+      try {
+        ServerSocket guard = new ServerSocket(port + 1);
+        if (isFree(port)) {
+          return guard;
+        }
+        guard.close();
       } catch (BindException portInUse) {
-        // Try the next port.
+        // Try the next two ports.
       }
     }
     throw new IOException("No port is free.");
   }
 
+  private static boolean isFree(int port) throws IOException {
+    try (ServerSocket free = new ServerSocket(port)) {
+      return free.isBound();
+    } catch (BindException portInUse) {
+      return false;
+    }
+  }
+
+  /**
+   * Waits until a port is free: the socket of a daemon that has stopped listens until the event
+   * loop that accepts its connections has run once more.
+   */
+  private static void awaitFree(int port) throws IOException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(TIMEOUT_SECONDS);
+    while (!isFree(port)) {
+      assertThat(System.nanoTime()).as("port %d is free before the timeout", port).isLessThan(end);
+      Thread.onSpinWait();
+    }
+  }
+
   @Test
   void aDaemonThatRestartsOnItsPortReceivesMessagesAgain() throws Exception {
-    int port = portBelowEphemeralRange();
-    Daemon one = daemon("one", 1, "key");
-    Daemon two =
-        daemon(
-            new PeerSettings("127.0.0.1", port, "cluster", "key", id("two", 1), "z", "r", BOUNDS),
-            PeerFaults.NONE);
-    one.network.send(two.id, new PingMessage(1, List.of()));
-    two.next();
-    await(two.network.stop());
-    Daemon restarted =
-        daemon(
-            new PeerSettings("127.0.0.1", port, "cluster", "key", id("two", 2), "z", "r", BOUNDS),
-            PeerFaults.NONE);
-    Received received = null;
-    for (int sequence = 2; received == null; sequence++) {
-      one.network.send(restarted.id, new PingMessage(sequence, List.of()));
-      received = restarted.received.poll(50, TimeUnit.MILLISECONDS);
+    try (ServerSocket guard = guardOfFreePort()) {
+      int port = guard.getLocalPort() - 1;
+      Daemon one = daemon("one", 1, "key");
+      Daemon two = daemon(settingsAt(port, id("two", 1)), PeerFaults.NONE);
+      one.network.send(two.id, new PingMessage(1, List.of()));
+      two.next();
+      await(two.network.stop());
+      awaitFree(port);
+      Daemon restarted = daemon(settingsAt(port, id("two", 2)), PeerFaults.NONE);
+      Received received = null;
+      for (int sequence = 2; received == null; sequence++) {
+        one.network.send(restarted.id, new PingMessage(sequence, List.of()));
+        received = restarted.received.poll(50, TimeUnit.MILLISECONDS);
+      }
+      assertThat(received.from()).isEqualTo(one.id);
     }
-    assertThat(received.from()).isEqualTo(one.id);
+  }
+
+  private static PeerSettings settingsAt(int port, DaemonId daemon) {
+    return new PeerSettings("127.0.0.1", port, "cluster", "key", daemon, "z", "r", BOUNDS);
   }
 
   @Test
@@ -320,15 +347,20 @@
     private Buffer unparsed = Buffer.buffer();
 
     RawConnection(PeerAddress address) throws Exception {
-      socket =
-          await(
+      Promise<NetSocket> connected = Promise.promise();
+      vertx.runOnContext(
+          begins ->
               client
                   .connect(address.port(), address.address())
-                  .onSuccess(
-                      opened -> {
-                        opened.handler(this::read);
-                        opened.closeHandler(unused -> closed.complete(null));
-                      }));
+                  .onSuccess(this::opened)
+                  .onComplete(connected));
+      socket = await(connected.future());
+    }
+
+    /** Handles a new connection, on its event loop before anything is read from it. */
+    private void opened(NetSocket opened) {
+      opened.handler(this::read);
+      opened.closeHandler(ended -> closed.complete(null));
     }
 
     private void read(Buffer bytes) {
