Choose the port of a signalled process where no connection takes it

Seen: two tests of ProcessSignalsTest end with "has ended with code 129", or with exit code 143 instead of 0.

Cause: they need to know the operator port of a process in advance, took one that the operating system had just handed out, and closed it. The system hands it out again to any listener or connection before the process listens on it. If another program listens on it, the test takes the process for started and signals it before it handles signals.

Fix: the choice of ports that soaks have made so far, below those that the system hands out, is a class of its own, FixedPorts, and the test uses it. The checks are the same.

--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
@@ -3,9 +3,6 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import java.io.IOException;
-import java.net.BindException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -15,7 +12,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Supplier;
 import org.marjoramsail.command.fleet.FleetDaemon;
 import org.marjoramsail.command.fleet.ProcessDaemons;
@@ -43,15 +39,6 @@
 
   private static final long SLOW_RUN_MILLIS = 30;
 
-  /**
-   * Ports of daemons begin here, below those that the operating system hands out: a connection
-   * might take one of these between the choice and the start.
-   */
-  private static final int FIRST_PORT = 20_000;
-
-  private static final int LAST_FIRST_PORT = 31_000;
-  private static final int LAST_PORT = 32_000;
-
   /**
    * A running daemon as callers see it.
    *
@@ -114,14 +101,11 @@
     this.arrivals = arrivals;
     this.sockets = new ProcessSockets(vertx);
     int count = setup.daemons();
-    // Soaks that start at the same time choose different ports.
-    int firstPort = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_FIRST_PORT);
     for (int number = 0; number < count; number++) {
       String address = "127.1." + number / HOSTS_PER_BLOCK + "." + (1 + number % HOSTS_PER_BLOCK);
-      Endpoint caller = freePort(address, firstPort);
-      Endpoint operator = freePort(address, caller.port() + 1);
-      Endpoint peer = freePort(address, operator.port() + 1);
-      ListenSettings listen = new ListenSettings(caller, operator, peer);
+      FixedPorts ports = new FixedPorts();
+      ListenSettings listen =
+          new ListenSettings(ports.next(address), ports.next(address), ports.next(address));
       hosts.add(host("host-" + (number + 1), listen));
     }
   }
@@ -134,17 +118,6 @@
     return new Host(name, listen, storePath, callerPath);
   }
 
-  private static Endpoint freePort(String address, int firstPort) throws IOException {
-    for (int port = firstPort; port < LAST_PORT; port++) {
-      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(address))) {
-        return new Endpoint(address, socket.getLocalPort());
-      } catch (BindException used) {
-        // Another program listens there; the next port is tried.
-      }
-    }
-    throw new BindException("No port of " + address + " from " + firstPort + " is free.");
-  }
-
   int size() {
     return hosts.size();
   }
--- a/command/src/test/java/org/marjoramsail/command/platform/ProcessSignalsTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/ProcessSignalsTest.java
@@ -7,9 +7,7 @@
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.net.ConnectException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.file.Path;
@@ -45,6 +43,7 @@
   private static final int NOTHING_LOST = ExitCode.OK.code();
 
   private final Clock clock = new SystemClock();
+  private final FixedPorts ports = new FixedPorts();
   private Vertx vertx;
   private PlatformStandIn platform;
 
@@ -150,7 +149,7 @@
 
   private Settings settings(String name) throws IOException {
     Endpoint free = new Endpoint(LoopbackPlatform.ADDRESS, 0);
-    ListenSettings listen = new ListenSettings(free, freeEndpoint(), free);
+    ListenSettings listen = new ListenSettings(free, ports.next(free.address()), free);
     return LoopbackPlatform.settings(
             name,
             listen,
@@ -159,10 +158,4 @@
             1_000)
         .withLimits(LoopbackPlatform.PROCESS_LIMITS);
   }
-
-  private static Endpoint freeEndpoint() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new Endpoint(LoopbackPlatform.ADDRESS, socket.getLocalPort());
-    }
-  }
 }
