--- a/daemon/src/test/java/org/marjoramsail/daemon/caller/CallerTimeoutTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/caller/CallerTimeoutTest.java
@@ -58,15 +58,7 @@
   private Socket connect(long headerTimeoutMillis, long bodyTimeoutMillis) throws IOException {
     CallerLimits limits =
         new CallerLimits(
-            4,
-            2_048,
-            4_096,
-            headerTimeoutMillis,
-            bodyTimeoutMillis,
-            64 * 1024,
-            300,
-            1_000_000,
-            16);
+            4, 2_048, 4_096, headerTimeoutMillis, bodyTimeoutMillis, 64 * 1024, 300, 1_000_000, 16);
     CallerPath path = new CallerPath(vertx, limits, List.of(), LONG_TIMEOUT_MILLIS);
     Socket caller = new Socket(InetAddress.getLoopbackAddress(), path.port());
     caller.setSoTimeout(PATIENCE_MILLIS);
--- a/standin/src/test/java/org/marjoramsail/standin/network/LinkStandInTest.java
+++ b/standin/src/test/java/org/marjoramsail/standin/network/LinkStandInTest.java
@@ -10,6 +10,7 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.Set;
@@ -160,7 +161,7 @@
   /** Returns a socket that holds a port and does not listen, so that connections are refused. */
   private static Socket bound() throws IOException {
     Socket socket = new Socket();
-    socket.bind(new InetSocketAddress(ADDRESS, 0));
+    socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
     return socket;
   }
 
