Give the calls of UpstreamExtraBytesTest more time than a busy machine takes

Seen in a trial: all 8 cases fail if the stand-in pauses for 1.5 s between a request and its response: the first call ends as CUT in place of "first", and the write of the stand-in fails with "Connection reset by peer".

Cause: the calls had the default limit of 1 s for a short call, which is not what this test checks.

The test now has limits of 20 s, as long as its waits. The client is a field, as in UpstreamJoinedHeadTest.

--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamExtraBytesTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamExtraBytesTest.java
@@ -21,7 +21,14 @@
 
   private static final String ADDRESS = "127.0.0.1";
 
+  /** Exceeds the time that a call on a busy machine takes. */
+  private static final int TIMEOUT_MILLIS = 20_000;
+
+  private static final UpstreamLimits LIMITS =
+      new UpstreamLimits(256, TIMEOUT_MILLIS, TIMEOUT_MILLIS, 64 * 1024, 8 * 1024 * 1024);
+
   private final Vertx vertx = Vertx.vertx();
+  private final UpstreamHttp http = new UpstreamHttp(vertx, LIMITS);
 
   @AfterEach
   void close() {
@@ -35,11 +42,10 @@
     ExtraBytesStandIn server = new ExtraBytesStandIn(vertx, extra, "first", "extra", "second");
     int port = Waits.get(server.start(ADDRESS));
     UpstreamEndpoint endpoint = new UpstreamEndpoint(new UpstreamName("desk-1"), ADDRESS, port);
-    UpstreamHttp http = new UpstreamHttp(vertx, UpstreamLimits.defaults());
 
-    String first = resultOf(http, endpoint);
+    String first = resultOf(endpoint);
     Waits.get(server.extraSent());
-    String second = resultOf(http, endpoint);
+    String second = resultOf(endpoint);
 
     assertThat(first).isEqualTo("first");
     assertThat(second)
@@ -52,7 +58,7 @@
     }
   }
 
-  private static String resultOf(UpstreamHttp http, UpstreamEndpoint endpoint) {
+  private String resultOf(UpstreamEndpoint endpoint) {
     return Waits.get(
         http.control(endpoint, HttpMethod.GET, "/status")
             .map(body -> body.toString(StandardCharsets.UTF_8))
