Count a cancelled attempt of the engine stand-in before it is released

Cause: the engine released the attempt, and counted it as cancelled after that. The audit may be read from another thread: a test that waits until nothing is held could read the count between the two.

The engine now counts first. Both happen in one turn of its event loop, so that nothing else changes.

--- a/standin/src/main/java/org/marjoramsail/standin/engine/EngineModel.java
+++ b/standin/src/main/java/org/marjoramsail/standin/engine/EngineModel.java
@@ -255,9 +255,10 @@
 
   /** Frees all that an attempt holds; false if it is not held. */
   private boolean release(HeldAttempt attempt, boolean keepMemory) {
-    if (crashed || !held.remove(attempt.key, attempt)) {
+    if (!isHeld(attempt)) {
       return false;
     }
+    held.remove(attempt.key);
     attempt.whenReleased.run();
     attempt.transfer.ifPresent(transfer -> ingress.cancel(time.micros(), transfer));
     batch.remove(attempt, keepMemory);
@@ -268,13 +269,18 @@
 
   /** The client of an attempt has gone; what the attempt holds is free at once. */
   void clientGone(HeldAttempt attempt) {
-    if (release(attempt, false)) {
+    if (isHeld(attempt)) {
       audit.cancelled();
       audit.wasted(WasteReason.CLIENT_GONE, attempt.unusedTokens());
+      release(attempt, false);
       advance();
     }
   }
 
+  private boolean isHeld(HeldAttempt attempt) {
+    return !crashed && held.get(attempt.key) == attempt;
+  }
+
   /** Cancels one attempt, held or yet to come; whether something was freed. */
   boolean cancel(AttemptKey key) {
     cancels.cancel(key);
