Start and end the hosts of a soak on its event loop

Seen: a host of a soak may never be started again, or its disturbance never end: no run is known that failed for it.

Cause: the class says that it runs on one event loop. Processes start and end on threads of the Java platform, and what follows a start, a stop or a kill ran there: several threads wrote the fields of a host and a HashSet of the hosts that start, without anything between them, and timers that were set there fired on other event loops.

Evidence: in one run of PlatformSoakTest#daemonsThatAreToldToStopLoseNoCall with the names of threads printed, ten stops ended on three threads of the common pool, and their timers fired on ten event loops beside that of the soak.

Fix: what a process completes is completed on the event loop of the soak. All eight tests of PlatformSoakTest pass.

--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformProcesses.java
@@ -1,6 +1,8 @@
 package org.marjoramsail.command.platform;
 
+import io.vertx.core.Context;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -69,6 +71,7 @@
   }
 
   private final Vertx vertx;
+  private final Context context;
   private final ProcessDaemons factory;
   private final int storePort;
   private final PlatformSoakSetup setup;
@@ -94,6 +97,7 @@
       SoakArrivals arrivals)
       throws IOException {
     this.vertx = vertx;
+    this.context = vertx.getOrCreateContext();
     this.factory = factory;
     this.storePort = storePort;
     this.setup = setup;
@@ -197,8 +201,7 @@
       FleetDaemon killed = host.process.orElseThrow();
       host.process = Optional.empty();
       arrivals.disturbanceBegins(host.name);
-      killed
-          .kill()
+      onLoop(killed.kill())
           .onComplete(
               ended -> startLater(host, downMillis, () -> arrivals.disturbanceEnds(host.name)));
     }
@@ -301,8 +304,7 @@
     host.process = Optional.empty();
     arrivals.stopBegins(host.name);
     host.stopping = Optional.of(stopped);
-    stopped
-        .stop()
+    onLoop(stopped.stop())
         .onComplete(
             ended -> {
               host.stopping = Optional.empty();
@@ -365,12 +367,18 @@
   }
 
   private Future<Void> start(Host host) {
-    return factory
-        .start(settings(host))
+    return onLoop(factory.start(settings(host)))
         .onSuccess(process -> host.process = Optional.of(process))
         .mapEmpty();
   }
 
+  /** Completes on the event loop, as processes start and end on other threads. */
+  private <T> Future<T> onLoop(Future<T> future) {
+    Promise<T> onLoop = Promise.promise();
+    future.onComplete(result -> context.runOnContext(nothing -> future.onComplete(onLoop)));
+    return onLoop.future();
+  }
+
   private Settings settings(Host host) {
     List<Endpoint> seeds =
         hosts.stream()
