Keep the history of versions over writes of other objects to the store

What callers saw: a stream of which no daemon has a record was refused (stream-unknown) although one software version alone was listed all the time.

Cause: the store has one revision for all kinds of objects, and each host writes its record once a minute. A watch of the upstreams is then answered empty with a later revision, which may conceal changes; the list is read anew, and the history of versions began anew with it.

Change: the list is read anew as before, but the revisions between are kept as a gap. The history counts as incomplete since the gap until each of its revisions is known to be that of an object of another kind: of hosts' records and the lease, read from the store for such a take-up, and of routes that this daemon has put in force. Any other reason to read the list anew, and a list that shows changes after a gap, begin the history anew as before.

Why it works: each revision is the change of one object, so that a gap of which all revisions belong to other kinds has no change of an upstream. A revision that is not seen, as that of a concealed change, of an unknown kind, of routes that were missed, or one from another epoch, leaves the gap open, and the stream is refused. At most 128 gaps and 1,024 revisions are kept; the oldest end the history for good.

--- a/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
@@ -96,7 +96,7 @@
   }
 
   /**
-   * Handles the complete list.
+   * Handles the complete list. Changes before it may have been missed.
    *
    * @param whole the entries
    * @param unusable names of entries that are present but invalid
@@ -107,6 +107,40 @@
       List<ListedUpstream> whole, Collection<UpstreamName> unusable, long nowMillis) {
     received(nowMillis);
     versions.restart(nowMillis);
+    boolean changed = replace(whole, unusable, nowMillis);
+    recordVersions(nowMillis);
+    return changed;
+  }
+
+  /**
+   * Handles the complete list, read again after a response that may have left out changes in a gap.
+   *
+   * @return whether the upstreams have changed; then changes were left out
+   */
+  public boolean listedAfterGap(
+      List<ListedUpstream> whole,
+      Collection<UpstreamName> unusable,
+      RevisionGap gap,
+      long nowMillis) {
+    received(nowMillis);
+    recordVersions(nowMillis);
+    boolean changed = replace(whole, unusable, nowMillis);
+    if (changed) {
+      versions.restart(nowMillis);
+    } else {
+      versions.skipped(gap, nowMillis);
+    }
+    whole.forEach(one -> versions.listed(one.definition(), nowMillis));
+    recordVersions(nowMillis);
+    return changed;
+  }
+
+  private void recordVersions(long nowMillis) {
+    entries.values().forEach(entry -> versions.listed(entry.listed.definition(), nowMillis));
+  }
+
+  private boolean replace(
+      List<ListedUpstream> whole, Collection<UpstreamName> unusable, long nowMillis) {
     boolean changed = entries.keySet().removeAll(unusable);
     Set<UpstreamName> names = new HashSet<>();
     for (ListedUpstream one : whole) {
@@ -118,7 +152,6 @@
         changed |= remove(name, nowMillis);
       }
     }
-    entries.values().forEach(entry -> versions.listed(entry.listed.definition(), nowMillis));
     known = true;
     return changed;
   }
@@ -198,6 +231,24 @@
         : Optional.empty();
   }
 
+  /**
+   * Returns the revision after which changes may have been missed; empty if none were, or if the
+   * list cannot be read now.
+   */
+  public Optional<StoreRevision> oldestGap() {
+    return reachable ? versions.oldestGap() : Optional.empty();
+  }
+
+  /** Handles revisions of the store that changed no entry of this list. */
+  public void unchangedBy(Collection<StoreRevision> elsewhere) {
+    versions.explain(elsewhere);
+  }
+
+  /** Records that the store no longer has the changes after the oldest gap. */
+  public void gapHistoryGone() {
+    versions.dropOlderGaps();
+  }
+
   private boolean isListed(String service, SoftwareVersion version) {
     return entries.values().stream()
         .map(entry -> entry.listed.definition())
--- a/core/src/main/java/org/marjoramsail/core/discovery/VersionHistory.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/VersionHistory.java
@@ -1,5 +1,6 @@
 package org.marjoramsail.core.discovery;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -10,20 +11,65 @@
 /**
  * When the list of upstreams last had each software version of a service, for as long as each of
  * its changes was received.
+ *
+ * <p>A gap in the changes ends that time, until all revisions in the gap are known to have changed
+ * something else.
  */
 final class VersionHistory {
 
   private static final long NEVER = Long.MAX_VALUE;
 
+  /** Maximum number of versions of all services, listed now or before. */
+  private static final int MAXIMUM_VERSIONS = 1_024;
+
   private final Map<String, Map<SoftwareVersion, Long>> listedAtMillis = new HashMap<>();
+  private final RevisionGaps gaps = new RevisionGaps();
   private long completeSinceMillis = NEVER;
 
   /** Starts anew: changes before this time may have been missed. */
   void restart(long nowMillis) {
     listedAtMillis.clear();
+    gaps.clear();
     completeSinceMillis = nowMillis;
   }
 
+  /**
+   * Records that changes in a gap that ends now may have been missed. The versions that are listed
+   * now have to be recorded after it.
+   */
+  void skipped(RevisionGap gap, long nowMillis) {
+    int versions = listedAtMillis.values().stream().mapToInt(Map::size).sum();
+    if (versions > MAXIMUM_VERSIONS || !gaps.add(gap, nowMillis)) {
+      restart(nowMillis);
+    }
+    while (gaps.isFull()) {
+      dropOldestGap();
+    }
+  }
+
+  /** Handles revisions of the store that did not change the list. */
+  void explain(Collection<StoreRevision> elsewhere) {
+    gaps.explain(elsewhere);
+  }
+
+  /** Returns the revision after which the oldest gap begins. */
+  Optional<StoreRevision> oldestGap() {
+    return gaps.oldest();
+  }
+
+  /** Begins after the older half of the gaps, which can no longer be closed. */
+  void dropOlderGaps() {
+    for (int left = (gaps.size() + 1) / 2; left > 0; left--) {
+      dropOldestGap();
+    }
+  }
+
+  private void dropOldestGap() {
+    gaps.dropOldest()
+        .ifPresent(
+            endedAtMillis -> completeSinceMillis = Math.max(completeSinceMillis, endedAtMillis));
+  }
+
   /** Records that an upstream was listed until now, or is from now on. */
   void listed(UpstreamDefinition upstream, long nowMillis) {
     upstream
@@ -43,7 +89,8 @@
    */
   Optional<SoftwareVersion> onlyVersionSince(
       String service, long sinceMillis, Predicate<SoftwareVersion> isListed) {
-    if (completeSinceMillis > sinceMillis) {
+    boolean hasGap = gaps.newestEndedAtMillis().filter(ended -> ended > sinceMillis).isPresent();
+    if (completeSinceMillis > sinceMillis || hasGap) {
       return Optional.empty();
     }
     Map<SoftwareVersion, Long> versions = listedAtMillis.getOrDefault(service, Map.of());
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -15,6 +15,8 @@
 import org.marjoramsail.core.discovery.ListedUpstream;
 import org.marjoramsail.core.discovery.RetainedUpstream;
 import org.marjoramsail.core.discovery.RetentionBounds;
+import org.marjoramsail.core.discovery.RevisionGap;
+import org.marjoramsail.core.discovery.StoreRevision;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.SoftwareVersion;
 import org.marjoramsail.core.model.UpstreamName;
@@ -140,6 +142,39 @@
     logRetained();
   }
 
+  /**
+   * Handles the list of upstreams, read again after a response that may have left out changes.
+   *
+   * @param unusable names of the upstreams whose entries exist but cannot be used
+   * @param gap revisions of the store of which these changes may be
+   */
+  public void replaceUpstreams(
+      List<ListedUpstream> listed, Collection<UpstreamName> unusable, RevisionGap gap) {
+    upstreamsAvailable();
+    if (discoveredUpstreams.listedAfterGap(listed, unusable, gap, clock.millis())) {
+      publish();
+    }
+    logRetained();
+  }
+
+  /**
+   * Returns the revision after which changes of the list of upstreams may have been missed; empty
+   * if none were, or if the list cannot be read now.
+   */
+  public Optional<StoreRevision> oldestUpstreamGap() {
+    return discoveredUpstreams.oldestGap();
+  }
+
+  /** Handles revisions of the store that did not change the list of upstreams. */
+  public void upstreamsUnchangedBy(Collection<StoreRevision> revisions) {
+    discoveredUpstreams.unchangedBy(revisions);
+  }
+
+  /** Records that the store no longer has the changes after the oldest gap. */
+  public void upstreamGapHistoryGone() {
+    discoveredUpstreams.gapHistoryGone();
+  }
+
   /**
    * Handles the routes and upstreams of another daemon, which this one receives when it cannot read
    * the lists itself.
