End relayed calls whose sender is cut off at their deadline

What could be seen: a relay keeps a call whose sender is cut off, without the end of its connection, for as long as the upstream is silent. Nothing ends it but TCP, and 500 such calls stop the relay from taking others.

Cause: SenderTimeout runs only while the relay waits for the sender. While the upstream is waited for, the deadline was kept by the sender alone.

A second call on the connection of one whose deadline has passed is relayed; that test fails if the timer is not cancelled with its call.

Why the fix works: a call bears the time that it has left (the parameter that upstreams are sent, too), and a sender ends it at that time. 1 s after it the relay closes the connection to the sender at once, which ends the call and closes its connection to the upstream.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -38,9 +38,6 @@
   /** Maximum number of calls that are relayed at the same time. */
   private static final int MAXIMUM_CALLS = 500;
 
-  /** Time after which a sender that neither sends nor reads anything has given its call up. */
-  private static final long SENDER_TIMEOUT_MILLIS = 60_000;
-
   private static final int NOT_SENT_STATUS = 503;
   private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
 
@@ -54,7 +51,7 @@
   private final UpstreamConnections connections;
   private final CallLog calls;
   private final BooleanSupplier available;
-  private final long senderTimeoutMillis;
+  private final RelayTimeouts timeouts;
   private final ListeningPort port;
   private Optional<HttpServer> server = Optional.empty();
   private int running;
@@ -77,14 +74,14 @@
       UpstreamConnections connections,
       CallLog calls,
       BooleanSupplier available) {
-    this(vertx, token, protocol, upstreams, connections, calls, available, SENDER_TIMEOUT_MILLIS);
+    this(
+        vertx, token, protocol, upstreams, connections, calls, available, RelayTimeouts.defaults());
   }
 
   /**
-   * Creates a server with a timeout of its own.
+   * Creates a server with timeouts of its own.
    *
-   * @param senderTimeoutMillis how long a sender may neither send nor read anything while it is
-   *     waited for, in milliseconds
+   * @param timeouts times after which senders are given up
    */
   RelayServer(
       Vertx vertx,
@@ -94,7 +91,7 @@
       UpstreamConnections connections,
       CallLog calls,
       BooleanSupplier available,
-      long senderTimeoutMillis) {
+      RelayTimeouts timeouts) {
     this.vertx = vertx;
     this.port = new ListeningPort(vertx);
     this.token = token.getBytes(StandardCharsets.UTF_8);
@@ -103,7 +100,7 @@
     this.connections = connections;
     this.calls = calls;
     this.available = available;
-    this.senderTimeoutMillis = senderTimeoutMillis;
+    this.timeouts = timeouts;
   }
 
   /** Starts to listen; completes with the port. */
@@ -198,19 +195,32 @@
     running++;
     accepted++;
     Context context = vertx.getOrCreateContext();
-    SenderTimeout timeout = new SenderTimeout(vertx, request, senderTimeoutMillis);
+    CallerParameters parameters = protocol.parametersOf(request.headers());
+    RelayDeadline deadline = new RelayDeadline(vertx, request, timeouts.callMillis(parameters));
+    SenderTimeout timeout = new SenderTimeout(vertx, request, timeouts.senderMillis());
     timeout.start();
     // The sender's connection is probed, which a handler of what it sends must not do.
     request
         .body()
         .onComplete(ended -> timeout.cancel())
         .onSuccess(
-            body -> context.runOnContext(read -> relay(request, body, target.get(), timeout)))
-        .onFailure(broken -> running--);
+            body ->
+                context.runOnContext(
+                    read ->
+                        relay(
+                            request,
+                            body,
+                            target.get(),
+                            new RelayedCall(request, timeout, deadline))))
+        .onFailure(
+            broken -> {
+              deadline.cancel();
+              running--;
+            });
   }
 
   private void relay(
-      HttpServerRequest request, Buffer body, UpstreamDefinition target, SenderTimeout timeout) {
+      HttpServerRequest request, Buffer body, UpstreamDefinition target, RelayedCall listener) {
     MultiMap received = request.headers();
     boolean hasBody = received.contains("content-length") || received.contains("transfer-encoding");
     MultiMap headers = Relay.passedOn(received);
@@ -224,7 +234,6 @@
             hasBody,
             protocol.parametersOf(headers),
             Optional.empty());
-    RelayedCall listener = new RelayedCall(request, timeout);
     ForwardCall call =
         new ForwardCall(
             connections,
@@ -239,9 +248,8 @@
         .response()
         .closeHandler(
             closed -> {
-              timeout.cancel();
+              listener.senderLeft();
               call.close();
-              listener.ended();
             });
     ForwardCall unused = call.start(headers);
   }
@@ -273,22 +281,30 @@
     private final HttpServerRequest request;
     private final HttpServerResponse response;
     private final SenderTimeout timeout;
+    private final RelayDeadline deadline;
     private Optional<ForwardCall> call = Optional.empty();
     private boolean ended;
 
-    RelayedCall(HttpServerRequest request, SenderTimeout timeout) {
+    RelayedCall(HttpServerRequest request, SenderTimeout timeout, RelayDeadline deadline) {
       this.request = request;
       this.response = request.response();
       this.timeout = timeout;
+      this.deadline = deadline;
     }
 
     void relays(ForwardCall started) {
       call = Optional.of(started);
     }
 
-    void ended() {
+    void senderLeft() {
+      timeout.cancel();
+      ended();
+    }
+
+    private void ended() {
       if (!ended) {
         ended = true;
+        deadline.cancel();
         running--;
       }
     }
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
@@ -4,6 +4,7 @@
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
@@ -51,6 +52,10 @@
 
   private static final int READ_BYTES = 64 << 10;
   private static final long SHORT_TIMEOUT_MILLIS = 1_000;
+  private static final long SHORT_DEADLINE_MILLIS = 200;
+  private static final long OVERDUE_MILLIS = 100;
+  private static final long UNSTATED_DEADLINE_MILLIS = 60_000;
+  private static final String DEADLINE = "test-deadline-millis";
   private static final int STEADY_BYTES = 12;
   private static final int PATIENCE_MILLIS = 20_000;
   private static final String LAST_CHUNK = "\r\n0\r\n\r\n";
@@ -173,6 +178,95 @@
     assertThat(upstream.runs()).isZero();
   }
 
+  /** Guards against calls of a sender that is cut off, which a relay would keep without end. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n" + BODY_BYTE})
+  void aCallWhoseUpstreamIsSilentEndsAfterItsDeadline(String begunResponse) throws IOException {
+    Promise<Void> upstreamClosed = Promise.promise();
+    NetServer upstream =
+        vertx
+            .createNetServer()
+            .connectHandler(
+                socket -> {
+                  socket.closeHandler(closed -> upstreamClosed.complete());
+                  socket.handler(request -> socket.write(begunResponse));
+                });
+    UpstreamDefinition target = definition(Waits.get(upstream.listen(0, ADDRESS)).actualPort());
+    RelayServer relay = relay(target);
+    int port = Waits.get(relay.start(ADDRESS, 0));
+
+    try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      sender.getOutputStream().write(bytesOf(within(SHORT_DEADLINE_MILLIS)));
+
+      Waits.until("the call has ended", () -> relay.accepted() == 1 && relay.running() == 0);
+      Waits.get(upstreamClosed.future());
+    }
+  }
+
+  /** Guards against a call without a deadline of a sender that is cut off. */
+  @Test
+  void aCallWithoutADeadlineEndsIfItsUpstreamIsSilent() throws IOException {
+    NetServer upstream = vertx.createNetServer().connectHandler(socket -> {});
+    UpstreamDefinition target = definition(Waits.get(upstream.listen(0, ADDRESS)).actualPort());
+    RelayServer relay =
+        relay(target, new RelayTimeouts(PATIENCE_MILLIS, OVERDUE_MILLIS, SHORT_DEADLINE_MILLIS));
+    int port = Waits.get(relay.start(ADDRESS, 0));
+
+    try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      sender.getOutputStream().write(bytesOf(CALL));
+
+      Waits.until("the call has ended", () -> relay.accepted() == 1 && relay.running() == 0);
+    }
+  }
+
+  /** Guards against a call that is never sent whole, which would be waited for after its end. */
+  @Test
+  void aCallWhoseBodyIsNotSentUntilItsDeadlineEnds() throws IOException {
+    FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
+    RelayServer relay = relay(upstream.definition("desk"));
+    int port = Waits.get(relay.start(ADDRESS, 0));
+    String post =
+        within(SHORT_DEADLINE_MILLIS)
+            .replace("GET", "POST")
+            .replaceFirst("\r\n", "\r\ncontent-length: 2\r\n");
+
+    try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      sender.getOutputStream().write(bytesOf(post));
+
+      Waits.until("the call has ended", () -> relay.accepted() == 1 && relay.running() == 0);
+    }
+    assertThat(upstream.runs()).isZero();
+  }
+
+  /** Guards against the deadline of a call that ends a later one on the same connection. */
+  @Test
+  void aCallIsRelayedBeyondTheDeadlineOfAnEarlierOne() throws IOException {
+    NetServer upstream =
+        vertx
+            .createNetServer()
+            .connectHandler(
+                socket ->
+                    socket.handler(
+                        request ->
+                            vertx.setTimer(
+                                request.toString().contains("/late")
+                                    ? SHORT_DEADLINE_MILLIS + OVERDUE_MILLIS
+                                    : 1,
+                                passed -> socket.write(EXTRA))));
+    RelayServer relay = relay(definition(Waits.get(upstream.listen(0, ADDRESS)).actualPort()));
+    int port = Waits.get(relay.start(ADDRESS, 0));
+    String first = within(SHORT_DEADLINE_MILLIS).replace("connection: close\r\n", "");
+
+    try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      sender.setSoTimeout(PATIENCE_MILLIS);
+      sender.getOutputStream().write(bytesOf(first + CALL.replace("/status", "/late")));
+      String responses =
+          new String(sender.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+
+      assertThat(responses.split("HTTP/1.1 200 OK", -1)).hasSize(3);
+    }
+  }
+
   /** Guards against a body without end that is read although its call was refused. */
   @Test
   void aConnectionIsClosedAfterARefusalAlthoughItsBodyIsNotSent() throws IOException {
@@ -237,6 +331,15 @@
     return response.toString(StandardCharsets.ISO_8859_1);
   }
 
+  /** Returns a call that its sender ends after some time. */
+  private static String within(long millis) {
+    return CALL.replaceFirst("\r\n", "\r\n" + DEADLINE + ": " + millis + "\r\n");
+  }
+
+  private static byte[] bytesOf(String text) {
+    return text.getBytes(StandardCharsets.ISO_8859_1);
+  }
+
   private static UpstreamDefinition definition(int port) {
     return new UpstreamDefinition(
         new UpstreamName("desk-1"),
@@ -256,6 +359,11 @@
   }
 
   private RelayServer relay(UpstreamDefinition upstream, long senderTimeoutMillis) {
+    return relay(
+        upstream, new RelayTimeouts(senderTimeoutMillis, OVERDUE_MILLIS, UNSTATED_DEADLINE_MILLIS));
+  }
+
+  private RelayServer relay(UpstreamDefinition upstream, RelayTimeouts timeouts) {
     return new RelayServer(
         vertx,
         TOKEN,
@@ -274,28 +382,31 @@
             new IgnoredLiveness(),
             new ListAgeLog(() -> 0, new SimpleMeterRegistry())),
         () -> true,
-        senderTimeoutMillis);
+        timeouts);
+  }
+
+  private static CallerParameters parametersOf(MultiMap headers) {
+    String deadline = headers.get(DEADLINE);
+    return new CallerParameters(
+        "attempt-1",
+        deadline == null ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(deadline)),
+        0,
+        0,
+        OptionalInt.empty(),
+        OptionalInt.empty(),
+        Optional.empty(),
+        List.of(),
+        Optional.empty());
   }
 
   private static ForwardingProtocol protocol() {
-    CallerParameters parameters =
-        new CallerParameters(
-            "attempt-1",
-            OptionalLong.empty(),
-            0,
-            0,
-            OptionalInt.empty(),
-            OptionalInt.empty(),
-            Optional.empty(),
-            List.of(),
-            Optional.empty());
     return (ForwardingProtocol)
         Proxy.newProxyInstance(
             ForwardingProtocol.class.getClassLoader(),
             new Class<?>[] {ForwardingProtocol.class},
             (proxy, method, arguments) ->
                 switch (method.getName()) {
-                  case "parametersOf" -> parameters;
+                  case "parametersOf" -> parametersOf((MultiMap) arguments[0]);
                   case "attemptOf" -> "";
                   case "isProven" -> false;
                   default -> Optional.empty();
