Close connections to the relay port that stay without a call

What could be seen: a connection to the relay port on which nothing is sent, or of which the head of a request stays unfinished, stays open without end.

Cause: the server had no idle timeout, and the library's would begin again with each byte of a head.

Evidence: RelayServerTest, with a limit of 500 ms: a connection without a byte, one with a part of a head, one on which bytes of a head arrive all the time, and one whose calls have ended were open after 20 s with the timer set far later, and are closed now. Two calls on one connection that each take 1 s are relayed whole; that test fails if the timer runs on during a call, or if it is started between two calls of which the second was sent before the first had ended.

Why the fix works: UnusedConnections closes a connection once it has been without a call for 60 s as a whole, whatever arrives meanwhile. Senders meet no connection that is being closed: they send one call as soon as they have connected, and keep no connection to a relay for another (ConnectionFate.RELAYED). The number of connections remains unlimited.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -5,6 +5,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
@@ -52,6 +53,7 @@
   private final CallLog calls;
   private final BooleanSupplier available;
   private final RelayTimeouts timeouts;
+  private final UnusedConnections unusedConnections;
   private final ListeningPort port;
   private Optional<HttpServer> server = Optional.empty();
   private int running;
@@ -101,6 +103,7 @@
     this.calls = calls;
     this.available = available;
     this.timeouts = timeouts;
+    this.unusedConnections = new UnusedConnections(vertx, timeouts.unusedMillis());
   }
 
   /** Starts to listen; completes with the port. */
@@ -116,12 +119,17 @@
     HttpServer created =
         vertx
             .createHttpServer(options)
-            .connectionHandler(port::accepted)
+            .connectionHandler(this::opened)
             .requestHandler(this::receive);
     server = Optional.of(created);
     return created.listen().map(HttpServer::actualPort);
   }
 
+  private void opened(HttpConnection connection) {
+    port.accepted(connection);
+    unusedConnections.opened(connection);
+  }
+
   /** Accepts no further connections; calls on those that are open are relayed. */
   Future<Void> closePort() {
     return port.close();
@@ -194,6 +202,7 @@
     }
     running++;
     accepted++;
+    unusedConnections.callBegins(request.connection());
     Context context = vertx.getOrCreateContext();
     CallerParameters parameters = protocol.parametersOf(request.headers());
     RelayDeadline deadline = new RelayDeadline(vertx, request, timeouts.callMillis(parameters));
@@ -364,6 +373,7 @@
               written -> {
                 timeout.cancel();
                 ended();
+                unusedConnections.callEnded(request.connection());
               });
     }
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
@@ -55,6 +55,8 @@
   private static final long SHORT_DEADLINE_MILLIS = 200;
   private static final long OVERDUE_MILLIS = 100;
   private static final long UNSTATED_DEADLINE_MILLIS = 60_000;
+  private static final long UNUSED_MILLIS = 60_000;
+  private static final long SHORT_UNUSED_MILLIS = 500;
   private static final String DEADLINE = "test-deadline-millis";
   private static final int STEADY_BYTES = 12;
   private static final int PATIENCE_MILLIS = 20_000;
@@ -209,7 +211,10 @@
     NetServer upstream = vertx.createNetServer().connectHandler(socket -> {});
     UpstreamDefinition target = definition(Waits.get(upstream.listen(0, ADDRESS)).actualPort());
     RelayServer relay =
-        relay(target, new RelayTimeouts(PATIENCE_MILLIS, OVERDUE_MILLIS, SHORT_DEADLINE_MILLIS));
+        relay(
+            target,
+            new RelayTimeouts(
+                PATIENCE_MILLIS, OVERDUE_MILLIS, SHORT_DEADLINE_MILLIS, UNUSED_MILLIS));
     int port = Waits.get(relay.start(ADDRESS, 0));
 
     try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
@@ -267,6 +272,61 @@
     }
   }
 
+  /** Guards against connections without a call, which a relay would keep without end. */
+  @ParameterizedTest
+  @ValueSource(strings = {"", "GET /status HTTP/1.1\r\nhost: desk.exa"})
+  void aConnectionOnWhichNoCallBeginsIsClosed(String begun) throws IOException {
+    FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
+    int port = Waits.get(shortUnused(upstream.definition("desk")).start(ADDRESS, 0));
+
+    try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      sender.setSoTimeout(PATIENCE_MILLIS);
+      sender.getOutputStream().write(bytesOf(begun));
+
+      assertThat(sender.getInputStream().read()).isNegative();
+    }
+  }
+
+  /** Guards against a head that is sent so slowly that it does not end. */
+  @Test
+  void aConnectionIsClosedAlthoughBytesOfAHeadArriveAllTheTime() throws IOException {
+    FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
+    int port = Waits.get(shortUnused(upstream.definition("desk")).start(ADDRESS, 0));
+    Promise<Void> closed = Promise.promise();
+    NetSocket sender = Waits.get(vertx.createNetClient().connect(port, ADDRESS));
+    sender.closeHandler(closed::complete).exceptionHandler(reset -> {});
+    sender.write("GET /status HTTP/1.1\r\nhost: ");
+    vertx.setPeriodic(SHORT_UNUSED_MILLIS / 10, passed -> sender.write(BODY_BYTE));
+
+    Waits.get(closed.future());
+  }
+
+  /** Guards against calls that are taken for unused connections, and against those behind them. */
+  @Test
+  void aConnectionIsClosedOnceItIsUnusedAndNotDuringItsCalls() throws IOException {
+    NetServer upstream =
+        vertx
+            .createNetServer()
+            .connectHandler(
+                socket ->
+                    socket.handler(
+                        request ->
+                            vertx.setTimer(
+                                2 * SHORT_UNUSED_MILLIS, passed -> socket.write(EXTRA))));
+    UpstreamDefinition target = definition(Waits.get(upstream.listen(0, ADDRESS)).actualPort());
+    int port = Waits.get(shortUnused(target).start(ADDRESS, 0));
+    String call = CALL.replace("connection: close\r\n", "");
+
+    try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      sender.setSoTimeout(PATIENCE_MILLIS);
+      sender.getOutputStream().write(bytesOf(call + call));
+      String responses =
+          new String(sender.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+
+      assertThat(responses.split("HTTP/1.1 200 OK", -1)).hasSize(3);
+    }
+  }
+
   /** Guards against a body without end that is read although its call was refused. */
   @Test
   void aConnectionIsClosedAfterARefusalAlthoughItsBodyIsNotSent() throws IOException {
@@ -360,7 +420,17 @@
 
   private RelayServer relay(UpstreamDefinition upstream, long senderTimeoutMillis) {
     return relay(
-        upstream, new RelayTimeouts(senderTimeoutMillis, OVERDUE_MILLIS, UNSTATED_DEADLINE_MILLIS));
+        upstream,
+        new RelayTimeouts(
+            senderTimeoutMillis, OVERDUE_MILLIS, UNSTATED_DEADLINE_MILLIS, UNUSED_MILLIS));
+  }
+
+  /** Returns a relay that closes connections soon once they are without a call. */
+  private RelayServer shortUnused(UpstreamDefinition upstream) {
+    return relay(
+        upstream,
+        new RelayTimeouts(
+            PATIENCE_MILLIS, OVERDUE_MILLIS, UNSTATED_DEADLINE_MILLIS, SHORT_UNUSED_MILLIS));
   }
 
   private RelayServer relay(UpstreamDefinition upstream, RelayTimeouts timeouts) {
