Cut responses of own upstreams that another response continues in their body

What could be seen: a body that broke off and was filled up to its length by the status line and headers of the next response on the connection was passed on as a whole one, with the status of the first, by PlainClient and UpstreamHttp.control.

Cause: RequestWatch, which watches the connections of all of them, looked for a joined head only. The check of bodies stood in the forwarding path alone.

Why the fix works: the check of the forwarding path moves to JoinedBody, without a change, and ConnectionWatch uses it for the pooled clients: a status line in the body, or across its end, with something behind the body. The client gets no end of such a response; its connection is closed, which is a failed call (CUT, so that it may have run).

Not covered, as on the forwarding path: a rest that arrives in a later segment. Nor are unframed responses, which that path rejects if they have a status line, proper ones that quote one included.

--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/ConnectionWatch.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/ConnectionWatch.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInboundHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -40,7 +41,7 @@
   private final ChannelHandlerContext last;
 
   private final Runnable unrequested;
-  private final boolean isJoinedHeadRefused;
+  private final boolean isJoinedRefused;
 
   /** The buffer with the bytes that the decoder keeps until more arrive. */
   private Optional<ByteBuf> undecoded = Optional.empty();
@@ -50,6 +51,7 @@
 
   private boolean isReading;
   private boolean isDecoderUnknown;
+  private JoinedBody body = new JoinedBody();
   private String following = "";
   private boolean isDue;
   private boolean isInterim;
@@ -60,16 +62,16 @@
   private boolean isEndKeptBack;
 
   private ConnectionWatch(
-      ChannelHandlerContext last, Runnable unrequested, boolean isJoinedHeadRefused) {
+      ChannelHandlerContext last, Runnable unrequested, boolean isJoinedRefused) {
     this.channel = last.channel();
     this.last = last;
     this.unrequested = unrequested;
-    this.isJoinedHeadRefused = isJoinedHeadRefused;
+    this.isJoinedRefused = isJoinedRefused;
   }
 
   /**
    * Watches a connection that carried nothing so far. Its user checks final responses for a {@link
-   * JoinedHead}.
+   * JoinedHead} and a {@link JoinedBody}.
    *
    * @param unrequested called once, when something arrives that no request waits for
    */
@@ -78,18 +80,19 @@
   }
 
   /**
-   * Watches a connection that carried nothing so far, and closes it on a {@link JoinedHead}, too.
+   * Watches a connection that carried nothing so far, and closes it on a {@link JoinedHead} and a
+   * {@link JoinedBody}, too; the client receives no end of such a response.
    *
    * @param unrequested called once, when something arrives that no request waits for
    */
-  static ConnectionWatch refusingJoinedHeads(ConnectionBase connection, Runnable unrequested) {
+  static ConnectionWatch refusingJoined(ConnectionBase connection, Runnable unrequested) {
     return of(connection, unrequested, true);
   }
 
   private static ConnectionWatch of(
-      ConnectionBase connection, Runnable unrequested, boolean isJoinedHeadRefused) {
+      ConnectionBase connection, Runnable unrequested, boolean isJoinedRefused) {
     ChannelHandlerContext last = connection.channelHandlerContext();
-    ConnectionWatch watch = new ConnectionWatch(last, unrequested, isJoinedHeadRefused);
+    ConnectionWatch watch = new ConnectionWatch(last, unrequested, isJoinedRefused);
     last.pipeline().addFirst(watch.new Bytes());
     last.pipeline().addBefore(last.name(), null, watch.new Messages());
     return watch;
@@ -273,7 +276,7 @@
   }
 
   private boolean isFinalHeadRefused(HttpResponse response) {
-    return isJoinedHeadRefused
+    return isJoinedRefused
         && JoinedHead.isJoined(response.status().reasonPhrase(), response.headers());
   }
 
@@ -303,16 +306,30 @@
           closeOutOfStep();
           return;
         }
+        body = new JoinedBody();
       }
-      // What cannot be decoded comes as an end, too.
-      if (message instanceof LastHttpContent last
-          && !isInterim
-          && last.decoderResult().isSuccess()) {
-        isDue = false;
+      if (isJoinedRefused && message instanceof HttpContent content) {
+        body.add(content.content());
+      }
+      if (isEnd(message)) {
         // The decoder passes on a message before it reads what follows.
-        following = decoding.map(ConnectionWatch::firstBytesOf).orElse("");
+        String next = decoding.map(ConnectionWatch::firstBytesOf).orElse("");
+        if (isJoinedRefused && body.isContinuedBy(next)) {
+          ReferenceCountUtil.release(message);
+          closeOutOfStep();
+          return;
+        }
+        isDue = false;
+        following = next;
       }
       context.fireChannelRead(message);
     }
+
+    /** What cannot be decoded comes as an end, too. */
+    private boolean isEnd(Object message) {
+      return message instanceof LastHttpContent last
+          && !isInterim
+          && last.decoderResult().isSuccess();
+    }
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedBody.java
@@ -0,0 +1,96 @@
+package org.marjoramsail.daemon.connection;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.regex.Pattern;
+
+/**
+ * Detects the body of a response that breaks off and is continued by another response on the same
+ * connection.
+ *
+ * <p>The decoder reads the status line of the other one as a part of the body, up to the length
+ * that was announced. A body may quote a status line, too; it is joined if something follows it.
+ * See {@link JoinedHead} for a response that breaks off within its head.
+ */
+public final class JoinedBody {
+
+  private static final String PROTOCOL = "HTTP/1.";
+  private static final ByteBuf PROTOCOL_BYTES =
+      Unpooled.unreleasableBuffer(
+          Unpooled.wrappedBuffer(PROTOCOL.getBytes(StandardCharsets.ISO_8859_1)));
+
+  /** The whole begin of a status line, up to the status, or a part of it. */
+  private static final Pattern STATUS_LINE_BEGIN =
+      Pattern.compile("H(T(T(P(/(1(\\.([01]( \\d{0,3})?)?)?)?)?)?)?)?");
+
+  /** Length of a status line up to the status, in bytes. */
+  private static final int STATUS_LINE_BYTES = 12;
+
+  private String lastBytes = "";
+  private boolean isStatusLineReceived;
+
+  /** Adds some bytes of the body, which are not read. */
+  public void add(ByteBuf bytes) {
+    int length = bytes.readableBytes();
+    isStatusLineReceived |=
+        containsStatusLine(bytes)
+            || containsStatusLine(lastBytes + text(bytes, 0, Math.min(length, STATUS_LINE_BYTES)));
+    int start = Math.max(0, length - STATUS_LINE_BYTES);
+    String end = text(bytes, start, length - start);
+    String all = start == 0 ? lastBytes + end : end;
+    lastBytes = all.substring(Math.max(0, all.length() - STATUS_LINE_BYTES));
+  }
+
+  /** Returns whether the bytes so far contain a status line. */
+  public boolean containsStatusLine() {
+    return isStatusLineReceived;
+  }
+
+  /**
+   * Returns whether what follows the body may be the rest of another response that is in it.
+   *
+   * @param following the first of the bytes that follow, a character each; empty if there are none
+   */
+  public boolean isContinuedBy(String following) {
+    return !following.isEmpty()
+        && (isStatusLineReceived || isStatusLineAcross(lastBytes, following));
+  }
+
+  /**
+   * Returns whether a status line begins in the last bytes of a body and continues behind it.
+   *
+   * @param following the first of the bytes that follow; they may end within the status line
+   */
+  static boolean isStatusLineAcross(String lastBytes, String following) {
+    if (following.isEmpty()) {
+      return false;
+    }
+    int first = Math.max(0, lastBytes.length() - STATUS_LINE_BYTES);
+    for (int begin = lastBytes.indexOf('H', first);
+        begin >= 0;
+        begin = lastBytes.indexOf('H', begin + 1)) {
+      String text = lastBytes.substring(begin) + following;
+      if (JoinedHead.STATUS_LINE.matcher(text).lookingAt()
+          || STATUS_LINE_BEGIN.matcher(text).matches()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns whether a text contains a status line. */
+  static boolean containsStatusLine(String text) {
+    return text.contains(PROTOCOL) && JoinedHead.STATUS_LINE.matcher(text).find();
+  }
+
+  private static boolean containsStatusLine(ByteBuf bytes) {
+    return ByteBufUtil.indexOf(PROTOCOL_BYTES, bytes) >= 0
+        && containsStatusLine(bytes.toString(StandardCharsets.ISO_8859_1));
+  }
+
+  private static String text(ByteBuf bytes, int offset, int length) {
+    return bytes.toString(bytes.readerIndex() + offset, length, StandardCharsets.ISO_8859_1);
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/RequestWatch.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/RequestWatch.java
@@ -13,7 +13,7 @@
 /**
  * Watches connections whose requests are written by a pool: each request that is written makes a
  * response due. A request that finds its connection out of step is not written, and fails; so does
- * one whose response has a {@link JoinedHead}.
+ * one whose response has a {@link JoinedHead} or a {@link JoinedBody}.
  *
  * <p>For clients that do not pipeline.
  */
@@ -42,7 +42,7 @@
       throw new IllegalArgumentException("connection without a channel: " + within);
     }
     RequestWatch watch =
-        new RequestWatch(within, ConnectionWatch.refusingJoinedHeads(base, () -> log(within)));
+        new RequestWatch(within, ConnectionWatch.refusingJoined(base, () -> log(within)));
     ChannelHandlerContext last = base.channelHandlerContext();
     last.pipeline().addBefore(last.name(), null, watch.new Requests());
     return watch;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -6,11 +6,13 @@
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
+import io.vertx.core.internal.buffer.BufferInternal;
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.outcome.UpstreamFailure;
+import org.marjoramsail.daemon.connection.JoinedBody;
 import org.marjoramsail.daemon.connection.JoinedHead;
 import org.marjoramsail.daemon.request.OpenCall;
 
@@ -72,8 +74,7 @@
   private Optional<HttpClientResponse> response = Optional.empty();
   private int interimResponses;
   private boolean requestWritten;
-  private String lastBytes = "";
-  private boolean isStatusLineReceived;
+  private final JoinedBody body = new JoinedBody();
   private boolean answered;
   private boolean closed;
 
@@ -302,36 +303,19 @@
     if (closed) {
       return;
     }
-    isStatusLineReceived |=
-        JoinedResponse.containsStatusLine(bytes)
-            || JoinedResponse.containsStatusLine(lastBytes + firstBytesOf(bytes));
-    if (isStatusLineReceived && !isFramed) {
+    body.add(((BufferInternal) bytes).getByteBuf());
+    if (body.containsStatusLine() && !isFramed) {
       fail(UpstreamFailure.MALFORMED);
       return;
     }
-    lastBytes = lastBytesOf(bytes);
     listener.bytes(bytes).ifPresent(this::fail);
   }
 
-  private static String firstBytesOf(Buffer bytes) {
-    return bytes.getString(
-        0, Math.min(bytes.length(), JoinedResponse.STATUS_LINE_BYTES), "ISO-8859-1");
-  }
-
-  private String lastBytesOf(Buffer bytes) {
-    int start = Math.max(0, bytes.length() - JoinedResponse.STATUS_LINE_BYTES);
-    String end = bytes.getString(start, bytes.length(), "ISO-8859-1");
-    String all = start == 0 ? lastBytes + end : end;
-    return all.substring(Math.max(0, all.length() - JoinedResponse.STATUS_LINE_BYTES));
-  }
-
   /**
    * Returns whether what follows the response may be the rest of another one that is in its body.
    */
   private boolean isContinued() {
-    String following = connection.orElseThrow().following();
-    return !following.isEmpty()
-        && (isStatusLineReceived || JoinedResponse.isStatusLineAcross(lastBytes, following));
+    return body.isContinuedBy(connection.orElseThrow().following());
   }
 
   private boolean isDirect() {
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/JoinedResponseTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/JoinedResponseTest.java
@@ -29,30 +29,6 @@
     assertThat(isBodyJoined("")).isFalse();
   }
 
-  @Test
-  void aPartOfAStatusLineIsNoStatusLine() {
-    assertThat(JoinedResponse.containsStatusLine("one HTTP/1.1 200 OK")).isTrue();
-    assertThat(JoinedResponse.containsStatusLine("one HTTP/1.1 20")).isFalse();
-    assertThat(JoinedResponse.containsStatusLine("one H")).isFalse();
-  }
-
-  @Test
-  void aStatusLineThatBeginsInTheLastBytesIsFound() {
-    assertThat(JoinedResponse.isStatusLineAcross("answeH", "TTP/1.1 500 ")).isTrue();
-    assertThat(JoinedResponse.isStatusLineAcross("answeH", "TT")).isTrue();
-    assertThat(JoinedResponse.isStatusLineAcross("aHTTP/1.1 50", "0 Failed\r\nat")).isTrue();
-    assertThat(JoinedResponse.isStatusLineAcross("HTTP/1.1 500", " Failed\r\natt")).isTrue();
-  }
-
-  @Test
-  void aStatusLineThatBeginsBehindTheLastBytesIsNotFound() {
-    assertThat(JoinedResponse.isStatusLineAcross("answer", "HTTP/1.1 500")).isFalse();
-    assertThat(JoinedResponse.isStatusLineAcross("answeH", "\r\n")).isFalse();
-    assertThat(JoinedResponse.isStatusLineAcross("answeH", "")).isFalse();
-    assertThat(JoinedResponse.isStatusLineAcross("HTTP/1.1 ", "OK")).isFalse();
-    assertThat(JoinedResponse.isStatusLineAcross("", "HTTP/1.1 500")).isFalse();
-  }
-
   @Test
   void aStatusWithoutABodyThatAnnouncesOneIsFound() {
     MultiMap long800 = MultiMap.caseInsensitiveMultiMap().add("content-length", "800");
