Respond once in UpstreamJoinedBodyTest, however a request is split

The fake upstream responded to each part of a request that came in several segments, so that a second response could follow the one under test. It now responds to the first part only; the checks are the same.

--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedBodyTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedBodyTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -73,7 +74,7 @@
             .connectHandler(
                 socket -> {
                   socket.closeHandler(ended -> closed.tryComplete());
-                  socket.handler(request -> socket.write(joined(BODY.length() / 2)));
+                  respondOnce(socket, joined(BODY.length() / 2));
                 });
     UpstreamEndpoint endpoint = endpoint(server);
 
@@ -107,11 +108,16 @@
 
   private UpstreamEndpoint upstream(String response) {
     return endpoint(
-        vertx.createNetServer().connectHandler(socket -> respondToAll(socket, response)));
+        vertx.createNetServer().connectHandler(socket -> respondOnce(socket, response)));
   }
 
-  private static void respondToAll(NetSocket socket, String response) {
-    socket.handler(request -> socket.write(response));
+  /** Responds to the first bytes of a request, which may come in parts. */
+  private static void respondOnce(NetSocket socket, String response) {
+    socket.handler(
+        request -> {
+          socket.handler(rest -> {});
+          Future<Void> unused = socket.write(response);
+        });
   }
 
   private static UpstreamEndpoint endpoint(NetServer server) {
