Read the store for gaps only where that can tell a version

What callers saw: a stream of which no daemon has a record was refused (stream-unknown) for hours after a write that is not accounted for, as of a kind of objects that daemons do not know, although one software version alone was listed all the time. Found by a review.

Cause: a gap that cannot be closed stayed the oldest one, after it had ceased to matter, until 128 others were open. Each take-up read all changes of hosts' records and of the lease since then. Once these are more than a daemon reads at once (4 MB), the read fails, and no later gap is closed. Besides, the store was read while the history was shorter than any stream may last, as by all daemons after a start, which tells no version.

Why the fix works: a gap that ended before the longest time for which streams of any route last is dropped when gaps are asked for; the history then begins at its end, which is no later than any take-up asks for. No gap is named while changes were missed for good within 30 s, since no take-up asks for less.

--- a/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
@@ -232,11 +232,15 @@
   }
 
   /**
-   * Returns the revision after which changes may have been missed; empty if none were, or if the
-   * list cannot be read now.
+   * Returns the revision after which changes may have been missed; empty if none were, if the list
+   * cannot be read now, or if changes were missed for good since the latest time that matters.
+   *
+   * @param earliestMillis changes up to this time no longer matter
+   * @param latestMillis changes since this time always matter
    */
-  public Optional<StoreRevision> oldestGap() {
-    return reachable ? versions.oldestGap() : Optional.empty();
+  public Optional<StoreRevision> oldestGap(long earliestMillis, long latestMillis) {
+    versions.dropGapsEndedBy(earliestMillis);
+    return reachable ? versions.oldestGap(latestMillis) : Optional.empty();
   }
 
   /** Handles revisions of the store that changed no entry of this list. */
--- a/core/src/main/java/org/marjoramsail/core/discovery/RevisionGaps.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/RevisionGaps.java
@@ -65,6 +65,11 @@
     return oldest.map(Gap::endedAtMillis);
   }
 
+  /** Returns when the oldest gap ended. */
+  Optional<Long> oldestEndedAtMillis() {
+    return Optional.ofNullable(open.peekFirst()).map(Gap::endedAtMillis);
+  }
+
   /** Returns when the newest gap ended. */
   Optional<Long> newestEndedAtMillis() {
     return Optional.ofNullable(open.peekLast()).map(Gap::endedAtMillis);
--- a/core/src/main/java/org/marjoramsail/core/discovery/VersionHistory.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/VersionHistory.java
@@ -52,9 +52,19 @@
     gaps.explain(elsewhere);
   }
 
-  /** Returns the revision after which the oldest gap begins. */
-  Optional<StoreRevision> oldestGap() {
-    return gaps.oldest();
+  /**
+   * Returns the revision after which the oldest gap begins; empty if there is none, or if changes
+   * since a time were missed for good, so that closing it would not help.
+   */
+  Optional<StoreRevision> oldestGap(long sinceMillis) {
+    return completeSinceMillis > sinceMillis ? Optional.empty() : gaps.oldest();
+  }
+
+  /** Drops the gaps that ended by a time, of which the changes before no longer matter. */
+  void dropGapsEndedBy(long millis) {
+    while (gaps.oldestEndedAtMillis().filter(ended -> ended <= millis).isPresent()) {
+      dropOldestGap();
+    }
   }
 
   /** Begins after the older half of the gaps, which can no longer be closed. */
--- a/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsGapTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsGapTest.java
@@ -30,7 +30,7 @@
 
     assertThat(only(GAP_AT_MILLIS - 1)).isEmpty();
     assertThat(only(GAP_AT_MILLIS)).contains("v1");
-    assertThat(discovered.oldestGap()).contains(revision(5));
+    assertThat(oldestGap()).contains(revision(5));
   }
 
   /** Guards against the refusal of streams for as long as other objects are written. */
@@ -44,7 +44,7 @@
     explain(8, 8);
 
     assertThat(only(0)).contains("v1");
-    assertThat(discovered.oldestGap()).isEmpty();
+    assertThat(oldestGap()).isEmpty();
   }
 
   /** Guards against a version from before a gap that is taken for one that was never listed. */
@@ -88,7 +88,7 @@
     discovered.listed(OLD_ONLY, List.of(), 0);
     gap(OLD_ONLY, 5, 6, GAP_AT_MILLIS);
     discovered.readFailed(GAP_AT_MILLIS + 1);
-    assertThat(discovered.oldestGap()).isEmpty();
+    assertThat(oldestGap()).isEmpty();
 
     discovered.listed(OLD_ONLY, List.of(), GAP_AT_MILLIS + 2);
     explain(6, 6);
@@ -105,7 +105,7 @@
     for (long gap = 1; gap <= gaps; gap++) {
       gap(OLD_ONLY, 10 * gap, 10 * gap + 2, gap);
     }
-    long firstKept = discovered.oldestGap().orElseThrow().number() / 10;
+    long firstKept = oldestGap().orElseThrow().number() / 10;
 
     explain(1, 10 * gaps + 10);
 
@@ -120,7 +120,7 @@
     discovered.listed(OLD_ONLY, List.of(), 0);
     gap(OLD_ONLY, 5, 1_000_000_000, GAP_AT_MILLIS);
 
-    assertThat(discovered.oldestGap()).isEmpty();
+    assertThat(oldestGap()).isEmpty();
     assertThat(only(GAP_AT_MILLIS - 1)).isEmpty();
     assertThat(only(GAP_AT_MILLIS)).contains("v1");
   }
@@ -134,7 +134,7 @@
 
     discovered.gapHistoryGone();
 
-    assertThat(discovered.oldestGap()).contains(revision(7));
+    assertThat(oldestGap()).contains(revision(7));
     explain(6, 8);
     assertThat(only(999)).isEmpty();
     assertThat(only(1_000)).contains("v1");
@@ -155,6 +155,30 @@
     assertThat(only(GAP_AT_MILLIS)).contains("v1");
   }
 
+  /** Guards against reads of the store that grow with the time since a gap that stays open. */
+  @Test
+  void aGapIsDroppedOnceTheChangesInItNoLongerMatter() {
+    discovered.listed(OLD_ONLY, List.of(), 0);
+    gap(OLD_ONLY, 5, 6, GAP_AT_MILLIS);
+    gap(OLD_ONLY, 8, 9, GAP_AT_MILLIS + 1);
+
+    assertThat(discovered.oldestGap(GAP_AT_MILLIS - 1, GAP_AT_MILLIS)).contains(revision(5));
+    assertThat(discovered.oldestGap(GAP_AT_MILLIS, GAP_AT_MILLIS)).contains(revision(8));
+    explain(6, 9);
+    assertThat(only(GAP_AT_MILLIS - 1)).isEmpty();
+    assertThat(only(GAP_AT_MILLIS)).contains("v1");
+  }
+
+  /** Guards against reads of the store that tell no version, as by all daemons after a start. */
+  @Test
+  void thereIsNoGapToCloseWhileTheHistoryIsTooShort() {
+    discovered.listed(OLD_ONLY, List.of(), GAP_AT_MILLIS);
+    gap(OLD_ONLY, 5, 6, GAP_AT_MILLIS + 1);
+
+    assertThat(discovered.oldestGap(0, GAP_AT_MILLIS - 1)).isEmpty();
+    assertThat(discovered.oldestGap(0, GAP_AT_MILLIS)).contains(revision(5));
+  }
+
   @Test
   void thereIsNoGapBetweenStatesOfTwoEpochs() {
     assertThat(RevisionGap.between(revision(5), new StoreRevision(EPOCH + 1, 8))).isEmpty();
@@ -168,6 +192,10 @@
         whole, List.of(), new RevisionGap(revision(after), revision(upTo)), nowMillis);
   }
 
+  private Optional<StoreRevision> oldestGap() {
+    return discovered.oldestGap(0, Long.MAX_VALUE);
+  }
+
   private void explain(long first, long last) {
     discovered.unchangedBy(
         LongStream.rangeClosed(first, last)
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -158,11 +158,15 @@
   }
 
   /**
-   * Returns the revision after which changes of the list of upstreams may have been missed; empty
-   * if none were, or if the list cannot be read now.
+   * Returns the revision after which changes of the list of upstreams may have been missed, within
+   * the time that streams may last; empty if none were, or if finding them would tell the version
+   * of no stream.
    */
   public Optional<StoreRevision> oldestUpstreamGap() {
-    return discoveredUpstreams.oldestGap();
+    long now = clock.millis();
+    long longestMillis =
+        longestStreamsMillis.values().stream().reduce(EARLIER_STREAM_MILLIS, Math::max);
+    return discoveredUpstreams.oldestGap(now - longestMillis, now - EARLIER_STREAM_MILLIS);
   }
 
   /** Handles revisions of the store that did not change the list of upstreams. */
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardingStateTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardingStateTest.java
@@ -12,6 +12,7 @@
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.discovery.ListedUpstream;
 import org.marjoramsail.core.discovery.RetentionBounds;
+import org.marjoramsail.core.discovery.RevisionGap;
 import org.marjoramsail.core.discovery.StoreRevision;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.UpstreamName;
@@ -25,6 +26,9 @@
 
   private static final long SETTLED_MILLIS = 10_000;
 
+  /** How long streams of a route may last whose timeout is not known to have been longer. */
+  private static final long OLDEST_STREAM_MILLIS = 30_000;
+
   private long now;
   private final List<Configuration> published = new ArrayList<>();
   private final List<Incarnation> newIncarnations = new ArrayList<>();
@@ -99,6 +103,35 @@
     assertThat(published).hasSize(2);
   }
 
+  /** Guards against reads of the store by all daemons after their start, which tell no version. */
+  @Test
+  void noGapIsToBeClosedBeforeTheHistoryIsAsLongAsStreamsMayLast() {
+    long listedAtMillis = now - SETTLED_MILLIS;
+    gap(1);
+
+    now = listedAtMillis + OLDEST_STREAM_MILLIS - 1;
+    assertThat(state.oldestUpstreamGap()).isEmpty();
+    now = listedAtMillis + OLDEST_STREAM_MILLIS;
+    assertThat(state.oldestUpstreamGap()).contains(new StoreRevision(1, 1));
+  }
+
+  /** Guards against reads of the store that grow with the time since a gap that stays open. */
+  @Test
+  void noGapIsToBeClosedOnceNoStreamIsFromBeforeItsEnd() {
+    gap(1);
+    now += OLDEST_STREAM_MILLIS;
+    gap(3);
+
+    assertThat(state.oldestUpstreamGap()).contains(new StoreRevision(1, 3));
+  }
+
+  private void gap(long after) {
+    state.replaceUpstreams(
+        List.of(upstream("a"), upstream("b")),
+        List.of(),
+        new RevisionGap(new StoreRevision(1, after), new StoreRevision(1, after + 1)));
+  }
+
   private static ListedUpstream upstream(String name) {
     return new ListedUpstream(
         new UpstreamDefinition(
