Cut responses of own upstreams without a length that another one continues

What could be seen: a body that ends with its connection, and that broke off before the status line of the next response, was passed on with that response as a part of it, with the status of the first, by PlainClient and UpstreamHttp.control. Found by a review.

Cause: a body without an end of its own reaches to the end of the connection, so that nothing follows it, and the check of joined bodies wants something behind the body. The forwarding path rejects such a body if it contains a status line; the clients of own upstreams did not.

Evidence: UpstreamJoinedBodyTest, a body of 80 bytes that breaks off at each of its 80 positions, for UpstreamHttp.control and for PlainClient on a pooled and on a new connection: on all 80 cases fail, a success made of both responses. Now all calls are CUT. A body without a length that is whole is delivered.

Why the fix works: the collector of the bodies of own upstreams makes a failed call of a body with a status line where the response has no end of its own, as the forwarding path does. As there, a proper body of this kind that quotes a status line is rejected, too. The clients of the store, the object API and the list of hosts read JSON, of which two joined responses are none; they are unchanged.

--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedBody.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedBody.java
@@ -3,7 +3,9 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import io.vertx.core.MultiMap;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.regex.Pattern;
 
 /**
@@ -43,6 +45,16 @@
     lastBytes = all.substring(Math.max(0, all.length() - STATUS_LINE_BYTES));
   }
 
+  /**
+   * Returns whether a response has an end of its own, and not that of its connection; a body
+   * without one that contains a status line is joined.
+   */
+  public static boolean isFramed(MultiMap headers) {
+    String encoding = headers.get("transfer-encoding");
+    return headers.contains("content-length")
+        || (encoding != null && encoding.toLowerCase(Locale.ROOT).endsWith("chunked"));
+  }
+
   /** Returns whether the bytes so far contain a status line. */
   public boolean containsStatusLine() {
     return isStatusLineReceived;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ConnectionReuse.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ConnectionReuse.java
@@ -1,8 +1,8 @@
 package org.marjoramsail.daemon.forward;
 
 import io.vertx.core.MultiMap;
-import java.util.Locale;
 import java.util.Set;
+import org.marjoramsail.daemon.connection.JoinedBody;
 
 /** Decides whether a response counts, and after which responses a connection is used again. */
 final class ConnectionReuse {
@@ -27,16 +27,9 @@
     };
   }
 
-  /** Returns whether a response has an end of its own, and not that of its connection. */
-  static boolean isFramed(MultiMap headers) {
-    String encoding = headers.get("transfer-encoding");
-    return headers.contains("content-length")
-        || (encoding != null && encoding.toLowerCase(Locale.ROOT).endsWith("chunked"));
-  }
-
   /** Returns whether the end of a response is that of its connection. */
   static boolean isEndedByClose(int status, MultiMap headers) {
-    return !isFramed(headers) && !ENDED_BY_HEAD.contains(status);
+    return !JoinedBody.isFramed(headers) && !ENDED_BY_HEAD.contains(status);
   }
 
   /**
@@ -59,7 +52,7 @@
     if (!connection.isDirect()) {
       return ConnectionFate.RELAYED;
     }
-    if (!isFramed(headers)) {
+    if (!JoinedBody.isFramed(headers)) {
       return ConnectionFate.UNFRAMED;
     }
     if (!isKept || "close".equalsIgnoreCase(headers.get("connection"))) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -292,7 +292,7 @@
       disconnect();
       return;
     }
-    boolean isFramed = ConnectionReuse.isFramed(received.headers());
+    boolean isFramed = JoinedBody.isFramed(received.headers());
     received.handler(bytes -> receiveBytes(bytes, isFramed));
     received.endHandler(ended -> end(received));
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamHttp.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamHttp.java
@@ -11,9 +11,11 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
+import io.vertx.core.internal.buffer.BufferInternal;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.marjoramsail.core.outcome.UpstreamFailure;
+import org.marjoramsail.daemon.connection.JoinedBody;
 import org.marjoramsail.daemon.connection.RequestWatch;
 
 /**
@@ -133,16 +135,22 @@
         new UpstreamCallException(endpoint, UpstreamFailure.MALFORMED, "status " + status));
   }
 
-  /** Collects a body up to a maximum size; fails if the body is interrupted or too long. */
+  /**
+   * Collects a body up to a maximum size; fails if the body is interrupted, joined or too long. The
+   * connection is watched for joined bodies that have an end of their own.
+   */
   static void collect(
       HttpClientResponse response,
       int maximumBytes,
       Consumer<Buffer> onBody,
       Consumer<UpstreamFailure> onFailure) {
     Buffer body = Buffer.buffer();
+    JoinedBody joined = new JoinedBody();
+    boolean isFramed = JoinedBody.isFramed(response.headers());
     response.handler(
         bytes -> {
           body.appendBuffer(bytes);
+          joined.add(((BufferInternal) bytes).getByteBuf());
           if (body.length() > maximumBytes) {
             onFailure.accept(UpstreamFailure.EXCESSIVE);
             response.handler(null);
@@ -150,6 +158,13 @@
           }
         });
     response.exceptionHandler(cause -> onFailure.accept(UpstreamFailure.CUT));
-    response.endHandler(ended -> onBody.accept(body));
+    response.endHandler(
+        ended -> {
+          if (!isFramed && joined.containsStatusLine()) {
+            onFailure.accept(UpstreamFailure.CUT);
+          } else {
+            onBody.accept(body);
+          }
+        });
   }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedBodyTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedBodyTest.java
@@ -64,6 +64,34 @@
     assertThat(results).containsOnly(UpstreamFailure.CUT.name());
   }
 
+  /** Guards against the same for a body without a length, which another response continues. */
+  @ParameterizedTest
+  @MethodSource("parts")
+  void aBodyWithoutALengthThatAnotherResponseContinuesIsCut(int length) {
+    String joined =
+        "HTTP/1.1 200 Said\r\n\r\n"
+            + BODY.substring(0, length)
+            + head(503, OTHER_BODY)
+            + OTHER_BODY;
+
+    List<String> results =
+        List.of(
+            resultOfControl(endpoint(endingWith(joined))),
+            resultOfRequest(endpoint(endingWith(joined)), false),
+            resultOfRequest(endpoint(endingWith(joined)), true));
+
+    assertThat(results).containsOnly(UpstreamFailure.CUT.name());
+  }
+
+  /** Guards against a body that ends with its connection and is taken for a joined one. */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void aBodyWithoutALengthIsDelivered(boolean newConnection) {
+    UpstreamEndpoint endpoint = endpoint(endingWith("HTTP/1.1 200 Said\r\n\r\n" + BODY));
+
+    assertThat(resultOfRequest(endpoint, newConnection)).isEqualTo(BODY);
+  }
+
   /** Guards against a connection that is used again after such a body. */
   @Test
   void theConnectionOfSuchABodyIsClosed() {
@@ -111,6 +139,12 @@
         vertx.createNetServer().connectHandler(socket -> respondOnce(socket, response)));
   }
 
+  private NetServer endingWith(String response) {
+    return vertx
+        .createNetServer()
+        .connectHandler(socket -> socket.handler(request -> socket.end(Buffer.buffer(response))));
+  }
+
   /** Responds to the first bytes of a request, which may come in parts. */
   private static void respondOnce(NetSocket socket, String response) {
     socket.handler(
