Begin the watches of two tests of the object API on an event loop

Seen once in a loop beside load: ObjectApiMalformedTest. aWatchEndsAtALineThatIsNoEvent fails with a TimeoutException, case "text"; the log has an IllegalStateException of HttpClientResponseImpl.checkEnded.

Cause: the test's thread sent the request and then set what receives its response. Where the response had ended meanwhile, on the event loop, the client reports nothing more of it. A daemon begins a watch on an event loop, where the response comes in a later turn.

Both tests now begin their watches on an event loop.

--- a/daemon/src/test/java/org/marjoramsail/daemon/platform/HttpObjectApiTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/platform/HttpObjectApiTest.java
@@ -121,7 +121,7 @@
     BlockingQueue<String> heard = new LinkedBlockingQueue<>();
     StoredObject created = await(api.create("leases", "a", spec(1)));
 
-    api.watch("leases", version, listener(heard));
+    watch(version, heard);
     assertThat(heard.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("stored a 1");
     await(api.create("orders", "unheard", spec(7)));
     StoredObject replaced =
@@ -139,7 +139,7 @@
     start(GENEROUS, 3_000);
     BlockingQueue<String> heard = new LinkedBlockingQueue<>();
 
-    api.watch("leases", "0", listener(heard));
+    watch("0", heard);
 
     assertThat(heard.poll(WAIT_SECONDS, TimeUnit.SECONDS)).isEqualTo("ended VERSION_TOO_OLD");
   }
@@ -191,6 +191,14 @@
             meters);
   }
 
+  /** Begins a watch on an event loop, as a daemon does: nothing arrives before it is received. */
+  private void watch(String version, BlockingQueue<String> heard) {
+    vertx.runOnContext(
+        begins -> {
+          ObjectApi.Watch unused = api.watch("leases", version, listener(heard));
+        });
+  }
+
   private static ObjectApi.WatchListener listener(BlockingQueue<String> heard) {
     return new ObjectApi.WatchListener() {
       @Override
--- a/daemon/src/test/java/org/marjoramsail/daemon/platform/ObjectApiMalformedTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/platform/ObjectApiMalformedTest.java
@@ -80,37 +80,16 @@
         "{\"type\":\"BOOKMARK\",\"object\":[]}"
       })
   void aWatchEndsAtALineThatIsNoEvent(String line) {
-    assertThat(result(line + "\n", ObjectApiMalformedTest::endOfWatch))
-        .isEqualTo(Failure.UNAVAILABLE.name());
+    assertThat(result(line + "\n", this::endOfWatch)).isEqualTo(Failure.UNAVAILABLE.name());
   }
 
-  private static Future<String> endOfWatch(HttpObjectApi api) {
+  /** Begins a watch on an event loop, as a daemon does: nothing arrives before it is received. */
+  private Future<String> endOfWatch(HttpObjectApi api) {
     Promise<String> end = Promise.promise();
-    ObjectApi.Watch unused =
-        api.watch(
-            "leases",
-            "1",
-            new ObjectApi.WatchListener() {
-              @Override
-              public void stored(StoredObject object) {
-                end.tryComplete("stored " + object);
-              }
-
-              @Override
-              public void deleted(StoredObject object) {
-                end.tryComplete("deleted " + object);
-              }
-
-              @Override
-              public void bookmark(String resourceVersion) {
-                end.tryComplete("bookmark " + resourceVersion);
-              }
-
-              @Override
-              public void ended(ObjectApiException cause) {
-                end.tryComplete(cause.failure().name());
-              }
-            });
+    vertx.runOnContext(
+        begins -> {
+          ObjectApi.Watch unused = api.watch("leases", "1", new EndListener(end));
+        });
     return end.future();
   }
 
@@ -131,4 +110,28 @@
               .otherwise(cause -> ((ObjectApiException) cause).failure().name()));
     }
   }
+
+  /** Completes with the first thing that a watch tells of. */
+  private record EndListener(Promise<String> end) implements ObjectApi.WatchListener {
+
+    @Override
+    public void stored(StoredObject object) {
+      end.tryComplete("stored " + object);
+    }
+
+    @Override
+    public void deleted(StoredObject object) {
+      end.tryComplete("deleted " + object);
+    }
+
+    @Override
+    public void bookmark(String resourceVersion) {
+      end.tryComplete("bookmark " + resourceVersion);
+    }
+
+    @Override
+    public void ended(ObjectApiException cause) {
+      end.tryComplete(cause.failure().name());
+    }
+  }
 }
