Make the calls of UpstreamExtraBytesTest on an event loop

Seen once in a loop beside load, with limits of 20 s: case JOINED_SUCCESS fails, expected "first" but was "CUT".

Cause: the test's thread sent the request and then set what asks for the body of its response. Where the response had ended meanwhile, on the event loop, the client drops its body. A daemon makes these calls on an event loop, so that the body is asked for in the turn of the head.

The test now makes its calls on an event loop.

Measured on scratch copies with a pause of 300 ms between the request and what asks for the body: before, 8 of 8 cases fail ("CUT"); after, 8 of 8 pass.

--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamExtraBytesTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamExtraBytesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpMethod;
 import java.nio.charset.StandardCharsets;
@@ -58,10 +59,15 @@
     }
   }
 
+  /** Calls on an event loop, as a daemon does: the body is asked for in the turn of its head. */
   private String resultOf(UpstreamEndpoint endpoint) {
-    return Waits.get(
-        http.control(endpoint, HttpMethod.GET, "/status")
-            .map(body -> body.toString(StandardCharsets.UTF_8))
-            .otherwise(cause -> UpstreamCallException.failureOf(cause).name()));
+    Promise<String> result = Promise.promise();
+    vertx.runOnContext(
+        begins ->
+            http.control(endpoint, HttpMethod.GET, "/status")
+                .map(body -> body.toString(StandardCharsets.UTF_8))
+                .otherwise(cause -> UpstreamCallException.failureOf(cause).name())
+                .onComplete(result));
+    return Waits.get(result.future());
   }
 }
