Tick in OrphanCancellerTest on an event loop

Cause: the test's thread sent the cancel and then set what asks for the body. Where the response had ended meanwhile, on the event loop, the client drops its body: the cancel counted as failed, and the next one freed nothing. A daemon ticks on an event loop, so that the body is asked for in the turn of the head.

The test now ticks on an event loop.

--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/OrphanCancellerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/OrphanCancellerTest.java
@@ -99,6 +99,11 @@
         });
   }
 
+  /** Ticks on an event loop, as a daemon does: a body is asked for in the turn of its head. */
+  private void tick() {
+    vertx.runOnContext(begins -> canceller.tick());
+  }
+
   private double count(String name) {
     return meters.counter("marjoramsail.orphans." + name).count();
   }
@@ -116,7 +121,7 @@
     Waits.until("all are held", () -> engine.audit().held() == 4);
     engine.refuseCancels(true);
     canceller.daemonFailed(new DaemonId("entry-1", 7));
-    canceller.tick();
+    tick();
     Waits.until("a cancel failed", () -> count("cancel.failures") > 0);
     assertThat(engine.audit().held()).isEqualTo(4);
 
@@ -124,7 +129,7 @@
     Waits.until(
         "a cancel is confirmed",
         () -> {
-          canceller.tick();
+          tick();
           return count("cancelled") > 0;
         });
 
