Give up calls of a soak on its event loop

Seen: a soak may count fewer lost calls than there were, or end with a ConcurrentModificationException: no run is known that failed for it.

Cause: the class says that it runs on one event loop. The timeout of a future without a context is a timer of another thread, so that what follows a call that its caller has given up wrote the counts and maps of the load there, beside the event loop.

Evidence: in one run of PlatformSoakTest#daemonsThatAreToldToStopLoseNoCallOfCallersOnALongerPath with the names of threads printed, 99 of 349 lost calls were counted on the thread globalEventExecutor-1-1. With this change all 183 lost calls of a run were counted on the event loop that sends.

Fix: a timer of the event loop gives calls up, after the same time. Two soaks of PlatformSoakTest pass: that one and daemonsThatAreProcessesBreakNoRuleWhileTheyAndTheirServersFail.

--- a/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakLoad.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.AsyncResult;
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpMethod;
 import java.util.ArrayList;
@@ -14,7 +15,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.marjoramsail.core.time.Clock;
 import org.marjoramsail.platform.assembly.LoopbackPlatform;
@@ -347,8 +347,7 @@
             path + request,
             all);
     Future<Answer> awaited =
-        answer
-            .timeout(CALLER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+        untilTimeout(answer)
             .onSuccess(
                 received -> {
                   judge.answered(attempt, received);
@@ -362,6 +361,20 @@
     return awaited;
   }
 
+  /** Fails once a caller gives up; on the event loop, as the timeout of a future may not be. */
+  private Future<Answer> untilTimeout(Future<Answer> answer) {
+    Promise<Answer> awaited = Promise.promise();
+    long timer =
+        vertx.setTimer(
+            CALLER_TIMEOUT_MILLIS,
+            fired -> awaited.tryFail(new TimeoutException("no response in time")));
+    answer
+        .onSuccess(awaited::tryComplete)
+        .onFailure(awaited::tryFail)
+        .onComplete(result -> vertx.cancelTimer(timer));
+    return awaited.future();
+  }
+
   private static Optional<Integer> statusOf(AsyncResult<Answer> result) {
     return Optional.ofNullable(result.result()).filter(Answer::whole).map(Answer::status);
   }
