Send the calls of two tests of plain upstreams on an event loop

Seen in a trial: CompletionSenderTest and AbandonedUpstreamCallTest fail with a TimeoutException if the test's thread pauses for 300 ms between a request and what asks for the body of its response.

Cause: the test's thread sent the request and then set what asks for the body. Where the response had ended meanwhile, on the event loop, the client drops its body and reports no end. A daemon sends these calls on an event loop, so that the body is asked for in the turn of the head.

Both tests now send on an event loop.

--- a/daemon/src/test/java/org/marjoramsail/daemon/request/CompletionSenderTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/request/CompletionSenderTest.java
@@ -60,12 +60,16 @@
     assertThat(sink.services).containsExactly("desk-1");
   }
 
+  /** Sends on an event loop, as a daemon does: a body is asked for in the turn of its head. */
   private void respond(int attempt) {
     Promise<LifecycleEvent> event = Promise.promise();
-    Optional<OpenCall> unused =
-        sender.sendPlain(
-            new LifecycleAction.SendPlain(attempt, upstreams.get(attempt - 1).name()),
-            event::complete);
+    vertx.runOnContext(
+        begins -> {
+          Optional<OpenCall> unused =
+              sender.sendPlain(
+                  new LifecycleAction.SendPlain(attempt, upstreams.get(attempt - 1).name()),
+                  event::complete);
+        });
     assertThat(Waits.get(event.future()))
         .isEqualTo(new LifecycleEvent.PlainResponseReceived(attempt));
   }
--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/AbandonedUpstreamCallTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/AbandonedUpstreamCallTest.java
@@ -59,6 +59,7 @@
     return response.future();
   }
 
+  /** Sends on an event loop, as a daemon does: a body is asked for in the turn of its head. */
   private UpstreamCall start(
       UpstreamEndpoint endpoint, int number, Promise<PlainResponse> response) {
     PlainRequest request =
@@ -69,12 +70,17 @@
             "/status",
             MultiMap.caseInsensitiveMultiMap(),
             Buffer.buffer("content"));
-    return client.send(
-        endpoint,
-        request,
-        CallerPresence.ALWAYS,
-        false,
-        response::complete,
-        failure -> response.fail(failure.name()));
+    Promise<UpstreamCall> started = Promise.promise();
+    vertx.runOnContext(
+        begins ->
+            started.complete(
+                client.send(
+                    endpoint,
+                    request,
+                    CallerPresence.ALWAYS,
+                    false,
+                    response::complete,
+                    failure -> response.fail(failure.name()))));
+    return Waits.get(started.future());
   }
 }
