--- a/command/src/main/java/org/marjoramsail/command/platform/FixedPorts.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/FixedPorts.java
@@ -31,7 +31,7 @@
       try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(address))) {
         return new Endpoint(address, socket.getLocalPort());
       } catch (BindException used) {
-        // Another program listens there; the next port is tried.
+        // Try the next port.
       }
     }
     throw new BindException("No port of " + address + " up to " + LAST_PORT + " is free.");
--- a/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/SoakArrivals.java
@@ -75,7 +75,7 @@
   }
 
   /**
-   * Records that a server has crashed, whose trouble was recorded as the crash began.
+   * Records the end of a crash of a server; {@link #troubleBegins} records its begin.
    *
    * @param runs the requests that it has run, in order
    */
--- a/command/src/test/java/org/marjoramsail/command/platform/FixedPortsTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/FixedPortsTest.java
@@ -13,7 +13,7 @@
 
   private static final String ADDRESS = "127.0.0.1";
 
-  /** First port that the operating system gives to connections and to listeners that name none. */
+  /** First port of the ephemeral range. */
   private static final int FIRST_EPHEMERAL_PORT = 32_768;
 
   private static final int COUNT = 30;
--- a/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
@@ -248,7 +248,7 @@
     versions.explain(elsewhere);
   }
 
-  /** Records that the store no longer has the changes after the oldest gap. */
+  /** Drops the older gaps, as the store has discarded the changes that would close them. */
   public void gapHistoryGone() {
     versions.dropOlderGaps();
   }
--- a/core/src/main/java/org/marjoramsail/core/discovery/RevisionGaps.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/RevisionGaps.java
@@ -22,7 +22,7 @@
   private long revisions;
 
   /**
-   * Adds a gap.
+   * Adds a gap that is newer than all others.
    *
    * @param endedAtMillis when the state after it was received
    * @return whether it can be closed; false if it has too many revisions to be kept
--- a/core/src/main/java/org/marjoramsail/core/discovery/VersionHistory.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/VersionHistory.java
@@ -34,8 +34,8 @@
   }
 
   /**
-   * Records that changes in a gap that ends now may have been missed. The versions that are listed
-   * now have to be recorded after it.
+   * Records a gap that ends now, in which changes may have been missed. Call {@link #listed} for
+   * each upstream of the current list afterwards.
    */
   void skipped(RevisionGap gap, long nowMillis) {
     int versions = listedAtMillis.values().stream().mapToInt(Map::size).sum();
@@ -47,7 +47,7 @@
     }
   }
 
-  /** Handles revisions of the store that did not change the list. */
+  /** Removes revisions that changed no upstream from the gaps; a gap without any is closed. */
   void explain(Collection<StoreRevision> elsewhere) {
     gaps.explain(elsewhere);
   }
@@ -60,7 +60,7 @@
     return completeSinceMillis > sinceMillis ? Optional.empty() : gaps.oldest();
   }
 
-  /** Drops the gaps that ended by a time, of which the changes before no longer matter. */
+  /** Drops the gaps that ended by a time; the history begins at the last of these ends. */
   void dropGapsEndedBy(long millis) {
     while (gaps.oldestEndedAtMillis().filter(ended -> ended <= millis).isPresent()) {
       dropOldestGap();
--- a/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsGapTest.java
+++ b/core/src/test/java/org/marjoramsail/core/discovery/DiscoveredUpstreamsGapTest.java
@@ -22,7 +22,7 @@
   private final DiscoveredUpstreams discovered =
       new DiscoveredUpstreams(new RetentionBounds(3_000, 1_200));
 
-  /** Guards against a version that was listed only between two states of the list. */
+  /** Guards against an unnoticed version that was listed for a moment between two reads. */
   @Test
   void noVersionIsTheOnlyOneSinceBeforeAGap() {
     discovered.listed(OLD_ONLY, List.of(), 0);
@@ -70,7 +70,7 @@
     assertThat(only(0)).isEmpty();
   }
 
-  /** Guards against a gap that is closed although the list shows that it had a change. */
+  /** Guards against a closed gap although an upstream changed within it. */
   @Test
   void aGapInWhichTheListChangedIsNeverClosed() {
     discovered.listed(OLD_ONLY, List.of(), 0);
--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedBody.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedBody.java
@@ -61,7 +61,7 @@
   }
 
   /**
-   * Returns whether what follows the body may be the rest of another response that is in it.
+   * Returns whether another response may begin in the body and continue behind it.
    *
    * @param following the first of the bytes that follow, a character each; empty if there are none
    */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -174,7 +174,7 @@
     discoveredUpstreams.unchangedBy(revisions);
   }
 
-  /** Records that the store no longer has the changes after the oldest gap. */
+  /** Drops the older gaps, as the store has discarded the changes that would close them. */
   public void upstreamGapHistoryGone() {
     discoveredUpstreams.gapHistoryGone();
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayDeadline.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayDeadline.java
@@ -26,7 +26,7 @@
     this.timer = vertx.setTimer(millis, passed -> ForcedClose.close(request.connection()));
   }
 
-  /** Ends the wait, as the call has ended. */
+  /** Cancels the timer; the connection stays open. */
   void cancel() {
     vertx.cancelTimer(timer);
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UnusedConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UnusedConnections.java
@@ -9,8 +9,8 @@
 /**
  * Closes connections of senders that have been without a call for some time.
  *
- * <p>Guards against connections on which nothing is sent, or of which the head of a request stays
- * unfinished, whether or not bytes of it arrive. Runs on one event loop.
+ * <p>Guards against senders that connect and send nothing, or only a part of a request head, also
+ * if they go on sending bytes of it. Runs on one event loop.
  */
 final class UnusedConnections {
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/platform/HttpObjectApiTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/platform/HttpObjectApiTest.java
@@ -191,7 +191,7 @@
             meters);
   }
 
-  /** Begins a watch on an event loop, as a daemon does: nothing arrives before it is received. */
+  /** Begins a watch on an event loop, so that its handlers are set before a response arrives. */
   private void watch(String version, BlockingQueue<String> heard) {
     vertx.runOnContext(
         begins -> {
--- a/daemon/src/test/java/org/marjoramsail/daemon/platform/ObjectApiMalformedTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/platform/ObjectApiMalformedTest.java
@@ -83,7 +83,7 @@
     assertThat(result(line + "\n", this::endOfWatch)).isEqualTo(Failure.UNAVAILABLE.name());
   }
 
-  /** Begins a watch on an event loop, as a daemon does: nothing arrives before it is received. */
+  /** Begins a watch on an event loop, so that its handlers are set before a response arrives. */
   private Future<String> endOfWatch(HttpObjectApi api) {
     Promise<String> end = Promise.promise();
     vertx.runOnContext(
