Refuse an event of a stream that a head without an identifier continues

Cause: the upstream broke off within an event and sent a late second response on the same connection, with an interim response first. Its bytes filled up the chunk, and its empty line ended the event, which was passed on at once. JoinedResponse.isTextJoined wanted a header with an identifier behind the status line; interim responses have none, nor have final ones of upstreams that do not echo it.

Why the fix works: JoinedEvent looks at the line behind the status line instead. It is a header that no event has, or it is empty and the status line is interim, or begins its line, or ends with CR LF in an event that does not. A status line in the data of an event is followed by another field, or by the line end of the stream. What can't be told from a quotation: a head without any header that continues a line of a stream which ends its lines with CR LF itself.

Looked for elsewhere: text behind the last event has the same check now. Plain bodies wait for their end, where what follows is read first (JoinedBody). The own protocol of decode calls refuses a line that is not JSON.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -513,7 +513,7 @@
       }
       try {
         for (EventSplitter.Event event : splitter.split(bytes)) {
-          if (JoinedResponse.isTextJoined(event.text(), dependencies.protocol().attemptHeader())) {
+          if (JoinedEvent.isJoined(event.text(), dependencies.protocol().attemptHeader())) {
             return Optional.of(UpstreamFailure.MALFORMED);
           }
           event(event);
@@ -558,7 +558,7 @@
       String attemptHeader = dependencies.protocol().attemptHeader();
       if (splitter.hasIncompleteEvent()
           || lastIndex < 0
-          || JoinedResponse.isTextJoined(splitter.trailingText(), attemptHeader)) {
+          || JoinedEvent.isJoined(splitter.trailingText(), attemptHeader)) {
         failed(UpstreamFailure.CUT);
         return;
       }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/JoinedResponse.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/JoinedResponse.java
@@ -14,8 +14,8 @@
  * Detects a response that breaks off and is continued by another one on the same connection.
  *
  * <p>The decoder reads the status line of the other one as a part of the body. See {@link
- * JoinedHead} for one that breaks off within its head, and {@link JoinedBody} for a body of which
- * nothing more is known.
+ * JoinedHead} for one that breaks off within its head, {@link JoinedBody} for upstreams whose
+ * responses have no identifier, and {@link JoinedEvent} for streams.
  */
 final class JoinedResponse {
 
