Call upstreams on an event loop in the tests of joined responses

No caller is affected.

Cause: the test called the client on its own thread. A response that ends before its body is asked for, in a later step on that thread, is dropped by the client library, so that neither a response nor a failure comes. A daemon calls on an event loop, where the body is asked for in the turn of the head.

The checks are unchanged.

--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedBodyTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedBodyTest.java
@@ -160,14 +160,24 @@
   }
 
   private String resultOfControl(UpstreamEndpoint endpoint) {
-    return Waits.get(
-        http.control(endpoint, HttpMethod.GET, "/status")
-            .map(body -> body.toString(StandardCharsets.UTF_8))
-            .otherwise(cause -> UpstreamCallException.failureOf(cause).name()));
+    Promise<String> result = Promise.promise();
+    vertx.runOnContext(
+        begins ->
+            http.control(endpoint, HttpMethod.GET, "/status")
+                .map(body -> body.toString(StandardCharsets.UTF_8))
+                .otherwise(cause -> UpstreamCallException.failureOf(cause).name())
+                .onComplete(result));
+    return Waits.get(result.future());
   }
 
   private String resultOfRequest(UpstreamEndpoint endpoint, boolean newConnection) {
     Promise<String> result = Promise.promise();
+    vertx.runOnContext(begins -> send(endpoint, newConnection, result));
+    return Waits.get(result.future());
+  }
+
+  /** Called on an event loop, as in a daemon: a response that ends earlier is not delivered. */
+  private void send(UpstreamEndpoint endpoint, boolean newConnection, Promise<String> result) {
     UpstreamCall unused =
         client.send(
             endpoint,
@@ -182,6 +192,5 @@
             newConnection,
             response -> result.complete(response.body().toString(StandardCharsets.UTF_8)),
             failure -> result.complete(failure.name()));
-    return Waits.get(result.future());
   }
 }
--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedHeadTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedHeadTest.java
@@ -46,13 +46,15 @@
     int port = Waits.get(server.start(ADDRESS));
     UpstreamEndpoint endpoint = new UpstreamEndpoint(new UpstreamName("desk-1"), ADDRESS, port);
 
-    String result =
-        Waits.get(
+    Promise<String> result = Promise.promise();
+    vertx.runOnContext(
+        begins ->
             http.control(endpoint, HttpMethod.GET, "/status")
                 .map(body -> body.toString(StandardCharsets.UTF_8))
-                .otherwise(cause -> UpstreamCallException.failureOf(cause).name()));
+                .otherwise(cause -> UpstreamCallException.failureOf(cause).name())
+                .onComplete(result));
 
-    assertThat(result).isEqualTo(UpstreamFailure.CUT.name());
+    assertThat(Waits.get(result.future())).isEqualTo(UpstreamFailure.CUT.name());
   }
 
   /** Guards against the same for requests that may run only once, which use new connections. */
@@ -64,6 +66,13 @@
     UpstreamEndpoint endpoint = new UpstreamEndpoint(new UpstreamName("desk-1"), ADDRESS, port);
     Promise<String> result = Promise.promise();
 
+    vertx.runOnContext(begins -> send(endpoint, result));
+
+    assertThat(Waits.get(result.future())).isEqualTo(UpstreamFailure.CUT.name());
+  }
+
+  /** Called on an event loop, as in a daemon: a response that ends earlier is not delivered. */
+  private void send(UpstreamEndpoint endpoint, Promise<String> result) {
     UpstreamCall unused =
         client.send(
             endpoint,
@@ -78,7 +87,5 @@
             true,
             response -> result.complete(response.body().toString(StandardCharsets.UTF_8)),
             failure -> result.complete(failure.name()));
-
-    assertThat(Waits.get(result.future())).isEqualTo(UpstreamFailure.CUT.name());
   }
 }
