--- a/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
@@ -233,10 +233,10 @@
 
   /**
    * Returns the revision after which changes may have been missed; empty if none were, if the list
-   * cannot be read now, or if changes were missed for good since the latest time that matters.
+   * cannot be read now, or if reading them would not complete the history of the shortest streams.
    *
-   * @param earliestMillis changes up to this time no longer matter
-   * @param latestMillis changes since this time always matter
+   * @param earliestMillis earliest begin of a stream of any service that may go on
+   * @param latestMillis earliest begin of a stream of the service whose streams are the shortest
    */
   public Optional<StoreRevision> oldestGap(long earliestMillis, long latestMillis) {
     versions.dropGapsEndedBy(earliestMillis);
--- a/core/src/main/java/org/marjoramsail/core/discovery/VersionHistory.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/VersionHistory.java
@@ -53,8 +53,8 @@
   }
 
   /**
-   * Returns the revision after which the oldest gap begins; empty if there is none, or if changes
-   * since a time were missed for good, so that closing it would not help.
+   * Returns the revision after which the oldest gap begins; empty if there is none, or if the
+   * history begins after a time, so that closing the gap would not complete it.
    */
   Optional<StoreRevision> oldestGap(long sinceMillis) {
     return completeSinceMillis > sinceMillis ? Optional.empty() : gaps.oldest();
--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedBody.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedBody.java
@@ -12,8 +12,8 @@
  * Detects the body of a response that breaks off and is continued by another response on the same
  * connection.
  *
- * <p>The decoder reads the status line of the other one as a part of the body, up to the length
- * that was announced. A body may quote a status line, too; it is joined if something follows it.
+ * <p>The decoder fills the body up with the status line of the other response, to its
+ * content-length. A body may also quote a status line; it is joined if more bytes follow its end.
  * See {@link JoinedHead} for a response that breaks off within its head.
  */
 public final class JoinedBody {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -159,8 +159,8 @@
 
   /**
    * Returns the revision after which changes of the list of upstreams may have been missed, within
-   * the time that streams may last; empty if none were, or if finding them would tell the version
-   * of no stream.
+   * the time that streams last; empty if none were, or if reading them would not complete the
+   * history of any version.
    */
   public Optional<StoreRevision> oldestUpstreamGap() {
     long now = clock.millis();
