Refuse a chunk whose size another response continues on its line

What callers saw: in tests a body of 190 bytes, with status 200 and whole, of which the first 95 are headers of a repetition of the same response, directly and relayed; and an event of a stream with a header of an interim response in it.

Cause: a response in chunks broke off between the carriage return and the line feed behind the size of a chunk. The decoder reads the size up to the carriage return and ignores the rest of the line, which is the status line of the second response. Its headers become the begin of the chunk, with no status line by which JoinedBody, JoinedEvent or JoinedResponse would find them. A body is whole if the chunk has as many bytes as the headers; an event of a stream need not be aligned.

Evidence: three new cases of JoinedBodyPathTest failed before, with the bodies above.

Why the fix works: the decoder takes the line only once its line feed has come, so that a size, a carriage return and a status line are found before it, wherever the bytes are split. ConnectionWatch looks there for every client, and closes the connection as for other joined heads. Only a body that quotes these bytes, with the bare carriage return, is refused beside them.

Looked for elsewhere: behind the data of a chunk the decoder wants CR LF; a second response behind the last size becomes trailers, which are not passed on, and all of the body has come by then. In the extension of a size without a carriage return it would pass as before; it can't be told from an extension.

Measured: 8 cases in JoinedChunkTest, 18 in JoinedBodyPathTest and 237 in the other tests of joined heads and bodies and of ConnectionWatch pass (x86-64).

--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/ConnectionWatch.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/ConnectionWatch.java
@@ -52,6 +52,7 @@
   private boolean isReading;
   private boolean isDecoderUnknown;
   private JoinedBody body = new JoinedBody();
+  private JoinedChunk chunk = new JoinedChunk();
   private String following = "";
   private boolean isDue;
   private boolean isInterim;
@@ -101,6 +102,7 @@
   /** Expects a response from now on. */
   public void expectResponse() {
     isDue = true;
+    chunk = new JoinedChunk();
   }
 
   /**
@@ -108,7 +110,7 @@
    * kept back until {@link #delivered}: the client drops what it has not passed on by then.
    */
   public void expectDelivery() {
-    isDue = true;
+    expectResponse();
     isDelivered = false;
   }
 
@@ -225,6 +227,11 @@
         closeOutOfStep();
         return;
       }
+      if (chunk.isJoinedBy(bytes)) {
+        bytes.release();
+        closeOutOfStep();
+        return;
+      }
       if (undecoded.isPresent()) {
         decodeMore(context, bytes, undecoded.get());
       } else {
