Refuse a status line in an event that stands in no field of it

Cause: JoinedEvent looked for a status line at the begin of its line. In the middle of a line it took a status line for a quotation unless something else showed the head. But only the value of a field, or a comment, may quote anything.

Why the fix works: a line without a colon in front of the status line is no field with a value, so that the status line is that of another response.

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/JoinedEvent.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/JoinedEvent.java
@@ -53,17 +53,20 @@
   private static boolean isHead(String text, Matcher statusLine) {
     String rest = text.substring(statusLine.end());
     if (rest.startsWith("\n") || rest.startsWith(LINE_END)) {
-      return beginsLine(text, statusLine)
+      return isInNoField(text, statusLine)
           || isInterim(statusLine)
           || hasOtherLineEnd(text, statusLine);
     }
     Matcher header = HEADER.matcher(rest);
-    return beginsLine(text, statusLine)
+    return isInNoField(text, statusLine)
         || (header.lookingAt() && !FIELDS.contains(header.group(1)));
   }
 
-  private static boolean beginsLine(String text, Matcher statusLine) {
-    return statusLine.start() == 0 || text.charAt(statusLine.start() - 1) == '\n';
+  /** Only the value of a field, or a comment, may quote anything. */
+  private static boolean isInNoField(String text, Matcher statusLine) {
+    int lineStart = text.lastIndexOf('\n', statusLine.start()) + 1;
+    int colon = text.indexOf(':', lineStart);
+    return colon < 0 || colon > statusLine.start();
   }
 
   private static boolean isInterim(Matcher statusLine) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/JoinedEventTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/JoinedEventTest.java
@@ -36,6 +36,27 @@
     assertThat(isJoined("id: 16\r\ndata: some" + head)).isTrue();
   }
 
+  /** Guards against a head that does not begin its line, and of which nothing else can be told. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "id: 16\nda",
+        "id: 16\ndata",
+        "id: 16\ndata: x\n\n",
+        "id: 16\r\nda",
+        "id: 16\r\nHTTP/1.1 10"
+      })
+  void aHeadBehindThePartOfAFieldNameIsJoined(String block) {
+    for (String head :
+        List.of(
+            "HTTP/1.1 200 OK\r\n\r\n",
+            "HTTP/1.1 204 No Content\n\n",
+            "HTTP/1.1 100 Continue\n\n",
+            "HTTP/1.1 503 Full\r\nid: 1\r\n\r\n")) {
+      assertThat(isJoined(block + head)).isTrue();
+    }
+  }
+
   @ParameterizedTest
   @ValueSource(strings = {"id: 16\ndata: x\n\n", "", ": comment\n\n"})
   void aHeadBehindAnEventIsJoined(String block) {
