Refuse a chunk whose size two responses continue on its line

Cause: JoinedChunk wanted the status line right behind the carriage return.

Why the fix works: the decoder ignores the line up to its line feed, so that the status line may stand anywhere in it. A body with the size and the carriage return but without the status line on that line is still delivered.

--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedChunk.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedChunk.java
@@ -16,18 +16,22 @@
  */
 final class JoinedChunk {
 
-  private static final ByteBuf BROKEN_LINE_END =
+  private static final String PROTOCOL = "HTTP/1.";
+  private static final ByteBuf PROTOCOL_BYTES =
       Unpooled.unreleasableBuffer(
-          Unpooled.wrappedBuffer("\rHTTP/1.".getBytes(StandardCharsets.ISO_8859_1)));
+          Unpooled.wrappedBuffer(PROTOCOL.getBytes(StandardCharsets.ISO_8859_1)));
 
-  /** Includes what is behind the status, which may arrive later than the status. */
+  /**
+   * The status line may follow a part of another one. Includes what is behind the status, which may
+   * arrive later than the status.
+   */
   private static final Pattern SIZE_AND_STATUS_LINE =
       Pattern.compile(
-          "\\n[0-9A-Fa-f]+[ \\t]*(;[^\\r\\n]*)?\\r"
+          "\\n[0-9A-Fa-f]+[ \\t]*(;[^\\r\\n]*)?\\r[^\\n]*?"
               + JoinedHead.STATUS_LINE.pattern()
               + "[ \\r\\n]");
 
-  /** More than a size, a carriage return and the begin of a status line have. */
+  /** More than a size, a carriage return and the begins of two status lines have. */
   private static final int MAXIMUM_KEPT_BYTES = 64;
 
   private String lastBytes = "";
@@ -42,7 +46,7 @@
     boolean isJoined =
         isJoined(lastBytes + text(bytes, 0, Math.min(length, MAXIMUM_KEPT_BYTES)))
             || (length > MAXIMUM_KEPT_BYTES
-                && ByteBufUtil.indexOf(BROKEN_LINE_END, bytes) >= 0
+                && ByteBufUtil.indexOf(PROTOCOL_BYTES, bytes) >= 0
                 && isJoined(bytes.toString(StandardCharsets.ISO_8859_1)));
     int start = Math.max(0, length - MAXIMUM_KEPT_BYTES);
     String all = lastBytes + text(bytes, start, length - start);
@@ -51,7 +55,7 @@
   }
 
   private static boolean isJoined(String text) {
-    return text.contains("\rHTTP/1.") && SIZE_AND_STATUS_LINE.matcher(text).find();
+    return text.contains(PROTOCOL) && SIZE_AND_STATUS_LINE.matcher(text).find();
   }
 
   private static String text(ByteBuf bytes, int offset, int length) {
--- a/daemon/src/test/java/org/marjoramsail/daemon/connection/JoinedChunkTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/connection/JoinedChunkTest.java
@@ -20,7 +20,9 @@
       strings = {
         "2b\rHTTP/1.1 200 OK\r\n",
         "000002B;name=value\rHTTP/1.0 503 Full\r\n",
-        "5 \rHTTP/1.1 100 Continue\r\n"
+        "5 \rHTTP/1.1 100 Continue\r\n",
+        "2b\rHTTP/1.1 10HTTP/1.1 100 Continue\r\n",
+        "2b\rHHTTP/1.1 200 \r\n"
       })
   void theSizeOfAChunkThatAnotherResponseContinuesIsFoundWhereverTheBytesAreSplit(String line) {
     for (String before : List.of("", HEAD, HEAD + "c9\r\n" + LONG + "\r\n")) {
@@ -43,6 +45,7 @@
         HEAD + "2b\r\nHTTP/1.1 200 OK\r\n",
         HEAD + "2b\r\ndata: 2b\rHTTP/1.1 200 OK\r\n",
         HEAD + "2b\r\n2b HTTP/1.1 200 OK\r\n",
+        HEAD + "2b\r\n50\r51\r\nHTTP/1.1 200 OK\r\n",
         HEAD + "2b\r\n2b\rHTTP/1.1 2000 words\r\n"
       })
   void aChunkThatQuotesAStatusLineIsNotJoined(String bytes) {
