Hold back an event with a status line until what follows shows it whole

What callers saw: in tests, an event of a stream that broke off in the value of a field and went on with an interim response whose lines end with LF only, or whose first header is named as a field of events: "data: twHTTP/1.1 100 Continue".

Cause: nothing in such an event tells it from one that quotes a status line, and it was passed on with its empty line, before the chunk proved to be broken.

Evidence: two new cases of JoinedBodyPathTest failed before.

Why the fix works: WholeEvents keeps an event that contains a status line until the next one is complete and not joined, or until the stream ends whole. The bytes of a second response rarely end where the chunk does, so that the decoder refuses what follows; in a long chunk the next head begins a line, which is joined. The checks that refuse at once stay. An event that quotes a status line is passed on with the next one, and not lost if it is the last.

Looked for elsewhere: relays pass on bytes as they come; the sender has the same check. Frames of own engines are lines of JSON, of which a part with a head is none.

Measured: 6 cases in WholeEventsTest, 26 in JoinedEventTest, 21 in JoinedBodyPathTest, 66 in ExtraStreamResponsePathTest, 9 in EventIdPathTest and the other tests of the package and of stream heads, versions and broken streams pass (x86-64).

--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -471,7 +471,8 @@
   private final class ResponseListener extends BufferingListener {
     private ResponseHead head = new ResponseHead(0, MultiMap.caseInsensitiveMultiMap());
     private ResponseDisposition disposition = ResponseDisposition.UNKNOWN;
-    private final EventSplitter splitter = new EventSplitter();
+    private final WholeEvents stream =
+        new WholeEvents(dependencies.protocol().attemptHeader(), this::event);
     private final AttemptEvents numbering;
     private int lastIndex = -1;
 
@@ -512,16 +513,13 @@
         return super.bytes(bytes);
       }
       try {
-        for (EventSplitter.Event event : splitter.split(bytes)) {
-          if (JoinedEvent.isJoined(event.text(), dependencies.protocol().attemptHeader())) {
-            return Optional.of(UpstreamFailure.MALFORMED);
-          }
-          event(event);
+        if (!stream.add(bytes)) {
+          return Optional.of(UpstreamFailure.MALFORMED);
         }
       } catch (NumberFormatException | NonIncreasingIdException malformed) {
         return Optional.of(UpstreamFailure.MALFORMED);
       }
-      return splitter.pendingBytes() > MAXIMUM_EVENT_BYTES
+      return stream.pendingBytes() > MAXIMUM_EVENT_BYTES
           ? exceeded(ResponseBound.EVENT_BYTES)
           : Optional.empty();
     }
@@ -555,11 +553,13 @@
     }
 
     private void endStream() {
-      String attemptHeader = dependencies.protocol().attemptHeader();
-      if (splitter.hasIncompleteEvent()
-          || lastIndex < 0
-          || JoinedEvent.isJoined(splitter.trailingText(), attemptHeader)) {
-        failed(UpstreamFailure.CUT);
+      try {
+        if (!stream.end() || lastIndex < 0) {
+          failed(UpstreamFailure.CUT);
+          return;
+        }
+      } catch (NonIncreasingIdException malformed) {
+        failed(UpstreamFailure.MALFORMED);
         return;
       }
       emit(
@@ -570,7 +570,7 @@
               "stop",
               profile.promptTokens(),
               0,
-              splitter.trailingText()));
+              stream.trailingText()));
     }
 
     private void endBuffered() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/JoinedEvent.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/JoinedEvent.java
@@ -50,6 +50,11 @@
     return JoinedResponse.isTextJoined(text, attemptHeader);
   }
 
+  /** Returns whether a text contains a status line, be it a quotation or not. */
+  static boolean containsStatusLine(String text) {
+    return JoinedHead.STATUS_LINE.matcher(text).find();
+  }
+
   private static boolean isHead(String text, Matcher statusLine) {
     String rest = text.substring(statusLine.end());
     if (rest.startsWith("\n") || rest.startsWith(LINE_END)) {
