Refuse a body with the head of another response that its chunk ends with

What callers saw: in tests a body of 80 bytes and the text "off", status 200 and whole, whose last 49 bytes of the 80 are the head of a second response, directly and relayed.

Cause: a response in chunks broke off, and a second one, also in chunks and without an identifier, followed. Its head filled up the chunk to the byte before its empty line. The decoder read that as the end of the chunk, and the chunks of the second response, with its end, as those of the first. Nothing follows such a body, and JoinedBody looked at a status line only if something did.

Why the fix works: the empty line behind the head is missing in the body. JoinedBody keeps up to 16 KiB from the first status line on, and looks for a status line and headers, "transfer-encoding" among them, without an empty line. A body that quotes a whole head has that line. Both users of JoinedBody, ForwardCall for callers and relays and ConnectionWatch for the other clients, ask it at the end of a body.

Looked for elsewhere: a second response with a length or none can't end a chunk this way, as its body would have to begin with the size of a chunk. With the identifier it was refused before on the forwarding path, not by other clients.

--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedBody.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedBody.java
@@ -30,15 +30,30 @@
   /** Length of a status line up to the status, in bytes. */
   private static final int STATUS_LINE_BYTES = 12;
 
+  private static final String LINE_END = "\r\n";
+  private static final String ENCODING = "transfer-encoding:";
+
+  /** Maximum number of bytes that are kept from the first status line on. */
+  private static final int MAXIMUM_KEPT_BYTES = 16 << 10;
+
+  private final StringBuilder textFromStatusLine = new StringBuilder();
   private String lastBytes = "";
   private boolean isStatusLineReceived;
 
   /** Adds some bytes of the body, which are not read. */
   public void add(ByteBuf bytes) {
     int length = bytes.readableBytes();
-    isStatusLineReceived |=
-        containsStatusLine(bytes)
-            || containsStatusLine(lastBytes + text(bytes, 0, Math.min(length, STATUS_LINE_BYTES)));
+    if (isStatusLineReceived) {
+      keep(bytes, 0);
+    } else if (containsStatusLine(
+        lastBytes + text(bytes, 0, Math.min(length, STATUS_LINE_BYTES)))) {
+      isStatusLineReceived = true;
+      textFromStatusLine.append(lastBytes);
+      keep(bytes, 0);
+    } else if (containsStatusLine(bytes)) {
+      isStatusLineReceived = true;
+      keep(bytes, ByteBufUtil.indexOf(PROTOCOL_BYTES, bytes) - bytes.readerIndex());
+    }
     int start = Math.max(0, length - STATUS_LINE_BYTES);
     String end = text(bytes, start, length - start);
     String all = start == 0 ? lastBytes + end : end;
@@ -61,13 +76,16 @@
   }
 
   /**
-   * Returns whether another response may begin in the body and continue behind it.
+   * Returns whether another response may begin in the body and continue behind it, or has ended
+   * with it: the empty line behind the head of one in chunks ends the chunk that the head is in.
    *
    * @param following the first of the bytes that follow, a character each; empty if there are none
    */
   public boolean isContinuedBy(String following) {
-    return !following.isEmpty()
-        && (isStatusLineReceived || isStatusLineAcross(lastBytes, following));
+    if (following.isEmpty()) {
+      return isStatusLineReceived && containsHeadInChunk(textFromStatusLine.toString());
+    }
+    return isStatusLineReceived || isStatusLineAcross(lastBytes, following);
   }
 
   /**
@@ -92,6 +110,40 @@
     return false;
   }
 
+  private void keep(ByteBuf bytes, int offset) {
+    int length =
+        Math.min(bytes.readableBytes() - offset, MAXIMUM_KEPT_BYTES - textFromStatusLine.length());
+    if (length > 0) {
+      textFromStatusLine.append(text(bytes, offset, length));
+    }
+  }
+
+  /**
+   * Returns whether a text contains the head of a response in chunks without the empty line behind
+   * it, which the decoder has read as the end of the chunk that the head is in.
+   */
+  private static boolean containsHeadInChunk(String text) {
+    return JoinedHead.STATUS_LINE
+        .matcher(text)
+        .results()
+        .anyMatch(statusLine -> isHeadInChunk(text, statusLine.end()));
+  }
+
+  private static boolean isHeadInChunk(String text, int statusEnd) {
+    boolean isInChunks = false;
+    int lineEnd = text.indexOf(LINE_END, statusEnd);
+    while (lineEnd >= 0) {
+      int lineStart = lineEnd + LINE_END.length();
+      lineEnd = text.indexOf(LINE_END, lineStart);
+      int colon = text.indexOf(':', lineStart);
+      if (lineEnd < 0 || colon < 0 || colon > lineEnd) {
+        return isInChunks && lineEnd != lineStart;
+      }
+      isInChunks |= text.regionMatches(true, lineStart, ENCODING, 0, ENCODING.length());
+    }
+    return false;
+  }
+
   /** Returns whether a text contains a status line. */
   static boolean containsStatusLine(String text) {
     return text.contains(PROTOCOL) && JoinedHead.STATUS_LINE.matcher(text).find();
--- a/daemon/src/test/java/org/marjoramsail/daemon/connection/JoinedBodyTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/connection/JoinedBodyTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against a body that is made of two responses. */
 final class JoinedBodyTest {
@@ -55,6 +56,38 @@
     assertThat(body.isContinuedBy("")).isFalse();
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "half a body HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n",
+        "half a body HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\nserver: x\r\nrest",
+        "HTTP/1.1 200 OK and HTTP/1.1 200 OK\r\na: b\r\ntransfer-encoding: chunked\r\nrest\r\n"
+      })
+  void aHeadWhoseEmptyLineEndsItsChunkIsFoundInWhateverPartsTheBodyComes(String text) {
+    for (int position = 0; position <= text.length(); position++) {
+      JoinedBody body = new JoinedBody();
+      body.add(bytes(text.substring(0, position)));
+      body.add(bytes(text.substring(position)));
+
+      assertThat(body.isContinuedBy("")).isTrue();
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 500 Failed\r\ntransfer-encoding: chunked\r\n\r\n3\r\noff",
+        "HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n",
+        "HTTP/1.1 500 Failed\r\nor\r\ntransfer-encoding: chunked\r\n",
+        "transfer-encoding: chunked\r\nHTTP/1.1 500 Failed\r\n"
+      })
+  void aBodyThatQuotesAWholeHeadIsNotJoined(String text) {
+    JoinedBody body = new JoinedBody();
+    body.add(bytes(text));
+
+    assertThat(body.isContinuedBy("")).isFalse();
+  }
+
   @Test
   void aStatusLineThatComesByteByByteIsFound() {
     JoinedBody body = new JoinedBody();
--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedBodyTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedBodyTest.java
@@ -83,6 +83,26 @@
     assertThat(results).containsOnly(UpstreamFailure.CUT.name());
   }
 
+  /** Guards against the same for a chunk that the empty line of another head in chunks ends. */
+  @Test
+  void aChunkThatAnotherHeadEndsIsNotDelivered() {
+    String head = "HTTP/1.1 503 Said\r\ntransfer-encoding: chunked\r\n";
+    UpstreamEndpoint endpoint =
+        upstream(
+            "HTTP/1.1 200 Said\r\ntransfer-encoding: chunked\r\n\r\n50\r\n"
+                + BODY.substring(head.length())
+                + head
+                + "\r\n3\r\noff\r\n0\r\n\r\n");
+
+    List<String> results =
+        List.of(
+            resultOfControl(endpoint),
+            resultOfRequest(endpoint, false),
+            resultOfRequest(endpoint, true));
+
+    assertThat(results).containsOnly(UpstreamFailure.CUT.name());
+  }
+
   /** Guards against a body that ends with its connection and is taken for a joined one. */
   @ParameterizedTest
   @ValueSource(booleans = {false, true})
