Hold the client of RelayServerTest and watch its connection from its begin

Cause: no one held the client, which is closed when garbage is collected, and with it the connection whose close the test waits for. The close handler was set on the test's thread, after the connection had opened: a close before that was not seen.

The check is unchanged.

--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.io.ByteArrayOutputStream;
@@ -86,6 +87,9 @@
 
   private final Vertx vertx = Vertx.vertx();
 
+  /** Held, since a client that nothing references is closed, and its connections with it. */
+  private final NetClient client = vertx.createNetClient();
+
   @AfterEach
   void close() {
     Waits.get(vertx.close());
@@ -303,12 +307,18 @@
     FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
     int port = Waits.get(shortUnused(upstream.definition("desk")).start(ADDRESS, 0));
     Promise<Void> closed = Promise.promise();
-    NetSocket sender = Waits.get(vertx.createNetClient().connect(port, ADDRESS));
+
+    vertx.runOnContext(
+        begins -> client.connect(port, ADDRESS).onSuccess(sender -> sendSlowly(sender, closed)));
+
+    Waits.get(closed.future());
+  }
+
+  /** Sends a head without end, from the turn on in which the connection opens. */
+  private void sendSlowly(NetSocket sender, Promise<Void> closed) {
     sender.closeHandler(closed::complete).exceptionHandler(reset -> {});
     sender.write("GET /status HTTP/1.1\r\nhost: ");
     vertx.setPeriodic(SHORT_UNUSED_MILLIS / 10, passed -> sender.write(BODY_BYTE));
-
-    Waits.get(closed.future());
   }
 
   /** Guards against calls that are taken for unused connections, and against those behind them. */
