Read the counts of a relay on its event loop in RelayServerTest

What was seen: nothing; a weakness of the test. A relay runs on one event loop and counts in plain fields, which the test read on its own thread.

Cause: nothing orders such reads, so that a call whose begin was read together with an older number of running calls counted as ended, and the test went on before it had.

Evidence: the fault itself was not made to happen.

No check changes.

--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/RelayServerTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import io.vertx.core.Context;
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Promise;
@@ -24,6 +25,7 @@
 import java.util.OptionalLong;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.function.Supplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -86,6 +88,7 @@
           + ": desk-1\r\n\r\n";
 
   private final Vertx vertx = Vertx.vertx();
+  private final Context loop = vertx.getOrCreateContext();
 
   /** Held, since a client that nothing references is closed, and its connections with it. */
   private final NetClient client = vertx.createNetClient();
@@ -100,22 +103,22 @@
   void aCallThatWasGivenUpBeforeItIsReadIsNotSent() throws IOException {
     FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
     RelayServer relay = relay(upstream.definition("desk"));
-    int port = Waits.get(relay.start(ADDRESS, 0));
+    int port = start(relay);
 
     try (AcceptQueue queue = new AcceptQueue(vertx)) {
       queue.add(CALLS, port, CALL).leave().release();
-      Waits.until("all are handled", () -> relay.dropped() + upstream.runs() >= CALLS);
+      Waits.until("all are handled", () -> onLoop(relay::dropped) + upstream.runs() >= CALLS);
     }
 
     assertThat(upstream.runs()).isZero();
-    Waits.until("no call is relayed", () -> relay.running() == 0);
+    Waits.until("no call is relayed", () -> onLoop(relay::running) == 0);
   }
 
   /** Guards against a sender that is taken for one that has given its call up. */
   @Test
   void aCallWhoseSenderWaitsIsSent() throws IOException {
     FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
-    int port = Waits.get(relay(upstream.definition("desk")).start(ADDRESS, 0));
+    int port = start(relay(upstream.definition("desk")));
 
     try (AcceptQueue queue = new AcceptQueue(vertx)) {
       List<String> results = queue.add(1, port, CALL).release().results();
@@ -141,7 +144,7 @@
                     socket.handler(
                         request -> respond(socket, lengths.remove(), isConnectionEnded)));
     RelayServer relay = relay(definition(Waits.get(upstream.listen(0, ADDRESS)).actualPort()));
-    int port = Waits.get(relay.start(ADDRESS, 0));
+    int port = start(relay);
 
     for (int length : expected) {
       String response = readSlowly(port);
@@ -150,7 +153,7 @@
           .isEqualTo(length);
       assertThat(response).endsWith(LAST_CHUNK);
     }
-    Waits.until("no call is relayed", () -> relay.running() == 0);
+    Waits.until("no call is relayed", () -> onLoop(relay::running) == 0);
   }
 
   /** Guards against calls of a sender that stands still, which a relay would keep without end. */
@@ -167,12 +170,12 @@
                 });
     UpstreamDefinition target = definition(Waits.get(upstream.listen(0, ADDRESS)).actualPort());
     RelayServer relay = relay(target, SHORT_TIMEOUT_MILLIS);
-    int port = Waits.get(relay.start(ADDRESS, 0));
+    int port = start(relay);
 
     try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
       sender.getOutputStream().write(CALL.getBytes(StandardCharsets.ISO_8859_1));
 
-      Waits.until("the call has ended", () -> relay.accepted() == 1 && relay.running() == 0);
+      Waits.until("the call has ended", () -> hasEnded(relay));
       Waits.get(upstreamClosed.future());
     }
   }
@@ -182,13 +185,13 @@
   void aCallWhoseBodyIsNotSentEnds() throws IOException {
     FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
     RelayServer relay = relay(upstream.definition("desk"), SHORT_TIMEOUT_MILLIS);
-    int port = Waits.get(relay.start(ADDRESS, 0));
+    int port = start(relay);
     String post = CALL.replace("GET", "POST").replaceFirst("\r\n", "\r\ncontent-length: 2\r\n");
 
     try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
       sender.getOutputStream().write((post + "z").getBytes(StandardCharsets.ISO_8859_1));
 
-      Waits.until("the call has ended", () -> relay.accepted() == 1 && relay.running() == 0);
+      Waits.until("the call has ended", () -> hasEnded(relay));
       assertThat(sender.getInputStream().read()).isNegative();
     }
     assertThat(upstream.runs()).isZero();
@@ -209,12 +212,12 @@
                 });
     UpstreamDefinition target = definition(Waits.get(upstream.listen(0, ADDRESS)).actualPort());
     RelayServer relay = relay(target);
-    int port = Waits.get(relay.start(ADDRESS, 0));
+    int port = start(relay);
 
     try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
       sender.getOutputStream().write(bytesOf(within(SHORT_DEADLINE_MILLIS)));
 
-      Waits.until("the call has ended", () -> relay.accepted() == 1 && relay.running() == 0);
+      Waits.until("the call has ended", () -> hasEnded(relay));
       Waits.get(upstreamClosed.future());
     }
   }
@@ -229,12 +232,12 @@
             target,
             new RelayTimeouts(
                 PATIENCE_MILLIS, OVERDUE_MILLIS, SHORT_DEADLINE_MILLIS, UNUSED_MILLIS));
-    int port = Waits.get(relay.start(ADDRESS, 0));
+    int port = start(relay);
 
     try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
       sender.getOutputStream().write(bytesOf(CALL));
 
-      Waits.until("the call has ended", () -> relay.accepted() == 1 && relay.running() == 0);
+      Waits.until("the call has ended", () -> hasEnded(relay));
     }
   }
 
@@ -243,7 +246,7 @@
   void aCallWhoseBodyIsNotSentUntilItsDeadlineEnds() throws IOException {
     FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
     RelayServer relay = relay(upstream.definition("desk"));
-    int port = Waits.get(relay.start(ADDRESS, 0));
+    int port = start(relay);
     String post =
         within(SHORT_DEADLINE_MILLIS)
             .replace("GET", "POST")
@@ -252,7 +255,7 @@
     try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
       sender.getOutputStream().write(bytesOf(post));
 
-      Waits.until("the call has ended", () -> relay.accepted() == 1 && relay.running() == 0);
+      Waits.until("the call has ended", () -> hasEnded(relay));
     }
     assertThat(upstream.runs()).isZero();
   }
@@ -273,7 +276,7 @@
                                     : 1,
                                 passed -> socket.write(EXTRA))));
     RelayServer relay = relay(definition(Waits.get(upstream.listen(0, ADDRESS)).actualPort()));
-    int port = Waits.get(relay.start(ADDRESS, 0));
+    int port = start(relay);
     String first = within(MODERATE_DEADLINE_MILLIS).replace("connection: close\r\n", "");
 
     try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
@@ -291,7 +294,7 @@
   @ValueSource(strings = {"", "GET /status HTTP/1.1\r\nhost: desk.exa"})
   void aConnectionOnWhichNoCallBeginsIsClosed(String begun) throws IOException {
     FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
-    int port = Waits.get(shortUnused(upstream.definition("desk")).start(ADDRESS, 0));
+    int port = start(shortUnused(upstream.definition("desk")));
 
     try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
       sender.setSoTimeout(PATIENCE_MILLIS);
@@ -305,7 +308,7 @@
   @Test
   void aConnectionIsClosedAlthoughBytesOfAHeadArriveAllTheTime() throws IOException {
     FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
-    int port = Waits.get(shortUnused(upstream.definition("desk")).start(ADDRESS, 0));
+    int port = start(shortUnused(upstream.definition("desk")));
     Promise<Void> closed = Promise.promise();
 
     vertx.runOnContext(
@@ -334,7 +337,7 @@
                             vertx.setTimer(
                                 2 * SHORT_UNUSED_MILLIS, passed -> socket.write(EXTRA))));
     UpstreamDefinition target = definition(Waits.get(upstream.listen(0, ADDRESS)).actualPort());
-    int port = Waits.get(shortUnused(target).start(ADDRESS, 0));
+    int port = start(shortUnused(target));
     String call = CALL.replace("connection: close\r\n", "");
 
     try (Socket sender = new Socket(InetAddress.getLoopbackAddress(), port)) {
@@ -351,7 +354,7 @@
   @Test
   void aConnectionIsClosedAfterARefusalAlthoughItsBodyIsNotSent() throws IOException {
     FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
-    int port = Waits.get(relay(upstream.definition("desk")).start(ADDRESS, 0));
+    int port = start(relay(upstream.definition("desk")));
     String post =
         CALL.replace(": " + TOKEN, ": wrong")
             .replaceFirst("\r\n", "\r\ncontent-length: " + BODY_BYTES + "\r\n");
@@ -371,7 +374,7 @@
   void aCallWhoseBodyIsSentSteadilyIsRelayed() throws IOException {
     FakePlainService upstream = new FakePlainService(vertx, "desk-1").start();
     RelayServer relay = relay(upstream.definition("desk"), STEADY_TIMEOUT_MILLIS);
-    int port = Waits.get(relay.start(ADDRESS, 0));
+    int port = start(relay);
     String post =
         CALL.replace("GET", "POST")
             .replaceFirst("\r\n", "\r\ncontent-length: " + STEADY_BYTES + "\r\n");
@@ -434,6 +437,25 @@
         false);
   }
 
+  /** Starts a relay on the event loop on which its counts are read; returns its port. */
+  private int start(RelayServer relay) {
+    Promise<Integer> port = Promise.promise();
+    loop.runOnContext(begins -> relay.start(ADDRESS, 0).onComplete(port));
+    return Waits.get(port.future());
+  }
+
+  /** Returns a value that is read on the event loop of the relay. */
+  private <T> T onLoop(Supplier<T> value) {
+    Promise<T> read = Promise.promise();
+    loop.runOnContext(turn -> read.complete(value.get()));
+    return Waits.get(read.future());
+  }
+
+  /** Returns whether the only call has begun and ended. */
+  private boolean hasEnded(RelayServer relay) {
+    return onLoop(() -> relay.accepted() == 1 && relay.running() == 0);
+  }
+
   private RelayServer relay(UpstreamDefinition upstream) {
     return relay(upstream, PATIENCE_MILLIS);
   }
