Keep the origins of streams in the store, for when all daemons were killed

What callers saw: after all hosts were killed at once, each stream that a caller took up was refused (stream-unknown), though servers of its version were there.

Cause: which version began a stream was known to daemons alone, to the one that began it and four others. One that has just started infers nothing from the lists in its first 30 s, and nothing at all within a stream's lifetime after a release.

Change: each daemon also writes the origins of the streams that it began to the store, one object for each host, at most every 500 ms and 16 times a second by the fleet, and only while lists cannot tell the origin. A take-up that no daemon knows and the lists do not settle is looked up there. Fleets of more than 32 hosts write and read nothing.

Why no stream goes on at another version: a record states which version's event was passed on first, by the key of the stream, and is as true later. No clock, list or order of writes is part of it. Records may lag, get lost or be done late; what has no record is refused as before, also at two origins of one key. Nothing waits for the store.

--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
@@ -234,7 +234,7 @@
         service -> 1,
         null,
         new UpstreamFeedbackRecorder(new UpstreamFeedbackTable(), clock, meters),
-        new StreamDirectory(daemon, null, (delayMillis, task) -> {}, clock),
+        new StreamDirectory(daemon, null, (delayMillis, task) -> {}, clock, StreamArchive.NONE),
         null,
         ListConfirmation.NONE,
         meters,
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/StreamDirectoryTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/StreamDirectoryTest.java
@@ -61,7 +61,8 @@
               member.id(),
               (to, message) -> send(member.id(), to, message),
               this::schedule,
-              () -> nowMillis);
+              () -> nowMillis,
+              StreamArchive.NONE);
       directories.put(member.id(), directory);
       directory.membersChanged(new MembershipView(member, members));
     }
@@ -177,7 +178,8 @@
             restarted,
             (to, message) -> send(restarted, to, message),
             this::schedule,
-            () -> nowMillis));
+            () -> nowMillis,
+            StreamArchive.NONE));
     members.clear();
     members.addAll(others);
     members.add(number, replacement);
