--- a/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/DiscoveredUpstreams.java
@@ -231,17 +231,6 @@
         : Optional.empty();
   }
 
-  /**
-   * Returns whether a service may have had several software versions since a time, or this daemon
-   * has not seen the list for so long. Gaps in the changes do not count, so that what is written to
-   * the store because of it does not make it last.
-   */
-  public boolean isVersionUnclearSince(String service, long sinceMillis) {
-    return versions
-        .onlySeenSince(service, sinceMillis, version -> isListed(service, version))
-        .isEmpty();
-  }
-
   /**
    * Returns the revision after which changes may have been missed; empty if none were, if the list
    * cannot be read now, or if reading them would not complete the history of the shortest streams.
--- a/core/src/main/java/org/marjoramsail/core/discovery/VersionHistory.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/VersionHistory.java
@@ -100,19 +100,7 @@
   Optional<SoftwareVersion> onlyVersionSince(
       String service, long sinceMillis, Predicate<SoftwareVersion> isListed) {
     boolean hasGap = gaps.newestEndedAtMillis().filter(ended -> ended > sinceMillis).isPresent();
-    return hasGap ? Optional.empty() : onlySeenSince(service, sinceMillis, isListed);
-  }
-
-  /**
-   * Returns the only version of a service that was seen since a time, although changes in gaps may
-   * have shown others.
-   *
-   * @param isListed whether the list has a version of the service now
-   * @return empty if there were several or none, or if the history begins after that time
-   */
-  Optional<SoftwareVersion> onlySeenSince(
-      String service, long sinceMillis, Predicate<SoftwareVersion> isListed) {
-    if (completeSinceMillis > sinceMillis) {
+    if (completeSinceMillis > sinceMillis || hasGap) {
       return Optional.empty();
     }
     Map<SoftwareVersion, Long> versions = listedAtMillis.getOrDefault(service, Map.of());
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -164,32 +164,9 @@
    */
   public Optional<StoreRevision> oldestUpstreamGap() {
     long now = clock.millis();
-    return discoveredUpstreams.oldestGap(now - longestStreamMillis(), now - EARLIER_STREAM_MILLIS);
-  }
-
-  /**
-   * Returns whether the origin of a stream of a service cannot be told from the lists alone, as
-   * several were possible or this daemon started within the time that streams may last.
-   */
-  public boolean isOriginUnclear(String service) {
-    long sinceMillis = clock.millis() - longestStreamMillis();
-    return discoveredUpstreams.isVersionUnclearSince(service, sinceMillis)
-        || routing.stream()
-            .flatMap(known -> known.routes().all().stream())
-            .filter(route -> hasService(route, service))
-            .anyMatch(
-                route ->
-                    route.services().size() > 1
-                        || servicesSinceMillis.get(route.name()) > sinceMillis);
-  }
-
-  private static boolean hasService(Route route, String service) {
-    return route.services().stream().map(WeightedService::service).anyMatch(service::equals);
-  }
-
-  /** Returns the time for which streams of any route may last. */
-  private long longestStreamMillis() {
-    return longestStreamsMillis.values().stream().reduce(EARLIER_STREAM_MILLIS, Math::max);
+    long longestMillis =
+        longestStreamsMillis.values().stream().reduce(EARLIER_STREAM_MILLIS, Math::max);
+    return discoveredUpstreams.oldestGap(now - longestMillis, now - EARLIER_STREAM_MILLIS);
   }
 
   /** Handles revisions of the store that did not change the list of upstreams. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ResumeOutcome.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ResumeOutcome.java
@@ -8,8 +8,6 @@
   RECORDED,
   /** No daemon has recorded it, and only one software version can have begun the stream. */
   ONLY_VERSION,
-  /** No daemon knows it any more, and an archive has it. */
-  ARCHIVED,
   /** No daemon has recorded it, and several versions can have begun the stream. */
   UNKNOWN,
   /** The caller has used its identifier for streams of different origins. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ResumedStreams.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ResumedStreams.java
@@ -13,7 +13,6 @@
 import org.marjoramsail.core.routing.Route;
 import org.marjoramsail.core.routing.WeightedService;
 import org.marjoramsail.core.stream.StreamKey;
-import org.marjoramsail.core.stream.StreamKnowledge;
 import org.marjoramsail.core.stream.StreamOrigin;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -67,16 +66,12 @@
       Executor eventLoop,
       Consumer<Optional<StreamOrigin>> listener) {
     if (parameters.resumes().isEmpty()) {
-      infer(
-          parameters,
-          route,
-          listener,
-          () -> refuse(parameters, route, ResumeOutcome.UNNAMED, listener));
+      infer(parameters, route, ResumeOutcome.UNNAMED, listener);
       return;
     }
     StreamKey key = StreamKey.of(organisation, parameters.resumes().get());
     directory.find(
-        key, result -> eventLoop.execute(() -> found(parameters, route, key, result, listener)));
+        key, result -> eventLoop.execute(() -> found(parameters, route, result, listener)));
   }
 
   /** Returns the refusal of a stream whose origin is not known. */
@@ -92,7 +87,6 @@
   private void found(
       CallerParameters parameters,
       Route route,
-      StreamKey key,
       StreamLookup.Result result,
       Consumer<Optional<StreamOrigin>> listener) {
     if (result.knowledge().ambiguous()) {
@@ -103,65 +97,28 @@
     Optional<StreamOrigin> origin =
         result.knowledge().origin().filter(known -> mayServe(route, known.service()));
     if (origin.isEmpty()) {
-      infer(
-          parameters,
-          route,
-          listener,
-          () ->
-              directory.findArchived(
-                  key, archived -> foundArchived(parameters, route, archived, listener)));
+      infer(parameters, route, ResumeOutcome.UNKNOWN, listener);
       return;
     }
     log(parameters, route, ResumeOutcome.RECORDED, origin, result);
     listener.accept(origin);
   }
 
-  private void foundArchived(
-      CallerParameters parameters,
-      Route route,
-      StreamKnowledge archived,
-      Consumer<Optional<StreamOrigin>> listener) {
-    Optional<StreamOrigin> origin =
-        archived.origin().filter(known -> mayServe(route, known.service()));
-    if (origin.isEmpty()) {
-      ResumeOutcome outcome =
-          archived.ambiguous() ? ResumeOutcome.AMBIGUOUS : ResumeOutcome.UNKNOWN;
-      refuse(parameters, route, outcome, listener);
-      return;
-    }
-    log(parameters, route, ResumeOutcome.ARCHIVED, origin, StreamLookup.Result.NONE);
-    listener.accept(origin);
-  }
-
-  private void refuse(
-      CallerParameters parameters,
-      Route route,
-      ResumeOutcome outcome,
-      Consumer<Optional<StreamOrigin>> listener) {
-    log(parameters, route, outcome, Optional.empty(), StreamLookup.Result.NONE);
-    listener.accept(Optional.empty());
-  }
-
   /**
    * Finds the only origin that streams of the route can have, if there is one. The lists are read
    * first: the stream may have begun at another daemon on an upstream that was listed while this
    * one was paused or cut off.
-   *
-   * @param otherwise runs if there are several, or may be
    */
   private void infer(
       CallerParameters parameters,
       Route route,
-      Consumer<Optional<StreamOrigin>> listener,
-      Runnable otherwise) {
+      ResumeOutcome otherwise,
+      Consumer<Optional<StreamOrigin>> listener) {
     lists.confirm(
         () -> {
           Optional<StreamOrigin> only = versions.onlyOrigin(route);
-          if (only.isEmpty()) {
-            otherwise.run();
-            return;
-          }
-          log(parameters, route, ResumeOutcome.ONLY_VERSION, only, StreamLookup.Result.NONE);
+          ResumeOutcome outcome = only.isPresent() ? ResumeOutcome.ONLY_VERSION : otherwise;
+          log(parameters, route, outcome, only, StreamLookup.Result.NONE);
           listener.accept(only);
         });
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/StreamDirectory.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/StreamDirectory.java
@@ -45,27 +45,17 @@
   private final PeerTransport transport;
   private final TaskScheduler scheduler;
   private final Clock clock;
-  private final StreamArchive archive;
   private final StreamOrigins origins = new StreamOrigins(MAXIMUM_STREAMS);
   private final Map<StreamKey, StreamLookup> lookups = new HashMap<>();
   private Optional<StreamReplicas> replicas = Optional.empty();
 
-  /**
-   * Creates a directory that knows neither streams nor other daemons.
-   *
-   * @param archive also receives the streams that this daemon begins
-   */
+  /** Creates a directory that knows neither streams nor other daemons. */
   public StreamDirectory(
-      DaemonId self,
-      PeerTransport transport,
-      TaskScheduler scheduler,
-      Clock clock,
-      StreamArchive archive) {
+      DaemonId self, PeerTransport transport, TaskScheduler scheduler, Clock clock) {
     this.self = self;
     this.transport = transport;
     this.scheduler = scheduler;
     this.clock = clock;
-    this.archive = archive;
   }
 
   /** Handles a change of the membership. */
@@ -76,7 +66,6 @@
   /** Records the origin of a stream, here and at the daemons that keep copies. */
   public synchronized void add(StreamRecord stream) {
     origins.add(stream, clock.millis());
-    archive.add(stream);
     StreamRecordsMessage message = new StreamRecordsMessage(List.of(stream));
     holders(stream).forEach(daemon -> transport.send(daemon, message));
   }
@@ -143,11 +132,6 @@
     result.ifPresent(listener);
   }
 
-  /** Finds the origin of a stream that no daemon knows any more; called as the archive calls. */
-  void findArchived(StreamKey key, Consumer<StreamKnowledge> listener) {
-    archive.find(key, listener);
-  }
-
   private synchronized Optional<StreamLookup.Result> findOrAsk(
       StreamKey key, Consumer<StreamLookup.Result> listener) {
     StreamKnowledge own = origins.find(key, clock.millis());
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
@@ -234,7 +234,7 @@
         service -> 1,
         null,
         new UpstreamFeedbackRecorder(new UpstreamFeedbackTable(), clock, meters),
-        new StreamDirectory(daemon, null, (delayMillis, task) -> {}, clock, StreamArchive.NONE),
+        new StreamDirectory(daemon, null, (delayMillis, task) -> {}, clock),
         null,
         ListConfirmation.NONE,
         meters,
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/OnlyOriginTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/OnlyOriginTest.java
@@ -8,7 +8,6 @@
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.discovery.ListedUpstream;
 import org.marjoramsail.core.discovery.RetentionBounds;
-import org.marjoramsail.core.discovery.RevisionGap;
 import org.marjoramsail.core.discovery.StoreRevision;
 import org.marjoramsail.core.model.Repeatability;
 import org.marjoramsail.core.model.SoftwareVersion;
@@ -31,7 +30,6 @@
   private static final String NEW = "v2";
   private static final long LONG_TIMEOUT_MILLIS = 14_000;
   private static final long SHORT_TIMEOUT_MILLIS = 2_000;
-  private static final long OLDEST_STREAM_MILLIS = 30_000;
 
   private final ManualClock clock = new ManualClock(0);
   private ForwardingState state = newState();
@@ -87,41 +85,6 @@
         .contains(new StreamOrigin(SERVICE, new SoftwareVersion(NEW)));
   }
 
-  /** Guards against writes to the store without end, and none while they are needed. */
-  @Test
-  void originsAreUnclearAfterAStartAndWhileThereAreSeveralVersions() {
-    configure(LONG_TIMEOUT_MILLIS);
-    list(OLD);
-    clock.advance(OLDEST_STREAM_MILLIS - 1);
-    assertThat(state.isOriginUnclear(SERVICE)).isTrue();
-    clock.advance(1);
-    assertThat(state.isOriginUnclear(SERVICE)).isFalse();
-
-    state.updateUpstream(engine(NEW));
-    assertThat(state.isOriginUnclear(SERVICE)).isTrue();
-    state.upstreamRemoved(name(OLD));
-    clock.advance(OLDEST_STREAM_MILLIS);
-    assertThat(state.isOriginUnclear(SERVICE)).isTrue();
-    clock.advance(1);
-    assertThat(state.isOriginUnclear(SERVICE)).isFalse();
-  }
-
-  /** Guards against writes that go on because of the gaps that they leave themselves. */
-  @Test
-  void gapsInTheChangesOfUpstreamsMakeNoOriginUnclear() {
-    configure(LONG_TIMEOUT_MILLIS);
-    list(OLD);
-    clock.advance(OLDEST_STREAM_MILLIS);
-
-    state.replaceUpstreams(
-        List.of(engine(OLD)),
-        List.of(),
-        new RevisionGap(new StoreRevision(1, 5), new StoreRevision(1, 7)));
-
-    assertThat(origin(LONG_TIMEOUT_MILLIS)).isEmpty();
-    assertThat(state.isOriginUnclear(SERVICE)).isFalse();
-  }
-
   private Optional<StreamOrigin> origin(long timeoutMillis) {
     return state.onlyOrigin(route(timeoutMillis));
   }
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/StreamDirectoryTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/StreamDirectoryTest.java
@@ -61,8 +61,7 @@
               member.id(),
               (to, message) -> send(member.id(), to, message),
               this::schedule,
-              () -> nowMillis,
-              StreamArchive.NONE);
+              () -> nowMillis);
       directories.put(member.id(), directory);
       directory.membersChanged(new MembershipView(member, members));
     }
@@ -178,8 +177,7 @@
             restarted,
             (to, message) -> send(restarted, to, message),
             this::schedule,
-            () -> nowMillis,
-            StreamArchive.NONE));
+            () -> nowMillis));
     members.clear();
     members.addAll(others);
     members.add(number, replacement);
