--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/WholeEvents.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/WholeEvents.java
@@ -4,7 +4,7 @@
 import java.util.Optional;
 
 /**
- * Passes on the events of a stream that are whole.
+ * Passes on those events of a stream that are not joined with another response.
  *
  * <p>An event that contains a status line is held back until the next event, or the end of the
  * stream, shows that the line is a quotation. If the event is a {@link JoinedEvent} of which that
