--- a/core/src/main/java/org/marjoramsail/core/discovery/VersionHistory.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/VersionHistory.java
@@ -54,7 +54,7 @@
 
   /**
    * Returns the revision after which the oldest gap begins; empty if there is none, or if the
-   * history begins after a time, so that closing the gap would not complete it.
+   * history begins after {@code sinceMillis} and stays incomplete in any case.
    */
   Optional<StoreRevision> oldestGap(long sinceMillis) {
     return completeSinceMillis > sinceMillis ? Optional.empty() : gaps.oldest();
--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedBody.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedBody.java
@@ -76,8 +76,9 @@
   }
 
   /**
-   * Returns whether another response may begin in the body and continue behind it, or has ended
-   * with it: the empty line behind the head of one in chunks ends the chunk that the head is in.
+   * Returns whether another response may begin in the body and continue behind it. With no bytes
+   * behind it, returns whether the body contains the head of a chunked response without the empty
+   * line behind that head, which the decoder has read as the end of a chunk.
    *
    * @param following the first of the bytes that follow, a character each; empty if there are none
    */
--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedChunk.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/JoinedChunk.java
@@ -22,8 +22,8 @@
           Unpooled.wrappedBuffer(PROTOCOL.getBytes(StandardCharsets.ISO_8859_1)));
 
   /**
-   * The status line may follow a part of another one. Includes what is behind the status, which may
-   * arrive later than the status.
+   * The status line may follow a part of another one. The character behind the status is required,
+   * since the status may arrive in parts.
    */
   private static final Pattern SIZE_AND_STATUS_LINE =
       Pattern.compile(
--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedBodyTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedBodyTest.java
@@ -196,7 +196,7 @@
     return Waits.get(result.future());
   }
 
-  /** Called on an event loop, as in a daemon: a response that ends earlier is not delivered. */
+  /** Must run on an event loop: elsewhere a response may end before its body is requested. */
   private void send(UpstreamEndpoint endpoint, boolean newConnection, Promise<String> result) {
     UpstreamCall unused =
         client.send(
--- a/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedHeadTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/upstream/UpstreamJoinedHeadTest.java
@@ -71,7 +71,7 @@
     assertThat(Waits.get(result.future())).isEqualTo(UpstreamFailure.CUT.name());
   }
 
-  /** Called on an event loop, as in a daemon: a response that ends earlier is not delivered. */
+  /** Must run on an event loop: elsewhere a response may end before its body is requested. */
   private void send(UpstreamEndpoint endpoint, Promise<String> result) {
     UpstreamCall unused =
         client.send(
