Refuse responses whose head breaks the grammar of HTTP/1.1

What callers saw: statuses of 600, 999 and four digits (1200 as 1200, 0200 as 200) delivered with body and proof; a status line with a NUL in front of it, with tabs for blanks or with a control byte in its phrase; fields delivered under another name than their server sent ("Bad Name: x" as "Bad: x", "Content Length: 9" as "Content: 9"); a body read by its length beside an unknown coding. Rejections with such heads promised that the request had not run, streams began with them, handles of prefills were used, writes to the store counted as done.

Cause: the decoder of the HTTP library reads heads leniently: it strips control bytes, ends a name at the first blank and accepts any number as a status. What it passes on is another response than the one that was sent, and nothing behind it can tell. Its strict setting covers the ends of lines only.

Change: HeadGrammar checks the bytes of a head before the decoder receives them, for all clients whose connections are watched: forwarding (direct and by relay), store, list of hosts, object API, status and orders of engines. A response that breaks a rule closes its connection before anything of it is read, so that its identifier, Not-Executed, Retry-After and Server-Load count for nothing. To the request it is a malformed response: it may have run, and is repeated only where it may run twice. marjoramsail_responses_malformed_total counts by client and rule; a log line quotes the line, of 128 bytes at most. A line feed alone still ends a line, and the blank behind the status may be missing.

--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/DaemonRuntime.java
@@ -178,15 +178,11 @@
             quarantine, requests.registry, crashReports::sendNew, placementParts, clock);
     this.orphans = new OrphanCanceller(upstreams.engines, placementParts::watched, clock, meters);
     this.hosts = new HostListParts(vertx, platform, membership, placementParts, random, meters);
+    HttpEngineOrders engineOrders = new HttpEngineOrders(vertx);
+    engineOrders.malformedHeads().registerWith(meters, "engine-orders");
     this.orders =
         new OrderService(
-            store,
-            new HttpEngineOrders(vertx),
-            configuration::current,
-            membership::view,
-            clock,
-            timers,
-            meters);
+            store, engineOrders, configuration::current, membership::view, clock, timers, meters);
     this.operators = operatorParts(store, timers);
   }
 
--- a/daemon/src/main/java/org/marjoramsail/daemon/assembly/UpstreamParts.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/assembly/UpstreamParts.java
@@ -21,6 +21,7 @@
   UpstreamParts(
       Vertx vertx, ObjectMapper json, Supplier<Configuration> configuration, MeterRegistry meters) {
     UpstreamHttp http = new UpstreamHttp(vertx, UpstreamLimits.defaults());
+    http.malformedHeads().registerWith(meters, "upstream");
     this.directory = new UpstreamDirectory(configuration);
     this.engines = new EngineClient(http, json, meters);
     this.plainServices = new PlainClient(http, json);
--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/ConnectionWatch.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/ConnectionWatch.java
@@ -19,7 +19,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Closes a connection on which something arrives that no request waits for.
+ * Closes a connection on which something arrives that no request waits for, or a response whose
+ * head breaks the grammar.
  *
  * <p>Guards against bytes of one response that are read as the begin of the next one. The decoder
  * keeps a head that has not ended and reports nothing of it, so that the bytes are watched before
@@ -27,6 +28,15 @@
  */
 public final class ConnectionWatch {
 
+  /** Receives why a connection is closed, at most once. */
+  public interface Listener {
+    /** Handles something that no request waits for. */
+    void unrequested();
+
+    /** Handles a response whose head breaks the grammar; its request fails with this cause. */
+    void malformed(MalformedHeadException cause);
+  }
+
   private static final Logger LOG = LoggerFactory.getLogger(ConnectionWatch.class);
   private static final int FIRST_FINAL_STATUS = 200;
 
@@ -40,7 +50,7 @@
   /** The place of the client's own handler in the pipeline. */
   private final ChannelHandlerContext last;
 
-  private final Runnable unrequested;
+  private final Listener listener;
   private final boolean isJoinedRefused;
 
   /** The buffer with the bytes that the decoder keeps until more arrive. */
@@ -52,6 +62,7 @@
   private boolean isReading;
   private boolean isDecoderUnknown;
   private JoinedBody body = new JoinedBody();
+  private HeadGrammar grammar = new HeadGrammar();
   private JoinedChunk chunk = new JoinedChunk();
   private String following = "";
   private boolean isDue;
@@ -62,38 +73,33 @@
   /** Whether the connection has ended, and the client was not told. */
   private boolean isEndKeptBack;
 
-  private ConnectionWatch(
-      ChannelHandlerContext last, Runnable unrequested, boolean isJoinedRefused) {
+  private ConnectionWatch(ChannelHandlerContext last, Listener listener, boolean isJoinedRefused) {
     this.channel = last.channel();
     this.last = last;
-    this.unrequested = unrequested;
+    this.listener = listener;
     this.isJoinedRefused = isJoinedRefused;
   }
 
   /**
    * Watches a connection that carried nothing so far. Its user checks final responses for a {@link
    * JoinedHead} and a {@link JoinedBody}.
-   *
-   * @param unrequested called once, when something arrives that no request waits for
    */
-  public static ConnectionWatch of(ConnectionBase connection, Runnable unrequested) {
-    return of(connection, unrequested, false);
+  public static ConnectionWatch of(ConnectionBase connection, Listener listener) {
+    return of(connection, listener, false);
   }
 
   /**
    * Watches a connection that carried nothing so far, and closes it on a {@link JoinedHead} and a
    * {@link JoinedBody}, too; the client receives no end of such a response.
-   *
-   * @param unrequested called once, when something arrives that no request waits for
    */
-  static ConnectionWatch refusingJoined(ConnectionBase connection, Runnable unrequested) {
-    return of(connection, unrequested, true);
+  static ConnectionWatch refusingJoined(ConnectionBase connection, Listener listener) {
+    return of(connection, listener, true);
   }
 
   private static ConnectionWatch of(
-      ConnectionBase connection, Runnable unrequested, boolean isJoinedRefused) {
+      ConnectionBase connection, Listener listener, boolean isJoinedRefused) {
     ChannelHandlerContext last = connection.channelHandlerContext();
-    ConnectionWatch watch = new ConnectionWatch(last, unrequested, isJoinedRefused);
+    ConnectionWatch watch = new ConnectionWatch(last, listener, isJoinedRefused);
     last.pipeline().addFirst(watch.new Bytes());
     last.pipeline().addBefore(last.name(), null, watch.new Messages());
     return watch;
@@ -102,6 +108,7 @@
   /** Expects a response from now on. */
   public void expectResponse() {
     isDue = true;
+    grammar = new HeadGrammar();
     chunk = new JoinedChunk();
   }
 
@@ -173,7 +180,7 @@
       return;
     }
     isOutOfStep = true;
-    unrequested.run();
+    listener.unrequested();
     if (isKeptForDelivery()) {
       channel.config().setAutoRead(false);
     } else {
@@ -227,6 +234,13 @@
         closeOutOfStep();
         return;
       }
+      try {
+        grammar.check(bytes);
+      } catch (MalformedHeadException cause) {
+        bytes.release();
+        closeMalformed(context, cause);
+        return;
+      }
       if (chunk.isJoinedBy(bytes)) {
         bytes.release();
         closeOutOfStep();
@@ -242,6 +256,16 @@
       }
     }
 
+    /** Closes the connection before the decoder receives the line. */
+    private void closeMalformed(ChannelHandlerContext context, MalformedHeadException cause) {
+      if (!isOutOfStep) {
+        isOutOfStep = true;
+        listener.malformed(cause);
+        context.fireExceptionCaught(cause);
+        ChannelFuture unused = channel.close();
+      }
+    }
+
     /** The decoder keeps the buffer itself if it has kept nothing before. */
     private void decode(ChannelHandlerContext context, ByteBuf bytes) {
       bytes.retain();
--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/RequestWatch.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/RequestWatch.java
@@ -29,20 +29,33 @@
     this.watch = watch;
   }
 
-  /** Watches all connections of a client that is built. */
-  public static HttpClientBuilder watchAll(HttpClientBuilder builder) {
-    return builder.withConnectHandler(RequestWatch::of);
+  /**
+   * Watches all connections of a client that is built.
+   *
+   * @param malformed counts the responses whose head breaks the grammar
+   */
+  public static HttpClientBuilder watchAll(
+      HttpClientBuilder builder, MalformedHeadCounts malformed) {
+    return builder.withConnectHandler(
+        connection -> {
+          RequestWatch unused = of(connection, malformed);
+        });
   }
 
-  /** Watches a connection that carried nothing so far; called on its event loop. */
-  public static RequestWatch of(HttpConnection connection) {
+  /**
+   * Watches a connection that carried nothing so far; called on its event loop.
+   *
+   * @param malformed counts the responses whose head breaks the grammar
+   */
+  public static RequestWatch of(HttpConnection connection, MalformedHeadCounts malformed) {
     // The connection may be a wrapper, of which the method returns the connection within.
     HttpConnection within = connection.exceptionHandler(ignored -> {});
     if (!(within instanceof ConnectionBase base)) {
       throw new IllegalArgumentException("connection without a channel: " + within);
     }
     RequestWatch watch =
-        new RequestWatch(within, ConnectionWatch.refusingJoined(base, () -> log(within)));
+        new RequestWatch(
+            within, ConnectionWatch.refusingJoined(base, new Closes(within, malformed)));
     ChannelHandlerContext last = base.channelHandlerContext();
     last.pipeline().addBefore(last.name(), null, watch.new Requests());
     return watch;
@@ -53,11 +66,28 @@
     return (watch.isReading() || ConnectionProbe.isOpen(connection)) && watch.isInStep();
   }
 
-  private static void log(HttpConnection connection) {
-    LOG.atInfo()
-        .addKeyValue("peer", connection.remoteAddress())
-        .addKeyValue("localPort", connection.localAddress().port())
-        .log("connection closed on which something arrived that no request waits for");
+  /** Logs why a connection is closed. */
+  private record Closes(HttpConnection connection, MalformedHeadCounts malformed)
+      implements ConnectionWatch.Listener {
+
+    @Override
+    public void unrequested() {
+      LOG.atInfo()
+          .addKeyValue("peer", connection.remoteAddress())
+          .addKeyValue("localPort", connection.localAddress().port())
+          .log("connection closed on which something arrived that no request waits for");
+    }
+
+    @Override
+    public void malformed(MalformedHeadException cause) {
+      malformed.add(cause.rule());
+      LOG.atInfo()
+          .addKeyValue("peer", connection.remoteAddress())
+          .addKeyValue("localPort", connection.localAddress().port())
+          .addKeyValue("rule", cause.rule().code())
+          .addKeyValue("line", cause.line())
+          .log("connection closed on which a response broke the grammar");
+    }
   }
 
   /** Watches the requests on their way to the encoder. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/BodyMemory.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/BodyMemory.java
@@ -2,6 +2,7 @@
 
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.routing.CallerLimits;
 
 /**
  * Limits the bytes of request bodies that are held at the same time, over all callers. A body is
@@ -9,6 +10,9 @@
  */
 final class BodyMemory {
 
+  /** Maximum size of one body, in bytes. */
+  private static final long MAXIMUM_BODY_BYTES = 64L << 20;
+
   private static final long RETRY_MILLIS = 500;
 
   private final long maximumBytes;
@@ -23,9 +27,16 @@
     return new Account();
   }
 
-  /** Returns the maximum number of bytes of all bodies together. */
-  long maximumBytes() {
-    return maximumBytes;
+  /** Returns the maximum size of a body, which a retry does not change. */
+  long maximumBodyBytes(CallerLimits limits) {
+    return Math.min(maximumBytes, Math.min(MAXIMUM_BODY_BYTES, limits.bodyBytes()));
+  }
+
+  /** Returns the refusal of a request whose body exceeds its maximum size. */
+  static Refusal tooLarge(long bytes, long maximum) {
+    return Refusal.notRun(
+        RefusalReason.BODY_TOO_LARGE,
+        "The body has " + bytes + " bytes; allowed: " + maximum + ".");
   }
 
   /** Returns the number of bytes for which there is room. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardCall.java
@@ -14,6 +14,7 @@
 import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.daemon.connection.JoinedBody;
 import org.marjoramsail.daemon.connection.JoinedHead;
+import org.marjoramsail.daemon.connection.MalformedHeadException;
 import org.marjoramsail.daemon.request.OpenCall;
 
 /**
@@ -370,6 +371,8 @@
   private void responseFailed(Throwable cause) {
     if (cause instanceof TooLongFrameException) {
       failExceeding(ResponseBound.HEAD_BYTES);
+    } else if (cause instanceof MalformedHeadException) {
+      fail(UpstreamFailure.MALFORMED);
     } else {
       fail(UpstreamFailure.CUT);
     }
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -29,6 +29,7 @@
 import org.marjoramsail.core.routing.Route;
 import org.marjoramsail.core.routing.RoutingConfiguration;
 import org.marjoramsail.core.stream.StreamOrigin;
+import org.marjoramsail.daemon.connection.HeadRule;
 import org.marjoramsail.daemon.connection.ListeningPort;
 import org.marjoramsail.daemon.connection.ServerOptions;
 import org.marjoramsail.daemon.request.HttpCallerPresence;
@@ -43,7 +44,6 @@
   private static final long IDLE_TIMEOUT_MILLIS = 60_000;
 
   private static final int MAXIMUM_HEAD_BYTES = 64 * 1024;
-  private static final long MAXIMUM_BODY_BYTES = 64L << 20;
   private static final int BACKLOG = 1_024;
 
   private final Vertx vertx;
@@ -239,6 +239,11 @@
     return exchangeDependencies.connections().unrequested() + relayServer.unrequested();
   }
 
+  /** Returns the number of responses of upstreams whose head broke a rule of the grammar. */
+  public long malformedResponses(HeadRule rule) {
+    return exchangeDependencies.connections().malformed(rule) + relayServer.malformed(rule);
+  }
+
   /** Returns the number of connections that were opened for calls of other daemons. */
   public long connectionsOpenedForOthers() {
     return relayServer.opened();
@@ -399,25 +404,14 @@
               RefusalReason.HEADERS_TOO_LARGE,
               "The head has " + headBytes + " bytes; allowed: " + maximumHeadBytes + "."));
     }
-    long maximum = maximumBodyBytes(routing.get().limits());
+    long maximum = bodyMemory.maximumBodyBytes(routing.get().limits());
     long declared = RequestHead.declaredBodyBytes(request);
     if (declared > maximum) {
-      return Optional.of(tooLarge(declared, maximum));
+      return Optional.of(BodyMemory.tooLarge(declared, maximum));
     }
     return Optional.empty();
   }
 
-  /** Returns the maximum size of a body, which a retry does not change. */
-  private long maximumBodyBytes(CallerLimits limits) {
-    return Math.min(bodyMemory.maximumBytes(), Math.min(MAXIMUM_BODY_BYTES, limits.bodyBytes()));
-  }
-
-  private static Refusal tooLarge(long bytes, long maximum) {
-    return Refusal.notRun(
-        RefusalReason.BODY_TOO_LARGE,
-        "The body has " + bytes + " bytes; allowed: " + maximum + ".");
-  }
-
   private int urgencyOf(Route route, String service) {
     return dependencies
         .routing()
@@ -438,7 +432,7 @@
 
   private void readBody(AcceptedRequest accepted, CallerLimits bounds) {
     HttpServerRequest request = accepted.request();
-    long maximum = maximumBodyBytes(bounds);
+    long maximum = bodyMemory.maximumBodyBytes(bounds);
     Buffer body = Buffer.buffer();
     request.handler(
         bytes ->
@@ -453,7 +447,7 @@
   private void append(AcceptedRequest accepted, Buffer body, Buffer bytes, long maximum) {
     long length = (long) body.length() + bytes.length();
     if (length > maximum) {
-      endReading(accepted, tooLarge(length, maximum));
+      endReading(accepted, BodyMemory.tooLarge(length, maximum));
     } else if (accepted.memory().add(bytes.length())) {
       body.appendBuffer(bytes);
     } else {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/RelayServer.java
@@ -22,6 +22,7 @@
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.daemon.connection.ConnectionProbe;
+import org.marjoramsail.daemon.connection.HeadRule;
 import org.marjoramsail.daemon.connection.ListeningPort;
 import org.marjoramsail.daemon.connection.OrderlyClose;
 import org.marjoramsail.daemon.connection.ServerOptions;
@@ -178,6 +179,11 @@
     return connections.opened();
   }
 
+  /** Returns the number of responses whose head broke a rule of the grammar. */
+  long malformed(HeadRule rule) {
+    return connections.malformed(rule);
+  }
+
   /** Returns the number of connections on which something arrived that no request waited for. */
   long unrequested() {
     return connections.unrequested();
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnection.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnection.java
@@ -7,14 +7,23 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 import org.marjoramsail.daemon.connection.ConnectionProbe;
 import org.marjoramsail.daemon.connection.ConnectionWatch;
 import org.marjoramsail.daemon.connection.ForcedClose;
+import org.marjoramsail.daemon.connection.MalformedHeadException;
 
 /** A connection that leads to an upstream, and what it has carried. Runs on one event loop. */
 final class UpstreamConnection {
 
+  /** Receives why a connection is closed, at most once. */
+  interface Closes {
+    /** Handles something that no request waits for. */
+    void unrequested(UpstreamConnection connection);
+
+    /** Handles a response whose head breaks the grammar. */
+    void malformed(UpstreamConnection connection, MalformedHeadException cause);
+  }
+
   /**
    * Maximum number of requests whose identifiers are kept. Between two requests with the same
    * identifier each other one has proven that its connection is in step.
@@ -36,19 +45,29 @@
    * @param serial identifies the connection in logs of this daemon
    * @param connection a connection that carried nothing so far
    * @param relay the daemon to which it leads; empty if it leads to the upstream itself
-   * @param unrequested receives this connection if something arrives that no request waits for
+   * @param closes receives why this connection is closed
    */
   UpstreamConnection(
-      long serial,
-      HttpClientConnection connection,
-      Optional<Relay> relay,
-      Consumer<UpstreamConnection> unrequested) {
+      long serial, HttpClientConnection connection, Optional<Relay> relay, Closes closes) {
     this.serial = serial;
     this.connection = connection;
     this.relay = relay;
     // The connection is a wrapper, of which the method returns the connection within.
     this.within = connection.exceptionHandler(ignored -> {});
-    this.watch = ConnectionWatch.of((ConnectionBase) within, () -> unrequested.accept(this));
+    this.watch =
+        ConnectionWatch.of(
+            (ConnectionBase) within,
+            new ConnectionWatch.Listener() {
+              @Override
+              public void unrequested() {
+                closes.unrequested(UpstreamConnection.this);
+              }
+
+              @Override
+              public void malformed(MalformedHeadException cause) {
+                closes.malformed(UpstreamConnection.this, cause);
+              }
+            });
   }
 
   HttpClientConnection connection() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
@@ -21,9 +21,13 @@
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.time.Clock;
+import org.marjoramsail.daemon.connection.HeadRule;
+import org.marjoramsail.daemon.connection.MalformedHeadCounts;
+import org.marjoramsail.daemon.connection.MalformedHeadException;
 import org.marjoramsail.daemon.upstream.AbortiveClose;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.spi.LoggingEventBuilder;
 
 /**
  * Pool of idle connections to upstreams, by incarnation instead of address, since addresses are
@@ -73,6 +77,7 @@
   private long opened;
   private long relayed;
   private long unrequested;
+  private final MalformedHeadCounts malformed = new MalformedHeadCounts();
 
   /**
    * Creates an empty pool.
@@ -189,18 +194,42 @@
   private UpstreamConnection watched(
       HttpClientConnection connection, Optional<Relay> used, String peer) {
     return new UpstreamConnection(
-        SERIALS.incrementAndGet(), connection, used, received -> recordUnrequested(received, peer));
+        SERIALS.incrementAndGet(), connection, used, new LoggedCloses(peer));
   }
 
-  private void recordUnrequested(UpstreamConnection connection, String peer) {
-    unrequested++;
-    LOG.atInfo()
-        .addKeyValue("request", connection.lastAttempt())
-        .addKeyValue("peer", peer)
-        .addKeyValue("connection", connection.serial())
-        .addKeyValue("localPort", connection.localPort())
-        .addKeyValue("position", connection.requests())
-        .log("connection closed on which something arrived that no request waits for");
+  /** Counts and logs why connections are closed. */
+  private final class LoggedCloses implements UpstreamConnection.Closes {
+    private final String peer;
+
+    LoggedCloses(String peer) {
+      this.peer = peer;
+    }
+
+    @Override
+    public void unrequested(UpstreamConnection connection) {
+      unrequested++;
+      event(connection)
+          .log("connection closed on which something arrived that no request waits for");
+    }
+
+    @Override
+    public void malformed(UpstreamConnection connection, MalformedHeadException cause) {
+      malformed.add(cause.rule());
+      event(connection)
+          .addKeyValue("host", connection.connection().remoteAddress())
+          .addKeyValue("rule", cause.rule().code())
+          .addKeyValue("line", cause.line())
+          .log("connection closed on which a response broke the grammar");
+    }
+
+    private LoggingEventBuilder event(UpstreamConnection connection) {
+      return LOG.atInfo()
+          .addKeyValue("request", connection.lastAttempt())
+          .addKeyValue("peer", peer)
+          .addKeyValue("connection", connection.serial())
+          .addKeyValue("localPort", connection.localPort())
+          .addKeyValue("position", connection.requests());
+    }
   }
 
   private static HttpConnectOptions options(String address, int port) {
@@ -286,6 +315,11 @@
     return unrequested;
   }
 
+  /** Returns the number of responses whose head broke a rule of the grammar. */
+  long malformed(HeadRule rule) {
+    return malformed.count(rule);
+  }
+
   /** Returns the number of connections that were opened. */
   long opened() {
     return opened;
--- a/daemon/src/main/java/org/marjoramsail/daemon/order/HttpEngineOrders.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/order/HttpEngineOrders.java
@@ -27,6 +27,7 @@
 import org.marjoramsail.core.order.EngineOrderKind;
 import org.marjoramsail.core.order.EngineState;
 import org.marjoramsail.core.order.OrderProgress;
+import org.marjoramsail.daemon.connection.MalformedHeadCounts;
 import org.marjoramsail.daemon.connection.RequestWatch;
 import org.marjoramsail.daemon.upstream.AbortiveClose;
 
@@ -53,11 +54,17 @@
   private static final int CONFLICT = 409;
 
   private final HttpClient client;
+  private final MalformedHeadCounts malformed = new MalformedHeadCounts();
 
   /** Creates an instance with an HTTP client of its own, which is closed with {@code vertx}. */
   public HttpEngineOrders(Vertx vertx) {
     HttpClientOptions options = AbortiveClose.options().setKeepAlive(false);
-    this.client = RequestWatch.watchAll(vertx.httpClientBuilder().with(options)).build();
+    this.client = RequestWatch.watchAll(vertx.httpClientBuilder().with(options), malformed).build();
+  }
+
+  /** Returns the number of responses whose head broke the grammar. */
+  public MalformedHeadCounts malformedHeads() {
+    return malformed;
   }
 
   private record OrderBody(
--- a/daemon/src/main/java/org/marjoramsail/daemon/platform/HostListClient.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/HostListClient.java
@@ -18,6 +18,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.marjoramsail.daemon.connection.MalformedHeadCounts;
 import org.marjoramsail.daemon.connection.RequestWatch;
 import org.marjoramsail.daemon.platform.ObjectApiException.Failure;
 
@@ -70,7 +71,11 @@
             .setDefaultPort(settings.port())
             .setConnectTimeout(settings.connectTimeoutMillis());
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(1);
-    this.client = RequestWatch.watchAll(vertx.httpClientBuilder().with(options).with(pool)).build();
+    MalformedHeadCounts malformed = new MalformedHeadCounts();
+    malformed.registerWith(meters, "host-list");
+    this.client =
+        RequestWatch.watchAll(vertx.httpClientBuilder().with(options).with(pool), malformed)
+            .build();
   }
 
   /** Asks at once, and goes on until closed. */
--- a/daemon/src/main/java/org/marjoramsail/daemon/platform/HttpObjectApi.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/platform/HttpObjectApi.java
@@ -17,6 +17,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.marjoramsail.daemon.connection.MalformedHeadCounts;
 import org.marjoramsail.daemon.connection.RequestWatch;
 import org.marjoramsail.daemon.platform.ObjectApiException.Failure;
 import org.marjoramsail.daemon.upstream.AbortiveClose;
@@ -37,6 +38,7 @@
   private final Vertx vertx;
   private final HttpObjectApiSettings settings;
   private final MeterRegistry meters;
+  private final MalformedHeadCounts malformed = new MalformedHeadCounts();
   private final HttpClient client;
   private final HttpClient watchClient;
   private final ObjectJson json = new ObjectJson();
@@ -46,6 +48,7 @@
     this.vertx = vertx;
     this.settings = settings;
     this.meters = meters;
+    malformed.registerWith(meters, "object-api");
     this.client = client(settings.connections());
     this.watchClient = client(MAXIMUM_WATCHES);
   }
@@ -59,7 +62,8 @@
             .setTcpNoDelay(true);
     PoolOptions pool =
         new PoolOptions().setHttp1MaxSize(connections).setMaxWaitQueueSize(MAXIMUM_CALLS_WAITING);
-    return RequestWatch.watchAll(vertx.httpClientBuilder().with(options).with(pool)).build();
+    return RequestWatch.watchAll(vertx.httpClientBuilder().with(options).with(pool), malformed)
+        .build();
   }
 
   @Override
--- a/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamHttp.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/upstream/UpstreamHttp.java
@@ -16,6 +16,7 @@
 import java.util.function.Consumer;
 import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.daemon.connection.JoinedBody;
+import org.marjoramsail.daemon.connection.MalformedHeadCounts;
 import org.marjoramsail.daemon.connection.RequestWatch;
 
 /**
@@ -32,16 +33,21 @@
   private final HttpClient pooled;
   private final HttpClient unpooled;
   private final UpstreamLimits limits;
+  private final MalformedHeadCounts malformed = new MalformedHeadCounts();
 
   /** Creates the HTTP clients, which are closed with {@code vertx}. */
   public UpstreamHttp(Vertx vertx, UpstreamLimits limits) {
     this.limits = limits;
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(limits.maximumConnections());
     HttpClientOptions kept = options(limits).setKeepAlive(true);
-    this.pooled = RequestWatch.watchAll(vertx.httpClientBuilder().with(kept).with(pool)).build();
+    this.pooled = client(vertx, kept, pool);
     HttpClientOptions single = options(limits).setKeepAlive(false);
-    this.unpooled =
-        RequestWatch.watchAll(vertx.httpClientBuilder().with(single).with(pool)).build();
+    this.unpooled = client(vertx, single, pool);
+  }
+
+  private HttpClient client(Vertx vertx, HttpClientOptions options, PoolOptions pool) {
+    return RequestWatch.watchAll(vertx.httpClientBuilder().with(options).with(pool), malformed)
+        .build();
   }
 
   private static HttpClientOptions options(UpstreamLimits limits) {
@@ -51,6 +57,11 @@
         .setConnectTimeout(limits.connectTimeoutMillis());
   }
 
+  /** Returns the number of responses whose head broke the grammar. */
+  public MalformedHeadCounts malformedHeads() {
+    return malformed;
+  }
+
   UpstreamLimits limits() {
     return limits;
   }
--- a/daemon/src/test/java/org/marjoramsail/daemon/connection/ConnectionWatchTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/connection/ConnectionWatchTest.java
@@ -35,6 +35,15 @@
   private static final Buffer RESPONSE =
       Buffer.buffer("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nbody");
 
+  private static final ConnectionWatch.Listener IGNORED =
+      new ConnectionWatch.Listener() {
+        @Override
+        public void unrequested() {}
+
+        @Override
+        public void malformed(MalformedHeadException cause) {}
+      };
+
   private final Vertx vertx = Vertx.vertx();
   private final HttpClientAgent client = vertx.createHttpClient();
   private final Promise<NetSocket> upstream = Promise.promise();
@@ -114,7 +123,7 @@
         .request()
         .compose(
             request -> {
-              watch = ConnectionWatch.of(within(connection), () -> {});
+              watch = ConnectionWatch.of(within(connection), IGNORED);
               watch.expectDelivery();
               return request
                   .send()
--- /dev/null
+++ b/standin/src/main/java/org/marjoramsail/standin/network/MalformedHeadStandIn.java
@@ -0,0 +1,94 @@
+package org.marjoramsail.standin.network;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetServer;
+import io.vertx.core.net.NetSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** An HTTP server whose responses have a head that breaks the grammar of HTTP/1.1. */
+public final class MalformedHeadStandIn {
+
+  /** What breaks the grammar. */
+  public enum Fault {
+    NUL_BEFORE_STATUS_LINE("\0HTTP/1.1 ", "", ""),
+    TABS_IN_STATUS_LINE("HTTP/1.1\t", "", ""),
+    STATUS_OF_FOUR_DIGITS("HTTP/1.1 0", "", ""),
+    CONTROL_BYTE_IN_REASON_PHRASE("HTTP/1.1 ", "\7", ""),
+    BLANK_IN_NAME("HTTP/1.1 ", "", "Bad Name: x\r\n"),
+    CONTROL_BYTE_IN_NAME("HTTP/1.1 ", "", "X\1Y: x\r\n"),
+    NO_COLON("HTTP/1.1 ", "", "no colon at all\r\n"),
+    UNKNOWN_ENCODING("HTTP/1.1 ", "", "Transfer-Encoding: xchunked\r\n");
+
+    private final String beforeStatus;
+    private final String behindReason;
+    private final String field;
+
+    Fault(String beforeStatus, String behindReason, String field) {
+      this.beforeStatus = beforeStatus;
+      this.behindReason = behindReason;
+      this.field = field;
+    }
+
+    /**
+     * Returns a response with this fault.
+     *
+     * @param status the status that a lenient reader sees
+     * @param fields further fields, each with the end of its line
+     */
+    public String response(int status, String fields, String body) {
+      return beforeStatus
+          + status
+          + " Other"
+          + behindReason
+          + "\r\n"
+          + field
+          + fields
+          + "content-length: "
+          + body.getBytes(StandardCharsets.UTF_8).length
+          + HEAD_END
+          + body;
+    }
+  }
+
+  private static final String HEAD_END = "\r\n\r\n";
+
+  private final Buffer response;
+  private final NetServer server;
+  private final AtomicInteger requests = new AtomicInteger();
+
+  /** Creates a server that does not listen yet. */
+  public MalformedHeadStandIn(Vertx vertx, Fault fault, int status, String body) {
+    this.response =
+        Buffer.buffer(fault.response(status, "content-type: application/json\r\n", body));
+    this.server = vertx.createNetServer().connectHandler(this::read);
+  }
+
+  /** Listens; completes with the port. */
+  public Future<Integer> start(String address) {
+    return server.listen(0, address).map(NetServer::actualPort);
+  }
+
+  /** Returns the number of requests that it received. */
+  public int requests() {
+    return requests.get();
+  }
+
+  private void read(NetSocket socket) {
+    StringBuilder received = new StringBuilder();
+    socket.exceptionHandler(reset -> {});
+    socket.handler(
+        bytes -> {
+          received.append(bytes.toString(StandardCharsets.ISO_8859_1));
+          int end = received.indexOf(HEAD_END);
+          while (end >= 0) {
+            received.delete(0, end + HEAD_END.length());
+            requests.incrementAndGet();
+            Future<Void> unused = socket.write(response);
+            end = received.indexOf(HEAD_END);
+          }
+        });
+  }
+}
