Limit the share of an event loop that responses in tiny chunks take

Cause: each chunk is a message that passes through the decoder, the watch of the connection and the listener of the call. A read of 64 KB holds ten thousand of them, an event loop reads up to sixteen times in a turn, and the bound on the size of a body is reached only after eight million chunks, later than any deadline.

Change: ReadLimiter merges the small chunks that are read together, so that what follows the decoder runs once a read, and makes the next read wait after one with more than 1,024 messages: 1 ms for each 100. The limit is on the connection, so that it holds for forwarded responses, relays, store, list of hosts and orders, and for interim responses as well. Memory does not grow while a read waits, since the sender is held back, and nothing is lost. Proper streams have some events a read and are never made to wait.

--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/ConnectionWatch.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/ConnectionWatch.java
@@ -100,6 +100,7 @@
       ConnectionBase connection, Listener listener, boolean isJoinedRefused) {
     ChannelHandlerContext last = connection.channelHandlerContext();
     ConnectionWatch watch = new ConnectionWatch(last, listener, isJoinedRefused);
+    ReadLimiter.limit(last);
     last.pipeline().addFirst(watch.new Bytes());
     last.pipeline().addBefore(last.name(), null, watch.new Messages());
     return watch;
