Begin no request during a stop that cannot end before its limit

What callers saw: a request that arrived late in the grace of a planned stop was passed on although its route takes longer than what was left. At the limit it was broken off with 502, after its server had begun it, also where it may run once; a request that waited for a place was passed on as late as at the limit.

Cause: a stop knew until when it reads requests and until when they may run, and compared neither with how long they take.

What runs or may have run is not touched. A stopping daemon begins no relayed call, of which it does not know the route; its sender asks another one.

--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleDispatch.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleDispatch.java
@@ -51,6 +51,8 @@
       lifecycle.callerDisconnected();
     } else if (event instanceof LifecycleEvent.CallerEnded ended) {
       lifecycle.callerEnded(ended.refusal());
+    } else if (event instanceof LifecycleEvent.StartRefused refused) {
+      lifecycle.startRefused(refused.refusal());
     } else if (event instanceof LifecycleEvent.TimePassed) {
       lifecycle.timePassed();
     }
--- a/core/src/main/java/org/marjoramsail/core/outcome/LifecycleEvent.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/LifecycleEvent.java
@@ -189,6 +189,18 @@
     }
   }
 
+  /**
+   * This daemon starts the request no more, since it stops before the request would end.
+   *
+   * @param refusal refusal for the caller, unless the request has started
+   */
+  record StartRefused(Refusal refusal) implements LifecycleEvent {
+    @Override
+    public boolean mayStartWork() {
+      return false;
+    }
+  }
+
   /**
    * An upstream confirmed that it holds no resources for an attempt.
    *
--- a/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
+++ b/core/src/main/java/org/marjoramsail/core/outcome/RequestLifecycle.java
@@ -139,7 +139,7 @@
       return;
     }
     if (guard.isQuarantined(nowMillis)) {
-      refuseQuarantined();
+      giveUpAttempt(guard.refusal(nowMillis));
     } else if (profile.claimed()) {
       state = LifecycleState.CLAIMING;
       actions.add(new LifecycleAction.RecordClaim());
@@ -175,7 +175,7 @@
     // A content that may crash upstreams runs on one at a time.
     if (suspicion == Suspicion.QUARANTINED
         || (suspicion != Suspicion.CLEAR && silent.isPresent())) {
-      refuseQuarantined();
+      giveUpAttempt(guard.refusal(nowMillis));
       return;
     }
     if (suspicion == Suspicion.UNSETTLED || guard.isWaitingForCancels(suspicion, nowMillis)) {
@@ -205,7 +205,7 @@
     attempt.granted(newGrant);
     if (guard.isQuarantined(nowMillis)) {
       state = LifecycleState.BACKING_OFF;
-      refuseQuarantined();
+      giveUpAttempt(guard.refusal(nowMillis));
     } else if (guard.mustPostpone(newGrant, nowMillis)) {
       postponePlacement();
     } else if (newGrant.mode() == GrantMode.PLAIN) {
@@ -237,7 +237,7 @@
 
   private void sendDecode(Grant newGrant) {
     if (guard.isQuarantined(nowMillis)) {
-      refuseQuarantined();
+      giveUpAttempt(guard.refusal(nowMillis));
       return;
     }
     if (guard.mustPostpone(newGrant, nowMillis)) {
@@ -494,6 +494,12 @@
     }
   }
 
+  void startRefused(Refusal refusal) {
+    if (!state.isRunning() && !history.mayHaveRun()) {
+      callerEnded(refusal);
+    }
+  }
+
   void timePassed() {
     actions.addAll(outstanding.repeatCancels(nowMillis));
     if (state == LifecycleState.ENDED) {
@@ -551,10 +557,6 @@
     progress.expectWithin(attempt.nextStallMillis(policy.stallMillis(state)), nowMillis);
   }
 
-  private void refuseQuarantined() {
-    giveUpAttempt(guard.refusal(nowMillis));
-  }
-
   /** Refuses with the run state of this lifecycle, in place of that of the refusal. */
   private void refuse(Refusal refusal) {
     finalResponse
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardDependencies.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardDependencies.java
@@ -22,6 +22,7 @@
  * @param streams origins of streams that callers may resume
  * @param completionListener receives the output length of completed streams
  * @param plainResponseTimes receives the duration of buffered responses by service, in milliseconds
+ * @param runTimes receives the duration of requests that were served by route, in milliseconds
  * @param connectionCloseHeader closes connections while this daemon stops
  * @param refusals writes refusals
  * @param clock returns the current time
@@ -39,6 +40,7 @@
     StreamDirectory streams,
     CompletionListener completionListener,
     ObjLongConsumer<String> plainResponseTimes,
+    ObjLongConsumer<String> runTimes,
     ConnectionCloseHeader connectionCloseHeader,
     RefusalWriter refusals,
     Clock clock) {}
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardExchange.java
@@ -65,6 +65,7 @@
   private final Map<Integer, ResponseHead> streamHeads = new HashMap<>(2);
   private final StreamPosition position;
   private final StreamOutput output;
+  private final RunTimer runTimer;
 
   /**
    * Creates an exchange.
@@ -84,6 +85,7 @@
     this.profile = profile;
     this.caller = caller;
     this.output = new StreamOutput(caller);
+    this.runTimer = new RunTimer(dependencies.clock(), dependencies.runTimes(), profile.rule());
     this.presence = new HttpCallerPresence(caller);
     this.priority = priority;
     this.streaming = route.streaming();
@@ -277,6 +279,7 @@
       Optional<KvLocation> kv,
       OptionalInt resumeAfter,
       ForwardCall.Listener listener) {
+    runTimer.started();
     MultiMap headers = MultiMap.caseInsensitiveMultiMap().addAll(request.headers());
     headers.set("host", request.host());
     long remainingMillis = Math.max(1, profile.deadlineAtMillis() - dependencies.clock().millis());
@@ -562,6 +565,7 @@
         failed(UpstreamFailure.MALFORMED);
         return;
       }
+      runTimer.served();
       emit(
           new LifecycleEvent.StreamFinished(
               profile.id(),
@@ -579,6 +583,7 @@
         dependencies.plainResponseTimes().accept(upstream().service(), elapsedMillis());
       }
       if (disposition == ResponseDisposition.SERVED && !streaming) {
+        runTimer.served();
         emit(new LifecycleEvent.PlainResponseReceived(attempt()));
       } else if (disposition == ResponseDisposition.FAILED) {
         emit(new LifecycleEvent.FailureResponseReceived(attempt()));
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -15,7 +15,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
-import org.marjoramsail.core.configuration.OrganisationDefinition;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
@@ -28,6 +27,7 @@
 import org.marjoramsail.core.routing.PlainResponseTimes;
 import org.marjoramsail.core.routing.Route;
 import org.marjoramsail.core.routing.RoutingConfiguration;
+import org.marjoramsail.core.routing.RunTimes;
 import org.marjoramsail.core.stream.StreamOrigin;
 import org.marjoramsail.daemon.connection.HeadRule;
 import org.marjoramsail.daemon.connection.ListeningPort;
@@ -54,6 +54,7 @@
   private final RequestGuard guard;
   private final BodyMemory bodyMemory;
   private final PlainResponseTimes plainResponseTimes = new PlainResponseTimes();
+  private final RunTimes runTimes = new RunTimes();
   private final PathMonitor paths;
   private final RelayServer relayServer;
   private final ResumedStreams resumedStreams;
@@ -75,7 +76,7 @@
     this.dependencies = dependencies;
     this.port = new ListeningPort(vertx);
     this.connections = new CallerConnections(vertx, dependencies.protocol()::attemptOf);
-    this.stop = new StopState(dependencies.clock());
+    this.stop = new StopState(dependencies.clock(), runTimes);
     ConnectionCloseHeader connectionCloseHeader = new ConnectionCloseHeader(stop::isAnnounced);
     this.refusals =
         new RefusalWriter(
@@ -100,15 +101,10 @@
             dependencies.relayToken(),
             dependencies.protocol(),
             dependencies.upstreams(),
-            new UpstreamConnections(
-                vertx,
-                dependencies.clock(),
-                new ConnectResults(),
-                dependencies.connectFaults(),
-                upstream -> Optional.empty(),
-                unused -> {}),
+            UpstreamConnections.direct(
+                vertx, dependencies.clock(), new ConnectResults(), dependencies.connectFaults()),
             new CallLog(dependencies.clock(), () -> {}, dependencies.liveness(), listAges),
-            () -> !paths.isCutOff() && !stop.isRefusing());
+            () -> !paths.isCutOff() && !stop.isAnnounced());
     this.resumedStreams =
         new ResumedStreams(
             dependencies.streams(),
@@ -136,6 +132,7 @@
             dependencies.streams(),
             this::recordOutputLength,
             plainResponseTimes::update,
+            runTimes::update,
             connectionCloseHeader,
             refusals,
             dependencies.clock());
@@ -193,6 +190,18 @@
     relayServer.shutdown(withinMillis);
   }
 
+  /** Refuses requests that wait for an upstream and would not end before the limit of the stop. */
+  public void refuseLateStarts() {
+    dependencies
+        .registry()
+        .refuseStarts(
+            profile -> !stop.mayStart(profile.rule(), profile.repeatability()), StopState.REFUSAL);
+  }
+
+  private boolean isTooLate(Route route) {
+    return !stop.mayStart(route.name(), route.repeatability());
+  }
+
   /** Refuses requests that are not registered yet, such as those whose body is being read. */
   public void refuseUnregistered() {
     stop.refuseUnregistered();
@@ -355,6 +364,10 @@
       reject(request, attempt, unknown);
       return;
     }
+    if (isTooLate(route.get())) {
+      reject(request, attempt, StopState.REFUSAL);
+      return;
+    }
     CallerAccess access = CallerAccess.of(routing, route.get(), parameters.key());
     if (access.refusal().isPresent()) {
       reject(request, attempt, access.refusal().get());
@@ -492,7 +505,7 @@
     if (request.response().closed()) {
       return;
     }
-    if (stop.isRefusingUnregistered()) {
+    if (stop.isRefusingUnregistered() || isTooLate(accepted.route())) {
       reject(request, accepted.attempt(), StopState.REFUSAL);
       return;
     }
@@ -513,20 +526,7 @@
       AcceptedRequest accepted, Buffer body, Optional<StreamOrigin> origin) {
     HttpServerRequest request = accepted.request();
     Route route = accepted.route();
-    boolean hasBody =
-        body.length() > 0
-            || request.headers().contains("content-length")
-            || request.headers().contains("transfer-encoding");
-    ForwardedRequest forwarded =
-        new ForwardedRequest(
-            request.method(),
-            RequestTarget.of(request),
-            RequestHead.host(request),
-            dependencies.protocol().forwardedHeaders(request.headers()),
-            body,
-            hasBody,
-            accepted.parameters(),
-            accepted.organisation().map(OrganisationDefinition::name));
+    ForwardedRequest forwarded = ForwardedRequest.of(accepted, body, dependencies.protocol());
     RequestProfile profile = profiles.create(forwarded, accepted, origin);
     ForwardExchange exchange =
         new ForwardExchange(
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardedRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardedRequest.java
@@ -3,7 +3,9 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
 import java.util.Optional;
+import org.marjoramsail.core.configuration.OrganisationDefinition;
 
 /**
  * A caller's request as it is sent to upstreams.
@@ -25,4 +27,23 @@
     Buffer body,
     boolean hasBody,
     CallerParameters parameters,
-    Optional<String> organisation) {}
+    Optional<String> organisation) {
+
+  /** Returns a request that was read whole. */
+  static ForwardedRequest of(AcceptedRequest accepted, Buffer body, ForwardingProtocol protocol) {
+    HttpServerRequest request = accepted.request();
+    boolean hasBody =
+        body.length() > 0
+            || request.headers().contains("content-length")
+            || request.headers().contains("transfer-encoding");
+    return new ForwardedRequest(
+        request.method(),
+        RequestTarget.of(request),
+        RequestHead.host(request),
+        protocol.forwardedHeaders(request.headers()),
+        body,
+        hasBody,
+        accepted.parameters(),
+        accepted.organisation().map(OrganisationDefinition::name));
+  }
+}
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/StopState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/StopState.java
@@ -2,6 +2,8 @@
 
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.failure.RefusalReason;
+import org.marjoramsail.core.model.Repeatability;
+import org.marjoramsail.core.routing.RunTimes;
 import org.marjoramsail.core.time.Clock;
 
 /** What a server does with requests while its daemon stops. Used on one event loop. */
@@ -12,12 +14,19 @@
       Refusal.notRun(RefusalReason.STOPPING, "This daemon takes nothing more.", 50);
 
   private final Clock clock;
+  private final RunTimes runTimes;
   private boolean announced;
   private long refuseFromMillis = Long.MAX_VALUE;
   private long refuseAllFromMillis = Long.MAX_VALUE;
 
-  StopState(Clock clock) {
+  /**
+   * Creates the state of a daemon that does not stop.
+   *
+   * @param runTimes estimates how long requests run
+   */
+  StopState(Clock clock, RunTimes runTimes) {
     this.clock = clock;
+    this.runTimes = runTimes;
   }
 
   /**
@@ -50,6 +59,12 @@
     return clock.millis() >= refuseFromMillis;
   }
 
+  /** Returns whether a request that starts now should end before the limit of the stop. */
+  boolean mayStart(String route, Repeatability repeatability) {
+    return !announced
+        || clock.millis() + runTimes.longestMillis(route, repeatability) <= refuseAllFromMillis;
+  }
+
   /** Refuses requests that are not registered yet, such as those whose body is being read. */
   void refuseUnregistered() {
     refuse();
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
@@ -112,6 +112,13 @@
     this.relayFailed = relayFailed;
   }
 
+  /** Creates an empty pool whose connections lead to upstreams only. */
+  static UpstreamConnections direct(
+      Vertx vertx, Clock clock, ConnectListener listener, ConnectFaults faults) {
+    return new UpstreamConnections(
+        vertx, clock, listener, faults, upstream -> Optional.empty(), unused -> {});
+  }
+
   /**
    * Returns a connection that nothing else uses, and that carried no request with an identifier. A
    * failure proves that nothing was sent.
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/LiveRequest.java
@@ -10,6 +10,7 @@
 import org.marjoramsail.core.outcome.LifecycleEvent;
 import org.marjoramsail.core.outcome.LifecycleState;
 import org.marjoramsail.core.outcome.RequestLifecycle;
+import org.marjoramsail.core.outcome.RequestProfile;
 import org.marjoramsail.core.outcome.UpstreamFailure;
 import org.marjoramsail.core.time.Clock;
 
@@ -82,6 +83,18 @@
     executor.execute(this::drain);
   }
 
+  RequestProfile profile() {
+    return lifecycle.profile();
+  }
+
+  /** Returns whether it waits for a place at an upstream; takes the lock of the shard. */
+  boolean isWaiting() {
+    synchronized (shardLock) {
+      LifecycleState state = lifecycle.state();
+      return state == LifecycleState.PLACING || state == LifecycleState.BACKING_OFF;
+    }
+  }
+
   /** Returns the current state for operators; takes the lock of the shard. */
   RequestSnapshot snapshot() {
     synchronized (shardLock) {
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
@@ -7,8 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.marjoramsail.core.failure.Refusal;
 import org.marjoramsail.core.model.RequestId;
 import org.marjoramsail.core.model.UpstreamName;
@@ -155,14 +157,27 @@
     deliverToAll(new LifecycleEvent.CallerEnded(refusal));
   }
 
+  /** Ends the requests that have not started and that a condition selects. */
+  public void refuseStarts(Predicate<RequestProfile> condition, Refusal refusal) {
+    LifecycleEvent event = new LifecycleEvent.StartRefused(refusal);
+    live()
+        .filter(LiveRequest::isWaiting)
+        .filter(live -> condition.test(live.profile()))
+        .forEach(live -> live.deliver(event));
+  }
+
   private void deliverToAll(LifecycleEvent event) {
-    for (Shard shard : shards) {
-      List<LiveRequest> all;
-      synchronized (shard) {
-        all = List.copyOf(shard.live.values());
-      }
-      all.forEach(live -> live.deliver(event));
-    }
+    live().forEach(live -> live.deliver(event));
+  }
+
+  private Stream<LiveRequest> live() {
+    return shards.stream()
+        .flatMap(
+            shard -> {
+              synchronized (shard) {
+                return List.copyOf(shard.live.values()).stream();
+              }
+            });
   }
 
   /** Returns the number of registered requests. */
