--- a/daemon/src/test/java/org/marjoramsail/daemon/connection/HeadGrammarTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/connection/HeadGrammarTest.java
@@ -5,11 +5,22 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Assume;
+import net.jqwik.api.Combinators;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -82,6 +93,55 @@
         .isEqualTo(whole);
   }
 
+  /** Guards against a head that is accepted here and altered by the decoder. */
+  @Property
+  void theDecoderReadsAnAcceptedHeadAsItWasSent(
+      @ForAll @IntRange(min = 100, max = 599) int status, @ForAll("lines") List<String> lines) {
+    String head = "HTTP/1.1 " + status + " OK\r\n" + String.join("\r\n", lines) + "\r\n\r\n";
+    Assume.that(brokenRule(head).isEmpty());
+    EmbeddedChannel channel = new EmbeddedChannel(new HttpResponseDecoder());
+
+    channel.writeInbound(bytes(head));
+    HttpResponse response = channel.readInbound();
+    channel.finishAndReleaseAll();
+
+    assertThat(response.decoderResult().isSuccess()).isTrue();
+    assertThat(response.status().code()).isEqualTo(status);
+    assertThat(response.headers().entries())
+        .extracting(field -> field.getKey() + ":" + field.getValue())
+        .containsExactlyElementsOf(
+            lines.stream()
+                .map(line -> line.split(":", 2))
+                .map(field -> field[0] + ":" + field[1].strip())
+                .toList());
+  }
+
+  @Provide
+  static Arbitrary<List<String>> lines() {
+    Arbitrary<Character> anyByte = Arbitraries.chars().range('\0', '\377');
+    Arbitrary<Character> usual = Arbitraries.chars().alpha().numeric().with('-', '_');
+    Arbitrary<String> name =
+        Arbitraries.frequencyOf(Tuple.of(9, usual), Tuple.of(1, anyByte))
+            .list()
+            .ofMinSize(1)
+            .ofMaxSize(6)
+            .map(HeadGrammarTest::text);
+    Arbitrary<String> value =
+        Arbitraries.frequencyOf(Tuple.of(30, usual), Tuple.of(1, anyByte))
+            .list()
+            .ofMaxSize(6)
+            .map(HeadGrammarTest::text);
+    return Combinators.combine(name, value)
+        .as((one, other) -> one + ": " + other)
+        .list()
+        .ofMinSize(1)
+        .ofMaxSize(3);
+  }
+
+  private static String text(List<Character> characters) {
+    return characters.stream().map(String::valueOf).collect(Collectors.joining());
+  }
+
   /** Guards against a log line as long as the line that a server sends. */
   @Test
   void theQuotedLineIsPrintableAndBounded() {
