--- a/standin/src/main/java/org/marjoramsail/standin/network/JoinedHeadStandIn.java
+++ b/standin/src/main/java/org/marjoramsail/standin/network/JoinedHeadStandIn.java
@@ -2,10 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** An HTTP server whose responses break off within the head, where another one continues them. */
 public final class JoinedHeadStandIn {
@@ -25,9 +22,7 @@
 
   private static final String HEAD_END = "\r\n\r\n";
 
-  private final String response;
-  private final NetServer server;
-  private final AtomicInteger requests = new AtomicInteger();
+  private final FixedResponseServer server;
 
   /**
    * Creates a server that does not listen yet.
@@ -38,42 +33,27 @@
    * @param body body of the response that continues it
    */
   public JoinedHeadStandIn(Vertx vertx, Break place, int brokenStatus, int status, String body) {
-    this.response =
-        "HTTP/1.1 "
-            + brokenStatus
-            + place.behindStatus
-            + "HTTP/1.1 "
-            + status
-            + " Other\r\ncontent-type: application/json\r\ncontent-length: "
-            + body.getBytes(StandardCharsets.UTF_8).length
-            + HEAD_END
-            + body;
-    this.server = vertx.createNetServer().connectHandler(this::read);
+    this.server =
+        new FixedResponseServer(
+            vertx,
+            "HTTP/1.1 "
+                + brokenStatus
+                + place.behindStatus
+                + "HTTP/1.1 "
+                + status
+                + " Other\r\ncontent-type: application/json\r\ncontent-length: "
+                + body.getBytes(StandardCharsets.UTF_8).length
+                + HEAD_END
+                + body);
   }
 
   /** Listens; completes with the port. */
   public Future<Integer> start(String address) {
-    return server.listen(0, address).map(NetServer::actualPort);
+    return server.start(address);
   }
 
   /** Returns the number of requests that it received. */
   public int requests() {
-    return requests.get();
-  }
-
-  private void read(NetSocket socket) {
-    StringBuilder received = new StringBuilder();
-    socket.exceptionHandler(reset -> {});
-    socket.handler(
-        bytes -> {
-          received.append(bytes.toString(StandardCharsets.ISO_8859_1));
-          int end = received.indexOf(HEAD_END);
-          while (end >= 0) {
-            received.delete(0, end + HEAD_END.length());
-            requests.incrementAndGet();
-            Future<Void> unused = socket.write(response);
-            end = received.indexOf(HEAD_END);
-          }
-        });
+    return server.requests();
   }
 }
--- a/standin/src/main/java/org/marjoramsail/standin/network/MalformedHeadStandIn.java
+++ b/standin/src/main/java/org/marjoramsail/standin/network/MalformedHeadStandIn.java
@@ -2,11 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.net.NetServer;
-import io.vertx.core.net.NetSocket;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.atomic.AtomicInteger;
 
 /** An HTTP server whose responses have a head that breaks the grammar of HTTP/1.1. */
 public final class MalformedHeadStandIn {
@@ -55,40 +51,22 @@
 
   private static final String HEAD_END = "\r\n\r\n";
 
-  private final Buffer response;
-  private final NetServer server;
-  private final AtomicInteger requests = new AtomicInteger();
+  private final FixedResponseServer server;
 
   /** Creates a server that does not listen yet. */
   public MalformedHeadStandIn(Vertx vertx, Fault fault, int status, String body) {
-    this.response =
-        Buffer.buffer(fault.response(status, "content-type: application/json\r\n", body));
-    this.server = vertx.createNetServer().connectHandler(this::read);
+    this.server =
+        new FixedResponseServer(
+            vertx, fault.response(status, "content-type: application/json\r\n", body));
   }
 
   /** Listens; completes with the port. */
   public Future<Integer> start(String address) {
-    return server.listen(0, address).map(NetServer::actualPort);
+    return server.start(address);
   }
 
   /** Returns the number of requests that it received. */
   public int requests() {
-    return requests.get();
-  }
-
-  private void read(NetSocket socket) {
-    StringBuilder received = new StringBuilder();
-    socket.exceptionHandler(reset -> {});
-    socket.handler(
-        bytes -> {
-          received.append(bytes.toString(StandardCharsets.ISO_8859_1));
-          int end = received.indexOf(HEAD_END);
-          while (end >= 0) {
-            received.delete(0, end + HEAD_END.length());
-            requests.incrementAndGet();
-            Future<Void> unused = socket.write(response);
-            end = received.indexOf(HEAD_END);
-          }
-        });
+    return server.requests();
   }
 }
