Read nothing after a wait for a client that has stopped reading

A caller that reads its response slowly could let the daemon collect up to 64 KB of tiny chunks after each wait, without the bound of a paused response.

Cause: ReadLimiter restores the automatic reads while the client handles the end of a read, which asks for a read by itself. The limiter took that for one the client wants, and carried it out after the wait although the client had stopped reading.

Change: what is asked for by the restoration is forgotten; a read that the client asks for during the wait is still carried out after it.

Evidence: ReadLimiterTest.aClientThatStopsReadingReceivesNothingAfterTheWait failed (one read where none is due) and passes; a second test holds that a client which reads on is read for after the wait, and not during it.

--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/ReadLimiter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/ReadLimiter.java
@@ -82,6 +82,7 @@
       }
       ChannelConfig config = context.channel().config();
       config.setAutoRead(wasReading);
+      isReadWanted = false;
       context.fireChannelReadComplete();
       wasReading = config.isAutoRead();
       config.setAutoRead(false);
--- a/daemon/src/test/java/org/marjoramsail/daemon/connection/ReadLimiterTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/connection/ReadLimiterTest.java
@@ -1,7 +1,14 @@
 package org.marjoramsail.daemon.connection;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -105,6 +112,69 @@
     assertThat(Waits.get(received.future())).isEqualTo(CHUNKS);
   }
 
+  /** Guards against a client that has stopped reading and receives more after each wait. */
+  @Test
+  void aClientThatStopsReadingReceivesNothingAfterTheWait() {
+    AtomicLong reads = new AtomicLong();
+    EmbeddedChannel channel = limited(reads, false);
+
+    channel.writeInbound(Unpooled.copiedBuffer(HEAD + CHUNK.repeat(CHUNKS), US_ASCII));
+    reads.set(0);
+    pass(channel);
+
+    assertThat(reads).hasValue(0);
+    channel.config().setAutoRead(true);
+    assertThat(reads).hasValue(1);
+  }
+
+  /** Guards against a client that reads on and receives nothing more after a wait. */
+  @Test
+  void aClientThatReadsOnReceivesMoreAfterTheWaitOnly() {
+    AtomicLong reads = new AtomicLong();
+    EmbeddedChannel channel = limited(reads, true);
+
+    channel.writeInbound(Unpooled.copiedBuffer(HEAD + CHUNK.repeat(CHUNKS), US_ASCII));
+    assertThat(channel.config().isAutoRead()).isFalse();
+    reads.set(0);
+    channel.read();
+    assertThat(reads).hasValue(0);
+    pass(channel);
+
+    assertThat(reads).hasValue(1);
+    assertThat(channel.config().isAutoRead()).isTrue();
+  }
+
+  /** Returns a channel with a client that reads on, or stops reading, at the end of a read. */
+  private static EmbeddedChannel limited(AtomicLong reads, boolean isReading) {
+    EmbeddedChannel channel =
+        new EmbeddedChannel(
+            new HttpResponseDecoder(),
+            new ChannelInboundHandlerAdapter() {
+              @Override
+              public void channelReadComplete(ChannelHandlerContext context) {
+                context.channel().config().setAutoRead(isReading);
+              }
+            });
+    ReadLimiter.limit(channel.pipeline().lastContext());
+    channel
+        .pipeline()
+        .addFirst(
+            new ChannelOutboundHandlerAdapter() {
+              @Override
+              public void read(ChannelHandlerContext context) throws Exception {
+                reads.incrementAndGet();
+                super.read(context);
+              }
+            });
+    return channel;
+  }
+
+  /** Lets the time pass for which a read waits at most. */
+  private static void pass(EmbeddedChannel channel) {
+    channel.advanceTimeBy(CHUNKS / ReadLimiter.MESSAGES_PER_MILLI + 1, TimeUnit.MILLISECONDS);
+    channel.runScheduledPendingTasks();
+  }
+
   /** Guards against chunks that follow each other in the wrong order. */
   @Test
   void smallAndLargeChunksKeepTheirOrder() {
