Refuse a line of a head that ends with a line feed alone

Callers saw nothing of it: the decoder refuses such a head, and all paths answered 502 before, too (MalformedHeadPathTest with the new form passes on the code as it was). But HeadGrammar accepted it, so that two places decided what a head is: the response counted under no rule, and the failure came from the decoder.

Cause: RFC 9112 allows a reader to accept a line feed alone, and the grammar did; the decoder of the HTTP library has become strict on it.

Seed fails at try 1841. With the new form of the stand-in, MalformedHeadTest failed 2 of 36, StoreMalformedHeadTest 2 of 18 (nothing counted), HeadGrammarTest 4 of 19 examples and the property.

The grammar now has a rule for the end of a line, and refuses what the decoder refuses. Passes since: these tests, and the property with that seed in 500,000 tries, of which 277,834 are compared. It runs 20,000 tries with this seed from now on, and segmentsMakeNoDifference with seed 84: both ran 1,000 tries with a random seed. The expected fields are read from the head itself, as a line that is generated may hold the end of another. The case "HTTP/1.1 200 OK\nX:\n\n" of aHeadThatKeepsToTheGrammarIsAccepted was wrong by the decoder; it stays with proper ends, and with line feeds among those that are refused.

--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/HeadGrammar.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/HeadGrammar.java
@@ -11,9 +11,8 @@
  *
  * <p>The decoder accepts lines that break the grammar and alters them: it strips control bytes and
  * ends the name of a field at the first blank. What it makes of such a line is another response
- * than the one that was sent. Heads of interim responses are checked like the final one. A line may
- * end with a line feed alone, and the space behind the status may be missing, as RFC 9112 allows a
- * reader to accept.
+ * than the one that was sent. Heads of interim responses are checked like the final one. The space
+ * behind the status may be missing, as RFC 9112 allows a reader to accept.
  */
 final class HeadGrammar {
 
@@ -164,11 +163,11 @@
   }
 
   private boolean acceptLineEnd(int next) {
-    if (next == '\r') {
-      isCarriageReturn = true;
-      return true;
+    isCarriageReturn = next == '\r';
+    if (!isCarriageReturn) {
+      broken = Optional.of(HeadRule.LINE_END);
     }
-    return endLine();
+    return isCarriageReturn;
   }
 
   private boolean endLine() {
--- a/daemon/src/main/java/org/marjoramsail/daemon/connection/HeadRule.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/connection/HeadRule.java
@@ -14,6 +14,8 @@
   FIELD_NAME,
   /** The value of a field has no control bytes but tabs. */
   FIELD_VALUE,
+  /** A line ends with a carriage return and a line feed. */
+  LINE_END,
   /** The end of the body is stated once: by a length, or by the coding {@code chunked} alone. */
   FRAMING;
 
--- a/daemon/src/test/java/org/marjoramsail/daemon/connection/HeadGrammarTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/connection/HeadGrammarTest.java
@@ -54,7 +54,11 @@
         Arguments.of("HTTP/1.1 200 OK\r\nX: a\1b", HeadRule.FIELD_VALUE),
         Arguments.of("HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 1", HeadRule.FRAMING),
         Arguments.of("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked", HeadRule.FRAMING),
-        Arguments.of("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 99 OK", HeadRule.STATUS));
+        Arguments.of("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 99 OK", HeadRule.STATUS),
+        Arguments.of("HTTP/1.1 200 OK\nX: y", HeadRule.LINE_END),
+        Arguments.of("HTTP/1.1 200\nX: y", HeadRule.LINE_END),
+        Arguments.of("HTTP/1.1 200 OK\r\nX: y\nZ: y", HeadRule.LINE_END),
+        Arguments.of("HTTP/1.1 200 OK\r\nX: y\r\n\n", HeadRule.LINE_END));
   }
 
   @ParameterizedTest
@@ -68,14 +72,14 @@
       strings = {
         "HTTP/1.1 103 Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
         "HTTP/1.0 100\r\n\r\nHTTP/1.0 599 \r\nContent-Length: 0\r\n\r\n",
-        "HTTP/1.1 200 OK\nX:\n\n"
+        "HTTP/1.1 200 OK\r\nX:\r\n\r\n"
       })
   void aHeadThatKeepsToTheGrammarIsAccepted(String head) {
     assertThat(brokenRule(head + "Any \u0000 body: \r\n")).isEmpty();
   }
 
   /** Guards against a line that is not checked since it arrives in two segments. */
-  @Property
+  @Property(seed = "84", tries = 20_000)
   void segmentsMakeNoDifference(
       @ForAll @IntRange(max = 90) int cut,
       @ForAll @IntRange(max = 90) int position,
@@ -94,7 +98,7 @@
   }
 
   /** Guards against a head that is accepted here and altered by the decoder. */
-  @Property
+  @Property(seed = "1102002159308364638", tries = 20_000)
   void theDecoderReadsAnAcceptedHeadAsItWasSent(
       @ForAll @IntRange(min = 100, max = 599) int status, @ForAll("lines") List<String> lines) {
     String head = "HTTP/1.1 " + status + " OK\r\n" + String.join("\r\n", lines) + "\r\n\r\n";
@@ -110,7 +114,9 @@
     assertThat(response.headers().entries())
         .extracting(field -> field.getKey() + ":" + field.getValue())
         .containsExactlyElementsOf(
-            lines.stream()
+            Stream.of(head.split("\r\n"))
+                .skip(1)
+                .takeWhile(line -> !line.isEmpty())
                 .map(line -> line.split(":", 2))
                 .map(field -> field[0] + ":" + field[1].strip())
                 .toList());
--- a/standin/src/main/java/org/marjoramsail/standin/network/MalformedHeadStandIn.java
+++ b/standin/src/main/java/org/marjoramsail/standin/network/MalformedHeadStandIn.java
@@ -16,6 +16,7 @@
     BLANK_IN_NAME("HTTP/1.1 ", "", "Bad Name: x\r\n"),
     CONTROL_BYTE_IN_NAME("HTTP/1.1 ", "", "X\1Y: x\r\n"),
     NO_COLON("HTTP/1.1 ", "", "no colon at all\r\n"),
+    LINE_FEED_ALONE("HTTP/1.1 ", "", "X: y\n"),
     UNKNOWN_ENCODING("HTTP/1.1 ", "", "Transfer-Encoding: xchunked\r\n");
 
     private final String beforeStatus;
