--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/UpstreamConnections.java
@@ -74,10 +74,10 @@
   private final ConnectFaults faults;
   private final Function<UpstreamName, Optional<Relay>> relay;
   private final Consumer<Relay> relayFailed;
+  private final MalformedHeadCounts malformed = new MalformedHeadCounts();
   private long opened;
   private long relayed;
   private long unrequested;
-  private final MalformedHeadCounts malformed = new MalformedHeadCounts();
 
   /**
    * Creates an empty pool.
