--- a/command/src/test/java/org/marjoramsail/command/platform/ProcessEndTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/ProcessEndTest.java
@@ -32,12 +32,12 @@
   private static final ServerStandIn.Pace ENGINE_PACE = new ServerStandIn.Pace(30, 30, 90, 64);
   private static final ServerStandIn.Pace PLAIN_PACE = new ServerStandIn.Pace(1, 20, 0, 64);
 
-  /** A stopping daemon lets calls in for 3 s, and breaks off those that run after 7 s. */
+  /** A stopping daemon accepts calls for 3 s, and breaks off those that still run after 7 s. */
   private static final long LONG_CALL_MILLIS = 5_000;
 
   private static final int LONG_CALLERS = 8;
 
-  /** Time between the first calls of half of the callers and those of the others. */
+  /** Delay of the later half of the callers. */
   private static final long LATER_START_MILLIS = 2_400;
 
   private static final ServerStandIn.Pace LONG_PACE =
@@ -152,8 +152,8 @@
   }
 
   /**
-   * The stop begins when the first calls of the later callers end; the others then send their next
-   * calls shortly before the daemon lets none in any more.
+   * Starts half of the callers later. The stop begins when all first calls have ended; the earlier
+   * callers send their third calls 2.6 s after that, which the daemon still accepts but cannot end.
    */
   private void startLongCalls(BusyCallers callers) {
     callers.start(LONG_CALLERS / 2, PlatformStandIn.ONCE);
