Tell a lack of engine memory from a lack of slots, in logs, metrics and refusals

MissingResource had no entry for the memory of an engine, so the owner reported a lack of it as one of slots, without what the request needs or what is free.

The lack has a name of its own, engine-memory. No decision changes.

--- a/core/src/main/java/org/marjoramsail/core/placement/DirectPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/DirectPlacer.java
@@ -242,6 +242,8 @@
           0,
           1,
           100,
+          0,
+          0,
           0);
     }
   }
@@ -258,7 +260,8 @@
           phase,
           grant.prefill(),
           grant.target(),
-          nowMillis - atMillis);
+          nowMillis - atMillis,
+          request.memoryTokens());
     }
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/MemoryForecast.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/MemoryForecast.java
@@ -95,14 +95,9 @@
     if (missing > 0) {
       return Double.POSITIVE_INFINITY;
     }
-    List<RequestMemory> running = new ArrayList<>(trackedRequests.size());
-    for (TrackedRequest one : trackedRequests.values()) {
-      double generated = one.generated(nowMillis, millisPerToken);
-      RequestMemory memory =
-          new RequestMemory(
-              one.promptTokens + generated, outputLengths.remaining(one.expectedTokens, generated));
+    List<RequestMemory> running = tracked(nowMillis, millisPerToken);
+    for (RequestMemory memory : running) {
       missing += memory.held() + memory.mean();
-      running.add(memory);
     }
     running.sort(Comparator.comparingDouble(RequestMemory::mean));
     double untilTokens = 0;
@@ -123,8 +118,18 @@
    */
   double peakTokensWith(
       int promptTokens, int expectedTokens, long nowMillis, double millisPerToken) {
-    List<RequestMemory> all = new ArrayList<>(trackedRequests.size() + 1);
+    List<RequestMemory> all = tracked(nowMillis, millisPerToken);
     all.add(new RequestMemory(promptTokens, outputLengths.remaining(expectedTokens, 0)));
+    return peakTokens(all);
+  }
+
+  /** Returns the predicted peak memory of the requests, with the same safety margin. */
+  double peakTokens(long nowMillis, double millisPerToken) {
+    return peakTokens(tracked(nowMillis, millisPerToken));
+  }
+
+  private List<RequestMemory> tracked(long nowMillis, double millisPerToken) {
+    List<RequestMemory> all = new ArrayList<>(trackedRequests.size() + 1);
     for (TrackedRequest one : trackedRequests.values()) {
       double generated = one.generated(nowMillis, millisPerToken);
       all.add(
@@ -132,6 +137,10 @@
               one.promptTokens + generated,
               outputLengths.remaining(one.expectedTokens, generated)));
     }
+    return all;
+  }
+
+  private static double peakTokens(List<RequestMemory> all) {
     all.sort(Comparator.comparingDouble(RequestMemory::mean));
     double heldByLater = all.stream().mapToDouble(RequestMemory::held).sum();
     double peak = 0;
--- a/core/src/main/java/org/marjoramsail/core/placement/MissingResource.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/MissingResource.java
@@ -6,6 +6,8 @@
 /** Resource that a waiting attempt lacks. */
 enum MissingResource {
   DECODE_SLOT(RefusalReason.DEADLINE_UNREACHABLE),
+  /** Engines have free slots, and none has enough memory. */
+  ENGINE_MEMORY(RefusalReason.DEADLINE_UNREACHABLE),
   PREFILL_CAPACITY(RefusalReason.DEADLINE_UNREACHABLE),
   LINK(RefusalReason.DEADLINE_UNREACHABLE),
   ORGANISATION_CONCURRENCY(RefusalReason.ORGANISATION_CONCURRENCY),
@@ -25,6 +27,11 @@
     return reason;
   }
 
+  /** Returns whether it becomes free when a generation ends. */
+  boolean isFreedByGenerations() {
+    return this == DECODE_SLOT || this == ENGINE_MEMORY;
+  }
+
   /** Returns the code that operators see. */
   String code() {
     return name().toLowerCase(Locale.ROOT).replace('_', '-');
--- a/core/src/main/java/org/marjoramsail/core/placement/PlacementViews.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/PlacementViews.java
@@ -17,6 +17,7 @@
       List<WaitingAttempt> inOrder,
       OrganisationTable organisations,
       WaitEstimator waits,
+      double millisPerToken,
       long nowMillis) {
     List<ShardView.WaitingView> waiting = new ArrayList<>();
     for (WaitingAttempt attempt : inOrder) {
@@ -24,7 +25,7 @@
     }
     return new ShardView(
         shard,
-        upstreams(upstreams, nowMillis),
+        upstreams(upstreams, millisPerToken, nowMillis),
         reservations.all().stream()
             .sorted(Comparator.comparingLong(RunningAttempt::startedAt))
             .map(attempt -> runningView(attempt, nowMillis))
@@ -43,14 +44,20 @@
         .toList();
   }
 
-  static List<ShardView.UpstreamView> upstreams(ShardUpstreams upstreams, long nowMillis) {
+  /**
+   * Returns the views of the upstreams.
+   *
+   * @param millisPerToken generation time of one token, for the forecast of their memory
+   */
+  static List<ShardView.UpstreamView> upstreams(
+      ShardUpstreams upstreams, double millisPerToken, long nowMillis) {
     return upstreams.all().stream()
-        .map(upstream -> upstreamView(upstream, upstreams, nowMillis))
+        .map(upstream -> upstreamView(upstream, upstreams, millisPerToken, nowMillis))
         .toList();
   }
 
   private static ShardView.UpstreamView upstreamView(
-      UpstreamState upstream, ShardUpstreams upstreams, long nowMillis) {
+      UpstreamState upstream, ShardUpstreams upstreams, double millisPerToken, long nowMillis) {
     return new ShardView.UpstreamView(
         upstream.name(),
         upstream.role(),
@@ -63,7 +70,9 @@
         upstream.prefixes().size(),
         upstreams.speeds(upstream.role(), nowMillis).relativeSpeed(upstream.speed()),
         (int) Math.round(100 * upstream.momentaryLoad().slowdown(nowMillis)),
-        Math.round(upstream.outstandingMillis()));
+        Math.round(upstream.outstandingMillis()),
+        upstream.memoryTokens().orElse(0),
+        (int) upstream.memory().plannedTokens(nowMillis, millisPerToken));
   }
 
   private static ShardView.RunningView runningView(RunningAttempt attempt, long nowMillis) {
@@ -75,7 +84,8 @@
         attempt.phase(),
         attempt.grant().prefill(),
         attempt.grant().target(),
-        nowMillis - attempt.startedAt());
+        nowMillis - attempt.startedAt(),
+        attempt.request().memoryTokens());
   }
 
   private static ShardView.WaitingView waitingView(
@@ -90,6 +100,7 @@
         place,
         nowMillis - attempt.arrivedAt(),
         attempt.missing().code(),
-        Math.round(waits.waitMillis(attempt, nowMillis)));
+        Math.round(waits.waitMillis(attempt, nowMillis)),
+        request.memoryTokens());
   }
 }
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservedMemory.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservedMemory.java
@@ -63,6 +63,11 @@
         .orElse(0.0);
   }
 
+  /** Returns the predicted peak of the requests that hold it, in tokens. */
+  double plannedTokens(long nowMillis, double millisPerToken) {
+    return forecast.peakTokens(nowMillis, millisPerToken);
+  }
+
   /** Returns the reserved share of the memory; zero if its size is unknown. */
   double utilisation(Optional<Integer> memoryTokens) {
     return memoryTokens.map(tokens -> reservedTokens / (double) tokens).orElse(0.0);
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -314,7 +314,7 @@
 
   @Override
   public List<ShardView.UpstreamView> upstreamViews(long nowMillis) {
-    return PlacementViews.upstreams(upstreams, nowMillis);
+    return PlacementViews.upstreams(upstreams, estimates.decodeMillisPerToken(), nowMillis);
   }
 
   @Override
@@ -322,7 +322,14 @@
     List<WaitingAttempt> inOrder = PlacementViews.inOrder(waiting.values());
     inOrder.stream().limit(MAXIMUM_DIAGNOSED).forEach(it -> diagnose(it, nowMillis));
     return PlacementViews.view(
-        shard, upstreams, reservations, inOrder, organisations, waitEstimator, nowMillis);
+        shard,
+        upstreams,
+        reservations,
+        inOrder,
+        organisations,
+        waitEstimator,
+        estimates.decodeMillisPerToken(),
+        nowMillis);
   }
 
   /** Applies a configuration and discards attempts that ended with a restarted upstream. */
@@ -398,7 +405,8 @@
       continueLate(attempt, results, nowMillis);
       return;
     }
-    String detail = "The request lacked " + attempt.missing().code() + " for too long.";
+    String detail =
+        "The request lacked " + selector.describeMissing(attempt, nowMillis) + " for too long.";
     results.add(
         refuseWithRetry(
             attempt,
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardView.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardView.java
@@ -42,6 +42,8 @@
    * @param slowdownPercent how long work takes on its machine now, in percent of the usual time
    * @param outstandingMillis expected work of the requests that hold its slots, in milliseconds on
    *     an upstream of speed 1
+   * @param memoryTokens size of its memory; zero if it is unknown
+   * @param plannedTokens predicted peak of the memory of the requests that hold its slots
    */
   public record UpstreamView(
       UpstreamName name,
@@ -55,7 +57,9 @@
       int cachedBlocks,
       double speed,
       int slowdownPercent,
-      long outstandingMillis) {}
+      long outstandingMillis,
+      int memoryTokens,
+      int plannedTokens) {}
 
   /**
    * Attempt that holds slots.
@@ -68,6 +72,7 @@
    * @param prefill prefill upstream, if there is one
    * @param target upstream that generates the output or sends the response
    * @param runningMillis time since the grant
+   * @param memoryTokens memory of the target at the end of the output, at most
    */
   public record RunningView(
       RequestId request,
@@ -77,7 +82,8 @@
       AttemptPhase phase,
       Optional<UpstreamName> prefill,
       UpstreamName target,
-      long runningMillis) {}
+      long runningMillis,
+      int memoryTokens) {}
 
   /**
    * Attempt that waits in the queue.
@@ -89,9 +95,10 @@
    * @param serviceClass urgency
    * @param place position in the queue, from one
    * @param waitedMillis time since arrival
-   * @param missing code of the resource that it waits for: decode-slot, prefill-capacity, link,
-   *     organisation-concurrency, organisation-rate, plain-slot or upstream
+   * @param missing code of the resource that it waits for: decode-slot, engine-memory,
+   *     prefill-capacity, link, organisation-concurrency, organisation-rate, plain-slot or upstream
    * @param estimatedWaitMillis estimated remaining wait
+   * @param memoryTokens memory of an engine that it needs at the end of its output, at most
    */
   public record WaitingView(
       RequestId request,
@@ -102,7 +109,8 @@
       int place,
       long waitedMillis,
       String missing,
-      long estimatedWaitMillis) {}
+      long estimatedWaitMillis,
+      int memoryTokens) {}
 
   /**
    * Usage of one organisation.
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamSelector.java
@@ -180,14 +180,53 @@
 
   private MissingResource missingSlot(PlacementRequest request, long nowMillis) {
     UpstreamRole role = request.isGeneration() ? UpstreamRole.DECODE : UpstreamRole.PLAIN;
+    MissingResource missing = MissingResource.UPSTREAM;
     for (UpstreamState upstream : upstreams.all()) {
-      if (upstream.role() == role
-          && upstream.isUsable(nowMillis)
-          && upstream.mayContinue(request.requiredVersion())) {
-        return request.isGeneration() ? MissingResource.DECODE_SLOT : MissingResource.PLAIN_SLOT;
+      if (upstream.role() != role
+          || !upstream.isUsable(nowMillis)
+          || !upstream.mayContinue(request.requiredVersion())) {
+        continue;
+      }
+      if (!request.isGeneration()) {
+        return MissingResource.PLAIN_SLOT;
+      }
+      if (isOpenFor(upstream, role, request, nowMillis)
+          && !hasMemory(upstream, request, nowMillis)) {
+        return MissingResource.ENGINE_MEMORY;
       }
+      missing = MissingResource.DECODE_SLOT;
+    }
+    return missing;
+  }
+
+  /** Returns what an attempt lacks; for engine memory with what it needs and what is free. */
+  String describeMissing(WaitingAttempt attempt, long nowMillis) {
+    String code = attempt.missing().code();
+    if (attempt.missing() != MissingResource.ENGINE_MEMORY) {
+      return code;
     }
-    return MissingResource.UPSTREAM;
+    PlacementRequest request = attempt.request();
+    return code
+        + " ("
+        + request.promptTokens()
+        + " prompt and up to "
+        + request.outputTokens()
+        + " output tokens; at most "
+        + mostFreeTokens(nowMillis)
+        + " free on one engine)";
+  }
+
+  /** Returns the largest memory that the requests on one decode upstream will leave free. */
+  private long mostFreeTokens(long nowMillis) {
+    double millisPerToken = estimates.decodeMillisPerToken();
+    return upstreams.all().stream()
+        .filter(it -> it.role() == UpstreamRole.DECODE && it.isUsable(nowMillis))
+        .mapToLong(
+            it ->
+                it.memoryTokens().orElse(0)
+                    - Math.round(it.memory().plannedTokens(nowMillis, millisPerToken)))
+        .max()
+        .orElse(0);
   }
 
   private Optional<PlacementCandidate> selectPlain(WaitingAttempt attempt, long nowMillis) {
@@ -436,6 +475,13 @@
 
   private boolean isCandidate(
       UpstreamState upstream, UpstreamRole role, PlacementRequest request, long nowMillis) {
+    return isOpenFor(upstream, role, request, nowMillis)
+        && (role != UpstreamRole.DECODE || hasMemory(upstream, request, nowMillis));
+  }
+
+  /** Returns whether an upstream may take the request as far as its memory suffices. */
+  private boolean isOpenFor(
+      UpstreamState upstream, UpstreamRole role, PlacementRequest request, long nowMillis) {
     return upstream.role() == role
         && upstream.isUsable(nowMillis)
         && freeSlotsOf(upstream, nowMillis) > 0
@@ -443,8 +489,7 @@
         && upstream.mayContinue(request.requiredVersion())
         && !isLeftToContinuations(upstream, request, nowMillis)
         && !urgentCapacity.isClosed(upstream, request, nowMillis)
-        && !upstreams.isUnresponsive(upstream, nowMillis)
-        && (role != UpstreamRole.DECODE || hasMemory(upstream, request, nowMillis));
+        && !upstreams.isUnresponsive(upstream, nowMillis);
   }
 
   /**
--- a/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UpstreamState.java
@@ -345,7 +345,7 @@
   }
 
   /** Returns the size of the memory; empty if it is unknown. */
-  private Optional<Integer> memoryTokens() {
+  Optional<Integer> memoryTokens() {
     return definition.memoryTokens().filter(tokens -> tokens > 0);
   }
 
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitEstimator.java
@@ -69,7 +69,7 @@
         "The request would wait about "
             + Math.round(wait)
             + " ms for "
-            + attempt.missing().code()
+            + selector.describeMissing(attempt, nowMillis)
             + ".";
     return Optional.of(Refusal.notRun(attempt.missing().reason(), detail, retryAfter));
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
@@ -326,7 +326,7 @@
           .filter(lane -> lane.organisation().missing(nowMillis).isEmpty())
           .findFirst()
           .map(lane -> lane.attempts().first())
-          .filter(head -> !head.isRestricted() && head.missing() == MissingResource.DECODE_SLOT)
+          .filter(head -> !head.isRestricted() && head.missing().isFreedByGenerations())
           .isPresent();
     }
   }
--- a/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/metrics/RequestMetrics.java
@@ -18,6 +18,7 @@
 import org.marjoramsail.core.outcome.Invariant;
 import org.marjoramsail.core.outcome.Invariants;
 import org.marjoramsail.core.outcome.LifecycleState;
+import org.marjoramsail.core.outcome.RequestProfile;
 import org.marjoramsail.core.outcome.SilenceOutcome;
 import org.marjoramsail.daemon.request.LatencyViolation;
 
@@ -49,6 +50,7 @@
   private final Timer firstToken;
   private final Timer betweenTokens;
   private final Timer plainResponse;
+  private final OutcomesByRule outcomesByRule;
   private final MeterRegistry registry;
 
   /**
@@ -59,6 +61,7 @@
    */
   public RequestMetrics(MeterRegistry registry, Invariants invariants) {
     this.registry = registry;
+    this.outcomesByRule = new OutcomesByRule(registry);
     for (RunState run : RunState.values()) {
       refused.put(run, refusals(registry, run));
     }
@@ -139,8 +142,9 @@
   }
 
   /** Counts an accepted request. */
-  public void accepted() {
+  public void accepted(RequestProfile profile) {
     accepted.increment();
+    outcomesByRule.count(profile, OutcomesByRule.Outcome.ACCEPTED);
   }
 
   /**
@@ -148,11 +152,14 @@
    *
    * @param isWithinTargets true if the request met the latency targets of its rule
    */
-  public void completed(boolean isWithinTargets) {
+  public void completed(RequestProfile profile, boolean isWithinTargets) {
     completed.increment();
     if (isWithinTargets) {
       withinTargets.increment();
     }
+    outcomesByRule.count(
+        profile,
+        isWithinTargets ? OutcomesByRule.Outcome.WITHIN_TARGETS : OutcomesByRule.Outcome.LATE);
   }
 
   /** Counts a request that violated its latency targets. */
@@ -160,11 +167,17 @@
     latencyViolations.get(cause).increment();
   }
 
-  /** Counts a refused request. */
+  /** Counts a request that was refused before a rule matched it. */
   public void refused(Refusal refusal) {
     refused.get(refusal.runState()).get(refusal.reason()).increment();
   }
 
+  /** Counts a refused request. */
+  public void refused(RequestProfile profile, Refusal refusal) {
+    refused(refusal);
+    outcomesByRule.count(profile, OutcomesByRule.Outcome.REFUSED);
+  }
+
   /** Counts a request whose output was broken off after its caller was sent a part of it. */
   public void brokenOff(Refusal refusal) {
     brokenOff.get(refusal.reason()).increment();
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnerMeters.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/OwnerMeters.java
@@ -26,6 +26,8 @@
   private final MultiGauge speed;
   private final MultiGauge slowdown;
   private final MultiGauge outstanding;
+  private final MultiGauge memory;
+  private final MultiGauge plannedMemory;
 
   OwnerMeters(MeterRegistry meters) {
     this.meters = meters;
@@ -35,6 +37,8 @@
     this.speed = upstreamGauge("speed");
     this.slowdown = upstreamGauge("slowdown.percent");
     this.outstanding = upstreamGauge("outstanding.millis");
+    this.memory = upstreamGauge("memory.tokens");
+    this.plannedMemory = upstreamGauge("memory.planned.tokens");
   }
 
   private DistributionSummary completionError(String direction) {
@@ -79,6 +83,8 @@
     speed.register(rows(upstreams, ShardView.UpstreamView::speed), true);
     slowdown.register(rows(upstreams, ShardView.UpstreamView::slowdownPercent), true);
     outstanding.register(rows(upstreams, ShardView.UpstreamView::outstandingMillis), true);
+    memory.register(rows(upstreams, ShardView.UpstreamView::memoryTokens), true);
+    plannedMemory.register(rows(upstreams, ShardView.UpstreamView::plannedTokens), true);
   }
 
   private static List<MultiGauge.Row<?>> rows(
--- a/daemon/src/main/java/org/marjoramsail/daemon/placement/QueueLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/placement/QueueLog.java
@@ -1,10 +1,12 @@
 package org.marjoramsail.daemon.placement;
 
+import java.util.Comparator;
 import java.util.List;
 import java.util.StringJoiner;
 import java.util.TreeMap;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.marjoramsail.core.model.UpstreamRole;
 import org.marjoramsail.core.placement.ShardView;
 import org.marjoramsail.core.time.Clock;
 import org.slf4j.Logger;
@@ -48,6 +50,7 @@
         .addKeyValue("running", view.running().size())
         .addKeyValue("missing", missing(view))
         .addKeyValue("longestMillis", longestMillis(view))
+        .addKeyValue("largestTokens", largestTokens(view))
         .addKeyValue("upstreams", upstreams(view))
         .log("requests wait");
   }
@@ -64,7 +67,15 @@
     return view.waiting().stream().mapToLong(ShardView.WaitingView::waitedMillis).max().orElse(0);
   }
 
-  /** Formats each upstream with its role, its reserved and total slots, and its state. */
+  /** Returns the largest memory of an engine that a waiting request needs, in tokens. */
+  private static int largestTokens(ShardView view) {
+    return view.waiting().stream().mapToInt(ShardView.WaitingView::memoryTokens).max().orElse(0);
+  }
+
+  /**
+   * Formats each upstream with its role, its reserved and total slots, its planned and total memory
+   * if it has one, the largest request on it, and its state.
+   */
   private static String upstreams(ShardView view) {
     StringJoiner all = new StringJoiner("; ");
     for (ShardView.UpstreamView upstream : view.upstreams()) {
@@ -76,9 +87,23 @@
               + upstream.reserved()
               + "/"
               + upstream.slots()
+              + memory(view, upstream)
               + " "
               + upstream.state());
     }
     return all.toString();
   }
+
+  private static String memory(ShardView view, ShardView.UpstreamView upstream) {
+    if (upstream.memoryTokens() == 0 || upstream.role() != UpstreamRole.DECODE) {
+      return "";
+    }
+    String largest =
+        view.running().stream()
+            .filter(running -> running.target().equals(upstream.name()))
+            .max(Comparator.comparingInt(ShardView.RunningView::memoryTokens))
+            .map(running -> ", largest " + running.memoryTokens() + " of " + running.request())
+            .orElse("");
+    return " " + upstream.plannedTokens() + "/" + upstream.memoryTokens() + " tokens" + largest;
+  }
 }
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestLog.java
@@ -56,6 +56,8 @@
         .addKeyValue("request", profile.id().value())
         .addKeyValue("service", profile.service())
         .addKeyValue("rule", profile.rule())
+        .addKeyValue("promptTokens", profile.promptTokens())
+        .addKeyValue("outputTokens", profile.outputTokens())
         .addKeyValue("reason", refusal.reason().code())
         .addKeyValue("run", refusal.runState().code())
         .addKeyValue("brokenOff", hasBegun)
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestMeter.java
@@ -41,17 +41,17 @@
   }
 
   void completed() {
-    metrics.completed(isWithinTargets());
+    metrics.completed(profile, isWithinTargets());
   }
 
   void plainResponseReceived() {
     long nowMillis = clock.millis();
     metrics.plainResponse(nowMillis - profile.receivedAtMillis());
-    metrics.completed(nowMillis <= profile.firstTokenAtMillis());
+    metrics.completed(profile, nowMillis <= profile.firstTokenAtMillis());
   }
 
   void refused(Refusal refusal) {
-    metrics.refused(refusal);
+    metrics.refused(profile, refusal);
     if (hasBegun()) {
       metrics.brokenOff(refusal);
     }
--- a/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/request/RequestRegistry.java
@@ -82,7 +82,7 @@
     synchronized (shard) {
       shard.live.put(profile.id(), live);
     }
-    metrics.accepted();
+    metrics.accepted(profile);
     live.deliver(new LifecycleEvent.Started());
     return new Handle(live);
   }
--- a/daemon/src/test/java/org/marjoramsail/daemon/operator/FakeLocalState.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/operator/FakeLocalState.java
@@ -56,7 +56,8 @@
             3,
             400,
             "decode-slot",
-            1200);
+            1200,
+            0);
     shards.add(
         new ShardView(
             new ShardId("lector", "litoral", 0),
--- a/daemon/src/test/java/org/marjoramsail/daemon/placement/OwnerMetersTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/placement/OwnerMetersTest.java
@@ -87,6 +87,8 @@
         0,
         speed,
         slowdownPercent,
-        outstandingMillis);
+        outstandingMillis,
+        0,
+        0);
   }
 }
