Let requests wait at an owner that has not read the list of upstreams yet

A restarted host ranks first again at once, the others register their requests with it, and its placer refused what no upstream it knows can serve, although it knew none at all.

A request now waits at an owner that knows no upstream and was created less than two seconds ago, for at most its target; the list, once applied, grants it. After that, and for continuations of a version, which have to begin anew, nothing changes. OwnerWithoutPoolTest fails before: the request is refused at once.

--- a/core/src/main/java/org/marjoramsail/core/placement/ArrivalCheck.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ArrivalCheck.java
@@ -11,14 +11,25 @@
 
   private static final long MINIMUM_RETRY_MILLIS = 1_000;
 
+  /** Time in which a new owner receives the list of upstreams from the store or another daemon. */
+  private static final long POOL_UNKNOWN_MILLIS = 2_000;
+
   private final ShardId shard;
   private final ShardUpstreams upstreams;
   private final PlacementSettings settings;
+  private final long poolKnownAt;
 
-  ArrivalCheck(ShardId shard, ShardUpstreams upstreams, PlacementSettings settings) {
+  /**
+   * Creates a check.
+   *
+   * @param nowMillis time at which this owner was created
+   */
+  ArrivalCheck(
+      ShardId shard, ShardUpstreams upstreams, PlacementSettings settings, long nowMillis) {
     this.shard = shard;
     this.upstreams = upstreams;
     this.settings = settings;
+    this.poolKnownAt = nowMillis + POOL_UNKNOWN_MILLIS;
   }
 
   /**
@@ -29,7 +40,7 @@
    * @param isIdle whether no attempt waits or runs
    */
   Optional<Refusal> refusal(
-      PlacementRequest request, int waiting, double leastMillis, boolean isIdle) {
+      PlacementRequest request, int waiting, double leastMillis, boolean isIdle, long nowMillis) {
     int limit = settings.maximumWaiting();
     int allowed =
         limit - limit * request.serviceClass().rank() / (2 * ServiceClass.values().length);
@@ -37,6 +48,9 @@
       String detail = "The queue of " + shard + " holds " + waiting + " of " + allowed + ".";
       return Optional.of(Refusal.notRun(RefusalReason.QUEUE_FULL, detail, MINIMUM_RETRY_MILLIS));
     }
+    if (isPoolUnknown(nowMillis) && request.requiredVersion().isEmpty()) {
+      return Optional.empty();
+    }
     Optional<Refusal> withoutUpstream = withoutUpstream(request);
     if (withoutUpstream.isPresent()) {
       return withoutUpstream;
@@ -55,6 +69,11 @@
     return Optional.empty();
   }
 
+  /** Returns whether this owner has been created so recently that it may not know its upstreams. */
+  private boolean isPoolUnknown(long nowMillis) {
+    return upstreams.all().isEmpty() && nowMillis < poolKnownAt;
+  }
+
   /** Returns the refusal of an attempt that no upstream may serve; empty if one may. */
   Optional<Refusal> withoutUpstream(PlacementRequest request) {
     UpstreamRole role = request.isGeneration() ? UpstreamRole.DECODE : UpstreamRole.PLAIN;
--- a/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ReservingPlacer.java
@@ -79,7 +79,7 @@
     this.reservations = new SlotReservations(upstreams, estimates);
     this.waitEstimator = new WaitEstimator(upstreams, queue, estimates, selector);
     this.roles = new RoleAdvisor(upstreams, estimates, settings);
-    this.arrivals = new ArrivalCheck(shard, upstreams, settings);
+    this.arrivals = new ArrivalCheck(shard, upstreams, settings, nowMillis);
     applyConfiguration(setup.configuration(), nowMillis);
   }
 
@@ -110,7 +110,8 @@
     discard(request.request(), nowMillis);
     double leastMillis = selector.minimumMillis(request, nowMillis);
     boolean isIdle = waiting.isEmpty() && reservations.size() == 0;
-    Optional<Refusal> refusal = arrivals.refusal(request, waiting.size(), leastMillis, isIdle);
+    Optional<Refusal> refusal =
+        arrivals.refusal(request, waiting.size(), leastMillis, isIdle, nowMillis);
     if (refusal.isPresent()) {
       return List.of(refused(request, refusal.get()));
     }
