Map the archive of classes where it was made, so that it does not fill memory

The archive of classes, 46 MB, was relocated at each start, the default of the virtual machine, which adjusts its pointers and so makes all of its pages resident, on a host of 88 MB.

Mapped where it was made, only the pages in use are resident. The test starts a virtual machine with the deployed options and fails on the old ones.

--- a/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
+++ b/command/src/main/java/org/marjoramsail/command/fleet/ProcessDaemons.java
@@ -38,7 +38,9 @@
           "-XX:+UseCompactObjectHeaders",
           "-XX:TieredStopAtLevel=1",
           "-XX:-UsePerfData",
-          "-XX:+ErrorFileToStdout");
+          "-XX:+ErrorFileToStdout",
+          "-XX:+UnlockDiagnosticVMOptions",
+          "-XX:ArchiveRelocationMode=0");
 
   private static final long POLL_MILLIS = 100;
   private static final int MOST_POLLS = 600;
--- a/command/src/test/java/org/marjoramsail/command/fleet/ProcessDaemonsTest.java
+++ b/command/src/test/java/org/marjoramsail/command/fleet/ProcessDaemonsTest.java
@@ -5,8 +5,10 @@
 
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.IntPredicate;
@@ -47,6 +49,25 @@
     assertThat(ProcessDaemons.VIRTUAL_MACHINE_OPTIONS).containsExactlyElementsOf(deployed);
   }
 
+  /**
+   * Guards against processes that end by memory: relocating the class archive makes all of its
+   * pages resident.
+   */
+  @Test
+  void theClassArchiveIsNotRelocated() throws Exception {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(ProcessDaemons.VIRTUAL_MACHINE_OPTIONS);
+    command.addAll(List.of("-Xshare:auto", "-Xlog:cds", "-version"));
+    Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+    String log = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+
+    assertThat(process.waitFor()).as(log).isZero();
+    assertThat(log)
+        .contains("Mapped static  region #0")
+        .doesNotContain("always map archive(s) at an alternative address");
+  }
+
   /** Guards against runs that fail since another process took a port before it was bound. */
   @Test
   void aProcessWhosePortIsTakenMeanwhileIsStartedOnOtherPorts(@TempDir Path directory)
