Start a request that fills an engine once the engine is empty

A request whose prompt and expected output fit the memory of an engine, but not with the margin for outputs that grow longer, waited until it was refused ("lacked engine-memory for too long"), also while an engine was empty, and held up those behind it. The time until it fits counted without the margin, the check with it, so that an engine could be earmarked for a request that it never took.

The margin guards against outputs that push out each other. Alone on an engine a request can push out nothing, so it needs none. The test fails before: the request is not granted.

--- a/core/src/main/java/org/marjoramsail/core/placement/MemoryForecast.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/MemoryForecast.java
@@ -141,6 +141,10 @@
   }
 
   private static double peakTokens(List<RequestMemory> all) {
+    if (all.size() == 1) {
+      // Without others nothing is preempted, so that a request needs no margin.
+      return all.get(0).held() + all.get(0).mean();
+    }
     all.sort(Comparator.comparingDouble(RequestMemory::mean));
     double heldByLater = all.stream().mapToDouble(RequestMemory::held).sum();
     double peak = 0;
--- a/core/src/test/java/org/marjoramsail/core/placement/EngineMemoryShortageTest.java
+++ b/core/src/test/java/org/marjoramsail/core/placement/EngineMemoryShortageTest.java
@@ -1,6 +1,8 @@
 package org.marjoramsail.core.placement;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.marjoramsail.core.placement.PlacementFixtures.ended;
+import static org.marjoramsail.core.placement.PlacementFixtures.granted;
 import static org.marjoramsail.core.placement.PlacementFixtures.poolWithMemory;
 import static org.marjoramsail.core.placement.PlacementFixtures.refused;
 import static org.marjoramsail.core.placement.PlacementFixtures.request;
@@ -41,6 +43,16 @@
         .contains("free on one engine");
   }
 
+  /** Guards against a margin by which a request that fits an empty engine never starts. */
+  @Test
+  void aRequestThatFillsAnEngineStartsOnceTheEngineIsEmpty() {
+    place("first", 6_000);
+    placer.place(request("large").tokens(9_880, 100).serviceClass(ServiceClass.QUICK).build(), 0);
+
+    assertThat(granted(placer.report(ended("first", 1, AttemptResult.COMPLETED), 1)))
+        .containsExactly("large");
+  }
+
   private static ShardView.UpstreamView decode(ShardView view) {
     return view.upstreams().stream()
         .filter(upstream -> upstream.name().value().equals("decode-0"))
