Refuse a request that fits no engine at once

At the head of its lane such a request also held up all behind it until its target.

Engines of either role count, as roles change; where no memory is configured nothing is refused.

--- a/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
+++ b/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
@@ -24,6 +24,7 @@
   HEADERS_TOO_LARGE(431, false),
   ORGANISATION_RATE(429, true),
   ORGANISATION_CONCURRENCY(429, true),
+  PROMPT_TOO_LARGE(503, false),
   QUEUE_FULL(503, true),
   DEADLINE_UNREACHABLE(503, true),
   DEADLINE_PASSED(504, true),
--- a/core/src/main/java/org/marjoramsail/core/placement/ArrivalCheck.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ArrivalCheck.java
@@ -55,6 +55,17 @@
     if (withoutUpstream.isPresent()) {
       return withoutUpstream;
     }
+    if (request.isGeneration() && !upstreams.canHold(request)) {
+      String detail =
+          "The request needs the memory of "
+              + request.promptTokens()
+              + " prompt tokens and its output; an engine of "
+              + shard
+              + " has "
+              + upstreams.largestMemoryTokens()
+              + ".";
+      return Optional.of(Refusal.notRun(RefusalReason.PROMPT_TOO_LARGE, detail));
+    }
     // An idle shard tries a request even if it expects it to be late: otherwise wrong estimates
     // would refuse every request and never be corrected.
     if (WaitingAttempt.usefulWithinMillis(request) < leastMillis && !isIdle) {
--- a/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ShardUpstreams.java
@@ -65,6 +65,27 @@
     return all;
   }
 
+  /**
+   * Returns whether a configured engine of any role, once it is empty, has the memory for a
+   * request; true if the memory of no engine is known.
+   */
+  boolean canHold(PlacementRequest request) {
+    int largest = largestMemoryTokens();
+    double needed =
+        request.promptTokens() + outputLengths.remaining(request.outputTokens(), 0).mean();
+    return largest == 0 || needed <= largest;
+  }
+
+  /** Returns the largest memory of a configured engine of any role; zero if none is known. */
+  int largestMemoryTokens() {
+    int largest = 0;
+    for (UpstreamState upstream : all) {
+      largest =
+          upstream.isConfigured() ? Math.max(largest, upstream.memoryTokens().orElse(0)) : largest;
+    }
+    return largest;
+  }
+
   Optional<UpstreamState> find(UpstreamName name) {
     return Optional.ofNullable(byName.get(name));
   }
