--- a/core/src/main/java/org/marjoramsail/core/placement/UrgentCapacity.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UrgentCapacity.java
@@ -27,7 +27,7 @@
   private static final long REFRESH_MILLIS = 50;
 
   /** An attempt is large if it needs at least this many times the average memory. */
-  private static final double LARGE_FACTOR = 1.75;
+  private static final double LARGE_FACTOR = 2;
 
   /**
    * Largest share of the memory of an engine that is kept from smaller attempts. An engine that
