--- a/core/src/main/java/org/marjoramsail/core/admission/EarmarkedEngines.java
+++ b/core/src/main/java/org/marjoramsail/core/admission/EarmarkedEngines.java
@@ -22,6 +22,7 @@
   /** At most one in this many engines is earmarked for one urgency rank, and at least one. */
   private static final int ENGINES_OF_EARMARK = 4;
 
+  /** A late request keeps its engine from requests within their target that it exceeds by more. */
   private static final int MUCH_LARGER_FACTOR = 2;
 
   /**
@@ -37,7 +38,8 @@
    * @param urgency rank of the request
    * @param memoryTokens memory that it needs
    * @param isLarge whether smaller requests of its rank are kept from the engine
-   * @param isLate whether it has missed its target; it then keeps only those
+   * @param isLate whether it has missed its target, after which less urgent ranks are not kept from
+   *     the engine
    */
   public record Holder(
       RequestId request, int urgency, int memoryTokens, boolean isLarge, boolean isLate) {
@@ -105,8 +107,8 @@
 
   /**
    * Earmarks the engine that is expected to have room for a request soonest. If the rank has the
-   * maximum number of earmarks, a request within its target takes over that of a late one that does
-   * not exclude it, whose engine has been gaining room.
+   * maximum number of earmarks, a request within its target takes over that of a late one that is
+   * not much larger, whose engine has been gaining room.
    *
    * @param maximum maximum number of earmarks of the rank
    * @param candidates returns the engines that may serve the request
--- a/core/src/main/java/org/marjoramsail/core/placement/ArrivalCheck.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/ArrivalCheck.java
@@ -11,7 +11,10 @@
 
   private static final long MINIMUM_RETRY_MILLIS = 1_000;
 
-  /** Time in which a new owner receives the list of upstreams from the store or another daemon. */
+  /**
+   * Time in which a new owner receives the list of upstreams from the store or another daemon.
+   * Until then, requests wait rather than being refused as if no upstream were left.
+   */
   private static final long POOL_UNKNOWN_MILLIS = 2_000;
 
   private final ShardId shard;
