--- a/core/src/main/java/org/marjoramsail/core/placement/UrgentCapacity.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/UrgentCapacity.java
@@ -18,26 +18,14 @@
 import org.marjoramsail.core.routing.UrgencyRanks;
 
 /**
- * Keeps capacity of decode upstreams from less urgent attempts, for urgent ones that wait or are
- * expected to arrive, and from smaller attempts of the same urgency, for larger ones that wait.
+ * Keeps capacity of decode upstreams from less urgent attempts: for urgent attempts that wait, and
+ * for those that are expected to arrive.
  */
 final class UrgentCapacity {
 
   /** Interval between two selections of the reserved upstreams. */
   private static final long REFRESH_MILLIS = 50;
 
-  /** An attempt is large if it needs at least this many times the average memory. */
-  private static final double LARGE_FACTOR = 2;
-
-  /**
-   * Largest share of the memory of an engine that is kept from smaller attempts. An engine that
-   * drains for longer would be idle for more of the time in which it serves the large one.
-   */
-  private static final double LARGEST_SHARE = 0.4;
-
-  /** Maximum number of attempts of a lane that are considered for an earmark. */
-  private static final int MAXIMUM_CONSIDERED = 16;
-
   /** Factor of the time until room of an upstream that is reserved already. */
   private static final double KEPT_SHARE = 0.5;
 
@@ -87,12 +75,11 @@
 
   /** Returns whether an upstream takes no request of this urgency now. */
   boolean isClosed(UpstreamState upstream, PlacementRequest request, long nowMillis) {
-    if (!isRanked(request)) {
-      return false;
-    }
     int urgency = Math.min(UrgencyRanks.LOWEST, request.urgency());
-    return earmarks.isClosed(upstream.name(), urgency, request.memoryTokens())
-        || (urgency > 0 && isReserved(upstream, request, reserves[urgency], nowMillis));
+    return urgency > 0
+        && isRanked(request)
+        && (earmarks.isClosed(upstream.name(), urgency)
+            || isReserved(upstream, request, reserves[urgency], nowMillis));
   }
 
   private boolean isReserved(
@@ -141,7 +128,7 @@
     Set<UpstreamName> chosen =
         candidates(arrivals.promptTokens(), arrivals.outputTokens(), nowMillis).stream()
             .filter(one -> !Double.isInfinite(one.millisUntilRoom()))
-            .filter(one -> !earmarks.isClosedToRank(one.engine(), urgency))
+            .filter(one -> !earmarks.isClosed(one.engine(), urgency))
             .sorted(Comparator.comparingDouble(one -> reserveOrder(one, reserves[urgency])))
             .limit(count)
             .map(EarmarkedEngines.Candidate::engine)
@@ -179,31 +166,20 @@
       return;
     }
     for (EarmarkedEngines.Earmark earmark : List.copyOf(earmarks.all())) {
-      RequestId request = earmark.holder().request();
       boolean isUsable =
-          upstreams
-              .find(earmark.engine())
-              .filter(it -> it.isUsable(nowMillis) && it.role() == UpstreamRole.DECODE)
-              .isPresent();
-      Optional<WaitingAttempt> awaiting =
+          upstreams.find(earmark.engine()).filter(it -> it.isUsable(nowMillis)).isPresent();
+      boolean isAwaited =
           waiting
-              .apply(request)
-              .filter(attempt -> attempt.organisation().missing(nowMillis).isEmpty());
-      boolean isLate = awaiting.filter(WaitingAttempt::isLate).isPresent();
-      if (!isUsable || awaiting.isEmpty() || (isLate && !isLarge(awaiting.get()))) {
-        earmarks.release(request);
-      } else if (isLate) {
-        earmarks.targetMissed(request);
+              .apply(earmark.request())
+              .filter(attempt -> !attempt.isLate())
+              .filter(attempt -> attempt.organisation().missing(nowMillis).isEmpty())
+              .isPresent();
+      if (!isUsable || !isAwaited) {
+        earmarks.release(earmark.request());
       }
     }
   }
 
-  private boolean isLarge(WaitingAttempt attempt) {
-    int tokens = attempt.request().memoryTokens();
-    return tokens >= LARGE_FACTOR * estimates.heldTokens()
-        && tokens <= LARGEST_SHARE * upstreams.largestMemoryTokens();
-  }
-
   /**
    * Earmarks upstreams for attempts of a lane whose first attempt fits no upstream: for this one
    * and, up to the maximum number, for others that are at least as large.
@@ -212,47 +188,16 @@
     int maximum = EarmarkedEngines.maximumOfRank(usableDecodeUpstreams(nowMillis));
     int leastTokens = 0;
     for (WaitingAttempt attempt : lane.first(maximum, nowMillis)) {
-      if (attempt.request().memoryTokens() >= leastTokens && !attempt.isRestricted()) {
-        leastTokens = attempt.request().memoryTokens();
-        earmarkFor(attempt, maximum, nowMillis);
-      }
-    }
-  }
-
-  /**
-   * Earmarks upstreams for the large attempts of a ranked lane, whether or not they are first.
-   *
-   * <p>Guards against attempts that are passed by smaller ones within their target as long as the
-   * load lasts, so that the largest requests are the ones that are not served.
-   */
-  void earmarkForLarge(WaitingQueue.Lane lane, long nowMillis) {
-    if (lane.urgency() < 0) {
-      return;
-    }
-    int maximum = EarmarkedEngines.maximumOfRank(usableDecodeUpstreams(nowMillis));
-    for (WaitingAttempt attempt : lane.first(MAXIMUM_CONSIDERED, nowMillis)) {
-      if (isLarge(attempt) && !attempt.isRestricted()) {
-        earmarkFor(attempt, maximum, nowMillis);
-      }
-    }
-  }
-
-  private void earmarkFor(WaitingAttempt attempt, int maximum, long nowMillis) {
-    PlacementRequest request = attempt.request();
-    earmarks.earmark(
-        new EarmarkedEngines.Holder(
+      PlacementRequest request = attempt.request();
+      if (request.memoryTokens() >= leastTokens && !attempt.isRestricted()) {
+        leastTokens = request.memoryTokens();
+        earmarks.earmark(
             request.request(),
             attempt.urgency(),
-            request.memoryTokens(),
-            isLarge(attempt),
-            attempt.isLate()),
-        maximum,
-        () -> candidates(request.promptTokens(), request.outputTokens(), nowMillis));
-  }
-
-  /** Returns whether an upstream is kept for an attempt from smaller ones of its rank. */
-  boolean isKeptFromSmaller(WaitingAttempt attempt) {
-    return earmarks.isKeptFromSmaller(attempt.request().request());
+            maximum,
+            () -> candidates(request.promptTokens(), request.outputTokens(), nowMillis));
+      }
+    }
   }
 
   private Collection<EarmarkedEngines.Candidate> candidates(
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitingAttempt.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitingAttempt.java
@@ -224,11 +224,6 @@
     return request.requiredVersion().isPresent();
   }
 
-  /** Returns whether a prefill upstream has to prefill its prompt. */
-  boolean needsPrefillUpstream() {
-    return needsPrefillUpstream;
-  }
-
   MissingResource missing() {
     return missing;
   }
--- a/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
+++ b/core/src/main/java/org/marjoramsail/core/placement/WaitingQueue.java
@@ -320,13 +320,14 @@
           .toList();
     }
 
-    /** Returns its next attempt if that waits for a slot or the memory of an engine. */
-    Optional<WaitingAttempt> headWaitingForSlot(long nowMillis) {
+    /** Returns whether its next attempt waits for a slot or the memory of an engine. */
+    boolean isHeadWaitingForSlot(long nowMillis) {
       return organisations.stream()
           .filter(lane -> lane.organisation().missing(nowMillis).isEmpty())
           .findFirst()
           .map(lane -> lane.attempts().first())
-          .filter(head -> !head.isRestricted() && head.missing().isFreedByGenerations());
+          .filter(head -> !head.isRestricted() && head.missing().isFreedByGenerations())
+          .isPresent();
     }
   }
 
