--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -17,16 +17,13 @@
 import java.util.stream.Collectors;
 import org.marjoramsail.core.configuration.UpstreamDefinition;
 import org.marjoramsail.core.failure.Refusal;
-import org.marjoramsail.core.failure.RefusalReason;
 import org.marjoramsail.core.model.Incarnation;
 import org.marjoramsail.core.model.UpstreamName;
 import org.marjoramsail.core.outcome.RequestProfile;
-import org.marjoramsail.core.routing.CallerAccess;
 import org.marjoramsail.core.routing.CallerLimits;
 import org.marjoramsail.core.routing.ForwardingRules;
 import org.marjoramsail.core.routing.PlainResponseTimes;
 import org.marjoramsail.core.routing.Route;
-import org.marjoramsail.core.routing.RoutingConfiguration;
 import org.marjoramsail.core.routing.RunTimes;
 import org.marjoramsail.core.stream.StreamOrigin;
 import org.marjoramsail.daemon.connection.HeadRule;
@@ -52,6 +49,8 @@
   private final ForwardDependencies exchangeDependencies;
   private final RefusalWriter refusals;
   private final RequestGuard guard;
+  private final RequestAdmission admission;
+  private final UnroutedRequestLog unrouted;
   private final BodyMemory bodyMemory;
   private final PlainResponseTimes plainResponseTimes = new PlainResponseTimes();
   private final RunTimes runTimes = new RunTimes();
@@ -82,7 +81,9 @@
         new RefusalWriter(
             dependencies.protocol(), json, dependencies.random(), connectionCloseHeader);
     this.guard = new RequestGuard(this::reject, dependencies.meters());
+    this.unrouted = new UnroutedRequestLog(dependencies.routes(), dependencies.clock());
     this.bodyMemory = new BodyMemory(dependencies.bodyMemoryBytes());
+    this.admission = new RequestAdmission(dependencies.routing(), bodyMemory);
     UpstreamConnections upstreamConnections =
         new UpstreamConnections(
             vertx,
@@ -344,35 +345,31 @@
   private void authorise(
       HttpServerRequest request, CallerParameters parameters, long receivedAtMillis) {
     String attempt = parameters.attempt();
-    Optional<Refusal> refusal = refusalOf(request);
-    if (refusal.isPresent()) {
-      reject(request, attempt, refusal.get());
+    if (stop.isRefusing()) {
+      reject(request, attempt, StopState.REFUSAL);
       return;
     }
-    RoutingConfiguration routing = dependencies.routing().get().orElseThrow();
-    Optional<Route> route =
-        routing.routes().find(RequestHead.host(request), RequestTarget.pathOf(request));
-    if (route.isEmpty()) {
-      Refusal unknown =
-          Refusal.notRun(
-              RefusalReason.UNKNOWN_SERVICE,
-              "No route of host '"
-                  + RequestHead.host(request)
-                  + "' begins the path "
-                  + request.path()
-                  + ".");
-      reject(request, attempt, unknown);
-      return;
+    RequestAdmission.Decision decision = admission.decide(request, parameters.key());
+    if (decision instanceof RequestAdmission.Refused refused) {
+      reject(request, attempt, refused.refusal());
+    } else if (decision instanceof RequestAdmission.Unrouted refused) {
+      unrouted.refused(attempt, refused.refusal());
+      reject(request, attempt, refused.refusal());
+    } else if (decision instanceof RequestAdmission.Admitted admitted) {
+      admit(request, parameters, admitted, receivedAtMillis);
     }
-    if (isTooLate(route.get())) {
+  }
+
+  private void admit(
+      HttpServerRequest request,
+      CallerParameters parameters,
+      RequestAdmission.Admitted admitted,
+      long receivedAtMillis) {
+    String attempt = parameters.attempt();
+    if (isTooLate(admitted.route())) {
       reject(request, attempt, StopState.REFUSAL);
       return;
     }
-    CallerAccess access = CallerAccess.of(routing, route.get(), parameters.key());
-    if (access.refusal().isPresent()) {
-      reject(request, attempt, access.refusal().get());
-      return;
-    }
     if (RequestHead.declaredBodyBytes(request) > bodyMemory.freeBytes()) {
       reject(request, attempt, bodyMemory.refusal(RequestHead.declaredBodyBytes(request)));
       return;
@@ -382,8 +379,13 @@
     request.response().closeHandler(closed -> memory.close());
     AcceptedRequest accepted =
         new AcceptedRequest(
-            request, parameters, route.get(), access.organisation(), receivedAtMillis, memory);
-    readBody(accepted, routing.limits());
+            request,
+            parameters,
+            admitted.route(),
+            admitted.organisation(),
+            receivedAtMillis,
+            memory);
+    readBody(accepted, admitted.limits());
   }
 
   private void ended(HttpServerRequest request, BodyMemory.Account memory) {
@@ -391,40 +393,6 @@
     connections.responseEnded(request);
   }
 
-  private Optional<Refusal> refusalOf(HttpServerRequest request) {
-    if (stop.isRefusing()) {
-      return Optional.of(StopState.REFUSAL);
-    }
-    Optional<RoutingConfiguration> routing = dependencies.routing().get();
-    if (routing.isEmpty()) {
-      return Optional.of(
-          Refusal.notRun(
-              RefusalReason.NO_CONFIGURATION,
-              "This daemon has not yet heard of a configuration.",
-              500));
-    }
-    if (RequestTarget.toForward(request.uri()).isEmpty()) {
-      return Optional.of(
-          Refusal.notRun(
-              RefusalReason.MALFORMED_REQUEST,
-              "The request target has bytes above 127 that are no UTF-8."));
-    }
-    int headBytes = RequestHead.bytes(request);
-    int maximumHeadBytes = routing.get().limits().headerBytes();
-    if (headBytes > maximumHeadBytes) {
-      return Optional.of(
-          Refusal.notRun(
-              RefusalReason.HEADERS_TOO_LARGE,
-              "The head has " + headBytes + " bytes; allowed: " + maximumHeadBytes + "."));
-    }
-    long maximum = bodyMemory.maximumBodyBytes(routing.get().limits());
-    long declared = RequestHead.declaredBodyBytes(request);
-    if (declared > maximum) {
-      return Optional.of(BodyMemory.tooLarge(declared, maximum));
-    }
-    return Optional.empty();
-  }
-
   private int urgencyOf(Route route, String service) {
     return dependencies
         .routing()
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerDependencies.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServerDependencies.java
@@ -28,6 +28,7 @@
  * @param liveness receives reports about the liveness of upstreams
  * @param feedback records what upstreams report of themselves
  * @param streams origins of streams that callers may resume
+ * @param routes tells whether the routes are the newest
  * @param versions software versions in the list of upstreams
  * @param lists brings the list of upstreams up to date
  * @param meters counts resumed streams
@@ -51,6 +52,7 @@
     LivenessListener liveness,
     UpstreamFeedbackRecorder feedback,
     StreamDirectory streams,
+    RoutesStatus routes,
     ListedVersions versions,
     ListConfirmation lists,
     MeterRegistry meters,
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
@@ -26,6 +27,7 @@
 import org.marjoramsail.core.routing.PoolConfiguration;
 import org.marjoramsail.core.routing.Route;
 import org.marjoramsail.core.routing.RoutedService;
+import org.marjoramsail.core.routing.RoutesConfirmation;
 import org.marjoramsail.core.routing.RoutingConfiguration;
 import org.marjoramsail.core.routing.WeightedService;
 import org.marjoramsail.core.stream.StreamOrigin;
@@ -37,7 +39,7 @@
  * Routes and upstreams that this daemon uses, and the pools that result from both. Older versions
  * of the routes never replace newer ones. Runs on one event loop.
  */
-public final class ForwardingState implements ListedVersions {
+public final class ForwardingState implements ListedVersions, RoutesStatus {
 
   private static final Logger LOG = LoggerFactory.getLogger(ForwardingState.class);
 
@@ -51,6 +53,7 @@
   private final Clock clock;
   private final Consumer<Configuration> poolListener;
   private final Consumer<UpstreamDefinition> incarnationListener;
+  private final RoutesConfirmation confirmation = new RoutesConfirmation();
   private Optional<RoutingConfiguration> routing = Optional.empty();
   private volatile Configuration configuration = Configuration.empty();
   private Set<Incarnation> incarnations = Set.of();
@@ -121,6 +124,12 @@
     }
   }
 
+  /** Records that the store responded with the newest routes, which were applied. */
+  public void routesConfirmed() {
+    routesAvailable();
+    confirmation.confirmed(clock.millis());
+  }
+
   /** Records that the routes were read. */
   public void routesAvailable() {
     if (!routesReachable) {
@@ -340,9 +349,12 @@
 
   /** Returns the versions and the age of routes and upstreams, for logs. */
   public String describe() {
-    long version = routing.map(RoutingConfiguration::version).orElse(0L);
+    long version = routesVersion();
+    OptionalLong confirmedAgo = routesConfirmedMillisAgo();
     return "routes "
         + version
+        + ", confirmed "
+        + (confirmedAgo.isPresent() ? confirmedAgo.getAsLong() + " ms ago" : "never")
         + ", upstreams "
         + configuration.upstreams().size()
         + (discoveredUpstreams.isReachable() ? "" : ", list not read")
@@ -363,7 +375,17 @@
 
   /** Returns the version of the routes in use; zero if there are none. */
   public double version() {
-    return routing.map(known -> (double) known.version()).orElse(0.0);
+    return routesVersion();
+  }
+
+  @Override
+  public long routesVersion() {
+    return routing.map(RoutingConfiguration::version).orElse(0L);
+  }
+
+  @Override
+  public OptionalLong routesConfirmedMillisAgo() {
+    return confirmation.ageMillis(clock.millis());
   }
 
   /** Returns the capabilities of a service's engines. */
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ForwardServerTest.java
@@ -235,6 +235,7 @@
         null,
         new UpstreamFeedbackRecorder(new UpstreamFeedbackTable(), clock, meters),
         new StreamDirectory(daemon, null, (delayMillis, task) -> {}, clock),
+        new ConfirmedRoutes(),
         null,
         ListConfirmation.NONE,
         meters,
