--- a/core/src/main/java/org/marjoramsail/core/discovery/WatchSchedule.java
+++ b/core/src/main/java/org/marjoramsail/core/discovery/WatchSchedule.java
@@ -79,6 +79,11 @@
     return failing ? 0 : waitMillis;
   }
 
+  /** Returns the time within which the next response is expected while the list responds. */
+  public long nextResponseMillis() {
+    return waitMillis + SHORTEST_RESPONSE_MILLIS + GATHER_MILLIS;
+  }
+
   /** Returns the time that a response may take beyond the requested wait. */
   public long responseMillis() {
     return responseMillis;
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardingState.java
@@ -49,12 +49,16 @@
    */
   private static final long EARLIER_STREAM_MILLIS = 30_000;
 
+  /** Time for the first reads of the lists before other daemons are asked, in milliseconds. */
+  private static final long FIRST_READ_MILLIS = 1_000;
+
   private final DiscoveredUpstreams discoveredUpstreams;
   private final Clock clock;
+  private final long createdAtMillis;
   private final Consumer<Configuration> poolListener;
   private final Consumer<UpstreamDefinition> incarnationListener;
   private final RoutesConfirmation confirmation = new RoutesConfirmation();
-  private Optional<RoutingConfiguration> routing = Optional.empty();
+  private volatile Optional<RoutingConfiguration> routing = Optional.empty();
   private volatile Configuration configuration = Configuration.empty();
   private Set<Incarnation> incarnations = Set.of();
   private Map<String, Long> servicesSinceMillis = Map.of();
@@ -64,6 +68,7 @@
   private boolean publishPending;
   private boolean upstreamListReachable = true;
   private boolean routesReachable = true;
+  private boolean newerRoutesKnown;
 
   /**
    * Creates an empty state.
@@ -79,6 +84,7 @@
       Consumer<Configuration> poolListener,
       Consumer<UpstreamDefinition> incarnationListener) {
     this.clock = clock;
+    this.createdAtMillis = clock.millis();
     this.discoveredUpstreams = new DiscoveredUpstreams(retention);
     this.poolListener = poolListener;
     this.incarnationListener = incarnationListener;
@@ -118,16 +124,26 @@
 
   /** Records that the routes could not be read. */
   public void routesUnavailable(String cause) {
+    confirmation.failed();
     if (routesReachable) {
       routesReachable = false;
       LOG.atWarn().addKeyValue("cause", cause).log("routes cannot be read");
     }
   }
 
-  /** Records that the store responded with the newest routes, which were applied. */
-  public void routesConfirmed() {
+  /**
+   * Records that the store responded with the newest routes, which were applied.
+   *
+   * @param validMillis time within which the next response is expected
+   */
+  public void routesConfirmed(long validMillis) {
     routesAvailable();
-    confirmation.confirmed(clock.millis());
+    confirmation.confirmed(clock.millis(), validMillis);
+  }
+
+  /** Returns whether the last read of the routes succeeded. */
+  public boolean areRoutesReadable() {
+    return routesReachable;
   }
 
   /** Records that the routes were read. */
@@ -190,10 +206,12 @@
 
   /**
    * Handles the routes and upstreams of another daemon, which this one receives when it cannot read
-   * the lists itself.
+   * the lists itself, or has not read a newer version yet. The routes are not confirmed by that.
+   *
+   * @param upstreams the upstreams; empty if only routes were received
    */
   public void receivedFromDaemon(
-      Optional<RoutingConfiguration> routes, List<ListedUpstream> upstreams) {
+      Optional<RoutingConfiguration> routes, Optional<List<ListedUpstream>> upstreams) {
     boolean newer =
         routes
             .filter(
@@ -204,10 +222,11 @@
       routes.ifPresent(this::recordServices);
       routing = routes;
     }
-    if (discoveredUpstreams.listedByPeer(upstreams) || newer) {
+    boolean listed = upstreams.filter(discoveredUpstreams::listedByPeer).isPresent();
+    if (listed || newer) {
       LOG.atInfo()
           .addKeyValue("version", routing.map(RoutingConfiguration::version).orElse(0L))
-          .addKeyValue("upstreams", upstreams.size())
+          .addKeyValue("upstreams", upstreams.map(List::size).orElse(0))
           .log("routes and upstreams received from another daemon");
       publish();
     }
@@ -215,10 +234,11 @@
 
   /**
    * Returns whether this daemon has to request routes and upstreams from other daemons, because it
-   * has none and cannot read the lists.
+   * has none and cannot read the lists, or not soon.
    */
   public boolean needsOtherDaemons() {
-    return !isReady() && !(routesReachable && upstreamListReachable);
+    boolean isOverdue = clock.millis() - createdAtMillis >= FIRST_READ_MILLIS;
+    return !isReady() && (isOverdue || !routesReachable || !upstreamListReachable);
   }
 
   /**
@@ -383,6 +403,16 @@
     return routing.map(RoutingConfiguration::version).orElse(0L);
   }
 
+  @Override
+  public boolean areRoutesConfirmed() {
+    return !newerRoutesKnown && confirmation.isConfirmed(clock.millis());
+  }
+
+  /** Sets whether another daemon has told of a newer version of the routes. */
+  public void newerRoutesKnown(boolean known) {
+    newerRoutesKnown = known;
+  }
+
   @Override
   public OptionalLong routesConfirmedMillisAgo() {
     return confirmation.ageMillis(clock.millis());
--- a/daemon/src/main/java/org/marjoramsail/daemon/membership/MembershipService.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/membership/MembershipService.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 import org.marjoramsail.core.membership.AckMessage;
 import org.marjoramsail.core.membership.Departure;
@@ -58,6 +59,13 @@
           DigestMessage.class,
           StateMessage.class);
 
+  /** Receives the version of the configuration that another daemon has. */
+  @FunctionalInterface
+  public interface VersionListener {
+    /** Handles a version; zero if the daemon has none. */
+    void told(DaemonId from, long version);
+  }
+
   private final Vertx vertx;
   private final Context context;
   private final PeerNetwork network;
@@ -71,6 +79,8 @@
 
   private final Object lock = new Object();
   private Optional<MembershipProtocol> protocol = Optional.empty();
+  private volatile LongSupplier ownVersion = () -> 0;
+  private volatile VersionListener versionListener = (from, version) -> {};
   private boolean successorLogged;
   private volatile MembershipView view;
   private final AdaptiveTimer tickTimer;
@@ -116,6 +126,18 @@
     listeners.add(listener);
   }
 
+  /**
+   * Adds the version of the configuration to what daemons send each other, so that one that cannot
+   * read a newer one is told of it.
+   *
+   * @param own returns the version that this daemon has
+   * @param listener receives the versions of the others
+   */
+  public void exchangeVersions(LongSupplier own, VersionListener listener) {
+    ownVersion = own;
+    versionListener = listener;
+  }
+
   /** Returns the counters of the failure detector. */
   public MembershipStatistics statistics() {
     synchronized (lock) {
@@ -201,6 +223,7 @@
       protocol.ifPresent(running -> perform(running.receive(from, message, clock.millis())));
       logSuccessor();
     }
+    readVersion(from, message);
     // The message may have brought a suspicion, whose timeouts require shorter pauses.
     tickTimer.wake();
   }
@@ -220,15 +243,32 @@
   private void perform(List<MembershipAction> actions) {
     for (MembershipAction action : actions) {
       if (action instanceof MembershipAction.Send send) {
-        network.send(send.to(), send.message());
+        network.send(send.to(), withVersion(send.message()));
       } else if (action instanceof MembershipAction.SendToAddress send) {
-        network.send(send.to(), send.message());
+        network.send(send.to(), withVersion(send.message()));
       } else if (action instanceof MembershipAction.Changed changed) {
         changed(changed.view());
       }
     }
   }
 
+  private PeerMessage withVersion(PeerMessage message) {
+    if (message instanceof PingMessage ping) {
+      return ping.withConfigurationVersion(ownVersion.getAsLong());
+    }
+    return message instanceof AckMessage ack
+        ? ack.withConfigurationVersion(ownVersion.getAsLong())
+        : message;
+  }
+
+  private void readVersion(DaemonId from, PeerMessage message) {
+    if (message instanceof PingMessage ping) {
+      versionListener.told(from, ping.configurationVersion());
+    } else if (message instanceof AckMessage ack) {
+      versionListener.told(from, ack.configurationVersion());
+    }
+  }
+
   private void changed(MembershipView newView) {
     logChanges(view, newView);
     view = newView;
--- a/daemon/src/test/java/org/marjoramsail/daemon/forward/ConfirmedRoutes.java
+++ b/daemon/src/test/java/org/marjoramsail/daemon/forward/ConfirmedRoutes.java
@@ -10,6 +10,11 @@
     return 1;
   }
 
+  @Override
+  public boolean areRoutesConfirmed() {
+    return true;
+  }
+
   @Override
   public OptionalLong routesConfirmedMillisAgo() {
     return OptionalLong.of(0);
