--- a/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
+++ b/core/src/main/java/org/marjoramsail/core/failure/RefusalReason.java
@@ -33,6 +33,7 @@
   VERSION_UNAVAILABLE(503, false),
   STREAM_UNKNOWN(503, true),
   NO_CONFIGURATION(503, true),
+  ROUTES_UNCONFIRMED(503, true),
   STORE_UNAVAILABLE(503, true),
   STOPPING(503, true),
   CONNECTION_LIMIT(503, true),
--- a/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
+++ b/daemon/src/main/java/org/marjoramsail/daemon/forward/ForwardServer.java
@@ -51,6 +51,7 @@
   private final RequestGuard guard;
   private final RequestAdmission admission;
   private final UnroutedRequestLog unrouted;
+  private final UnconfirmedRequests unconfirmed = new UnconfirmedRequests();
   private final BodyMemory bodyMemory;
   private final PlainResponseTimes plainResponseTimes = new PlainResponseTimes();
   private final RunTimes runTimes = new RunTimes();
@@ -293,8 +294,12 @@
     return relayServer.running();
   }
 
-  /** Checks whether upstreams are reached; called several times a second. */
+  /**
+   * Checks whether upstreams are reached, and decides on requests that are held; called several
+   * times a second.
+   */
   public void tick() {
+    unconfirmed.tick();
     paths.tick(exchangeDependencies.calls().silentUpstreams());
     if (!paths.isReachingAll()) {
       dependencies.relays().ask();
@@ -353,13 +358,31 @@
     if (decision instanceof RequestAdmission.Refused refused) {
       reject(request, attempt, refused.refusal());
     } else if (decision instanceof RequestAdmission.Unrouted refused) {
-      unrouted.refused(attempt, refused.refusal());
-      reject(request, attempt, refused.refusal());
+      rejectUnrouted(request, parameters, refused.refusal(), receivedAtMillis);
     } else if (decision instanceof RequestAdmission.Admitted admitted) {
       admit(request, parameters, admitted, receivedAtMillis);
     }
   }
 
+  private void rejectUnrouted(
+      HttpServerRequest request,
+      CallerParameters parameters,
+      Refusal refusal,
+      long receivedAtMillis) {
+    String attempt = parameters.attempt();
+    boolean isConfirmed = dependencies.routes().areRoutesConfirmed();
+    if (!isConfirmed && unconfirmed.mayHold(dependencies.clock().millis() - receivedAtMillis)) {
+      unconfirmed.hold(
+          request,
+          () ->
+              guard.run(request, attempt, () -> authorise(request, parameters, receivedAtMillis)));
+      return;
+    }
+    Refusal known = isConfirmed ? refusal : UnconfirmedRequests.refusal(refusal);
+    unrouted.refused(attempt, known);
+    reject(request, attempt, known);
+  }
+
   private void admit(
       HttpServerRequest request,
       CallerParameters parameters,
