--- a/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
+++ b/command/src/main/java/org/marjoramsail/command/PlatformSoakCommand.java
@@ -56,6 +56,10 @@
           + " that a caller receives is matched by its status, proof,"
           + " identifier and body with the visit of a server that made it; each request that a"
           + " server receives is compared with what its caller sent.",
+      "Where configurations with other numbers of routes come into force, each daemon is asked"
+          + " directly for routes that were added or dropped. Two seconds after a configuration was"
+          + " written, a daemon without disturbance may no longer respond as only an older one"
+          + " allows.",
       "Ends with 3 when a rule was broken, when no request of a kind was served, or when fewer than"
           + " nine tenths of the requests were sent on time."
     })
@@ -240,9 +244,17 @@
     printDepartures(report.departures(), output);
     printStoreReturn(report.storeReturn(), output);
     printResponses(report.responses(), output);
+    printRoutes(report.routes(), output);
     output.println(report.isClean() ? "The soak is clean." : "The soak is BROKEN.");
   }
 
+  private static void printRoutes(PlatformSoakReport.Routes routes, PrintStream output) {
+    output.printf(
+        "routes: %d changes, %d requests, %d judged, %d as only an older configuration allows%n",
+        routes.changes(), routes.requests(), routes.judged(), routes.outdated().size());
+    routes.outdated().forEach(output::println);
+  }
+
   private static void printResponses(PlatformSoakReport.Responses responses, PrintStream output) {
     output.printf(
         "%d requests reached servers, %d of them relayed; %.3f new connections a request%n",
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformFault.java
@@ -244,8 +244,34 @@
       int slowed = 1 + random.nextInt(Math.max(1, stage.daemons().size() / 2));
       stage.daemons().slowAtRandom(slowed, millis(random), random);
     }
+  },
+  /** The platform's store sends its responses slowly for a time. */
+  STORE_SLOW {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      int bytesPerSecond =
+          LEAST_STORE_BYTES_PER_SECOND + random.nextInt(MOST_STORE_BYTES_PER_SECOND);
+      stage.slowStore(bytesPerSecond, millis(random));
+    }
+  },
+  /** Configurations with other numbers of routes come into force one by one. */
+  ROUTES_CHANGED {
+    @Override
+    void begin(PlatformSoakStage stage, Random random) {
+      List<Integer> counts =
+          random.ints(1 + random.nextInt(MOST_IN_SERIES), 0, MOST_ROUTES).boxed().toList();
+      int gapMillis = LEAST_SERIES_GAP_MILLIS + random.nextInt(MOST_SERIES_GAP_MILLIS);
+      stage.changeRoutesInSeries(counts, gapMillis);
+    }
   };
 
+  /** Bounds of the rate of a slow store. */
+  private static final int LEAST_STORE_BYTES_PER_SECOND = 60_000;
+
+  private static final int MOST_STORE_BYTES_PER_SECOND = 400_000;
+
+  private static final int MOST_ROUTES = 1_500;
+
   /** Shortest time in which entries expire: two heartbeats of servers, in milliseconds. */
   private static final int LEAST_EXPIRY_MILLIS = 2_400;
 
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoak.java
@@ -97,17 +97,21 @@
         new LeavingCallers(
             vertx, clock, setup, platform, daemons, arrivals, new Random(setup.seed()));
     RelayedCalls relayed = new RelayedCalls(vertx, clock, daemons);
+    RouteLog routes = new RouteLog();
     try {
       FleetRun.await("start", daemons.startAll(), START_SECONDS);
       long loadMillis = setup.seconds() * MILLIS_PER_SECOND;
       long endMillis = clock.millis() + loadMillis;
       PlatformSoakStage stage =
-          new PlatformSoakStage(vertx, clock, platform, daemons, links, arrivals, load, endMillis);
+          new PlatformSoakStage(
+              vertx, clock, platform, daemons, links, arrivals, load, routes, endMillis);
       vertx.runOnContext(
           nothing -> {
             load.start(endMillis);
             new KeptConnections(vertx, clock, setup, daemons, load).start(endMillis);
             leaving.start(endMillis);
+            new RouteProbes(vertx, clock, daemons, arrivals, routes, new Random(setup.seed()))
+                .start(endMillis);
             relayed.start(endMillis + LAST_RESPONSES_MILLIS - RELAYED_MILLIS);
             stage.restartCrashedServers(new Random(random.nextLong()));
             watchPulse(vertx, arrivals);
@@ -121,7 +125,7 @@
     } finally {
       daemons.end();
     }
-    PlatformSoakReport report = report(platform, load, arrivals, relayed.count());
+    PlatformSoakReport report = report(platform, load, arrivals, relayed.count(), routes);
     logLosses(report);
     return report;
   }
@@ -218,7 +222,11 @@
   }
 
   private PlatformSoakReport report(
-      PlatformStandIn platform, SoakLoad load, SoakArrivals arrivals, int relayed) {
+      PlatformStandIn platform,
+      SoakLoad load,
+      SoakArrivals arrivals,
+      int relayed,
+      RouteLog routes) {
     Set<String> ran = new HashSet<>();
     List<String> ranTwice = new ArrayList<>();
     for (String request : platform.runs()) {
@@ -241,6 +249,7 @@
         arrivals.unanswered(),
         arrivals.departures(),
         responses(platform, load, relayed),
-        load.storeReturn());
+        load.storeReturn(),
+        routes.result());
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakReport.java
@@ -26,6 +26,7 @@
  * @param departures what became of requests whose callers have left
  * @param responses responses that servers repeated, and those that broke a rule
  * @param storeReturn results of the requests soon after the store responded again
+ * @param routes what daemons said of routes that were added or dropped
  */
 public record PlatformSoakReport(
     Load load,
@@ -42,7 +43,8 @@
     Unanswered unanswered,
     Departures departures,
     Responses responses,
-    StoreReturn storeReturn) {
+    StoreReturn storeReturn,
+    Routes routes) {
 
   /** Share of the requests that have to be sent on time for a soak to prove something. */
   private static final double MINIMUM_ON_TIME = 0.9;
@@ -255,6 +257,21 @@
    */
   public record StoreReturn(int returns, int requests, int refused, int failed) {}
 
+  /**
+   * Requests that each daemon was sent for routes that were added or dropped.
+   *
+   * @param changes configurations with another number of routes
+   * @param requests responses to these requests
+   * @param judged those at a time without a disturbance of the daemon or the store
+   * @param outdated those that only an older configuration allows
+   */
+  public record Routes(int changes, int requests, int judged, List<String> outdated) {
+    /** Copies the list, so that the value is immutable. */
+    public Routes {
+      outdated = List.copyOf(outdated);
+    }
+  }
+
   /** Copies the collections, so that the value is immutable. */
   public PlatformSoakReport {
     kinds = List.copyOf(kinds);
@@ -279,6 +296,7 @@
         && unanswered.lost().isEmpty()
         && departures.isClean()
         && responses.broken().isEmpty()
+        && routes.outdated().isEmpty()
         && retries.values().stream().noneMatch(window -> window.excess() > 0);
   }
 }
--- a/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
+++ b/command/src/main/java/org/marjoramsail/command/platform/PlatformSoakStage.java
@@ -42,6 +42,7 @@
   private final Map<String, LinkStandIn> links;
   private final SoakArrivals arrivals;
   private final SoakLoad load;
+  private final RouteLog routes;
   private final long endMillis;
   private final Set<String> leaving = new HashSet<>();
   private int started;
@@ -53,6 +54,7 @@
    * Creates a stage.
    *
    * @param links network paths to the servers, by their names
+   * @param routes records the routes that are added and dropped
    * @param endMillis time at which all faults end
    */
   PlatformSoakStage(
@@ -63,6 +65,7 @@
       Map<String, LinkStandIn> links,
       SoakArrivals arrivals,
       SoakLoad load,
+      RouteLog routes,
       long endMillis) {
     this.vertx = vertx;
     this.clock = clock;
@@ -71,6 +74,7 @@
     this.links = links;
     this.arrivals = arrivals;
     this.load = load;
+    this.routes = routes;
     this.endMillis = endMillis;
   }
 
@@ -152,6 +156,32 @@
     platform.configure(PlatformStandIn.FIRST_ROUTE, timeoutMillis);
   }
 
+  /** Puts configurations in force one after the other, each with another number of routes. */
+  void changeRoutesInSeries(List<Integer> counts, long gapMillis) {
+    long delayMillis = 1;
+    for (int count : counts) {
+      vertx.setTimer(
+          delayMillis,
+          fired -> {
+            platform.configureMoreRoutes(count);
+            routes.changed(count, clock.millis());
+          });
+      delayMillis += gapMillis;
+    }
+  }
+
+  /** Lets the store send its responses slowly for a time. */
+  void slowStore(int bytesPerSecond, long millis) {
+    arrivals.disturbanceBegins(DrainLog.STORE);
+    platform.store().transmitAt(bytesPerSecond);
+    vertx.setTimer(
+        millis,
+        fired -> {
+          platform.store().transmitAt(Integer.MAX_VALUE);
+          arrivals.disturbanceEnds(DrainLog.STORE);
+        });
+  }
+
   /** Puts configurations in force one after the other, each with another timeout. */
   void changeTimeoutsInSeries(List<Long> timeoutsMillis, long gapMillis) {
     long delayMillis = 1;
--- a/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
+++ b/command/src/test/java/org/marjoramsail/command/platform/PlatformSoakTest.java
@@ -18,6 +18,7 @@
   private static final long PLANNED_WORK_SEED = 3;
   private static final long PATH_SEED = 5;
   private static final long STORE_LOSS_SEED = 12;
+  private static final long ROUTES_SEED = 4;
   private static final long REPEATS_SEED = 1;
   private static final long PATH_MILLIS = 5;
   private static final double KEPT_PER_SECOND = 40;
@@ -57,6 +58,31 @@
     }
   }
 
+  /**
+   * Guards against a configuration with many routes that is not in force in time at a daemon,
+   * beside restarts, a slow store, and daemons that are slow or cut from it.
+   */
+  @Test
+  void daemonsHaveAddedAndDroppedRoutesInForceInTime(@TempDir Path directory) throws Exception {
+    List<PlatformFault> faults =
+        List.of(
+            PlatformFault.ROUTES_CHANGED,
+            PlatformFault.ROUTES_CHANGED,
+            PlatformFault.ROUTES_CHANGED,
+            PlatformFault.ROUTES_CHANGED,
+            PlatformFault.DAEMON_KILL,
+            PlatformFault.STORE_SLOW,
+            PlatformFault.STORE_PATHS_CUT);
+    PlatformSoakSetup setup = new PlatformSoakSetup(3, 2, 3, 3, 60, 6, 20, 30, ROUTES_SEED, faults);
+    try (ProcessDaemons processes = new ProcessDaemons(directory)) {
+      PlatformSoakReport report = new PlatformSoak(new SystemClock(), processes).run(setup);
+
+      assertThat(report.routes().outdated()).isEmpty();
+      assertThat(report.isClean()).as(report.toString()).isTrue();
+      assertThat(report.routes().judged()).isPositive();
+    }
+  }
+
   /**
    * Guards against requests to servers that leave while several daemons lose the store together.
    */
